--- /dev/null
+++ b/crates/contract/src/change.rs
@@ -0,0 +1,115 @@
+//! Records of the configuration stream.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use pimento_units::Offset;
+use pimento_units::Revision;
+use pimento_units::Wall;
+use pimento_units::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::contract::Contract;
+use crate::fold::State;
+use crate::rollout::Rollout;
+use crate::service::Pool;
+use crate::service::Service;
+use crate::version::Version;
+
+/// One record of the configuration stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Entry {
+    /// A proposed change; the fold accepts or refuses it.
+    Change(Change),
+    /// The state after all records before `offset`; a pure function of them, so that any reader
+    /// may write one.
+    Checkpoint(Checkpoint),
+}
+
+/// A proposed change of one subject.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The writer's id of this change, by which a lost answer is read back.
+    pub id: id::Record,
+    /// What is changed.
+    pub subject: Subject,
+    /// The revision that the writer saw; accepted only if it is still the current one.
+    pub base: Revision,
+    /// The new value; none removes the subject.
+    pub value: Option<Value>,
+    /// Who wrote it: an operator's or a node's name.
+    pub by: CompactString,
+    /// When it was written, by the writer's clock.
+    pub at: Wall,
+}
+
+/// The state after all records before `offset`, with its hash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Checkpoint {
+    /// The next offset to apply to `state`.
+    pub offset: Offset,
+    /// BLAKE3 of the state's canonical text, in hexadecimal.
+    pub hash: CompactString,
+    /// The state itself.
+    pub state: State,
+}
+
+/// What a change is about.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Subject {
+    /// A customer's contract.
+    Contract(id::Customer),
+    /// A model version.
+    Version(id::Version),
+    /// The roll-out of a version.
+    Rollout(id::Version),
+    /// A plain service.
+    Service(id::Service),
+    /// A pool of endpoints.
+    Pool(id::Pool),
+}
+
+impl fmt::Display for Subject {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Contract(id) => write!(f, "contract/{id}"),
+            Self::Version(id) => write!(f, "version/{id}"),
+            Self::Rollout(id) => write!(f, "rollout/{id}"),
+            Self::Service(id) => write!(f, "service/{id}"),
+            Self::Pool(id) => write!(f, "pool/{id}"),
+        }
+    }
+}
+
+/// The new value of a subject.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Value {
+    /// A contract.
+    Contract(Contract),
+    /// A version.
+    Version(Version),
+    /// A roll-out.
+    Rollout(Rollout),
+    /// A plain service.
+    Service(Service),
+    /// A pool.
+    Pool(Pool),
+}
+
+impl Value {
+    /// The subject that this is a value of.
+    #[must_use]
+    pub fn subject(&self) -> Subject {
+        match self {
+            Self::Contract(contract) => Subject::Contract(contract.customer.clone()),
+            Self::Version(version) => Subject::Version(version.id.clone()),
+            Self::Rollout(rollout) => Subject::Rollout(rollout.to.clone()),
+            Self::Service(service) => Subject::Service(service.name.clone()),
+            Self::Pool(pool) => Subject::Pool(pool.name.clone()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/raw.rs
@@ -0,0 +1,1 @@
+//! Raw configuration as operators write it, and its checking.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,3 @@
+//! Controllers of leases, roll-outs, placement and orders.
+
+pub mod cli;
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+pub mod cli;
--- /dev/null
+++ b/crates/endpoint/src/lib.rs
@@ -0,0 +1,11 @@
+//! Clients of model engines and plain services, and the stream assembler.
+//!
+//! [`engine::Engine`] and [`service::Service`] are the interfaces, each with a `hyper` client. The
+//! assembler puts a stream's events in order, drops duplicates, finds gaps and knows whether the
+//! stream is whole. Every error says whether the endpoint can have started the call.
+
+pub mod engine;
+pub mod fault;
+pub mod service;
+
+pub use fault::Fault;
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,3 @@
+//! The filter chain between callers and endpoints.
+
+pub mod cli;
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,12 @@
+//! Clients of the platform's services behind small traits, the appender and the follower.
+//!
+//! [`log::Log`], [`vms::List`], [`weights::Store`] and [`rating::Rater`] are the interfaces; each has an HTTP
+//! client. The appender joins records into few appends; the follower tails a stream, takes state
+//! from checkpoints and peers, and never goes back.
+
+pub mod log;
+pub mod rating;
+pub mod vms;
+pub mod weights;
+
+pub use log::Log;
--- /dev/null
+++ b/crates/policy/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions under load, without clock, network or randomness of their own.
--- /dev/null
+++ b/crates/units/src/tokens.rs
@@ -0,0 +1,61 @@
+//! Counts of model tokens: the unit in which work is measured.
+
+use std::fmt;
+use std::iter::Sum;
+use std::num::ParseIntError;
+use std::ops::Add;
+use std::ops::AddAssign;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A number of tokens. Arithmetic saturates.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Tokens(pub u64);
+
+impl Tokens {
+    /// No tokens.
+    pub const ZERO: Self = Self(0);
+
+    /// The difference, or zero if `other` is larger.
+    #[must_use]
+    pub const fn saturating_sub(self, other: Self) -> Self {
+        Self(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add for Tokens {
+    type Output = Self;
+    fn add(self, other: Self) -> Self {
+        Self(self.0.saturating_add(other.0))
+    }
+}
+
+impl AddAssign for Tokens {
+    fn add_assign(&mut self, other: Self) {
+        *self = *self + other;
+    }
+}
+
+impl Sum for Tokens {
+    fn sum<I: Iterator<Item = Self>>(counts: I) -> Self {
+        counts.fold(Self::ZERO, Add::add)
+    }
+}
+
+impl fmt::Display for Tokens {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for Tokens {
+    type Err = ParseIntError;
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/border.rs
@@ -0,0 +1,193 @@
+//! The border with callers: chat completions in the widely known shape, and the error body.
+//!
+//! Unknown fields are accepted and not passed on, so that existing client libraries work unchanged.
+
+use std::fmt;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Body of `POST /v1/chat/completions`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Chat {
+    /// A class of the contract, or `auto`. Towards an engine: the version.
+    pub model: CompactString,
+    /// The conversation.
+    pub messages: Vec<Message>,
+    /// Whether the answer comes as server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+    /// The most tokens to generate.
+    #[serde(
+        default,
+        alias = "max_completion_tokens",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub max_tokens: Option<u64>,
+    /// Sampling temperature.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub temperature: Option<f32>,
+}
+
+/// One message of a conversation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Message {
+    /// `system`, `user` or `assistant`.
+    pub role: CompactString,
+    /// The text.
+    pub content: String,
+}
+
+/// A whole answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Completion {
+    /// `chatcmpl-` and the request id.
+    pub id: CompactString,
+    /// `chat.completion`.
+    pub object: CompactString,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// The version that answered.
+    pub model: CompactString,
+    /// One choice.
+    pub choices: Vec<Choice>,
+    /// Tokens used.
+    pub usage: Usage,
+}
+
+/// A choice of a whole answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Choice {
+    /// Always 0.
+    pub index: u32,
+    /// The answer.
+    pub message: Message,
+    /// `stop` or `length`.
+    pub finish_reason: CompactString,
+}
+
+/// Tokens of a call.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Of the prompt.
+    pub prompt_tokens: u64,
+    /// Generated.
+    pub completion_tokens: u64,
+    /// Sum of both.
+    pub total_tokens: u64,
+}
+
+/// One event of a streamed answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Chunk {
+    /// `chatcmpl-` and the request id.
+    pub id: CompactString,
+    /// `chat.completion.chunk`.
+    pub object: CompactString,
+    /// Seconds since the Unix epoch.
+    pub created: u64,
+    /// The version that answers.
+    pub model: CompactString,
+    /// One choice.
+    pub choices: Vec<Delta>,
+    /// Tokens used, on the last chunk.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub usage: Option<Usage>,
+}
+
+/// A choice of one event.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Always 0.
+    pub index: u32,
+    /// What was added.
+    pub delta: Piece,
+    /// Set on the last event.
+    pub finish_reason: Option<CompactString>,
+}
+
+/// Text added by one event.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// Set on the first event.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<CompactString>,
+    /// The text.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub content: Option<String>,
+}
+
+/// The data of the event that ends a stream which is whole.
+pub const DONE: &str = "[DONE]";
+
+/// Answer of `GET /v1/models`.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Models {
+    /// `list`.
+    pub object: CompactString,
+    /// The classes that the contract allows.
+    pub data: Vec<Model>,
+}
+
+/// One model that a caller may name.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Model {
+    /// The class's name.
+    pub id: CompactString,
+    /// `model`.
+    pub object: CompactString,
+    /// The customer.
+    pub owned_by: CompactString,
+}
+
+/// The body of every error, and the data of the error event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failure {
+    /// The error.
+    pub error: Error,
+}
+
+/// An error as callers see it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Error {
+    /// A coarse kind, as in the widely known shape: `invalid_request_error`, `rate_limit_error`, …
+    #[serde(rename = "type")]
+    pub kind: CompactString,
+    /// A stable code to test against.
+    pub code: CompactString,
+    /// A sentence for people.
+    pub message: String,
+    /// Whether the call was carried out.
+    pub run: Run,
+}
+
+/// Whether a call was carried out, as said to a caller.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Run {
+    /// No endpoint started it.
+    NotRun,
+    /// It ran.
+    Ran,
+    /// It may have run.
+    Unknown,
+}
+
+impl Run {
+    /// The text in bodies and headers.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not_run",
+            Self::Ran => "ran",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+impl fmt::Display for Run {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,135 @@
+//! Messages between entry VMs: heartbeats by UDP, state, bill copies and kept answers by TCP.
+//!
+//! Everything here is a hint or an idempotent transfer; what must be agreed goes through the
+//! platform's log.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use pimento_units::Offset;
+use pimento_units::Share;
+use pimento_units::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A datagram, sent each second to a few peers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender.
+    pub node: id::Node,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Where peers reach it by TCP and UDP.
+    pub address: CompactString,
+    /// Rises with each heartbeat of one life, so that a late datagram is told apart.
+    pub sequence: u64,
+    /// Offset of its configuration.
+    pub offset: Offset,
+    /// Whether it reads the log itself at present.
+    pub tailing: bool,
+    /// Whether it is about to go.
+    pub leaving: bool,
+    /// Endpoints that it knows to be leaving, newest first, bounded.
+    pub departures: Vec<Departure>,
+    /// Versions that it quarantined on its own evidence, bounded.
+    pub quarantined: Vec<id::Version>,
+}
+
+/// An endpoint known to be leaving; sticky for its incarnation.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Departure {
+    /// Which.
+    pub endpoint: id::Endpoint,
+    /// Which life of it.
+    pub incarnation: u64,
+}
+
+/// A call by TCP from one entry VM to another.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Call {
+    /// Sends the configuration, if newer than `offset`.
+    Pull {
+        /// What the caller has.
+        offset: Offset,
+    },
+    /// Brings a configuration state (JSON text of a checkpoint).
+    Push {
+        /// The checkpoint.
+        checkpoint: String,
+    },
+    /// Keeps copies of bills (JSON text of each) until they are on the log.
+    Hold {
+        /// Whose bills.
+        node: id::Node,
+        /// The bills.
+        bills: Vec<String>,
+    },
+    /// Drops copies that are on the log.
+    Drop {
+        /// The requests billed.
+        requests: Vec<id::Request>,
+    },
+    /// Asks for the kept answer of a request.
+    Fetch {
+        /// The request.
+        request: id::Request,
+    },
+    /// Hands records to the zone's appender.
+    Append {
+        /// The stream's name.
+        stream: CompactString,
+        /// Records as JSON text.
+        records: Vec<String>,
+    },
+}
+
+/// Answer to a [`Call`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Answer {
+    /// Done.
+    Done,
+    /// Nothing newer, nothing kept.
+    Nothing,
+    /// Not now; the reason is for the log.
+    Refused {
+        /// Why.
+        reason: CompactString,
+    },
+    /// The configuration as JSON text of a checkpoint.
+    State {
+        /// The checkpoint.
+        checkpoint: String,
+    },
+    /// A kept answer.
+    Kept {
+        /// HTTP status.
+        status: u16,
+        /// Content type.
+        content: CompactString,
+        /// Body.
+        body: Bytes,
+    },
+    /// Records are on the log from this offset.
+    Appended {
+        /// The first one's offset.
+        first: Offset,
+    },
+}
+
+/// What one node saw of a version in one class; sent with bills to whoever decides on stages.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The version.
+    pub version: id::Version,
+    /// Rated answers.
+    pub rated: u32,
+    /// Answers that passed.
+    pub passed: u32,
+    /// Attempts.
+    pub attempts: u32,
+    /// Attempts that failed.
+    pub failed: u32,
+    /// The share of rated answers that passed.
+    pub quality: Share,
+    /// 95th percentile of latency, in milliseconds.
+    pub latency_ms: u32,
+}
--- /dev/null
+++ b/src/bin/pimento-load.rs
@@ -0,0 +1,7 @@
+//! The load generator.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pimento_standin::load::main()
+}
--- /dev/null
+++ b/tests/all/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the built programs, one module a topic.
+
+mod programs;
