endpoint: add hyper clients and the stream assembler

The request path needs engines and services behind the traits. Ruled out: one client per endpoint (no shared pool). A connect failure is the only proof that nothing ran, besides the endpoint's own word.

--- /dev/null
+++ b/crates/endpoint/src/events.rs
@@ -0,0 +1,80 @@
+//! A streamed answer as it comes from the connection.
+
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use compact_str::CompactString;
+use compact_str::ToCompactString;
+use compact_str::format_compact;
+use eventsource_stream::EventStream;
+use eventsource_stream::EventStreamError;
+use futures::Stream;
+use futures::ready;
+use http_body_util::BodyDataStream;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use pimento_wire::border::Chunk;
+use pimento_wire::border::DONE;
+
+use crate::engine::Event;
+use crate::fault::Fault;
+
+/// The events of one attempt. Dropping it closes the connection, so that nothing that still comes
+/// for a cancelled attempt can be read by anyone.
+pub struct Events {
+    inner: EventStream<BodyDataStream<Incoming>>,
+    /// One past the highest number seen.
+    pieces: u64,
+}
+
+impl Events {
+    pub(crate) fn new(response: Response<Incoming>) -> Result<Self, Fault> {
+        let content = response.headers().get(CONTENT_TYPE);
+        let streamed = content.is_some_and(|v| v.as_bytes().starts_with(b"text/event-stream"));
+        if !streamed {
+            return Err(Fault::Nonsense {
+                reason: CompactString::const_new("the answer is not an event stream"),
+            });
+        }
+        Ok(Self {
+            inner: EventStream::new(BodyDataStream::new(response.into_body())),
+            pieces: 0,
+        })
+    }
+
+    fn read(&mut self, event: &eventsource_stream::Event) -> Result<Event, Fault> {
+        if event.data == DONE {
+            return Ok(Event::Done {
+                sequence: self.pieces,
+            });
+        }
+        let sequence: u64 = event.id.parse().map_err(|_| Fault::Nonsense {
+            reason: format_compact!("the event's id {:?} is not a number", event.id),
+        })?;
+        let chunk: Chunk = serde_json::from_str(&event.data).map_err(|error| Fault::Nonsense {
+            reason: error.to_compact_string(),
+        })?;
+        self.pieces = self.pieces.max(sequence.saturating_add(1));
+        Ok(Event::Chunk { sequence, chunk })
+    }
+}
+
+impl Stream for Events {
+    type Item = Result<Event, Fault>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let item = match ready!(Pin::new(&mut self.inner).poll_next(cx)) {
+            None => None,
+            Some(Ok(event)) => Some(self.read(&event)),
+            Some(Err(EventStreamError::Transport(error))) => Some(Err(Fault::Cut {
+                reason: error.to_compact_string(),
+            })),
+            Some(Err(error)) => Some(Err(Fault::Nonsense {
+                reason: error.to_compact_string(),
+            })),
+        };
+        Poll::Ready(item)
+    }
+}
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -4,8 +4,13 @@
 //! assembler puts a stream's events in order, drops duplicates, finds gaps and knows whether the
 //! stream is whole. Every error says whether the endpoint can have started the call.
 
+pub mod assemble;
+pub mod client;
 pub mod engine;
+pub mod events;
 pub mod fault;
 pub mod service;
 
+pub use assemble::Assembler;
+pub use client::Pool;
 pub use fault::Fault;
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -1,14 +1,25 @@
 //! Plain services.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::ToCompactString;
+use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Method;
+use hyper::Request;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
 use pimento_units::id;
+use pimento_wire::header;
+use tokio::time::Instant;
 
+use crate::client::Pool;
+use crate::client::fault;
+use crate::client::refused;
+use crate::client::uri;
 use crate::fault::Fault;
 
 /// A call to a plain service, passed through.
@@ -47,3 +58,93 @@
     /// [`Fault::Refused`]; any other answer is the caller's.
     fn call(&self, call: Call) -> impl Future<Output = Result<Answer, Fault>> + Send;
 }
+
+/// The `hyper` client of a plain service.
+#[derive(Debug, Clone)]
+pub struct Remote {
+    pool: Pool,
+    address: SocketAddr,
+}
+
+impl Remote {
+    /// The service's replica at `address`, over shared connections.
+    #[must_use]
+    pub const fn new(pool: Pool, address: SocketAddr) -> Self {
+        Self { pool, address }
+    }
+
+    fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, Fault> {
+        let mut request = Request::builder()
+            .method(call.method.clone())
+            .uri(uri(self.address, &call.path)?)
+            .header(header::ATTEMPT, call.attempt.to_string())
+            .header(header::IDEMPOTENCY_KEY, call.request.to_string())
+            .header(
+                header::REQUEST_TIMEOUT,
+                call.timeout.as_secs_f64().to_string(),
+            );
+        for (name, value) in &call.headers {
+            request = request.header(name, value);
+        }
+        let request = request.body(Full::new(call.body.clone()));
+        request.map_err(|error| Fault::Unreachable {
+            reason: error.to_compact_string(),
+        })
+    }
+}
+
+impl Service for Remote {
+    async fn call(&self, call: Call) -> Result<Answer, Fault> {
+        let begun = Instant::now();
+        let request = self.request(&call)?;
+        let response = self.pool.send(request, call.timeout).await?;
+        let (head, body) = response.into_parts();
+        if refused(head.status, &head.headers) {
+            return Err(fault(head.status, &head.headers));
+        }
+        let left = call.timeout.saturating_sub(begun.elapsed());
+        let body = self.pool.read(body, left).await?;
+        Ok(Answer {
+            status: head.status,
+            headers: end_to_end(&head.headers),
+            body,
+        })
+    }
+}
+
+/// Headers that belong to one connection and are never passed on, and those that the client sets
+/// itself.
+const HOP: [&str; 10] = [
+    "connection",
+    "content-length",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// The headers that are passed on: all but those of one connection.
+#[must_use]
+pub fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let named = headers
+        .get(CONNECTION)
+        .and_then(|value| value.to_str().ok());
+    let named = named.unwrap_or_default();
+    let hop = |name: &str| {
+        HOP.contains(&name)
+            || named
+                .split(',')
+                .any(|n| n.trim().eq_ignore_ascii_case(name))
+    };
+    let mut kept = HeaderMap::new();
+    for (name, value) in headers {
+        if !hop(name.as_str()) {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    kept
+}
