Check operators' files and report all findings at once

Cause: contracts, versions, pools, services and roll-outs had checked types but no way in from a file. Change: contract::raw reads TOML key by key, notes each fault with file, line and key path, and checks names, keys and subjects across all files and against the state in force. Ruled out: serde derive, since it stops at the first fault of a table.

--- a/crates/contract/src/raw.rs
+++ b/crates/contract/src/raw.rs
@@ -1,1 +1,164 @@
-//! Raw configuration as operators write it, and its checking.
+//! Raw configuration as operators write it (TOML), and its checking.
+//!
+//! A file holds any number of `[[pool]]`, `[[version]]`, `[[service]]`, `[[rollout]]` and
+//! `[[contract]]` tables. All files of one call are checked together and against the state in
+//! force, and every finding is reported at once with its file, line and key path. The reference of
+//! all keys is `docs/CONTRACTS.md`.
+
+mod contract;
+mod finding;
+mod links;
+mod platform;
+mod table;
+
+pub use finding::Finding;
+pub use finding::Findings;
+pub use finding::Place;
+
+use std::ops::Range;
+
+use compact_str::CompactString;
+use toml::de::DeTable;
+
+use crate::change::Subject;
+use crate::change::Value;
+use crate::fold::State;
+
+use finding::Report;
+use links::Link;
+use table::Table;
+
+/// A file as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct File {
+    /// Its name, as findings give it.
+    pub name: CompactString,
+    /// Its text.
+    pub text: String,
+}
+
+/// Files with the state that they are to be published over.
+#[derive(Debug, Clone, Copy)]
+pub struct Source<'a> {
+    /// The files, checked together.
+    pub files: &'a [File],
+    /// What is in force; names in the files may refer to it.
+    pub known: &'a State,
+}
+
+/// The checked values of all files, sorted by subject, no subject twice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Configuration {
+    /// The values.
+    pub values: Vec<Value>,
+}
+
+/// What reading gathers besides findings, for the checks across tables and files.
+#[derive(Debug, Default)]
+struct Draft {
+    values: Vec<Value>,
+    definitions: Vec<(Subject, Place)>,
+    links: Vec<Link>,
+}
+
+impl Draft {
+    /// Notes that a subject is defined, even if the rest of its table is faulty, so that one fault
+    /// does not cause another finding at each name that refers to it.
+    fn define(&mut self, subject: Subject, place: Place) {
+        self.definitions.push((subject, place));
+    }
+
+    fn refer(&mut self, link: Link) {
+        self.links.push(link);
+    }
+}
+
+impl TryFrom<Source<'_>> for Configuration {
+    type Error = Findings;
+
+    /// Checks all files together.
+    ///
+    /// # Errors
+    ///
+    /// All findings, sorted by file and line. A file that is no TOML gives its syntax findings
+    /// only, and then names are not checked across files, since the names that it defines can't
+    /// be known.
+    fn try_from(source: Source<'_>) -> Result<Self, Findings> {
+        let report = Report::default();
+        let mut draft = Draft::default();
+        let mut readable = true;
+        for file in source.files {
+            readable &= read(file, &report, &mut draft);
+        }
+        if readable {
+            links::check(&draft, source.known, &report);
+        }
+        let findings = report.into_findings();
+        if !findings.is_empty() {
+            return Err(findings);
+        }
+        let mut values = draft.values;
+        values.sort_by_key(Value::subject);
+        Ok(Self { values })
+    }
+}
+
+/// Reads one file; false if it is no TOML.
+fn read(file: &File, report: &Report, draft: &mut Draft) -> bool {
+    let lines = Lines::of(file);
+    let (document, errors) = DeTable::parse_recoverable(&file.text);
+    if !errors.is_empty() {
+        for error in &errors {
+            let place = lines.place(error.span().unwrap_or(0..0), "");
+            report.add(&place, error.message());
+        }
+        return false;
+    }
+    let mut root = Table::root(document.get_ref(), &lines, report);
+    for table in root.tables("pool") {
+        platform::pool(table, draft);
+    }
+    for table in root.tables("version") {
+        platform::version(table, draft);
+    }
+    for table in root.tables("service") {
+        platform::service(table, draft);
+    }
+    for table in root.tables("rollout") {
+        platform::rollout(table, draft);
+    }
+    for table in root.tables("contract") {
+        contract::contract(table, draft);
+    }
+    root.finish();
+    true
+}
+
+/// Turns byte offsets of a file into line numbers.
+#[derive(Debug)]
+struct Lines<'a> {
+    file: &'a CompactString,
+    starts: Vec<usize>,
+}
+
+impl<'a> Lines<'a> {
+    fn of(file: &'a File) -> Self {
+        let after = |(at, _): (usize, &str)| at + 1;
+        let starts = std::iter::once(0)
+            .chain(file.text.match_indices('\n').map(after))
+            .collect();
+        Self {
+            file: &file.name,
+            starts,
+        }
+    }
+
+    fn place(&self, span: Range<usize>, path: impl Into<CompactString>) -> Place {
+        let line = self.starts.partition_point(|start| *start <= span.start);
+        Place {
+            file: self.file.clone(),
+            line,
+            path: path.into(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/contract/src/raw/contract.rs
@@ -0,0 +1,170 @@
+//! Reading of `[[contract]]` tables.
+
+use pimento_units::Money;
+use pimento_units::Span;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use crate::change::Subject;
+use crate::change::Value;
+use crate::contract::Class;
+use crate::contract::Contract;
+use crate::contract::Spend;
+
+use super::Draft;
+use super::links::Link;
+use super::table::Placed;
+use super::table::Table;
+
+/// The name by which callers ask for the contract's first class; no class may be called so.
+const AUTO: &str = "auto";
+
+/// Weight of a contract that names none.
+const DEFAULT_WEIGHT: u32 = 1;
+
+/// Priority of a class that names none, in the middle between the first (0) and the last.
+const DEFAULT_PRIORITY: u8 = 5;
+
+/// Reads one contract.
+pub(super) fn contract(mut table: Table<'_, '_>, draft: &mut Draft) {
+    let customer = table.text::<id::Customer>("customer");
+    let subject = customer
+        .as_ref()
+        .map(|customer| Subject::Contract(customer.value.clone()));
+    if let Some(subject) = &subject {
+        draft.define(subject.clone(), table.place().clone());
+    }
+    let keys = keys(&mut table, draft, subject.as_ref());
+    let weight = table.number_or("weight", 1, DEFAULT_WEIGHT);
+    let spend = table.table("spend").and_then(spend);
+    let services = services(&mut table, draft);
+    let classes = classes(&mut table, draft);
+    table.finish();
+    let (Some(customer), Some(weight), Some(spend)) = (customer, weight, spend) else {
+        return;
+    };
+    draft.values.push(Value::Contract(Contract {
+        customer: customer.value,
+        keys,
+        weight,
+        spend,
+        classes,
+        services,
+    }));
+}
+
+fn keys(
+    table: &mut Table<'_, '_>,
+    draft: &mut Draft,
+    owner: Option<&Subject>,
+) -> Vec<crate::contract::Key> {
+    let keys = table.texts("keys");
+    if keys.is_empty() {
+        table.fault("keys", "needs at least one hash of an API key");
+    }
+    for key in &keys {
+        draft.refer(Link::Key {
+            key: key.value,
+            owner: owner.cloned(),
+            place: key.place.clone(),
+        });
+    }
+    sorted(keys)
+}
+
+fn services(table: &mut Table<'_, '_>, draft: &mut Draft) -> Vec<id::Service> {
+    let services = table.texts::<id::Service>("services");
+    for service in &services {
+        let subject = Subject::Service(service.value.clone());
+        draft.refer(Link::subject(subject, &service.place));
+    }
+    sorted(services)
+}
+
+fn sorted<T: Ord>(items: Vec<Placed<T>>) -> Vec<T> {
+    let mut values: Vec<T> = items.into_iter().map(|placed| placed.value).collect();
+    values.sort();
+    values.dedup();
+    values
+}
+
+fn spend(mut table: Table<'_, '_>) -> Option<Spend> {
+    let limit = table.text::<Money>("limit");
+    let period = positive(&mut table, "period");
+    table.finish();
+    Some(Spend {
+        limit: limit?.value,
+        period: period?,
+    })
+}
+
+/// A length of time above zero.
+pub(super) fn positive(table: &mut Table<'_, '_>, key: &'static str) -> Option<Span> {
+    let span = table.text::<Span>(key)?.value;
+    if span == Span::ZERO {
+        table.fault(key, "must be more than no time");
+        return None;
+    }
+    Some(span)
+}
+
+fn classes(table: &mut Table<'_, '_>, draft: &mut Draft) -> Vec<Class> {
+    let tables = table.tables("class");
+    if tables.is_empty() {
+        table.fault("class", "needs at least one class of requests");
+    }
+    let mut classes: Vec<Class> = Vec::with_capacity(tables.len());
+    for table in tables {
+        let Some(class) = class(table, draft, &classes) else {
+            continue;
+        };
+        classes.push(class);
+    }
+    classes.sort_by(|a, b| a.name.cmp(&b.name));
+    classes
+}
+
+fn class(mut table: Table<'_, '_>, draft: &mut Draft, before: &[Class]) -> Option<Class> {
+    let name = table.text::<id::Class>("name").map(|name| name.value);
+    if let Some(name) = &name {
+        check_name(&table, name, before);
+    }
+    let versions = versions(&mut table, draft);
+    let quality = table.share("quality");
+    let priority = table.number_or("priority", 0, DEFAULT_PRIORITY);
+    let timeout = positive(&mut table, "timeout");
+    let output = table.number("output", 1).map(Tokens);
+    table.finish();
+    Some(Class {
+        name: name?,
+        versions,
+        quality: quality?,
+        priority: priority?,
+        timeout: timeout?,
+        output: output?,
+    })
+}
+
+fn check_name(table: &Table<'_, '_>, name: &id::Class, before: &[Class]) {
+    if name.as_str() == AUTO {
+        table.fault("name", "\"auto\" stands for the contract's first class");
+    }
+    if before.iter().any(|class| class.name == *name) {
+        table.fault(
+            "name",
+            format!("{name} is a class of this contract already"),
+        );
+    }
+}
+
+fn versions(table: &mut Table<'_, '_>, draft: &mut Draft) -> Vec<id::Version> {
+    let versions = table.texts::<id::Version>("versions");
+    if versions.is_empty() {
+        table.fault("versions", "needs at least one version");
+    }
+    for version in &versions {
+        let subject = Subject::Version(version.value.clone());
+        draft.refer(Link::subject(subject, &version.place));
+    }
+    sorted(versions)
+}
