platform: HTTP clients, group commit and followers

The claims, bills, grants and leases are built on appends and followed streams, which had only their traits. Adds the hyper clients of the four platform services, the appender (one append in flight a stream, lost answers made again until the deadline, bounded queue) and the follower (long poll, age counted from the sending of a read). Ruled out: a caller that decides alone that its record was not sent; worker and caller agree by compare-and-swap.

--- /dev/null
+++ b/crates/platform/src/appender.rs
@@ -0,0 +1,231 @@
+//! Group commit: joins the records of one process into few appends.
+//!
+//! The log takes a few hundred appends a second for the whole deployment. One append for each
+//! record would spend that at a few hundred requests a second; gathering for some milliseconds
+//! makes the number of appends independent of the number of records. Each stream has one append
+//! in flight at a time, so a slow log makes batches larger instead of more numerous.
+
+mod entry;
+mod worker;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use pimento_ledger::Stream;
+use pimento_units::Offset;
+use snafu::Snafu;
+use snafu::ensure;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::http;
+use crate::log::Error;
+use crate::log::Log;
+
+use self::entry::Entry;
+use self::entry::Progress;
+use self::worker::Worker;
+
+/// Settings of an [`Appender`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// How long the first record of a batch waits for more.
+    pub gather: Duration,
+    /// The most records in one append.
+    pub records: usize,
+    /// The most bytes in one append; a single larger record goes alone.
+    pub bytes: usize,
+    /// The most calls that wait for each stream.
+    pub queue: usize,
+    /// The most bytes of records that wait over all streams.
+    pub memory: u32,
+}
+
+impl Default for Settings {
+    /// 10 ms make at most 100 appends a second for each stream of a node, and are short beside the
+    /// log's own time. 512 records and 1 MiB keep one append far below the log's timeout. 4,096
+    /// calls are several seconds of a node's share of the target rate; 16 MiB is half of the
+    /// memory that control may use on a node.
+    fn default() -> Self {
+        Self {
+            gather: Duration::from_millis(10),
+            records: 512,
+            bytes: 1 << 20,
+            queue: 4_096,
+            memory: 16 << 20,
+        }
+    }
+}
+
+/// A setting that makes no sense.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+#[snafu(display("the appender's {setting} must not be zero"))]
+pub struct Finding {
+    setting: &'static str,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Config(Settings);
+
+impl TryFrom<Settings> for Config {
+    type Error = Finding;
+    fn try_from(settings: Settings) -> Result<Self, Finding> {
+        let setting = "records";
+        ensure!(settings.records > 0, FindingSnafu { setting });
+        let setting = "queue";
+        ensure!(settings.queue > 0, FindingSnafu { setting });
+        let setting = "memory";
+        ensure!(settings.memory > 0, FindingSnafu { setting });
+        Ok(Self(settings))
+    }
+}
+
+/// Appends records through group commit. Clones share the queues.
+#[derive(Debug, Clone)]
+pub struct Appender {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    queues: Vec<mpsc::Sender<Entry>>,
+    memory: Arc<Semaphore>,
+    closed: Arc<Closed>,
+    token: CancellationToken,
+}
+
+/// Until when the log said that it refuses appends.
+#[derive(Debug)]
+struct Closed(Mutex<Instant>);
+
+impl Closed {
+    fn until(&self) -> Instant {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn set(&self, until: Instant) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = until;
+    }
+}
+
+impl Appender {
+    /// Starts one worker for each stream; they end with `token`.
+    ///
+    /// What still waits then is answered as refused, or as lost if it was sent before.
+    pub fn start(log: impl Log, config: Config, token: CancellationToken) -> Self {
+        let closed = Arc::new(Closed(Mutex::new(Instant::now())));
+        let logs = std::iter::repeat_n(log, Stream::ALL.len());
+        let queues = Stream::ALL
+            .into_iter()
+            .zip(logs)
+            .map(|(stream, log)| {
+                let (sender, queue) = mpsc::channel(config.0.queue);
+                let worker = Worker {
+                    log,
+                    stream,
+                    settings: config.0,
+                    closed: Arc::clone(&closed),
+                };
+                tokio::spawn(worker.run(queue, token.clone()));
+                sender
+            })
+            .collect();
+        let memory = Arc::new(Semaphore::new(config.0.memory as usize));
+        let shared = Shared {
+            queues,
+            memory,
+            closed,
+            token,
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Appends one record and gives its offset.
+    ///
+    /// An append whose answer was lost is made again until `deadline`, so the record must be safe
+    /// to append twice; the offset is that of the last append.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Refused`] if the record surely is not on the log: the queue is full, or the log
+    /// refused until `deadline`. [`Error::Lost`] if it may be on the log.
+    pub async fn append(
+        &self,
+        stream: Stream,
+        record: String,
+        deadline: Instant,
+    ) -> Result<Offset, Error> {
+        self.append_all(stream, vec![record], deadline).await
+    }
+
+    /// Appends records side by side, all or none, and gives the first one's offset.
+    ///
+    /// # Errors
+    ///
+    /// As [`Appender::append`].
+    pub async fn append_all(
+        &self,
+        stream: Stream,
+        records: Vec<String>,
+        deadline: Instant,
+    ) -> Result<Offset, Error> {
+        self.admit(deadline)?;
+        let size = records.iter().map(String::len).sum::<usize>();
+        let permits = u32::try_from(size).unwrap_or(u32::MAX);
+        let permit = Arc::clone(&self.shared.memory)
+            .try_acquire_many_owned(permits)
+            .map_err(|_| full())?;
+        let progress = Arc::new(Progress::default());
+        let (answer, answered) = oneshot::channel();
+        let entry = Entry {
+            records,
+            size,
+            deadline,
+            progress: Arc::clone(&progress),
+            answer,
+            _permit: permit,
+        };
+        self.shared.queues[stream as usize]
+            .try_send(entry)
+            .map_err(|_| full())?;
+        match tokio::time::timeout_at(deadline, answered).await {
+            Ok(Ok(result)) => result,
+            Ok(Err(_)) | Err(_) => Err(progress.give_up()),
+        }
+    }
+
+    /// When the log said that it will take appends again; in the past if it takes them now.
+    #[must_use]
+    pub fn closed_until(&self) -> Instant {
+        self.shared.closed.until()
+    }
+
+    /// Refuses at once what the log has said it won't take before `deadline`, so that a caller in
+    /// an outage hears it now and not when its time is up.
+    fn admit(&self, deadline: Instant) -> Result<(), Error> {
+        if self.shared.token.is_cancelled() {
+            return Err(full());
+        }
+        let until = self.closed_until();
+        if until < deadline {
+            return Ok(());
+        }
+        let after = until.saturating_duration_since(Instant::now());
+        if after.is_zero() {
+            return Ok(());
+        }
+        Err(Error::Refused { after })
+    }
+}
+
+const fn full() -> Error {
+    Error::Refused { after: http::RETRY }
+}
--- /dev/null
+++ b/crates/platform/src/http.rs
@@ -0,0 +1,168 @@
+//! One bounded call over HTTP, shared by the clients of the platform's services.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use pimento_wire::header;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// The largest body that is read from a platform service, in bytes. A batch of the log may hold a
+/// checkpoint of the whole configuration beside other records.
+const MAX_BODY: usize = 32 << 20;
+/// Idle connections kept for each service. A node has one long poll open for each stream and a
+/// handful of appends; more would only cost file descriptors.
+const IDLE: usize = 16;
+/// When to ask again a service that can't be reached, or that says no without a time.
+pub(crate) const RETRY: Duration = Duration::from_secs(1);
+
+/// Why there is no reply.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// No connection was made, so the service can't have done anything.
+    Unreachable(String),
+    /// The service may have done what it was asked.
+    Lost(String),
+}
+
+impl Failure {
+    /// What happened.
+    pub(crate) fn reason(self) -> String {
+        match self {
+            Self::Unreachable(reason) | Self::Lost(reason) => reason,
+        }
+    }
+}
+
+/// A whole reply.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// Status.
+    pub(crate) status: StatusCode,
+    /// The time of `Retry-After`, if there is one.
+    pub(crate) after: Option<Duration>,
+    /// Body.
+    pub(crate) body: Bytes,
+}
+
+impl Reply {
+    /// The body as a message.
+    pub(crate) fn read<T: DeserializeOwned>(&self) -> Result<T, String> {
+        serde_json::from_slice(&self.body).map_err(|e| format!("unreadable body: {e}"))
+    }
+
+    /// When to ask again, if the service said before doing anything that it won't.
+    ///
+    /// A status 503 without `Retry-After` is not taken for a refusal: a gateway in between says
+    /// this also when the service behind it has already acted.
+    pub(crate) fn refusal(&self) -> Option<Duration> {
+        let refused = [
+            StatusCode::TOO_MANY_REQUESTS,
+            StatusCode::SERVICE_UNAVAILABLE,
+        ];
+        if refused.contains(&self.status) {
+            self.after
+        } else {
+            None
+        }
+    }
+}
+
+/// A client of one service. Clones share the connections.
+#[derive(Debug, Clone)]
+pub(crate) struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    address: SocketAddr,
+    timeout: Duration,
+}
+
+impl Client {
+    /// A client of the service at `address`; each call takes at most `timeout`.
+    pub(crate) fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        connector.set_connect_timeout(Some(timeout));
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(IDLE)
+            .build(connector);
+        Self {
+            inner,
+            address,
+            timeout,
+        }
+    }
+
+    /// `GET path`; the service may wait up to `wait` before it answers.
+    pub(crate) async fn get(&self, path: &str, wait: Duration) -> Result<Reply, Failure> {
+        self.call(Method::GET, path, Bytes::new(), wait).await
+    }
+
+    /// `POST path` with a JSON body.
+    pub(crate) async fn post(&self, path: &str, body: &impl Serialize) -> Result<Reply, Failure> {
+        let body = serde_json::to_vec(body).map_err(|e| Failure::Unreachable(e.to_string()))?;
+        self.call(Method::POST, path, body.into(), Duration::ZERO)
+            .await
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        wait: Duration,
+    ) -> Result<Reply, Failure> {
+        let request = Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(body))
+            .map_err(|e| Failure::Unreachable(e.to_string()))?;
+        let exchange = async {
+            let response = self.inner.request(request).await.map_err(|e| failure(&e))?;
+            collect(response).await
+        };
+        tokio::time::timeout(self.timeout + wait, exchange)
+            .await
+            .unwrap_or_else(|_| Err(Failure::Lost("no answer in time".into())))
+    }
+}
+
+fn failure(error: &legacy::Error) -> Failure {
+    if error.is_connect() {
+        return Failure::Unreachable(error.to_string());
+    }
+    Failure::Lost(error.to_string())
+}
+
+async fn collect(response: Response<Incoming>) -> Result<Reply, Failure> {
+    let (head, body) = response.into_parts();
+    let after = head
+        .headers
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse().ok())
+        .map(Duration::from_secs);
+    let body = Limited::new(body, MAX_BODY)
+        .collect()
+        .await
+        .map_err(|e| Failure::Lost(e.to_string()))?
+        .to_bytes();
+    Ok(Reply {
+        status: head.status,
+        after,
+        body,
+    })
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -4,9 +4,15 @@
 //! client. The appender joins records into few appends; the follower tails a stream, takes state
 //! from checkpoints and peers, and never goes back.
 
+pub mod appender;
+mod backoff;
+pub mod follower;
+mod http;
 pub mod log;
 pub mod rating;
 pub mod vms;
 pub mod weights;
 
+pub use appender::Appender;
+pub use follower::Follower;
 pub use log::Log;
--- a/crates/platform/src/rating.rs
+++ b/crates/platform/src/rating.rs
@@ -1,11 +1,17 @@
 //! The service that rates answers.
 
 use std::future::Future;
+use std::net::SocketAddr;
+use std::time::Duration;
 
+use hyper::StatusCode;
 use pimento_wire::platform::Rate;
 use pimento_wire::platform::Rating;
 use snafu::Snafu;
 
+use crate::http::Client;
+use crate::http::Failure;
+
 /// The rating service.
 pub trait Rater: Clone + Send + Sync + 'static {
     /// Rates a whole answer.
@@ -19,3 +25,36 @@
     /// What happened.
     pub reason: String,
 }
+
+/// The rating service over HTTP, as in [`pimento_wire::platform`].
+#[derive(Debug, Clone)]
+pub struct Remote {
+    client: Client,
+}
+
+impl Remote {
+    /// The rating service at `address`; a call takes at most `timeout`.
+    #[must_use]
+    pub fn new(address: SocketAddr, timeout: Duration) -> Self {
+        let client = Client::new(address, timeout);
+        Self { client }
+    }
+}
+
+impl Rater for Remote {
+    async fn rate(&self, rate: Rate) -> Result<Rating, Error> {
+        let reply = self.client.post("/rate", &rate).await?;
+        if reply.status != StatusCode::OK {
+            let reason = format!("status {}", reply.status);
+            return Err(Error { reason });
+        }
+        reply.read().map_err(|reason| Error { reason })
+    }
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        let reason = failure.reason();
+        Self { reason }
+    }
+}
