--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,346 @@
+//! Stand-in of the platform's append-only log.
+//!
+//! Speaks the log's part of [`pimento_wire::platform`]. Any stream name is accepted. An outage is a
+//! `refuse` or `hang` rule of the fault table, an append whose answer is lost a `lose_answer` rule.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use compact_str::CompactString;
+use hyper::Method;
+use hyper::StatusCode;
+use pimento_units::Offset;
+use pimento_units::Wall;
+use pimento_wire::platform::Append;
+use pimento_wire::platform::Appended;
+use pimento_wire::platform::Batch;
+use pimento_wire::platform::Entry;
+use pimento_wire::platform::Gone;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::bucket::Bucket;
+use crate::clock;
+use crate::server;
+use crate::server::Answer;
+use crate::server::Call;
+use crate::server::Running;
+use crate::server::Site;
+use crate::shared::Shared;
+
+/// Records of one answer if the reader does not say how many it wants.
+const DEFAULT_MAX: u64 = 1_000;
+/// The longest wait of a read, in milliseconds.
+const MAX_WAIT: u64 = 60_000;
+
+/// Settings of the log.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// Appends a second, over all streams.
+    pub appends: f64,
+    /// Appends that pass at once after a pause.
+    pub burst: f64,
+    /// The most records that a stream keeps.
+    pub keep: usize,
+    /// How long records are kept, in milliseconds.
+    pub keep_ms: u64,
+}
+
+impl Default for Settings {
+    /// Several hundred appends a second, as the platform gives, and retention that a test never
+    /// meets unless it asks for it.
+    fn default() -> Self {
+        Self {
+            appends: 500.0,
+            burst: 250.0,
+            keep: 10_000_000,
+            keep_ms: 7 * 86_400_000,
+        }
+    }
+}
+
+/// What a log is started with.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its settings.
+    pub settings: Settings,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            settings: Settings::default(),
+        }
+    }
+}
+
+/// Counters of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Records appended.
+    pub records: u64,
+    /// Bytes of records appended.
+    pub bytes: u64,
+    /// Appends refused for their rate.
+    pub limited: u64,
+    /// Reads.
+    pub reads: u64,
+    /// Reads that retention had passed.
+    pub gone: u64,
+    /// The streams, sorted by name.
+    pub streams: Vec<Extent>,
+}
+
+/// What a stream holds.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extent {
+    /// The stream's name.
+    pub name: CompactString,
+    /// The oldest offset kept.
+    pub oldest: Offset,
+    /// The end.
+    pub end: Offset,
+}
+
+#[derive(Debug)]
+struct Stream {
+    name: CompactString,
+    oldest: u64,
+    records: std::collections::VecDeque<(Wall, Arc<str>)>,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    bucket: Bucket,
+    streams: Vec<Stream>,
+    stats: Stats,
+}
+
+/// The log.
+#[derive(Debug, Clone)]
+pub struct Log {
+    state: Shared<State>,
+    grown: watch::Sender<u64>,
+}
+
+/// Starts a log.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub async fn start(config: Config, token: CancellationToken) -> io::Result<Running<Log>> {
+    let site = Log::new(config.settings);
+    server::start(site, config.listen, token).await
+}
+
+impl Stream {
+    fn end(&self) -> u64 {
+        self.oldest + self.records.len() as u64
+    }
+
+    fn expire(&mut self, settings: &Settings, now: Wall) {
+        let age = Duration::from_millis(settings.keep_ms);
+        while let Some((at, _)) = self.records.front() {
+            if self.records.len() <= settings.keep && now.since(*at) <= age {
+                return;
+            }
+            self.records.pop_front();
+            self.oldest += 1;
+        }
+    }
+
+    fn read(&self, from: u64, max: u64, now: Wall) -> Batch {
+        let skip = usize::try_from(from.saturating_sub(self.oldest)).unwrap_or(usize::MAX);
+        let take = usize::try_from(max).unwrap_or(usize::MAX);
+        let found = (from..).zip(self.records.iter().skip(skip).take(take));
+        let records: Vec<Entry> = found
+            .map(|(offset, (at, record))| Entry {
+                offset: Offset(offset),
+                at: *at,
+                record: record.to_string(),
+            })
+            .collect();
+        Batch {
+            next: Offset(from + records.len() as u64),
+            records,
+            end: Offset(self.end()),
+            now,
+        }
+    }
+}
+
+impl State {
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        let place = self
+            .streams
+            .binary_search_by(|stream| stream.name.as_str().cmp(name));
+        let place = place.unwrap_or_else(|at| {
+            let stream = Stream {
+                name: name.into(),
+                oldest: 0,
+                records: std::collections::VecDeque::new(),
+            };
+            self.streams.insert(at, stream);
+            at
+        });
+        &mut self.streams[place]
+    }
+
+    fn append(&mut self, name: &str, records: Vec<String>) -> Offset {
+        let now = clock::now();
+        let settings = self.settings.clone();
+        self.stats.appends += 1;
+        self.stats.records += records.len() as u64;
+        self.stats.bytes += records.iter().map(|r| r.len() as u64).sum::<u64>();
+        let stream = self.stream(name);
+        let first = stream.end();
+        let records = records.into_iter().map(|r| (now, Arc::from(r)));
+        stream.records.extend(records);
+        stream.expire(&settings, now);
+        Offset(first)
+    }
+}
+
+impl Log {
+    fn new(settings: Settings) -> Self {
+        let bucket = Bucket::new(settings.appends, settings.burst, Instant::now());
+        let state = State {
+            settings,
+            bucket,
+            streams: Vec::new(),
+            stats: Stats::default(),
+        };
+        Self {
+            state: Shared::new(state),
+            grown: watch::Sender::new(0),
+        }
+    }
+
+    /// Appends records past the rate limit, as another writer of the platform would.
+    pub fn append(&self, stream: &str, records: Vec<String>) -> Offset {
+        let first = self.state.with(|state| state.append(stream, records));
+        self.grown.send_modify(|count| *count += 1);
+        first
+    }
+
+    /// All records that a stream keeps.
+    #[must_use]
+    pub fn records(&self, stream: &str) -> Vec<Entry> {
+        self.state.with(|state| {
+            let stream = state.stream(stream);
+            stream.read(stream.oldest, u64::MAX, clock::now()).records
+        })
+    }
+
+    fn post(&self, name: &str, call: &Call) -> Answer {
+        let append: Append = match call.json() {
+            Ok(append) => append,
+            Err(answer) => return answer,
+        };
+        let taken = self.state.with(|state| {
+            let taken = state.bucket.take(Instant::now());
+            state.stats.limited += u64::from(taken.is_err());
+            taken
+        });
+        if let Err(after) = taken {
+            return server::refusal(StatusCode::TOO_MANY_REQUESTS, after, "over the append rate");
+        }
+        let first = self.append(name, append.records);
+        server::json(StatusCode::OK, &Appended { first })
+    }
+
+    async fn get(&self, name: &str, call: &Call) -> Answer {
+        let from = call.number("from").unwrap_or(0);
+        let max = call.number("max").unwrap_or(DEFAULT_MAX);
+        let wait = call.number("wait_ms").unwrap_or(0).min(MAX_WAIT);
+        let deadline = tokio::time::Instant::now() + Duration::from_millis(wait);
+        let mut grown = self.grown.subscribe();
+        self.state.with(|state| state.stats.reads += 1);
+        loop {
+            grown.mark_unchanged();
+            let batch = match self.read(name, from, max) {
+                Ok(batch) => batch,
+                Err(gone) => return server::json(StatusCode::GONE, &gone),
+            };
+            if !batch.records.is_empty() {
+                return server::json(StatusCode::OK, &batch);
+            }
+            if tokio::time::timeout_at(deadline, grown.changed())
+                .await
+                .is_err()
+            {
+                return server::json(StatusCode::OK, &batch);
+            }
+        }
+    }
+
+    fn read(&self, name: &str, from: u64, max: u64) -> Result<Batch, Gone> {
+        let now = clock::now();
+        self.state.with(|state| {
+            let settings = state.settings.clone();
+            let stream = state.stream(name);
+            stream.expire(&settings, now);
+            let oldest = stream.oldest;
+            if from < oldest {
+                state.stats.gone += 1;
+                return Err(Gone {
+                    oldest: Offset(oldest),
+                });
+            }
+            Ok(stream.read(from, max, now))
+        })
+    }
+}
+
+impl Site for Log {
+    type Stats = Stats;
+    type Settings = Settings;
+
+    async fn answer(&self, call: Call) -> Answer {
+        let Some(name) = call.path.strip_prefix("/streams/") else {
+            return server::text(StatusCode::NOT_FOUND, "no such path");
+        };
+        let name = name.to_owned();
+        match call.method {
+            Method::POST => self.post(&name, &call),
+            Method::GET => self.get(&name, &call).await,
+            _ => server::empty(StatusCode::METHOD_NOT_ALLOWED),
+        }
+    }
+
+    fn stats(&self) -> Stats {
+        self.state.with(|state| {
+            let mut stats = state.stats.clone();
+            let extents = state.streams.iter().map(|stream| Extent {
+                name: stream.name.clone(),
+                oldest: Offset(stream.oldest),
+                end: Offset(stream.end()),
+            });
+            stats.streams = extents.collect();
+            stats
+        })
+    }
+
+    fn settings(&self) -> Settings {
+        self.state.with(|state| state.settings.clone())
+    }
+
+    fn set(&self, settings: Settings) {
+        self.state.with(|state| {
+            state.bucket = Bucket::new(settings.appends, settings.burst, Instant::now());
+            state.settings = settings;
+        });
+    }
+}
--- /dev/null
+++ b/crates/standin/src/vms.rs
@@ -0,0 +1,193 @@
+//! Stand-in of the platform's lagging list of VMs.
+//!
+//! `GET /vms` gives the list as it was a lag ago. `PUT /vms` replaces it, `PUT /vms/{name}` adds or
+//! replaces one VM and `DELETE /vms/{name}` removes one.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use hyper::Method;
+use hyper::StatusCode;
+use pimento_wire::platform::Vm;
+use serde::Deserialize;
+use serde::Serialize;
+use tokio_util::sync::CancellationToken;
+
+use crate::server;
+use crate::server::Answer;
+use crate::server::Call;
+use crate::server::Running;
+use crate::server::Site;
+use crate::shared::Shared;
+
+/// Settings of the list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    /// How old the answers are, in milliseconds.
+    pub lag_ms: u64,
+}
+
+/// What a list is started with.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Its settings.
+    pub settings: Settings,
+    /// The VMs at first.
+    pub vms: Vec<Vm>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            settings: Settings::default(),
+            vms: Vec::new(),
+        }
+    }
+}
+
+/// Counters of the list.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stats {
+    /// Reads.
+    pub reads: u64,
+    /// Changes.
+    pub changes: u64,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: Settings,
+    /// Lists with the time from which they are true; at least one.
+    history: Vec<(Instant, Vec<Vm>)>,
+    stats: Stats,
+}
+
+/// The list.
+#[derive(Debug, Clone)]
+pub struct Vms(Shared<State>);
+
+/// Starts a list.
+///
+/// # Errors
+///
+/// If the address can't be bound.
+pub async fn start(config: Config, token: CancellationToken) -> io::Result<Running<Vms>> {
+    let state = State {
+        settings: config.settings,
+        history: vec![(Instant::now(), config.vms)],
+        stats: Stats::default(),
+    };
+    let site = Vms(Shared::new(state));
+    server::start(site, config.listen, token).await
+}
+
+impl State {
+    fn newest(&self) -> Vec<Vm> {
+        self.history
+            .last()
+            .map(|(_, vms)| vms.clone())
+            .unwrap_or_default()
+    }
+
+    /// The list a lag ago. The one at the start counts as true for ever.
+    fn lagging(&mut self, now: Instant) -> Vec<Vm> {
+        let lag = Duration::from_millis(self.settings.lag_ms);
+        let seen = |since: &Instant| now.saturating_duration_since(*since) >= lag;
+        let known = self.history.iter().rposition(|(since, _)| seen(since));
+        self.history.drain(..known.unwrap_or(0));
+        self.history
+            .first()
+            .map(|(_, vms)| vms.clone())
+            .unwrap_or_default()
+    }
+}
+
+impl Vms {
+    /// Changes the list.
+    pub fn change(&self, change: impl FnOnce(&mut Vec<Vm>)) {
+        self.0.with(|state| {
+            let mut vms = state.newest();
+            change(&mut vms);
+            state.history.push((Instant::now(), vms));
+            state.stats.changes += 1;
+        });
+    }
+
+    /// Marks one VM as leaving.
+    pub fn leave(&self, name: &str) {
+        self.change(|vms| {
+            for vm in vms.iter_mut().filter(|vm| vm.name == name) {
+                vm.leaving = true;
+            }
+        });
+    }
+
+    fn list(&self) -> pimento_wire::platform::Vms {
+        self.0.with(|state| {
+            state.stats.reads += 1;
+            let vms = state.lagging(Instant::now());
+            pimento_wire::platform::Vms { vms }
+        })
+    }
+
+    fn put_all(&self, call: &Call) -> Answer {
+        match call.json::<pimento_wire::platform::Vms>() {
+            Ok(list) => {
+                self.change(|vms| *vms = list.vms);
+                server::empty(StatusCode::NO_CONTENT)
+            }
+            Err(answer) => answer,
+        }
+    }
+
+    fn put_one(&self, name: &str, call: &Call) -> Answer {
+        match call.json::<Vm>() {
+            Ok(vm) if vm.name == name => {
+                self.change(|vms| {
+                    vms.retain(|old| old.name != name);
+                    vms.push(vm);
+                });
+                server::empty(StatusCode::NO_CONTENT)
+            }
+            Ok(_) => server::text(StatusCode::BAD_REQUEST, "the names differ"),
+            Err(answer) => answer,
+        }
+    }
+}
+
+impl Site for Vms {
+    type Stats = Stats;
+    type Settings = Settings;
+
+    async fn answer(&self, call: Call) -> Answer {
+        let name = call.path.strip_prefix("/vms/").map(str::to_owned);
+        match (&call.method, call.path.as_str(), name) {
+            (&Method::GET, "/vms", _) => server::json(StatusCode::OK, &self.list()),
+            (&Method::PUT, "/vms", _) => self.put_all(&call),
+            (&Method::PUT, _, Some(name)) => self.put_one(&name, &call),
+            (&Method::DELETE, _, Some(name)) => {
+                self.change(|vms| vms.retain(|vm| vm.name != name));
+                server::empty(StatusCode::NO_CONTENT)
+            }
+            _ => server::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn stats(&self) -> Stats {
+        self.0.with(|state| state.stats.clone())
+    }
+
+    fn settings(&self) -> Settings {
+        self.0.with(|state| state.settings.clone())
+    }
+
+    fn set(&self, settings: Settings) {
+        self.0.with(|state| state.settings = settings);
+    }
+}
