--- /dev/null
+++ b/crates/standin/src/engine/reply.rs
@@ -0,0 +1,67 @@
+//! Answers of an engine: whole, and event by event.
+
+use bytes::Bytes;
+use pimento_wire::border::Choice;
+use pimento_wire::border::Chunk;
+use pimento_wire::border::Completion;
+use pimento_wire::border::DONE;
+use pimento_wire::border::Delta;
+use pimento_wire::border::Message;
+use pimento_wire::border::Piece;
+
+use crate::engine::attempt::Attempt;
+use crate::text;
+
+/// The whole answer of an attempt.
+#[must_use]
+pub fn completion(attempt: &Attempt) -> Completion {
+    let pieces = (0..attempt.total).map(|n| text::piece(&attempt.mark, n, attempt.total));
+    let message = Message {
+        role: "assistant".into(),
+        content: pieces.collect(),
+    };
+    Completion {
+        id: format!("chatcmpl-{}", attempt.id).into(),
+        object: "chat.completion".into(),
+        created: attempt.created,
+        model: attempt.version.as_str().into(),
+        choices: vec![Choice {
+            index: 0,
+            message,
+            finish_reason: attempt.reason().into(),
+        }],
+        usage: attempt.usage(),
+    }
+}
+
+/// Event `number` of an attempt, as it stands in the stream.
+///
+/// # Errors
+///
+/// If the chunk can't be written as JSON.
+pub fn event(attempt: &Attempt, number: u64) -> Result<Bytes, serde_json::Error> {
+    let last = number + 1 == attempt.total;
+    let chunk = Chunk {
+        id: format!("chatcmpl-{}", attempt.id).into(),
+        object: "chat.completion.chunk".into(),
+        created: attempt.created,
+        model: attempt.version.as_str().into(),
+        choices: vec![Delta {
+            index: 0,
+            delta: Piece {
+                role: (number == 0).then(|| "assistant".into()),
+                content: Some(text::piece(&attempt.mark, number, attempt.total)),
+            },
+            finish_reason: last.then(|| attempt.reason().into()),
+        }],
+        usage: last.then(|| attempt.usage()),
+    };
+    let data = serde_json::to_string(&chunk)?;
+    Ok(format!("id: {number}\ndata: {data}\n\n").into())
+}
+
+/// The event that ends a whole stream.
+#[must_use]
+pub fn end() -> Bytes {
+    format!("data: {DONE}\n\n").into()
+}
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -228,7 +228,9 @@
         }
     }
 
-    /// Appends records past the rate limit, as another writer of the platform would.
+    /// Appends records past the rate limit, as another writer of the platform would, and gives the
+    /// first one's offset.
+    #[must_use]
     pub fn append(&self, stream: &str, records: Vec<String>) -> Offset {
         let first = self.state.with(|state| state.append(stream, records));
         self.grown.send_modify(|count| *count += 1);
