Decide under load: first surface of the policy crate

Change: modules admission, queue, limit, choice, retry, eject, hedge, budget, cascade, rollout and session, sans-IO, with times and random bits as arguments and sorted vectors. Ruled out: a queue in virtual time tags (start-time fair queueing) for now, as deficit round robin costs the same at any number of customers; a clock or generator passed as a trait, as plain arguments are as easy to replay. Nothing is measured yet; the figures in Config are first settings. Conclusion: signatures may still gain arguments where the measurements ask for them.

--- /dev/null
+++ b/crates/policy/src/admission.rs
@@ -0,0 +1,169 @@
+//! Admission at the door: a request that cannot start in time is refused at once.
+//!
+//! **Load:** overload and bursts. **Without it:** the queue grows past every deadline, each answer
+//! comes too late, and goodput falls to nothing while every endpoint is busy (receive livelock).
+//! **How:** work is counted in estimated tokens, as answers differ a hundredfold in length. The
+//! wait is the work that goes first, by the fair queue's own order, over the measured drain rate.
+//! Who would start later than the deadline allows is refused with the time at which it may start.
+//!
+//! **Grounds:** deciding on waiting time and not on queue length is `CoDel` (Nichols and Jacobson,
+//! 2012) and DAGOR (`WeChat`, 2018); refusing before any work was spent is what keeps goodput level
+//! there. Figures that are our own stand in `docs/design/load.md`.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+use pimento_units::Tokens;
+
+use crate::number;
+
+/// Figures of a [`Gate`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Share of the time left that waiting and running may be expected to take. Below one, as the
+    /// estimates err: a request admitted to the last moment is as often late as not.
+    pub headroom: f64,
+    /// Half-life of the drain rate's memory.
+    pub memory: Duration,
+    /// Tokens a second that one slot serves, until the first answers were measured.
+    pub pace: f64,
+    /// The shortest `Retry-After`; the header counts whole seconds.
+    pub soonest: Duration,
+    /// The longest `Retry-After`. A caller told to stay away for longer hears of a recovery late.
+    pub latest: Duration,
+    /// Share of `Retry-After` that is spread at random, so that the refused don't return at once.
+    pub spread: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            headroom: 0.9,
+            memory: Duration::from_secs(10),
+            pace: 50.0,
+            soonest: Duration::from_secs(1),
+            latest: Duration::from_mins(1),
+            spread: 0.25,
+        }
+    }
+}
+
+/// What the door knows of a request and of the work before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Demand {
+    /// Work that goes first, from [`crate::queue::Queue::ahead`].
+    pub ahead: Tokens,
+    /// Slots of the pool: the sum of the endpoints' limits.
+    pub slots: u32,
+    /// Slots that are free now.
+    pub free: u32,
+    /// How long the request itself is expected to run, from [`Gate::run`].
+    pub run: Duration,
+    /// When the whole answer must be there.
+    pub deadline: Moment,
+}
+
+/// The decision at the door.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may wait for a slot, at most until `start_by`.
+    Admit {
+        /// The last moment at which it can start and still be whole in time.
+        start_by: Moment,
+    },
+    /// It is refused now, not run.
+    Refuse {
+        /// When to come back.
+        after: Duration,
+    },
+}
+
+/// Measures the drain rate of one pool and decides on requests for it.
+#[derive(Debug, Clone)]
+pub struct Gate {
+    config: Config,
+    tokens: f64,
+    busy: f64,
+    at: Moment,
+}
+
+impl Gate {
+    /// A gate that has measured nothing yet.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            tokens: config.pace,
+            busy: 1.0,
+            at: Moment::ZERO,
+        }
+    }
+
+    /// Counts an answer of `tokens` that held a slot for `took`.
+    pub fn served(&mut self, tokens: Tokens, took: Duration, now: Moment) {
+        let kept = number::decay(now.since(self.at), self.config.memory);
+        self.at = self.at.max(now);
+        self.tokens = self.tokens * kept + number::float(tokens.0);
+        self.busy = self.busy * kept + took.as_secs_f64();
+    }
+
+    /// Tokens a second that one busy slot serves. Measured while busy: the rate of answers would
+    /// show the demand, not the capacity, as long as slots are idle.
+    #[must_use]
+    pub fn pace(&self) -> f64 {
+        let pace = self.tokens / self.busy.max(f64::MIN_POSITIVE);
+        if pace.is_finite() && pace > 0.0 {
+            pace
+        } else {
+            self.config.pace
+        }
+    }
+
+    /// How long `tokens` hold a slot.
+    #[must_use]
+    pub fn run(&self, tokens: Tokens) -> Duration {
+        number::seconds(number::float(tokens.0) / self.pace())
+    }
+
+    /// How long `work` takes on `slots`.
+    #[must_use]
+    pub fn wait(&self, work: Tokens, slots: u32) -> Duration {
+        let rate = self.pace() * f64::from(slots.max(1));
+        number::seconds(number::float(work.0) / rate)
+    }
+
+    /// Decides on a request.
+    #[must_use]
+    pub fn decide(&self, demand: Demand, now: Moment, random: u64) -> Verdict {
+        let left = demand.deadline.since(now).mul_f64(self.config.headroom);
+        let slack = left.saturating_sub(demand.run);
+        let wait = self.expected(demand);
+        if wait <= slack && !left.is_zero() {
+            let start_by = now + demand.deadline.since(now).saturating_sub(demand.run);
+            return Verdict::Admit { start_by };
+        }
+        let after = self.after(wait.saturating_sub(slack), random);
+        Verdict::Refuse { after }
+    }
+
+    /// When a request that was given up on while it waited may come back: once the work that is
+    /// still ahead of it has drained.
+    #[must_use]
+    pub fn again(&self, demand: Demand, random: u64) -> Duration {
+        self.after(self.expected(demand), random)
+    }
+
+    fn expected(&self, demand: Demand) -> Duration {
+        if demand.free > 0 && demand.ahead == Tokens::ZERO {
+            return Duration::ZERO;
+        }
+        self.wait(demand.ahead, demand.slots)
+    }
+
+    fn after(&self, wait: Duration, random: u64) -> Duration {
+        let spread = 1.0 + self.config.spread * number::unit(random);
+        number::seconds(wait.as_secs_f64() * spread)
+            .max(self.config.soonest)
+            .min(self.config.latest)
+    }
+}
--- /dev/null
+++ b/crates/policy/src/choice.rs
@@ -0,0 +1,183 @@
+//! Choice of an endpoint for one attempt.
+//!
+//! **Load:** load reports that are seconds old, many nodes that choose at once, a hot prefix, zones
+//! apart. **Without it:** all nodes send to the endpoint that was idle when it last reported, and
+//! fill it before the next report (herd); one hot prefix drives its one endpoint over its limit;
+//! or, without affinity, every engine computes every prefix anew. **How:** in this order.
+//! - A prefix goes to the endpoint that is first in its rendezvous order among those whose load is
+//!   at most a bound over the mean, so that a hot prefix spreads to the next ones and back.
+//! - Otherwise two endpoints are drawn, and the one with less expected work gets the attempt: its
+//!   own calls in flight, which are known, and those of others, discounted by the report's age.
+//! - The drawing is in the own zone first; another zone is used when the wait saved is worth more
+//!   than the link's delay and cost.
+//!
+//! **Grounds:** two random choices (Mitzenmacher, 2001, with stale information 2000); rendezvous
+//! hashing (Thaler and Ravishankar, 1998); consistent hashing with bounded loads (Mirrokni, Thorup
+//! and Zadimoghaddam, 2018); Prequal (Google, NSDI 2024) for requests in flight as the signal.
+
+use std::time::Duration;
+
+use crate::number;
+
+/// Figures of a choice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Times the mean load that an endpoint may have and still take a prefix that belongs to it.
+    pub bound: f64,
+    /// Half-life of the trust in a load report.
+    pub trust: Duration,
+    /// Share of an endpoint's expected wait that must be saved in another zone beyond the link's
+    /// own delay: a link between zones costs more than the wait alone shows.
+    pub spill: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            bound: 1.25,
+            trust: Duration::from_secs(1),
+            spill: 0.2,
+        }
+    }
+}
+
+/// An endpoint that might take the attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Hash of the endpoint's name, the same at every node ([`key`]).
+    pub key: u64,
+    /// Whether it may be chosen: not tried before, not ejected, not leaving, holds the version.
+    pub usable: bool,
+    /// Round-trip time to its zone beyond that within the own one; zero for the own zone.
+    pub distance: Duration,
+    /// Calls in flight from this node.
+    pub own: u32,
+    /// The limit of this node for it.
+    pub limit: u32,
+    /// Calls of other nodes, running or waiting, by its last report.
+    pub others: u32,
+    /// Age of that report.
+    pub age: Duration,
+    /// How long a call of ordinary size takes there.
+    pub run: Duration,
+}
+
+/// The hash of an endpoint's name, for [`Candidate::key`].
+#[must_use]
+pub fn key(name: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(name.as_bytes())
+}
+
+impl Candidate {
+    fn open(&self) -> bool {
+        self.usable && self.own < self.limit
+    }
+
+    /// Calls that the endpoint is thought to hold.
+    fn load(&self, trust: Duration) -> f64 {
+        f64::from(self.own) + f64::from(self.others) * number::decay(self.age, trust)
+    }
+
+    /// Expected work before and during a call, in seconds.
+    fn score(&self, trust: Duration) -> f64 {
+        let full = self.load(trust) / f64::from(self.limit.max(1));
+        self.run.as_secs_f64() * (1.0 + full)
+    }
+}
+
+/// The endpoint for an attempt, as an index; none if no usable endpoint has a free slot. Makes one
+/// pass or two and no allocation.
+#[must_use]
+pub fn choose(
+    candidates: &[Candidate],
+    prefix: Option<u64>,
+    random: u64,
+    config: &Config,
+) -> Option<usize> {
+    if let Some(found) = prefix.and_then(|prefix| affine(candidates, prefix, config)) {
+        return Some(found);
+    }
+    let near = two(candidates, random, config.trust, |c| c.distance.is_zero());
+    let far = two(candidates, number::mix(random, 1), config.trust, |c| {
+        !c.distance.is_zero()
+    });
+    match (near, far) {
+        (Some(near), Some(far)) if spills(&candidates[near], &candidates[far], config) => Some(far),
+        (Some(near), _) => Some(near),
+        (None, far) => far,
+    }
+}
+
+fn spills(near: &Candidate, far: &Candidate, config: &Config) -> bool {
+    let saved = near.score(config.trust) - far.score(config.trust);
+    let price = far.distance.as_secs_f64() + config.spill * near.run.as_secs_f64();
+    saved > price
+}
+
+/// The first in rendezvous order whose load is within the bound, in the own zone if that has any.
+fn affine(candidates: &[Candidate], prefix: u64, config: &Config) -> Option<usize> {
+    let mut load = 0.0;
+    let mut count = 0_u32;
+    let mut near = false;
+    for candidate in candidates.iter().filter(|c| c.usable) {
+        load += candidate.load(config.trust);
+        count += 1;
+        near |= candidate.open() && candidate.distance.is_zero();
+    }
+    let most = (config.bound * (load + 1.0) / f64::from(count.max(1))).max(1.0);
+    let mut best = None;
+    for (place, candidate) in candidates.iter().enumerate() {
+        let zone = candidate.distance.is_zero() || !near;
+        if !zone || !candidate.open() || candidate.load(config.trust) > most {
+            continue;
+        }
+        let rank = number::mix(candidate.key, prefix);
+        if best.is_none_or(|(highest, _)| rank > highest) {
+            best = Some((rank, place));
+        }
+    }
+    best.map(|(_, place)| place)
+}
+
+/// The better of two different ones drawn among the open candidates that `fits` lets through.
+fn two(
+    candidates: &[Candidate],
+    random: u64,
+    trust: Duration,
+    fits: impl Fn(&Candidate) -> bool,
+) -> Option<usize> {
+    let open = |candidate: &Candidate| candidate.open() && fits(candidate);
+    let count = candidates.iter().filter(|c| open(c)).count();
+    if count == 0 {
+        return None;
+    }
+    let (first, second) = draw(random, count);
+    let mut one = None;
+    let mut other = None;
+    let drawn = candidates.iter().enumerate().filter(|(_, c)| open(c));
+    for (number, (place, _)) in drawn.enumerate() {
+        if number == first {
+            one = Some(place);
+        }
+        if number == second {
+            other = Some(place);
+        }
+    }
+    let (one, other) = (one?, other?);
+    let better = candidates[other].score(trust) < candidates[one].score(trust);
+    Some(if better { other } else { one })
+}
+
+/// Two different numbers below `count`, or twice zero if there is just one.
+fn draw(random: u64, count: usize) -> (usize, usize) {
+    let below = |bits: u64, count: usize| {
+        let wide = u128::from(bits) * (count as u128);
+        usize::try_from(wide >> 64).unwrap_or(0)
+    };
+    let first = below(random, count);
+    if count == 1 {
+        return (first, first);
+    }
+    let second = below(number::mix(random, 2), count - 1);
+    (first, second + usize::from(second >= first))
+}
--- /dev/null
+++ b/crates/policy/src/eject.rs
@@ -0,0 +1,276 @@
+//! Ejection of endpoints that fail or are far slower than their pool.
+//!
+//! **Load:** an endpoint that fails fast, hangs or is slow. **Without it:** the one that fails
+//! fast has the fewest calls in flight, so that least-loaded choice sends it most requests; the
+//! slow one sets the pool's 95th percentile. **How:** an endpoint goes out after consecutive
+//! errors, or when its time for a token stays over a multiple of the pool's median. At most a
+//! share of the pool is out, since a pool that fails as a whole is not helped by shrinking it. It
+//! comes back by single probes: first one call, then an ordinary share; each further ejection
+//! lasts longer.
+//!
+//! **Grounds:** outlier detection as known from Envoy (consecutive errors, bounded share, growing
+//! ejection time) and Finagle's failure accrual with probes.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+use pimento_units::id;
+
+/// Figures of a [`Pool`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Errors in a row that eject.
+    pub errors: u32,
+    /// Times the pool's median time for a token that ejects.
+    pub slow: f64,
+    /// Answers that an endpoint must have given before it can be called slow.
+    pub samples: u32,
+    /// Weight of an answer in an endpoint's average.
+    pub weight: f64,
+    /// The largest share of the pool that is out at once.
+    pub share: f64,
+    /// How long the first ejection lasts.
+    pub first: Duration,
+    /// How long any ejection lasts at most.
+    pub longest: Duration,
+    /// Probes in a row that must succeed before an endpoint is back.
+    pub probes: u32,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            errors: 3,
+            slow: 3.0,
+            samples: 3,
+            weight: 0.4,
+            share: 0.34,
+            first: Duration::from_secs(2),
+            longest: Duration::from_secs(30),
+            probes: 3,
+        }
+    }
+}
+
+/// How a call ended, as far as the endpoint's health goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// Answered, with the seconds for a token that it took.
+    Served {
+        /// Seconds for a token.
+        pace: f64,
+    },
+    /// Failed, cut off, or silent for too long.
+    Failed,
+    /// It says nothing about health, such as a refusal for overload or a caller that went away.
+    Unknown,
+}
+
+/// Whether an endpoint may get a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum State {
+    /// In use.
+    In,
+    /// Out, but one call may try it now.
+    Probe,
+    /// Out.
+    Out,
+}
+
+#[derive(Debug, Clone)]
+struct Member {
+    endpoint: id::Endpoint,
+    pace: f64,
+    samples: u32,
+    errors: u32,
+    ejections: u32,
+    until: Option<Moment>,
+    probing: Option<Moment>,
+    probes: u32,
+}
+
+/// The health of a pool's endpoints as one node sees it. Sorted by endpoint.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    config: Config,
+    members: Vec<Member>,
+}
+
+impl Member {
+    fn new(endpoint: id::Endpoint) -> Self {
+        Self {
+            endpoint,
+            pace: 0.0,
+            samples: 0,
+            errors: 0,
+            ejections: 0,
+            until: None,
+            probing: None,
+            probes: 0,
+        }
+    }
+
+    fn out(&self) -> bool {
+        self.until.is_some()
+    }
+
+    /// A probe whose answer never comes must not keep the endpoint out for ever: after the longest
+    /// ejection the next one may go.
+    fn state(&self, now: Moment, longest: Duration) -> State {
+        match (self.until, self.probing) {
+            (None, _) => State::In,
+            (Some(until), _) if now < until => State::Out,
+            (Some(_), Some(since)) if now < since + longest => State::Out,
+            (Some(_), _) => State::Probe,
+        }
+    }
+
+    fn learn(&mut self, pace: f64, weight: f64) {
+        self.errors = 0;
+        self.samples = self.samples.saturating_add(1);
+        if self.samples == 1 {
+            self.pace = pace;
+        } else {
+            self.pace += weight * (pace - self.pace);
+        }
+    }
+}
+
+impl Pool {
+    /// A pool without endpoints.
+    #[must_use]
+    pub const fn new(config: Config) -> Self {
+        Self {
+            config,
+            members: Vec::new(),
+        }
+    }
+
+    /// Keeps exactly these endpoints, with what is known of those that stay.
+    pub fn retain(&mut self, endpoints: impl IntoIterator<Item = id::Endpoint>) {
+        let mut members: Vec<Member> = endpoints.into_iter().map(Member::new).collect();
+        members.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        members.dedup_by(|one, other| one.endpoint == other.endpoint);
+        for member in &mut members {
+            if let Some(place) = self.find(&member.endpoint) {
+                *member = self.members[place].clone();
+            }
+        }
+        self.members = members;
+    }
+
+    /// Whether an endpoint may get a call. An unknown one may.
+    #[must_use]
+    pub fn state(&self, endpoint: &id::Endpoint, now: Moment) -> State {
+        let place = self.find(endpoint);
+        place.map_or(State::In, |place| {
+            self.members[place].state(now, self.config.longest)
+        })
+    }
+
+    /// Says that a call is being sent, so that no second probe goes along.
+    pub fn sent(&mut self, endpoint: &id::Endpoint, now: Moment) {
+        let Some(place) = self.find(endpoint) else {
+            return;
+        };
+        let member = &mut self.members[place];
+        if member.out() {
+            member.probing = Some(now);
+        }
+    }
+
+    /// Learns how a call ended.
+    pub fn record(&mut self, endpoint: &id::Endpoint, outcome: Outcome, now: Moment) {
+        let Some(place) = self.find(endpoint) else {
+            return;
+        };
+        let weight = self.config.weight;
+        let member = &mut self.members[place];
+        let probing = member.probing.take().is_some();
+        match outcome {
+            Outcome::Served { pace } => member.learn(pace, weight),
+            Outcome::Failed => member.errors = member.errors.saturating_add(1),
+            Outcome::Unknown => return,
+        }
+        if member.out() {
+            if probing {
+                self.probed(place, outcome, now);
+            }
+        } else if self.bad(place) && self.spare() {
+            self.eject(place, now);
+        }
+    }
+
+    /// Endpoints that are out.
+    #[must_use]
+    pub fn out(&self) -> usize {
+        self.members.iter().filter(|member| member.out()).count()
+    }
+
+    /// The pool's median of seconds for a token, over the endpoints that answered.
+    #[must_use]
+    pub fn median(&self) -> Option<f64> {
+        let known = self.members.iter().filter(|member| member.samples > 0);
+        let mut paces: Vec<f64> = known.map(|member| member.pace).collect();
+        paces.sort_by(f64::total_cmp);
+        paces.get(paces.len() / 2).copied()
+    }
+
+    fn find(&self, endpoint: &id::Endpoint) -> Option<usize> {
+        let place = self
+            .members
+            .binary_search_by(|member| member.endpoint.cmp(endpoint));
+        place.ok()
+    }
+
+    fn bad(&self, place: usize) -> bool {
+        let member = &self.members[place];
+        member.errors >= self.config.errors
+            || (member.samples >= self.config.samples && self.slow(member.pace))
+    }
+
+    fn slow(&self, pace: f64) -> bool {
+        self.median()
+            .is_some_and(|median| pace > median * self.config.slow)
+    }
+
+    /// Whether one more may go out. At least one always may, so that pools of two or three are
+    /// protected too, but never the last one.
+    fn spare(&self) -> bool {
+        let total = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
+        let out = u32::try_from(self.out()).unwrap_or(u32::MAX);
+        let most = crate::number::small(f64::from(total) * self.config.share).max(1);
+        out < most && out + 1 < total
+    }
+
+    fn eject(&mut self, place: usize, now: Moment) {
+        let Config { first, longest, .. } = self.config;
+        let member = &mut self.members[place];
+        let lasts = first.saturating_mul(1 << member.ejections.min(16));
+        member.ejections = member.ejections.saturating_add(1);
+        member.until = Some(now + lasts.min(longest));
+        member.probing = None;
+        member.probes = 0;
+    }
+
+    /// A good probe counts towards coming back; a bad one begins a longer ejection.
+    fn probed(&mut self, place: usize, outcome: Outcome, now: Moment) {
+        let well = match outcome {
+            Outcome::Served { pace } => !self.slow(pace),
+            Outcome::Failed | Outcome::Unknown => false,
+        };
+        if !well {
+            self.eject(place, now);
+            return;
+        }
+        let probes = self.config.probes;
+        let member = &mut self.members[place];
+        member.probes += 1;
+        if member.probes >= probes {
+            member.until = None;
+            member.samples = 0;
+            member.errors = 0;
+            member.ejections = member.ejections.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/hedge.rs
@@ -0,0 +1,110 @@
+//! Hedging: a second attempt for a short request that takes longer than its class usually does.
+//!
+//! **Load:** a slow tail, such as an endpoint that hangs. **Without it:** the callers' 95th
+//! percentile is that of the slowest endpoint. **How:** a repeatable, short request that has no
+//! first token after its class's 95th percentile is sent to a second endpoint if the retry budget
+//! pays for it; the first answer wins and the other attempt is cancelled.
+//!
+//! **Grounds:** "The Tail at Scale" (Dean and Barroso, 2013): hedging past the 95th percentile
+//! adds about 5% of load. The budget bounds it when the whole pool is slow.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+
+use crate::number;
+
+/// Buckets of a [`Tail`]: from one millisecond in steps of a quarter, the last one holds all above
+/// about 20 minutes.
+const BUCKETS: usize = 64;
+
+/// Ratio of neighbouring buckets. A quantile errs by at most this much, which moves a hedge little.
+const STEP: f64 = 1.25;
+
+/// The shortest latency told apart, in seconds.
+const SHORTEST: f64 = 0.001;
+
+/// Half-life of a [`Tail`]'s memory.
+const MEMORY: Duration = Duration::from_secs(30);
+
+/// Answers to have seen before a quantile means anything: the 95th percentile of twenty is one.
+const ENOUGH: f64 = 20.0;
+
+/// Times the quantile that is waited: at the exact percentile every slow second hedges.
+const PATIENCE: f64 = 1.25;
+
+/// A decaying histogram of latencies.
+#[derive(Debug, Clone)]
+pub struct Tail {
+    counts: [f64; BUCKETS],
+    total: f64,
+    at: Moment,
+}
+
+impl Default for Tail {
+    fn default() -> Self {
+        Self {
+            counts: [0.0; BUCKETS],
+            total: 0.0,
+            at: Moment::ZERO,
+        }
+    }
+}
+
+impl Tail {
+    /// Counts a latency.
+    pub fn record(&mut self, latency: Duration, now: Moment) {
+        let kept = number::decay(now.since(self.at), MEMORY);
+        self.at = self.at.max(now);
+        for count in &mut self.counts {
+            *count *= kept;
+        }
+        self.counts[bucket(latency)] += 1.0;
+        self.total = self.total * kept + 1.0;
+    }
+
+    /// The latency that `share` of the recent ones don't exceed; none before enough were seen.
+    #[must_use]
+    pub fn quantile(&self, share: f64) -> Option<Duration> {
+        if self.total < ENOUGH {
+            return None;
+        }
+        let wanted = self.total * share;
+        let mut seen = 0.0;
+        let mut bound = SHORTEST;
+        for count in &self.counts {
+            seen += count;
+            if seen >= wanted {
+                break;
+            }
+            bound *= STEP;
+        }
+        Some(number::seconds(bound))
+    }
+}
+
+fn bucket(latency: Duration) -> usize {
+    let steps = (latency.as_secs_f64() / SHORTEST).max(1.0).log(STEP).ceil();
+    usize::try_from(number::whole(steps)).map_or(BUCKETS - 1, |at| at.min(BUCKETS - 1))
+}
+
+/// What is known of an attempt that may be hedged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Attempt {
+    /// Whether the call may run twice.
+    pub repeatable: bool,
+    /// Whether it is a long job, whose repetition costs as much as many short ones.
+    pub long: bool,
+    /// Time left until the whole answer must be there.
+    pub left: Duration,
+}
+
+/// How long to wait for the first token before a second attempt is sent; none if it never is.
+#[must_use]
+pub fn delay(tail: &Tail, attempt: Attempt) -> Option<Duration> {
+    if !attempt.repeatable || attempt.long {
+        return None;
+    }
+    let delay = tail.quantile(0.95)?.mul_f64(PATIENCE);
+    (delay < attempt.left).then_some(delay)
+}
--- /dev/null
+++ b/crates/policy/src/limit.rs
@@ -0,0 +1,185 @@
+//! Concurrency limit of each endpoint, found from latency and from the load that it reports.
+//!
+//! **Load:** a slow endpoint, lost capacity, a batch that is full. **Without it:** work piles up
+//! where it is slowest, since that is where it stays longest; a fixed limit is either too low for
+//! a well endpoint or too high for a sick one. **How:** time for a token over its long-term value
+//! is the gradient. While it stays within the tolerance and the limit is used, the limit grows by
+//! one each round; beyond, it shrinks by the gradient. A report with waiting calls shrinks it too,
+//! since then all nodes together send more than the batch holds.
+//!
+//! **Grounds:** Netflix's `concurrency-limits` (Gradient2, 2018) for the gradient over two
+//! averages, and Chiu and Jain (1989) for additive growth and multiplicative shrinking, which
+//! leads nodes that share an endpoint to equal parts without talking to each other.
+
+use std::time::Duration;
+
+use pimento_units::Tokens;
+
+use crate::number;
+
+/// Figures of a [`Limiter`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// The first limit.
+    pub start: f64,
+    /// The lowest limit; at least one, or the endpoint would never be measured again.
+    pub least: f64,
+    /// The highest limit.
+    pub most: f64,
+    /// Times the usual time for a token that is still taken for well. A full batch decodes at
+    /// about half the speed of an empty one, which is no sign of overload.
+    pub tolerance: f64,
+    /// Weight of an answer in the short average.
+    pub quick: f64,
+    /// Weight of an answer in the long average.
+    pub slow: f64,
+    /// The most that one answer or report shrinks the limit to.
+    pub cut: f64,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            start: 8.0,
+            least: 1.0,
+            most: 256.0,
+            tolerance: 2.0,
+            quick: 0.2,
+            slow: 0.01,
+            cut: 0.8,
+        }
+    }
+}
+
+/// How a call at an endpoint ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer.
+    Served {
+        /// Tokens of the prompt and the answer.
+        tokens: Tokens,
+        /// Time from sending to the last byte.
+        took: Duration,
+    },
+    /// Refused for overload, or not answered in time.
+    Overload,
+    /// It says nothing about load: cancelled, or failed at once.
+    Unknown,
+}
+
+/// The load that an endpoint reported.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Report {
+    /// Calls in the running batch.
+    pub running: u32,
+    /// Calls that wait.
+    pub waiting: u32,
+    /// The most calls in a batch.
+    pub batch: u32,
+}
+
+/// The limit of one endpoint as seen by one node.
+#[derive(Debug, Clone)]
+pub struct Limiter {
+    config: Config,
+    limit: f64,
+    flying: u32,
+    quick: f64,
+    slow: f64,
+}
+
+impl Limiter {
+    /// A limiter that has measured nothing yet.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            limit: config.start,
+            flying: 0,
+            quick: 0.0,
+            slow: 0.0,
+        }
+    }
+
+    /// Takes a slot, if one is free. Each slot taken must be given back by
+    /// [`release`](Self::release).
+    #[must_use]
+    pub fn acquire(&mut self) -> bool {
+        let free = self.room() > 0;
+        if free {
+            self.flying += 1;
+        }
+        free
+    }
+
+    /// Gives a slot back and learns from the call.
+    pub fn release(&mut self, outcome: Outcome) {
+        let used = f64::from(self.flying) * 2.0 >= self.limit;
+        self.flying = self.flying.saturating_sub(1);
+        match outcome {
+            Outcome::Served { tokens, took } => self.learn(tokens, took, used),
+            Outcome::Overload => self.shrink(self.config.cut),
+            Outcome::Unknown => {}
+        }
+    }
+
+    /// Learns from the load that the endpoint reports: shrinks while calls wait there.
+    pub fn report(&mut self, report: Report) {
+        if report.waiting == 0 || report.batch == 0 {
+            return;
+        }
+        let wanted = f64::from(report.batch);
+        let present = f64::from(report.running + report.waiting);
+        self.shrink(wanted / present.max(1.0));
+    }
+
+    /// Calls in flight from this node.
+    #[must_use]
+    pub const fn flying(&self) -> u32 {
+        self.flying
+    }
+
+    /// The limit now.
+    #[must_use]
+    pub fn limit(&self) -> u32 {
+        number::small(self.limit)
+    }
+
+    /// Free slots.
+    #[must_use]
+    pub fn room(&self) -> u32 {
+        self.limit().saturating_sub(self.flying)
+    }
+
+    /// Seconds for a token lately; zero before the first answer.
+    #[must_use]
+    pub const fn pace(&self) -> f64 {
+        self.quick
+    }
+
+    fn learn(&mut self, tokens: Tokens, took: Duration, used: bool) {
+        let pace = took.as_secs_f64() / number::float(tokens.0.max(1));
+        if self.slow <= 0.0 {
+            self.quick = pace;
+            self.slow = pace;
+        }
+        self.quick += self.config.quick * (pace - self.quick);
+        self.slow += self.config.slow * (pace - self.slow);
+        // A long average above the short one is left over from a slow spell; without the pull the
+        // endpoint would be allowed that spell's latency for hundreds of answers.
+        if self.slow > self.quick {
+            self.slow += self.config.quick * (self.quick - self.slow);
+        }
+        let gradient = self.config.tolerance * self.slow / self.quick.max(f64::MIN_POSITIVE);
+        if gradient < 1.0 {
+            self.shrink(gradient);
+        } else if used {
+            self.limit = (self.limit + 1.0 / self.limit).min(self.config.most);
+        }
+    }
+
+    fn shrink(&mut self, factor: f64) {
+        let factor = factor.clamp(self.config.cut, 1.0);
+        self.limit = (self.limit * factor).max(self.config.least.max(1.0));
+    }
+}
--- /dev/null
+++ b/crates/policy/src/queue/lane.rs
@@ -0,0 +1,326 @@
+//! One class of the queue: a queue for each customer, served by deficit round robin.
+
+use std::collections::VecDeque;
+
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use super::Job;
+use crate::number;
+
+/// A waiting job.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Entry {
+    pub(super) sequence: u64,
+    pub(super) tokens: Tokens,
+    pub(super) long: bool,
+    start_by: Moment,
+}
+
+/// The waiting jobs of one customer.
+#[derive(Debug, Clone)]
+struct Flow {
+    weight: u32,
+    short: VecDeque<Entry>,
+    long: VecDeque<Entry>,
+    backlog: u64,
+    deficit: u64,
+    active: bool,
+}
+
+/// One class. `index` is sorted by customer; `flows` keep their place, which tickets refer to;
+/// `ring` holds those with jobs in the order of their turns.
+#[derive(Debug, Clone)]
+pub(super) struct Lane {
+    priority: u8,
+    index: Vec<(id::Customer, u32)>,
+    flows: Vec<Flow>,
+    ring: VecDeque<u32>,
+    backlog: u64,
+    credit: f64,
+}
+
+impl Flow {
+    fn new() -> Self {
+        Self {
+            weight: 1,
+            short: VecDeque::new(),
+            long: VecDeque::new(),
+            backlog: 0,
+            deficit: 0,
+            active: false,
+        }
+    }
+
+    fn is_empty(&self) -> bool {
+        self.short.is_empty() && self.long.is_empty()
+    }
+
+    /// The oldest job that may start. Those past their last start are skipped, for `expire` to
+    /// find: to run them would spend a slot on an answer that comes too late.
+    fn head(&self, now: Moment, long: bool) -> Option<Entry> {
+        let first = |jobs: &VecDeque<Entry>| jobs.iter().find(|e| e.start_by >= now).copied();
+        let short = first(&self.short);
+        if !long {
+            return short;
+        }
+        match (short, first(&self.long)) {
+            (Some(one), Some(other)) if other.sequence < one.sequence => Some(other),
+            (Some(one), _) => Some(one),
+            (None, other) => other,
+        }
+    }
+
+    fn remove(&mut self, sequence: u64) -> Option<Entry> {
+        for jobs in [&mut self.short, &mut self.long] {
+            let Ok(place) = jobs.binary_search_by_key(&sequence, |entry| entry.sequence) else {
+                continue;
+            };
+            let entry = jobs.remove(place)?;
+            self.backlog -= entry.tokens.0;
+            return Some(entry);
+        }
+        None
+    }
+
+    fn grant(&self, quantum: Tokens) -> u64 {
+        quantum.0.max(1) * u64::from(self.weight.max(1))
+    }
+}
+
+impl Lane {
+    pub(super) fn new(priority: u8) -> Self {
+        Self {
+            priority,
+            index: Vec::new(),
+            flows: Vec::new(),
+            ring: VecDeque::new(),
+            backlog: 0,
+            credit: 0.0,
+        }
+    }
+
+    pub(super) const fn priority(&self) -> u8 {
+        self.priority
+    }
+
+    pub(super) const fn backlog(&self) -> Tokens {
+        Tokens(self.backlog)
+    }
+
+    pub(super) fn waits(&self) -> bool {
+        !self.ring.is_empty()
+    }
+
+    pub(super) const fn credit(&self) -> f64 {
+        self.credit
+    }
+
+    pub(super) fn earn(&mut self, credit: f64) {
+        if self.waits() {
+            self.credit += credit;
+        } else {
+            self.credit = 0.0;
+        }
+    }
+
+    pub(super) fn debit(&mut self, tokens: Tokens) {
+        self.credit = (self.credit - number::float(tokens.0)).max(0.0);
+    }
+
+    pub(super) fn ready(&self, now: Moment, long: bool) -> bool {
+        self.heads(now, long).next().is_some()
+    }
+
+    /// Whether the credit covers the smallest job that may start.
+    pub(super) fn covered(&self, now: Moment, long: bool) -> bool {
+        let least = self.heads(now, long).map(|entry| entry.tokens.0).min();
+        least.is_some_and(|tokens| self.credit >= number::float(tokens))
+    }
+
+    fn heads(&self, now: Moment, long: bool) -> impl Iterator<Item = Entry> {
+        self.ring
+            .iter()
+            .filter_map(move |flow| self.flows[*flow as usize].head(now, long))
+    }
+
+    pub(super) fn push(&mut self, job: Job, sequence: u64, long: bool, quantum: Tokens) -> u32 {
+        let place = self.flow(job.customer);
+        let flow = &mut self.flows[place as usize];
+        flow.weight = job.weight;
+        flow.backlog += job.tokens.0;
+        self.backlog += job.tokens.0;
+        let entry = Entry {
+            sequence,
+            tokens: job.tokens,
+            long,
+            start_by: job.start_by,
+        };
+        if long {
+            flow.long.push_back(entry);
+        } else {
+            flow.short.push_back(entry);
+        }
+        if !flow.active {
+            flow.active = true;
+            flow.deficit = flow.grant(quantum);
+            self.ring.push_back(place);
+        }
+        place
+    }
+
+    /// Serves the customer whose turn it is. A turn lasts while the deficit covers the next job;
+    /// then the customer goes to the back and is granted its quantum for the next turn.
+    pub(super) fn pop(&mut self, now: Moment, long: bool, quantum: Tokens) -> Option<(Entry, u32)> {
+        let mut passed = 0;
+        loop {
+            let place = *self.ring.front()?;
+            let flow = &self.flows[place as usize];
+            match flow.head(now, long) {
+                Some(head) if head.tokens.0 <= flow.deficit => {
+                    return self.serve(place, head.sequence);
+                }
+                head => {
+                    if head.is_some() {
+                        let grant = flow.grant(quantum);
+                        self.flows[place as usize].deficit += grant;
+                    }
+                    self.ring.rotate_left(1);
+                    passed += 1;
+                }
+            }
+            if passed == self.ring.len() {
+                self.skip(now, long, quantum)?;
+                passed = 0;
+            }
+        }
+    }
+
+    /// After a round without a job served: grants at once the rounds that would pass until one is,
+    /// so that a job of many quanta costs one pass and not hundreds.
+    fn skip(&mut self, now: Moment, long: bool, quantum: Tokens) -> Option<()> {
+        let rounds = |flow: &Flow| {
+            let head = flow.head(now, long)?;
+            let missing = head.tokens.0.saturating_sub(flow.deficit);
+            Some(missing.div_ceil(flow.grant(quantum)))
+        };
+        let flows = self.ring.iter().map(|flow| &self.flows[*flow as usize]);
+        let least = flows.filter_map(rounds).min()?;
+        for place in &self.ring {
+            let flow = &mut self.flows[*place as usize];
+            if flow.head(now, long).is_some() {
+                flow.deficit += least * flow.grant(quantum);
+            }
+        }
+        Some(())
+    }
+
+    fn serve(&mut self, place: u32, sequence: u64) -> Option<(Entry, u32)> {
+        let flow = &mut self.flows[place as usize];
+        let entry = flow.remove(sequence)?;
+        flow.deficit -= entry.tokens.0;
+        self.backlog -= entry.tokens.0;
+        self.settle(place);
+        Some((entry, place))
+    }
+
+    pub(super) fn remove(&mut self, place: u32, sequence: u64) -> bool {
+        let Some(flow) = self.flows.get_mut(place as usize) else {
+            return false;
+        };
+        let Some(entry) = flow.remove(sequence) else {
+            return false;
+        };
+        self.backlog -= entry.tokens.0;
+        self.settle(place);
+        true
+    }
+
+    /// A customer without jobs leaves the ring and its deficit: it can't save up while idle.
+    fn settle(&mut self, place: u32) {
+        let flow = &mut self.flows[place as usize];
+        if flow.is_empty() {
+            flow.active = false;
+            flow.deficit = 0;
+            self.ring.retain(|other| *other != place);
+        }
+    }
+
+    pub(super) fn expire(&mut self, now: Moment, mut gone: impl FnMut(u32, u64)) {
+        let places: Vec<u32> = self.ring.iter().copied().collect();
+        for place in places {
+            let flow = &mut self.flows[place as usize];
+            let mut lost = 0;
+            for jobs in [&mut flow.short, &mut flow.long] {
+                jobs.retain(|entry| {
+                    let keep = entry.start_by >= now;
+                    if !keep {
+                        lost += entry.tokens.0;
+                        gone(place, entry.sequence);
+                    }
+                    keep
+                });
+            }
+            flow.backlog -= lost;
+            self.backlog -= lost;
+            self.settle(place);
+        }
+    }
+
+    pub(super) fn earliest(&self) -> Option<Moment> {
+        let flows = self.ring.iter().map(|flow| &self.flows[*flow as usize]);
+        flows
+            .flat_map(|flow| flow.short.iter().chain(&flow.long))
+            .map(|entry| entry.start_by)
+            .min()
+    }
+
+    /// Work of this class that goes before a new job of `customer`: its own, and of every other
+    /// customer at most what its weight lets it send meanwhile, or one turn.
+    pub(super) fn ahead(
+        &self,
+        customer: &id::Customer,
+        weight: u32,
+        tokens: Tokens,
+        quantum: Tokens,
+    ) -> f64 {
+        let own = self.find(customer).map(|place| place as usize);
+        let waiting = own.map_or(0, |place| self.flows[place].backlog);
+        let sent = number::float(waiting + tokens.0) / f64::from(weight.max(1));
+        let others = self
+            .ring
+            .iter()
+            .map(|place| *place as usize)
+            .filter(|place| Some(*place) != own)
+            .map(|place| {
+                let flow = &self.flows[place];
+                let turn = number::float(flow.grant(quantum));
+                let part = (sent * f64::from(flow.weight.max(1))).max(turn);
+                part.min(number::float(flow.backlog))
+            });
+        number::float(waiting) + others.sum::<f64>()
+    }
+
+    fn find(&self, customer: &id::Customer) -> Option<u32> {
+        let place = self
+            .index
+            .binary_search_by(|(known, _)| known.cmp(customer));
+        place.ok().map(|place| self.index[place].1)
+    }
+
+    fn flow(&mut self, customer: id::Customer) -> u32 {
+        let place = self
+            .index
+            .binary_search_by(|(known, _)| known.cmp(&customer));
+        match place {
+            Ok(place) => self.index[place].1,
+            Err(place) => {
+                let flow = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
+                self.flows.push(Flow::new());
+                self.index.insert(place, (customer, flow));
+                flow
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/retry.rs
@@ -0,0 +1,130 @@
+//! Retry budget: a retry is paid for by successes.
+//!
+//! **Load:** endpoints that fail. **Without it:** each failed attempt becomes two or three, so that
+//! a pool that lost half its capacity gets twice its load and does not recover. **How:** each
+//! success pays in a fraction of a retry; a retry takes out a whole one. One budget for each
+//! customer and one for each endpoint's pool, both must agree. Only repeatable requests retry, at
+//! another endpoint, within the deadline that the first attempt had.
+//!
+//! **Grounds:** retry budgets are Finagle's `RetryBudget` and the SRE book's chapter on overload
+//! (10 to 20% of requests). The reserve lets quiet customers retry at all.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+
+use crate::number;
+
+/// Figures of a [`Budget`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Retries that one success pays for.
+    pub share: f64,
+    /// The most retries saved up.
+    pub cap: f64,
+    /// Retries that come in a second without any success.
+    pub reserve: f64,
+    /// Half-life of what was saved up: an hour of successes must not pay for a storm of retries.
+    pub memory: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            share: 0.2,
+            cap: 20.0,
+            reserve: 0.1,
+            memory: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Retries that may still be made.
+#[derive(Debug, Clone)]
+pub struct Budget {
+    config: Config,
+    balance: f64,
+    at: Moment,
+}
+
+impl Budget {
+    /// A budget with one retry in it.
+    #[must_use]
+    pub fn new(config: Config) -> Self {
+        Self {
+            config,
+            balance: 1.0,
+            at: Moment::ZERO,
+        }
+    }
+
+    /// Pays in for a success.
+    pub fn success(&mut self, now: Moment) {
+        self.settle(now);
+        self.balance = (self.balance + self.config.share).min(self.config.cap);
+    }
+
+    /// Whether a retry or hedge could be paid for now.
+    #[must_use]
+    pub fn affords(&self, now: Moment) -> bool {
+        self.balance_at(now) >= 1.0
+    }
+
+    /// Takes a retry or hedge out, if there is one.
+    #[must_use]
+    pub fn withdraw(&mut self, now: Moment) -> bool {
+        self.settle(now);
+        let paid = self.balance >= 1.0;
+        if paid {
+            self.balance -= 1.0;
+        }
+        paid
+    }
+
+    /// Puts back a retry that was taken out and not made.
+    pub fn refund(&mut self) {
+        self.balance = (self.balance + 1.0).min(self.config.cap);
+    }
+
+    fn settle(&mut self, now: Moment) {
+        self.balance = self.balance_at(now);
+        self.at = self.at.max(now);
+    }
+
+    /// Savings above one retry decay; the reserve drips in up to one, so that idleness neither
+    /// saves up a storm nor leaves a quiet customer without its one retry.
+    fn balance_at(&self, now: Moment) -> f64 {
+        let age = now.since(self.at);
+        let above = (self.balance - 1.0).max(0.0) * number::decay(age, self.config.memory);
+        let below = self.balance.min(1.0) + self.config.reserve * age.as_secs_f64();
+        above + below.min(1.0)
+    }
+}
+
+/// What a failed attempt leaves to decide.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Failure {
+    /// Whether the call may run twice, or certainly did not run.
+    pub repeatable: bool,
+    /// Attempts made so far, the failed one included.
+    pub attempts: u32,
+    /// How long another attempt is expected to take.
+    pub run: Duration,
+    /// When the whole answer must be there.
+    pub deadline: Moment,
+}
+
+/// The most attempts of one request. The third gains little: two endpoints failing one request
+/// mostly fail for a cause that the third one shares.
+pub const ATTEMPTS: u32 = 3;
+
+/// Whether a failed request is tried again; takes a retry out of both budgets if so.
+#[must_use]
+pub fn again(failure: Failure, customer: &mut Budget, pool: &mut Budget, now: Moment) -> bool {
+    let useful =
+        failure.repeatable && failure.attempts < ATTEMPTS && now + failure.run <= failure.deadline;
+    if !useful || !customer.affords(now) {
+        return false;
+    }
+    pool.withdraw(now) && customer.withdraw(now)
+}
--- /dev/null
+++ b/crates/policy/src/session.rs
@@ -0,0 +1,157 @@
+//! Which versions a session uses: what it was pinned to, as long as that holds.
+//!
+//! **Load:** many entry VMs and zones without shared memory, versions that come and go. **Without
+//! it:** a session changes its version whenever the balancer picks another VM, and one pinned to a
+//! withdrawn version goes on with it. **How:** the caller carries its pins in the session token.
+//! For each model that the class allows the pinned version is kept while it serves, is allowed and
+//! is not quarantined here; otherwise the roll-outs decide and the pin moves.
+//!
+//! A node whose configuration is older than a bound can't know whether a version that was still in
+//! roll-out has been withdrawn meanwhile. It goes on with settled versions only, pins included.
+
+use std::time::Duration;
+
+use pimento_contract::Rollout;
+use pimento_contract::State;
+use pimento_contract::contract::Class;
+use pimento_contract::rollout::Status;
+use pimento_contract::version;
+use pimento_units::id;
+
+use crate::rollout;
+
+/// What a node knows when it decides.
+#[derive(Debug, Clone, Copy)]
+pub struct View<'a> {
+    /// The configuration in force here.
+    pub state: &'a State,
+    /// How long ago it was last known to be current.
+    pub age: Duration,
+    /// Up to what age versions in roll-out are used.
+    pub bound: Duration,
+    /// Versions that this node does not use on its own evidence, sorted.
+    pub quarantined: &'a [id::Version],
+}
+
+/// A version that the session uses for one of the class's models.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Pin {
+    /// The version.
+    pub version: id::Version,
+    /// Whether the session had it before. If not, the caller gets a new token.
+    pub kept: bool,
+}
+
+impl View<'_> {
+    fn stale(&self) -> bool {
+        self.age > self.bound
+    }
+
+    /// Whether new work of `class` may go to `version`.
+    #[must_use]
+    pub fn usable(&self, class: &Class, version: &id::Version) -> bool {
+        let known = self.state.version(version);
+        let serves = known.is_some_and(|known| known.status == version::Status::Serving);
+        let unsettled = self.stale() && self.incoming(version);
+        class.allows(version)
+            && serves
+            && !unsettled
+            && self.quarantined.binary_search(version).is_err()
+    }
+
+    /// Whether `version` is still being brought in.
+    fn incoming(&self, version: &id::Version) -> bool {
+        self.state
+            .rollouts()
+            .any(|rollout| rollout.to == *version && rollout.status != Status::Done)
+    }
+}
+
+/// The versions that a session uses in a class, one for each model, sorted. A model is a line of
+/// versions joined by roll-outs. Empty if none may be used.
+#[must_use]
+pub fn versions(
+    session: id::Session,
+    pins: &[id::Version],
+    class: &Class,
+    view: &View<'_>,
+) -> Vec<Pin> {
+    let rollouts: Vec<&Rollout> = view.state.rollouts().collect();
+    let mut chosen: Vec<Pin> = Vec::new();
+    let mut roots: Vec<&id::Version> = class
+        .versions
+        .iter()
+        .map(|version| root(version, &rollouts))
+        .collect();
+    roots.sort();
+    roots.dedup();
+    for root in roots {
+        let line = line(root, &rollouts);
+        let pinned = pins
+            .iter()
+            .find(|pin| line.contains(pin) && view.usable(class, pin));
+        let version = pinned.or_else(|| assigned(session, root, &line, &rollouts, class, view));
+        let Some(version) = version else { continue };
+        let kept = pinned.is_some();
+        match chosen.binary_search_by(|pin| pin.version.cmp(version)) {
+            Ok(_) => {}
+            Err(place) => chosen.insert(
+                place,
+                Pin {
+                    version: version.clone(),
+                    kept,
+                },
+            ),
+        }
+    }
+    chosen
+}
+
+/// The version that the roll-outs give a session; if it may not be used, the newest of the line
+/// that may, settled ones first.
+fn assigned<'a>(
+    session: id::Session,
+    root: &'a id::Version,
+    line: &[&'a id::Version],
+    rollouts: &[&'a Rollout],
+    class: &Class,
+    view: &View<'_>,
+) -> Option<&'a id::Version> {
+    let usable = |version: &id::Version| view.usable(class, version);
+    let version = rollout::version_for(session, root, rollouts, view.stale(), usable);
+    if usable(version) {
+        return Some(version);
+    }
+    let settled = |version: &&&id::Version| !view.incoming(version);
+    let mut fallback = line.iter().rev().filter(|version| usable(version));
+    let mut all = fallback.clone();
+    let found = fallback.find(settled).or_else(|| all.next_back());
+    found.copied()
+}
+
+/// The first version of the line that `version` belongs to.
+fn root<'a>(version: &'a id::Version, rollouts: &[&'a Rollout]) -> &'a id::Version {
+    let mut current = version;
+    for _ in 0..rollouts.len() {
+        match rollouts.iter().find(|rollout| rollout.to == *current) {
+            Some(rollout) => current = &rollout.from,
+            None => break,
+        }
+    }
+    current
+}
+
+/// All versions that follow from `root` by roll-outs, oldest first.
+fn line<'a>(root: &'a id::Version, rollouts: &[&'a Rollout]) -> Vec<&'a id::Version> {
+    let mut line = vec![root];
+    let mut place = 0;
+    while let Some(current) = line.get(place).copied() {
+        for rollout in rollouts.iter().filter(|rollout| rollout.from == *current) {
+            if !line.contains(&&rollout.to) {
+                line.push(&rollout.to);
+            }
+        }
+        place += 1;
+    }
+    line
+}
