contract: remember removed subjects, and check checkpoints by their hash

A subject that was removed looked like one that never existed, so the change that created it, appended again after a lost answer, could undo the removal. The fold now keeps the removing revision as the base that a new creation must name; checkpoints carry a hash of the state's canonical text and are refused if it does not fit. Heartbeats gain the age of the configuration and word of nodes heard of; a pull may be answered by the missing records alone. Ruled out: keeping all decisions for ever (grows without bound).

--- a/crates/contract/src/change.rs
+++ b/crates/contract/src/change.rs
@@ -9,6 +9,8 @@
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
+use snafu::Snafu;
+use snafu::ensure;
 
 use crate::contract::Contract;
 use crate::fold::State;
@@ -56,6 +58,51 @@
     pub state: State,
 }
 
+/// Why a checkpoint is ignored.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Doubt {
+    /// The hash is not that of the state.
+    #[snafu(display("the checkpoint's hash is not that of its state"))]
+    Hash,
+    /// The state stands at another offset than the checkpoint says.
+    #[snafu(display("the checkpoint says offset {said}, its state {found}"))]
+    Offset {
+        /// The checkpoint's.
+        said: Offset,
+        /// The state's.
+        found: Offset,
+    },
+}
+
+impl Checkpoint {
+    /// The checkpoint of a state.
+    #[must_use]
+    pub fn of(state: &State) -> Self {
+        Self {
+            offset: state.offset,
+            hash: state.hash(),
+            state: state.clone(),
+        }
+    }
+
+    /// The state, if offset and hash fit it.
+    ///
+    /// A record that was damaged, or written by a program that knows other fields, does not fit
+    /// its hash after reading. Taking it would put a state in force that no prefix of the log
+    /// gives.
+    ///
+    /// # Errors
+    ///
+    /// [`Doubt`] if it must be ignored.
+    pub fn check(self) -> Result<State, Doubt> {
+        let said = self.offset;
+        let found = self.state.offset;
+        ensure!(said == found, OffsetSnafu { said, found });
+        ensure!(self.hash == self.state.hash(), HashSnafu);
+        Ok(self.state)
+    }
+}
+
 /// What a change is about.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/contract/src/fold.rs
+++ b/crates/contract/src/fold.rs
@@ -2,8 +2,10 @@
 //!
 //! A change is accepted only if its base revision is the subject's current one, so that of two
 //! racing operators the first in the log wins and nobody's change is overwritten unseen. The
-//! function depends on the records alone: all readers at one offset hold the same state.
+//! function depends on the records alone: all readers at one offset hold the same state, and the
+//! hash of its canonical text is the same at all of them.
 
+use compact_str::CompactString;
 use pimento_units::Offset;
 use pimento_units::Revision;
 use pimento_units::id;
@@ -26,9 +28,23 @@
     /// The next offset to apply.
     pub offset: Offset,
     subjects: Vec<Item>,
+    removed: Vec<Tombstone>,
     recent: Vec<Decision>,
 }
 
+/// A subject that was removed.
+///
+/// Without its revision a subject that was removed could not be told from one that never existed:
+/// the change that once created it, appended again by a writer whose answer was lost, would be
+/// accepted a second time and undo the removal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tombstone {
+    /// What was removed.
+    pub subject: Subject,
+    /// The revision that removed it.
+    pub revision: Revision,
+}
+
 /// A subject in force.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Item {
@@ -67,9 +83,15 @@
 /// Decisions kept. At 1,200 changes a day this is the last twenty hours.
 pub const RECENT: usize = 1_024;
 
+/// Removed subjects kept, the latest. At ten removals a day this is more than a year, far longer
+/// than any writer goes on appending a record again.
+pub const REMOVED: usize = 4_096;
+
 impl State {
     /// Applies the change at `offset`, which must not lie before [`State::offset`].
     ///
+    /// A change that stands on the log twice has its first verdict both times.
+    ///
     /// # Panics
     ///
     /// If `offset` lies before the state's own: applying it would revert what is in force.
@@ -100,45 +122,68 @@
     }
 
     fn decide(&mut self, offset: Offset, change: &Change) -> Verdict {
-        if change
-            .value
-            .as_ref()
-            .is_some_and(|v| v.subject() != change.subject)
-        {
+        let value = change.value.as_ref();
+        if value.is_some_and(|v| v.subject() != change.subject) {
             return Verdict::Mismatch;
         }
-        let place = self
-            .subjects
-            .binary_search_by(|i| i.subject.cmp(&change.subject));
-        let current = place.map_or(Revision(0), |at| self.subjects[at].revision);
+        let current = self.revision(&change.subject);
         if current != change.base {
             return Verdict::Conflict(current);
         }
         let revision = Revision::from(offset);
-        match (place, change.value.clone()) {
-            (Ok(at), Some(value)) => {
-                self.subjects[at].revision = revision;
-                self.subjects[at].value = value;
-            }
-            (Ok(at), None) => {
-                self.subjects.remove(at);
-            }
-            (Err(at), Some(value)) => {
-                let subject = change.subject.clone();
-                self.subjects.insert(
-                    at,
-                    Item {
-                        subject,
-                        revision,
-                        value,
-                    },
-                );
-            }
-            (Err(_), None) => {}
+        match &change.value {
+            Some(value) => self.set(&change.subject, revision, value),
+            None => self.remove(&change.subject, revision),
         }
         Verdict::Accepted(revision)
     }
 
+    fn set(&mut self, subject: &Subject, revision: Revision, value: &Value) {
+        if let Ok(at) = self.buried(subject) {
+            self.removed.remove(at);
+        }
+        let item = Item {
+            subject: subject.clone(),
+            revision,
+            value: value.clone(),
+        };
+        match self.place(subject) {
+            Ok(at) => self.subjects[at] = item,
+            Err(at) => self.subjects.insert(at, item),
+        }
+    }
+
+    fn remove(&mut self, subject: &Subject, revision: Revision) {
+        if let Ok(at) = self.place(subject) {
+            self.subjects.remove(at);
+        }
+        let tombstone = Tombstone {
+            subject: subject.clone(),
+            revision,
+        };
+        match self.buried(subject) {
+            Ok(at) => self.removed[at] = tombstone,
+            Err(at) => self.removed.insert(at, tombstone),
+        }
+        if self.removed.len() > REMOVED {
+            self.forget();
+        }
+    }
+
+    /// Drops the oldest tombstone.
+    fn forget(&mut self) {
+        let oldest = self.removed.iter().map(|t| t.revision).min();
+        self.removed.retain(|t| Some(t.revision) != oldest);
+    }
+
+    fn place(&self, subject: &Subject) -> Result<usize, usize> {
+        self.subjects.binary_search_by(|i| i.subject.cmp(subject))
+    }
+
+    fn buried(&self, subject: &Subject) -> Result<usize, usize> {
+        self.removed.binary_search_by(|t| t.subject.cmp(subject))
+    }
+
     fn remember(&mut self, decision: Decision) {
         if self.recent.len() == RECENT {
             self.recent.remove(0);
@@ -155,17 +200,38 @@
     /// One subject in force.
     #[must_use]
     pub fn item(&self, subject: &Subject) -> Option<&Item> {
-        let place = self
-            .subjects
-            .binary_search_by(|i| i.subject.cmp(subject))
-            .ok()?;
+        let place = self.place(subject).ok()?;
         self.subjects.get(place)
     }
 
-    /// The subject's current revision; zero if it does not exist.
+    /// The subject's current revision: that which set it, or that which removed it, or zero if it
+    /// never existed. A change must name it as its base.
     #[must_use]
     pub fn revision(&self, subject: &Subject) -> Revision {
-        self.item(subject).map_or(Revision(0), |item| item.revision)
+        if let Some(item) = self.item(subject) {
+            return item.revision;
+        }
+        match self.buried(subject) {
+            Ok(at) => self.removed[at].revision,
+            Err(_) => Revision(0),
+        }
+    }
+
+    /// The canonical text: compact JSON with fields in their declared order and lists sorted.
+    ///
+    /// # Panics
+    ///
+    /// Never: the state holds no map and no number that JSON can't carry.
+    #[must_use]
+    pub fn text(&self) -> String {
+        serde_json::to_string(self).expect("a state is plain JSON")
+    }
+
+    /// BLAKE3 of [`State::text`] in hexadecimal.
+    #[must_use]
+    pub fn hash(&self) -> CompactString {
+        let hash = blake3::hash(self.text().as_bytes());
+        hash.to_hex().as_str().into()
     }
 
     /// All contracts, sorted by customer.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -24,6 +24,8 @@
     pub sequence: u64,
     /// Offset of its configuration.
     pub offset: Offset,
+    /// How old that can be, in milliseconds; none if it never was current.
+    pub age_ms: Option<u64>,
     /// Whether it reads the log itself at present.
     pub tailing: bool,
     /// Whether it is about to go.
@@ -32,6 +34,18 @@
     pub departures: Vec<Departure>,
     /// Versions that it quarantined on its own evidence, bounded.
     pub quarantined: Vec<id::Version>,
+    /// Nodes of its zone that it heard of lately, bounded.
+    pub heard: Vec<Heard>,
+}
+
+/// Word of another node, passed on: at 50 nodes a zone and three datagrams a second each node hears
+/// any other one only every half minute, which is too seldom to tell a live one from a dead one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heard {
+    /// Hash of the node's name.
+    pub node: u32,
+    /// Tenths of a second since its newest sign of life.
+    pub age: u16,
 }
 
 /// An endpoint known to be leaving; sticky for its incarnation.
@@ -99,6 +113,11 @@
         /// The checkpoint.
         checkpoint: String,
     },
+    /// The records of the configuration stream from the caller's offset on, without a gap.
+    Records {
+        /// Offset and JSON text of each.
+        records: Vec<(Offset, String)>,
+    },
     /// A kept answer.
     Kept {
         /// HTTP status.
