--- /dev/null
+++ b/crates/standin/src/settings.rs
@@ -0,0 +1,99 @@
+//! Settings of the programs, read from flags and environment, with all findings together.
+
+use std::str::FromStr;
+
+use clap::Arg;
+use clap::ArgMatches;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+use logforth::starter_log;
+use serde::de::DeserializeOwned;
+
+/// A flag with its environment variable.
+#[must_use]
+pub fn flag(name: &'static str, variable: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .env(variable)
+        .help(help)
+        .value_name("VALUE")
+}
+
+/// What is wrong with the settings; empty if nothing is.
+#[derive(Debug, Default)]
+pub struct Findings(Vec<String>);
+
+impl Findings {
+    /// Notes a finding with its place.
+    pub fn note(&mut self, place: &str, finding: impl std::fmt::Display) {
+        self.0.push(format!("--{place}: {finding}"));
+    }
+
+    /// The value of a flag that has a default.
+    pub fn value<T: FromStr<Err: std::fmt::Display>>(
+        &mut self,
+        matches: &ArgMatches,
+        name: &str,
+    ) -> Option<T> {
+        let text = matches.get_one::<String>(name)?;
+        text.parse()
+            .map_err(|error| self.note(name, format!("{error} (found {text:?})")))
+            .ok()
+    }
+
+    /// The values of a flag with a list between commas.
+    pub fn list<T: FromStr<Err: std::fmt::Display>>(
+        &mut self,
+        matches: &ArgMatches,
+        name: &str,
+    ) -> Vec<T> {
+        let texts = matches.get_one::<String>(name);
+        let texts = texts.map_or("", String::as_str).split(',');
+        let mut values = Vec::new();
+        for text in texts.filter(|text| !text.is_empty()) {
+            match text.parse() {
+                Ok(value) => values.push(value),
+                Err(error) => self.note(name, format!("{error} (found {text:?})")),
+            }
+        }
+        values
+    }
+
+    /// The value of a flag that takes JSON; the default if it is not set.
+    pub fn json<T: DeserializeOwned + Default>(&mut self, matches: &ArgMatches, name: &str) -> T {
+        let Some(text) = matches.get_one::<String>(name) else {
+            return T::default();
+        };
+        serde_json::from_str(text).unwrap_or_else(|error| {
+            self.note(name, error);
+            T::default()
+        })
+    }
+
+    /// The findings, one a line.
+    #[must_use]
+    pub fn lines(&self) -> &[String] {
+        &self.0
+    }
+}
+
+/// The flag that chooses how log lines look.
+#[must_use]
+pub fn log_format() -> Arg {
+    flag("log-format", "PIMENTO_LOG_FORMAT", "Form of log lines")
+        .value_parser(["text", "json"])
+        .default_value("text")
+        .global(true)
+}
+
+/// Sends log lines to standard error in the form that was asked for.
+pub fn log_to_stderr(matches: &ArgMatches) {
+    let format = matches.get_one::<String>("log-format");
+    let json = format.is_some_and(|format| format == "json");
+    let starter = starter_log::stderr();
+    if json {
+        starter.layout(JsonLayout::default()).apply();
+    } else {
+        starter.layout(TextLayout::default()).apply();
+    }
+}
