platform: a mesh of entry VMs by UDP heartbeats and TCP calls

Copies of bills, state for cut-off zones and word of leaving endpoints need a way between nodes that hangs on no platform service. Adds heartbeats to three random peers, calls over kept connections, frames with size limit and MAC (bad ones are dropped and counted), sticky departures and the choice of a zone's tailer and appender by rendezvous hashing. Currency of a configuration is labelled by the log's clock, so that two cut-off nodes can't refresh each other by passing the same word to and fro.

--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -65,7 +65,11 @@
     next: Offset,
     /// When a read was sent that reached the end of the stream.
     fresh: Instant,
+    /// The log's clock when it answered that read.
+    current: Option<Wall>,
     caught_up: bool,
+    /// Whether a read has ended, well or not.
+    tried: bool,
 }
 
 impl<F: Fold> Follower<F> {
@@ -93,7 +97,9 @@
         let position = Position {
             next: from,
             fresh: Instant::now(),
+            current: None,
             caught_up: false,
+            tried: false,
         };
         let shared = Arc::new(Shared {
             fold: RwLock::new(fold),
@@ -171,6 +177,19 @@
         self.shared.position().caught_up
     }
 
+    /// The log's clock, and the moment, of the last read that reached the stream's end.
+    #[must_use]
+    pub fn current(&self) -> Option<(Wall, Instant)> {
+        let position = self.shared.position();
+        position.current.map(|at| (at, position.fresh))
+    }
+
+    /// Whether a read has ended, well or not.
+    #[must_use]
+    pub fn tried(&self) -> bool {
+        self.shared.position().tried
+    }
+
     /// The next offset to read.
     #[must_use]
     pub fn next(&self) -> Offset {
@@ -265,9 +284,11 @@
         };
         let mut position = self.shared.position();
         position.next = resumed;
+        position.tried = true;
         position.caught_up = resumed >= batch.end;
         if position.caught_up {
             position.fresh = sent;
+            position.current = Some(batch.now);
         }
         self.shared.move_to(position);
         self.shared.wake();
@@ -292,7 +313,9 @@
 
     fn stumble(&self) {
         let mut position = self.shared.position();
+        position.tried = true;
         position.caught_up = false;
         self.shared.move_to(position);
+        self.shared.wake();
     }
 }
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -6,9 +6,15 @@
 
 pub mod appender;
 mod backoff;
+pub mod bills;
+pub mod claims;
 pub mod follower;
+pub mod grants;
 mod http;
+pub mod lease;
 pub mod log;
+pub mod mesh;
+pub mod operators;
 pub mod rating;
 pub mod vms;
 pub mod weights;
@@ -16,3 +22,4 @@
 pub use appender::Appender;
 pub use follower::Follower;
 pub use log::Log;
+pub use mesh::Mesh;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 use pimento_units::Offset;
 use pimento_units::Share;
+use pimento_units::Wall;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,8 +25,8 @@
     pub sequence: u64,
     /// Offset of its configuration.
     pub offset: Offset,
-    /// How old that can be, in milliseconds; none if it never was current.
-    pub age_ms: Option<u64>,
+    /// Until when that is known to be current; none if it never was.
+    pub current: Option<Current>,
     /// Whether it reads the log itself at present.
     pub tailing: bool,
     /// Whether it is about to go.
@@ -38,6 +39,15 @@
     pub heard: Vec<Heard>,
 }
 
+/// Until when a configuration is known to be current.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Current {
+    /// The log's clock when the log was last read to its end, by whoever read it.
+    pub at: Wall,
+    /// Milliseconds since then, as the sender counts them.
+    pub age_ms: u64,
+}
+
 /// Word of another node, passed on: at 50 nodes a zone and three datagrams a second each node hears
 /// any other one only every half minute, which is too seldom to tell a live one from a dead one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -65,10 +75,10 @@
         /// What the caller has.
         offset: Offset,
     },
-    /// Brings a configuration state (JSON text of a checkpoint).
+    /// Brings the newest records of the configuration stream, without a gap.
     Push {
-        /// The checkpoint.
-        checkpoint: String,
+        /// Offset and JSON text of each.
+        records: Vec<(Offset, String)>,
     },
     /// Keeps copies of bills (JSON text of each) until they are on the log.
     Hold {
