Publish, read back and show the configuration with pimentoctl

Cause: operators had no way to put a checked file in force, nor to see what is, what was billed, who lags. Change: pimentoctl with contract check, publish, show, history, version roll-in|advance|halt|withdraw, endpoint list, bills, status, key, completion; exit codes 0 to 5; platform::operators reads /state. Ruled out: trusting the append's answer, since it can be lost after the effect; verdicts are read back by id. Seen: 7 tests over an in-memory log with lost, refused and raced appends pass. Conclusion: programs against the stand-in log are yet to be run.

--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -1,13 +1,179 @@
-//! The command line.
+//! The program: reads the command line, runs one command, prints its result.
 
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::time::Duration;
 
-/// Exit code for bad settings, bad files and bad usage.
-pub const EXIT_USAGE: u8 = 2;
+use clap::ArgMatches;
+use clap_complete::Shell;
+use pimento_contract::rollout::Gate;
+use pimento_units::Share;
+use pimento_units::Span;
+use pimento_units::id;
 
-/// Runs the program.
+use crate::args;
+use crate::command;
+use crate::command::Context;
+use crate::command::version::Plan;
+use crate::exit::Error;
+use crate::output::Format;
+use crate::output::Output;
+
+/// Runs the program. The exit codes are those of [`Error::code`], 0 if all went well.
 #[must_use]
 pub fn main() -> ExitCode {
-    eprintln!("this program is not built yet");
-    ExitCode::from(EXIT_USAGE)
+    let matches = args::command().get_matches();
+    if let Some(("completion", matches)) = matches.subcommand() {
+        completion(matches);
+        return ExitCode::SUCCESS;
+    }
+    let format = match matches.get_one::<String>("output").map(String::as_str) {
+        Some("json") => Format::Json,
+        _ => Format::Table,
+    };
+    match runtime().and_then(|runtime| runtime.block_on(run(&matches))) {
+        Ok(output) => {
+            println!("{}", output.text(format));
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitCode::from(&error)
+        }
+    }
+}
+
+fn runtime() -> Result<tokio::runtime::Runtime, Error> {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::failed(error.to_string()))
+}
+
+fn completion(matches: &ArgMatches) {
+    if let Some(shell) = matches.get_one::<Shell>("shell") {
+        clap_complete::generate(
+            *shell,
+            &mut args::command(),
+            "pimentoctl",
+            &mut io::stdout(),
+        );
+    }
+}
+
+async fn run(matches: &ArgMatches) -> Result<Output, Error> {
+    match matches.subcommand() {
+        Some(("contract", sub)) => match sub.subcommand() {
+            Some(("check", sub)) => command::contract::check(&texts(sub, "file")),
+            _ => Err(unknown()),
+        },
+        Some(("publish", sub)) => {
+            command::publish::files(&context(matches)?, &texts(sub, "file")).await
+        }
+        Some(("show", sub)) => command::show::show(&context(matches)?, text(sub, "subject")).await,
+        Some(("history", sub)) => {
+            command::history::history(&context(matches)?, text(sub, "subject")).await
+        }
+        Some(("version", sub)) => version(&context(matches)?, sub).await,
+        Some(("endpoint", sub)) => endpoint(sub, timeout(matches)).await,
+        Some(("bills", sub)) => {
+            command::bills::bills(&context(matches)?, text(sub, "customer")).await
+        }
+        Some(("status", sub)) => {
+            let addresses: Vec<SocketAddr> = many(sub, "operators");
+            command::status::status(&addresses, timeout(matches).min(ASK)).await
+        }
+        Some(("key", sub)) if sub.get_flag("stdin") => command::key::hash(),
+        Some(("key", _)) => Ok(command::key::make()),
+        _ => Err(unknown()),
+    }
+}
+
+/// How long one entry VM may take to say how it is; longer and it counts as silent.
+const ASK: Duration = Duration::from_secs(3);
+
+async fn version(context: &Context, matches: &ArgMatches) -> Result<Output, Error> {
+    let Some((name, sub)) = matches.subcommand() else {
+        return Err(unknown());
+    };
+    let id: id::Version = one(sub, "version")?;
+    match name {
+        "roll-in" => command::version::roll_in(context, plan(id, sub)?).await,
+        "advance" => command::version::advance(context, &id).await,
+        "halt" => command::version::halt(context, &id).await,
+        "withdraw" => command::version::withdraw(context, &id).await,
+        _ => Err(unknown()),
+    }
+}
+
+/// The range of latency ratios that a gate may name, as in contract files.
+const RATIOS: std::ops::RangeInclusive<f64> = 1.0..=100.0;
+
+fn plan(to: id::Version, matches: &ArgMatches) -> Result<Plan, Error> {
+    let ratio: f64 = one(matches, "latency")?;
+    if !RATIOS.contains(&ratio) {
+        return Err(Error::usage("--latency must be between 1 and 100"));
+    }
+    // In range by the check above.
+    #[expect(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let latency = (ratio * 100.0).round() as u32;
+    let gate = Gate {
+        samples: one(matches, "samples")?,
+        quality: one::<Share>(matches, "quality")?,
+        errors: one::<Share>(matches, "errors")?,
+        latency,
+        dwell: one::<Span>(matches, "dwell")?,
+    };
+    Ok(Plan {
+        to,
+        from: one(matches, "from")?,
+        stages: many(matches, "stages"),
+        gate,
+    })
+}
+
+async fn endpoint(matches: &ArgMatches, timeout: Duration) -> Result<Output, Error> {
+    let Some(("list", sub)) = matches.subcommand() else {
+        return Err(unknown());
+    };
+    let address = one(sub, "vms-address")?;
+    command::endpoint::list(address, timeout, text(sub, "pool")).await
+}
+
+fn context(matches: &ArgMatches) -> Result<Context, Error> {
+    let Some(address) = matches.get_one::<SocketAddr>("log-address") else {
+        return Err(Error::usage(
+            "--log-address or PIMENTO_LOG_ADDRESS is needed",
+        ));
+    };
+    let by = text(matches, "by").unwrap_or("operator");
+    Ok(Context::new(*address, timeout(matches), by))
+}
+
+fn timeout(matches: &ArgMatches) -> Duration {
+    let span = matches.get_one::<Span>("timeout");
+    span.map_or(Duration::from_secs(30), |span| span.duration())
+}
+
+fn text<'a>(matches: &'a ArgMatches, name: &str) -> Option<&'a str> {
+    matches.get_one::<String>(name).map(String::as_str)
+}
+
+fn texts(matches: &ArgMatches, name: &str) -> Vec<String> {
+    many(matches, name)
+}
+
+fn one<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Result<T, Error> {
+    let value = matches.get_one::<T>(name).cloned();
+    value.ok_or_else(|| Error::usage(format!("--{name} is needed")))
+}
+
+fn many<T: Clone + Send + Sync + 'static>(matches: &ArgMatches, name: &str) -> Vec<T> {
+    let values = matches.get_many::<T>(name);
+    values.into_iter().flatten().cloned().collect()
+}
+
+fn unknown() -> Error {
+    Error::usage("no such command")
 }
--- /dev/null
+++ b/crates/ctl/src/command/history.rs
@@ -0,0 +1,80 @@
+//! `history`.
+
+use pimento_contract::fold::Verdict;
+use pimento_units::Offset;
+use pimento_units::Revision;
+use pimento_units::Wall;
+use pimento_units::id;
+use serde::Serialize;
+
+use crate::command::Context;
+use crate::exit::Error;
+use crate::output::Output;
+use crate::snapshot::Past;
+
+/// One change, as shown.
+#[derive(Debug, Serialize)]
+struct Line {
+    offset: Offset,
+    at: Wall,
+    by: String,
+    id: id::Record,
+    subject: String,
+    removes: bool,
+    base: Revision,
+    verdict: Verdict,
+}
+
+impl From<&Past> for Line {
+    fn from(past: &Past) -> Self {
+        Self {
+            offset: past.offset,
+            at: past.change.at,
+            by: past.change.by.to_string(),
+            id: past.change.id,
+            subject: past.change.subject.to_string(),
+            removes: past.change.value.is_none(),
+            base: past.change.base,
+            verdict: past.verdict,
+        }
+    }
+}
+
+impl Line {
+    fn row(&self) -> Vec<String> {
+        let at = std::time::UNIX_EPOCH + std::time::Duration::from_millis(self.at.millis());
+        let verdict = match self.verdict {
+            Verdict::Accepted(revision) if self.removes => format!("removed as {revision}"),
+            Verdict::Accepted(revision) => format!("in force as {revision}"),
+            Verdict::Conflict(revision) => format!("lost to {revision}"),
+            Verdict::Mismatch => "value of another subject".into(),
+        };
+        vec![
+            self.offset.to_string(),
+            humantime::format_rfc3339_seconds(at).to_string(),
+            self.by.clone(),
+            self.subject.clone(),
+            self.base.to_string(),
+            verdict,
+            self.id.to_string(),
+        ]
+    }
+}
+
+/// Lists the changes that are still on the log, those of one subject if it is given.
+///
+/// # Errors
+///
+/// The log's failures.
+pub async fn history(context: &Context, subject: Option<&str>) -> Result<Output, Error> {
+    let snapshot = context.snapshot().await?;
+    let lines: Vec<Line> = snapshot
+        .history
+        .iter()
+        .map(Line::from)
+        .filter(|line| subject.is_none_or(|subject| line.subject == subject))
+        .collect();
+    let rows = lines.iter().map(Line::row).collect();
+    let columns = ["offset", "at", "by", "subject", "base", "verdict", "id"];
+    Ok(Output::new(&columns, rows, &lines))
+}
--- /dev/null
+++ b/crates/ctl/src/command/key.rs
@@ -0,0 +1,64 @@
+//! `key`: makes an API key and the hash that goes into a contract.
+
+use std::io;
+use std::io::Read;
+
+use pimento_contract::contract::Key;
+use serde::Serialize;
+
+use crate::exit::Error;
+use crate::output::Output;
+
+/// Random bytes in a key: too many to guess.
+const BYTES: usize = 32;
+
+/// Marks keys of this system, so that scanners for leaked secrets find them.
+const PREFIX: &str = "pimento-";
+
+#[derive(Debug, Serialize)]
+struct Pair {
+    secret: Option<String>,
+    hash: String,
+}
+
+/// Makes a new key.
+#[must_use]
+pub fn make() -> Output {
+    let bytes: [u8; BYTES] = rand::random();
+    let hex: String = bytes.iter().map(|byte| format!("{byte:02x}")).collect();
+    let secret = format!("{PREFIX}{hex}");
+    let hash = Key::of(&secret).to_string();
+    output(Some(secret), hash)
+}
+
+/// Hashes a key that is given on standard input, so that it stands in no shell history.
+///
+/// # Errors
+///
+/// [`Error::Usage`] if standard input holds no text.
+pub fn hash() -> Result<Output, Error> {
+    let mut text = String::new();
+    io::stdin()
+        .read_to_string(&mut text)
+        .map_err(|error| Error::usage(format!("standard input: {error}")))?;
+    let secret = text.trim();
+    if secret.is_empty() {
+        return Err(Error::usage("standard input holds no key"));
+    }
+    Ok(output(None, Key::of(secret).to_string()))
+}
+
+fn output(secret: Option<String>, hash: String) -> Output {
+    let mut rows = Vec::new();
+    if let Some(secret) = &secret {
+        rows.push(vec![
+            "API key (for the customer, kept nowhere)".into(),
+            secret.clone(),
+        ]);
+    }
+    rows.push(vec![
+        "hash (for `keys` of the contract)".into(),
+        hash.clone(),
+    ]);
+    Output::new(&["what", "text"], rows, &Pair { secret, hash })
+}
--- /dev/null
+++ b/crates/ctl/src/command/status.rs
@@ -0,0 +1,86 @@
+//! `status`: how far each entry VM has got, and how old its state is.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures::future::join_all;
+use pimento_platform::operators;
+use pimento_platform::operators::Operators;
+use pimento_units::Span;
+use pimento_wire::operators::State;
+use serde::Serialize;
+
+use crate::exit::Error;
+use crate::output::Output;
+use crate::progress::Progress;
+
+/// One entry VM's answer.
+#[derive(Debug, Serialize)]
+struct Line {
+    address: SocketAddr,
+    state: Option<State>,
+    error: Option<String>,
+}
+
+/// Asks all entry VMs at once.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if none answers; a single one that does not answer is a line of the result.
+pub async fn status(addresses: &[SocketAddr], timeout: Duration) -> Result<Output, Error> {
+    if addresses.is_empty() {
+        return Err(Error::usage("--operators names no address"));
+    }
+    let progress = Progress::new("asking entry VMs");
+    let lines = join_all(addresses.iter().map(|address| ask(*address, timeout))).await;
+    drop(progress);
+    if lines.iter().all(|line| line.state.is_none()) {
+        let reasons: Vec<String> = lines.iter().filter_map(Line::reason).collect();
+        return Err(Error::failed(reasons.join("\n")));
+    }
+    let newest = lines
+        .iter()
+        .filter_map(|l| l.state.as_ref())
+        .map(|s| s.offset)
+        .max();
+    let rows = lines.iter().map(|line| row(line, newest)).collect();
+    let columns = [
+        "address", "node", "zone", "ready", "offset", "behind", "age",
+    ];
+    Ok(Output::new(&columns, rows, &lines))
+}
+
+async fn ask(address: SocketAddr, timeout: Duration) -> Line {
+    let answer = operators::Remote::new(address, timeout).state().await;
+    let error = answer.as_ref().err().map(ToString::to_string);
+    Line {
+        address,
+        state: answer.ok(),
+        error,
+    }
+}
+
+impl Line {
+    fn reason(&self) -> Option<String> {
+        let error = self.error.as_ref()?;
+        Some(format!("{}: {error}", self.address))
+    }
+}
+
+fn row(line: &Line, newest: Option<pimento_units::Offset>) -> Vec<String> {
+    let address = line.address.to_string();
+    let Some(state) = &line.state else {
+        let error = line.error.clone().unwrap_or_default();
+        return vec![address, error];
+    };
+    let behind = newest.map_or(0, |newest| newest.0 - state.offset.0);
+    vec![
+        address,
+        state.node.to_string(),
+        state.zone.to_string(),
+        if state.ready { "yes" } else { "no" }.into(),
+        state.offset.to_string(),
+        behind.to_string(),
+        Span::from_millis(state.age_ms).to_string(),
+    ]
+}
--- /dev/null
+++ b/crates/ctl/src/files.rs
@@ -0,0 +1,42 @@
+//! Reads operators' files.
+
+use std::fs;
+
+use pimento_contract::State;
+use pimento_contract::Value;
+use pimento_contract::raw::Configuration;
+use pimento_contract::raw::File;
+use pimento_contract::raw::Findings;
+use pimento_contract::raw::Source;
+
+use crate::exit::Error;
+
+/// Reads all files; those that can't be read are reported together.
+pub(crate) fn load(paths: &[String]) -> Result<Vec<File>, Error> {
+    let mut files = Vec::with_capacity(paths.len());
+    let mut faults = Vec::new();
+    for path in paths {
+        match fs::read_to_string(path) {
+            Ok(text) => files.push(File {
+                name: path.as_str().into(),
+                text,
+            }),
+            Err(error) => faults.push(format!("{path}: {error}")),
+        }
+    }
+    if faults.is_empty() {
+        return Ok(files);
+    }
+    Err(Error::usage(faults.join("\n")))
+}
+
+/// Checks files over `known`.
+pub(crate) fn check(files: &[File], known: &State) -> Result<Vec<Value>, Error> {
+    let configuration = Configuration::try_from(Source { files, known }).map_err(report)?;
+    Ok(configuration.values)
+}
+
+fn report(findings: Findings) -> Error {
+    let count = findings.as_slice().len();
+    Error::usage(format!("{findings}{count} finding(s)"))
+}
--- /dev/null
+++ b/crates/ctl/src/publish.rs
@@ -0,0 +1,237 @@
+//! Proposes changes on the configuration stream and reads their verdicts back.
+//!
+//! The log may lose the answer to an append after the append took effect. Each change carries an
+//! id, so that the verdict is read back from the stream, and appending the same records again
+//! counts once. Of two racing operators the first in the log wins; the other one is told so.
+
+use std::fmt;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use compact_str::CompactString;
+use pimento_contract::Change;
+use pimento_contract::Subject;
+use pimento_contract::Value;
+use pimento_contract::change::Entry;
+use pimento_contract::fold::Verdict;
+use pimento_ledger::Stream;
+use pimento_platform::log;
+use pimento_platform::log::Log;
+use pimento_units::Offset;
+use pimento_units::Revision;
+use pimento_units::Wall;
+use pimento_units::id;
+use serde::Serialize;
+use tokio::time::Instant;
+use uuid::Uuid;
+
+use crate::exit::Error;
+use crate::snapshot::Snapshot;
+use crate::stream;
+
+/// What became of one change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Verdicted {
+    /// The subject.
+    #[serde(serialize_with = "text")]
+    pub subject: Subject,
+    /// The change's id.
+    pub id: id::Record,
+    /// What became of it.
+    pub verdict: Verdict,
+    /// Who wrote the revision that won, if it was another and is still on the log.
+    pub winner: Option<CompactString>,
+}
+
+fn text<S: serde::Serializer>(value: &impl fmt::Display, serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.collect_str(value)
+}
+
+impl fmt::Display for Verdicted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let subject = &self.subject;
+        match self.verdict {
+            Verdict::Accepted(revision) => write!(f, "{subject}: in force as revision {revision}"),
+            Verdict::Conflict(revision) => {
+                write!(f, "{subject}: not published, revision {revision} won")?;
+                match &self.winner {
+                    Some(winner) => write!(f, " (by {winner})"),
+                    None => Ok(()),
+                }
+            }
+            Verdict::Mismatch => write!(f, "{subject}: the value is of another subject"),
+        }
+    }
+}
+
+/// Makes a change of `subject` on top of `snapshot`.
+#[must_use]
+pub fn change(snapshot: &Snapshot, subject: Subject, value: Option<Value>, by: &str) -> Change {
+    Change {
+        id: id::Record(Uuid::now_v7()),
+        base: snapshot.state.revision(&subject),
+        subject,
+        value,
+        by: by.into(),
+        at: now(),
+    }
+}
+
+fn now() -> Wall {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Wall::from_millis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
+}
+
+/// Changes for the values that differ from what is in force, in an order in which no contract
+/// comes before what it names.
+#[must_use]
+pub fn changes(snapshot: &Snapshot, values: Vec<Value>, by: &str) -> Vec<Change> {
+    let mut values = values;
+    values.sort_by_key(rank);
+    let differs = |value: &Value| {
+        let current = snapshot.state.item(&value.subject());
+        current.is_none_or(|item| item.value != *value)
+    };
+    values
+        .into_iter()
+        .filter(differs)
+        .map(|value| change(snapshot, value.subject(), Some(value), by))
+        .collect()
+}
+
+/// Readers apply changes one at a time, so the order within one append still matters.
+fn rank(value: &Value) -> u8 {
+    match value {
+        Value::Pool(_) => 0,
+        Value::Version(_) => 1,
+        Value::Service(_) => 2,
+        Value::Contract(_) => 3,
+        Value::Rollout(_) => 4,
+    }
+}
+
+/// Appends `changes` and reads their verdicts back, until `deadline`.
+///
+/// # Errors
+///
+/// [`Error::Log`] if the changes surely are not on the log, [`Error::Doubt`] if they may be.
+pub async fn publish(
+    log: &impl Log,
+    snapshot: &mut Snapshot,
+    changes: &[Change],
+    deadline: Instant,
+) -> Result<Vec<Verdicted>, Error> {
+    if changes.is_empty() {
+        return Ok(Vec::new());
+    }
+    let records = records(changes)?;
+    let mut doubt = false;
+    loop {
+        let failure = match log.append(Stream::Configuration, records.clone()).await {
+            Ok(first) => return verdicts(log, snapshot, changes, first, deadline).await,
+            Err(error) => error,
+        };
+        // An answer that was lost once leaves the changes in doubt whatever later tries say, unless
+        // they are read back.
+        doubt |= !matches!(failure, log::Error::Refused { .. });
+        if doubt && snapshot.refresh(log, deadline).await.is_ok() && decided(snapshot, changes) {
+            return Ok(collect(snapshot, changes));
+        }
+        match stream::pause(failure, deadline).await {
+            Ok(()) => {}
+            Err(_) if doubt => return Err(in_doubt(changes)),
+            Err(source) => return Err(Error::Log { source }),
+        }
+    }
+}
+
+fn records(changes: &[Change]) -> Result<Vec<String>, Error> {
+    changes
+        .iter()
+        .map(|change| serde_json::to_string(&Entry::Change(change.clone())))
+        .collect::<Result<_, _>>()
+        .map_err(|error| Error::failed(error.to_string()))
+}
+
+/// Reads on until all changes are decided. `first` is where the log says that they stand.
+async fn verdicts(
+    log: &impl Log,
+    snapshot: &mut Snapshot,
+    changes: &[Change],
+    first: Offset,
+    deadline: Instant,
+) -> Result<Vec<Verdicted>, Error> {
+    let end = Offset(first.0 + changes.len() as u64);
+    while snapshot.state.offset < end && Instant::now() < deadline {
+        if snapshot.refresh(log, deadline).await.is_err() {
+            break;
+        }
+    }
+    if decided(snapshot, changes) {
+        return Ok(collect(snapshot, changes));
+    }
+    Err(in_doubt(changes))
+}
+
+fn decided(snapshot: &Snapshot, changes: &[Change]) -> bool {
+    changes
+        .iter()
+        .all(|change| snapshot.verdict(change.id).is_some())
+}
+
+fn collect(snapshot: &Snapshot, changes: &[Change]) -> Vec<Verdicted> {
+    let verdict = |change: &Change| {
+        let verdict = snapshot.verdict(change.id)?;
+        let winner = match verdict {
+            Verdict::Conflict(revision) => winner(snapshot, revision),
+            Verdict::Accepted(_) | Verdict::Mismatch => None,
+        };
+        Some(Verdicted {
+            subject: change.subject.clone(),
+            id: change.id,
+            verdict,
+            winner,
+        })
+    };
+    changes.iter().filter_map(verdict).collect()
+}
+
+fn winner(snapshot: &Snapshot, revision: Revision) -> Option<CompactString> {
+    let past = snapshot.winner(revision)?;
+    Some(past.change.by.clone())
+}
+
+fn in_doubt(changes: &[Change]) -> Error {
+    let mut message = String::from(
+        "the log's answer was lost and could not be read back; these changes may be in force \
+         (look for their ids in `pimentoctl history`):",
+    );
+    for change in changes {
+        message.push_str("\n  ");
+        message.push_str(&change.id.to_string());
+        message.push(' ');
+        message.push_str(&change.subject.to_string());
+    }
+    Error::Doubt { message }
+}
+
+/// An error if any change lost.
+///
+/// # Errors
+///
+/// [`Error::Conflict`] naming what won.
+pub fn require(verdicts: &[Verdicted]) -> Result<(), Error> {
+    let lost = |verdict: &&Verdicted| !matches!(verdict.verdict, Verdict::Accepted(_));
+    let lines: Vec<String> = verdicts
+        .iter()
+        .filter(lost)
+        .map(ToString::to_string)
+        .collect();
+    if lines.is_empty() {
+        return Ok(());
+    }
+    let message = lines.join("\n");
+    Err(Error::Conflict { message })
+}
--- /dev/null
+++ b/crates/ctl/tests/publish.rs
@@ -0,0 +1,225 @@
+//! Publishing over a log that loses answers, refuses, forgets, and takes other operators' changes.
+
+mod common;
+
+use std::time::Duration;
+
+use pimento_contract::Change;
+use pimento_contract::State;
+use pimento_contract::Value;
+use pimento_contract::change::Checkpoint;
+use pimento_contract::change::Entry;
+use pimento_contract::fold::Verdict;
+use pimento_contract::raw::Configuration;
+use pimento_contract::raw::File;
+use pimento_contract::raw::Source;
+use pimento_ctl::exit::Error;
+use pimento_ctl::publish::Verdicted;
+use pimento_ctl::publish::changes;
+use pimento_ctl::publish::publish;
+use pimento_ctl::publish::require;
+use pimento_ctl::snapshot::Snapshot;
+use pimento_units::Revision;
+use tokio::time::Instant;
+
+use self::common::Fault;
+use self::common::Memory;
+
+const FILES: [&str; 2] = [
+    include_str!("../../../examples/nyabarongo/platform.toml"),
+    include_str!("../../../examples/nyabarongo/contracts.toml"),
+];
+
+/// Subjects in [`FILES`]: 2 pools, 5 versions, 1 service, 10 contracts.
+const SUBJECTS: usize = 18;
+
+fn values() -> Vec<Value> {
+    let file = |text: &str| File {
+        name: "example".into(),
+        text: text.into(),
+    };
+    let source = Source {
+        files: &FILES.map(file),
+        known: &State::default(),
+    };
+    Configuration::try_from(source)
+        .expect("the example is whole")
+        .values
+}
+
+fn heavier(mut values: Vec<Value>) -> Vec<Value> {
+    for value in &mut values {
+        if let Value::Contract(contract) = value {
+            contract.weight += 1;
+        }
+    }
+    values
+}
+
+fn deadline() -> Instant {
+    Instant::now() + Duration::from_secs(5)
+}
+
+async fn load(log: &Memory) -> Snapshot {
+    let loaded = Snapshot::load(log, deadline()).await;
+    loaded.expect("the log can be read")
+}
+
+async fn send(
+    log: &Memory,
+    snapshot: &mut Snapshot,
+    changes: &[Change],
+) -> Result<Vec<Verdicted>, Error> {
+    publish(log, snapshot, changes, deadline()).await
+}
+
+async fn publish_all(log: &Memory, values: Vec<Value>, by: &str) -> usize {
+    let mut snapshot = load(log).await;
+    let changes = changes(&snapshot, values, by);
+    let sent = send(log, &mut snapshot, &changes).await;
+    let verdicts = sent.expect("the log takes it");
+    require(&verdicts).expect("nobody races");
+    verdicts.len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn unchanged_subjects_are_not_published_again() {
+    let log = Memory::default();
+    assert_eq!(publish_all(&log, values(), "ines").await, SUBJECTS);
+    assert_eq!(publish_all(&log, values(), "ines").await, 0);
+    assert_eq!(log.appends(), 1);
+    assert_eq!(publish_all(&log, heavier(values()), "ines").await, 10);
+}
+
+/// The operator sees "in force" although the log answered nothing or "no" at first. The answer is
+/// lost after or before the effect, in any mixture; the changes must be in force once each.
+#[tokio::test(start_paused = true)]
+async fn faults_of_the_log_are_ridden_out() {
+    let table: [&[Fault]; 5] = [
+        &[Fault::LoseAnswer],
+        &[Fault::LoseCall],
+        &[Fault::Refuse, Fault::LoseAnswer],
+        &[Fault::LoseAnswer, Fault::LoseAnswer],
+        &[Fault::LoseCall, Fault::Refuse, Fault::LoseCall],
+    ];
+    for faults in table {
+        let log = Memory::default();
+        log.fail(faults);
+        assert_eq!(
+            publish_all(&log, values(), "ines").await,
+            SUBJECTS,
+            "{faults:?}"
+        );
+        let state = load(&log).await.state;
+        assert_eq!(state.items().len(), SUBJECTS, "{faults:?}");
+        assert_eq!(log.appends(), 1, "a lost answer was read back: {faults:?}");
+    }
+}
+
+/// Two operators amend the same ten contracts. Both read the same revisions; the first append wins
+/// and the other is told which revision won and whose it is. Neither change is overwritten unseen.
+#[tokio::test(start_paused = true)]
+async fn the_loser_of_a_race_is_told_who_won() {
+    let log = Memory::default();
+    publish_all(&log, values(), "setup").await;
+    let (mut first, mut second) = (load(&log).await, load(&log).await);
+    let ours = changes(&first, heavier(values()), "ines");
+    let theirs = changes(&second, heavier(heavier(values())), "jonas");
+    let won = send(&log, &mut first, &ours)
+        .await
+        .expect("the log takes it");
+    require(&won).expect("the first wins");
+    let lost = send(&log, &mut second, &theirs)
+        .await
+        .expect("the log takes it");
+    let error = require(&lost).expect_err("the second loses");
+    assert_eq!(error.code(), 3);
+    assert_eq!(error.to_string().lines().count(), 10);
+    let item = won.first().expect("ten changes were made");
+    let Verdict::Accepted(revision) = item.verdict else {
+        panic!("the first is accepted");
+    };
+    let expected = format!(
+        "{}: not published, revision {revision} won (by ines)",
+        item.subject
+    );
+    assert!(error.to_string().contains(&expected), "{error}");
+    let weights = |state: &State| state.contracts().map(|c| c.weight).collect::<Vec<_>>();
+    assert_eq!(weights(&load(&log).await.state), weights(&first.state));
+}
+
+/// The loser's answer is lost as well: it must still hear that it lost, not that it is in doubt.
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_does_not_hide_a_lost_race() {
+    let log = Memory::default();
+    publish_all(&log, values(), "setup").await;
+    let mut late = load(&log).await;
+    publish_all(&log, heavier(values()), "ines").await;
+    let changes = changes(&late, heavier(heavier(values())), "jonas");
+    log.fail(&[Fault::LoseAnswer]);
+    let verdicts = send(&log, &mut late, &changes)
+        .await
+        .expect("it is read back");
+    assert_eq!(require(&verdicts).expect_err("it lost").code(), 3);
+}
+
+#[tokio::test(start_paused = true)]
+async fn an_outage_says_that_nothing_was_published() {
+    let log = Memory::default();
+    let mut snapshot = load(&log).await;
+    let changes = changes(&snapshot, values(), "ines");
+    log.fail(&[Fault::Refuse; 100]);
+    let error = send(&log, &mut snapshot, &changes).await;
+    assert_eq!(error.expect_err("the log is out").code(), 4);
+    assert!(load(&log).await.state.items().is_empty());
+}
+
+/// The answer is lost and then the log can't be read: whether the changes are in force is unknown,
+/// and the operator must be told so, with the ids to look for.
+#[tokio::test(start_paused = true)]
+async fn what_can_not_be_read_back_is_said_to_be_in_doubt() {
+    let log = Memory::default();
+    let mut snapshot = load(&log).await;
+    let changes = changes(&snapshot, values(), "ines");
+    log.fail(&[Fault::LoseAnswer]);
+    log.fail(&[Fault::Refuse; 100]);
+    log.hide();
+    let error = send(&log, &mut snapshot, &changes).await;
+    let error = error.expect_err("nothing can be read");
+    assert_eq!(error.code(), 5);
+    assert!(error.to_string().contains(&changes[0].id.to_string()));
+}
+
+/// Retention has passed the first records. With a checkpoint that fits its hash the state is known
+/// and revisions are right; a damaged one, or one with a gap after it, is not taken.
+#[tokio::test(start_paused = true)]
+async fn a_checkpoint_stands_for_records_that_are_gone() {
+    let log = Memory::default();
+    publish_all(&log, values(), "ines").await;
+    let mut snapshot = load(&log).await;
+    let checkpoint = Checkpoint::of(&snapshot.state);
+    let mut damaged = checkpoint.clone();
+    damaged.hash = "0".repeat(64).into();
+    let text = |checkpoint| {
+        let entry = Entry::Checkpoint(checkpoint);
+        serde_json::to_string(&entry).expect("a checkpoint is plain JSON")
+    };
+    log.push(text(damaged));
+    log.forget(SUBJECTS);
+    assert!(!load(&log).await.whole, "a damaged checkpoint is ignored");
+    let changes = changes(&snapshot, heavier(values()), "ines");
+    send(&log, &mut snapshot, &changes)
+        .await
+        .expect("the log takes it");
+    log.push(text(checkpoint));
+    let loaded = load(&log).await;
+    assert!(loaded.whole);
+    assert_eq!(loaded.state.items(), snapshot.state.items());
+    let contract = &loaded.state.items()[0];
+    assert!(contract.revision > Revision(SUBJECTS as u64));
+    log.forget(SUBJECTS + 2);
+    assert!(
+        !load(&log).await.whole,
+        "a change after the checkpoint's state is gone"
+    );
+}
