--- /dev/null
+++ b/crates/platform/src/grants.rs
@@ -0,0 +1,468 @@
+//! Spend out of grants that the platform's log accepted.
+//!
+//! The wallet reserves the most that a call can cost before the call is sent, and settles what it
+//! did cost after. How much to ask for and when is decided by [`pimento_policy::budget`]; the fold
+//! of the grants stream decides what is granted. Cut off from the log, a node spends what it was
+//! granted and then refuses.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use pimento_contract::Contract;
+use pimento_ledger::Grant;
+use pimento_ledger::Stream;
+use pimento_ledger::grants;
+use pimento_ledger::record::Allowance;
+use pimento_ledger::record::Return;
+use pimento_policy::budget;
+use pimento_units::Moment;
+use pimento_units::Money;
+use pimento_units::Offset;
+use pimento_units::Revision;
+use pimento_units::Wall;
+use pimento_units::id;
+use snafu::Snafu;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use uuid::Uuid;
+
+use crate::appender::Appender;
+use crate::follower;
+use crate::follower::Follower;
+use crate::log::Log;
+
+/// Characters of a life's mark in the name that a wallet's grants are written under.
+const MARK: usize = 8;
+
+/// Settings of a [`Wallet`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// When and how much to ask for.
+    pub budget: budget::Config,
+    /// How long one grant may take to be written and read back.
+    pub patience: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            budget: budget::Config::default(),
+            patience: Duration::from_secs(3),
+        }
+    }
+}
+
+/// What this node has read of the grants stream.
+#[derive(Debug, Default)]
+pub struct View {
+    fold: grants::Fold,
+    next: Offset,
+}
+
+impl View {
+    /// The fold.
+    #[must_use]
+    pub const fn fold(&self) -> &grants::Fold {
+        &self.fold
+    }
+}
+
+impl follower::Fold for View {
+    fn apply(&mut self, offset: Offset, _at: Wall, record: &str) {
+        self.next = offset.next();
+        match serde_json::from_str::<Allowance>(record) {
+            Ok(allowance) => {
+                self.fold.apply(&allowance);
+            }
+            Err(error) => log::warn!("grants: record {offset} can't be read: {error}"),
+        }
+    }
+
+    fn reset(&mut self, oldest: Offset) {
+        self.next = oldest;
+    }
+}
+
+/// Whose money is to be spent.
+#[derive(Debug, Clone, Copy)]
+pub struct Account<'a> {
+    /// The contract in force.
+    pub contract: &'a Contract,
+    /// Its revision.
+    pub revision: Revision,
+    /// This node's wall clock, which decides on the spend period.
+    pub now: Wall,
+}
+
+/// Why nothing could be reserved. The call was not run.
+#[derive(Debug, Clone, PartialEq, Eq, Snafu)]
+pub enum Error {
+    /// The limit is spent or granted elsewhere.
+    #[snafu(display("the spend limit of this period is reached"))]
+    Exhausted {
+        /// When the next period begins.
+        after: Duration,
+    },
+    /// This node's grants are spent, and the log can't be asked for more.
+    #[snafu(display("the platform's log is out, and what was granted before is spent"))]
+    Out {
+        /// When to come back.
+        after: Duration,
+    },
+}
+
+/// The grants of one entry VM. Clones share everything.
+#[derive(Debug, Clone)]
+pub struct Wallet {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    /// The node's name and a mark of this life: a node that comes back under its old name must not
+    /// take the grants of its earlier life, part of which is spent, for its own.
+    holder: id::Node,
+    config: Config,
+    appender: Appender,
+    follower: Follower<View>,
+    start: Instant,
+    balances: Mutex<Vec<Balance>>,
+    tasks: TaskTracker,
+}
+
+/// One customer's grants in one period. Sorted by customer and period.
+#[derive(Debug)]
+struct Balance {
+    customer: id::Customer,
+    period: u64,
+    grants: budget::Grants,
+    /// Given back here and not yet read on the log.
+    returning: Money,
+}
+
+/// Money set aside for one call. Dropped unsettled, it is freed.
+#[derive(Debug)]
+pub struct Hold {
+    wallet: Wallet,
+    customer: id::Customer,
+    period: u64,
+    reservation: Option<budget::Reservation>,
+}
+
+impl Hold {
+    /// The spend period that the call is charged to.
+    #[must_use]
+    pub const fn period(&self) -> u64 {
+        self.period
+    }
+
+    /// Charges what the call did cost, never more than was reserved, and gives the charge.
+    #[must_use = "the charge goes on the bill"]
+    pub fn settle(mut self, cost: Money) -> Money {
+        self.finish(cost)
+    }
+
+    fn finish(&mut self, cost: Money) -> Money {
+        let Some(reservation) = self.reservation.take() else {
+            return Money::ZERO;
+        };
+        let now = self.wallet.shared.now();
+        let mut balances = self.wallet.shared.balances();
+        balances
+            .iter_mut()
+            .find(|balance| balance.customer == self.customer && balance.period == self.period)
+            .map_or(Money::ZERO, |balance| {
+                balance.grants.settle(reservation, cost, now)
+            })
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.finish(Money::ZERO);
+    }
+}
+
+impl Wallet {
+    /// Starts to follow the grants stream.
+    pub fn start(
+        node: &id::Node,
+        config: Config,
+        log: impl Log,
+        appender: Appender,
+        token: CancellationToken,
+    ) -> Self {
+        let view = View::default();
+        let follower = Follower::start(log, Stream::Grants, Offset(0), view, token);
+        let shared = Shared {
+            holder: holder(node),
+            config,
+            appender,
+            follower,
+            start: Instant::now(),
+            balances: Mutex::new(Vec::new()),
+            tasks: TaskTracker::new(),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// The view of the grants stream.
+    #[must_use]
+    pub fn follower(&self) -> &Follower<View> {
+        &self.shared.follower
+    }
+
+    /// The name that this wallet's grants are written under.
+    #[must_use]
+    pub fn holder(&self) -> &id::Node {
+        &self.shared.holder
+    }
+
+    /// Sets aside the most that a call can cost, asking the log for more if needed. `nodes` is the
+    /// number of live entry VMs.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Exhausted`] or [`Error::Out`].
+    pub async fn reserve(
+        &self,
+        account: Account<'_>,
+        most: Money,
+        nodes: u32,
+        deadline: Instant,
+    ) -> Result<Hold, Error> {
+        let deadline = deadline.min(Instant::now() + self.shared.config.patience);
+        loop {
+            if let Some(hold) = self.take(account, most) {
+                self.ask_ahead(account, nodes);
+                return Ok(hold);
+            }
+            if self.left(account) < most {
+                return Err(exhausted(account));
+            }
+            if !self.ask(account, nodes, deadline).await {
+                return self.take(account, most).ok_or_else(|| self.out());
+            }
+        }
+    }
+
+    /// Gives back what is not set aside, and waits until that is written or `deadline`.
+    pub async fn close(&self, deadline: Instant) {
+        let balances: Vec<(id::Customer, u64, Money)> = {
+            let mut balances = self.shared.balances();
+            balances
+                .iter_mut()
+                .map(|balance| {
+                    let amount = balance.grants.give_back(balance.grants.free());
+                    balance.returning += amount;
+                    (balance.customer.clone(), balance.period, amount)
+                })
+                .filter(|(_, _, amount)| *amount > Money::ZERO)
+                .collect()
+        };
+        for (customer, period, amount) in balances {
+            let back = Allowance::Return(Return {
+                id: id::Record(Uuid::now_v7()),
+                customer,
+                node: self.shared.holder.clone(),
+                period,
+                amount,
+            });
+            self.shared.write(&back, deadline).await;
+        }
+    }
+
+    fn take(&self, account: Account<'_>, most: Money) -> Option<Hold> {
+        let customer = &account.contract.customer;
+        let period = account.contract.spend.period(account.now).0;
+        let mut balances = self.shared.balances();
+        let balance = self.shared.balance(&mut balances, customer, period);
+        let reservation = balance.grants.reserve(most)?;
+        Some(Hold {
+            wallet: self.clone(),
+            customer: customer.clone(),
+            period,
+            reservation: Some(reservation),
+        })
+    }
+
+    /// What is left of the limit, with what this node still has.
+    fn left(&self, account: Account<'_>) -> Money {
+        let customer = &account.contract.customer;
+        let period = account.contract.spend.period(account.now).0;
+        let limit = account.contract.spend.limit;
+        let left = self.shared.left(customer, period, limit);
+        let mut balances = self.shared.balances();
+        left + self
+            .shared
+            .balance(&mut balances, customer, period)
+            .grants
+            .free()
+    }
+
+    fn ask_ahead(&self, account: Account<'_>, nodes: u32) {
+        let Some(grant) = self.shared.next_grant(account, nodes) else {
+            return;
+        };
+        let shared = Arc::clone(&self.shared);
+        self.shared.tasks.spawn(async move {
+            let deadline = Instant::now() + shared.config.patience;
+            shared.obtain(grant, deadline).await;
+        });
+    }
+
+    /// Asks for a grant, or waits for the one that is asked for already. Returns whether anything
+    /// was decided by `deadline`.
+    async fn ask(&self, account: Account<'_>, nodes: u32, deadline: Instant) -> bool {
+        if let Some(grant) = self.shared.next_grant(account, nodes) {
+            return self.shared.obtain(grant, deadline).await;
+        }
+        let mut changed = self.shared.follower.changed();
+        changed.mark_unchanged();
+        let retry = (Instant::now() + RETRY).min(deadline);
+        // Another call's ask is out; its answer may come with any batch, or its failure without.
+        let _ = tokio::time::timeout_at(retry, changed.changed()).await;
+        Instant::now() < deadline
+    }
+
+    fn out(&self) -> Error {
+        let closed = self.shared.appender.closed_until();
+        let after = closed.saturating_duration_since(Instant::now());
+        Error::Out {
+            after: after.max(Duration::from_secs(1)),
+        }
+    }
+}
+
+/// How long to wait for the answer to another call's ask before looking again.
+const RETRY: Duration = Duration::from_millis(50);
+
+impl Shared {
+    fn balances(&self) -> MutexGuard<'_, Vec<Balance>> {
+        self.balances.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now(&self) -> Moment {
+        Moment::ZERO + self.start.elapsed()
+    }
+
+    /// A customer's balance, with all that the log has granted by now.
+    fn balance<'a>(
+        &self,
+        balances: &'a mut Vec<Balance>,
+        customer: &id::Customer,
+        period: u64,
+    ) -> &'a mut Balance {
+        let place = balances.binary_search_by(|p| (&p.customer, p.period).cmp(&(customer, period)));
+        let place = place.unwrap_or_else(|place| {
+            balances.insert(place, Balance::new(customer, period, self.config.budget));
+            place
+        });
+        let balance = &mut balances[place];
+        let granted = self
+            .follower
+            .view(|view| view.fold.granted(customer, period, &self.holder));
+        balance.update(granted);
+        balance
+    }
+
+    fn left(&self, customer: &id::Customer, period: u64, limit: Money) -> Money {
+        self.follower
+            .view(|view| view.fold.left(customer, period))
+            .unwrap_or(limit)
+    }
+
+    /// The grant to ask for now, if any.
+    fn next_grant(&self, account: Account<'_>, nodes: u32) -> Option<Grant> {
+        let customer = &account.contract.customer;
+        let period = account.contract.spend.period(account.now).0;
+        let limit = account.contract.spend.limit;
+        let left = self.left(customer, period, limit);
+        let mut balances = self.balances();
+        let balance = self.balance(&mut balances, customer, period);
+        let amount = balance.grants.ask(left, nodes, self.now())?;
+        Some(Grant {
+            id: id::Record(Uuid::now_v7()),
+            customer: customer.clone(),
+            node: self.holder.clone(),
+            period,
+            amount,
+            limit,
+            revision: account.revision,
+        })
+    }
+
+    /// Writes a grant and waits until it was read. Returns whether it was.
+    async fn obtain(&self, grant: Grant, deadline: Instant) -> bool {
+        let customer = grant.customer.clone();
+        let period = grant.period;
+        let record = grant.id;
+        let written = self.write(&Allowance::Grant(grant), deadline).await;
+        let read = self
+            .follower
+            .wait(deadline, |view| {
+                let read = view.fold.read(&customer, period, record);
+                let passed = written.is_some_and(|offset| view.next > offset);
+                (read || passed).then_some(())
+            })
+            .await;
+        let mut balances = self.balances();
+        let balance = self.balance(&mut balances, &customer, period);
+        // Also where the answer is not known: a grant that is accepted later is found by reading.
+        balance.grants.refused();
+        read.is_some()
+    }
+
+    async fn write(&self, allowance: &Allowance, deadline: Instant) -> Option<Offset> {
+        let record = serde_json::to_string(allowance).ok()?;
+        let appended = self.appender.append(Stream::Grants, record, deadline).await;
+        appended
+            .inspect_err(|error| log::warn!("grants: record not written: {error}"))
+            .ok()
+    }
+}
+
+impl Balance {
+    fn new(customer: &id::Customer, period: u64, config: budget::Config) -> Self {
+        Self {
+            customer: customer.clone(),
+            period,
+            grants: budget::Grants::new(config),
+            returning: Money::ZERO,
+        }
+    }
+
+    /// Takes what the log has granted to this holder in all, less what it returned there.
+    fn update(&mut self, granted: Money) {
+        let known = self.grants.granted() + self.returning;
+        match granted.checked_sub(known) {
+            Some(Money::ZERO) => {}
+            Some(more) => self.grants.accepted(more),
+            // A return was read.
+            None => self.returning = granted.saturating_sub(self.grants.granted()),
+        }
+    }
+}
+
+fn holder(node: &id::Node) -> id::Node {
+    // The last bytes of a version 7 UUID are random.
+    let life = Uuid::now_v7().simple().to_string();
+    let longest = id::MAX_NAME - MARK - 1;
+    let name: String = node.as_str().chars().take(longest).collect();
+    let marked = format!("{name}.{}", &life[life.len() - MARK..]);
+    marked.parse().unwrap_or_else(|_| node.clone())
+}
+
+fn exhausted(account: Account<'_>) -> Error {
+    let length = account.contract.spend.period.millis().max(1);
+    let spent = account.now.millis() % length;
+    Error::Exhausted {
+        after: Duration::from_millis(length - spent),
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -8,6 +8,7 @@
 mod backoff;
 pub mod bills;
 pub mod claims;
+pub mod configuration;
 pub mod follower;
 pub mod grants;
 mod http;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -89,6 +89,8 @@
     },
     /// Drops copies that are on the log.
     Drop {
+        /// Whose bills.
+        node: id::Node,
         /// The requests billed.
         requests: Vec<id::Request>,
     },
