Measure decisions under load on recorded arrivals

Cause: nothing told yet what callers receive, with or without each mechanism. Ruled out: engines whose speed does not depend on the batch (they hide that pace triples from an empty to a full batch, which is what a latency limit reacts to).

--- /dev/null
+++ b/crates/policy/benches/load.rs
@@ -0,0 +1,169 @@
+//! Prints the table of what callers receive, with and without each mechanism and beside the
+//! baselines, on the same recorded arrivals. `-- --write-traces` makes the arrivals anew.
+
+#[path = "../tests/model/mod.rs"]
+mod model;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::Command;
+use comfy_table::Table;
+
+use model::node::Choice;
+use model::node::Mechanisms;
+use model::scenario::NAMES;
+use model::scenario::Scenario;
+use model::summary::Summary;
+use model::world;
+
+const ALL: Mechanisms = Mechanisms::ALL;
+
+/// Rows of the table.
+const ROWS: [(&str, Mechanisms); 12] = [
+    ("all", ALL),
+    (
+        "no admission",
+        Mechanisms {
+            admission: false,
+            ..ALL
+        },
+    ),
+    ("no fair queue", Mechanisms { fair: false, ..ALL }),
+    (
+        "no limit",
+        Mechanisms {
+            limit: false,
+            ..ALL
+        },
+    ),
+    (
+        "no retry budget",
+        Mechanisms {
+            budget: false,
+            ..ALL
+        },
+    ),
+    (
+        "no ejection",
+        Mechanisms {
+            eject: false,
+            ..ALL
+        },
+    ),
+    (
+        "no hedge",
+        Mechanisms {
+            hedge: false,
+            ..ALL
+        },
+    ),
+    (
+        "choice: round robin",
+        Mechanisms {
+            choice: Choice::RoundRobin,
+            ..ALL
+        },
+    ),
+    ("fifo, round robin", Mechanisms::naive(Choice::RoundRobin)),
+    ("fifo, random two", Mechanisms::naive(Choice::RandomTwo)),
+    (
+        "fifo, least in flight",
+        Mechanisms::naive(Choice::LeastInFlight),
+    ),
+    ("fifo, our choice", Mechanisms::naive(Choice::Policy)),
+];
+
+const HEAD: [&str; 14] = [
+    "mechanisms",
+    "served",
+    "worst",
+    "short p50",
+    "p95",
+    "p99",
+    "all p95",
+    "goodput",
+    "refused",
+    "lost",
+    "heard p99",
+    "truth",
+    "attempts",
+    "cost",
+];
+
+fn main() {
+    let command = Command::new("load")
+        .arg(
+            Arg::new("write")
+                .long("write-traces")
+                .action(ArgAction::SetTrue),
+        )
+        .arg(Arg::new("only").long("only").help("One scenario"))
+        .arg(
+            Arg::new("brief")
+                .long("brief")
+                .action(ArgAction::SetTrue)
+                .help("First row only"),
+        )
+        .arg(
+            Arg::new("bench")
+                .long("bench")
+                .action(ArgAction::SetTrue)
+                .hide(true),
+        );
+    let matches = command.get_matches();
+    if matches.get_flag("write") {
+        for name in NAMES {
+            Scenario::recipe(name).write();
+        }
+    }
+    let rows = if matches.get_flag("brief") {
+        1
+    } else {
+        ROWS.len()
+    };
+    let only = matches.get_one::<String>("only");
+    for name in NAMES
+        .iter()
+        .filter(|name| only.is_none_or(|only| only == *name))
+    {
+        table(name, &ROWS[..rows]);
+    }
+}
+
+fn table(name: &str, rows: &[(&str, Mechanisms)]) {
+    let scenario = Scenario::load(name);
+    println!(
+        "\n{name}: {} ({} requests)",
+        scenario.about,
+        scenario.arrivals.len()
+    );
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
+    table.set_header(HEAD);
+    for (label, mechanisms) in rows {
+        let world = world::run(&scenario, *mechanisms);
+        table.add_row(row(label, &scenario, &Summary::of(&scenario, &world)));
+    }
+    println!("{table}");
+}
+
+fn row(label: &str, scenario: &Scenario, summary: &Summary) -> Vec<String> {
+    let share = |value: f64| format!("{:.1}%", value * 100.0);
+    let time = |value: f64| format!("{value:.2}");
+    vec![
+        label.into(),
+        share(summary.served),
+        share(summary.worst(scenario)),
+        time(summary.short[0]),
+        time(summary.short[1]),
+        time(summary.short[2]),
+        time(summary.all[1]),
+        share(summary.goodput),
+        share(summary.refused),
+        share(summary.lost),
+        time(summary.refusal_p99),
+        summary.truth.map_or_else(|| "-".into(), share),
+        time(summary.attempts),
+        time(summary.cost),
+    ]
+}
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -17,6 +17,47 @@
 
 use crate::number;
 
+/// Prompt tokens that an engine reads in the time in which it generates one. Reading is a product
+/// of large matrices and generating is bound by memory, so that the ratio is about ten on engines
+/// with continuous batching. It only weighs long prompts against long answers.
+pub const PREFILL: u64 = 10;
+
+/// Work of a call, in generated tokens.
+#[must_use]
+pub const fn work(input: Tokens, output: Tokens) -> Tokens {
+    Tokens(output.0.saturating_add(input.0 / PREFILL))
+}
+
+/// The usual length of the answers of one class, as answers are as long as they turn out to be.
+#[derive(Debug, Clone, Copy)]
+pub struct Length {
+    mean: f64,
+}
+
+impl Length {
+    /// Weight of a new answer.
+    const WEIGHT: f64 = 0.05;
+
+    /// Starts from a length that is expected before any was seen.
+    #[must_use]
+    pub const fn new(expected: Tokens) -> Self {
+        Self {
+            mean: number::float(expected.0),
+        }
+    }
+
+    /// Counts an answer.
+    pub fn record(&mut self, output: Tokens) {
+        self.mean += Self::WEIGHT * (number::float(output.0) - self.mean);
+    }
+
+    /// The length to expect, at most what the caller allows.
+    #[must_use]
+    pub fn expect(&self, most: Tokens) -> Tokens {
+        Tokens(number::whole(self.mean).max(1)).min(most)
+    }
+}
+
 /// Figures of a [`Gate`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -168,6 +168,15 @@
         })
     }
 
+    /// An endpoint that is due for a probe. To be sent a short, repeatable call before any other
+    /// choice is made: by choice alone it would be tried late, or by many calls at once.
+    #[must_use]
+    pub fn due(&self, now: Moment) -> Option<&id::Endpoint> {
+        let longest = self.config.longest;
+        let due = |member: &&Member| member.state(now, longest) == State::Probe;
+        self.members.iter().find(due).map(|member| &member.endpoint)
+    }
+
     /// Says that a call is being sent, so that no second probe goes along.
     pub fn sent(&mut self, endpoint: &id::Endpoint, now: Moment) {
         let Some(place) = self.find(endpoint) else {
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -33,6 +33,13 @@
 /// Times the quantile that is waited: at the exact percentile every slow second hedges.
 const PATIENCE: f64 = 1.25;
 
+/// Times the 95th percentile after which an attempt without a first token counts as failed. Far
+/// enough out that a full pool does not look like a dead one.
+const SILENCE: f64 = 6.0;
+
+/// The shortest silence that counts as a failure.
+const SHORTEST_SILENCE: Duration = Duration::from_secs(2);
+
 /// A decaying histogram of latencies.
 #[derive(Debug, Clone)]
 pub struct Tail {
@@ -108,3 +115,12 @@
     let delay = tail.quantile(0.95)?.mul_f64(PATIENCE);
     (delay < attempt.left).then_some(delay)
 }
+
+/// How long an attempt may go without a first token before it counts as failed, so that a call at
+/// an endpoint that hangs does not wait for its caller's whole timeout. None while too little is
+/// known; the deadline bounds it then.
+#[must_use]
+pub fn silence(tail: &Tail) -> Option<Duration> {
+    let usual = tail.quantile(0.95)?;
+    Some(usual.mul_f64(SILENCE).max(SHORTEST_SILENCE))
+}
--- /dev/null
+++ b/crates/policy/tests/model/node.rs
@@ -0,0 +1,324 @@
+//! An entry node of the model: the crate's modules put together, each with an off switch.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use pimento_policy::admission;
+use pimento_policy::choice;
+use pimento_policy::eject;
+use pimento_policy::hedge;
+use pimento_policy::limit;
+use pimento_policy::queue;
+use pimento_policy::retry;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use super::Random;
+use super::engine::BATCH;
+use super::scenario::Arrival;
+use super::scenario::CLASSES;
+use super::scenario::CUSTOMERS;
+use super::scenario::ENDPOINTS;
+use super::whole;
+
+/// How an endpoint is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Choice {
+    Policy,
+    RoundRobin,
+    RandomTwo,
+    LeastInFlight,
+}
+
+/// Which mechanisms are at work.
+#[derive(Debug, Clone, Copy)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "one switch for each mechanism"
+)]
+pub struct Mechanisms {
+    pub admission: bool,
+    pub fair: bool,
+    pub limit: bool,
+    pub budget: bool,
+    pub eject: bool,
+    pub hedge: bool,
+    pub choice: Choice,
+}
+
+impl Mechanisms {
+    pub const ALL: Self = Self {
+        admission: true,
+        fair: true,
+        limit: true,
+        budget: true,
+        eject: true,
+        hedge: true,
+        choice: Choice::Policy,
+    };
+
+    /// First in, first out, without admission, with a fixed limit of one batch an endpoint.
+    pub const fn naive(choice: Choice) -> Self {
+        Self {
+            admission: false,
+            fair: false,
+            limit: false,
+            budget: false,
+            eject: false,
+            hedge: false,
+            choice,
+        }
+    }
+}
+
+/// Round-trip time between zones.
+const ACROSS: Duration = Duration::from_millis(10);
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    others: u32,
+    at: f64,
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub zone: usize,
+    pub mechanisms: Mechanisms,
+    pub gate: admission::Gate,
+    pub queue: queue::Queue,
+    pub limiters: Vec<limit::Limiter>,
+    pub health: eject::Pool,
+    pub tails: [hedge::Tail; CLASSES.len()],
+    pub lengths: [admission::Length; CLASSES.len()],
+    pub customers: Vec<retry::Budget>,
+    pub pool: retry::Budget,
+    pub tickets: Vec<(queue::Ticket, usize)>,
+    pub redo: VecDeque<usize>,
+    pub random: Random,
+    endpoints: Vec<id::Endpoint>,
+    workspaces: Vec<id::Customer>,
+    seen: Vec<Seen>,
+    turn: usize,
+}
+
+pub fn moment(at: f64) -> Moment {
+    Moment::ZERO + Duration::from_secs_f64(at.max(0.0))
+}
+
+fn name<T: std::str::FromStr>(prefix: &str, number: usize) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    format!("{prefix}-{number:02}").parse().expect("a name")
+}
+
+impl Node {
+    pub fn new(number: usize, mechanisms: Mechanisms, seed: u64) -> Self {
+        let endpoints: Vec<id::Endpoint> = (0..ENDPOINTS).map(|e| name("engine", e)).collect();
+        let mut health = eject::Pool::new(eject::Config::default());
+        health.retain(endpoints.iter().cloned());
+        let limits = limit::Config::default();
+        let fixed = limit::Config {
+            start: 16.0,
+            least: 16.0,
+            most: 16.0,
+            ..limits
+        };
+        let limits = if mechanisms.limit { limits } else { fixed };
+        let fair = queue::Config::default();
+        let plain = queue::Config {
+            long: Tokens(u64::MAX),
+            ..fair
+        };
+        Self {
+            zone: number % 3,
+            mechanisms,
+            gate: admission::Gate::new(admission::Config::default()),
+            queue: queue::Queue::new(if mechanisms.fair { fair } else { plain }),
+            limiters: vec![limit::Limiter::new(limits); ENDPOINTS],
+            health,
+            tails: std::array::from_fn(|_| hedge::Tail::default()),
+            lengths: CLASSES
+                .map(|class| admission::Length::new(Tokens(whole(class.output) as u64))),
+            customers: vec![retry::Budget::new(retry::Config::default()); CUSTOMERS],
+            pool: retry::Budget::new(retry::Config::default()),
+            tickets: Vec::new(),
+            redo: VecDeque::new(),
+            random: Random(seed ^ (number as u64) << 32),
+            endpoints,
+            workspaces: (0..CUSTOMERS).map(|c| name("workspace", c)).collect(),
+            seen: vec![Seen::default(); ENDPOINTS],
+            turn: number,
+        }
+    }
+
+    pub fn endpoint(&self, place: usize) -> &id::Endpoint {
+        &self.endpoints[place]
+    }
+
+    /// Estimated work of a request.
+    pub fn estimate(&self, arrival: &Arrival) -> Tokens {
+        let output = self.lengths[arrival.class].expect(Tokens(4_000));
+        admission::work(Tokens(arrival.input), output)
+    }
+
+    fn job(&self, arrival: &Arrival, start_by: Moment) -> queue::Job {
+        let fair = self.mechanisms.fair;
+        let customer = if fair { arrival.customer } else { 0 };
+        queue::Job {
+            customer: self.workspaces[customer].clone(),
+            weight: 1,
+            priority: if fair {
+                CLASSES[arrival.class].priority
+            } else {
+                0
+            },
+            tokens: self.estimate(arrival),
+            start_by,
+        }
+    }
+
+    fn demand(&self, arrival: &Arrival, deadline: f64, now: f64) -> admission::Demand {
+        let job = self.job(arrival, Moment::ZERO);
+        let open = |e: &usize| self.open(*e, now);
+        admission::Demand {
+            ahead: self.queue.ahead(&job.customer, 1, job.priority, job.tokens),
+            slots: (0..ENDPOINTS)
+                .filter(open)
+                .map(|e| self.limiters[e].limit())
+                .sum(),
+            free: (0..ENDPOINTS)
+                .filter(open)
+                .map(|e| self.limiters[e].room())
+                .sum(),
+            run: self.gate.run(job.tokens),
+            deadline: moment(deadline),
+        }
+    }
+
+    /// The door: puts the request into the queue, or says when to come back.
+    pub fn enter(
+        &mut self,
+        request: usize,
+        arrival: &Arrival,
+        deadline: f64,
+        now: f64,
+    ) -> Option<f64> {
+        let mut latest = moment(deadline);
+        if self.mechanisms.admission {
+            let demand = self.demand(arrival, deadline, now);
+            let random = self.random.bits();
+            match self.gate.decide(demand, moment(now), random) {
+                admission::Verdict::Admit { start_by } => latest = start_by,
+                admission::Verdict::Refuse { after } => return Some(after.as_secs_f64()),
+            }
+        }
+        let ticket = self.queue.enqueue(self.job(arrival, latest));
+        self.tickets.push((ticket, request));
+        None
+    }
+
+    /// The request that a ticket stands for, which leaves the queue.
+    pub fn take(&mut self, ticket: queue::Ticket) -> usize {
+        let place = self.tickets.iter().position(|(known, _)| *known == ticket);
+        let (_, request) = self.tickets.swap_remove(place.expect("a known ticket"));
+        request
+    }
+
+    /// When a request that is given up on in the queue may come back.
+    pub fn again(&mut self, arrival: &Arrival, now: f64) -> f64 {
+        let demand = self.demand(arrival, now, now);
+        let random = self.random.bits();
+        self.gate.again(demand, random).as_secs_f64()
+    }
+
+    pub fn slots(&self, now: f64) -> u32 {
+        let open = |e: &usize| self.open(*e, now);
+        (0..ENDPOINTS)
+            .filter(open)
+            .map(|e| self.limiters[e].limit())
+            .sum()
+    }
+
+    fn open(&self, place: usize, now: f64) -> bool {
+        let state = self.health.state(&self.endpoints[place], moment(now));
+        !self.mechanisms.eject || state == eject::State::In
+    }
+
+    /// Whether any endpoint has a free slot.
+    pub fn free(&self, now: f64) -> bool {
+        (0..ENDPOINTS).any(|e| self.open(e, now) && self.limiters[e].room() > 0)
+    }
+
+    pub fn reported(&mut self, place: usize, load: (u32, u32), measured: f64) {
+        let own = self.limiters[place].flying();
+        let others = (load.0 + load.1).saturating_sub(own);
+        self.seen[place] = Seen {
+            others,
+            at: measured,
+        };
+        self.limiters[place].report(limit::Report {
+            running: load.0,
+            waiting: load.1,
+            batch: u32::try_from(BATCH).unwrap_or(u32::MAX),
+        });
+    }
+
+    /// The endpoint for an attempt.
+    pub fn choose(&mut self, arrival: &Arrival, tried: &[usize], now: f64) -> Option<usize> {
+        let fits = |e: usize| !tried.contains(&e) && self.limiters[e].room() > 0;
+        let due = self.health.due(moment(now));
+        let probe = due.and_then(|name| self.endpoints.iter().position(|e| e == name));
+        if let Some(probe) =
+            probe.filter(|p| self.mechanisms.eject && arrival.class == 0 && fits(*p))
+        {
+            return Some(probe);
+        }
+        let usable = |e: &usize| fits(*e) && self.open(*e, now);
+        let open: Vec<usize> = (0..ENDPOINTS).filter(usable).collect();
+        if open.is_empty() {
+            return None;
+        }
+        match self.mechanisms.choice {
+            Choice::Policy => self.policy(arrival, &open, now),
+            Choice::RoundRobin => {
+                self.turn += 1;
+                Some(open[self.turn % open.len()])
+            }
+            Choice::RandomTwo => {
+                let one = open[self.random.below(open.len())];
+                let other = open[self.random.below(open.len())];
+                [one, other]
+                    .into_iter()
+                    .min_by_key(|e| self.limiters[*e].flying())
+            }
+            Choice::LeastInFlight => open.into_iter().min_by_key(|e| self.limiters[*e].flying()),
+        }
+    }
+
+    fn policy(&mut self, arrival: &Arrival, open: &[usize], now: f64) -> Option<usize> {
+        let random = self.random.bits();
+        let candidate = |e: usize| choice::Candidate {
+            key: choice::key(self.endpoints[e].as_str()),
+            usable: open.contains(&e),
+            distance: if e % 3 == self.zone {
+                Duration::ZERO
+            } else {
+                ACROSS
+            },
+            own: self.limiters[e].flying(),
+            limit: self.limiters[e].limit(),
+            others: self.seen[e].others,
+            age: Duration::from_secs_f64((now - self.seen[e].at).max(0.0)),
+            run: Duration::from_secs_f64(self.limiters[e].pace() * 100.0),
+        };
+        let candidates: Vec<choice::Candidate> = (0..ENDPOINTS).map(candidate).collect();
+        choice::choose(
+            &candidates,
+            Some(arrival.prefix),
+            random,
+            &choice::Config::default(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/policy/tests/model/world.rs
@@ -0,0 +1,584 @@
+//! The event loop: arrivals meet nodes, attempts meet engines, and callers get answers.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use pimento_policy::admission;
+use pimento_policy::eject;
+use pimento_policy::hedge;
+use pimento_policy::limit;
+use pimento_policy::queue;
+use pimento_policy::retry;
+use pimento_units::Tokens;
+
+use super::Random;
+use super::engine::Engine;
+use super::engine::Progress;
+use super::engine::Work;
+use super::float;
+use super::node::Mechanisms;
+use super::node::Node;
+use super::node::moment;
+use super::scenario::Arrival;
+use super::scenario::CLASSES;
+use super::scenario::ENDPOINTS;
+use super::scenario::Kind;
+use super::scenario::Scenario;
+use super::whole;
+
+/// Seconds between measurements of an engine's load.
+const MEASURE: f64 = 0.5;
+/// Seconds between a node's looks at its queue.
+const TICK: f64 = 0.05;
+/// One-way delay within a zone and between zones.
+const DELAYS: [f64; 2] = [0.0005, 0.005];
+/// How long an attempt that can't succeed takes to fail.
+const FAILING: f64 = 0.005;
+
+/// What a caller received.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Answer {
+    Pending,
+    Served,
+    /// The caller's timeout ran out.
+    Late,
+    Refused {
+        after: f64,
+    },
+    /// An error, with no way to try again.
+    Failed,
+}
+
+/// A request as its caller sees it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    pub arrival: Arrival,
+    pub answer: Answer,
+    /// When the first token and the final answer came.
+    pub first: Option<f64>,
+    pub ended: f64,
+    pub attempts: u32,
+    /// When its first attempt was sent.
+    pub began: f64,
+    /// The request that this one is a repetition of, after `Retry-After`.
+    pub origin: Option<usize>,
+    node: usize,
+    tried: Vec<usize>,
+    live: Vec<usize>,
+    dispatch: Option<queue::Dispatch>,
+}
+
+#[derive(Debug, Clone)]
+struct Attempt {
+    request: usize,
+    endpoint: usize,
+    sent: f64,
+    first: bool,
+    open: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive(usize),
+    Reach(usize),
+    Fail(usize),
+    Engine(usize, u64),
+    Lose(usize),
+    Measure,
+    Report(usize, (u32, u32), u64),
+    Tick,
+    Hedge(usize),
+    Silence(usize),
+    Deadline(usize),
+}
+
+pub struct World {
+    pub requests: Vec<Request>,
+    pub engines: Vec<Engine>,
+    pub nodes: Vec<Node>,
+    /// The most calls of one node at one endpoint over its limit at that time.
+    pub over: u32,
+    attempts: Vec<Attempt>,
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    now: f64,
+    lag: f64,
+    end: f64,
+    random: Random,
+}
+
+/// Runs a scenario until each caller has its final answer.
+pub fn run(scenario: &Scenario, mechanisms: Mechanisms) -> World {
+    let mut world = World::new(scenario, mechanisms);
+    while let Some(Reverse((at, _, event))) = world.events.pop() {
+        world.now = float(at) / 1e9;
+        world.handle(event);
+    }
+    world
+}
+
+impl World {
+    fn new(scenario: &Scenario, mechanisms: Mechanisms) -> Self {
+        let seed = scenario.recipe.seed;
+        let mut engines = vec![Engine::default(); ENDPOINTS];
+        for fault in &scenario.faults {
+            engines[fault.endpoint].faults.push(*fault);
+        }
+        let node = |number| Node::new(number, mechanisms, seed);
+        let mut world = Self {
+            requests: Vec::new(),
+            engines,
+            nodes: (0..scenario.nodes).map(node).collect(),
+            over: 0,
+            attempts: Vec::new(),
+            events: BinaryHeap::new(),
+            sequence: 0,
+            now: 0.0,
+            lag: scenario.lag,
+            end: scenario.arrivals.last().map_or(0.0, |a| a.at) + 300.0,
+            random: Random(seed),
+        };
+        for arrival in &scenario.arrivals {
+            world.expect(*arrival, None);
+        }
+        for fault in scenario.faults.iter().filter(|f| f.kind == Kind::Gone) {
+            world.at(fault.from, Event::Lose(fault.endpoint));
+        }
+        world.at(0.0, Event::Measure);
+        world.at(0.0, Event::Tick);
+        world
+    }
+
+    fn at(&mut self, at: f64, event: Event) {
+        self.sequence += 1;
+        let nanos = whole(at * 1e9) as u64;
+        self.events.push(Reverse((nanos, self.sequence, event)));
+    }
+
+    fn expect(&mut self, arrival: Arrival, origin: Option<usize>) {
+        let node = self.random.below(self.nodes.len());
+        self.requests.push(Request {
+            arrival,
+            answer: Answer::Pending,
+            first: None,
+            ended: 0.0,
+            attempts: 0,
+            began: 0.0,
+            origin,
+            node,
+            tried: Vec::new(),
+            live: Vec::new(),
+            dispatch: None,
+        });
+        let request = self.requests.len() - 1;
+        self.at(arrival.at, Event::Arrive(request));
+        self.at(
+            arrival.at + CLASSES[arrival.class].timeout,
+            Event::Deadline(request),
+        );
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Arrive(request) => self.arrive(request),
+            Event::Reach(attempt) => self.reach(attempt),
+            Event::Fail(attempt) => self.fail(attempt, eject::Outcome::Failed),
+            Event::Engine(engine, generation) => self.progress(engine, generation),
+            Event::Lose(engine) => {
+                for attempt in self.engines[engine].lose(self.now) {
+                    self.fail(attempt, eject::Outcome::Failed);
+                }
+            }
+            Event::Measure => self.measure(),
+            Event::Report(engine, load, measured) => {
+                let measured = float(measured) / 1e9;
+                self.nodes
+                    .iter_mut()
+                    .for_each(|n| n.reported(engine, load, measured));
+            }
+            Event::Tick => self.tick(),
+            Event::Hedge(attempt) => self.hedge(attempt),
+            Event::Silence(attempt) => {
+                if self.attempts[attempt].open && !self.attempts[attempt].first {
+                    self.drop_call(attempt);
+                    self.fail(attempt, eject::Outcome::Failed);
+                }
+            }
+            Event::Deadline(request) => {
+                if self.requests[request].answer == Answer::Pending {
+                    self.give_up(request, Answer::Late);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, request: usize) {
+        let Request { arrival, node, .. } = self.requests[request];
+        let deadline = arrival.at + CLASSES[arrival.class].timeout;
+        let refused = self.nodes[node].enter(request, &arrival, deadline, self.now);
+        match refused {
+            Some(after) => self.refuse(request, after),
+            None => self.dispatch(node),
+        }
+    }
+
+    fn refuse(&mut self, request: usize, after: f64) {
+        self.requests[request].answer = Answer::Refused { after };
+        self.requests[request].ended = self.now;
+        if self.requests[request].origin.is_none() {
+            let at = self.now + after;
+            self.expect(
+                Arrival {
+                    at,
+                    ..self.requests[request].arrival
+                },
+                Some(request),
+            );
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = moment(self.now);
+        for number in 0..self.nodes.len() {
+            for ticket in self.nodes[number].queue.expire(now) {
+                let request = self.nodes[number].take(ticket);
+                if self.nodes[number].mechanisms.admission {
+                    let arrival = self.requests[request].arrival;
+                    let after = self.nodes[number].again(&arrival, self.now);
+                    self.refuse(request, after);
+                }
+            }
+            self.dispatch(number);
+        }
+        if self.now < self.end {
+            self.at(self.now + TICK, Event::Tick);
+        }
+    }
+
+    fn measure(&mut self) {
+        for engine in 0..ENDPOINTS {
+            if self.engines[engine].fault(self.now) == Some(Kind::Gone) {
+                continue;
+            }
+            let load = self.engines[engine].load();
+            let measured = whole(self.now * 1e9) as u64;
+            self.at(self.now + self.lag, Event::Report(engine, load, measured));
+        }
+        if self.now < self.end {
+            self.at(self.now + MEASURE, Event::Measure);
+        }
+    }
+
+    /// Sends as long as there is work and a free slot; requests to be tried again go first.
+    fn dispatch(&mut self, number: usize) {
+        while self.nodes[number].free(self.now) {
+            let request = if let Some(request) = self.nodes[number].redo.pop_front() {
+                request
+            } else {
+                let node = &mut self.nodes[number];
+                let slots = node.slots(self.now);
+                let Some(dispatch) = node.queue.next(moment(self.now), slots) else {
+                    return;
+                };
+                let request = node.take(dispatch.ticket);
+                self.requests[request].dispatch = Some(dispatch);
+                request
+            };
+            if self.requests[request].answer != Answer::Pending {
+                continue;
+            }
+            if !self.send(request) {
+                self.nodes[number].redo.push_front(request);
+                return;
+            }
+        }
+    }
+
+    fn send(&mut self, request: usize) -> bool {
+        let Request { arrival, node, .. } = self.requests[request];
+        let tried = self.requests[request].tried.clone();
+        let sender = &mut self.nodes[node];
+        let Some(endpoint) = sender.choose(&arrival, &tried, self.now) else {
+            return false;
+        };
+        let name = sender.endpoint(endpoint).clone();
+        sender.health.sent(&name, moment(self.now));
+        assert!(
+            sender.limiters[endpoint].acquire(),
+            "a chosen endpoint has room"
+        );
+        let limiter = &sender.limiters[endpoint];
+        self.over = self
+            .over
+            .max(limiter.flying().saturating_sub(limiter.limit()));
+        let across = usize::from(endpoint % 3 != sender.zone);
+        let left = arrival.at + CLASSES[arrival.class].timeout - self.now;
+        let hedge = hedge::delay(
+            &sender.tails[arrival.class],
+            hedge::Attempt {
+                repeatable: true,
+                long: arrival.class == 2,
+                left: Duration::from_secs_f64(left.max(0.0)),
+            },
+        );
+        let hedge = hedge.filter(|_| sender.mechanisms.hedge && tried.is_empty());
+        let silence = hedge::silence(&sender.tails[arrival.class]);
+        let attempt = self.attempts.len();
+        self.attempts.push(Attempt {
+            request,
+            endpoint,
+            sent: self.now,
+            first: false,
+            open: true,
+        });
+        let state = &mut self.requests[request];
+        if state.attempts == 0 {
+            state.began = self.now;
+        }
+        state.attempts += 1;
+        state.tried.push(endpoint);
+        state.live.push(attempt);
+        self.at(self.now + DELAYS[across], Event::Reach(attempt));
+        if let Some(delay) = hedge {
+            self.at(self.now + delay.as_secs_f64(), Event::Hedge(attempt));
+        }
+        if let Some(silence) = silence {
+            self.at(self.now + silence.as_secs_f64(), Event::Silence(attempt));
+        }
+        true
+    }
+
+    fn reach(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            endpoint,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let fails = match self.engines[endpoint].fault(self.now) {
+            Some(Kind::Gone) => true,
+            Some(Kind::Fail(share)) => self.random.unit() < share,
+            _ => false,
+        };
+        if fails {
+            self.at(self.now + FAILING, Event::Fail(attempt));
+            return;
+        }
+        let Request { arrival, node, .. } = self.requests[request];
+        let work = Work {
+            attempt,
+            priority: if self.nodes[node].mechanisms.fair {
+                CLASSES[arrival.class].priority
+            } else {
+                0
+            },
+            input: arrival.input,
+            output: arrival.output,
+            prefix: arrival.prefix,
+        };
+        self.engines[endpoint].push(self.now, work);
+        self.wake(endpoint);
+    }
+
+    fn wake(&mut self, engine: usize) {
+        if let Some(at) = self.engines[engine].next() {
+            let generation = self.engines[engine].generation;
+            self.at(at.max(self.now), Event::Engine(engine, generation));
+        }
+    }
+
+    fn progress(&mut self, engine: usize, generation: u64) {
+        if self.engines[engine].generation != generation {
+            return;
+        }
+        for made in self.engines[engine].step(self.now) {
+            match made {
+                Progress::First(attempt) => self.first(attempt),
+                Progress::End(attempt) => self.finish(attempt),
+            }
+        }
+        self.wake(engine);
+    }
+
+    /// The first token: the other attempts at this request are cancelled.
+    fn first(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            sent,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.attempts[attempt].first = true;
+        let Request {
+            arrival,
+            node,
+            first,
+            ..
+        } = self.requests[request];
+        if first.is_none() {
+            self.requests[request].first = Some(self.now);
+        }
+        let took = Duration::from_secs_f64(self.now - sent);
+        self.nodes[node].tails[arrival.class].record(took, moment(self.now));
+        for other in self.requests[request].live.clone() {
+            if other != attempt {
+                self.drop_call(other);
+                self.close(other, limit::Outcome::Unknown, eject::Outcome::Failed);
+            }
+        }
+    }
+
+    fn finish(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            sent,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        let Request { arrival, node, .. } = self.requests[request];
+        let tokens = admission::work(Tokens(arrival.input), Tokens(arrival.output));
+        let took = Duration::from_secs_f64(self.now - sent);
+        let pace = took.as_secs_f64() / float(tokens.0.max(1));
+        let served = limit::Outcome::Served { tokens, took };
+        let owner = &mut self.nodes[node];
+        owner.gate.served(tokens, took, moment(self.now));
+        owner.lengths[arrival.class].record(Tokens(arrival.output));
+        owner.customers[arrival.customer].success(moment(self.now));
+        owner.pool.success(moment(self.now));
+        self.close(attempt, served, eject::Outcome::Served { pace });
+        self.settle(request, Answer::Served);
+        self.dispatch(node);
+    }
+
+    /// Gives the slot back and tells the endpoint's health.
+    fn close(&mut self, attempt: usize, load: limit::Outcome, health: eject::Outcome) {
+        let Attempt {
+            request,
+            endpoint,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.attempts[attempt].open = false;
+        let now = self.now;
+        let state = &mut self.requests[request];
+        state.live.retain(|other| *other != attempt);
+        let node = &mut self.nodes[state.node];
+        node.limiters[endpoint].release(load);
+        let name = node.endpoint(endpoint).clone();
+        node.health.record(&name, health, moment(now));
+    }
+
+    fn drop_call(&mut self, attempt: usize) {
+        if self.attempts[attempt].open {
+            let endpoint = self.attempts[attempt].endpoint;
+            self.engines[endpoint].cancel(self.now, attempt);
+            self.wake(endpoint);
+        }
+    }
+
+    fn fail(&mut self, attempt: usize, health: eject::Outcome) {
+        let Attempt { request, open, .. } = self.attempts[attempt];
+        if !open {
+            return;
+        }
+        self.close(attempt, limit::Outcome::Unknown, health);
+        let Request {
+            arrival,
+            node,
+            attempts,
+            ..
+        } = self.requests[request];
+        if !self.requests[request].live.is_empty() {
+            return;
+        }
+        let owner = &mut self.nodes[node];
+        let failure = retry::Failure {
+            repeatable: true,
+            attempts,
+            run: owner.gate.run(owner.estimate(&arrival)),
+            deadline: moment(arrival.at + CLASSES[arrival.class].timeout),
+        };
+        let now = moment(self.now);
+        let budgeted = owner.mechanisms.budget;
+        let again = if budgeted {
+            retry::again(
+                failure,
+                &mut owner.customers[arrival.customer],
+                &mut owner.pool,
+                now,
+            )
+        } else {
+            attempts < retry::ATTEMPTS
+        };
+        if again {
+            owner.redo.push_back(request);
+        } else {
+            self.settle(request, Answer::Failed);
+        }
+        self.dispatch(node);
+    }
+
+    fn hedge(&mut self, attempt: usize) {
+        let Attempt {
+            request,
+            first,
+            open,
+            ..
+        } = self.attempts[attempt];
+        if !open || first || self.requests[request].answer != Answer::Pending {
+            return;
+        }
+        let Request { arrival, node, .. } = self.requests[request];
+        let now = moment(self.now);
+        let owner = &mut self.nodes[node];
+        if !owner.customers[arrival.customer].affords(now) || !owner.pool.withdraw(now) {
+            return;
+        }
+        let paid = owner.customers[arrival.customer].withdraw(now);
+        if !self.send(request) && paid {
+            self.nodes[node].pool.refund();
+            self.nodes[node].customers[arrival.customer].refund();
+        }
+    }
+
+    fn give_up(&mut self, request: usize, answer: Answer) {
+        let node = self.requests[request].node;
+        let place = self.nodes[node]
+            .tickets
+            .iter()
+            .position(|(_, known)| *known == request);
+        if let Some(place) = place {
+            let (ticket, _) = self.nodes[node].tickets.swap_remove(place);
+            self.nodes[node].queue.cancel(ticket);
+        }
+        self.nodes[node].redo.retain(|known| *known != request);
+        for attempt in self.requests[request].live.clone() {
+            self.drop_call(attempt);
+            self.close(attempt, limit::Outcome::Overload, eject::Outcome::Unknown);
+        }
+        self.settle(request, answer);
+        self.dispatch(node);
+    }
+
+    fn settle(&mut self, request: usize, answer: Answer) {
+        let state = &mut self.requests[request];
+        state.answer = answer;
+        state.ended = self.now;
+        if let Some(dispatch) = state.dispatch.take() {
+            self.nodes[state.node].queue.done(&dispatch);
+        }
+    }
+}
