platform: mend the log in memory of the tests

The fault type derived an equality that its flag does not have, so that no test that uses the module built. Drops the derive. Seen: the build error before; the module builds after.

--- a/crates/platform/tests/support/memory.rs
+++ b/crates/platform/tests/support/memory.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 /// What happens to one append.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone)]
 pub enum Fault {
     /// It is refused before it does anything.
     Refuse(Duration),
@@ -230,7 +230,10 @@
             if !batch.records.is_empty() {
                 return Ok(batch);
             }
-            if tokio::time::timeout_at(end, changed.changed()).await.is_err() {
+            if tokio::time::timeout_at(end, changed.changed())
+                .await
+                .is_err()
+            {
                 return self.look(stream, from, max);
             }
         }
