Load generator with open loop, checks, tables, plot and judgement

Cause: the demo and later measurements need calls whose waiting is not hidden and answers that are checked. Ruled out: reading contracts through the product's own crate, since a fault there would hide itself from the check.

--- /dev/null
+++ b/crates/standin/src/load/mod.rs
@@ -0,0 +1,18 @@
+//! The load generator `pimento-load`: open-loop arrivals from a mix or a recorded trace, checks of
+//! every answer, results as files, tables and plots, and the judgement of a whole trial.
+
+pub mod allowed;
+pub mod call;
+pub mod check;
+pub mod cli;
+pub mod client;
+pub mod compare;
+pub mod drive;
+pub mod histogram;
+pub mod judge;
+pub mod mix;
+pub mod plot;
+pub mod result;
+pub mod trace;
+
+pub use cli::main;
--- /dev/null
+++ b/crates/standin/src/load/result.rs
@@ -0,0 +1,320 @@
+//! Results of a run: one row for each customer and target, in a JSON file.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use compact_str::format_compact;
+use pimento_units::Wall;
+use pimento_units::id;
+use pimento_wire::border::Run;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::load::check::Breach;
+use crate::load::histogram::Bins;
+use crate::load::histogram::Latency;
+use crate::tally::Count;
+use crate::tally::Tally;
+
+/// What became of one call.
+#[derive(Debug, Clone)]
+pub struct Sample {
+    /// By whom.
+    pub customer: id::Customer,
+    /// To what.
+    pub target: CompactString,
+    /// How much later than intended it was sent.
+    pub late: Duration,
+    /// From the intended moment to the first byte of the answer's content.
+    pub first: Option<Duration>,
+    /// From the intended moment to the end of the answer.
+    pub last: Option<Duration>,
+    /// Between the pieces of a stream.
+    pub gaps: Vec<Duration>,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The request id that was sent along.
+    pub key: Option<CompactString>,
+    /// Whether the call went to a plain service.
+    pub service: bool,
+    /// The session's version before and now, if it was moved.
+    pub moved: Option<Move>,
+    /// Whether the call was served when it was sent again after `retry-after`.
+    pub retried: Option<bool>,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// A whole answer to the call.
+    Served(Option<id::Version>),
+    /// An error in the documented form.
+    Refused {
+        /// HTTP status; that of a stream's error event is 200.
+        status: u16,
+        /// The error's code.
+        code: CompactString,
+        /// Whether the call ran.
+        run: Run,
+    },
+    /// No answer, or a broken connection.
+    Failed(CompactString),
+    /// An answer that breaks a promise.
+    Broken(Breach),
+}
+
+/// A session that was moved to another version of the same model.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Move {
+    /// Whose.
+    pub customer: id::Customer,
+    /// Which.
+    pub session: u32,
+    /// The version before.
+    pub from: id::Version,
+    /// The version now.
+    pub to: id::Version,
+}
+
+/// The result of a run.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Report {
+    /// When the run began.
+    pub began: Wall,
+    /// How long it took, in milliseconds.
+    pub took_ms: u64,
+    /// Rows, sorted by customer and target.
+    pub rows: Vec<Row>,
+    /// Calls to plain services by key, sorted.
+    pub keyed: Vec<Keyed>,
+    /// Sessions that were moved.
+    pub moves: Vec<Move>,
+}
+
+/// Calls of one customer to one target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// By whom.
+    pub customer: id::Customer,
+    /// To what.
+    pub target: CompactString,
+    /// Calls sent.
+    pub sent: u64,
+    /// Calls answered in whole.
+    pub served: u64,
+    /// Answered calls, those on one request id counted once.
+    pub requests: u64,
+    /// Refusals, as `status code run`.
+    pub refused: Vec<Count>,
+    /// Calls without an answer, by reason.
+    pub failed: Vec<Count>,
+    /// Answers that break a promise.
+    pub broken: Vec<Count>,
+    /// Answers by version.
+    pub versions: Vec<Count>,
+    /// Refused calls that were sent again after `retry-after`.
+    pub retried: u64,
+    /// Those of them that were served.
+    pub retried_served: u64,
+    /// Latency to the first byte of content, in microseconds.
+    pub first: Bins,
+    /// Latency to the end of the answer, in microseconds.
+    pub last: Bins,
+    /// Time between the pieces of a stream, in microseconds.
+    pub gaps: Bins,
+    /// How much later than intended calls were sent, in microseconds.
+    pub late: Bins,
+}
+
+/// What callers were told of one request id at a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Keyed {
+    /// The request id.
+    pub key: CompactString,
+    /// Whose.
+    pub customer: id::Customer,
+    /// Calls on it.
+    pub calls: u32,
+    /// Calls that were answered.
+    pub served: u32,
+    /// Calls that were told `not_run`.
+    pub not_run: u32,
+    /// Calls that were told `ran`.
+    pub ran: u32,
+    /// Calls that were told `unknown` or nothing.
+    pub unknown: u32,
+}
+
+#[derive(Debug)]
+struct Sums {
+    customer: id::Customer,
+    target: CompactString,
+    sent: u64,
+    served: u64,
+    keys: Tally,
+    refused: Tally,
+    failed: Tally,
+    broken: Tally,
+    versions: Tally,
+    retried: u64,
+    retried_served: u64,
+    first: Latency,
+    last: Latency,
+    gaps: Latency,
+    late: Latency,
+}
+
+/// Adds samples up.
+#[derive(Debug, Default)]
+pub struct Collector {
+    rows: Vec<Sums>,
+    keyed: Vec<Keyed>,
+    moves: Vec<Move>,
+}
+
+impl Collector {
+    /// Adds a sample.
+    pub fn add(&mut self, sample: &Sample) {
+        self.moves.extend(sample.moved.clone());
+        if sample.service {
+            self.key(sample);
+        }
+        self.row(sample).add(sample);
+    }
+
+    fn row(&mut self, sample: &Sample) -> &mut Sums {
+        let wanted = (&sample.customer, &sample.target);
+        let place = self
+            .rows
+            .binary_search_by(|row| (&row.customer, &row.target).cmp(&wanted));
+        let place = place.unwrap_or_else(|at| {
+            self.rows.insert(at, Sums::new(sample));
+            at
+        });
+        &mut self.rows[place]
+    }
+
+    fn key(&mut self, sample: &Sample) {
+        let Some(key) = &sample.key else { return };
+        let place = self.keyed.binary_search_by(|known| known.key.cmp(key));
+        let place = place.unwrap_or_else(|at| {
+            let new = Keyed {
+                key: key.clone(),
+                customer: sample.customer.clone(),
+                calls: 0,
+                served: 0,
+                not_run: 0,
+                ran: 0,
+                unknown: 0,
+            };
+            self.keyed.insert(at, new);
+            at
+        });
+        let known = &mut self.keyed[place];
+        known.calls += 1;
+        match &sample.outcome {
+            Outcome::Served(_) => known.served += 1,
+            Outcome::Refused {
+                run: Run::NotRun, ..
+            } => known.not_run += 1,
+            Outcome::Refused { run: Run::Ran, .. } => known.ran += 1,
+            _ => known.unknown += 1,
+        }
+    }
+
+    /// The result.
+    #[must_use]
+    pub fn report(self, began: Wall, took: Duration) -> Report {
+        Report {
+            began,
+            took_ms: u64::try_from(took.as_millis()).unwrap_or(u64::MAX),
+            rows: self.rows.into_iter().map(Sums::row).collect(),
+            keyed: self.keyed,
+            moves: self.moves,
+        }
+    }
+}
+
+impl Sums {
+    fn new(sample: &Sample) -> Self {
+        Self {
+            customer: sample.customer.clone(),
+            target: sample.target.clone(),
+            sent: 0,
+            served: 0,
+            keys: Tally::default(),
+            refused: Tally::default(),
+            failed: Tally::default(),
+            broken: Tally::default(),
+            versions: Tally::default(),
+            retried: 0,
+            retried_served: 0,
+            first: Latency::default(),
+            last: Latency::default(),
+            gaps: Latency::default(),
+            late: Latency::default(),
+        }
+    }
+
+    fn add(&mut self, sample: &Sample) {
+        self.sent += 1;
+        self.late.record(sample.late);
+        self.retried += u64::from(sample.retried.is_some());
+        self.retried_served += u64::from(sample.retried == Some(true));
+        match &sample.outcome {
+            Outcome::Served(version) => {
+                self.served(sample);
+                if let Some(version) = version {
+                    self.versions.add(version.as_str());
+                }
+            }
+            Outcome::Refused { status, code, run } => {
+                self.refused.add(&format_compact!("{status} {code} {run}"));
+            }
+            Outcome::Failed(reason) => {
+                self.failed.add(reason);
+            }
+            Outcome::Broken(breach) => {
+                self.broken.add(&format_compact!("{breach}"));
+            }
+        }
+    }
+
+    fn served(&mut self, sample: &Sample) {
+        self.served += 1;
+        if let Some(key) = &sample.key {
+            self.keys.add(key);
+        }
+        if let Some(first) = sample.first {
+            self.first.record(first);
+        }
+        if let Some(last) = sample.last {
+            self.last.record(last);
+        }
+        for gap in &sample.gaps {
+            self.gaps.record(*gap);
+        }
+    }
+
+    fn row(self) -> Row {
+        let keys = self.keys.counts();
+        let again: u64 = keys.iter().map(|key| key.count - 1).sum();
+        Row {
+            customer: self.customer,
+            target: self.target,
+            sent: self.sent,
+            served: self.served,
+            requests: self.served - again,
+            refused: self.refused.counts().to_vec(),
+            failed: self.failed.counts().to_vec(),
+            broken: self.broken.counts().to_vec(),
+            versions: self.versions.counts().to_vec(),
+            retried: self.retried,
+            retried_served: self.retried_served,
+            first: self.first.bins(),
+            last: self.last.bins(),
+            gaps: self.gaps.bins(),
+            late: self.late.bins(),
+        }
+    }
+}
