--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -33,8 +33,15 @@
     pub quick: f64,
     /// Weight of an answer in the long average.
     pub slow: f64,
-    /// The most that one answer or report shrinks the limit to.
+    /// The most that one answer shrinks the limit to.
     pub cut: f64,
+    /// Times the batch that may be at the endpoint, running and waiting. A few waiting calls keep
+    /// the batch full between an answer and the next call, which takes a round trip to arrive.
+    pub reserve: f64,
+    /// Added to the limit before it is rounded down. A node's share of a batch is a small number,
+    /// such as 2.7 of 16 for each of six nodes: if all nodes rounded down, a quarter of the batch
+    /// would stay empty. Best drawn at random between 0 and 1 for each limiter.
+    pub round: f64,
 }
 
 impl Default for Config {
@@ -47,6 +54,8 @@
             quick: 0.2,
             slow: 0.01,
             cut: 0.8,
+            reserve: 1.25,
+            round: 0.5,
         }
     }
 }
@@ -114,7 +123,7 @@
 
     /// Gives a slot back and learns from the call.
     pub fn release(&mut self, outcome: Outcome) {
-        let used = f64::from(self.flying) * 2.0 >= self.limit;
+        let used = self.used();
         self.flying = self.flying.saturating_sub(1);
         match outcome {
             Outcome::Served { tokens, took } => self.learn(tokens, took, used),
@@ -123,14 +132,27 @@
         }
     }
 
-    /// Learns from the load that the endpoint reports: shrinks while calls wait there.
+    /// Learns from the load that the endpoint reports: this node's part of the calls there is
+    /// scaled to what fits over what is there, in the same measure as everybody's. The base is
+    /// what is in flight and not the limit, since reports lag: three reports on one burst would
+    /// cut the limit three times. Up, this goes only while the limit is in use.
     pub fn report(&mut self, report: Report) {
-        if report.waiting == 0 || report.batch == 0 {
+        let fits = f64::from(report.batch) * self.config.reserve;
+        let present = f64::from(report.running) + f64::from(report.waiting);
+        if report.batch == 0 || present <= 0.0 {
             return;
         }
-        let wanted = f64::from(report.batch);
-        let present = f64::from(report.running + report.waiting);
-        self.shrink(wanted / present.max(1.0));
+        let part = f64::from(self.flying) * fits / present;
+        if present > fits {
+            self.limit = self.limit.min(part.max(self.config.least.max(1.0)));
+        } else if self.used() {
+            self.limit = self.limit.max(part).min(self.config.most);
+        }
+    }
+
+    /// Whether enough of the limit is in use that a higher one might be, too.
+    fn used(&self) -> bool {
+        f64::from(self.flying) * 2.0 >= self.limit
     }
 
     /// Calls in flight from this node.
@@ -142,7 +164,7 @@
     /// The limit now.
     #[must_use]
     pub fn limit(&self) -> u32 {
-        number::small(self.limit)
+        number::small(self.limit + self.config.round).max(1)
     }
 
     /// Free slots.
--- a/crates/policy/tests/model/node.rs
+++ b/crates/policy/tests/model/node.rs
@@ -131,12 +131,20 @@
             long: Tokens(u64::MAX),
             ..fair
         };
+        let mut random = Random(seed ^ (number as u64) << 32);
         Self {
             zone: number % 3,
             mechanisms,
             gate: admission::Gate::new(admission::Config::default()),
             queue: queue::Queue::new(if mechanisms.fair { fair } else { plain }),
-            limiters: vec![limit::Limiter::new(limits); ENDPOINTS],
+            limiters: (0..ENDPOINTS)
+                .map(|_| {
+                    limit::Limiter::new(limit::Config {
+                        round: random.unit(),
+                        ..limits
+                    })
+                })
+                .collect(),
             health,
             tails: std::array::from_fn(|_| hedge::Tail::default()),
             lengths: CLASSES
@@ -145,7 +153,7 @@
             pool: retry::Budget::new(retry::Config::default()),
             tickets: Vec::new(),
             redo: VecDeque::new(),
-            random: Random(seed ^ (number as u64) << 32),
+            random,
             endpoints,
             workspaces: (0..CUSTOMERS).map(|c| name("workspace", c)).collect(),
             seen: vec![Seen::default(); ENDPOINTS],
