--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -73,7 +73,7 @@
     ("fifo, our choice", Mechanisms::naive(Choice::Policy)),
 ];
 
-const HEAD: [&str; 14] = [
+const HEAD: [&str; 15] = [
     "mechanisms",
     "served",
     "worst",
@@ -82,6 +82,7 @@
     "p99",
     "all p95",
     "goodput",
+    "busy",
     "refused",
     "lost",
     "heard p99",
@@ -159,6 +160,7 @@
         time(summary.short[2]),
         time(summary.all[1]),
         share(summary.goodput),
+        share(summary.busy),
         share(summary.refused),
         share(summary.lost),
         time(summary.refusal_p99),
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -114,21 +114,19 @@
     saved > price
 }
 
-/// The first in rendezvous order whose load is within the bound, in the own zone if that has any.
+/// The first in rendezvous order whose load is within the bound, in whatever zone: each zone with
+/// an order of its own would hold each prefix once more, and caches are small.
 fn affine(candidates: &[Candidate], prefix: u64, config: &Config) -> Option<usize> {
     let mut load = 0.0;
     let mut count = 0_u32;
-    let mut near = false;
     for candidate in candidates.iter().filter(|c| c.usable) {
         load += candidate.load(config.trust);
         count += 1;
-        near |= candidate.open() && candidate.distance.is_zero();
     }
-    let most = (config.bound * (load + 1.0) / f64::from(count.max(1))).max(1.0);
+    let most = (config.bound * (load + 1.0) / f64::from(count.max(1))).ceil();
     let mut best = None;
     for (place, candidate) in candidates.iter().enumerate() {
-        let zone = candidate.distance.is_zero() || !near;
-        if !zone || !candidate.open() || candidate.load(config.trust) > most {
+        if !candidate.open() || candidate.load(config.trust) > most {
             continue;
         }
         let rank = number::mix(candidate.key, prefix);
--- a/crates/policy/tests/model/summary.rs
+++ b/crates/policy/tests/model/summary.rs
@@ -23,6 +23,8 @@
     pub all: [f64; 3],
     /// Work of the served, in shares of the capacity while requests came in.
     pub goodput: f64,
+    /// Work that the engines did, in shares of what they could while requests came in.
+    pub busy: f64,
     /// Share refused, share late or failed.
     pub refused: f64,
     pub lost: f64,
@@ -123,6 +125,7 @@
             short: three(waits(world, |r| r.arrival.class == 0)),
             all: three(waits(world, |_| true)),
             goodput: steady / capacity,
+            busy: world.busy / (FULL * float(ENDPOINTS as u64) * end),
             refused: share(first.iter().copied(), refused),
             lost: share(first.iter().copied(), |r| !served(r) && !refused(r)),
             refusal_p99: quantile(&mut heard, 0.99),
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -33,6 +33,8 @@
 const TICK: f64 = 0.05;
 /// One-way delay within a zone and between zones.
 const DELAYS: [f64; 2] = [0.0005, 0.005];
+/// Seconds that the world goes on after the last recorded arrival.
+const AFTER: f64 = 300.0;
 /// How long an attempt that can't succeed takes to fail.
 const FAILING: f64 = 0.005;
 
@@ -97,6 +99,8 @@
     pub requests: Vec<Request>,
     pub engines: Vec<Engine>,
     pub nodes: Vec<Node>,
+    /// Work that all engines did while requests came in.
+    pub busy: f64,
     /// The most calls of one node at one endpoint over its limit at that time.
     pub over: u32,
     attempts: Vec<Attempt>,
@@ -130,13 +134,14 @@
             requests: Vec::new(),
             engines,
             nodes: (0..scenario.nodes).map(node).collect(),
+            busy: 0.0,
             over: 0,
             attempts: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
             now: 0.0,
             lag: scenario.lag,
-            end: scenario.arrivals.last().map_or(0.0, |a| a.at) + 300.0,
+            end: scenario.arrivals.last().map_or(0.0, |a| a.at) + AFTER,
             random: Random(seed),
         };
         for arrival in &scenario.arrivals {
@@ -257,6 +262,9 @@
     }
 
     fn measure(&mut self) {
+        if self.now <= self.end - AFTER {
+            self.busy = self.engines.iter().map(|engine| engine.served).sum();
+        }
         for engine in 0..ENDPOINTS {
             if self.engines[engine].fault(self.now) == Some(Kind::Gone) {
                 continue;
