Controllers of leases, roll-outs, placement and orders

Cause: nobody moved roll-outs on, placed versions on engines or fenced orders. Change: pimento-control with one trait Controller; pure decisions for stages, placement, fencing and the weight store's rate; leases for each pool and zone; operators' address; SIGTERM gives the leases up. Ruled out: a leader for roll-outs; a change's base revision already lets the first in the log win. Conclusion: tests come next, none was run for this.

--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -1,13 +1,51 @@
-//! The command line.
+//! The program: reads settings, starts logging, runs until it is asked to end.
 
 use std::process::ExitCode;
 
-/// Exit code for bad settings, bad files and bad usage.
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+use logforth::starter_log;
+
+use crate::config;
+use crate::config::Config;
+use crate::config::Format;
+use crate::daemon;
+
+/// Exit code if the program failed.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Exit code for bad settings.
 pub const EXIT_USAGE: u8 = 2;
 
 /// Runs the program.
 #[must_use]
 pub fn main() -> ExitCode {
-    eprintln!("this program is not built yet");
-    ExitCode::from(EXIT_USAGE)
+    let matches = config::command().get_matches();
+    let config = match Config::try_from(&matches) {
+        Ok(config) => config,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.get_flag("print-config") {
+        print!("{}", config::print(&matches));
+        return ExitCode::SUCCESS;
+    }
+    start_log(config.format);
+    match daemon::run(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            log::error!("control: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn start_log(format: Format) {
+    let starter = starter_log::stderr();
+    match format {
+        Format::Json => starter.layout(JsonLayout::default()).apply(),
+        Format::Text => starter.layout(TextLayout::default()).apply(),
+    }
 }
--- /dev/null
+++ b/crates/control/src/metrics.rs
@@ -0,0 +1,139 @@
+//! Counters and times of the controllers, for `/metrics`.
+
+use std::time::Duration;
+
+use prometheus::Encoder;
+use prometheus::Error;
+use prometheus::Gauge;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// The metrics of one process. Clones share them.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    registry: Registry,
+    passes: HistogramVec,
+    failures: IntCounterVec,
+    orders: IntCounterVec,
+    fetches: IntCounterVec,
+    leases: IntGauge,
+    age: Gauge,
+}
+
+/// What became of an order or a fetch.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// Carried out.
+    Done,
+    /// Refused by the other side.
+    Refused,
+    /// No answer: it may have been carried out.
+    Lost,
+}
+
+impl Outcome {
+    const fn label(self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Refused => "refused",
+            Self::Lost => "lost",
+        }
+    }
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    ///
+    /// If the library refuses a name, which a test would find.
+    pub fn new() -> Result<Self, Error> {
+        let metrics = Self {
+            registry: Registry::new(),
+            passes: HistogramVec::new(
+                HistogramOpts::new(
+                    "pimento_control_pass_seconds",
+                    "Time of a controller's pass",
+                ),
+                &["controller"],
+            )?,
+            failures: counter(
+                "pimento_control_pass_failures_total",
+                "Passes that failed",
+                "controller",
+            )?,
+            orders: counter("pimento_control_orders_total", "Orders given", "outcome")?,
+            fetches: counter(
+                "pimento_control_fetches_total",
+                "Calls to the weight store",
+                "outcome",
+            )?,
+            leases: IntGauge::new("pimento_control_leases", "Leases held now")?,
+            age: Gauge::new(
+                "pimento_control_state_age_seconds",
+                "Age of the configuration",
+            )?,
+        };
+        metrics.register()?;
+        Ok(metrics)
+    }
+
+    fn register(&self) -> Result<(), Error> {
+        let registry = &self.registry;
+        registry.register(Box::new(self.passes.clone()))?;
+        registry.register(Box::new(self.failures.clone()))?;
+        registry.register(Box::new(self.orders.clone()))?;
+        registry.register(Box::new(self.fetches.clone()))?;
+        registry.register(Box::new(self.leases.clone()))?;
+        registry.register(Box::new(self.age.clone()))
+    }
+
+    /// Notes a pass.
+    pub fn pass(&self, controller: &str, time: Duration, well: bool) {
+        let passes = self.passes.with_label_values(&[controller]);
+        passes.observe(time.as_secs_f64());
+        if !well {
+            self.failures.with_label_values(&[controller]).inc();
+        }
+    }
+
+    /// Counts an order.
+    pub fn order(&self, outcome: Outcome) {
+        self.orders.with_label_values(&[outcome.label()]).inc();
+    }
+
+    /// Counts a fetch.
+    pub fn fetch(&self, outcome: Outcome) {
+        self.fetches.with_label_values(&[outcome.label()]).inc();
+    }
+
+    /// Sets the number of leases held.
+    pub fn leases(&self, held: usize) {
+        self.leases.set(i64::try_from(held).unwrap_or(i64::MAX));
+    }
+
+    /// Sets the age of the configuration.
+    pub fn age(&self, age: Duration) {
+        self.age.set(age.as_secs_f64());
+    }
+
+    /// All metrics in the text format.
+    ///
+    /// # Errors
+    ///
+    /// If the library can't encode them.
+    pub fn text(&self) -> Result<Vec<u8>, Error> {
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(text)
+    }
+}
+
+fn counter(name: &str, help: &str, label: &str) -> Result<IntCounterVec, Error> {
+    IntCounterVec::new(Opts::new(name, help), &[label])
+}
--- /dev/null
+++ b/crates/control/src/rollout.rs
@@ -0,0 +1,6 @@
+//! Roll-outs: the next stage by evidence, or the end.
+
+pub mod controller;
+pub mod decide;
+
+pub use controller::Rollouts;
