--- /dev/null
+++ b/crates/entry/src/chain.rs
@@ -0,0 +1,77 @@
+//! The chain of filters for each kind of request.
+
+pub mod model;
+pub mod service;
+
+use std::sync::Arc;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use pimento_wire::border::Model;
+use pimento_wire::border::Models;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Reply;
+use crate::filter::Filter;
+use crate::filter::authenticate::Authenticate;
+use crate::filter::reply;
+use crate::node::Node;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+/// The path of model requests.
+const CHAT: &str = "/v1/chat/completions";
+
+/// The path of the list of models.
+const MODELS: &str = "/v1/models";
+
+/// The beginning of the paths of plain services.
+const SERVICES: &str = "/services/";
+
+/// Answers one request of a caller. `gone` is cancelled if the caller goes away before the head of
+/// the response.
+pub async fn serve(
+    node: &Arc<Node>,
+    request: Request<Incoming>,
+    gone: CancellationToken,
+) -> Response<Reply> {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let answer = if path == CHAT && head.method == Method::POST {
+        model::serve(node, &head, body, gone).await
+    } else if path == MODELS && head.method == Method::GET {
+        models(node, &head).await
+    } else if path.starts_with(SERVICES) {
+        service::serve(node, &head, body, gone).await
+    } else if path == CHAT || path == MODELS {
+        let message = format!("{} is not a method of {path}", head.method);
+        Err(Refusal::not_run(Code::WrongMethod, message))
+    } else {
+        Err(Refusal::not_run(Code::UnknownPath, "there is nothing here"))
+    };
+    answer.unwrap_or_else(|refusal| {
+        node.metrics.refused(refusal.code, refusal.run);
+        log::info!("reply: Refused, {}: {}.", refusal.code, refusal.message);
+        refusal.response()
+    })
+}
+
+async fn models(
+    node: &Node,
+    head: &hyper::http::request::Parts,
+) -> Result<Response<Reply>, Refusal> {
+    let caller = Authenticate(node).apply(&head.headers).await?;
+    let contract = caller.state.contract(&caller.customer);
+    let classes = contract.map_or(&[][..], |contract| &contract.classes);
+    let data = classes.iter().map(|class| Model {
+        id: class.name.as_str().into(),
+        object: "model".into(),
+        owned_by: caller.customer.as_str().into(),
+    });
+    Ok(reply::json(&Models {
+        object: "list".into(),
+        data: data.collect(),
+    }))
+}
--- /dev/null
+++ b/crates/entry/src/chain/model.rs
@@ -0,0 +1,136 @@
+//! Model requests, whole and streamed.
+
+use std::sync::Arc;
+
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::http::request::Parts;
+use pimento_ledger::record::Item;
+use pimento_wire::border::Run;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use crate::body::Reply;
+use crate::filter::Filter;
+use crate::filter::assemble::Delivery;
+use crate::filter::authenticate::Authenticate;
+use crate::filter::bill::Answered;
+use crate::filter::bill::Billing;
+use crate::filter::budget::Budget;
+use crate::filter::budget::Funded;
+use crate::filter::cascade::Cascade;
+use crate::filter::cascade::Served;
+use crate::filter::cascade::Work;
+use crate::filter::contract::Contract;
+use crate::filter::identify;
+use crate::filter::identify::Identify;
+use crate::filter::identify::Raw;
+use crate::metrics::Sample;
+use crate::node::Node;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::trace::Trace;
+
+/// Answers a model request.
+///
+/// # Errors
+///
+/// A [`Refusal`], if nothing was sent to the caller yet.
+pub async fn serve(
+    node: &Arc<Node>,
+    head: &Parts,
+    body: Incoming,
+    gone: CancellationToken,
+) -> Result<Response<Reply>, Refusal> {
+    let caller = Authenticate(node).apply(&head.headers).await?;
+    let body = identify::body(body, node.config.max_body).await?;
+    let raw = Raw {
+        caller,
+        headers: &head.headers,
+        body,
+        gone,
+    };
+    let request = Identify(node).apply(raw).await?;
+    let bound = Contract(node).apply(request).await?;
+    let funded = Budget(node).apply(bound).await?;
+    if funded.bound.request.chat.stream {
+        stream(node, funded).await
+    } else {
+        whole(node, funded).await
+    }
+}
+
+async fn whole(node: &Arc<Node>, funded: Funded) -> Result<Response<Reply>, Refusal> {
+    let identity = &funded.bound.request.identity;
+    let request = identity.id;
+    let mut delivery = Delivery::whole(node.clock, request, identity.deadline);
+    let served = run(node, funded, &mut delivery).await?;
+    Ok(served.head.whole(request, node.clock.wall(), served.answer))
+}
+
+/// Runs on as a task of its own, since the response's head goes out before its body is complete.
+async fn stream(node: &Arc<Node>, funded: Funded) -> Result<Response<Reply>, Refusal> {
+    let (head, response) = oneshot::channel();
+    let identity = &funded.bound.request.identity;
+    let mut delivery = Delivery::stream(node.clock, identity.id, identity.deadline, head);
+    let task = Arc::clone(node);
+    node.tasks.spawn(async move {
+        if let Err(refusal) = run(&task, funded, &mut delivery).await {
+            task.metrics.refused(refusal.code, refusal.run);
+            log::info!(
+                "reply: Stream ended, {}: {}.",
+                refusal.code,
+                refusal.message
+            );
+            delivery.fail(&refusal).await;
+        }
+    });
+    response
+        .await
+        .map_err(|_| Refusal::new(Code::Internal, "the answer broke off", Run::Unknown))
+}
+
+async fn run(node: &Node, funded: Funded, delivery: &mut Delivery) -> Result<Served, Refusal> {
+    let mut trace = Trace::default();
+    let work = Work {
+        funded: &funded,
+        delivery,
+        trace: &mut trace,
+    };
+    let served = Cascade(node).apply(work).await?;
+    let request = funded.bound.request;
+    let version = &served.version;
+    let input = served.answer.input();
+    let output = served.answer.output();
+    let answered = Answered {
+        request: request.identity.id,
+        customer: request.customer.clone(),
+        class: Some(request.class.name.clone()),
+        item: Item::Version(version.id.clone()),
+        price: version.price.of(input, output),
+        cost: trace.cost,
+        input,
+        output,
+        fund: funded.fund,
+    };
+    Billing(node).apply(answered).await?;
+    let finished = delivery.finish().await;
+    finished.map_err(|fault| trace.refusal(&fault))?;
+    let now = node.clock.now();
+    let arrived = request.identity.arrived;
+    let first = delivery.first().unwrap_or(now);
+    let sample = Sample {
+        first: first.since(arrived),
+        last: now.since(arrived),
+        waited: trace.waited,
+        cost: trace.cost,
+    };
+    let class = request.class.name.as_str();
+    node.metrics
+        .served(&request.customer, class, version.id.as_str(), sample);
+    log::info!(
+        request:% = request.identity.id, customer:% = request.customer;
+        "reply: Served {class} by {} in {:?}.", version.id, sample.last
+    );
+    Ok(served)
+}
--- /dev/null
+++ b/crates/entry/src/chain/service.rs
@@ -0,0 +1,418 @@
+//! Calls of plain services, passed through.
+
+use std::sync::Arc;
+
+use hyper::HeaderMap;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::AUTHORIZATION;
+use hyper::header::CONTENT_TYPE;
+use hyper::http::request::Parts;
+use pimento_contract::Service;
+use pimento_contract::service::Claims;
+use pimento_endpoint::Fault;
+use pimento_endpoint::service;
+use pimento_endpoint::service::Service as _;
+use pimento_endpoint::service::end_to_end;
+use pimento_ledger::record;
+use pimento_ledger::record::Item;
+use pimento_platform::claims::Ticket;
+use pimento_policy::retry;
+use pimento_units::Money;
+use pimento_units::Tokens;
+use pimento_units::id;
+use pimento_wire::border::Run;
+use pimento_wire::header;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::body::Reply;
+use crate::filter::Filter;
+use crate::filter::admission::Admission;
+use crate::filter::admission::Want;
+use crate::filter::attempt;
+use crate::filter::authenticate::Authenticate;
+use crate::filter::bill::Answered;
+use crate::filter::bill::Billing;
+use crate::filter::budget::Budget;
+use crate::filter::budget::Fund;
+use crate::filter::claim::Claim;
+use crate::filter::claim::Claimed;
+use crate::filter::claim::Subject;
+use crate::filter::contract::Contract;
+use crate::filter::identify;
+use crate::filter::identify::Identity;
+use crate::filter::reply;
+use crate::kept;
+use crate::metrics::NO_CLASS;
+use crate::metrics::Sample;
+use crate::node::Node;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::scheduler::Job;
+use crate::scheduler::Permit;
+use crate::trace::Trace;
+
+/// Work of a call, in tokens: calls of plain services are taken for equal.
+const WORK: Tokens = Tokens(100);
+
+/// Priority of plain calls in their own pool, where nothing else waits.
+const PRIORITY: u8 = 0;
+
+/// A call that was understood and may be made.
+struct Call {
+    identity: Identity,
+    customer: id::Customer,
+    weight: u32,
+    service: Service,
+    sent: service::Call,
+    /// Whether it may be sent twice.
+    repeatable: bool,
+    /// What it is claimed by; none if it needs no claim.
+    claim: Option<Subject>,
+}
+
+/// Answers a call of a plain service.
+///
+/// # Errors
+///
+/// A [`Refusal`].
+pub async fn serve(
+    node: &Arc<Node>,
+    head: &Parts,
+    body: Incoming,
+    gone: CancellationToken,
+) -> Result<Response<Reply>, Refusal> {
+    let call = read(node, head, body, gone).await?;
+    if let Some(subject) = call.claim
+        && let Some(answer) = Claim(node).kept(subject)?
+    {
+        return Ok(again(&answer));
+    }
+    let deadline = call.identity.deadline;
+    let fund = Budget(node)
+        .reserve(&call.customer, call.service.price, deadline)
+        .await?;
+    let mut trace = Trace::default();
+    let done = run(node, &call, &mut trace).await?;
+    match done {
+        Done::Answered(answer) => finish(node, call, fund, &trace, answer).await,
+        Done::Again(answer) => Ok(again(&answer)),
+    }
+}
+
+/// Authenticates, identifies and checks the contract.
+async fn read(
+    node: &Node,
+    head: &Parts,
+    body: Incoming,
+    gone: CancellationToken,
+) -> Result<Call, Refusal> {
+    let caller = Authenticate(node).apply(&head.headers).await?;
+    let (name, path) = split(head);
+    let customer = caller.customer;
+    let service = name
+        .parse()
+        .ok()
+        .and_then(|name| Contract(node).service(&customer, &name));
+    let service = service.ok_or_else(|| {
+        let message = format!("the contract has no service {name:?}");
+        Refusal::not_run(Code::UnknownService, message)
+    })?;
+    let contract = caller.state.contract(&customer);
+    let weight = contract.map_or(1, |contract| contract.weight);
+    let repeatable = service.repeats(head.method.as_str());
+    // A call that may not be repeated runs to its end whether or not its caller stays.
+    let gone = if repeatable {
+        gone
+    } else {
+        CancellationToken::new()
+    };
+    let timeout = service.timeout.duration();
+    let identity = identify::identity(node, &head.headers, timeout, gone)?;
+    let body = identify::body(body, node.config.max_body).await?;
+    let digest = digest(&customer, head, &body);
+    // Without an id of the caller's own nobody can ask twice, and one attempt is made.
+    let claimed = !repeatable && identity.given && service.claims == Claims::Log;
+    let claim = claimed.then_some(Subject {
+        request: identity.id,
+        digest,
+        deadline: identity.deadline,
+    });
+    let sent = service::Call {
+        attempt: id::Attempt(Uuid::now_v7()),
+        request: identity.id,
+        method: head.method.clone(),
+        path,
+        headers: passed(&head.headers),
+        body,
+        timeout,
+    };
+    Ok(Call {
+        identity,
+        customer,
+        weight,
+        service,
+        sent,
+        repeatable,
+        claim,
+    })
+}
+
+/// The service's name and the path below it, with the query.
+fn split(head: &Parts) -> (&str, String) {
+    let path = head.uri.path();
+    let rest = path.strip_prefix(super::SERVICES).unwrap_or_default();
+    let (name, below) = rest.split_once('/').unwrap_or((rest, ""));
+    let query = head.uri.query().map_or(String::new(), |q| format!("?{q}"));
+    (name, format!("/{below}{query}"))
+}
+
+/// The headers that the service gets. The API key is between the caller and us.
+fn passed(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = end_to_end(headers);
+    passed.remove(AUTHORIZATION);
+    let own = [
+        header::SESSION_TOKEN,
+        header::IDEMPOTENCY_KEY,
+        header::REQUEST_TIMEOUT,
+        header::ATTEMPT,
+    ];
+    for name in own {
+        passed.remove(name);
+    }
+    passed
+}
+
+/// Two calls with one digest are the same call.
+fn digest(customer: &id::Customer, head: &Parts, body: &[u8]) -> u64 {
+    let mut hash = xxhash_rust::xxh3::Xxh3::new();
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    for part in [customer.as_str(), head.method.as_str(), path] {
+        hash.update(part.as_bytes());
+        hash.update(&[0]);
+    }
+    hash.update(body);
+    hash.digest()
+}
+
+/// How a call ended.
+enum Done {
+    /// The service answered.
+    Answered(service::Answer),
+    /// It was made before; this is its answer.
+    Again(kept::Answer),
+}
+
+/// Makes the call. A claim that was made is always followed by its outcome.
+async fn run(node: &Node, call: &Call, trace: &mut Trace) -> Result<Done, Refusal> {
+    let mut ticket = None;
+    let result = attempts(node, call, trace, &mut ticket).await;
+    if let Some(ticket) = ticket {
+        match &result {
+            Ok(Done::Answered(answer)) => {
+                let status = Some(answer.status.as_u16());
+                node.claimer.report(ticket, record::Run::Ran, status);
+            }
+            _ => node.claimer.report(ticket, trace.record(), None),
+        }
+    }
+    result
+}
+
+async fn attempts(
+    node: &Node,
+    call: &Call,
+    trace: &mut Trace,
+    ticket: &mut Option<Ticket>,
+) -> Result<Done, Refusal> {
+    loop {
+        let permit = admit(node, call, trace).await?;
+        if let (Some(subject), None) = (call.claim, *ticket) {
+            match Claim(node).apply(subject).await? {
+                Claimed::Owned(owned) => *ticket = Some(owned),
+                Claimed::Answered(answer) => return Ok(Done::Again(answer)),
+            }
+        }
+        dispatch(node, call, *ticket, trace)?;
+        let endpoint = permit.endpoint().clone();
+        trace.attempts += 1;
+        match once(node, call, *ticket, permit).await {
+            Ok(answer) => {
+                trace.begun();
+                let now = node.clock.now();
+                let pool = &call.service.pool;
+                node.retries.success(&call.customer, pool, now);
+                return Ok(Done::Answered(answer));
+            }
+            Err(fault) => {
+                log::info!(
+                    "attempt: {endpoint} failed for {}: {fault}.",
+                    call.identity.id
+                );
+                node.metrics
+                    .attempt(&call.service.pool, attempt::name(&fault));
+                trace.failed(&endpoint, &fault);
+                if !again_after(node, call, trace, &fault) {
+                    return Err(trace.refusal(&fault));
+                }
+            }
+        }
+    }
+}
+
+async fn admit(node: &Node, call: &Call, trace: &mut Trace) -> Result<Permit, Refusal> {
+    let want = Want {
+        pool: &call.service.pool,
+        job: Job {
+            customer: call.customer.clone(),
+            weight: call.weight,
+            priority: PRIORITY,
+            tokens: WORK,
+            deadline: call.identity.deadline,
+            version: None,
+            prefix: None,
+            tried: trace.tried.clone(),
+        },
+        gone: &call.identity.gone,
+    };
+    let admitted = Admission(node).apply(want).await;
+    let admitted = admitted.map_err(|refusal| trace.amend(refusal))?;
+    trace.waited += admitted.waited;
+    Ok(admitted.permit)
+}
+
+/// Whether the call may still be sent: the contract may have changed while it waited, and the
+/// process may have been paused past the deadline after it claimed the call.
+fn dispatch(
+    node: &Node,
+    call: &Call,
+    ticket: Option<Ticket>,
+    trace: &Trace,
+) -> Result<(), Refusal> {
+    if Contract(node)
+        .service(&call.customer, &call.service.name)
+        .is_none()
+    {
+        let message = "the contract no longer has this service";
+        let refusal = Refusal::not_run(Code::UnknownService, message);
+        return Err(trace.amend(refusal));
+    }
+    let valid = ticket.is_none_or(|ticket| ticket.valid(Instant::now()));
+    if !valid || node.clock.now() >= call.identity.deadline {
+        let message = "the deadline passed before the call could be sent";
+        return Err(trace.amend(Refusal::not_run(Code::Timeout, message)));
+    }
+    Ok(())
+}
+
+async fn once(
+    node: &Node,
+    call: &Call,
+    ticket: Option<Ticket>,
+    permit: Permit,
+) -> Result<service::Answer, Fault> {
+    let mut sent = call.sent.clone();
+    if let Some(ticket) = ticket {
+        sent.attempt = ticket.attempt;
+    }
+    sent.timeout = call.identity.deadline.since(node.clock.now());
+    let remote = service::Remote::new(node.connections.clone(), permit.address());
+    let result = tokio::select! {
+        result = remote.call(sent) => result,
+        () = call.identity.gone.cancelled() => Err(Fault::Cancelled),
+    };
+    match &result {
+        Ok(answer) if answer.status.is_server_error() => permit.failed(&Fault::Failed {
+            status: answer.status.as_u16(),
+        }),
+        Ok(_) => permit.served(WORK),
+        Err(fault) => permit.failed(fault),
+    }
+    result
+}
+
+/// Whether the call is sent again, at another endpoint: always only if no byte of it was sent, or
+/// the endpoint said that it did not start it; else only if it may be repeated.
+fn again_after(node: &Node, call: &Call, trace: &Trace, fault: &Fault) -> bool {
+    if *fault == Fault::Cancelled {
+        return false;
+    }
+    let now = node.clock.now();
+    let pool = node.scheduler.pool(&call.service.pool);
+    let failure = retry::Failure {
+        repeatable: call.repeatable || fault.not_run(),
+        attempts: trace.attempts,
+        run: pool.run(None, WORK),
+        deadline: call.identity.deadline,
+    };
+    node.retries
+        .again(&call.customer, &call.service.pool, failure, now)
+}
+
+/// Bills the call, keeps its answer and passes it on.
+async fn finish(
+    node: &Node,
+    call: Call,
+    fund: Fund,
+    trace: &Trace,
+    answer: service::Answer,
+) -> Result<Response<Reply>, Refusal> {
+    // Only what the service carried out is charged.
+    let charged = !answer.status.is_client_error() && !answer.status.is_server_error();
+    if charged {
+        let answered = Answered {
+            request: call.identity.id,
+            customer: call.customer.clone(),
+            class: None,
+            item: Item::Service(call.service.name.clone()),
+            price: call.service.price,
+            cost: Money::ZERO,
+            input: Tokens::ZERO,
+            output: Tokens::ZERO,
+            fund,
+        };
+        Billing(node).apply(answered).await?;
+    }
+    let now = node.clock.now();
+    if let Some(subject) = call.claim {
+        node.kept.put(subject.request, keep(subject, &answer), now);
+    }
+    let took = now.since(call.identity.arrived);
+    let sample = Sample {
+        first: took,
+        last: took,
+        waited: trace.waited,
+        cost: Money::ZERO,
+    };
+    let name = call.service.name.as_str();
+    node.metrics.served(&call.customer, NO_CLASS, name, sample);
+    log::info!(
+        request:% = call.identity.id, customer:% = call.customer;
+        "reply: Served {name} with {} in {took:?}.", answer.status
+    );
+    let mut response = Response::new(Reply::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    Ok(response)
+}
+
+fn keep(subject: Subject, answer: &service::Answer) -> kept::Answer {
+    let content = answer.headers.get(CONTENT_TYPE);
+    let content = content.and_then(|value| value.to_str().ok());
+    kept::Answer {
+        digest: subject.digest,
+        status: answer.status.as_u16(),
+        content: content.unwrap_or_default().into(),
+        body: answer.body.clone(),
+    }
+}
+
+fn again(answer: &kept::Answer) -> Response<Reply> {
+    let status = hyper::StatusCode::from_u16(answer.status).unwrap_or(hyper::StatusCode::OK);
+    let mut response = reply::raw(status, &answer.content, answer.body.clone());
+    let ran = hyper::header::HeaderValue::from_static(Run::Ran.as_str());
+    response.headers_mut().insert(header::RUN, ran);
+    response
+}
--- /dev/null
+++ b/crates/entry/src/clock.rs
@@ -0,0 +1,51 @@
+//! The two clocks of the process, read here and passed as plain numbers to decisions.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use pimento_units::Moment;
+use pimento_units::Wall;
+use tokio::time::Instant;
+
+/// The clocks of one process.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock {
+    /// Time since the process began, on the monotonic clock.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.moment(Instant::now())
+    }
+
+    /// The moment of an instant; the start for earlier ones.
+    #[must_use]
+    pub fn moment(&self, instant: Instant) -> Moment {
+        Moment::ZERO + instant.saturating_duration_since(self.start)
+    }
+
+    /// The instant of a moment.
+    #[must_use]
+    pub fn instant(&self, moment: Moment) -> Instant {
+        self.start + Duration::from_nanos(moment.nanos())
+    }
+
+    /// The wall clock.
+    #[must_use]
+    pub fn wall(&self) -> Wall {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH);
+        let millis = since.unwrap_or_default().as_millis();
+        Wall::from_millis(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filter/attempt.rs
@@ -0,0 +1,488 @@
+//! Attempts of a model request at engines of one version: choice, hedge, resume, retry.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::future::Either;
+use pimento_contract::Version;
+use pimento_endpoint::Assembler;
+use pimento_endpoint::Fault;
+use pimento_endpoint::engine::Call;
+use pimento_endpoint::engine::Engine;
+use pimento_endpoint::engine::Remote;
+use pimento_endpoint::events::Events;
+use pimento_policy::hedge;
+use pimento_policy::retry;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+use pimento_wire::border::Chunk;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+use uuid::Uuid;
+
+use crate::estimate;
+use crate::filter::Filter;
+use crate::filter::admission::Admission;
+use crate::filter::admission::Want;
+use crate::filter::assemble::Answer;
+use crate::filter::assemble::Delivery;
+use crate::filter::contract::Contract;
+use crate::filter::identify::Request;
+use crate::node::Node;
+use crate::refusal::Refusal;
+use crate::scheduler::Job;
+use crate::scheduler::Permit;
+use crate::trace::Trace;
+
+/// Resumes in a row without a new piece. An engine that cuts each time is broken.
+const RESUMES: u32 = 3;
+
+/// Wait before a resume, times its number: the engine may be restarting its listener.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Tokens from which a job is long, as in the queue.
+const LONG: Tokens = Tokens(6_000);
+
+/// Asks engines of one version.
+#[derive(Debug, Clone)]
+pub struct Attempt<'a>(pub &'a Node);
+
+/// What to ask, and where the answer goes.
+#[derive(Debug)]
+pub struct Ask<'a> {
+    /// The request.
+    pub request: &'a Request,
+    /// The version to ask.
+    pub version: &'a id::Version,
+    /// Its pool.
+    pub pool: &'a id::Pool,
+    /// The most tokens of an answer.
+    pub output: Tokens,
+    /// Where the answer goes.
+    pub delivery: &'a mut Delivery,
+    /// What was done so far.
+    pub trace: &'a mut Trace,
+}
+
+/// Why a version gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Stop {
+    /// It may no longer be used.
+    Withdrawn,
+    /// No slot could be had.
+    Refused(Refusal),
+    /// The attempts failed.
+    Failed(Fault),
+}
+
+/// An answer that has begun.
+struct Opened {
+    permit: Permit,
+    engine: Remote,
+    attempt: id::Attempt,
+    events: Events,
+    assembler: Assembler,
+    first: Chunk,
+    begun: Moment,
+    abort: Abort,
+}
+
+impl Attempt<'_> {
+    /// Asks until there is a whole answer, or no further attempt is allowed.
+    ///
+    /// # Errors
+    ///
+    /// A [`Stop`].
+    pub async fn answer(&self, ask: &mut Ask<'_>) -> Result<Answer, Stop> {
+        loop {
+            let want = Want {
+                pool: ask.pool,
+                job: self.job(ask),
+                gone: &ask.request.identity.gone,
+            };
+            let admitted = Admission(self.0).apply(want).await.map_err(Stop::Refused)?;
+            ask.trace.waited += admitted.waited;
+            let version = self.dispatch(ask).ok_or(Stop::Withdrawn)?;
+            let endpoint = admitted.permit.endpoint().clone();
+            match self.once(admitted.permit, &version, ask).await {
+                Ok(answer) => {
+                    let now = self.0.clock.now();
+                    let customer = &ask.request.customer;
+                    self.0.retries.success(customer, ask.pool, now);
+                    return Ok(answer);
+                }
+                Err(fault) => {
+                    self.note(ask, &endpoint, &fault);
+                    if !self.again(ask, &fault) {
+                        return Err(Stop::Failed(fault));
+                    }
+                    ask.delivery.restart();
+                }
+            }
+        }
+    }
+
+    fn dispatch(&self, ask: &Ask<'_>) -> Option<Version> {
+        let request = ask.request;
+        Contract(self.0).dispatch(&request.customer, &request.class.name, ask.version)
+    }
+
+    fn tokens(&self, ask: &Ask<'_>) -> Tokens {
+        let request = ask.request;
+        let class = &request.class.name;
+        let answer = self
+            .0
+            .estimates
+            .answer(&request.customer, class, ask.output);
+        estimate::prompt(&request.chat) + answer
+    }
+
+    fn job(&self, ask: &Ask<'_>) -> Job {
+        let request = ask.request;
+        let beginning = request.chat.messages.first();
+        Job {
+            customer: request.customer.clone(),
+            weight: request.weight,
+            priority: request.class.priority,
+            tokens: self.tokens(ask),
+            deadline: request.identity.deadline,
+            version: Some(ask.version.clone()),
+            prefix: beginning.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
+            tried: ask.trace.tried.clone(),
+        }
+    }
+
+    fn note(&self, ask: &mut Ask<'_>, endpoint: &id::Endpoint, fault: &Fault) {
+        let node = self.0;
+        let id = ask.request.identity.id;
+        log::info!("attempt: {endpoint} failed for {id}: {fault}.");
+        node.metrics.attempt(ask.pool, name(fault));
+        ask.trace.failed(endpoint, fault);
+        let harmless = fault.not_run() || *fault == Fault::Cancelled;
+        if !harmless {
+            node.evidence.failed(ask.version, node.clock.now());
+        }
+    }
+
+    /// Whether another attempt is made. Once the caller has a part of the answer, only a
+    /// deterministic answer can be told again from its start.
+    fn again(&self, ask: &Ask<'_>, fault: &Fault) -> bool {
+        let node = self.0;
+        let now = node.clock.now();
+        let request = ask.request;
+        let repeats = !ask.delivery.begun() || request.chat.temperature == Some(0.0);
+        if *fault == Fault::Cancelled || !repeats || now >= request.identity.deadline {
+            return false;
+        }
+        let pool = node.scheduler.pool(ask.pool);
+        let failure = retry::Failure {
+            repeatable: true,
+            attempts: ask.trace.attempts,
+            run: pool.run(Some(ask.version), self.tokens(ask)),
+            deadline: request.identity.deadline,
+        };
+        node.retries
+            .again(&request.customer, ask.pool, failure, now)
+    }
+
+    async fn once(
+        &self,
+        permit: Permit,
+        version: &Version,
+        ask: &mut Ask<'_>,
+    ) -> Result<Answer, Fault> {
+        let gone = ask.request.identity.gone.clone();
+        tokio::select! {
+            answer = self.run(permit, version, ask) => answer,
+            () = gone.cancelled() => Err(Fault::Cancelled),
+        }
+    }
+
+    async fn run(
+        &self,
+        permit: Permit,
+        version: &Version,
+        ask: &mut Ask<'_>,
+    ) -> Result<Answer, Fault> {
+        let node = self.0;
+        let prompt = estimate::prompt(&ask.request.chat);
+        let mut opened = self.race(permit, ask).await?;
+        // From here on an engine has begun, whatever becomes of the answer.
+        ask.trace.begun();
+        let first = node.clock.now().since(opened.begun);
+        node.retries.first(ask.version, first, node.clock.now());
+        let deadline = node.clock.instant(ask.request.identity.deadline);
+        let drained = opened.drain(ask.delivery, deadline, node.config.stall_timeout);
+        match drained.await {
+            Ok(()) => {
+                let answer = ask.delivery.answer(prompt);
+                ask.trace.cost += version.price.of(answer.input(), answer.output());
+                self.learn(opened, ask, &answer);
+                Ok(answer)
+            }
+            Err(fault) => {
+                let output = Tokens(ask.delivery.pieces());
+                ask.trace.cost += version.price.of(prompt, output);
+                opened.permit.failed(&fault);
+                Err(fault)
+            }
+        }
+    }
+
+    fn learn(&self, opened: Opened, ask: &Ask<'_>, answer: &Answer) {
+        let node = self.0;
+        let now = node.clock.now();
+        let took = now.since(opened.begun);
+        let tokens = answer.input() + answer.output();
+        let request = ask.request;
+        #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
+        let pace = took.as_secs_f64() / answer.output().0.max(1) as f64;
+        node.evidence.served(ask.version, took, pace, now);
+        let class = &request.class.name;
+        node.estimates
+            .answered(&request.customer, class, answer.output());
+        node.metrics.attempt(ask.pool, "served");
+        opened.permit.served(tokens);
+        opened.abort.disarm();
+    }
+
+    /// Begins an answer; for a short one that takes unusually long, at a second engine too.
+    async fn race(&self, permit: Permit, ask: &mut Ask<'_>) -> Result<Opened, Fault> {
+        let node = self.0;
+        let left = ask.request.identity.deadline.since(node.clock.now());
+        let long = self.tokens(ask) >= LONG;
+        let attempt = hedge::Attempt {
+            repeatable: true,
+            long,
+            left,
+        };
+        let delay = node.retries.delay(ask.version, attempt);
+        ask.trace.attempts += 1;
+        let endpoint = permit.endpoint().clone();
+        let first = self.open(permit, ask);
+        tokio::pin!(first);
+        let Some(delay) = delay else {
+            return first.await;
+        };
+        tokio::select! {
+            biased;
+            opened = &mut first => return opened,
+            () = tokio::time::sleep(delay) => {}
+        }
+        let Some(permit) = self.second(ask, &endpoint) else {
+            return first.await;
+        };
+        node.metrics.attempt(ask.pool, "hedged");
+        let second = self.open(permit, ask);
+        tokio::pin!(second);
+        match futures::future::select(first, second).await {
+            Either::Left((Ok(opened), _)) | Either::Right((Ok(opened), _)) => Ok(opened),
+            Either::Left((Err(fault), rest)) => rest.await.map_err(|other| worse(fault, other)),
+            Either::Right((Err(fault), rest)) => rest.await.map_err(|other| worse(fault, other)),
+        }
+    }
+
+    /// A free slot at another engine, if the retry budgets pay for it.
+    fn second(&self, ask: &Ask<'_>, first: &id::Endpoint) -> Option<Permit> {
+        let node = self.0;
+        self.dispatch(ask)?;
+        let mut job = self.job(ask);
+        job.tried.push(first.clone());
+        let permit = node.scheduler.pool(ask.pool).take(&job)?;
+        let customer = &ask.request.customer;
+        let paid =
+            permit.endpoint() != first && node.retries.hedge(customer, ask.pool, node.clock.now());
+        paid.then_some(permit)
+    }
+
+    /// Sends the call and waits for the first piece. Borrows nothing of the delivery, so that two
+    /// of these can run side by side.
+    fn open(
+        &self,
+        permit: Permit,
+        ask: &Ask<'_>,
+    ) -> impl Future<Output = Result<Opened, Fault>> + use<> {
+        let node = self.0;
+        let now = node.clock.now();
+        let deadline = ask.request.identity.deadline;
+        let left = deadline.since(now);
+        // Half of the time is left for another engine if this one never begins.
+        let patience = (left / 2).max(node.config.stall_timeout).min(left);
+        let mut chat = ask.request.chat.clone();
+        chat.model = ask.version.as_str().into();
+        chat.stream = true;
+        chat.max_tokens = Some(ask.output.0);
+        let call = Call {
+            attempt: id::Attempt(Uuid::now_v7()),
+            chat,
+            priority: ask.request.class.priority,
+            timeout: left,
+        };
+        let engine = Remote::new(node.connections.clone(), permit.address());
+        let abort = Abort::new(engine.clone(), call.attempt, node.tasks.clone());
+        let by = node.clock.instant(now + patience);
+        async move {
+            let attempt = call.attempt;
+            let result = match tokio::time::timeout_at(by, begin(&engine, call)).await {
+                Ok(result) => result,
+                Err(_) => Err(Fault::Timeout),
+            };
+            match result {
+                Ok((events, assembler, first)) => Ok(Opened {
+                    permit,
+                    engine,
+                    attempt,
+                    events,
+                    assembler,
+                    first,
+                    begun: now,
+                    abort,
+                }),
+                Err(fault) => {
+                    permit.failed(&fault);
+                    if fault.not_run() {
+                        abort.disarm();
+                    }
+                    Err(fault)
+                }
+            }
+        }
+    }
+}
+
+/// Of two faults the one after which less can be said.
+fn worse(one: Fault, other: Fault) -> Fault {
+    if one.not_run() { other } else { one }
+}
+
+async fn begin(engine: &Remote, call: Call) -> Result<(Events, Assembler, Chunk), Fault> {
+    let mut assembler = Assembler::new(call.chat.model.clone());
+    let mut events = engine.stream(call).await?;
+    loop {
+        match events.next().await {
+            Some(Ok(event)) => assembler.accept(event)?,
+            Some(Err(fault)) => return Err(fault),
+            None => return Err(cut()),
+        }
+        if let Some(first) = assembler.next() {
+            return Ok((events, assembler, first));
+        }
+    }
+}
+
+fn cut() -> Fault {
+    Fault::Cut {
+        reason: "the stream ended before its end mark".into(),
+    }
+}
+
+impl Opened {
+    /// Passes all pieces on; resumes at the same engine where the connection breaks.
+    async fn drain(
+        &mut self,
+        delivery: &mut Delivery,
+        deadline: Instant,
+        stall: Duration,
+    ) -> Result<(), Fault> {
+        delivery.push(self.first.clone()).await?;
+        let mut resumes = 0;
+        loop {
+            while let Some(chunk) = self.assembler.next() {
+                resumes = 0;
+                delivery.push(chunk).await?;
+            }
+            if self.assembler.whole() {
+                return Ok(());
+            }
+            let by = deadline.min(Instant::now() + stall);
+            let event = tokio::time::timeout_at(by, self.events.next()).await;
+            let broken = match event {
+                Ok(Some(Ok(event))) => {
+                    self.assembler.accept(event)?;
+                    continue;
+                }
+                Ok(Some(Err(fault @ Fault::Nonsense { .. }))) => return Err(fault),
+                Ok(Some(Err(fault))) => fault,
+                Ok(None) => cut(),
+                Err(_) => Fault::Timeout,
+            };
+            resumes += 1;
+            if resumes > RESUMES || Instant::now() >= deadline {
+                return Err(broken);
+            }
+            self.resume(resumes, broken, deadline).await?;
+        }
+    }
+
+    async fn resume(&mut self, number: u32, broken: Fault, deadline: Instant) -> Result<(), Fault> {
+        let Some(last) = self.assembler.last() else {
+            return Err(broken);
+        };
+        let endpoint = self.permit.endpoint();
+        log::info!("attempt: Resuming at {endpoint} after piece {last}: {broken}.");
+        tokio::time::sleep(PAUSE * number).await;
+        let resumed = self.engine.resume(self.attempt, last);
+        match tokio::time::timeout_at(deadline, resumed).await {
+            Ok(Ok(events)) => {
+                self.events = events;
+                Ok(())
+            }
+            // The engine no longer has the attempt; what broke first is what counts.
+            Ok(Err(_)) | Err(_) => Err(broken),
+        }
+    }
+}
+
+/// Cancels an attempt at its engine when it is dropped before its end, so that the engine does not
+/// go on generating for nobody.
+struct Abort {
+    engine: Remote,
+    attempt: id::Attempt,
+    tasks: TaskTracker,
+    armed: bool,
+}
+
+impl Abort {
+    const fn new(engine: Remote, attempt: id::Attempt, tasks: TaskTracker) -> Self {
+        Self {
+            engine,
+            attempt,
+            tasks,
+            armed: true,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let engine = self.engine.clone();
+        let attempt = self.attempt;
+        self.tasks.spawn(async move {
+            if let Err(fault) = engine.cancel(attempt).await {
+                log::debug!("attempt: {attempt} not cancelled: {fault}.");
+            }
+        });
+    }
+}
+
+/// The label of a fault in metrics.
+#[must_use]
+pub const fn name(fault: &Fault) -> &'static str {
+    match fault {
+        Fault::Unreachable { .. } => "unreachable",
+        Fault::Refused { .. } => "refused",
+        Fault::Failed { .. } => "failed",
+        Fault::Cut { .. } => "cut",
+        Fault::Nonsense { .. } => "nonsense",
+        Fault::Timeout => "timeout",
+        Fault::Cancelled => "cancelled",
+    }
+}
--- /dev/null
+++ b/crates/entry/src/filter/reply.rs
@@ -0,0 +1,95 @@
+//! The response that a caller gets.
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::CACHE_CONTROL;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderMap;
+use hyper::header::HeaderValue;
+use pimento_units::Wall;
+use pimento_units::id;
+use pimento_wire::border::Choice;
+use pimento_wire::border::Completion;
+use pimento_wire::border::Message;
+use pimento_wire::header;
+use serde::Serialize;
+
+use crate::body::Reply;
+use crate::filter::assemble::Answer;
+
+/// Headers of a model answer.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Head {
+    /// The version that answers.
+    pub version: CompactString,
+    /// The session token.
+    pub token: String,
+}
+
+impl Head {
+    /// A streamed response.
+    #[must_use]
+    pub fn stream(&self, body: Reply) -> Response<Reply> {
+        let mut response = Response::new(body);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+        headers.insert(CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+        self.put(headers);
+        response
+    }
+
+    /// A whole response.
+    #[must_use]
+    pub fn whole(&self, request: id::Request, now: Wall, answer: Answer) -> Response<Reply> {
+        let completion = Completion {
+            id: compact_str::format_compact!("chatcmpl-{request}"),
+            object: CompactString::const_new("chat.completion"),
+            created: now.millis() / 1_000,
+            model: self.version.clone(),
+            choices: vec![Choice {
+                index: 0,
+                message: Message {
+                    role: CompactString::const_new("assistant"),
+                    content: answer.text,
+                },
+                finish_reason: answer.finish,
+            }],
+            usage: answer.usage,
+        };
+        let mut response = json(&completion);
+        self.put(response.headers_mut());
+        response
+    }
+
+    fn put(&self, headers: &mut HeaderMap) {
+        put(headers, header::MODEL_VERSION, &self.version);
+        put(headers, header::SESSION_TOKEN, &self.token);
+    }
+}
+
+fn put(headers: &mut HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+/// A JSON response with status 200.
+#[must_use]
+pub fn json(body: &impl Serialize) -> Response<Reply> {
+    // Our own response types have string keys only, so that encoding can't fail.
+    let body = serde_json::to_vec(body).unwrap_or_default();
+    raw(StatusCode::OK, "application/json", body)
+}
+
+/// A response of any type.
+#[must_use]
+pub fn raw(status: StatusCode, content: &str, body: impl Into<Bytes>) -> Response<Reply> {
+    let mut response = Response::new(Reply::whole(body));
+    *response.status_mut() = status;
+    if let Ok(content) = HeaderValue::from_str(content) {
+        response.headers_mut().insert(CONTENT_TYPE, content);
+    }
+    response
+}
--- /dev/null
+++ b/crates/entry/src/logs.rs
@@ -0,0 +1,24 @@
+//! Log lines: text for people, JSON for machines.
+
+use log::LevelFilter;
+use logforth::append;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+
+use crate::config::Format;
+
+/// Starts to write log lines to the standard error stream. A second start changes nothing.
+pub fn start(format: Format, level: LevelFilter) {
+    let builder = logforth::starter_log::builder();
+    let builder = builder.dispatch(|dispatch| match format {
+        Format::Text => {
+            dispatch.append(append::Stderr::default().with_layout(TextLayout::default()))
+        }
+        Format::Json => {
+            dispatch.append(append::Stderr::default().with_layout(JsonLayout::default()))
+        }
+    });
+    if builder.try_apply().is_ok() {
+        log::set_max_level(level);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,294 @@
+//! Metrics of an entry VM, with a bounded number of series.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use pimento_units::Money;
+use pimento_units::id;
+use prometheus::Encoder;
+use prometheus::Gauge;
+use prometheus::GaugeVec;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::refusal::Code;
+use crate::scheduler::Scheduler;
+
+/// Bounds of latency histograms in seconds: the target for a first token is 0.41 s, so that the
+/// steps are finest around it; reviews take minutes.
+const LATENCY: [f64; 16] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.41, 0.6, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0, 300.0,
+];
+
+/// Bounds of the cost histogram, in currency units.
+const COST: [f64; 10] = [
+    0.000_01, 0.000_1, 0.000_5, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 5.0,
+];
+
+/// The label of all customers past the settable count.
+const OTHERS: &str = "other";
+
+/// Label of requests that have no class: plain services.
+pub const NO_CLASS: &str = "service";
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    customers: Mutex<Vec<id::Customer>>,
+    most: usize,
+    first_byte: HistogramVec,
+    last_byte: HistogramVec,
+    queue_wait: HistogramVec,
+    cost: HistogramVec,
+    served: IntCounterVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    steps: IntCounterVec,
+    pools: GaugeVec,
+    state_age: Gauge,
+    bills_waiting: Gauge,
+    spend_free: GaugeVec,
+    kept_bytes: Gauge,
+}
+
+/// How long a request took and what it cost.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Sample {
+    /// To the first byte of the answer.
+    pub first: Duration,
+    /// To the last byte.
+    pub last: Duration,
+    /// In queues.
+    pub waited: Duration,
+    /// Cost to us of all attempts.
+    pub cost: Money,
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str, bounds: &[f64]) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    let vec = HistogramVec::new(options, &["customer", "class"]);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    let vec = GaugeVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the name is a constant that prometheus takes");
+    register(registry, &gauge);
+    gauge
+}
+
+fn register(registry: &Registry, metric: &(impl prometheus::core::Collector + Clone + 'static)) {
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("each name is registered once");
+}
+
+impl Metrics {
+    /// Metrics with series of their own for at most `customers` customers.
+    ///
+    /// # Panics
+    ///
+    /// Never: the names are constants that are each registered once.
+    #[must_use]
+    pub fn new(customers: usize) -> Self {
+        let registry = Registry::new();
+        let r = &registry;
+        Self {
+            first_byte: histogram(
+                r,
+                "pimento_first_byte_seconds",
+                "Time to the first byte of an answer",
+                &LATENCY,
+            ),
+            last_byte: histogram(
+                r,
+                "pimento_last_byte_seconds",
+                "Time to the last byte of an answer",
+                &LATENCY,
+            ),
+            queue_wait: histogram(r, "pimento_queue_wait_seconds", "Time in queues", &LATENCY),
+            cost: histogram(
+                r,
+                "pimento_cost",
+                "Cost to us of a request, all attempts and steps, in currency units",
+                &COST,
+            ),
+            served: counter(
+                r,
+                "pimento_served_total",
+                "Requests answered whole",
+                &["customer", "class", "answered_by"],
+            ),
+            refusals: counter(
+                r,
+                "pimento_refusals_total",
+                "Requests that got an error, by its code",
+                &["code", "run"],
+            ),
+            attempts: counter(
+                r,
+                "pimento_attempts_total",
+                "Attempts at endpoints, by pool and how they ended",
+                &["pool", "result"],
+            ),
+            steps: counter(
+                r,
+                "pimento_cascade_steps_total",
+                "Cascade steps, by version and what became of the answer",
+                &["version", "result"],
+            ),
+            pools: gauges(
+                r,
+                "pimento_pool",
+                "Jobs waiting, calls in flight, slots, endpoints usable and ejected, by pool",
+                &["pool", "figure"],
+            ),
+            state_age: gauge(
+                r,
+                "pimento_state_age_seconds",
+                "Time since the configuration was last known to be current",
+            ),
+            bills_waiting: gauge(
+                r,
+                "pimento_bills_waiting",
+                "Bills that were not yet read back from the log",
+            ),
+            spend_free: gauges(
+                r,
+                "pimento_spend_free",
+                "Granted money that may still be reserved, in currency units",
+                &["customer"],
+            ),
+            kept_bytes: gauge(r, "pimento_kept_bytes", "Memory of kept answers, in bytes"),
+            customers: Mutex::default(),
+            most: customers,
+            registry,
+        }
+    }
+
+    /// The label of a customer.
+    fn label(&self, customer: &id::Customer) -> String {
+        let mut known = self
+            .customers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        match known.binary_search(customer) {
+            Ok(_) => customer.to_string(),
+            Err(place) if known.len() < self.most => {
+                known.insert(place, customer.clone());
+                customer.to_string()
+            }
+            Err(_) => OTHERS.into(),
+        }
+    }
+
+    /// Counts an answer.
+    pub fn served(&self, customer: &id::Customer, class: &str, by: &str, sample: Sample) {
+        let customer = self.label(customer);
+        let labels = [customer.as_str(), class];
+        let observe = |vec: &HistogramVec, time: Duration| {
+            vec.with_label_values(&labels).observe(time.as_secs_f64());
+        };
+        observe(&self.first_byte, sample.first);
+        observe(&self.last_byte, sample.last);
+        observe(&self.queue_wait, sample.waited);
+        self.cost
+            .with_label_values(&labels)
+            .observe(amount(sample.cost));
+        self.served
+            .with_label_values(&[customer.as_str(), class, by])
+            .inc();
+    }
+
+    /// Counts an error.
+    pub fn refused(&self, code: Code, run: pimento_wire::border::Run) {
+        self.refusals
+            .with_label_values(&[code.as_str(), run.as_str()])
+            .inc();
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, pool: &id::Pool, result: &str) {
+        self.attempts
+            .with_label_values(&[pool.as_str(), result])
+            .inc();
+    }
+
+    /// Counts a cascade step.
+    pub fn step(&self, version: &id::Version, result: &str) {
+        self.steps
+            .with_label_values(&[version.as_str(), result])
+            .inc();
+    }
+
+    /// Sets what is left of a customer's grants here.
+    pub fn spend(&self, customer: &id::Customer, free: Money) {
+        let customer = self.label(customer);
+        self.spend_free
+            .with_label_values(&[customer.as_str()])
+            .set(amount(free));
+    }
+
+    /// Sets the gauges that are read when asked for.
+    pub fn gauge(&self, age: Duration, bills: usize, kept: usize, scheduler: &Scheduler) {
+        self.state_age.set(age.as_secs_f64());
+        self.bills_waiting.set(float(bills));
+        self.kept_bytes.set(float(kept));
+        for (name, pool) in scheduler.pools() {
+            let depth = pool.depth();
+            let figures = [
+                ("waiting", float(depth.waiting)),
+                ("flying", f64::from(depth.flying)),
+                ("slots", f64::from(depth.slots)),
+                ("usable", float(depth.usable)),
+                ("ejected", float(depth.ejected)),
+            ];
+            for (figure, value) in figures {
+                self.pools
+                    .with_label_values(&[name.as_str(), figure])
+                    .set(value);
+            }
+        }
+    }
+
+    /// All metrics in the text format.
+    #[must_use]
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if let Err(error) = encoded {
+            log::error!("metrics: Not encoded: {error}.");
+        }
+        text
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
+fn amount(money: Money) -> f64 {
+    money.micros() as f64 / pimento_units::money::MICROS as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
+const fn float(count: usize) -> f64 {
+    count as f64
+}
--- /dev/null
+++ b/crates/entry/src/node.rs
@@ -0,0 +1,301 @@
+//! One entry VM: everything that the filters share, and the tasks that keep it current.
+
+use std::sync::Arc;
+use std::sync::Weak;
+use std::time::Duration;
+
+use pimento_contract::Subject;
+use pimento_contract::Value;
+use pimento_contract::change;
+use pimento_contract::version;
+use pimento_ledger::Stream;
+use pimento_platform::Appender;
+use pimento_platform::Mesh;
+use pimento_platform::appender;
+use pimento_platform::bills;
+use pimento_platform::bills::Outbox;
+use pimento_platform::claims;
+use pimento_platform::claims::Claimer;
+use pimento_platform::configuration;
+use pimento_platform::grants;
+use pimento_platform::grants::Wallet;
+use pimento_platform::log::Remote;
+use pimento_platform::mesh;
+use pimento_platform::rating;
+use pimento_platform::vms;
+use pimento_units::id;
+use pimento_wire::frame;
+use pimento_wire::platform::Role;
+use pimento_wire::platform::Vms;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+use uuid::Uuid;
+
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::estimate;
+use crate::evidence;
+use crate::filter::rate;
+use crate::kept::Kept;
+use crate::metrics::Metrics;
+use crate::peers::Answers;
+use crate::registry::poll;
+use crate::registry::poll::Registry;
+use crate::retries;
+use crate::scheduler::Scheduler;
+use crate::session;
+use crate::state::Handle;
+
+/// Time between two looks at the configuration's age, peers and evidence. Changes of the
+/// configuration itself wake at once.
+const TICK: Duration = Duration::from_millis(200);
+
+/// How long a proposed withdrawal is tried to be written. Later evidence proposes it again.
+const PROPOSAL: Duration = Duration::from_secs(30);
+
+/// What the filters of one entry VM share.
+#[derive(Debug)]
+#[expect(missing_docs, reason = "each field is described by its type")]
+pub struct Node {
+    pub config: Config,
+    pub clock: Clock,
+    pub state: Handle,
+    pub connections: pimento_endpoint::Pool,
+    pub scheduler: Scheduler,
+    pub registry: Registry,
+    pub estimates: estimate::Book,
+    pub evidence: evidence::Book,
+    pub retries: retries::Book,
+    pub rater: Option<rating::Remote>,
+    pub rating: rate::Health,
+    pub session_key: session::Key,
+    pub claimer: Claimer,
+    pub outbox: Outbox,
+    pub wallet: Wallet,
+    pub kept: Kept,
+    pub mesh: Mesh,
+    pub metrics: Metrics,
+    /// Requests in flight and what they left behind to do.
+    pub tasks: TaskTracker,
+    /// Cancelled once the node is about to go: it is no longer ready, and connections are closed
+    /// after their next response.
+    pub leaving: CancellationToken,
+    appender: Appender,
+    source: configuration::Source,
+    own: Weak<Node>,
+}
+
+impl Node {
+    /// Starts the node's background tasks; they end with `token`.
+    ///
+    /// # Errors
+    ///
+    /// [`mesh::Error`] if the address for peers can't be had.
+    pub async fn start(
+        config: Config,
+        token: &CancellationToken,
+    ) -> Result<Arc<Self>, mesh::Error> {
+        let clock = Clock::default();
+        let log = Remote::new(config.log_address, config.platform_timeout);
+        let appender = Appender::start(log.clone(), appender::Config::default(), token.clone());
+        let (mesh, listener) = Mesh::bind(peers(&config)?, token.clone()).await?;
+        let source = configuration::Source::start(
+            log.clone(),
+            appender.clone(),
+            Some(mesh.clone()),
+            configuration::Config::default(),
+            token.clone(),
+        );
+        let claims = claims::Config {
+            window: config.claims_window,
+            patience: config.claim_timeout,
+            ..claims::Config::default()
+        };
+        let node = &config.node;
+        let claimer = Claimer::start(
+            node.clone(),
+            claims,
+            log.clone(),
+            appender.clone(),
+            token.clone(),
+        );
+        let grants = grants::Config::default();
+        let wallet = Wallet::start(node, grants, log, appender.clone(), token.clone());
+        let outbox = Outbox::start(
+            bills::Config::default(),
+            mesh.clone(),
+            appender.clone(),
+            token.clone(),
+        );
+        let connections = pimento_endpoint::Pool::default();
+        let scheduler = Scheduler::new(clock);
+        let polling = poll::Config {
+            zone: config.zone.clone(),
+            distance: config.zone_delay,
+            interval: config.poll_interval,
+        };
+        let registry = Registry::new(clock, polling, connections.clone(), scheduler.clone());
+        let rater = config
+            .rater_address
+            .map(|address| rating::Remote::new(address, config.platform_timeout));
+        let node = Arc::new_cyclic(|own| Self {
+            clock,
+            state: Handle::new(clock),
+            connections,
+            scheduler,
+            registry,
+            estimates: estimate::Book::default(),
+            evidence: evidence::Book::default(),
+            retries: retries::Book::default(),
+            rater,
+            rating: rate::Health::default(),
+            session_key: session::Key::derive(config.session_key.reveal()),
+            claimer,
+            outbox,
+            wallet,
+            kept: Kept::new(config.kept_bytes, config.claims_window),
+            mesh,
+            metrics: Metrics::new(config.metric_customers),
+            tasks: TaskTracker::new(),
+            leaving: CancellationToken::new(),
+            appender,
+            source,
+            own: own.clone(),
+            config,
+        });
+        listener.serve(Answers::new(&node));
+        node.spawn(token);
+        Ok(node)
+    }
+
+    fn spawn(self: &Arc<Self>, token: &CancellationToken) {
+        let node = Arc::clone(self);
+        let ends = token.clone();
+        tokio::spawn(async move { ends.run_until_cancelled(node.keep()).await });
+        let node = Arc::clone(self);
+        let ends = token.clone();
+        tokio::spawn(async move {
+            let list = vms::Remote::new(node.config.vms_address, node.config.platform_timeout);
+            let learn = |vms: &Vms| node.mesh.learn(entries(vms));
+            node.registry.run(list, learn, ends).await;
+        });
+    }
+
+    /// A handle to this node for a task that outlives a request.
+    #[must_use]
+    pub fn shared(&self) -> Option<Arc<Self>> {
+        self.own.upgrade()
+    }
+
+    /// Whether requests are taken.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        self.state.ready() && !self.leaving.is_cancelled()
+    }
+
+    /// Live entry VMs, this one included.
+    #[must_use]
+    pub fn nodes(&self) -> u32 {
+        u32::try_from(self.mesh.peers().len() + 1).unwrap_or(u32::MAX)
+    }
+
+    /// The zone's hand to the log, for records that peers pass on.
+    #[must_use]
+    pub const fn appender(&self) -> &Appender {
+        &self.appender
+    }
+
+    /// The configuration stream.
+    #[must_use]
+    pub const fn source(&self) -> &configuration::Source {
+        &self.source
+    }
+
+    /// Says to peers that this node is about to go, and stops being ready.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+        self.mesh.report(|own| own.leaving = true);
+    }
+
+    /// Keeps configuration, departures and quarantine current.
+    async fn keep(&self) {
+        let mut changed = self.source.changed();
+        loop {
+            if self.source.ready() {
+                self.state.replace(&self.source.current());
+                self.state.confirm(self.source.age());
+            }
+            self.spread();
+            self.review();
+            tokio::select! {
+                _ = changed.changed() => {}
+                () = tokio::time::sleep(TICK) => {}
+            }
+        }
+    }
+
+    /// Tells the registry what peers know of departures, and peers what it knows.
+    fn spread(&self) {
+        self.registry.depart(self.mesh.departures());
+        for departure in self.registry.departures() {
+            self.mesh.announce(departure);
+        }
+    }
+
+    /// Quarantines versions that the evidence speaks against, and proposes to withdraw them.
+    fn review(&self) {
+        let state = self.state.current();
+        for (version, cause) in self.evidence.review(&state) {
+            log::warn!("evidence: {version} is not used here any more: {cause:?}.");
+            self.propose(&version);
+        }
+        let quarantined = self.evidence.quarantined();
+        self.mesh.report(|own| own.quarantined = quarantined);
+    }
+
+    /// Proposes a withdrawal. Of several nodes the first in the log wins; if an operator changed
+    /// the version meanwhile, his word stands.
+    fn propose(&self, version: &id::Version) {
+        let state = self.state.current();
+        let Some(known) = state.version(version) else {
+            return;
+        };
+        let subject = Subject::Version(version.clone());
+        let mut withdrawn = known.clone();
+        withdrawn.status = version::Status::Withdrawn;
+        let change = change::Entry::Change(change::Change {
+            id: id::Record(Uuid::now_v7()),
+            base: state.revision(&subject),
+            subject,
+            value: Some(Value::Version(withdrawn)),
+            by: self.config.node.as_str().into(),
+            at: self.clock.wall(),
+        });
+        let Ok(record) = serde_json::to_string(&change) else {
+            return;
+        };
+        let appender = self.appender.clone();
+        self.tasks.spawn(async move {
+            let deadline = Instant::now() + PROPOSAL;
+            let stream = Stream::Configuration;
+            if let Err(error) = appender.append(stream, record, deadline).await {
+                log::warn!("evidence: Withdrawal not proposed: {error}.");
+            }
+        });
+    }
+}
+
+/// Addresses of entry VMs in the platform's list.
+fn entries(vms: &Vms) -> impl Iterator<Item = std::net::SocketAddr> {
+    let entries = vms.vms.iter().filter(|vm| vm.role == Role::Entry);
+    entries.filter_map(|vm| vm.address.parse().ok())
+}
+
+fn peers(config: &Config) -> Result<mesh::Config, mesh::Error> {
+    let key = frame::Key::derive(config.peer_key.reveal());
+    let node = config.node.clone();
+    let mut settings = mesh::Settings::new(node, config.zone.clone(), config.peer_listen, key);
+    settings.seeds.clone_from(&config.peers);
+    settings.try_into()
+}
--- /dev/null
+++ b/crates/entry/src/operators.rs
@@ -0,0 +1,151 @@
+//! The operators' side: `/ready`, `/live`, `/metrics` and `/state`.
+
+use std::sync::Arc;
+
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use pimento_units::id;
+use pimento_wire::operators;
+use pimento_wire::peer::Departure;
+use serde::Serialize;
+
+use crate::body::Reply;
+use crate::filter::reply;
+use crate::node::Node;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+use crate::server::Serve;
+
+/// Content type of the metrics.
+const METRICS: &str = "text/plain; version=0.0.4";
+
+/// The operators' side.
+#[derive(Debug, Clone)]
+pub struct Operators(pub Arc<Node>);
+
+/// Answer of `/state`: what other programs read, and figures for people.
+#[derive(Debug, Serialize)]
+struct State {
+    #[serde(flatten)]
+    common: operators::State,
+    peers: Vec<id::Node>,
+    endpoints: Vec<Endpoint>,
+    pools: Vec<Pool>,
+    departures: Vec<Departure>,
+    quarantined: Vec<id::Version>,
+    list_doubted: bool,
+    bills_waiting: usize,
+    bill_copies: usize,
+    kept_bytes: usize,
+    wrong_checkpoints: u64,
+}
+
+#[derive(Debug, Serialize)]
+struct Endpoint {
+    name: id::Endpoint,
+    pool: id::Pool,
+    zone: id::Zone,
+    usable: bool,
+    versions: Vec<id::Version>,
+}
+
+#[derive(Debug, Serialize)]
+struct Pool {
+    name: id::Pool,
+    waiting: usize,
+    flying: u32,
+    slots: u32,
+    usable: usize,
+    ejected: usize,
+}
+
+impl Serve for Operators {
+    async fn serve(&self, request: Request<Incoming>) -> Response<Reply> {
+        if request.method() != Method::GET {
+            let message = "only GET is taken here";
+            return Refusal::not_run(Code::WrongMethod, message).response();
+        }
+        match request.uri().path() {
+            "/live" => text(StatusCode::OK, "live\n"),
+            "/ready" if self.0.ready() => text(StatusCode::OK, "ready\n"),
+            "/ready" => text(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            "/metrics" => metrics(&self.0),
+            "/state" => reply::json(&state(&self.0)),
+            _ => Refusal::not_run(Code::UnknownPath, "there is nothing here").response(),
+        }
+    }
+}
+
+fn text(status: StatusCode, text: &'static str) -> Response<Reply> {
+    reply::raw(status, "text/plain", text)
+}
+
+fn metrics(node: &Node) -> Response<Reply> {
+    let waiting = node.outbox.waiting();
+    node.metrics.gauge(
+        node.state.age(),
+        waiting,
+        node.kept.bytes(),
+        &node.scheduler,
+    );
+    reply::raw(StatusCode::OK, METRICS, node.metrics.text())
+}
+
+fn state(node: &Node) -> State {
+    let table = node.registry.table();
+    let endpoints = table.endpoints().iter().map(|endpoint| Endpoint {
+        name: endpoint.name.clone(),
+        pool: endpoint.pool.clone(),
+        zone: endpoint.zone.clone(),
+        usable: table.usable(endpoint),
+        versions: endpoint
+            .load
+            .as_ref()
+            .map_or_else(Vec::new, |(load, _)| load.versions.clone()),
+    });
+    let peers = node.mesh.peers().into_iter();
+    State {
+        common: common(node),
+        peers: peers.map(|peer| peer.node).collect(),
+        endpoints: endpoints.collect(),
+        pools: pools(node),
+        departures: table.departures().to_vec(),
+        quarantined: node.evidence.quarantined(),
+        list_doubted: table.doubted(),
+        bills_waiting: node.outbox.waiting(),
+        bill_copies: node.outbox.copies(),
+        kept_bytes: node.kept.bytes(),
+        wrong_checkpoints: node.source().wrong_checkpoints(),
+    }
+}
+
+fn common(node: &Node) -> operators::State {
+    let age = node.state.age().as_millis();
+    operators::State {
+        node: node.config.node.clone(),
+        zone: node.config.zone.clone(),
+        ready: node.ready(),
+        offset: node.state.current().offset,
+        age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+        evidence: node.evidence.report(),
+    }
+}
+
+fn pools(node: &Node) -> Vec<Pool> {
+    let pools = node.scheduler.pools().into_iter();
+    let pool = |(name, pool): (id::Pool, crate::scheduler::Pool)| {
+        let depth = pool.depth();
+        Pool {
+            name,
+            waiting: depth.waiting,
+            flying: depth.flying,
+            slots: depth.slots,
+            usable: depth.usable,
+            ejected: depth.ejected,
+        }
+    };
+    pools.map(pool).collect()
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,209 @@
+//! Every error that a caller can get: status, kind, code and whether the call was carried out.
+
+use std::fmt;
+use std::time::Duration;
+
+use bytes::Bytes;
+use compact_str::CompactString;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::header::ALLOW;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use pimento_wire::border::Error;
+use pimento_wire::border::Failure;
+use pimento_wire::border::Run;
+use pimento_wire::header;
+
+use crate::body::Reply;
+
+/// Why a caller gets an error in place of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Code {
+    /// No API key was sent.
+    MissingKey,
+    /// No contract has this API key.
+    UnknownKey,
+    /// The path is not one of ours.
+    UnknownPath,
+    /// The path does not take this method.
+    WrongMethod,
+    /// The body is not what the path takes.
+    MalformedBody,
+    /// The body is over the limit.
+    LargeBody,
+    /// A header can't be read.
+    BadHeader,
+    /// The session token is forged, or of another customer.
+    BadToken,
+    /// The contract has no such class.
+    UnknownModel,
+    /// The contract has no such service.
+    UnknownService,
+    /// The request id is too old, or not of version 7 where its age matters.
+    BadRequestId,
+    /// The request id stands for another call already.
+    ReusedRequestId,
+    /// The call was made before, and its answer is not at hand.
+    AlreadyClaimed,
+    /// The contract's spend limit is reached.
+    SpendLimit,
+    /// The spend left is with other entry VMs at present.
+    SpendWait,
+    /// The work can't start by its deadline.
+    Overloaded,
+    /// The entry VM has no configuration yet.
+    NotReady,
+    /// No version that the contract allows takes new work.
+    NoVersion,
+    /// No endpoint took the call.
+    NoEndpoint,
+    /// The platform's log can't take a claim now.
+    ClaimsOut,
+    /// The platform can't take a bill now, nor can a peer.
+    BillsOut,
+    /// The endpoints failed.
+    EndpointFailed,
+    /// The deadline passed.
+    Timeout,
+    /// The caller went away; nobody reads this.
+    Gone,
+    /// A fault of ours.
+    Internal,
+}
+
+impl Code {
+    /// HTTP status, kind and stable text.
+    const fn parts(self) -> (u16, &'static str, &'static str) {
+        const INVALID: &str = "invalid_request_error";
+        const AUTH: &str = "authentication_error";
+        const RATE: &str = "rate_limit_error";
+        const SERVER: &str = "server_error";
+        match self {
+            Self::MissingKey => (401, AUTH, "missing_api_key"),
+            Self::UnknownKey => (401, AUTH, "invalid_api_key"),
+            Self::UnknownPath => (404, INVALID, "unknown_path"),
+            Self::WrongMethod => (405, INVALID, "wrong_method"),
+            Self::MalformedBody => (400, INVALID, "malformed_body"),
+            Self::LargeBody => (413, INVALID, "body_too_large"),
+            Self::BadHeader => (400, INVALID, "bad_header"),
+            Self::BadToken => (400, INVALID, "bad_session_token"),
+            Self::UnknownModel => (404, INVALID, "model_not_found"),
+            Self::UnknownService => (404, INVALID, "service_not_found"),
+            Self::BadRequestId => (400, INVALID, "bad_request_id"),
+            Self::ReusedRequestId => (422, INVALID, "request_id_reused"),
+            Self::AlreadyClaimed => (409, INVALID, "already_claimed"),
+            Self::SpendLimit => (402, "insufficient_quota", "spend_limit"),
+            Self::SpendWait => (429, RATE, "spend_wait"),
+            Self::Overloaded => (429, RATE, "overloaded"),
+            Self::NotReady => (503, SERVER, "not_ready"),
+            Self::NoVersion => (503, SERVER, "no_version"),
+            Self::NoEndpoint => (503, SERVER, "no_endpoint"),
+            Self::ClaimsOut => (503, SERVER, "claims_unavailable"),
+            Self::BillsOut => (503, SERVER, "bills_unavailable"),
+            Self::EndpointFailed => (502, SERVER, "endpoint_failed"),
+            Self::Timeout => (504, SERVER, "timeout"),
+            Self::Gone => (499, SERVER, "caller_gone"),
+            Self::Internal => (500, SERVER, "internal_error"),
+        }
+    }
+
+    /// The stable text in bodies and metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        self.parts().2
+    }
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// An error on its way to a caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// What kind.
+    pub code: Code,
+    /// A sentence for people. Holds no secret.
+    pub message: String,
+    /// Whether the call was carried out.
+    pub run: Run,
+    /// When to ask again, if that can help.
+    pub after: Option<Duration>,
+}
+
+impl Refusal {
+    /// A refusal before anything was sent to an endpoint.
+    #[must_use]
+    pub fn not_run(code: Code, message: impl Into<String>) -> Self {
+        Self::new(code, message, Run::NotRun)
+    }
+
+    /// An error with what is known of the call.
+    #[must_use]
+    pub fn new(code: Code, message: impl Into<String>, run: Run) -> Self {
+        Self {
+            code,
+            message: message.into(),
+            run,
+            after: None,
+        }
+    }
+
+    /// Adds when to ask again.
+    #[must_use]
+    pub const fn retry_after(mut self, after: Duration) -> Self {
+        self.after = Some(after);
+        self
+    }
+
+    /// The error body.
+    #[must_use]
+    pub fn failure(&self) -> Failure {
+        let (_, kind, code) = self.code.parts();
+        Failure {
+            error: Error {
+                kind: CompactString::const_new(kind),
+                code: CompactString::const_new(code),
+                message: self.message.clone(),
+                run: self.run,
+            },
+        }
+    }
+
+    /// The body as JSON text.
+    #[must_use]
+    pub fn json(&self) -> Bytes {
+        // The body has string keys and no maps of other types, so encoding can't fail.
+        serde_json::to_vec(&self.failure())
+            .unwrap_or_default()
+            .into()
+    }
+
+    /// The whole response.
+    #[must_use]
+    pub fn response(&self) -> Response<Reply> {
+        let mut response = Response::new(Reply::whole(self.json()));
+        let status = StatusCode::from_u16(self.code.parts().0);
+        *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+        let headers = response.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(header::RUN, HeaderValue::from_static(self.run.as_str()));
+        if let Some(after) = self.after {
+            headers.insert(header::RETRY_AFTER, seconds(after).into());
+        }
+        if self.code == Code::WrongMethod {
+            headers.insert(ALLOW, HeaderValue::from_static("GET, POST"));
+        }
+        response
+    }
+}
+
+/// Whole seconds, rounded up and at least one, so that a caller never comes back too early.
+fn seconds(after: Duration) -> u64 {
+    u64::try_from(after.as_millis().div_ceil(1_000))
+        .unwrap_or(u64::MAX)
+        .max(1)
+}
--- /dev/null
+++ b/crates/entry/src/registry.rs
@@ -0,0 +1,251 @@
+//! Which endpoints may take new work.
+//!
+//! Three sources are joined: the platform's list, which lags; the endpoint's own word in its load
+//! report; and the word of other entry VMs. An endpoint that any of them called leaving gets no new
+//! work for the rest of that incarnation. A list that is suddenly empty or much shorter is doubted:
+//! endpoints that it misses stay in use as long as they answer.
+//!
+//! [`Table`] decides without clock or connection; [`poll`] feeds it.
+
+pub mod poll;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimento_units::Moment;
+use pimento_units::id;
+use pimento_wire::engine::Load;
+use pimento_wire::peer::Departure;
+use pimento_wire::platform::Role;
+use pimento_wire::platform::Vms;
+
+/// A list that misses more than one in so many of the endpoints known is doubted. Replacing VMs
+/// one by one, or losing a rack of a zone, stays below half.
+const DOUBT: usize = 2;
+
+/// Load reports in a row that must fail before an engine gets no new work. One lost packet costs
+/// one report; a dead engine fails all.
+const SILENT: u32 = 3;
+
+/// Departures remembered. An ordinary day has 120 VMs replaced.
+const DEPARTURES: usize = 1_024;
+
+/// What an endpoint is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A model engine, which reports its load.
+    Engine,
+    /// A replica of a plain service, which doesn't.
+    Service,
+}
+
+/// One endpoint as known at this node.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Its name.
+    pub name: id::Endpoint,
+    /// Its pool.
+    pub pool: id::Pool,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// What it is for.
+    pub kind: Kind,
+    /// The newest load report and when it came.
+    pub load: Option<(Load, Moment)>,
+    /// Load reports that failed in a row.
+    failures: u32,
+    listed: bool,
+    leaving: bool,
+}
+
+impl Endpoint {
+    /// The incarnation; zero while unknown and for services.
+    #[must_use]
+    pub fn incarnation(&self) -> u64 {
+        self.load.as_ref().map_or(0, |(load, _)| load.incarnation)
+    }
+
+    /// How old the engine's own load figures are.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Duration {
+        self.load.as_ref().map_or(Duration::MAX, |(load, at)| {
+            now.since(*at) + Duration::from_millis(load.age_ms)
+        })
+    }
+
+    fn answers(&self) -> bool {
+        match self.kind {
+            Kind::Engine => self.load.is_some() && self.failures < SILENT,
+            Kind::Service => true,
+        }
+    }
+}
+
+/// The endpoints known, sorted by name, and the departures heard of.
+#[derive(Debug, Clone, Default)]
+pub struct Table {
+    endpoints: Vec<Endpoint>,
+    /// Sorted.
+    departed: Vec<Departure>,
+    /// The same, oldest first.
+    departures: Vec<Departure>,
+    doubted: bool,
+}
+
+impl Table {
+    /// Takes a list from the platform.
+    pub fn list(&mut self, vms: &Vms) {
+        let mut listed: Vec<Endpoint> = vms.vms.iter().filter_map(endpoint).collect();
+        listed.sort_by(|one, other| one.name.cmp(&other.name));
+        listed.dedup_by(|one, other| one.name == other.name);
+        let missing = self.endpoints.iter().filter(|e| e.listed);
+        let missing = missing.filter(|e| find(&listed, &e.name).is_none()).count();
+        let known = self.endpoints.iter().filter(|e| e.listed).count();
+        self.doubted = missing * DOUBT > known || (self.doubted && listed.is_empty());
+        if self.doubted {
+            log::warn!(
+                "registry: The VM list misses {missing} of {known} endpoints, not believed."
+            );
+        }
+        for endpoint in &mut self.endpoints {
+            endpoint.listed &= self.doubted;
+        }
+        for endpoint in listed {
+            self.admit(endpoint);
+        }
+        self.endpoints.retain(|e| e.listed);
+    }
+
+    fn admit(&mut self, fresh: Endpoint) {
+        if fresh.leaving {
+            let incarnation = self.get(&fresh.name).map_or(0, Endpoint::incarnation);
+            self.depart(Departure {
+                endpoint: fresh.name.clone(),
+                incarnation,
+            });
+        }
+        let Some(place) = find(&self.endpoints, &fresh.name) else {
+            let place = self.endpoints.partition_point(|e| e.name < fresh.name);
+            self.endpoints.insert(place, fresh);
+            return;
+        };
+        let known = &mut self.endpoints[place];
+        known.listed = true;
+        known.leaving = fresh.leaving;
+        if known.address != fresh.address {
+            known.address = fresh.address;
+            known.load = None;
+        }
+        known.pool = fresh.pool;
+        known.zone = fresh.zone;
+    }
+
+    /// Takes an engine's load report. A report of another endpoint is ignored: its address was
+    /// given to a new VM.
+    pub fn report(&mut self, name: &id::Endpoint, load: Load, now: Moment) {
+        let Some(place) = find(&self.endpoints, name) else {
+            return;
+        };
+        if load.endpoint != *name {
+            self.fail(name);
+            return;
+        }
+        if load.leaving {
+            self.depart(Departure {
+                endpoint: name.clone(),
+                incarnation: load.incarnation,
+            });
+        }
+        let endpoint = &mut self.endpoints[place];
+        endpoint.failures = 0;
+        endpoint.load = Some((load, now));
+    }
+
+    /// Notes that an engine's load report could not be had.
+    pub fn fail(&mut self, name: &id::Endpoint) {
+        if let Some(place) = find(&self.endpoints, name) {
+            let endpoint = &mut self.endpoints[place];
+            endpoint.failures = endpoint.failures.saturating_add(1);
+        }
+    }
+
+    /// Takes anybody's word that an endpoint is leaving. True if it was news.
+    pub fn depart(&mut self, departure: Departure) -> bool {
+        if self.departed.binary_search(&departure).is_ok() {
+            return false;
+        }
+        log::info!(
+            "registry: {} is leaving, no new work for it.",
+            departure.endpoint
+        );
+        if self.departures.len() == DEPARTURES {
+            let oldest = self.departures.remove(0);
+            self.departed.retain(|known| *known != oldest);
+        }
+        let place = self.departed.partition_point(|known| *known < departure);
+        self.departed.insert(place, departure.clone());
+        self.departures.push(departure);
+        true
+    }
+
+    /// Departures heard of, oldest first.
+    #[must_use]
+    pub fn departures(&self) -> &[Departure] {
+        &self.departures
+    }
+
+    /// Whether an endpoint may take new work.
+    #[must_use]
+    pub fn usable(&self, endpoint: &Endpoint) -> bool {
+        let departure = Departure {
+            endpoint: endpoint.name.clone(),
+            incarnation: endpoint.incarnation(),
+        };
+        let departed = self.departed.binary_search(&departure).is_ok();
+        !endpoint.leaving && !departed && endpoint.answers()
+    }
+
+    /// All endpoints known, sorted by name.
+    #[must_use]
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Whether the last list was not believed.
+    #[must_use]
+    pub const fn doubted(&self) -> bool {
+        self.doubted
+    }
+
+    /// One endpoint.
+    #[must_use]
+    pub fn get(&self, name: &id::Endpoint) -> Option<&Endpoint> {
+        find(&self.endpoints, name).map(|place| &self.endpoints[place])
+    }
+}
+
+fn find(endpoints: &[Endpoint], name: &id::Endpoint) -> Option<usize> {
+    endpoints.binary_search_by(|e| e.name.cmp(name)).ok()
+}
+
+/// An endpoint from a line of the list; lines that make no sense are left out.
+fn endpoint(vm: &pimento_wire::platform::Vm) -> Option<Endpoint> {
+    let (pool, kind) = match &vm.role {
+        Role::Engine(pool) => (pool.clone(), Kind::Engine),
+        Role::Service(pool) => (pool.clone(), Kind::Service),
+        Role::Entry => return None,
+    };
+    Some(Endpoint {
+        name: vm.name.as_str().try_into().ok()?,
+        pool,
+        zone: vm.zone.clone(),
+        address: vm.address.parse().ok()?,
+        kind,
+        load: None,
+        failures: 0,
+        listed: true,
+        leaving: vm.leaving,
+    })
+}
--- /dev/null
+++ b/crates/entry/src/registry/poll.rs
@@ -0,0 +1,201 @@
+//! Feeds the table from the platform's list, the engines' load reports and the peers.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures::StreamExt;
+use futures::stream;
+use pimento_endpoint::Pool;
+use pimento_endpoint::engine::Engine;
+use pimento_endpoint::engine::Remote;
+use pimento_platform::vms::List;
+use pimento_policy::limit;
+use pimento_units::Moment;
+use pimento_units::id;
+use pimento_wire::peer::Departure;
+use pimento_wire::platform::Vms;
+use tokio_util::sync::CancellationToken;
+
+use super::Endpoint;
+use super::Kind;
+use super::Table;
+use crate::clock::Clock;
+use crate::scheduler::Member;
+use crate::scheduler::Scheduler;
+
+/// Load reports asked for at once. Bounds the sockets that polling holds.
+const AT_ONCE: usize = 32;
+
+/// Times and places of polling.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// The node's own zone.
+    pub zone: id::Zone,
+    /// Delay to other zones beyond the own one's, there and back.
+    pub distance: Duration,
+    /// Time between two polls.
+    pub interval: Duration,
+}
+
+/// The endpoint registry of a node; clones share it.
+#[derive(Debug, Clone)]
+pub struct Registry {
+    clock: Clock,
+    config: Config,
+    connections: Pool,
+    scheduler: Scheduler,
+    table: Arc<Mutex<Table>>,
+}
+
+impl Registry {
+    /// Knows no endpoint yet.
+    #[must_use]
+    pub fn new(clock: Clock, config: Config, connections: Pool, scheduler: Scheduler) -> Self {
+        Self {
+            clock,
+            config,
+            connections,
+            scheduler,
+            table: Arc::default(),
+        }
+    }
+
+    /// Polls until cancelled; `seen` gets each list.
+    pub async fn run(&self, list: impl List, seen: impl Fn(&Vms), token: CancellationToken) {
+        let mut ticks = tokio::time::interval(self.config.interval);
+        ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                _ = ticks.tick() => {}
+            }
+            match list.list().await {
+                Ok(vms) => {
+                    seen(&vms);
+                    self.lock().list(&vms);
+                }
+                Err(error) => log::warn!("registry: The last list goes on to count: {error}."),
+            }
+            self.reports().await;
+        }
+    }
+
+    /// Asks all engines for their load at once.
+    pub async fn reports(&self) {
+        let engines: Vec<Endpoint> = {
+            let table = self.lock();
+            let engines = table.endpoints().iter();
+            engines
+                .filter(|e| e.kind == Kind::Engine)
+                .cloned()
+                .collect()
+        };
+        stream::iter(engines)
+            .for_each_concurrent(AT_ONCE, |endpoint| self.report(endpoint))
+            .await;
+        self.publish();
+    }
+
+    async fn report(&self, endpoint: Endpoint) {
+        let engine = Remote::new(self.connections.clone(), endpoint.address);
+        let load = engine.load().await;
+        let now = self.clock.now();
+        let mut table = self.lock();
+        match load {
+            Ok(load) => table.report(&endpoint.name, load, now),
+            Err(fault) => {
+                log::debug!("registry: No load report of {}: {fault}.", endpoint.name);
+                table.fail(&endpoint.name);
+            }
+        }
+    }
+
+    /// Takes anybody's word that an endpoint is leaving.
+    pub fn depart(&self, departures: impl IntoIterator<Item = Departure>) {
+        let news = {
+            let mut table = self.lock();
+            let told = departures.into_iter().map(|d| table.depart(d));
+            told.fold(false, |news, one| news | one)
+        };
+        if news {
+            self.publish();
+        }
+    }
+
+    /// Departures heard of, oldest first.
+    #[must_use]
+    pub fn departures(&self) -> Vec<Departure> {
+        self.lock().departures().to_vec()
+    }
+
+    /// A copy of the table, for operators.
+    #[must_use]
+    pub fn table(&self) -> Table {
+        self.lock().clone()
+    }
+
+    /// Tells the pools which endpoints are in use.
+    pub fn publish(&self) {
+        let now = self.clock.now();
+        let table = self.table();
+        let mut pools: Vec<(id::Pool, Vec<Member>)> = self
+            .scheduler
+            .pools()
+            .into_iter()
+            .map(|(name, _)| (name, Vec::new()))
+            .collect();
+        for endpoint in table.endpoints() {
+            let member = self.member(endpoint, table.usable(endpoint), now);
+            match pools.binary_search_by(|(name, _)| name.cmp(&endpoint.pool)) {
+                Ok(place) => pools[place].1.push(member),
+                Err(place) => pools.insert(place, (endpoint.pool.clone(), vec![member])),
+            }
+        }
+        for (name, members) in pools {
+            self.scheduler.pool(&name).update(members);
+        }
+    }
+
+    fn member(&self, endpoint: &Endpoint, usable: bool, now: Moment) -> Member {
+        let near = endpoint.zone == self.config.zone;
+        let load = endpoint.load.as_ref().map(|(load, _)| load);
+        let age = endpoint.age(now);
+        let measured = now.nanos().saturating_sub(nanos(age));
+        let report = load.map(|load| {
+            let report = limit::Report {
+                running: load.running,
+                waiting: load.waiting,
+                batch: load.batch,
+            };
+            (report, Moment::from_nanos(measured))
+        });
+        let versions = match endpoint.kind {
+            Kind::Engine => Some(load.map_or_else(Vec::new, |load| load.versions.clone())),
+            Kind::Service => None,
+        };
+        Member {
+            endpoint: endpoint.name.clone(),
+            zone: endpoint.zone.clone(),
+            address: endpoint.address,
+            usable,
+            distance: if near {
+                Duration::ZERO
+            } else {
+                self.config.distance
+            },
+            versions,
+            report,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Table> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn nanos(duration: Duration) -> u64 {
+    u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/retries.rs
@@ -0,0 +1,93 @@
+//! Retry budgets of customers and pools, and how long answers take until their first piece.
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use pimento_policy::hedge;
+use pimento_policy::retry;
+use pimento_units::Moment;
+use pimento_units::id;
+
+/// All budgets and tails of a node. Bounded by contracts and pools.
+#[derive(Debug, Default)]
+pub struct Book {
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    /// Sorted by customer.
+    customers: Vec<(id::Customer, retry::Budget)>,
+    /// Sorted by pool.
+    pools: Vec<(id::Pool, retry::Budget)>,
+    /// Sorted by version; versions differ in speed.
+    tails: Vec<(id::Version, hedge::Tail)>,
+}
+
+fn entry<'a, K: Ord + Clone, V>(
+    entries: &'a mut Vec<(K, V)>,
+    key: &K,
+    new: impl FnOnce() -> V,
+) -> &'a mut V {
+    let place = entries.binary_search_by(|(known, _)| known.cmp(key));
+    let place = place.unwrap_or_else(|place| {
+        entries.insert(place, (key.clone(), new()));
+        place
+    });
+    &mut entries[place].1
+}
+
+fn budget() -> retry::Budget {
+    retry::Budget::new(retry::Config::default())
+}
+
+impl Book {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a failed request is tried again; takes it out of both budgets if so.
+    pub fn again(
+        &self,
+        customer: &id::Customer,
+        pool: &id::Pool,
+        failure: retry::Failure,
+        now: Moment,
+    ) -> bool {
+        let inner = &mut *self.lock();
+        let customer = entry(&mut inner.customers, customer, budget);
+        let pool = entry(&mut inner.pools, pool, budget);
+        retry::again(failure, customer, pool, now)
+    }
+
+    /// Takes a hedge out of both budgets, if they have it.
+    pub fn hedge(&self, customer: &id::Customer, pool: &id::Pool, now: Moment) -> bool {
+        let inner = &mut *self.lock();
+        let customer = entry(&mut inner.customers, customer, budget);
+        let pool = entry(&mut inner.pools, pool, budget);
+        customer.affords(now) && pool.withdraw(now) && customer.withdraw(now)
+    }
+
+    /// Pays in for a success.
+    pub fn success(&self, customer: &id::Customer, pool: &id::Pool, now: Moment) {
+        let inner = &mut *self.lock();
+        entry(&mut inner.customers, customer, budget).success(now);
+        entry(&mut inner.pools, pool, budget).success(now);
+    }
+
+    /// How long to wait for a first piece before a second attempt.
+    #[must_use]
+    pub fn delay(&self, version: &id::Version, attempt: hedge::Attempt) -> Option<Duration> {
+        let inner = &mut *self.lock();
+        let tail = entry(&mut inner.tails, version, hedge::Tail::default);
+        hedge::delay(tail, attempt)
+    }
+
+    /// Learns how long a first piece took.
+    pub fn first(&self, version: &id::Version, took: Duration, now: Moment) {
+        let inner = &mut *self.lock();
+        entry(&mut inner.tails, version, hedge::Tail::default).record(took, now);
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduler.rs
@@ -0,0 +1,257 @@
+//! Slots of endpoints: who gets one, who waits, who is refused, and which endpoint it is.
+//!
+//! One [`Pool`] for each pool of endpoints joins the decisions of `pimento_policy`: the admission
+//! gate, the fair queue, the concurrency limits, the choice of an endpoint and ejection. They are
+//! plain state machines; this module gives them the time, random bits and a lock that is never held
+//! over an await.
+
+mod inner;
+pub mod permit;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use pimento_policy::admission;
+use pimento_policy::queue;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
+
+use self::inner::Inner;
+pub use self::inner::Member;
+pub use self::permit::Permit;
+use crate::clock::Clock;
+use crate::refusal::Code;
+use crate::refusal::Refusal;
+
+/// Work that wants a slot.
+#[derive(Debug, Clone)]
+pub struct Job {
+    /// Whose it is.
+    pub customer: id::Customer,
+    /// The customer's weight.
+    pub weight: u32,
+    /// Priority of the class; lower goes first.
+    pub priority: u8,
+    /// Estimated work.
+    pub tokens: Tokens,
+    /// When the whole answer must be there.
+    pub deadline: Moment,
+    /// The version that the endpoint must hold; none for plain services.
+    pub version: Option<id::Version>,
+    /// Hash of the prompt's beginning, for the prefix cache.
+    pub prefix: Option<u64>,
+    /// Endpoints that failed this request already.
+    pub tried: Vec<id::Endpoint>,
+}
+
+/// What a job waits on.
+#[derive(Debug)]
+struct Waiter {
+    job: Job,
+    slot: oneshot::Sender<Permit>,
+}
+
+/// One pool's scheduler; clones share it.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    shared: Arc<Shared>,
+}
+
+#[derive(Debug)]
+struct Shared {
+    clock: Clock,
+    inner: Mutex<Inner>,
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // A panic between two steps of the bookkeeping is a bug; going on beats refusing all.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Pool {
+    fn new(clock: Clock) -> Self {
+        let shared = Shared {
+            clock,
+            inner: Mutex::new(Inner::default()),
+        };
+        Self {
+            shared: Arc::new(shared),
+        }
+    }
+
+    /// Puts these endpoints in use in place of the former ones.
+    pub fn update(&self, members: Vec<Member>) {
+        let now = self.shared.clock.now();
+        let mut inner = self.shared.lock();
+        inner.update(members);
+        inner.pump(&self.shared, now);
+    }
+
+    /// Waits for a slot.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`], at once if the job can't start in time, else when its last chance has passed.
+    pub async fn acquire(&self, job: Job, cancel: &CancellationToken) -> Result<Permit, Refusal> {
+        let (slot, granted) = oneshot::channel();
+        let version = job.version.clone();
+        let (ticket, start_by) = self.enqueue(Waiter { job, slot })?;
+        let _wait = Waiting {
+            pool: self,
+            version: &version,
+            ticket,
+        };
+        let deadline = self.shared.clock.instant(start_by);
+        tokio::select! {
+            // A slot that came is taken first, or it would be given back unused.
+            biased;
+            slot = granted => match slot {
+                Ok(permit) => Ok(permit),
+                Err(_) => Err(nobody()),
+            },
+            () = cancel.cancelled() => Err(Refusal::not_run(Code::Gone, "the caller went away")),
+            () = tokio::time::sleep_until(deadline) => Err(self.late()),
+        }
+    }
+
+    fn enqueue(&self, waiter: Waiter) -> Result<(queue::Ticket, Moment), Refusal> {
+        let now = self.shared.clock.now();
+        let mut inner = self.shared.lock();
+        let demand = inner.demand(&waiter.job).ok_or_else(nobody)?;
+        let verdict = inner.decide(&waiter.job, demand, now, rand::random());
+        let start_by = match verdict {
+            admission::Verdict::Admit { start_by } => start_by,
+            admission::Verdict::Refuse { after } => return Err(overloaded(after)),
+        };
+        let ticket = inner.enqueue(waiter, start_by);
+        inner.pump(&self.shared, now);
+        Ok((ticket, start_by))
+    }
+
+    /// A slot at once, without queueing, for a hedge; none if none is free.
+    #[must_use]
+    pub fn take(&self, job: &Job) -> Option<Permit> {
+        let now = self.shared.clock.now();
+        self.shared.lock().take(&self.shared, job, now)
+    }
+
+    fn late(&self) -> Refusal {
+        let after = self.shared.lock().again();
+        Refusal::not_run(Code::Overloaded, "the work could not start in time").retry_after(after)
+    }
+
+    /// How long work of `tokens` is expected to run on a version.
+    #[must_use]
+    pub fn run(&self, version: Option<&id::Version>, tokens: Tokens) -> Duration {
+        self.shared.lock().run(version, tokens)
+    }
+
+    /// Whether any usable endpoint holds the version.
+    #[must_use]
+    pub fn holds(&self, version: Option<&id::Version>) -> bool {
+        self.shared.lock().holds(version)
+    }
+
+    /// Waiting jobs, calls in flight, slots and ejected endpoints.
+    #[must_use]
+    pub fn depth(&self) -> Depth {
+        self.shared.lock().depth()
+    }
+}
+
+/// Figures of a pool for metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Depth {
+    /// Jobs that wait.
+    pub waiting: usize,
+    /// Calls in flight from this node.
+    pub flying: u32,
+    /// The sum of the limits.
+    pub slots: u32,
+    /// Endpoints ejected.
+    pub ejected: usize,
+    /// Endpoints usable.
+    pub usable: usize,
+}
+
+/// Takes the job out of the queue if its caller stops waiting for whatever reason, so that no slot
+/// is given to nobody.
+struct Waiting<'a> {
+    pool: &'a Pool,
+    version: &'a Option<id::Version>,
+    ticket: queue::Ticket,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let shared = &self.pool.shared;
+        shared.lock().cancel(self.version.as_ref(), self.ticket);
+    }
+}
+
+fn nobody() -> Refusal {
+    /// A list or load report later, an endpoint may be there.
+    const AGAIN: Duration = Duration::from_secs(2);
+    Refusal::not_run(Code::NoEndpoint, "no endpoint can take the call now").retry_after(AGAIN)
+}
+
+fn overloaded(after: Duration) -> Refusal {
+    let message = "the work could not start by its deadline";
+    Refusal::not_run(Code::Overloaded, message).retry_after(after)
+}
+
+/// All pools of a node; clones share them.
+#[derive(Debug, Clone, Default)]
+pub struct Scheduler {
+    clock: Clock,
+    /// Sorted by pool.
+    pools: Arc<RwLock<Vec<(id::Pool, Pool)>>>,
+}
+
+impl Scheduler {
+    /// Without pools yet.
+    #[must_use]
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            clock,
+            pools: Arc::default(),
+        }
+    }
+
+    /// One pool; made empty if it is not known yet.
+    #[must_use]
+    pub fn pool(&self, name: &id::Pool) -> Pool {
+        let find = |pools: &[(id::Pool, Pool)]| pools.binary_search_by(|(p, _)| p.cmp(name));
+        {
+            let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+            if let Ok(place) = find(&pools) {
+                return pools[place].1.clone();
+            }
+        }
+        let mut pools = self.pools.write().unwrap_or_else(PoisonError::into_inner);
+        match find(&pools) {
+            Ok(place) => pools[place].1.clone(),
+            Err(place) => {
+                let pool = Pool::new(self.clock);
+                pools.insert(place, (name.clone(), pool.clone()));
+                pool
+            }
+        }
+    }
+
+    /// All pools, sorted by name.
+    #[must_use]
+    pub fn pools(&self) -> Vec<(id::Pool, Pool)> {
+        let pools = self.pools.read().unwrap_or_else(PoisonError::into_inner);
+        pools.clone()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/scheduler/inner.rs
@@ -0,0 +1,389 @@
+//! The state of one pool under its lock.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimento_policy::admission;
+use pimento_policy::choice;
+use pimento_policy::eject;
+use pimento_policy::limit;
+use pimento_policy::queue;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use super::Depth;
+use super::Job;
+use super::Permit;
+use super::Shared;
+use super::Waiter;
+use super::permit::Slot;
+
+/// A call of ordinary size, for comparing endpoints by how long one takes.
+const ORDINARY: Tokens = Tokens(500);
+
+/// Expected time of a call before any was measured.
+const FIRST_RUN: Duration = Duration::from_secs(1);
+
+/// An endpoint of the pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub endpoint: id::Endpoint,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Whether it may take new work.
+    pub usable: bool,
+    /// Delay to its zone beyond the own one's.
+    pub distance: Duration,
+    /// Versions that it holds, sorted; none for a plain service.
+    pub versions: Option<Vec<id::Version>>,
+    /// What it reported of its load, and when that was measured.
+    pub report: Option<(limit::Report, Moment)>,
+}
+
+impl Member {
+    fn holds(&self, version: Option<&id::Version>) -> bool {
+        match (version, &self.versions) {
+            (Some(version), Some(held)) => held.binary_search(version).is_ok(),
+            (None, None) => true,
+            _ => false,
+        }
+    }
+}
+
+/// A member with what this node learnt of it.
+#[derive(Debug)]
+struct Seat {
+    member: Member,
+    limiter: limit::Limiter,
+    key: u64,
+}
+
+/// Jobs for one version, with their own drain rate: versions differ in speed, and a job of one
+/// must not wait behind jobs of another whose endpoints are full.
+#[derive(Debug)]
+struct Station {
+    version: Option<id::Version>,
+    gate: admission::Gate,
+    queue: queue::Queue,
+    /// Sorted by ticket.
+    waiters: Vec<(queue::Ticket, Waiter)>,
+}
+
+/// The state of one pool.
+#[derive(Debug)]
+pub(super) struct Inner {
+    seats: Vec<Seat>,
+    stations: Vec<Station>,
+    health: eject::Pool,
+    choice: choice::Config,
+    turn: usize,
+}
+
+impl Default for Inner {
+    fn default() -> Self {
+        Self {
+            seats: Vec::new(),
+            stations: Vec::new(),
+            health: eject::Pool::new(eject::Config::default()),
+            choice: choice::Config::default(),
+            turn: 0,
+        }
+    }
+}
+
+impl Inner {
+    pub fn update(&mut self, mut members: Vec<Member>) {
+        members.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
+        self.health
+            .retain(members.iter().map(|m| m.endpoint.clone()));
+        let mut former = std::mem::take(&mut self.seats);
+        for member in members {
+            let known = former
+                .iter()
+                .position(|s| s.member.endpoint == member.endpoint);
+            let seat = match known {
+                Some(place) => refresh(former.swap_remove(place), member),
+                None => seat(member),
+            };
+            self.seats.push(seat);
+        }
+    }
+
+    pub fn holds(&self, version: Option<&id::Version>) -> bool {
+        self.seats
+            .iter()
+            .any(|s| s.member.usable && s.member.holds(version))
+    }
+
+    pub fn run(&self, version: Option<&id::Version>, tokens: Tokens) -> Duration {
+        let station = self.stations.iter().find(|s| s.version.as_ref() == version);
+        station.map_or(FIRST_RUN, |s| s.gate.run(tokens))
+    }
+
+    /// What the gate has to know; none if no endpoint holds the version.
+    pub fn demand(&mut self, job: &Job) -> Option<admission::Demand> {
+        let version = job.version.as_ref();
+        let seats = self
+            .seats
+            .iter()
+            .filter(|s| s.member.usable && s.member.holds(version));
+        let (mut slots, mut free, mut any) = (0, 0, false);
+        for seat in seats {
+            any = true;
+            slots += seat.limiter.limit();
+            free += seat.limiter.room();
+        }
+        if !any {
+            return None;
+        }
+        let station = self.station(version);
+        let ahead = station
+            .queue
+            .ahead(&job.customer, job.weight, job.priority, job.tokens);
+        Some(admission::Demand {
+            ahead,
+            slots,
+            free,
+            run: station.gate.run(job.tokens),
+            deadline: job.deadline,
+        })
+    }
+
+    pub fn decide(
+        &mut self,
+        job: &Job,
+        demand: admission::Demand,
+        now: Moment,
+        random: u64,
+    ) -> admission::Verdict {
+        let station = self.station(job.version.as_ref());
+        station.gate.decide(demand, now, random)
+    }
+
+    pub fn enqueue(&mut self, waiter: Waiter, start_by: Moment) -> queue::Ticket {
+        let station = self.station(waiter.job.version.as_ref());
+        let ticket = station.queue.enqueue(queue::Job {
+            customer: waiter.job.customer.clone(),
+            weight: waiter.job.weight,
+            priority: waiter.job.priority,
+            tokens: waiter.job.tokens,
+            start_by,
+        });
+        let place = station.waiters.partition_point(|(t, _)| *t < ticket);
+        station.waiters.insert(place, (ticket, waiter));
+        ticket
+    }
+
+    pub fn cancel(&mut self, version: Option<&id::Version>, ticket: queue::Ticket) {
+        let station = self.station(version);
+        station.queue.cancel(ticket);
+        if let Ok(place) = station.waiters.binary_search_by_key(&ticket, |(t, _)| *t) {
+            station.waiters.remove(place);
+        }
+    }
+
+    /// When a job that was given up on may come back: as long as the longest queue lasts.
+    pub fn again(&self) -> Duration {
+        let depths = self.stations.iter().map(|station| {
+            let slots: u32 = self.slots(station.version.as_ref());
+            station.gate.wait(station.queue.backlog(), slots)
+        });
+        depths.max().unwrap_or_default().max(Duration::from_secs(1))
+    }
+
+    fn slots(&self, version: Option<&id::Version>) -> u32 {
+        let seats = self
+            .seats
+            .iter()
+            .filter(|s| s.member.usable && s.member.holds(version));
+        seats.map(|s| s.limiter.limit()).sum()
+    }
+
+    fn station(&mut self, version: Option<&id::Version>) -> &mut Station {
+        let place = self
+            .stations
+            .binary_search_by(|s| s.version.as_ref().cmp(&version));
+        let place = place.unwrap_or_else(|place| {
+            let station = Station {
+                version: version.cloned(),
+                gate: admission::Gate::new(admission::Config::default()),
+                queue: queue::Queue::new(queue::Config::default()),
+                waiters: Vec::new(),
+            };
+            self.stations.insert(place, station);
+            place
+        });
+        &mut self.stations[place]
+    }
+
+    /// Gives free slots to waiting jobs. Versions take turns, since an endpoint may hold several.
+    pub fn pump(&mut self, shared: &Arc<Shared>, now: Moment) {
+        let count = self.stations.len();
+        let mut idle = 0;
+        while count > 0 && idle < count {
+            self.turn = (self.turn + 1) % count;
+            if self.serve(shared, self.turn, now) {
+                idle = 0;
+            } else {
+                idle += 1;
+            }
+        }
+    }
+
+    /// Gives one slot to one job of a version; false if there is no slot or no job.
+    fn serve(&mut self, shared: &Arc<Shared>, place: usize, now: Moment) -> bool {
+        let version = self.stations[place].version.clone();
+        if self.stations[place].queue.is_empty() || !self.open(version.as_ref(), now) {
+            return false;
+        }
+        let slots = self.slots(version.as_ref());
+        let station = &mut self.stations[place];
+        let Some(dispatch) = station.queue.next(now, slots) else {
+            return false;
+        };
+        let found = station
+            .waiters
+            .binary_search_by_key(&dispatch.ticket, |(t, _)| *t);
+        let Ok(found) = found else {
+            station.queue.done(&dispatch);
+            return true;
+        };
+        let (_, waiter) = station.waiters.remove(found);
+        let Some(mut permit) = self.take(shared, &waiter.job, now) else {
+            // No endpoint is open after all: the sender is dropped, which refuses the job.
+            self.stations[place].queue.done(&dispatch);
+            return true;
+        };
+        permit.dispatched(dispatch);
+        if let Err(permit) = waiter.slot.send(permit) {
+            // The lock is held here, so the permit must not give itself back.
+            let slot = permit.defuse();
+            let unknown = limit::Outcome::Unknown;
+            self.release(&slot, unknown, eject::Outcome::Unknown, now);
+        }
+        true
+    }
+
+    fn open(&self, version: Option<&id::Version>, now: Moment) -> bool {
+        self.seats.iter().any(|seat| {
+            let out = self.health.state(&seat.member.endpoint, now) == eject::State::Out;
+            seat.member.usable && seat.member.holds(version) && !out && seat.limiter.room() > 0
+        })
+    }
+
+    /// Chooses an endpoint with a free slot and takes it. Endpoints tried before come last.
+    pub fn take(&mut self, shared: &Arc<Shared>, job: &Job, now: Moment) -> Option<Permit> {
+        let random: u64 = rand::random();
+        let mut candidates = self.candidates(job, now);
+        let again = candidates.clone();
+        for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
+            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        }
+        let chosen = choice::choose(&candidates, job.prefix, random, &self.choice)
+            .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))?;
+        let seat = &mut self.seats[chosen];
+        if !seat.limiter.acquire() {
+            return None;
+        }
+        self.health.sent(&seat.member.endpoint, now);
+        let slot = Slot {
+            endpoint: seat.member.endpoint.clone(),
+            zone: seat.member.zone.clone(),
+            address: seat.member.address,
+            version: job.version.clone(),
+            dispatch: None,
+            since: now,
+        };
+        Some(Permit::new(Arc::clone(shared), slot))
+    }
+
+    fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
+        let candidate = |seat: &Seat| {
+            let healthy = self.health.state(&seat.member.endpoint, now) != eject::State::Out;
+            let usable = seat.member.usable && seat.member.holds(job.version.as_ref());
+            let own = seat.limiter.flying();
+            let (others, age) = seat.member.report.map_or((0, Duration::MAX), |(load, at)| {
+                let all = load.running.saturating_add(load.waiting);
+                (all.saturating_sub(own), now.since(at))
+            });
+            choice::Candidate {
+                key: seat.key,
+                usable: usable && healthy,
+                distance: seat.member.distance,
+                own,
+                limit: seat.limiter.limit(),
+                others,
+                age,
+                run: ordinary(seat.limiter.pace()),
+            }
+        };
+        self.seats.iter().map(candidate).collect()
+    }
+
+    pub fn release(
+        &mut self,
+        slot: &Slot,
+        outcome: limit::Outcome,
+        health: eject::Outcome,
+        now: Moment,
+    ) {
+        let seat = self
+            .seats
+            .iter_mut()
+            .find(|s| s.member.endpoint == slot.endpoint);
+        if let Some(seat) = seat {
+            seat.limiter.release(outcome);
+        }
+        self.health.record(&slot.endpoint, health, now);
+        let station = self.station(slot.version.as_ref());
+        if let Some(dispatch) = &slot.dispatch {
+            station.queue.done(dispatch);
+        }
+        if let limit::Outcome::Served { tokens, took } = outcome {
+            station.gate.served(tokens, took, now);
+        }
+    }
+
+    pub fn depth(&self) -> Depth {
+        Depth {
+            waiting: self.stations.iter().map(|s| s.queue.len()).sum(),
+            flying: self.seats.iter().map(|s| s.limiter.flying()).sum(),
+            slots: self.seats.iter().map(|s| s.limiter.limit()).sum(),
+            ejected: self.health.out(),
+            usable: self.seats.iter().filter(|s| s.member.usable).count(),
+        }
+    }
+}
+
+fn seat(member: Member) -> Seat {
+    Seat {
+        key: choice::key(member.endpoint.as_str()),
+        limiter: limit::Limiter::new(limit::Config::default()),
+        member,
+    }
+}
+
+/// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
+fn refresh(mut seat: Seat, member: Member) -> Seat {
+    if let Some((report, at)) = member.report
+        && seat.member.report.is_none_or(|(_, seen)| seen < at)
+    {
+        seat.limiter.report(report);
+    }
+    seat.member = member;
+    seat
+}
+
+fn ordinary(pace: f64) -> Duration {
+    if pace <= 0.0 {
+        return FIRST_RUN;
+    }
+    #[expect(clippy::cast_precision_loss, reason = "the constant is small")]
+    let seconds = pace * ORDINARY.0 as f64;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/scheduler/permit.rs
@@ -0,0 +1,113 @@
+//! A slot at an endpoint, given back with what was learnt from the call.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use pimento_endpoint::Fault;
+use pimento_policy::eject;
+use pimento_policy::limit;
+use pimento_policy::queue;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use super::Shared;
+
+/// A slot as the pool gave it.
+#[derive(Debug, Clone)]
+pub(super) struct Slot {
+    pub endpoint: id::Endpoint,
+    pub zone: id::Zone,
+    pub address: SocketAddr,
+    pub version: Option<id::Version>,
+    pub dispatch: Option<queue::Dispatch>,
+    pub since: Moment,
+}
+
+/// The right to make one call at one endpoint. Dropped without a word, it says nothing about the
+/// endpoint's health.
+#[derive(Debug)]
+pub struct Permit {
+    shared: Arc<Shared>,
+    slot: Slot,
+    ended: bool,
+}
+
+impl Permit {
+    pub(super) const fn new(shared: Arc<Shared>, slot: Slot) -> Self {
+        Self {
+            shared,
+            slot,
+            ended: false,
+        }
+    }
+
+    /// Takes the slot out without giving it back, for a holder of the pool's lock.
+    pub(super) fn defuse(mut self) -> Slot {
+        self.ended = true;
+        self.slot.clone()
+    }
+
+    pub(super) const fn dispatched(&mut self, dispatch: queue::Dispatch) {
+        self.slot.dispatch = Some(dispatch);
+    }
+
+    /// The endpoint.
+    #[must_use]
+    pub const fn endpoint(&self) -> &id::Endpoint {
+        &self.slot.endpoint
+    }
+
+    /// Its zone.
+    #[must_use]
+    pub const fn zone(&self) -> &id::Zone {
+        &self.slot.zone
+    }
+
+    /// Where it is.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.slot.address
+    }
+
+    /// Gives the slot back after a whole answer of `tokens`, prompt included.
+    pub fn served(mut self, tokens: Tokens) {
+        let now = self.shared.clock.now();
+        let took = now.since(self.slot.since);
+        #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
+        let pace = took.as_secs_f64() / tokens.0.max(1) as f64;
+        let outcome = limit::Outcome::Served { tokens, took };
+        self.end(outcome, eject::Outcome::Served { pace }, now);
+    }
+
+    /// Gives the slot back after a fault.
+    pub fn failed(mut self, fault: &Fault) {
+        let now = self.shared.clock.now();
+        let (limit, health) = match fault {
+            Fault::Refused { .. } => (limit::Outcome::Overload, eject::Outcome::Unknown),
+            Fault::Timeout => (limit::Outcome::Overload, eject::Outcome::Failed),
+            Fault::Cancelled => (limit::Outcome::Unknown, eject::Outcome::Unknown),
+            Fault::Unreachable { .. }
+            | Fault::Failed { .. }
+            | Fault::Cut { .. }
+            | Fault::Nonsense { .. } => (limit::Outcome::Unknown, eject::Outcome::Failed),
+        };
+        self.end(limit, health, now);
+    }
+
+    fn end(&mut self, limit: limit::Outcome, health: eject::Outcome, now: Moment) {
+        self.ended = true;
+        let mut inner = self.shared.lock();
+        inner.release(&self.slot, limit, health, now);
+        inner.pump(&self.shared, now);
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if !self.ended {
+            let now = self.shared.clock.now();
+            self.end(limit::Outcome::Unknown, eject::Outcome::Unknown, now);
+        }
+    }
+}
