Contract tests of the stand-ins, and two faults that they found

Cause: stand-ins that don't do what their fault table says would prove nothing about the product. Change: tables of faults by what a caller sees, file-driven trace tests; latencies past the first size of a histogram were cut off, and a cut stream lost the last event before the cut: both mended. Ruled out: testing the load generator against the product only, since a check must be seen to fail. Conclusion: stand-ins and load generator can be used for trials.

--- a/crates/standin/src/body.rs
+++ b/crates/standin/src/body.rs
@@ -30,6 +30,7 @@
     mangle: Mangle,
     number: u64,
     sent: u64,
+    flushed: bool,
     held: Option<Bytes>,
     ready: VecDeque<Bytes>,
 }
@@ -43,6 +44,7 @@
             mangle: Mangle::default(),
             number: 0,
             sent: 0,
+            flushed: false,
             held: None,
             ready: VecDeque::new(),
         })
@@ -74,7 +76,15 @@
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<io::Result<Bytes>>> {
         loop {
             if self.mangle.cut.is_some_and(|after| self.sent >= after) {
-                return Poll::Ready(Some(Err(io::Error::other("cut by the fault table"))));
+                if self.flushed {
+                    let error = io::Error::other("cut by the fault table");
+                    return Poll::Ready(Some(Err(error)));
+                }
+                // An error makes the server drop what it has not written yet, so that it must get
+                // a turn to write the events before the cut.
+                self.flushed = true;
+                context.waker().wake_by_ref();
+                return Poll::Pending;
             }
             if self.mangle.stall.is_some_and(|event| self.sent >= event) {
                 // Nobody wakes this task again: the stream stands still until its reader leaves.
--- a/crates/standin/src/load/histogram.rs
+++ b/crates/standin/src/load/histogram.rs
@@ -9,6 +9,9 @@
 /// Significant digits kept of each latency.
 const DIGITS: u8 = 3;
 
+/// The longest latency told apart, in microseconds: an hour. No call waits longer.
+const LONGEST: u64 = 3_600_000_000;
+
 /// Latencies in microseconds.
 #[derive(Debug, Clone)]
 pub struct Latency(Histogram<u64>);
@@ -34,18 +37,28 @@
 impl Latency {
     /// Records one latency.
     pub fn record(&mut self, latency: Duration) {
-        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        // The histogram grows as needed, and zero counts as the smallest value.
-        self.0.saturating_record(micros.max(1));
+        self.add(u64::try_from(latency.as_micros()).unwrap_or(u64::MAX), 1);
     }
 
     /// Adds another one's latencies.
     pub fn merge(&mut self, other: &Bins) {
         for (micros, count) in &other.0 {
-            self.0.saturating_record_n((*micros).max(1), *count);
+            self.add(*micros, *count);
         }
     }
 
+    /// # Panics
+    ///
+    /// Never: the histogram grows up to the longest latency.
+    fn add(&mut self, micros: u64, count: u64) {
+        let micros = micros.clamp(1, LONGEST);
+        // The library's saturating way of recording would not grow the histogram and cut
+        // latencies off at its first size.
+        self.0
+            .record_n(micros, count)
+            .expect("a histogram that grows");
+    }
+
     /// The latency below which this share lies, in milliseconds; none if there are no records.
     #[must_use]
     pub fn quantile(&self, share: f64) -> Option<f64> {
--- /dev/null
+++ b/crates/standin/tests/all/load.rs
@@ -0,0 +1,183 @@
+//! The load generator sees through answers that break a promise.
+//!
+//! The calls go straight to stand-ins, whose answers have the same form as the product's. The
+//! class is named like the version, which is what an engine takes as `model`.
+
+use std::time::Duration;
+
+use indicatif::ProgressBar;
+use pimento_standin::Running;
+use pimento_standin::Site;
+use pimento_standin::engine;
+use pimento_standin::fault::Action;
+use pimento_standin::fault::Rule;
+use pimento_standin::load::allowed::Allowed;
+use pimento_standin::load::drive;
+use pimento_standin::load::judge::Bills;
+use pimento_standin::load::judge::Evidence;
+use pimento_standin::load::plot;
+use pimento_standin::load::result::Report;
+use pimento_standin::load::trace;
+use pimento_standin::service;
+use pimento_units::Money;
+use pimento_units::Share;
+use tokio_util::sync::CancellationToken;
+
+const STREAMED: &str = "0 garage m@1 5 6 stream - -";
+const WHOLE: &str = "0 garage m@1 5 6 whole - -";
+
+async fn engine() -> Running<engine::Engine> {
+    let version = "m@1".parse().unwrap();
+    let mut config = engine::Config::new("engine-0".parse().unwrap(), [version]);
+    config.settings.token_us = 100;
+    engine::start(config, CancellationToken::new())
+        .await
+        .unwrap()
+}
+
+async fn service() -> Running<service::Service> {
+    let config = service::Config::new("desk-0".parse().unwrap());
+    service::start(config, CancellationToken::new())
+        .await
+        .unwrap()
+}
+
+async fn run<S: Site>(running: &Running<S>, lines: &str, versions: &str) -> Report {
+    let mut allowed = Allowed::default();
+    let contract = format!(
+        "[[contract]]\ncustomer = \"garage\"\n[[contract.class]]\nname = \"m@1\"\nversions = [{versions}]\n"
+    );
+    allowed.add(&contract).unwrap();
+    let config = drive::Config {
+        targets: vec![running.address.to_string()],
+        prefix: "key-".to_owned(),
+        allowed,
+        timeout: Duration::from_secs(20),
+        retries: Share::ONE,
+        patience: Duration::from_secs(5),
+    };
+    let arrivals = trace::parse(lines).unwrap();
+    drive::drive(config, &arrivals, &ProgressBar::hidden()).await
+}
+
+/// How the one call of a run ended, in the words of the report.
+fn ended(report: &Report) -> String {
+    let row = &report.rows[0];
+    let named = |kind: &str, counts: &[pimento_standin::tally::Count]| {
+        counts.first().map(|count| format!("{kind}: {}", count.key))
+    };
+    named("broken", &row.broken)
+        .or_else(|| named("failed", &row.failed))
+        .or_else(|| named("refused", &row.refused))
+        .unwrap_or_else(|| format!("served: {}", row.served))
+}
+
+#[tokio::test]
+async fn answers_are_seen_through() {
+    let cases: [(&str, Option<Action>, &str, &str); 8] = [
+        (WHOLE, None, "\"m@1\"", "served: 1"),
+        (STREAMED, None, "\"m@1\"", "served: 1"),
+        (WHOLE, None, "\"m@2\"", "broken: version"),
+        (
+            STREAMED,
+            Some(Action::Skip { event: 6 }),
+            "\"m@1\"",
+            "broken: partial",
+        ),
+        (
+            STREAMED,
+            Some(Action::Skip { event: 2 }),
+            "\"m@1\"",
+            "broken: partial",
+        ),
+        (
+            STREAMED,
+            Some(Action::Cut { after: 3 }),
+            "\"m@1\"",
+            "failed: stream cut off",
+        ),
+        (
+            WHOLE,
+            Some(Action::LoseAnswer),
+            "\"m@1\"",
+            "failed: connection lost",
+        ),
+        (WHOLE, Some(Action::Garbage), "\"m@1\"", "broken: body"),
+    ];
+    for (line, action, versions, wanted) in cases {
+        let engine = engine().await;
+        let name = format!("{line} {action:?}");
+        engine.faults.rules(action.map(Rule::new));
+        let report = run(&engine, line, versions).await;
+        assert_eq!(ended(&report), wanted, "{name}");
+    }
+}
+
+#[tokio::test]
+async fn a_refusal_without_the_documented_body_is_a_breach() {
+    let engine = engine().await;
+    engine.site.change(|s| s.batch = 0);
+    engine.site.change(|s| s.waiting = 0);
+    let report = run(&engine, WHOLE, "\"m@1\"").await;
+    assert_eq!(ended(&report), "broken: error body");
+}
+
+/// The second call on one id reaches a replica that runs whatever it gets. Both callers get an
+/// answer; the judgement must find the doubled run, and that only one bill is right.
+#[tokio::test]
+async fn a_doubled_order_is_found() {
+    let service = service().await;
+    let lines = "0 garage service:desk 3 0 whole - k\n50 garage service:desk 3 0 whole - k";
+    let report = run(&service, lines, "").await;
+    assert_eq!(report.keyed.len(), 1);
+    let mut evidence = Evidence {
+        report,
+        bills: vec![bills(1)],
+        engines: Vec::new(),
+        services: vec![service.site.stats()],
+        withdrawn: Vec::new(),
+        overload: false,
+        quiet: Vec::new(),
+    };
+    assert!(!kept(
+        &evidence,
+        "each order runs at most once, and once if it was answered"
+    ));
+    assert!(kept(&evidence, "each served request is billed once"));
+    evidence.bills = vec![bills(2)];
+    assert!(!kept(&evidence, "each served request is billed once"));
+}
+
+fn bills(bills: u64) -> Bills {
+    Bills {
+        customer: "garage".parse().unwrap(),
+        bills,
+        charge: Money::ZERO,
+        cost: Money::ZERO,
+    }
+}
+
+fn kept(evidence: &Evidence, name: &str) -> bool {
+    let promises = evidence.promises();
+    promises
+        .iter()
+        .find(|promise| promise.name == name)
+        .unwrap()
+        .kept()
+}
+
+#[tokio::test]
+async fn latency_counts_from_the_intended_moment_and_is_plotted() {
+    let engine = engine().await;
+    engine.site.change(|s| {
+        s.batch = 1;
+        s.token_us = 10_000;
+    });
+    // Two calls at once on a batch of one: the second waits for the first one's six tokens.
+    let lines = format!("{WHOLE}\n{WHOLE}");
+    let report = run(&engine, &lines, "\"m@1\"").await;
+    let last = pimento_standin::load::histogram::Latency::from(&report.rows[0].last);
+    assert!(last.quantile(1.0).unwrap() >= 120.0);
+    let svg = plot::draw(&[("run".to_owned(), report)]).unwrap();
+    assert!(svg.starts_with("<svg") && svg.contains("m@1 (n=2)"));
+}
