--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -11,8 +11,10 @@
 
 use model::node::Choice;
 use model::node::Mechanisms;
+use model::scenario::CLASSES;
 use model::scenario::NAMES;
 use model::scenario::Scenario;
+use model::summary::Counts;
 use model::summary::Summary;
 use model::world;
 
@@ -99,6 +101,12 @@
                 .action(ArgAction::SetTrue),
         )
         .arg(Arg::new("only").long("only").help("One scenario"))
+        .arg(
+            Arg::new("classes")
+                .long("classes")
+                .action(ArgAction::SetTrue)
+                .help("Answers of each class"),
+        )
         .arg(
             Arg::new("brief")
                 .long("brief")
@@ -128,6 +136,9 @@
         .filter(|name| only.is_none_or(|only| only == *name))
     {
         table(name, &ROWS[..rows]);
+        if matches.get_flag("classes") {
+            classes(name);
+        }
     }
 }
 
@@ -169,3 +180,13 @@
         time(summary.cost),
     ]
 }
+
+/// Prints what became of each class with all mechanisms at work.
+fn classes(name: &str) {
+    let scenario = Scenario::load(name);
+    let world = world::run(&scenario, ALL);
+    for (number, class) in CLASSES.iter().enumerate() {
+        let counts = Counts::of(&world, number);
+        println!("{name} {}: {counts:?}", class.name);
+    }
+}
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -193,8 +193,11 @@
         self.expiry
     }
 
-    /// Work that would be served before a job of `tokens` that joined now: all of higher classes,
-    /// and of its own class what the other customers may send until its turn.
+    /// Work that would be served before a job of `tokens` that joined now: all that waits in
+    /// higher classes, of its own class what the other customers may send until its turn, and what
+    /// higher classes are going to take meanwhile, by what they took lately. Without the last a
+    /// long answer is let in under overload, waits behind short ones that come after it, and hears
+    /// only when its time is up that it can't be served.
     #[must_use]
     pub fn ahead(
         &self,
@@ -203,20 +206,28 @@
         priority: u8,
         tokens: Tokens,
     ) -> Tokens {
-        let mut work = 0.0;
-        let mut lower = 0;
-        for lane in &self.lanes {
-            let waits = lane.waits();
-            match lane.priority().cmp(&priority) {
-                std::cmp::Ordering::Less => work += number::float(lane.backlog().0),
-                std::cmp::Ordering::Equal => {
-                    work += lane.ahead(customer, weight, tokens, self.config.quantum);
-                }
-                std::cmp::Ordering::Greater => lower += u32::from(waits),
-            }
-        }
-        let reserved = (self.config.minimum * f64::from(lower)).min(0.9);
-        Tokens(number::whole(work / (1.0 - reserved)))
+        let higher = self.lanes.iter().filter(|lane| lane.priority() < priority);
+        let waiting: Tokens = higher.map(Lane::backlog).sum();
+        let own = self
+            .place(priority)
+            .ok()
+            .map(|place| self.lanes[place].ahead(customer, weight, tokens, self.config.quantum));
+        let work = number::float(waiting.0) + own.unwrap_or(0.0);
+        Tokens(number::whole(work / self.part(priority)))
+    }
+
+    /// The part of the drain that a class and those before it can count on.
+    fn part(&self, priority: u8) -> f64 {
+        let all: f64 = self.lanes.iter().map(Lane::served).sum();
+        let others = |lane: &&Lane| lane.priority() < priority;
+        let higher: f64 = self.lanes.iter().filter(others).map(Lane::served).sum();
+        let lower = self
+            .lanes
+            .iter()
+            .filter(|lane| lane.priority() > priority && lane.waits());
+        let reserved = lower.fold(0.0, |sum, _| sum + self.config.minimum);
+        let free = 1.0 - reserved - higher / all.max(1.0);
+        free.max(self.config.minimum)
     }
 
     /// All waiting work.
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -9,6 +9,10 @@
 use super::Job;
 use crate::number;
 
+/// What is left of the memory of served work after a dispatch: that of the last hundred or so
+/// counts, enough to average over sizes and few enough to follow a change of load in seconds.
+const FORGET: f64 = 0.99;
+
 /// A waiting job.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Entry {
@@ -39,6 +43,7 @@
     ring: VecDeque<u32>,
     backlog: u64,
     credit: f64,
+    served: f64,
 }
 
 impl Flow {
@@ -98,6 +103,7 @@
             ring: VecDeque::new(),
             backlog: 0,
             credit: 0.0,
+            served: 0.0,
         }
     }
 
@@ -117,7 +123,14 @@
         self.credit
     }
 
+    /// Work dispatched from this class lately.
+    pub(super) const fn served(&self) -> f64 {
+        self.served
+    }
+
+    /// Another class was served: a class that waits earns its minimum share of that.
     pub(super) fn earn(&mut self, credit: f64) {
+        self.served *= FORGET;
         if self.waits() {
             self.credit += credit;
         } else {
@@ -125,8 +138,11 @@
         }
     }
 
+    /// This class was served.
     pub(super) fn debit(&mut self, tokens: Tokens) {
-        self.credit = (self.credit - number::float(tokens.0)).max(0.0);
+        let tokens = number::float(tokens.0);
+        self.served = self.served * FORGET + tokens;
+        self.credit = (self.credit - tokens).max(0.0);
     }
 
     pub(super) fn ready(&self, now: Moment, long: bool) -> bool {
--- a/crates/policy/tests/model/summary.rs
+++ b/crates/policy/tests/model/summary.rs
@@ -146,3 +146,38 @@
         others.map(|(_, served)| *served).fold(1.0, f64::min)
     }
 }
+
+/// What became of the requests of one class.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Counts {
+    pub served: usize,
+    /// Refused at the door, within a tenth of a second.
+    pub refused: usize,
+    /// Refused after waiting.
+    pub expired: usize,
+    /// Given up on by the caller before or after it was sent.
+    pub late: usize,
+    pub cut: usize,
+    pub failed: usize,
+}
+
+impl Counts {
+    pub fn of(world: &World, class: usize) -> Self {
+        let mut counts = Self::default();
+        let first = world.requests.iter().filter(|r| r.origin.is_none());
+        for request in first.filter(|r| r.arrival.class == class) {
+            let place = match request.answer {
+                Answer::Served => &mut counts.served,
+                Answer::Refused { .. } if request.ended - request.arrival.at < 0.1 => {
+                    &mut counts.refused
+                }
+                Answer::Refused { .. } => &mut counts.expired,
+                Answer::Late if request.attempts > 0 => &mut counts.cut,
+                Answer::Late | Answer::Pending => &mut counts.late,
+                Answer::Failed => &mut counts.failed,
+            };
+            *place += 1;
+        }
+        counts
+    }
+}
