--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -79,7 +79,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            headroom: 0.9,
+            headroom: 0.6,
             memory: Duration::from_secs(10),
             pace: 50.0,
             soonest: Duration::from_secs(1),
