--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -64,6 +64,10 @@
     /// Share of the time left that waiting and running may be expected to take. Below one, as the
     /// estimates err: a request admitted to the last moment is as often late as not.
     pub headroom: f64,
+    /// The same share for a request that comes back when it was told to.
+    pub returning: f64,
+    /// Share of the drain by which the refused are called back in.
+    pub kept: f64,
     /// Half-life of the drain rate's memory.
     pub memory: Duration,
     /// Tokens a second that one slot serves, until the first answers were measured.
@@ -80,10 +84,12 @@
     fn default() -> Self {
         Self {
             headroom: 0.6,
+            returning: 0.9,
+            kept: 0.5,
             memory: Duration::from_secs(10),
             pace: 50.0,
             soonest: Duration::from_secs(1),
-            latest: Duration::from_mins(1),
+            latest: Duration::from_mins(2),
             spread: 0.25,
         }
     }
@@ -126,6 +132,7 @@
     tokens: f64,
     busy: f64,
     at: Moment,
+    called: Moment,
 }
 
 impl Gate {
@@ -137,6 +144,7 @@
             tokens: config.pace,
             busy: 1.0,
             at: Moment::ZERO,
+            called: Moment::ZERO,
         }
     }
 
@@ -173,25 +181,50 @@
         number::seconds(number::float(work.0) / rate)
     }
 
-    /// Decides on a request.
+    /// Decides on a request that comes for the first time.
     #[must_use]
-    pub fn decide(&self, demand: Demand, now: Moment, random: u64) -> Verdict {
-        let left = demand.deadline.since(now).mul_f64(self.config.headroom);
-        let slack = left.saturating_sub(demand.run);
+    pub fn decide(&mut self, demand: Demand, now: Moment, random: u64) -> Verdict {
+        self.judge(demand, self.config.headroom, now, random)
+    }
+
+    /// Decides on a request that was refused before and comes back when it was told to. It may
+    /// wait longer than a new one, so that the time it was given is kept; a caller's request id
+    /// tells, at any node, that it was made a while ago.
+    #[must_use]
+    pub fn welcome(&mut self, demand: Demand, now: Moment, random: u64) -> Verdict {
+        self.judge(demand, self.config.returning, now, random)
+    }
+
+    fn judge(&mut self, demand: Demand, headroom: f64, now: Moment, random: u64) -> Verdict {
+        let whole = demand.deadline.since(now);
+        let slack = whole.mul_f64(headroom).saturating_sub(demand.run);
         let wait = self.expected(demand);
-        if wait <= slack && !left.is_zero() {
-            let start_by = now + demand.deadline.since(now).saturating_sub(demand.run);
+        if wait <= slack && !whole.is_zero() {
+            let start_by = now + whole.saturating_sub(demand.run);
             return Verdict::Admit { start_by };
         }
-        let after = self.after(wait.saturating_sub(slack), random);
+        let after = self.promise(demand, wait.saturating_sub(slack), now, random);
         Verdict::Refuse { after }
     }
 
     /// When a request that was given up on while it waited may come back: once the work that is
     /// still ahead of it has drained.
     #[must_use]
-    pub fn again(&self, demand: Demand, random: u64) -> Duration {
-        self.after(self.expected(demand), random)
+    pub fn again(&mut self, demand: Demand, now: Moment, random: u64) -> Duration {
+        let wait = self.expected(demand);
+        self.promise(demand, wait, now, random)
+    }
+
+    /// Gives a time to come back that nobody else was given: the refused are called in one after
+    /// the other, by the share of the drain that is kept for them. Told all the same, they would
+    /// come all at once and be refused again.
+    fn promise(&mut self, demand: Demand, wait: Duration, now: Moment, random: u64) -> Duration {
+        let earliest = (now + wait.max(self.config.soonest)).max(self.called);
+        let latest = now + self.config.latest;
+        let slots = f64::from(demand.slots.max(1)) * self.config.kept.max(0.01);
+        let hold = number::seconds(demand.run.as_secs_f64() / slots);
+        self.called = (earliest + hold).min(latest);
+        self.after(earliest.min(latest).since(now), random)
     }
 
     fn expected(&self, demand: Demand) -> Duration {
@@ -203,8 +236,6 @@
 
     fn after(&self, wait: Duration, random: u64) -> Duration {
         let spread = 1.0 + self.config.spread * number::unit(random);
-        number::seconds(wait.as_secs_f64() * spread)
-            .max(self.config.soonest)
-            .min(self.config.latest)
+        number::seconds(wait.as_secs_f64() * spread).max(self.config.soonest)
     }
 }
--- a/crates/policy/tests/model/node.rs
+++ b/crates/policy/tests/model/node.rs
@@ -209,6 +209,7 @@
     pub fn enter(
         &mut self,
         request: usize,
+        back: bool,
         arrival: &Arrival,
         deadline: f64,
         now: f64,
@@ -217,7 +218,12 @@
         if self.mechanisms.admission {
             let demand = self.demand(arrival, deadline, now);
             let random = self.random.bits();
-            match self.gate.decide(demand, moment(now), random) {
+            let verdict = if back {
+                self.gate.welcome(demand, moment(now), random)
+            } else {
+                self.gate.decide(demand, moment(now), random)
+            };
+            match verdict {
                 admission::Verdict::Admit { start_by } => latest = start_by,
                 admission::Verdict::Refuse { after } => return Some(after.as_secs_f64()),
             }
@@ -238,7 +244,7 @@
     pub fn again(&mut self, arrival: &Arrival, now: f64) -> f64 {
         let demand = self.demand(arrival, now, now);
         let random = self.random.bits();
-        self.gate.again(demand, random).as_secs_f64()
+        self.gate.again(demand, moment(now), random).as_secs_f64()
     }
 
     pub fn slots(&self, now: f64) -> u32 {
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -221,7 +221,8 @@
     fn arrive(&mut self, request: usize) {
         let Request { arrival, node, .. } = self.requests[request];
         let deadline = arrival.at + CLASSES[arrival.class].timeout;
-        let refused = self.nodes[node].enter(request, &arrival, deadline, self.now);
+        let back = self.requests[request].origin.is_some();
+        let refused = self.nodes[node].enter(request, back, &arrival, deadline, self.now);
         match refused {
             Some(after) => self.refuse(request, after),
             None => self.dispatch(node),
