--- a/crates/control/src/placement.rs
+++ b/crates/control/src/placement.rs
@@ -78,6 +78,9 @@
 
 /// Assigns versions to engines. `keep` are versions without demand that stay where they are held
 /// while there is room; `room` is the most versions that an engine holds.
+///
+/// Carried out and computed anew, an assignment stays as it is: else versions would be loaded back
+/// and forth for ever where room is short.
 #[must_use]
 pub fn assign(
     engines: &[Engine],
@@ -85,65 +88,126 @@
     keep: &[id::Version],
     room: usize,
 ) -> Vec<Plan> {
-    let mut plans: Vec<Plan> = engines
-        .iter()
-        .map(|engine| Plan {
-            endpoint: engine.endpoint.clone(),
-            versions: Vec::new(),
-        })
-        .collect();
+    let mut board = Board::new(engines, demands, keep, room);
+    board.trim();
     // One engine for each version first, so that a pool short of room starves no version.
     for demand in demands {
-        spread(engines, &mut plans, &demand.version, 1, room);
+        board.raise(&demand.version, 1, 1);
     }
     for demand in demands {
-        let wanted = replicas(demand.share, engines.len());
-        spread(engines, &mut plans, &demand.version, wanted, room);
-    }
-    let demanded = demands.iter().map(|demand| &demand.version);
-    for version in demanded.chain(keep) {
-        retain(engines, &mut plans, version, room);
+        let wanted = board.wanted(&demand.version);
+        board.raise(&demand.version, wanted, 0);
     }
-    plans
+    board.plans
 }
 
-fn replicas(share: Share, engines: usize) -> usize {
-    let engines = engines as u64;
-    let parts = u64::from(share.parts()) * engines;
-    let wanted = parts.div_ceil(u64::from(PARTS)).clamp(1, engines.max(1));
-    usize::try_from(wanted).unwrap_or(usize::MAX)
+/// An assignment under construction.
+struct Board {
+    plans: Vec<Plan>,
+    /// Engines wanted for each version, sorted by version; none for those kept without demand.
+    wants: Vec<(id::Version, usize)>,
+    room: usize,
 }
 
-/// Adds `version` to plans until `wanted` of them have it: first where it is held, then where the
-/// fewest versions are, then by rendezvous hash, so that all instances choose alike.
-fn spread(
-    engines: &[Engine],
-    plans: &mut [Plan],
-    version: &id::Version,
-    wanted: usize,
-    room: usize,
-) {
-    let done = plans.iter().filter(|plan| plan.has(version)).count();
-    let mut places: Vec<usize> = (0..plans.len())
-        .filter(|at| !plans[*at].has(version) && plans[*at].versions.len() < room)
-        .collect();
-    places.sort_by_key(|at| {
-        let held = engines[*at].held.binary_search(version).is_ok();
-        let rank = rendezvous(&engines[*at].endpoint, version);
-        (!held, plans[*at].versions.len(), rank)
-    });
-    for at in places.into_iter().take(wanted.saturating_sub(done)) {
-        plans[at].add(version);
+impl Board {
+    /// Begins with what the engines hold and may go on holding.
+    fn new(engines: &[Engine], demands: &[Demand], keep: &[id::Version], room: usize) -> Self {
+        let kept = keep.iter().map(|version| (version.clone(), 0));
+        let demanded = demands.iter().map(|demand| {
+            let wanted = replicas(demand.share, engines.len());
+            (demand.version.clone(), wanted)
+        });
+        let mut wants: Vec<_> = kept.chain(demanded).collect();
+        wants.sort();
+        let known = |version: &&id::Version| wants.iter().any(|(other, _)| other == *version);
+        let plan = |engine: &Engine| Plan {
+            endpoint: engine.endpoint.clone(),
+            versions: engine.held.iter().filter(known).cloned().collect(),
+        };
+        Self {
+            plans: engines.iter().map(plan).collect(),
+            wants,
+            room,
+        }
+    }
+
+    fn wanted(&self, version: &id::Version) -> usize {
+        let mut wants = self.wants.iter();
+        wants
+            .find(|(other, _)| other == version)
+            .map_or(0, |(_, wanted)| *wanted)
+    }
+
+    fn placed(&self, version: &id::Version) -> usize {
+        self.plans.iter().filter(|plan| plan.has(version)).count()
     }
-}
 
-fn retain(engines: &[Engine], plans: &mut [Plan], version: &id::Version, room: usize) {
-    for (engine, plan) in engines.iter().zip(plans) {
-        let held = engine.held.binary_search(version).is_ok();
-        if held && plan.versions.len() < room {
-            plan.add(version);
+    /// Drops versions from engines that hold more than they should, most dispensable first.
+    fn trim(&mut self) {
+        for at in 0..self.plans.len() {
+            while self.plans[at].versions.len() > self.room {
+                let Some(version) = self.dispensable(at, |_, _| true) else {
+                    break;
+                };
+                self.plans[at].remove(&version);
+            }
         }
     }
+
+    /// The version on an engine that exceeds its wanted number most, of those that `may` go by
+    /// their placed and wanted numbers.
+    fn dispensable(&self, at: usize, may: impl Fn(usize, usize) -> bool) -> Option<id::Version> {
+        let plan = &self.plans[at];
+        let counts = plan.versions.iter().map(|version| {
+            let (placed, wanted) = (self.placed(version), self.wanted(version));
+            (version, placed, wanted)
+        });
+        let candidates = counts.filter(|(_, placed, wanted)| may(*placed, *wanted));
+        let most = candidates.max_by_key(|(version, placed, wanted)| {
+            let rank = rendezvous(&plan.endpoint, version);
+            (placed.saturating_sub(*wanted), *placed, rank)
+        });
+        most.map(|(version, _, _)| version.clone())
+    }
+
+    /// Adds a version to engines until `wanted` of them have it: where there is room, or in place
+    /// of a version that is placed more often than wanted. If `spare` is set, a version that keeps
+    /// that many engines may go too.
+    fn raise(&mut self, version: &id::Version, wanted: usize, spare: usize) {
+        while self.placed(version) < wanted {
+            let Some((at, out)) = self.place(version, spare) else {
+                return;
+            };
+            if let Some(out) = out {
+                self.plans[at].remove(&out);
+            }
+            self.plans[at].add(version);
+        }
+    }
+
+    /// The best engine for one more replica, and what must go for it. Ties are broken by rendezvous
+    /// hash, so that all instances choose alike.
+    fn place(&self, version: &id::Version, spare: usize) -> Option<(usize, Option<id::Version>)> {
+        let rest = (0..self.plans.len()).filter(|at| !self.plans[*at].has(version));
+        let rank = |at: &usize| {
+            let plan = &self.plans[*at];
+            (plan.versions.len(), rendezvous(&plan.endpoint, version))
+        };
+        let best = rest.clone().min_by_key(rank)?;
+        if self.plans[best].versions.len() < self.room {
+            return Some((best, None));
+        }
+        let may = |placed: usize, wanted: usize| placed > wanted || (spare > 0 && placed > spare);
+        rest.into_iter()
+            .find_map(|at| Some((at, Some(self.dispensable(at, may)?))))
+    }
+}
+
+fn replicas(share: Share, engines: usize) -> usize {
+    let engines = engines as u64;
+    let parts = u64::from(share.parts()) * engines;
+    let wanted = parts.div_ceil(u64::from(PARTS)).clamp(1, engines.max(1));
+    usize::try_from(wanted).unwrap_or(usize::MAX)
 }
 
 fn rendezvous(endpoint: &id::Endpoint, version: &id::Version) -> u64 {
@@ -161,4 +225,8 @@
             self.versions.insert(at, version.clone());
         }
     }
+
+    fn remove(&mut self, version: &id::Version) {
+        self.versions.retain(|other| other != version);
+    }
 }
