--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -128,3 +128,12 @@
     }
     pool.withdraw(now) && customer.withdraw(now)
 }
+
+/// Whether an attempt that reached no endpoint, such as a refused connection, is made again
+/// elsewhere. It gave nobody any work, so that it can't multiply an overload, and no budget pays
+/// for it: when a zone is lost, a budget is empty after the first calls to each of its endpoints,
+/// and callers would get errors while the other zones are well.
+#[must_use]
+pub fn elsewhere(failure: Failure, now: Moment) -> bool {
+    failure.attempts < ATTEMPTS && now + failure.run <= failure.deadline
+}
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -78,6 +78,7 @@
     sent: f64,
     first: bool,
     open: bool,
+    reached: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -340,6 +341,7 @@
             sent: self.now,
             first: false,
             open: true,
+            reached: true,
         });
         let state = &mut self.requests[request];
         if state.attempts == 0 {
@@ -368,7 +370,9 @@
         if !open {
             return;
         }
-        let fails = match self.engines[endpoint].fault(self.now) {
+        let fault = self.engines[endpoint].fault(self.now);
+        self.attempts[attempt].reached = fault != Some(Kind::Gone);
+        let fails = match fault {
             Some(Kind::Gone) => true,
             Some(Kind::Fail(share)) => self.random.unit() < share,
             _ => false,
@@ -499,7 +503,12 @@
     }
 
     fn fail(&mut self, attempt: usize, health: eject::Outcome) {
-        let Attempt { request, open, .. } = self.attempts[attempt];
+        let Attempt {
+            request,
+            open,
+            reached,
+            ..
+        } = self.attempts[attempt];
         if !open {
             return;
         }
@@ -522,7 +531,9 @@
         };
         let now = moment(self.now);
         let budgeted = owner.mechanisms.budget;
-        let again = if budgeted {
+        let again = if budgeted && !reached {
+            retry::elsewhere(failure, now)
+        } else if budgeted {
             retry::again(
                 failure,
                 &mut owner.customers[arrival.customer],
