platform: prove the HTTP clients and the appender under faults

A claim may be called not run only if its record surely is not on the log, and the memory of what waits must be bounded. Adds contract tests in tables (5 for the clients, 11 for the appender).

--- /dev/null
+++ b/crates/platform/tests/appender.rs
@@ -0,0 +1,300 @@
+//! The appender: group commit, lost answers, refusals, bounds.
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use futures::future::join_all;
+use pimento_ledger::Stream;
+use pimento_platform::Appender;
+use pimento_platform::appender::Config;
+use pimento_platform::appender::Settings;
+use pimento_platform::log::Error;
+use pimento_units::Offset;
+use support::bound;
+use support::eventually;
+use support::memory::Fault;
+use support::memory::Memory;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const STREAM: Stream = Stream::Claims;
+const SOON: Duration = Duration::from_millis(50);
+
+fn appender(log: &Memory, settings: Settings) -> Appender {
+    let config = Config::try_from(settings).unwrap();
+    Appender::start(log.clone(), config, CancellationToken::new())
+}
+
+fn usual(log: &Memory) -> Appender {
+    appender(log, Settings::default())
+}
+
+/// Waits until an append is on its way.
+async fn begun(log: &Memory) {
+    let begun = async || (log.begun(STREAM) > 0).then_some(());
+    eventually("an append on its way", begun).await;
+}
+
+#[tokio::test]
+async fn records_of_one_moment_share_an_append() {
+    let log = Memory::default();
+    let appender = usual(&log);
+    let appends = (0..100).map(|n| appender.append(STREAM, n.to_string(), bound()));
+    let offsets: Vec<Offset> = join_all(appends)
+        .await
+        .into_iter()
+        .map(Result::unwrap)
+        .collect();
+    let records = log.records(STREAM);
+    for (n, offset) in offsets.iter().enumerate() {
+        assert_eq!(records[usize::try_from(offset.0).unwrap()], n.to_string());
+    }
+    // While the first append is on its way, the others gather behind it.
+    assert!(log.appends(STREAM).len() <= 5, "{:?}", log.appends(STREAM));
+}
+
+#[tokio::test]
+async fn batches_keep_to_their_limits() {
+    let log = Memory::default();
+    let settings = Settings {
+        records: 10,
+        bytes: 40,
+        ..Settings::default()
+    };
+    let appender = appender(&log, settings);
+    let record = "8 bytes.".to_owned();
+    let appends = (0..20).map(|_| appender.append(STREAM, record.clone(), bound()));
+    assert!(join_all(appends).await.iter().all(Result::is_ok));
+    assert!(log.appends(STREAM).iter().all(|count| *count <= 5));
+    // A record over the limit goes alone.
+    assert!(
+        appender
+            .append(STREAM, "x".repeat(100), bound())
+            .await
+            .is_ok()
+    );
+    assert_eq!(log.appends(STREAM).last(), Some(&1));
+}
+
+/// The log fails in some order and then works. The caller gets an offset at which its record
+/// stands, however often it was appended; a record is on the log twice only where an answer was
+/// lost after the effect.
+#[tokio::test]
+async fn faults_before_the_deadline_are_made_good() {
+    let refuse = || Fault::Refuse(Duration::from_millis(1));
+    let cases = [
+        ("lost before the effect", vec![Fault::LoseBefore], 1),
+        ("lost after the effect", vec![Fault::LoseAfter], 2),
+        (
+            "lost after, twice",
+            vec![Fault::LoseAfter, Fault::LoseAfter],
+            3,
+        ),
+        ("refused", vec![refuse()], 1),
+        ("refused, then lost", vec![refuse(), Fault::LoseBefore], 1),
+        ("lost, then refused", vec![Fault::LoseAfter, refuse()], 2),
+    ];
+    for (what, faults, copies) in cases {
+        let log = Memory::default();
+        log.faults(faults);
+        let offset = usual(&log)
+            .append(STREAM, "mine".into(), bound())
+            .await
+            .unwrap();
+        let records = log.records(STREAM);
+        assert_eq!(records.len(), copies, "{what}");
+        assert_eq!(
+            records[usize::try_from(offset.0).unwrap()],
+            "mine",
+            "{what}"
+        );
+    }
+}
+
+/// The log does not work until the caller's time is up. "Refused" makes a caller hear "not run", so
+/// it is said only if the record surely is not on the log.
+#[tokio::test]
+async fn error_at_the_deadline_says_whether_the_record_may_be_there() {
+    let forever = Duration::from_hours(1);
+    let held = || Fault::Hold(Arc::new(AtomicBool::new(false)));
+    let cases = [
+        ("refused", vec![Fault::Refuse(forever)], false),
+        ("in flight", vec![held()], true),
+        (
+            "lost, then refused",
+            vec![Fault::LoseAfter, Fault::Refuse(forever)],
+            true,
+        ),
+        (
+            "lost, then in flight",
+            vec![Fault::LoseBefore, held()],
+            true,
+        ),
+    ];
+    for (what, faults, doubtful) in cases {
+        let log = Memory::default();
+        log.faults(faults);
+        let deadline = Instant::now() + Duration::from_millis(300);
+        let error = usual(&log)
+            .append(STREAM, "mine".into(), deadline)
+            .await
+            .unwrap_err();
+        assert_eq!(
+            matches!(error, Error::Lost { .. }),
+            doubtful,
+            "{what}: {error}"
+        );
+        if !doubtful {
+            assert!(log.records(STREAM).is_empty(), "{what}");
+        }
+    }
+}
+
+/// One append hangs, a second record waits behind it until its caller's time is up. The caller
+/// hears "refused", so the record must not be sent when the first append comes free.
+#[tokio::test]
+async fn record_refused_in_the_queue_is_never_sent() {
+    let log = Memory::default();
+    let free = Arc::new(AtomicBool::new(false));
+    log.faults([Fault::Hold(Arc::clone(&free))]);
+    let appender = usual(&log);
+    let first = {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(STREAM, "first".into(), bound()).await })
+    };
+    begun(&log).await;
+    let second = appender
+        .append(STREAM, "second".into(), Instant::now() + SOON)
+        .await;
+    assert!(matches!(second, Err(Error::Refused { .. })), "{second:?}");
+    free.store(true, Ordering::SeqCst);
+    first.await.unwrap().unwrap();
+    appender
+        .append(STREAM, "third".into(), bound())
+        .await
+        .unwrap();
+    assert_eq!(log.records(STREAM), ["first", "third"]);
+}
+
+#[tokio::test]
+async fn memory_of_what_waits_is_bounded() {
+    let log = Memory::default();
+    let free = Arc::new(AtomicBool::new(false));
+    log.faults([Fault::Hold(Arc::clone(&free))]);
+    let settings = Settings {
+        memory: 64,
+        ..Settings::default()
+    };
+    let appender = appender(&log, settings);
+    let large = {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(STREAM, "x".repeat(60), bound()).await })
+    };
+    begun(&log).await;
+    let more = appender.append(STREAM, "x".repeat(10), bound()).await;
+    assert!(matches!(more, Err(Error::Refused { .. })), "{more:?}");
+    free.store(true, Ordering::SeqCst);
+    large.await.unwrap().unwrap();
+    appender
+        .append(STREAM, "x".repeat(10), bound())
+        .await
+        .unwrap();
+}
+
+#[tokio::test]
+async fn full_queue_refuses_at_once() {
+    let log = Memory::default();
+    let free = Arc::new(AtomicBool::new(false));
+    log.faults([Fault::Hold(Arc::clone(&free))]);
+    let settings = Settings {
+        queue: 4,
+        records: 1,
+        ..Settings::default()
+    };
+    let appender = appender(&log, settings);
+    let spawn = |n: usize| {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(STREAM, n.to_string(), bound()).await })
+    };
+    let mut waiting = vec![spawn(0)];
+    begun(&log).await;
+    waiting.extend((1..20).map(spawn));
+    eventually("refusals while the queue is full", async || {
+        let refused = waiting.iter().filter(|task| task.is_finished()).count();
+        (refused == 15).then_some(())
+    })
+    .await;
+    free.store(true, Ordering::SeqCst);
+    let results = join_all(waiting).await;
+    let taken = results.iter().filter(|r| matches!(r, Ok(Ok(_)))).count();
+    assert_eq!(taken, 5, "one on its way and four in the queue");
+    assert_eq!(log.records(STREAM).len(), 5);
+}
+
+/// The log is in an outage that it announces for longer than a caller waits. The first caller finds
+/// out; those after it are refused at once, not when their time is up, and nothing is sent.
+#[tokio::test]
+async fn announced_outage_refuses_at_once() {
+    let log = Memory::default();
+    let outage = Duration::from_mins(1);
+    log.outage(Some(outage));
+    let appender = usual(&log);
+    let deadline = Instant::now() + Duration::from_secs(30);
+    let first = appender.append(STREAM, "first".into(), deadline).await;
+    assert!(matches!(first, Err(Error::Refused { .. })), "{first:?}");
+    let second = appender.append(STREAM, "second".into(), deadline).await;
+    assert!(
+        matches!(second, Err(Error::Refused { after }) if after <= outage),
+        "{second:?}"
+    );
+    assert!(Instant::now() < deadline);
+    assert!(appender.closed_until() > deadline);
+}
+
+#[tokio::test]
+async fn outage_of_one_moment_is_waited_out() {
+    let log = Memory::default();
+    log.faults([Fault::Refuse(SOON), Fault::Refuse(SOON)]);
+    let appender = usual(&log);
+    let both = [
+        appender.append(STREAM, "a".into(), bound()),
+        appender.append(STREAM, "b".into(), bound()),
+    ];
+    assert!(join_all(both).await.iter().all(Result::is_ok));
+    assert_eq!(log.records(STREAM).len(), 2);
+}
+
+#[tokio::test]
+async fn shutdown_answers_what_waits() {
+    let log = Memory::default();
+    let token = CancellationToken::new();
+    let held = Fault::Hold(Arc::new(AtomicBool::new(false)));
+    log.faults([held]);
+    let appender = Appender::start(log.clone(), Config::default(), token.clone());
+    let first = {
+        let appender = appender.clone();
+        tokio::spawn(async move { appender.append(STREAM, "first".into(), bound()).await })
+    };
+    begun(&log).await;
+    token.cancel();
+    let first = first.await.unwrap();
+    assert!(matches!(first, Err(Error::Lost { .. })), "{first:?}");
+    let late = appender.append(STREAM, "late".into(), bound()).await;
+    assert!(matches!(late, Err(Error::Refused { .. })), "{late:?}");
+}
+
+#[test]
+fn settings_of_nothing_are_found() {
+    let zero = |change: fn(&mut Settings)| {
+        let mut settings = Settings::default();
+        change(&mut settings);
+        Config::try_from(settings).is_err()
+    };
+    assert!(zero(|s| s.records = 0));
+    assert!(zero(|s| s.queue = 0));
+    assert!(zero(|s| s.memory = 0));
+}
--- /dev/null
+++ b/crates/platform/tests/kept/bills.rs
@@ -0,0 +1,276 @@
+//! Bills are held twice before the last byte, and counted once.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use pimento_ledger::Bill;
+use pimento_ledger::Stream;
+use pimento_ledger::record::Item;
+use pimento_ledger::usage;
+use pimento_platform::Appender;
+use pimento_platform::appender;
+use pimento_platform::bills::Alone;
+use pimento_platform::bills::Config;
+use pimento_platform::bills::Full;
+use pimento_platform::bills::Outbox;
+use pimento_platform::bills::Peers;
+use pimento_units::Money;
+use pimento_units::Tokens;
+use pimento_units::Wall;
+use pimento_units::id;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+use crate::faulty::Fault;
+use crate::faulty::Memory;
+
+/// Entry VMs in one process: each outbox can reach those that are not cut off.
+#[derive(Clone)]
+struct Neighbours {
+    own: id::Node,
+    all: Arc<Mutex<Vec<(id::Node, Outbox)>>>,
+}
+
+impl Neighbours {
+    fn new() -> Self {
+        Self {
+            own: node("nobody"),
+            all: Arc::default(),
+        }
+    }
+
+    fn find(&self, node: &id::Node) -> Option<Outbox> {
+        let all = self.all.lock().expect("not poisoned");
+        let found = all.iter().find(|(name, _)| name == node);
+        found.map(|(_, outbox)| outbox.clone())
+    }
+
+    fn cut(&self, node: &id::Node) {
+        let mut all = self.all.lock().expect("not poisoned");
+        all.retain(|(name, _)| name != node);
+    }
+}
+
+impl Peers for Neighbours {
+    fn peers(&self) -> Vec<id::Node> {
+        let all = self.all.lock().expect("not poisoned");
+        let others = all.iter().filter(|(name, _)| *name != self.own);
+        others.map(|(name, _)| name.clone()).collect()
+    }
+
+    async fn hold(&self, peer: &id::Node, bills: Vec<String>) -> bool {
+        self.find(peer)
+            .is_some_and(|outbox| outbox.keep(&self.own, bills))
+    }
+
+    async fn release(&self, peer: &id::Node, requests: Vec<id::Request>) {
+        if let Some(outbox) = self.find(peer) {
+            outbox.drop_copies(&self.own, &requests);
+        }
+    }
+}
+
+fn node(name: &str) -> id::Node {
+    name.parse().expect("a name")
+}
+
+fn config() -> Config {
+    Config {
+        capacity: 100,
+        copies: 100,
+        interval: Duration::from_millis(50),
+        patience: Duration::from_millis(500),
+        adopt: Duration::from_millis(300),
+        ..Config::default()
+    }
+}
+
+fn start(name: &str, log: &Memory, all: &Neighbours, token: &CancellationToken) -> Outbox {
+    let own = node(name);
+    let peers = Neighbours {
+        own: own.clone(),
+        all: Arc::clone(&all.all),
+    };
+    let appender = Appender::start(log.clone(), appender::Config::default(), token.clone());
+    let outbox = Outbox::start(config(), peers, appender, token.clone());
+    let mut all = all.all.lock().expect("not poisoned");
+    all.push((own, outbox.clone()));
+    outbox
+}
+
+fn bill(number: u128) -> Bill {
+    Bill {
+        request: id::Request(Uuid::from_u128(number)),
+        customer: "bottling".parse().expect("a name"),
+        class: None,
+        item: Item::Service("order-desk".parse().expect("a name")),
+        charge: Money::from_micros(10),
+        cost: Money::from_micros(10),
+        input: Tokens(1),
+        output: Tokens(1),
+        node: node("node-1"),
+        period: 0,
+        at: Wall::from_millis(0),
+    }
+}
+
+fn soon() -> Instant {
+    Instant::now() + Duration::from_secs(10)
+}
+
+async fn hold(outbox: &Outbox, number: u128) -> Result<(), Alone> {
+    let slot = outbox.reserve().expect("room");
+    slot.hold(&bill(number), soon()).await
+}
+
+/// What the ledger reader makes of the usage stream: bills that count, and all records.
+fn billed(log: &Memory) -> (u64, usize) {
+    let mut fold = usage::Fold::default();
+    let records = log.records(Stream::Usage);
+    for record in &records {
+        fold.apply(&serde_json::from_str(record).expect("a bill"));
+    }
+    let bills = fold.totals().first().map_or(0, |total| total.bills);
+    (bills, records.len())
+}
+
+async fn until(mut holds: impl FnMut() -> bool) {
+    let deadline = soon();
+    while !holds() {
+        assert!(Instant::now() < deadline, "not reached in time");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// The log is out when an answer ends, and the VM that served it is lost right after the last
+/// byte. Its peer holds the bill and appends it when the log is back: billed, and once.
+#[tokio::test(start_paused = true)]
+async fn a_lost_vms_bill_is_appended_by_its_peer() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let dies = CancellationToken::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &dies);
+    let two = start("node-2", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    hold(&one, 1).await.expect("the peer holds it");
+    assert_eq!(two.copies(), 1);
+    dies.cancel();
+    all.cut(&node("node-1"));
+    log.fail_appends(Fault::None);
+    until(|| billed(&log).0 == 1).await;
+    until(|| two.copies() == 0).await;
+    token.cancel();
+}
+
+/// The log takes bills and loses its answers for a while, so that each is appended again and again
+/// by both holders. The customer pays for each request once.
+#[tokio::test(start_paused = true)]
+async fn lost_answers_bill_once() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    let two = start("node-2", &log, &all, &token);
+    log.fail_appends(Fault::LoseAnswer);
+    for number in 0..20 {
+        hold(&one, number).await.expect("the peer holds it");
+    }
+    until(|| billed(&log).1 > 40).await;
+    log.fail_appends(Fault::None);
+    until(|| one.waiting() == 0 && two.copies() == 0).await;
+    assert_eq!(billed(&log).0, 20);
+    token.cancel();
+}
+
+/// A VM alone in all reach still answers: the log itself holds the bill before the last byte.
+#[tokio::test(start_paused = true)]
+async fn without_a_peer_the_log_holds_the_bill() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    hold(&one, 1).await.expect("the log holds it");
+    assert_eq!(billed(&log).0, 1);
+    token.cancel();
+}
+
+/// Neither a peer nor the log can be reached. The bill has one holder and the caller doesn't get
+/// the last byte; nothing is billed for what was not delivered whole.
+#[tokio::test(start_paused = true)]
+async fn alone_and_cut_off_nothing_is_billed() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    let slot = one.reserve().expect("room");
+    let deadline = Instant::now() + Duration::from_millis(300);
+    assert_eq!(slot.hold(&bill(1), deadline).await, Err(Alone));
+    assert_eq!(one.waiting(), 0);
+    log.fail_appends(Fault::None);
+    hold(&one, 2).await.expect("the log holds it");
+    assert_eq!(billed(&log).0, 1);
+    token.cancel();
+}
+
+/// The log is out for long, and the peer that held the copies is lost. Another peer gets them, so
+/// that the next loss takes no bill along.
+#[tokio::test(start_paused = true)]
+async fn copies_of_a_lost_peer_are_made_anew() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let dies = CancellationToken::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    let _two = start("node-2", &log, &all, &dies);
+    log.fail_appends(Fault::Refuse);
+    hold(&one, 1).await.expect("the peer holds it");
+    dies.cancel();
+    all.cut(&node("node-2"));
+    let three = start("node-3", &log, &all, &token);
+    until(|| three.copies() == 1).await;
+    token.cancel();
+}
+
+/// The log is out for so long that the outbox is full. Further requests are refused before they
+/// are sent anywhere, and are taken again once bills have gone to the log.
+#[tokio::test(start_paused = true)]
+async fn a_full_outbox_refuses_before_dispatch() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    let _two = start("node-2", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    for number in 0..100 {
+        hold(&one, number).await.expect("the peer holds it");
+    }
+    assert_eq!(one.reserve().expect_err("full"), Full);
+    log.fail_appends(Fault::None);
+    until(|| one.reserve().is_ok()).await;
+    until(|| billed(&log).0 == 100).await;
+    token.cancel();
+}
+
+/// A VM shuts down. All its bills, and the copies it keeps for others, are on the log before its
+/// process ends.
+#[tokio::test(start_paused = true)]
+async fn a_shutdown_leaves_nothing_behind() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    let two = start("node-2", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    for number in 0..10 {
+        hold(&one, number).await.expect("the peer holds it");
+    }
+    log.fail_appends(Fault::None);
+    assert_eq!(one.flush(soon()).await, 0);
+    assert_eq!(two.flush(soon()).await, 0);
+    assert_eq!(billed(&log).0, 10);
+    token.cancel();
+}
--- /dev/null
+++ b/crates/platform/tests/kept/lease.rs
@@ -0,0 +1,117 @@
+//! One holder at a time, also when it was paused.
+
+use std::time::Duration;
+
+use pimento_ledger::Stream;
+use pimento_platform::Appender;
+use pimento_platform::Follower;
+use pimento_platform::appender;
+use pimento_platform::lease::Config;
+use pimento_platform::lease::Fencing;
+use pimento_platform::lease::Lease;
+use pimento_platform::lease::View;
+use pimento_units::Offset;
+use pimento_units::Span;
+use pimento_units::id;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+use crate::faulty::Fault;
+use crate::faulty::Memory;
+
+const SPAN: Duration = Duration::from_millis(900);
+
+fn resource() -> id::Resource {
+    "orders:pimento-llm:kig-remera".parse().expect("a name")
+}
+
+fn lease(log: &Memory, node: &str, token: &CancellationToken) -> Lease {
+    let config = Config {
+        span: Span::from(SPAN),
+        margin: SPAN / 9,
+    };
+    let appender = Appender::start(log.clone(), appender::Config::default(), token.clone());
+    let view = View::default();
+    let follower = Follower::start(log.clone(), Stream::Leases, Offset(0), view, token.clone());
+    let node = node.parse().expect("a name");
+    Lease::start(resource(), node, config, appender, follower, token.clone())
+}
+
+async fn held(lease: &Lease) -> Fencing {
+    let deadline = Instant::now() + Duration::from_secs(20);
+    loop {
+        if let Some(fencing) = lease.held() {
+            return fencing;
+        }
+        assert!(Instant::now() < deadline, "not held in time");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// Two nodes want one lease. One gets it and keeps it under one number over many renewals; the
+/// other never holds it at the same time.
+#[tokio::test(start_paused = true)]
+async fn one_of_two_holds() {
+    let log = Memory::new();
+    let token = CancellationToken::new();
+    let one = lease(&log, "node-1", &token);
+    let first = held(&one).await;
+    let two = lease(&log, "node-2", &token);
+    let end = Instant::now() + 4 * SPAN;
+    while Instant::now() < end {
+        assert_eq!(held(&one).await.number, first.number);
+        assert!(two.held().is_none());
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    token.cancel();
+}
+
+/// The log goes out while a node holds the lease. Its renewals fail, and it stops before the end
+/// without being told; when the log is back somebody holds it under a higher number.
+#[tokio::test(start_paused = true)]
+async fn a_holder_without_the_log_stops() {
+    let log = Memory::new();
+    let token = CancellationToken::new();
+    let one = lease(&log, "node-1", &token);
+    let first = held(&one).await;
+    log.fail_appends(Fault::Refuse);
+    let deadline = Instant::now() + 10 * SPAN;
+    while one.held().is_some() {
+        assert!(Instant::now() < deadline, "still held without the log");
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    // The log's own count must be over too, or the next take would be a renewal in time.
+    tokio::time::sleep(SPAN).await;
+    log.fail_appends(Fault::None);
+    let next = held(&one).await;
+    assert!(next.number > first.number);
+    token.cancel();
+}
+
+/// A holder shuts down and gives the lease up. Its successor need not wait it out.
+#[tokio::test(start_paused = true)]
+async fn a_given_up_lease_passes_on() {
+    let log = Memory::new();
+    let stops = CancellationToken::new();
+    let token = CancellationToken::new();
+    let one = lease(&log, "node-1", &stops);
+    let first = held(&one).await;
+    let two = lease(&log, "node-2", &token);
+    stops.cancel();
+    let next = held(&two).await;
+    assert!(next.number > first.number);
+    token.cancel();
+}
+
+/// Every answer of the log is lost. The node finds its own take by reading, and holds the lease.
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_read_back() {
+    let log = Memory::new();
+    let token = CancellationToken::new();
+    log.fail_appends(Fault::LoseAnswer);
+    let one = lease(&log, "node-1", &token);
+    let first = held(&one).await;
+    tokio::time::sleep(2 * SPAN).await;
+    assert_eq!(held(&one).await.number, first.number);
+    token.cancel();
+}
--- /dev/null
+++ b/crates/platform/tests/remote.rs
@@ -0,0 +1,267 @@
+//! Contract tests of the HTTP clients: what a service answers, and what the client makes of it.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimento_ledger::Stream;
+use pimento_platform::Log;
+use pimento_platform::log;
+use pimento_platform::rating;
+use pimento_platform::rating::Rater;
+use pimento_platform::vms;
+use pimento_platform::vms::List;
+use pimento_platform::weights;
+use pimento_platform::weights::Store;
+use pimento_units::Offset;
+use pimento_wire::platform::Fetch;
+use pimento_wire::platform::Rate;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+const WAIT: Duration = Duration::from_millis(20);
+
+/// What a service does with each request.
+#[derive(Debug, Clone)]
+enum Script {
+    /// Sends these bytes and closes the connection.
+    Send(String),
+    /// Sends nothing and keeps the connection open.
+    Hang,
+}
+
+async fn serve(script: Script) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        let mut open = Vec::new();
+        loop {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut request = vec![0; 65_536];
+            let _ = stream.read(&mut request).await;
+            match &script {
+                Script::Send(answer) => {
+                    let _ = stream.write_all(answer.as_bytes()).await;
+                }
+                Script::Hang => open.push(stream),
+            }
+        }
+    });
+    address
+}
+
+fn answer(status: &str, headers: &str, body: &str) -> Script {
+    let length = body.len();
+    Script::Send(format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+    ))
+}
+
+/// An address that refuses connections.
+async fn nobody() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// What a client made of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Seen {
+    Done,
+    Refused(u64),
+    Lost,
+    Gone(u64),
+}
+
+fn seen<T>(result: &Result<T, log::Error>) -> Seen {
+    match result {
+        Ok(_) => Seen::Done,
+        Err(log::Error::Refused { after }) => Seen::Refused(after.as_secs()),
+        Err(log::Error::Lost { .. }) => Seen::Lost,
+        Err(log::Error::Gone { oldest }) => Seen::Gone(oldest.0),
+    }
+}
+
+async fn append(address: SocketAddr) -> Seen {
+    let log = log::Remote::new(address, TIMEOUT);
+    seen(&log.append(Stream::Claims, vec!["{}".into()]).await)
+}
+
+/// A claim is called "not run" only if the log surely has not taken it. So "refused" is what the
+/// log said itself with a time to come back, or a connection that was never made; every other
+/// answer that can't be read leaves the append in doubt.
+#[tokio::test]
+async fn append_is_refused_only_if_it_surely_did_nothing() {
+    let cases = [
+        ("taken", answer("200 OK", "", r#"{"first":7}"#), Seen::Done),
+        (
+            "over the rate",
+            answer("429 Too Many Requests", "retry-after: 2\r\n", ""),
+            Seen::Refused(2),
+        ),
+        (
+            "outage",
+            answer("503 Service Unavailable", "retry-after: 9\r\n", ""),
+            Seen::Refused(9),
+        ),
+        (
+            "a gateway's 503",
+            answer("503 Service Unavailable", "", ""),
+            Seen::Lost,
+        ),
+        (
+            "a gateway's date",
+            answer("503 Service Unavailable", "retry-after: Thu\r\n", ""),
+            Seen::Lost,
+        ),
+        (
+            "internal error",
+            answer("500 Internal Server Error", "retry-after: 1\r\n", ""),
+            Seen::Lost,
+        ),
+        (
+            "gateway timeout",
+            answer("504 Gateway Timeout", "", ""),
+            Seen::Lost,
+        ),
+        ("unreadable", answer("200 OK", "", "<html>"), Seen::Lost),
+        (
+            "another shape",
+            answer("200 OK", "", r#"{"offset":7}"#),
+            Seen::Lost,
+        ),
+        (
+            "cut off",
+            Script::Send("HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\n{".into()),
+            Seen::Lost,
+        ),
+        (
+            "too long",
+            Script::Send(format!(
+                "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n",
+                1_u64 << 40
+            )),
+            Seen::Lost,
+        ),
+        ("closed", Script::Send(String::new()), Seen::Lost),
+        ("no answer", Script::Hang, Seen::Lost),
+    ];
+    for (what, bytes, expected) in cases {
+        assert_eq!(append(serve(bytes).await).await, expected, "{what}");
+    }
+    assert!(
+        matches!(append(nobody().await).await, Seen::Refused(_)),
+        "no connection"
+    );
+}
+
+#[tokio::test]
+async fn read_tells_an_outage_from_passed_retention() {
+    let batch = r#"{"records":[{"offset":3,"at":5,"record":"{}"}],"next":4,"end":4,"now":6}"#;
+    let cases = [
+        ("records", answer("200 OK", "", batch), Seen::Done),
+        (
+            "gone",
+            answer("410 Gone", "", r#"{"oldest":40}"#),
+            Seen::Gone(40),
+        ),
+        ("gone, unreadable", answer("410 Gone", "", ""), Seen::Lost),
+        (
+            "outage",
+            answer("503 Service Unavailable", "retry-after: 9\r\n", ""),
+            Seen::Refused(9),
+        ),
+        ("missing", answer("404 Not Found", "", ""), Seen::Lost),
+        ("no answer", Script::Hang, Seen::Lost),
+    ];
+    for (what, bytes, expected) in cases {
+        let log = log::Remote::new(serve(bytes).await, TIMEOUT);
+        let result = log.read(Stream::Claims, Offset(3), 10, WAIT).await;
+        assert_eq!(seen(&result), expected, "{what}");
+    }
+}
+
+#[tokio::test]
+async fn list_of_vms_is_an_error_and_not_empty_when_it_can_not_be_had() {
+    let vm = r#"{"vms":[{"name":"a","zone":"trebon","address":"10.0.0.1:1","role":"entry","leaving":false}]}"#;
+    let list = vms::Remote::new(serve(answer("200 OK", "", vm)).await, TIMEOUT);
+    assert_eq!(list.list().await.unwrap().vms.len(), 1);
+    let cases = [
+        ("error", answer("500 Internal Server Error", "", vm)),
+        ("empty body", answer("200 OK", "", "")),
+        (
+            "cut off",
+            Script::Send("HTTP/1.1 200 OK\r\ncontent-length: 90\r\n\r\n{\"vms\":[".into()),
+        ),
+        ("no answer", Script::Hang),
+    ];
+    for (what, bytes) in cases {
+        let list = vms::Remote::new(serve(bytes).await, TIMEOUT);
+        assert!(list.list().await.is_err(), "{what}");
+    }
+}
+
+#[tokio::test]
+async fn weight_store_tells_its_rate_from_a_lost_answer() {
+    let fetch = || Fetch {
+        version: "small@1".parse().unwrap(),
+        zone: "trebon".parse().unwrap(),
+    };
+    let store = weights::Remote::new(serve(answer("200 OK", "", "")).await, TIMEOUT);
+    assert_eq!(store.fetch(fetch()).await, Ok(()));
+    let rate = answer("429 Too Many Requests", "retry-after: 3\r\n", "");
+    let store = weights::Remote::new(serve(rate).await, TIMEOUT);
+    let after = Duration::from_secs(3);
+    assert_eq!(
+        store.fetch(fetch()).await,
+        Err(weights::Error::Refused { after })
+    );
+    for bytes in [answer("500 Internal Server Error", "", ""), Script::Hang] {
+        let store = weights::Remote::new(serve(bytes).await, TIMEOUT);
+        let lost = store.fetch(fetch()).await;
+        assert!(matches!(lost, Err(weights::Error::Lost { .. })), "{lost:?}");
+    }
+}
+
+#[tokio::test]
+async fn rating_out_of_range_is_no_rating() {
+    let rate = || Rate {
+        version: "small@1".parse().unwrap(),
+        class: "stock".parse().unwrap(),
+        prompt: "p".into(),
+        answer: "a".into(),
+    };
+    let cases = [
+        (
+            "rated",
+            answer("200 OK", "", r#"{"score":0.5,"pass":true}"#),
+            true,
+        ),
+        (
+            "out of range",
+            answer("200 OK", "", r#"{"score":1.5,"pass":true}"#),
+            false,
+        ),
+        (
+            "not a number",
+            answer("200 OK", "", r#"{"score":"x","pass":true}"#),
+            false,
+        ),
+        (
+            "error",
+            answer(
+                "500 Internal Server Error",
+                "",
+                r#"{"score":0.5,"pass":true}"#,
+            ),
+            false,
+        ),
+        ("no answer", Script::Hang, false),
+    ];
+    for (what, bytes, rated) in cases {
+        let rater = rating::Remote::new(serve(bytes).await, TIMEOUT);
+        assert_eq!(rater.rate(rate()).await.is_ok(), rated, "{what}");
+    }
+}
--- a/crates/platform/tests/support/memory.rs
+++ b/crates/platform/tests/support/memory.rs
@@ -17,6 +17,7 @@
 use pimento_wire::platform::Batch;
 use pimento_wire::platform::Entry;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 /// What happens to one append.
 #[derive(Debug, Clone)]
@@ -37,6 +38,9 @@
     data: Arc<Mutex<Data>>,
     changed: watch::Sender<u64>,
     cut: Arc<AtomicBool>,
+    /// The log's clock runs with tokio's, so that a test may pause it.
+    start: Instant,
+    base: Wall,
 }
 
 #[derive(Debug, Default)]
@@ -51,6 +55,7 @@
     oldest: u64,
     records: VecDeque<Entry>,
     appends: Vec<usize>,
+    begun: u64,
     reads: u64,
 }
 
@@ -67,6 +72,8 @@
             data: Arc::clone(&self.data),
             changed: self.changed.clone(),
             cut: Arc::clone(&self.cut),
+            start: self.start,
+            base: self.base,
         }
     }
 }
@@ -77,11 +84,18 @@
             data: Arc::default(),
             changed: watch::Sender::new(0),
             cut: Arc::default(),
+            start: Instant::now(),
+            base: base(),
         }
     }
 }
 
 impl Memory {
+    /// The log's clock.
+    pub fn now(&self) -> Wall {
+        self.base + self.start.elapsed()
+    }
+
     /// Another link to the same log.
     pub fn link(&self) -> Self {
         Self {
@@ -130,6 +144,11 @@
         data.streams[stream as usize].appends.clone()
     }
 
+    /// The number of appends begun, with or without effect.
+    pub fn begun(&self, stream: Stream) -> u64 {
+        self.data.lock().unwrap().streams[stream as usize].begun
+    }
+
     /// The number of reads begun.
     pub fn reads(&self, stream: Stream) -> u64 {
         self.data.lock().unwrap().streams[stream as usize].reads
@@ -137,7 +156,7 @@
 
     /// Appends without faults, as another writer would.
     pub fn put(&self, stream: Stream, records: impl IntoIterator<Item = String>) -> Offset {
-        let at = now();
+        let at = self.now();
         let mut data = self.data.lock().unwrap();
         let kept = &mut data.streams[stream as usize];
         let first = Offset(kept.end());
@@ -178,7 +197,7 @@
             records,
             next,
             end: Offset(kept.end()),
-            now: now(),
+            now: self.now(),
         })
     }
 }
@@ -190,6 +209,7 @@
         }
         let fault = {
             let mut data = self.data.lock().unwrap();
+            data.streams[stream as usize].begun += 1;
             if let Some(after) = data.outage {
                 return Err(Error::Refused { after });
             }
@@ -220,7 +240,7 @@
         wait: Duration,
     ) -> Result<Batch, Error> {
         self.data.lock().unwrap().streams[stream as usize].reads += 1;
-        let end = tokio::time::Instant::now() + wait;
+        let end = Instant::now() + wait;
         let mut changed = self.changed.subscribe();
         loop {
             if self.is_cut() {
@@ -245,7 +265,7 @@
     Error::Lost { reason }
 }
 
-fn now() -> Wall {
+fn base() -> Wall {
     let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
     Wall::from_millis(u64::try_from(since.as_millis()).unwrap())
 }
