Make the test of a frozen holder fail without its safeguard

Cause: with the check right before the order removed, the test still passed, since no order was due. Change: the frozen holder now has an order to drop a withdrawn version in hand.

--- a/crates/control/tests/all/orders.rs
+++ b/crates/control/tests/all/orders.rs
@@ -230,12 +230,14 @@
 #[tokio::test(start_paused = true)]
 async fn a_holder_frozen_before_an_order_does_not_send_it() {
     for case in CASES {
-        let fleet = Fleet(vec![Engine::new("engine-a", &["pimento-mini@1"])]);
-        let (mut old, _) = pair(&fleet, &case, Duration::ZERO);
-        old.hold.give(1, LEASE);
+        let fleet = Fleet(vec![Engine::new("engine-a", &ALL)]);
+        let (_, mut holder) = pair(&fleet, &case, Duration::ZERO);
+        holder.hold.give(1, LEASE);
         fleet.0[0].set(|habit| habit.slow = LEASE + Duration::from_secs(1));
-        assert_eq!(old.pass().await, Pass::Idle);
+        assert_eq!(holder.pass().await, Pass::Idle);
         assert_eq!(fleet.0[0].received(), 0);
+        holder.hold.give(2, LEASE);
+        assert_eq!(holder.pass().await, Pass::Acted, "it had an order in hand");
     }
 }
 
