--- a/crates/policy/src/limit.rs
+++ b/crates/policy/src/limit.rs
@@ -35,8 +35,10 @@
     pub slow: f64,
     /// The most that one answer shrinks the limit to.
     pub cut: f64,
-    /// Times the batch that may be at the endpoint, running and waiting. A few waiting calls keep
-    /// the batch full between an answer and the next call, which takes a round trip to arrive.
+    /// Times the batch that may be at the endpoint, running and waiting. Waiting calls keep the
+    /// batch full between an answer and the next call, and leave the owner of a cached prefix a
+    /// free slot under load; engines honour priorities, so that short calls don't wait for long
+    /// ones there. More than another batch would be a queue that no longer can be refused.
     pub reserve: f64,
     /// Added to the limit before it is rounded down. A node's share of a batch is a small number,
     /// such as 2.7 of 16 for each of six nodes: if all nodes rounded down, a quarter of the batch
@@ -54,7 +56,7 @@
             quick: 0.2,
             slow: 0.01,
             cut: 0.8,
-            reserve: 1.25,
+            reserve: 2.0,
             round: 0.5,
         }
     }
