--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -95,9 +95,6 @@
     }
 }
 
-/// Calls to have measured before a line is fitted through them.
-const FEWEST: f64 = 10.0;
-
 /// What the door knows of a request and of the work before it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Demand {
@@ -134,9 +131,6 @@
     config: Config,
     tokens: f64,
     busy: f64,
-    calls: f64,
-    squares: f64,
-    products: f64,
     at: Moment,
     called: Moment,
 }
@@ -149,9 +143,6 @@
             config,
             tokens: config.pace,
             busy: 1.0,
-            calls: 0.0,
-            squares: 0.0,
-            products: 0.0,
             at: Moment::ZERO,
             called: Moment::ZERO,
         }
@@ -160,14 +151,9 @@
     /// Counts an answer of `tokens` that held a slot for `took`.
     pub fn served(&mut self, tokens: Tokens, took: Duration, now: Moment) {
         let kept = number::decay(now.since(self.at), self.config.memory);
-        let size = number::float(tokens.0);
-        let took = took.as_secs_f64();
         self.at = self.at.max(now);
-        self.tokens = self.tokens * kept + size;
-        self.busy = self.busy * kept + took;
-        self.calls = self.calls * kept + 1.0;
-        self.squares = self.squares * kept + size * size;
-        self.products = self.products * kept + size * took;
+        self.tokens = self.tokens * kept + number::float(tokens.0);
+        self.busy = self.busy * kept + took.as_secs_f64();
     }
 
     /// Tokens a second that one busy slot serves. Measured while busy: the rate of answers would
@@ -182,20 +168,10 @@
         }
     }
 
-    /// How long `tokens` hold a slot: a part that each call takes, such as the wait at the engine,
-    /// and a part for each token, fitted by least squares. By the mean pace alone, which long
-    /// answers set, a short one would be thought to run in a fraction of the time that it takes.
+    /// How long `tokens` hold a slot.
     #[must_use]
     pub fn run(&self, tokens: Tokens) -> Duration {
-        let size = number::float(tokens.0);
-        let spread = self.calls * self.squares - self.tokens * self.tokens;
-        if self.calls < FEWEST || spread <= 0.0 {
-            return number::seconds(size / self.pace());
-        }
-        let slope = (self.calls * self.products - self.tokens * self.busy) / spread;
-        let slope = slope.max(0.0);
-        let fixed = (self.busy - slope * self.tokens) / self.calls;
-        number::seconds(fixed.max(0.0) + slope * size)
+        number::seconds(number::float(tokens.0) / self.pace())
     }
 
     /// How long `work` takes on `slots`.
