--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -83,8 +83,8 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            headroom: 0.6,
-            returning: 0.9,
+            headroom: 0.5,
+            returning: 0.75,
             kept: 0.5,
             memory: Duration::from_secs(10),
             pace: 50.0,
