Measure the cascade beside its baselines

Ruled out: requests whose chance at each version is independent; half of the difficulty is shared, as a request that failed once is likelier to fail again.

--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -11,6 +11,10 @@
 
 use model::node::Choice;
 use model::node::Mechanisms;
+use model::quality;
+use model::quality::Picking;
+use model::quality::TARGET;
+use model::quality::Trouble;
 use model::scenario::CLASSES;
 use model::scenario::NAMES;
 use model::scenario::Scenario;
@@ -101,6 +105,12 @@
                 .action(ArgAction::SetTrue),
         )
         .arg(Arg::new("only").long("only").help("One scenario"))
+        .arg(
+            Arg::new("quality")
+                .long("quality")
+                .action(ArgAction::SetTrue)
+                .help("The cascade's tables only"),
+        )
         .arg(
             Arg::new("classes")
                 .long("classes")
@@ -125,6 +135,10 @@
             Scenario::recipe(name).write();
         }
     }
+    if matches.get_flag("quality") {
+        qualities();
+        return;
+    }
     let rows = if matches.get_flag("brief") {
         1
     } else {
@@ -140,6 +154,52 @@
             classes(name);
         }
     }
+    if only.is_none() && rows > 1 {
+        qualities();
+    }
+}
+
+/// Ways of picking a version.
+const PICKINGS: [(&str, Picking); 5] = [
+    ("cascade (nyabarongo: cost)", Picking::Cascade),
+    ("cascade (rybnikar: latency)", Picking::Hurried),
+    ("always cheapest", Picking::Cheapest),
+    ("always best", Picking::Best),
+    ("fixed: cheapest, best", Picking::Fixed),
+];
+
+/// What goes wrong half way.
+const TROUBLES: [(&str, Trouble); 5] = [
+    ("nothing goes wrong", Trouble::None),
+    ("the cheapest version turns bad half way", Trouble::Bad(0)),
+    ("the middle version turns bad half way", Trouble::Bad(1)),
+    ("ratings take five seconds from half way", Trouble::Slow),
+    ("no ratings from half way", Trouble::Out),
+];
+
+/// Prints the cascade's tables.
+fn qualities() {
+    for (about, trouble) in TROUBLES {
+        println!("\nquality: {about} (6000 requests, target {TARGET})");
+        let mut table = Table::new();
+        table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
+        table.set_header([
+            "picking", "quality", "after", "cost", "p95", "exposed", "rated",
+        ]);
+        for (label, picking) in PICKINGS {
+            let result = quality::run(picking, trouble, 7);
+            table.add_row([
+                label.into(),
+                format!("{:.1}%", result.quality * 100.0),
+                format!("{:.1}%", result.after * 100.0),
+                format!("{:.2}", result.cost),
+                format!("{:.2}", result.p95),
+                result.exposed.to_string(),
+                format!("{:.1}%", result.rated * 100.0),
+            ]);
+        }
+        println!("{table}");
+    }
 }
 
 fn table(name: &str, rows: &[(&str, Mechanisms)]) {
--- a/crates/policy/tests/model/mod.rs
+++ b/crates/policy/tests/model/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod engine;
 pub mod node;
+pub mod quality;
 pub mod scenario;
 pub mod summary;
 pub mod world;
