Log by level from pimento-control, and say when nothing was to publish

Cause: the library's default filter let no info line through; publish of unchanged files printed nothing. Ruled out: the library's own environment variable, which the settings page would not show.

--- a/crates/control/src/cli.rs
+++ b/crates/control/src/cli.rs
@@ -2,9 +2,9 @@
 
 use std::process::ExitCode;
 
+use logforth::append;
 use logforth::layout::JsonLayout;
 use logforth::layout::TextLayout;
-use logforth::starter_log;
 
 use crate::config;
 use crate::config::Config;
@@ -32,7 +32,7 @@
         print!("{}", config::print(&matches));
         return ExitCode::SUCCESS;
     }
-    start_log(config.format);
+    start_log(&config);
     match daemon::run(config) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -42,10 +42,16 @@
     }
 }
 
-fn start_log(format: Format) {
-    let starter = starter_log::stderr();
-    match format {
-        Format::Json => starter.layout(JsonLayout::default()).apply(),
-        Format::Text => starter.layout(TextLayout::default()).apply(),
-    }
+fn start_log(config: &Config) {
+    let builder = logforth::starter_log::builder();
+    let builder = builder.dispatch(|dispatch| match config.format {
+        Format::Text => {
+            dispatch.append(append::Stderr::default().with_layout(TextLayout::default()))
+        }
+        Format::Json => {
+            dispatch.append(append::Stderr::default().with_layout(JsonLayout::default()))
+        }
+    });
+    builder.apply();
+    log::set_max_level(config.level);
 }
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -10,6 +10,7 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use log::LevelFilter;
 use pimento_platform::lease;
 use pimento_units::Span;
 use pimento_units::id;
@@ -37,7 +38,7 @@
 }
 
 /// All settings, in the order of the help text.
-const SETTINGS: [Setting; 18] = [
+const SETTINGS: [Setting; 19] = [
     setting(
         "node",
         "PIMENTO_NODE",
@@ -136,6 +137,12 @@
         Some("text"),
         "Form of log lines: text or json",
     ),
+    setting(
+        "log-level",
+        "PIMENTO_LOG_LEVEL",
+        Some("info"),
+        "Least level of log lines: error, warn, info, debug or trace",
+    ),
 ];
 
 /// The command.
@@ -221,6 +228,8 @@
     pub timeout: Duration,
     /// Form of log lines.
     pub format: Format,
+    /// Least level of log lines.
+    pub level: LevelFilter,
 }
 
 /// All that is wrong with the settings, a line each.
@@ -331,6 +340,7 @@
     let fetch = findings.positive(matches, "weights-timeout");
     let timeout = findings.positive(matches, "timeout");
     let format = findings.value(matches, "log-format");
+    let level = findings.value(matches, "log-level");
     Some(Config {
         node: node?,
         zone: zone?,
@@ -349,6 +359,7 @@
         fetch: fetch?,
         timeout: timeout?,
         format: format?,
+        level: level?,
     })
 }
 
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -20,7 +20,7 @@
   1  failed: the thing does not exist, does not apply, or did not answer
   2  bad usage, or findings in files
   3  another change came first; the message says which revision won
-  4  the log can't be used now; nothing was published
+  4  the log can't be used now; nothing was changed
   5  it is unknown whether the changes are in force; look at `pimentoctl history`";
 
 /// The whole command.
--- a/crates/ctl/src/command/publish.rs
+++ b/crates/ctl/src/command/publish.rs
@@ -22,6 +22,9 @@
     let mut snapshot = context.base().await?;
     let values = files::check(&files, &snapshot.state)?;
     let changes = publish::changes(&snapshot, values, &context.by);
+    if changes.is_empty() {
+        eprintln!("nothing differs from what is in force");
+    }
     changes_of(context, &mut snapshot, &changes).await
 }
 
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -28,7 +28,7 @@
         message: String,
     },
     /// The log could not be reached or refused; nothing was published.
-    #[snafu(display("the log can't be used now, nothing was published: {source}"))]
+    #[snafu(display("the log can't be used now, nothing was changed: {source}"))]
     Log {
         /// The last error.
         source: log::Error,
