--- a/crates/policy/src/cascade.rs
+++ b/crates/policy/src/cascade.rs
@@ -37,7 +37,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            prior: 10.0,
+            prior: 4.0,
             window: 100.0,
             memory: Duration::from_mins(10),
             caution: 1.28,
