entry: test the chain against the stand-ins, and mend what they showed

Seen failing first: an endpoint that had not answered yet was scored as taking a second, so that choice kept it idle; slots of unusable endpoints were counted; a new node refused orders for its first second, since an empty claims stream answers its first read late. Now: the pool's median stands in, only usable slots count, and /ready waits for the claims stream.

--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,7 @@
 use pimento_platform::mesh;
 use pimento_platform::rating;
 use pimento_platform::vms;
+use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::frame;
 use pimento_wire::platform::Role;
@@ -51,6 +52,10 @@
 /// configuration itself wake at once.
 const TICK: Duration = Duration::from_millis(200);
 
+/// How long a new node waits to have read the claims stream before it takes requests without: an
+/// empty stream answers its first read after a second.
+const SETTLE: Duration = Duration::from_secs(5);
+
 /// How long a proposed withdrawal is tried to be written. Later evidence proposes it again.
 const PROPOSAL: Duration = Duration::from_secs(30);
 
@@ -191,7 +196,14 @@
     /// Whether requests are taken.
     #[must_use]
     pub fn ready(&self) -> bool {
-        self.state.ready() && !self.leaving.is_cancelled()
+        self.state.ready() && self.settled() && !self.leaving.is_cancelled()
+    }
+
+    /// Whether the claims stream was read, without which orders would be refused. A log that is
+    /// out must not keep a new node from serving all else.
+    fn settled(&self) -> bool {
+        let read = self.claimer.follower().caught_up();
+        read || self.clock.now() > Moment::ZERO + SETTLE
     }
 
     /// Live entry VMs, this one included.
--- a/crates/entry/src/scheduler/inner.rs
+++ b/crates/entry/src/scheduler/inner.rs
@@ -303,6 +303,7 @@
     }
 
     fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
+        let usual = self.health.median();
         let candidate = |seat: &Seat| {
             let healthy = self.health.state(&seat.member.endpoint, now) != eject::State::Out;
             let usable = seat.member.usable && seat.member.holds(job.version.as_ref());
@@ -319,7 +320,7 @@
                 limit: seat.limiter.limit(),
                 others,
                 age,
-                run: ordinary(seat.limiter.pace()),
+                run: ordinary(seat.limiter.pace(), usual),
             }
         };
         self.seats.iter().map(candidate).collect()
@@ -350,12 +351,13 @@
     }
 
     pub fn depth(&self) -> Depth {
+        let usable = self.seats.iter().filter(|s| s.member.usable);
         Depth {
             waiting: self.stations.iter().map(|s| s.queue.len()).sum(),
             flying: self.seats.iter().map(|s| s.limiter.flying()).sum(),
-            slots: self.seats.iter().map(|s| s.limiter.limit()).sum(),
+            slots: usable.clone().map(|s| s.limiter.limit()).sum(),
             ejected: self.health.out(),
-            usable: self.seats.iter().filter(|s| s.member.usable).count(),
+            usable: usable.count(),
         }
     }
 }
@@ -379,10 +381,17 @@
     seat
 }
 
-fn ordinary(pace: f64) -> Duration {
-    if pace <= 0.0 {
-        return FIRST_RUN;
-    }
+/// How long a call of ordinary size takes. An endpoint that has not answered yet is taken for as
+/// fast as the pool's median: a guess that is too high would keep it idle for ever.
+fn ordinary(pace: f64, usual: Option<f64>) -> Duration {
+    let pace = if pace > 0.0 {
+        pace
+    } else {
+        match usual {
+            Some(usual) => usual,
+            None => return FIRST_RUN,
+        }
+    };
     #[expect(clippy::cast_precision_loss, reason = "the constant is small")]
     let seconds = pace * ORDINARY.0 as f64;
     Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
--- /dev/null
+++ b/crates/entry/tests/all/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the entry crate against the stand-ins of the platform and the endpoints, in one
+//! process and over loopback.
+
+mod config;
+mod faults;
+mod model;
+mod refusals;
+mod registry;
+mod scheduler;
+mod service;
+mod session;
+mod shutdown;
+mod support;
+mod versions;
--- /dev/null
+++ b/crates/entry/tests/all/refusals.rs
@@ -0,0 +1,196 @@
+//! Each way in which a request is refused before it is sent on, with the engines' own count of
+//! calls as the judge of `not_run`.
+
+use hyper::Method;
+use hyper::StatusCode;
+use pimento_wire::border::Run;
+
+use crate::support::Ask;
+use crate::support::Entry;
+use crate::support::World;
+use crate::support::name;
+use crate::support::until;
+
+/// What is sent, and the status and code that must come back.
+type Case = (&'static str, fn(&Entry) -> Ask, u16, &'static str);
+
+fn chat(entry: &Entry) -> Ask {
+    entry.chat("answer in 5 tokens", false)
+}
+
+fn with_body(entry: &Entry, body: &'static str) -> Ask {
+    chat(entry).body(body)
+}
+
+const CASES: &[Case] = &[
+    (
+        "no key",
+        |e| chat(e).without("authorization"),
+        401,
+        "missing_api_key",
+    ),
+    (
+        "another scheme",
+        |e| chat(e).header("authorization", "Basic abc"),
+        401,
+        "missing_api_key",
+    ),
+    (
+        "an unknown key",
+        |e| chat(e).header("authorization", "Bearer no"),
+        401,
+        "invalid_api_key",
+    ),
+    ("no JSON", |e| with_body(e, "{"), 400, "malformed_body"),
+    (
+        "no messages",
+        |e| with_body(e, r#"{"model":"stock","messages":[]}"#),
+        400,
+        "malformed_body",
+    ),
+    (
+        "no tokens wanted",
+        |e| {
+            with_body(
+                e,
+                r#"{"model":"stock","max_tokens":0,"messages":[{"role":"user","content":"a"}]}"#,
+            )
+        },
+        400,
+        "malformed_body",
+    ),
+    (
+        "an unknown model",
+        |e| {
+            with_body(
+                e,
+                r#"{"model":"gpt","messages":[{"role":"user","content":"a"}]}"#,
+            )
+        },
+        404,
+        "model_not_found",
+    ),
+    (
+        "a large body",
+        |e| chat(e).body(vec![b' '; 70_000]),
+        413,
+        "body_too_large",
+    ),
+    (
+        "a bad id",
+        |e| chat(e).header("idempotency-key", "seven"),
+        400,
+        "bad_header",
+    ),
+    (
+        "a bad timeout",
+        |e| chat(e).header("request-timeout", "-1"),
+        400,
+        "bad_header",
+    ),
+    (
+        "no time at all",
+        |e| chat(e).header("request-timeout", "0"),
+        400,
+        "bad_header",
+    ),
+    (
+        "a forged session",
+        |e| chat(e).header("session-token", "abcd"),
+        400,
+        "bad_session_token",
+    ),
+    (
+        "a wrong method",
+        |e| e.ask(Method::PUT, "/v1/chat/completions"),
+        405,
+        "wrong_method",
+    ),
+    (
+        "a wrong path",
+        |e| e.ask(Method::GET, "/v2"),
+        404,
+        "unknown_path",
+    ),
+    (
+        "an unknown service",
+        |e| e.ask(Method::GET, "/services/bakery/x"),
+        404,
+        "service_not_found",
+    ),
+    (
+        "an id whose age can't be read, for an order",
+        |e| e.order("7d444840-9dc0-11d1-b245-5ffdce74fad2"),
+        400,
+        "bad_request_id",
+    ),
+    (
+        "an old id, for an order",
+        |e| e.order("01890a5d-ac96-774b-bcce-b302099a8057"),
+        400,
+        "bad_request_id",
+    ),
+];
+
+#[tokio::test]
+async fn bad_input_is_refused_as_not_run_and_never_sent_on() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    for (what, ask, status, code) in CASES {
+        let answer = ask(&entry).send().await;
+        assert_eq!(answer.status.as_u16(), *status, "{what}: {answer:?}");
+        let failure = answer.failure();
+        assert_eq!(failure.error.code, *code, "{what}");
+        assert_eq!(failure.error.run, Run::NotRun, "{what}");
+        assert_eq!(answer.header("run"), "not_run", "{what}");
+    }
+    assert_eq!(world.started(), 0);
+    assert_eq!(world.runs("01890a5d-ac96-774b-bcce-b302099a8057"), 0);
+    assert!(world.bills().is_empty());
+}
+
+/// The customer's limit is below the price of one answer: the request is refused before anything
+/// is sent, and says that the limit is the reason.
+#[tokio::test]
+async fn a_request_over_the_spend_limit_is_not_run() {
+    let world = World::start(1).await;
+    let mut contract = crate::support::contract(&[crate::support::SMALL], 0.5);
+    contract.spend.limit = pimento_units::Money::from_micros(10);
+    world.publish(pimento_contract::Value::Contract(contract));
+    let entry = world.entry("entry-1").await;
+    let answer = chat(&entry).send().await;
+    assert_eq!(answer.status, StatusCode::PAYMENT_REQUIRED);
+    assert_eq!(answer.failure().error.code, "spend_limit");
+    assert_eq!(answer.failure().error.run, Run::NotRun);
+    assert_ne!(answer.header("retry-after"), "");
+    assert_eq!(world.started(), 0);
+}
+
+/// Long answers hold all slots, and a caller gives a second. It is told at once that its request was
+/// not run and when to come back, in place of waiting for nothing.
+#[tokio::test]
+async fn work_that_cannot_start_in_time_is_refused_at_once() {
+    let world = World::start(1).await;
+    world.engines[0]
+        .site
+        .change(|settings| settings.token_us = 50_000);
+    let entry = world.entry("entry-1").await;
+    let pool = entry.running.node.scheduler.pool(&name("pimento-llm"));
+    let long = || {
+        let ask = entry.chat("answer in 400 tokens", false);
+        tokio::spawn(ask.header("request-timeout", "600").send())
+    };
+    let slots = pool.depth().slots;
+    let asked: Vec<_> = (0..slots).map(|_| long()).collect();
+    until("all slots are taken", || pool.depth().flying == slots).await;
+    until("all have begun", || world.started() == u64::from(slots)).await;
+    let answer = chat(&entry).header("request-timeout", "1").send().await;
+    assert_eq!(answer.status, StatusCode::TOO_MANY_REQUESTS, "{answer:?}");
+    assert_eq!(answer.failure().error.code, "overloaded");
+    assert_eq!(answer.failure().error.run, Run::NotRun);
+    assert_ne!(answer.header("retry-after"), "");
+    assert_eq!(world.started(), u64::from(slots));
+    for asked in asked {
+        asked.abort();
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/all/registry.rs
@@ -0,0 +1,145 @@
+//! Which endpoints may take new work.
+
+use pimento_entry::registry::Table;
+use pimento_units::Moment;
+use pimento_units::id;
+use pimento_wire::engine::Load;
+use pimento_wire::peer::Departure;
+use pimento_wire::platform::Role;
+use pimento_wire::platform::Vm;
+use pimento_wire::platform::Vms;
+
+use crate::support::name;
+
+const NOW: Moment = Moment::from_millis(1_000);
+
+fn vms(names: &[&str]) -> Vms {
+    let vm = |label: &&str| Vm {
+        name: (*label).into(),
+        zone: name("kig-remera"),
+        address: "127.0.0.1:9".into(),
+        role: Role::Engine(name("pimento-llm")),
+        leaving: false,
+    };
+    Vms {
+        vms: names.iter().map(vm).collect(),
+    }
+}
+
+fn load(label: &str, incarnation: u64) -> Load {
+    Load {
+        endpoint: name(label),
+        incarnation,
+        running: 0,
+        waiting: 0,
+        batch: 8,
+        age_ms: 0,
+        versions: Vec::new(),
+        leaving: false,
+    }
+}
+
+fn table(names: &[&str]) -> Table {
+    let mut table = Table::default();
+    table.list(&vms(names));
+    for label in names {
+        table.report(&name(label), load(label, 1), NOW);
+    }
+    table
+}
+
+fn usable(table: &Table) -> Vec<String> {
+    let endpoints = table.endpoints().iter();
+    let usable = endpoints.filter(|endpoint| table.usable(endpoint));
+    usable.map(|endpoint| endpoint.name.to_string()).collect()
+}
+
+fn departure(label: &str, incarnation: u64) -> Departure {
+    Departure {
+        endpoint: name::<id::Endpoint>(label),
+        incarnation,
+    }
+}
+
+/// The list loses all or most of its lines for a moment, as a store in trouble may show. Dropping
+/// the endpoints would refuse every caller though nothing is wrong with them.
+#[test]
+fn a_list_that_suddenly_shrinks_is_doubted() {
+    for short in [&[][..], &["a"][..]] {
+        let mut table = table(&["a", "b", "c", "d"]);
+        table.list(&vms(short));
+        assert!(table.doubted());
+        assert_eq!(usable(&table), ["a", "b", "c", "d"]);
+        table.list(&vms(&["a", "b", "c", "d"]));
+        assert!(!table.doubted());
+    }
+}
+
+/// In doubt, an endpoint that the list misses and that does not answer either is left out.
+#[test]
+fn a_doubted_endpoint_that_is_silent_gets_no_work() {
+    let mut table = table(&["a", "b"]);
+    table.list(&vms(&[]));
+    for _ in 0..3 {
+        table.fail(&name("b"));
+    }
+    assert_eq!(usable(&table), ["a"]);
+}
+
+#[test]
+fn an_endpoint_that_leaves_the_list_among_others_gets_no_work() {
+    let mut table = table(&["a", "b", "c"]);
+    table.list(&vms(&["a", "c"]));
+    assert_eq!(usable(&table), ["a", "c"]);
+}
+
+/// Each of the three sources alone is enough, whatever the others go on saying.
+#[test]
+fn leaving_by_list_own_word_or_peers_word_is_sticky_for_an_incarnation() {
+    type Leave = fn(&mut Table);
+    let ways: [(&str, Leave); 3] = [
+        ("the list", |table| {
+            let mut leaving = vms(&["a", "b"]);
+            leaving.vms[0].leaving = true;
+            table.list(&leaving);
+        }),
+        ("its own word", |table| {
+            let mut own = load("a", 1);
+            own.leaving = true;
+            table.report(&name("a"), own, NOW);
+        }),
+        ("a peer's word", |table| {
+            assert!(table.depart(departure("a", 1)));
+            assert!(!table.depart(departure("a", 1)));
+        }),
+    ];
+    for (what, leave) in ways {
+        let mut table = table(&["a", "b"]);
+        leave(&mut table);
+        assert_eq!(usable(&table), ["b"], "{what}");
+        table.list(&vms(&["a", "b"]));
+        table.report(&name("a"), load("a", 1), NOW);
+        assert_eq!(usable(&table), ["b"], "{what}, and the sources disagree");
+        assert_eq!(table.departures(), [departure("a", 1)], "{what}");
+        table.report(&name("a"), load("a", 2), NOW);
+        assert_eq!(usable(&table), ["a", "b"], "{what}, and it came back anew");
+    }
+}
+
+#[test]
+fn a_report_from_an_address_that_was_given_to_another_vm_does_not_count() {
+    let mut table = Table::default();
+    table.list(&vms(&["a"]));
+    table.report(&name("a"), load("z", 1), NOW);
+    assert!(usable(&table).is_empty());
+}
+
+#[test]
+fn departures_are_bounded() {
+    let mut table = Table::default();
+    for incarnation in 0..5_000 {
+        table.depart(departure("a", incarnation));
+    }
+    assert_eq!(table.departures().len(), 1_024);
+    assert_eq!(table.departures().last(), Some(&departure("a", 4_999)));
+}
--- /dev/null
+++ b/crates/entry/tests/all/service.rs
@@ -0,0 +1,171 @@
+//! Calls of a plain service, repeatable and not.
+
+use hyper::Method;
+use hyper::StatusCode;
+use pimento_standin::fault::Action;
+use pimento_standin::fault::Rule;
+use pimento_standin::service::Receipt;
+use pimento_wire::border::Run;
+use uuid::Uuid;
+
+use crate::support::Answer;
+use crate::support::World;
+use crate::support::until;
+
+fn receipt(answer: &Answer) -> Receipt {
+    serde_json::from_slice(&answer.body)
+        .unwrap_or_else(|error| panic!("no receipt ({error}): {answer:?}"))
+}
+
+#[tokio::test]
+async fn a_call_is_passed_through_and_billed() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    let ask = entry.ask(Method::GET, "/services/order-desk/stock/drums");
+    let answer = ask.send().await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(receipt(&answer).path, "/stock/drums");
+    until("the bill is on the log", || world.bills().len() == 1).await;
+}
+
+/// The caller sends the same drum order twice, at two entry VMs. The second gets the first one's
+/// answer, fetched from the VM that has it; the desk ran it once and there is one bill.
+#[tokio::test]
+async fn an_order_sent_twice_runs_once_and_is_answered_twice() {
+    let world = World::start(1).await;
+    let first = world.entry("entry-1").await;
+    let seed = first.running.node.mesh.address().to_string();
+    let second = world.entry_with("entry-2", &[("peers", &seed)]).await;
+    until("the entry VMs know each other", || {
+        let peers = |e: &crate::support::Entry| e.running.node.mesh.peers().len();
+        peers(&first) == 1 && peers(&second) == 1
+    })
+    .await;
+    let key = Uuid::now_v7().to_string();
+    let one = first.order(&key).send().await;
+    let again = first.order(&key).send().await;
+    let other = second.order(&key).send().await;
+    assert_eq!(one.status, StatusCode::OK, "{one:?}");
+    assert_eq!(again.body, one.body);
+    assert_eq!(other.body, one.body);
+    assert_eq!(other.status, StatusCode::OK);
+    assert_eq!(world.runs(&key), 1);
+    until("the bill is on the log", || !world.bills().is_empty()).await;
+    assert_eq!(world.bills().len(), 1);
+}
+
+/// Both entry VMs get the same order at the same moment. Whoever is second in the log does not
+/// send it; one caller may hear that it is unknown, neither hears that it was not run.
+#[tokio::test]
+async fn an_order_sent_to_two_entry_vms_at_once_runs_once() {
+    let world = World::start(1).await;
+    let first = world.entry("entry-1").await;
+    let second = world.entry("entry-2").await;
+    for _ in 0..10 {
+        let key = Uuid::now_v7().to_string();
+        let (one, other) = tokio::join!(first.order(&key).send(), second.order(&key).send());
+        assert_eq!(world.runs(&key), 1, "{one:?} {other:?}");
+        let served = [&one, &other].iter().filter(|a| a.status == 200).count();
+        assert!(served >= 1, "{one:?} {other:?}");
+        for answer in [one, other] {
+            if answer.status != StatusCode::OK {
+                assert_eq!(answer.status, StatusCode::CONFLICT, "{answer:?}");
+                assert_ne!(answer.failure().error.run, Run::NotRun);
+            }
+        }
+    }
+}
+
+/// The desk takes the order and the connection breaks before its answer. Nobody may send it again,
+/// neither by itself nor when the caller asks again: it may have run.
+#[tokio::test]
+async fn an_order_whose_answer_was_lost_is_never_sent_again() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    for desk in &world.desks {
+        desk.faults
+            .rules([Rule::new(Action::LoseAnswer).on("POST", "/")]);
+    }
+    let key = Uuid::now_v7().to_string();
+    let lost = entry.order(&key).send().await;
+    assert_eq!(lost.status, StatusCode::BAD_GATEWAY, "{lost:?}");
+    assert_eq!(lost.failure().error.run, Run::Unknown);
+    for desk in &world.desks {
+        desk.faults.clear();
+    }
+    let again = entry.order(&key).send().await;
+    assert_eq!(again.status, StatusCode::CONFLICT, "{again:?}");
+    assert_eq!(again.failure().error.run, Run::Unknown);
+    assert_eq!(world.runs(&key), 1);
+}
+
+/// Both replicas say that they did not start the order. The caller hears `not_run`, and that is
+/// true: asking again under the same id runs it.
+#[tokio::test]
+async fn an_order_that_was_not_started_may_be_sent_again() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    for desk in &world.desks {
+        desk.faults.rules([Rule::new(Action::Refuse {
+            status: 503,
+            retry_after: Some(1),
+            run: Some(Run::NotRun),
+        })]);
+    }
+    let key = Uuid::now_v7().to_string();
+    let refused = entry.order(&key).send().await;
+    assert_eq!(refused.failure().error.run, Run::NotRun, "{refused:?}");
+    assert_eq!(world.runs(&key), 0);
+    for desk in &world.desks {
+        desk.faults.clear();
+    }
+    // The release of the claim is on its way through the log.
+    let mut again = entry.order(&key).send().await;
+    for _ in 0..100 {
+        if again.status != StatusCode::CONFLICT {
+            break;
+        }
+        again = entry.order(&key).send().await;
+    }
+    assert_eq!(again.status, StatusCode::OK, "{again:?}");
+    assert_eq!(world.runs(&key), 1);
+}
+
+/// The log is out. An order can't be claimed and is refused at once; a call that may be repeated
+/// is served.
+#[tokio::test]
+async fn without_the_log_orders_are_refused_and_repeatable_calls_served() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    // Spends the first grant while the log is there.
+    let warm = entry.ask(Method::GET, "/services/order-desk/stock");
+    assert_eq!(warm.send().await.status, StatusCode::OK);
+    world.log.faults.rules([Rule::new(Action::Refuse {
+        status: 503,
+        retry_after: Some(1),
+        run: None,
+    })]);
+    let key = Uuid::now_v7().to_string();
+    let refused = entry.order(&key).send().await;
+    assert_eq!(
+        refused.status,
+        StatusCode::SERVICE_UNAVAILABLE,
+        "{refused:?}"
+    );
+    assert_eq!(refused.failure().error.code, "claims_unavailable");
+    assert_eq!(refused.failure().error.run, Run::NotRun);
+    assert_ne!(refused.header("retry-after"), "");
+    assert_eq!(world.runs(&key), 0);
+}
+
+#[tokio::test]
+async fn an_id_that_stands_for_another_order_is_refused() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    let key = Uuid::now_v7().to_string();
+    assert_eq!(entry.order(&key).send().await.status, StatusCode::OK);
+    let other = entry.order(&key).body("{\"drums\":400}").send().await;
+    assert_eq!(other.status, StatusCode::UNPROCESSABLE_ENTITY);
+    assert_eq!(other.failure().error.run, Run::NotRun);
+    assert_eq!(world.runs(&key), 1);
+}
