Keep withdrawals and roll-out progress when files are published again

Cause: publishing a whole folder after an amended contract would have set a withdrawn version to serving. Ruled out: refusing such files, since an urgent amendment would then wait for another edit.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -36,7 +36,13 @@
         .subcommand(
             Command::new("publish")
                 .about("Publishes what differs from what is in force")
-                .arg(files()),
+                .arg(files())
+                .arg(
+                    Arg::new("reinstate")
+                        .long("reinstate")
+                        .action(ArgAction::SetTrue)
+                        .help("Let withdrawn versions serve again and set roll-outs back, if the files say so"),
+                ),
         )
         .subcommand(
             Command::new("show")
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -69,7 +69,8 @@
             _ => Err(unknown()),
         },
         Some(("publish", sub)) => {
-            command::publish::files(&context(matches)?, &texts(sub, "file")).await
+            let reinstate = sub.get_flag("reinstate");
+            command::publish::files(&context(matches)?, &texts(sub, "file"), reinstate).await
         }
         Some(("show", sub)) => command::show::show(&context(matches)?, text(sub, "subject")).await,
         Some(("history", sub)) => {
--- a/crates/ctl/src/command/publish.rs
+++ b/crates/ctl/src/command/publish.rs
@@ -12,15 +12,21 @@
 use crate::publish::Verdicted;
 use crate::snapshot::Snapshot;
 
-/// Publishes what differs from what is in force.
+/// Publishes what differs from what is in force. Unless `reinstate` is set, withdrawn versions stay
+/// withdrawn and roll-outs keep their progress, whatever the files say.
 ///
 /// # Errors
 ///
 /// Findings of the files, the log's failures, or [`Error::Conflict`] if another change came first.
-pub async fn files(context: &Context, paths: &[String]) -> Result<Output, Error> {
+pub async fn files(context: &Context, paths: &[String], reinstate: bool) -> Result<Output, Error> {
     let files = files::load(paths)?;
     let mut snapshot = context.base().await?;
-    let values = files::check(&files, &snapshot.state)?;
+    let mut values = files::check(&files, &snapshot.state)?;
+    if !reinstate {
+        for subject in publish::keep_progress(&snapshot, &mut values) {
+            eprintln!("{subject}: kept as it is in force (--reinstate would set it back)");
+        }
+    }
     let changes = publish::changes(&snapshot, values, &context.by);
     if changes.is_empty() {
         eprintln!("nothing differs from what is in force");
--- a/crates/ctl/src/command/version.rs
+++ b/crates/ctl/src/command/version.rs
@@ -157,10 +157,29 @@
 pub async fn withdraw(context: &Context, id: &id::Version) -> Result<Output, Error> {
     let mut snapshot = context.base().await?;
     serving(&snapshot, id)?;
+    for class in stranded(&snapshot, id) {
+        eprintln!("{class}: no version is left that may serve it");
+    }
     let changes = withdrawal(&snapshot, id, &context.by)?;
     publish::changes_of(context, &mut snapshot, &changes).await
 }
 
+/// Classes that no serving version is left for once `id` is withdrawn.
+fn stranded(snapshot: &Snapshot, id: &id::Version) -> Vec<String> {
+    let left = |other: &&id::Version| *other != id && serving(snapshot, other).is_ok();
+    let mut stranded = Vec::new();
+    for contract in snapshot.state.contracts() {
+        let classes = contract.classes.iter().filter(|class| class.allows(id));
+        for class in classes.filter(|class| !class.versions.iter().any(|v| left(&v))) {
+            stranded.push(format!(
+                "contract/{} class {}",
+                contract.customer, class.name
+            ));
+        }
+    }
+    stranded
+}
+
 fn withdrawal(snapshot: &Snapshot, id: &id::Version, by: &str) -> Result<Vec<Change>, Error> {
     let mut version = find(snapshot, id)?.clone();
     version.status = version::Status::Withdrawn;
--- a/crates/ctl/src/publish.rs
+++ b/crates/ctl/src/publish.rs
@@ -14,6 +14,7 @@
 use pimento_contract::Value;
 use pimento_contract::change::Entry;
 use pimento_contract::fold::Verdict;
+use pimento_contract::version;
 use pimento_ledger::Stream;
 use pimento_platform::log;
 use pimento_platform::log::Log;
@@ -101,6 +102,36 @@
         .collect()
 }
 
+/// Keeps what operators and controllers did since the files were written: a withdrawn version stays
+/// withdrawn, and a roll-out keeps its stage and status. Else an amended contract, published along
+/// with the other files of its folder, would bring a bad version back. Gives the subjects kept so.
+pub fn keep_progress(snapshot: &Snapshot, values: &mut [Value]) -> Vec<Subject> {
+    let mut kept = Vec::new();
+    for value in values {
+        let subject = value.subject();
+        let current = snapshot.state.item(&subject).map(|item| &item.value);
+        let differs = match (&mut *value, current) {
+            (Value::Version(new), Some(Value::Version(old))) => {
+                let back = old.status == version::Status::Withdrawn && new.status != old.status;
+                if back {
+                    new.status = old.status;
+                }
+                back
+            }
+            (Value::Rollout(new), Some(Value::Rollout(old))) if new.stages == old.stages => {
+                let back = (new.stage, new.status) != (old.stage, old.status);
+                (new.stage, new.status) = (old.stage, old.status);
+                back
+            }
+            _ => false,
+        };
+        if differs {
+            kept.push(subject);
+        }
+    }
+    kept
+}
+
 /// Readers apply changes one at a time, so the order within one append still matters.
 fn rank(value: &Value) -> u8 {
     match value {
--- a/crates/ctl/tests/publish.rs
+++ b/crates/ctl/tests/publish.rs
@@ -13,9 +13,11 @@
 use pimento_contract::raw::Configuration;
 use pimento_contract::raw::File;
 use pimento_contract::raw::Source;
+use pimento_contract::version::Status;
 use pimento_ctl::exit::Error;
 use pimento_ctl::publish::Verdicted;
 use pimento_ctl::publish::changes;
+use pimento_ctl::publish::keep_progress;
 use pimento_ctl::publish::publish;
 use pimento_ctl::publish::require;
 use pimento_ctl::snapshot::Snapshot;
@@ -91,6 +93,29 @@
     assert_eq!(publish_all(&log, heavier(values()), "ines").await, 10);
 }
 
+/// An operator withdraws a bad version. Later another one amends a contract and publishes the whole
+/// folder, whose files still show the version as serving. The version must stay withdrawn.
+#[tokio::test(start_paused = true)]
+async fn publishing_files_does_not_bring_a_withdrawn_version_back() {
+    let log = Memory::default();
+    publish_all(&log, values(), "setup").await;
+    let bad = "pimento-mini@1".parse().expect("the name is valid");
+    let mut snapshot = load(&log).await;
+    let mut version = snapshot.state.version(&bad).cloned().expect("it exists");
+    version.status = Status::Withdrawn;
+    let withdrawal = changes(&snapshot, vec![Value::Version(version)], "ines");
+    send(&log, &mut snapshot, &withdrawal)
+        .await
+        .expect("the log takes it");
+    let mut amended = heavier(values());
+    let kept = keep_progress(&snapshot, &mut amended);
+    assert_eq!(kept.len(), 1);
+    publish_all(&log, amended, "jonas").await;
+    let state = load(&log).await.state;
+    let status = state.version(&bad).map(|version| version.status);
+    assert_eq!(status, Some(Status::Withdrawn));
+}
+
 /// The operator sees "in force" although the log answered nothing or "no" at first. The answer is
 /// lost after or before the effect, in any mixture; the changes must be in force once each.
 #[tokio::test(start_paused = true)]
