--- a/crates/standin/src/load/drive.rs
+++ b/crates/standin/src/load/drive.rs
@@ -128,6 +128,7 @@
         let mut sample = Sample {
             customer: arrival.customer.clone(),
             target: CompactString::from(arrival.target.to_string()),
+            at: arrival.at,
             late: intended.elapsed(),
             first: None,
             last: None,
--- a/crates/standin/src/load/result.rs
+++ b/crates/standin/src/load/result.rs
@@ -1,5 +1,6 @@
 //! Results of a run: one row for each customer and target, in a JSON file.
 
+use std::fmt;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -23,6 +24,8 @@
     pub customer: id::Customer,
     /// To what.
     pub target: CompactString,
+    /// When it was due, from the start of the run.
+    pub at: Duration,
     /// How much later than intended it was sent.
     pub late: Duration,
     /// From the intended moment to the first byte of the answer's content.
@@ -89,6 +92,26 @@
     pub keyed: Vec<Keyed>,
     /// Sessions that were moved.
     pub moves: Vec<Move>,
+    /// The first calls that were not served, at most [`KEPT`], in the order in which they ended.
+    pub unserved: Vec<Unserved>,
+}
+
+/// Calls listed in [`Report::unserved`].
+pub const KEPT: usize = 200;
+
+/// A call that was not served.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unserved {
+    /// When it was due, in milliseconds from the start of the run.
+    pub at_ms: u64,
+    /// When it ended, counted in the same way.
+    pub ended_ms: u64,
+    /// By whom.
+    pub customer: id::Customer,
+    /// To what.
+    pub target: CompactString,
+    /// How it ended.
+    pub outcome: CompactString,
 }
 
 /// Calls of one customer to one target.
@@ -170,11 +193,41 @@
     rows: Vec<Sums>,
     keyed: Vec<Keyed>,
     moves: Vec<Move>,
+    unserved: Vec<Unserved>,
+}
+
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Served(_) => f.write_str("served"),
+            Self::Refused { status, code, run } => write!(f, "{status} {code} {run}"),
+            Self::Failed(reason) => f.write_str(reason),
+            Self::Broken(breach) => write!(f, "{breach}"),
+        }
+    }
+}
+
+impl Unserved {
+    fn new(sample: &Sample) -> Self {
+        let ended = sample.at + sample.last.unwrap_or_default();
+        let millis = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            at_ms: millis(sample.at),
+            ended_ms: millis(ended),
+            customer: sample.customer.clone(),
+            target: sample.target.clone(),
+            outcome: format_compact!("{}", sample.outcome),
+        }
+    }
 }
 
 impl Collector {
     /// Adds a sample.
     pub fn add(&mut self, sample: &Sample) {
+        let served = matches!(sample.outcome, Outcome::Served(_));
+        if !served && self.unserved.len() < KEPT {
+            self.unserved.push(Unserved::new(sample));
+        }
         self.moves.extend(sample.moved.clone());
         if sample.service {
             self.key(sample);
@@ -231,6 +284,7 @@
             rows: self.rows.into_iter().map(Sums::row).collect(),
             keyed: self.keyed,
             moves: self.moves,
+            unserved: self.unserved,
         }
     }
 }
@@ -268,14 +322,14 @@
                     self.versions.add(version.as_str());
                 }
             }
-            Outcome::Refused { status, code, run } => {
-                self.refused.add(&format_compact!("{status} {code} {run}"));
+            outcome @ Outcome::Refused { .. } => {
+                self.refused.add(&format_compact!("{outcome}"));
             }
-            Outcome::Failed(reason) => {
-                self.failed.add(reason);
+            outcome @ Outcome::Failed(_) => {
+                self.failed.add(&format_compact!("{outcome}"));
             }
-            Outcome::Broken(breach) => {
-                self.broken.add(&format_compact!("{breach}"));
+            outcome @ Outcome::Broken(_) => {
+                self.broken.add(&format_compact!("{outcome}"));
             }
         }
     }
