--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -24,14 +24,15 @@
 /// Figures of a [`Queue`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Tokens that a customer of weight one may send in one turn: about one short answer, so that
-    /// a turn serves one request and long ones save up for theirs.
+    /// Tokens that a customer of weight one may send in one turn: some short answers. A turn of
+    /// one short answer (200) served less at three times the capacity, 60.1% against 61.2%.
     pub quantum: Tokens,
     /// Share of the work that each class but the first is sure of while it waits.
     pub minimum: f64,
     /// Jobs from this size on are long.
     pub long: Tokens,
-    /// Share of the slots that long jobs may hold together.
+    /// Share of the slots that long jobs may hold together. Limits add up to about two batches of
+    /// the pool, so that this is two fifths of the places where calls run.
     pub long_share: f64,
 }
 
@@ -40,8 +41,8 @@
         Self {
             quantum: Tokens(1_000),
             minimum: 0.1,
-            long: Tokens(6_000),
-            long_share: 0.5,
+            long: Tokens(1_000),
+            long_share: 0.2,
         }
     }
 }
