--- a/crates/standin/src/cli.rs
+++ b/crates/standin/src/cli.rs
@@ -229,7 +229,12 @@
         return Some(Job::Layout(deployment?, base?));
     }
     let seed = findings.value(matches, "seed");
-    let engine = findings.json(matches, "engine-settings");
+    // As the operators' files of both deployments say of their model pools.
+    let refuses = engine::Settings {
+        fencing: engine::Fencing::Refuses,
+        ..engine::Settings::default()
+    };
+    let engine = findings.overlay(matches, "engine-settings", refuses);
     let service = findings.json(matches, "service-settings");
     Some(Job::All(deployment::Config {
         deployment: deployment?,
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -38,6 +38,7 @@
 use crate::server::Site;
 use crate::shared::Shared;
 use crate::tally::Tally;
+use crate::text;
 use crate::text::Mark;
 
 pub use settings::Config;
@@ -62,6 +63,7 @@
     versions: Vec<id::Version>,
     stats: Stats,
     attempts: Tally,
+    prompts: Tally,
     recent: Vec<Attempt>,
     cache: Cache,
     fencing: Option<u64>,
@@ -89,6 +91,7 @@
         versions: config.versions,
         stats: Stats::default(),
         attempts: Tally::default(),
+        prompts: Tally::default(),
         recent: Vec::new(),
         cache: Cache::default(),
         fencing: None,
@@ -110,6 +113,7 @@
         self.stats.started += 1;
         self.stats.leaving += u64::from(self.settings.leaving);
         self.attempts.add(&attempt.id);
+        self.prompts.add(&text::hex(attempt.mark.of));
         let versions = &mut self.stats.versions;
         let place = versions.binary_search_by(|work| work.version.cmp(&attempt.version));
         let place = place.unwrap_or_else(|at| {
@@ -442,6 +446,7 @@
         self.state.with(|state| {
             let mut stats = state.stats.clone();
             stats.attempts = state.attempts.counts().to_vec();
+            stats.prompts = state.prompts.counts().to_vec();
             stats
         })
     }
--- a/crates/standin/src/engine/settings.rs
+++ b/crates/standin/src/engine/settings.rs
@@ -165,6 +165,9 @@
     pub versions: Vec<Work>,
     /// Calls taken, by `attempt-id`, sorted.
     pub attempts: Vec<Count>,
+    /// Calls taken, by the hash of the last message in hexadecimal, sorted. By it a refusal that
+    /// says `not_run` is held against what engines began.
+    pub prompts: Vec<Count>,
 }
 
 /// What a version did.
--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -34,6 +34,7 @@
 use crate::load::result::Outcome;
 use crate::load::trace::Arrival;
 use crate::load::trace::Target;
+use crate::text;
 
 /// A call that is ready to be sent.
 #[derive(Debug, Clone)]
@@ -128,6 +129,15 @@
         matches!(self.content, Content::Service { .. })
     }
 
+    /// The hash of its prompt, for calls to models.
+    #[must_use]
+    pub fn prompt(&self) -> Option<u64> {
+        match &self.content {
+            Content::Model { prompt, .. } => Some(text::digest(prompt)),
+            Content::Service { .. } => None,
+        }
+    }
+
     /// Reads and checks the answer.
     pub async fn read(&self, response: Response<Incoming>, allowed: &Allowed) -> Reading {
         let name = HeaderName::from_static(header::SESSION_TOKEN);
--- a/crates/standin/src/load/drive.rs
+++ b/crates/standin/src/load/drive.rs
@@ -136,6 +136,7 @@
             outcome: Outcome::Failed("not sent".into()),
             key: self.key(arrival),
             service: false,
+            prompt: None,
             moved: None,
             retried: None,
         };
@@ -148,6 +149,7 @@
             }
         };
         sample.service = call.service();
+        sample.prompt = call.prompt();
         let session = self.session(arrival);
         if let Some(session) = &session {
             call.session(session.token.clone());
--- a/crates/standin/src/load/judge.rs
+++ b/crates/standin/src/load/judge.rs
@@ -155,7 +155,8 @@
         let served = total(rows(), |row| row.served);
         let versions = total(rows(), |row| sum(&row.versions));
         let wrong = total(rows(), |row| count(&row.broken, "version"));
-        let requests = total(rows(), |row| row.requests);
+        // A call served on the second try is a request of its own.
+        let requests = total(rows(), |row| row.requests + row.retried_served);
         let bills = self.bills.iter().find(|bills| bills.customer == *customer);
         let billed = bills.map_or(0, |bills| bills.bills);
         let doubled = self.doubled().filter(|key| key.customer == *customer);
@@ -270,10 +271,8 @@
     fn billed(&self) -> Promise {
         let mut against = Vec::new();
         for customer in self.customers() {
-            let requests = total(self.rows(&customer), |row| row.requests);
-            // A call served on the second try is a request of its own.
-            let again = total(self.rows(&customer), |row| row.retried_served);
-            let wanted = requests + again;
+            let figure = |row: &Row| row.requests + row.retried_served;
+            let wanted = total(self.rows(&customer), figure);
             let bills = self.bills.iter().find(|bills| bills.customer == customer);
             let billed = bills.map_or(0, |bills| bills.bills);
             if billed != wanted {
@@ -316,16 +315,31 @@
             let keyed = self.report.keyed.iter();
             keyed.filter(|keyed| keyed.not_run > 0 && keyed.not_run == keyed.calls)
         };
-        let false_word = told().filter(|keyed| self.runs(&keyed.key) > 0);
-        let against = false_word.map(|keyed| format!("{} {}", keyed.customer, keyed.key));
+        let orders = told().filter(|keyed| self.runs(&keyed.key) > 0);
+        let orders = orders.map(|keyed| format!("{} {}", keyed.customer, keyed.key));
+        let prompts = self.report.not_run.iter();
+        let prompts = prompts.filter(|prompt| self.began(prompt));
+        let prompts = prompts.map(|prompt| format!("an engine began the prompt {prompt}"));
+        let cases = told().count() + self.report.not_run.len();
         Promise {
             name: "a call told `not_run` did not run",
             // Held without a case too: a trial without refusals has none.
-            cases: (told().count() as u64).max(1),
-            against: against.collect(),
+            cases: (cases as u64).max(1),
+            against: orders.chain(prompts).collect(),
         }
     }
 
+    /// Whether any engine began to answer a prompt.
+    fn began(&self, prompt: &str) -> bool {
+        let find = |stats: &engine::Stats| {
+            stats
+                .prompts
+                .binary_search_by(|count| count.key.as_str().cmp(prompt))
+                .is_ok()
+        };
+        self.engines.iter().any(find)
+    }
+
     fn attempts(&self) -> Promise {
         let attempts = || self.engines.iter().flat_map(|stats| &stats.attempts);
         let twice = attempts().filter(|attempt| attempt.count > 1);
--- a/crates/standin/src/load/result.rs
+++ b/crates/standin/src/load/result.rs
@@ -16,6 +16,7 @@
 use crate::load::histogram::Latency;
 use crate::tally::Count;
 use crate::tally::Tally;
+use crate::text;
 
 /// What became of one call.
 #[derive(Debug, Clone)]
@@ -40,6 +41,8 @@
     pub key: Option<CompactString>,
     /// Whether the call went to a plain service.
     pub service: bool,
+    /// The hash of its prompt, for calls to models.
+    pub prompt: Option<u64>,
     /// The session's version before and now, if it was moved.
     pub moved: Option<Move>,
     /// Whether the call was served when it was sent again after `retry-after`.
@@ -92,6 +95,8 @@
     pub keyed: Vec<Keyed>,
     /// Sessions that were moved.
     pub moves: Vec<Move>,
+    /// Hashes of the prompts of calls to models that were told `not_run` and not sent again.
+    pub not_run: Vec<CompactString>,
     /// The first calls that were not served, at most [`KEPT`], in the order in which they ended.
     pub unserved: Vec<Unserved>,
 }
@@ -193,6 +198,7 @@
     rows: Vec<Sums>,
     keyed: Vec<Keyed>,
     moves: Vec<Move>,
+    not_run: Vec<CompactString>,
     unserved: Vec<Unserved>,
 }
 
@@ -207,6 +213,21 @@
     }
 }
 
+impl Sample {
+    /// The hash of the prompt, if the caller was told `not_run` and left it at that.
+    fn not_run(&self) -> Option<CompactString> {
+        let told = matches!(
+            self.outcome,
+            Outcome::Refused {
+                run: Run::NotRun,
+                ..
+            }
+        );
+        let prompt = self.prompt.filter(|_| told && self.retried.is_none())?;
+        Some(text::hex(prompt))
+    }
+}
+
 impl Unserved {
     fn new(sample: &Sample) -> Self {
         let ended = sample.at + sample.last.unwrap_or_default();
@@ -229,6 +250,7 @@
             self.unserved.push(Unserved::new(sample));
         }
         self.moves.extend(sample.moved.clone());
+        self.not_run.extend(sample.not_run());
         if sample.service {
             self.key(sample);
         }
@@ -284,6 +306,7 @@
             rows: self.rows.into_iter().map(Sums::row).collect(),
             keyed: self.keyed,
             moves: self.moves,
+            not_run: self.not_run,
             unserved: self.unserved,
         }
     }
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -7,7 +7,10 @@
 use logforth::layout::JsonLayout;
 use logforth::layout::TextLayout;
 use logforth::starter_log;
+use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Map;
+use serde_json::Value;
 
 /// A flag with its environment variable.
 #[must_use]
@@ -70,6 +73,23 @@
         })
     }
 
+    /// The value of a flag that takes JSON; what it leaves out is taken from `default`.
+    pub fn overlay<T: Serialize + DeserializeOwned>(
+        &mut self,
+        matches: &ArgMatches,
+        name: &str,
+        default: T,
+    ) -> T {
+        let Some(text) = matches.get_one::<String>(name) else {
+            return default;
+        };
+        let merged = overlaid(text, &default).and_then(serde_json::from_value);
+        merged.unwrap_or_else(|error| {
+            self.note(name, error);
+            default
+        })
+    }
+
     /// The findings, one a line.
     #[must_use]
     pub fn lines(&self) -> &[String] {
@@ -77,6 +97,15 @@
     }
 }
 
+fn overlaid(text: &str, default: &impl Serialize) -> serde_json::Result<Value> {
+    let given: Map<String, Value> = serde_json::from_str(text)?;
+    let mut value = serde_json::to_value(default)?;
+    if let Value::Object(fields) = &mut value {
+        fields.extend(given);
+    }
+    Ok(value)
+}
+
 /// The flag that chooses how log lines look.
 #[must_use]
 pub fn log_format() -> Arg {
--- a/crates/standin/src/text.rs
+++ b/crates/standin/src/text.rs
@@ -6,6 +6,8 @@
 use std::fmt;
 use std::str::FromStr;
 
+use compact_str::CompactString;
+use compact_str::format_compact;
 use pimento_units::Share;
 use pimento_units::id;
 use pimento_units::share::PARTS;
@@ -78,6 +80,12 @@
     xxh3_64(prompt.as_bytes())
 }
 
+/// A hash as it stands in marks and counters.
+#[must_use]
+pub fn hex(digest: u64) -> CompactString {
+    format_compact!("{digest:016x}")
+}
+
 const WORDS: [&str; 12] = [
     "solvent", "drum", "label", "flash", "point", "glove", "rinse", "batch", "grease", "valve",
     "vapour", "store",
--- a/crates/standin/tests/all/load.rs
+++ b/crates/standin/tests/all/load.rs
@@ -148,6 +148,29 @@
     assert!(!kept(&evidence, "each served request is billed once"));
 }
 
+/// An engine begins a call and its answer is lost; the caller is told that the call did not run.
+/// The judgement must find the engine's count.
+#[tokio::test]
+async fn a_false_not_run_is_found() {
+    let engine = engine().await;
+    let mut report = run(&engine, WHOLE, "\"m@1\"").await;
+    let engines = vec![engine.site.stats()];
+    let prompt = engines[0].prompts[0].key.clone();
+    report.not_run = vec!["0000000000000000".into()];
+    let mut evidence = Evidence {
+        report,
+        bills: vec![bills(1)],
+        engines,
+        services: Vec::new(),
+        withdrawn: Vec::new(),
+        overload: false,
+        quiet: Vec::new(),
+    };
+    assert!(kept(&evidence, "a call told `not_run` did not run"));
+    evidence.report.not_run = vec![prompt];
+    assert!(!kept(&evidence, "a call told `not_run` did not run"));
+}
+
 fn bills(bills: u64) -> Bills {
     Bills {
         customer: "garage".parse().unwrap(),
