Measure goodput from the first token on, and what is wasted

Change: a request's work counts from its first token; new columns for work on cancelled calls and on prompts read without a cached prefix.

--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -79,7 +79,7 @@
     ("fifo, our choice", Mechanisms::naive(Choice::Policy)),
 ];
 
-const HEAD: [&str; 15] = [
+const HEAD: [&str; 17] = [
     "mechanisms",
     "served",
     "worst",
@@ -95,6 +95,8 @@
     "truth",
     "attempts",
     "cost",
+    "wasted",
+    "missed",
 ];
 
 fn main() {
@@ -238,6 +240,8 @@
         summary.truth.map_or_else(|| "-".into(), share),
         time(summary.attempts),
         time(summary.cost),
+        share(summary.wasted),
+        share(summary.missed),
     ]
 }
 
--- a/crates/policy/tests/model/engine.rs
+++ b/crates/policy/tests/model/engine.rs
@@ -34,6 +34,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Run {
     attempt: usize,
+    start: f64,
     first: f64,
     end: f64,
     told: bool,
@@ -50,6 +51,9 @@
     pub faults: Vec<Fault>,
     pub generation: u64,
     pub served: f64,
+    /// Work on calls that were cancelled, and on prompts whose prefix was not in the cache.
+    pub wasted: f64,
+    pub missed: f64,
     clock: f64,
     at: f64,
     running: Vec<Run>,
@@ -98,6 +102,8 @@
     /// Drops a call.
     pub fn cancel(&mut self, now: f64, attempt: usize) {
         self.advance(now);
+        let gone = self.running.iter().filter(|run| run.attempt == attempt);
+        self.wasted += gone.map(|run| self.clock - run.start).sum::<f64>();
         self.running.retain(|run| run.attempt != attempt);
         self.waiting.retain(|work| work.attempt != attempt);
         self.fill();
@@ -125,9 +131,13 @@
                 self.cache.pop_front();
             }
             let fresh = if cached.is_some() { 1.0 - PREFIX } else { 1.0 };
+            if cached.is_none() {
+                self.missed += float(work.input) * PREFIX / PREFILL;
+            }
             let first = self.clock + float(work.input) * fresh / PREFILL + 1.0;
             self.running.push(Run {
                 attempt: work.attempt,
+                start: self.clock,
                 first,
                 end: first + float(work.output),
                 told: false,
--- a/crates/policy/tests/model/summary.rs
+++ b/crates/policy/tests/model/summary.rs
@@ -37,6 +37,9 @@
     /// Work that the engines did for each token of work served in time: losing attempts, late
     /// answers and prompts read without a cached prefix raise it.
     pub cost: f64,
+    /// Parts of all work: on calls that were cancelled, on prompts read without a cached prefix.
+    pub wasted: f64,
+    pub missed: f64,
 }
 
 /// The value that `share` of the sorted values don't exceed; zero if there are none.
@@ -72,10 +75,12 @@
     scenario::work(float(request.arrival.input), float(request.arrival.output))
 }
 
-/// The part of a request's work that fell between `from` and `to`, taken as even over its run.
+/// The part of a request's work that fell between `from` and `to`, taken as even from the first
+/// token to the last.
 fn within(request: &Request, from: f64, to: f64) -> f64 {
-    let overlap = request.ended.min(to) - request.began.max(from);
-    let run = (request.ended - request.began).max(f64::MIN_POSITIVE);
+    let began = request.first.unwrap_or(request.ended);
+    let overlap = request.ended.min(to) - began.max(from);
+    let run = (request.ended - began).max(f64::MIN_POSITIVE);
     work(request) * (overlap / run).clamp(0.0, 1.0)
 }
 
@@ -132,6 +137,8 @@
             truth: returned.then(|| share(back, served)),
             attempts: float(attempts) / float(tried.len().max(1) as u64),
             cost: spent / done.max(1.0),
+            wasted: world.engines.iter().map(|e| e.wasted).sum::<f64>() / spent.max(1.0),
+            missed: world.engines.iter().map(|e| e.missed).sum::<f64>() / spent.max(1.0),
         }
     }
 
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -61,8 +61,6 @@
     pub first: Option<f64>,
     pub ended: f64,
     pub attempts: u32,
-    /// When its first attempt was sent.
-    pub began: f64,
     /// The request that this one is a repetition of, after `Retry-After`.
     pub origin: Option<usize>,
     node: usize,
@@ -170,7 +168,6 @@
             first: None,
             ended: 0.0,
             attempts: 0,
-            began: 0.0,
             origin,
             node,
             tried: Vec::new(),
@@ -344,9 +341,6 @@
             reached: true,
         });
         let state = &mut self.requests[request];
-        if state.attempts == 0 {
-            state.began = self.now;
-        }
         state.attempts += 1;
         state.tried.push(endpoint);
         state.live.push(attempt);
