platform: prove the follower and the mesh, and mend word of other nodes

A dead node has to drop out at all its peers, and what lies in a socket must not look fresh. Adds 8 tests of the follower and 10 of the mesh over loopback. Word of other nodes carried an age, which lost up to a tenth of a second on each way: nodes kept telling each other of a dead one and it stayed live (seen: the tailer's test failed after 20 s). It carries the number of the newest heartbeat now. Seen failing on a scratch copy, one test each: age from the answer, repeated records, untold retention, late heartbeats, repeated word, departures not in turn, no suspicion, a cut frame; two without the MAC check. With all of them 18 pass. Ruled out: a longer silence, which only hides it.

--- a/crates/platform/src/mesh/table.rs
+++ b/crates/platform/src/mesh/table.rs
@@ -54,8 +54,11 @@
 #[derive(Debug)]
 struct Known {
     peer: Peer,
+    /// The number of its newest heartbeat that came here.
     sequence: u64,
     heard: Instant,
+    /// The number of its newest heartbeat that came anywhere, as far as known here.
+    word: u64,
     life: Instant,
     suspected: bool,
 }
@@ -114,11 +117,19 @@
             Ok(at) if self.alive(&self.known[at], now) => News::Newer,
             _ => News::New,
         };
+        let (word, life) = match place {
+            // Passed on by another, a newer one of the same life came here first.
+            Ok(at) if self.known[at].word > beat.sequence => {
+                (self.known[at].word, self.known[at].life)
+            }
+            _ => (beat.sequence, now),
+        };
         let known = Known {
             peer: peer(beat, address, now),
             sequence: beat.sequence,
             heard: now,
-            life: now,
+            word,
+            life,
             suspected: false,
         };
         match place {
@@ -129,19 +140,17 @@
         news
     }
 
-    /// Takes word of other nodes, passed on by a peer.
+    /// Takes word of other nodes, passed on by a peer. Only a heartbeat that was not known of is a
+    /// sign of life.
     pub(super) fn hear_of(&mut self, heard: &[Heard], now: Instant) {
         for word in heard {
-            let age = Duration::from_millis(u64::from(word.age) * 100);
-            let Some(life) = now.checked_sub(age) else {
-                continue;
-            };
             let known = self
                 .known
                 .iter_mut()
                 .find(|k| hash(&k.peer.node) == word.node);
-            if let Some(known) = known {
-                known.life = known.life.max(life);
+            if let Some(known) = known.filter(|k| k.word < word.sequence) {
+                known.word = word.sequence;
+                known.life = now;
             }
         }
     }
@@ -154,7 +163,7 @@
         live.truncate(max);
         let word = |k: &Known| Heard {
             node: hash(&k.peer.node),
-            age: tenths(now.saturating_duration_since(k.life)),
+            sequence: k.word,
         };
         live.into_iter().map(word).collect()
     }
@@ -226,7 +235,3 @@
     let bytes = xxh3_64(node.as_str().as_bytes()).to_le_bytes();
     u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]])
 }
-
-fn tenths(age: Duration) -> u16 {
-    u16::try_from(age.as_millis() / 100).unwrap_or(u16::MAX)
-}
--- /dev/null
+++ b/crates/platform/tests/follower.rs
@@ -0,0 +1,234 @@
+//! The follower: order, retention, outages, age.
+
+mod support;
+
+use std::time::Duration;
+
+use pimento_ledger::Stream;
+use pimento_platform::Follower;
+use pimento_platform::Log;
+use pimento_platform::follower::Fold;
+use pimento_platform::log::Error;
+use pimento_units::Offset;
+use pimento_units::Wall;
+use pimento_wire::platform::Batch;
+use support::bound;
+use support::eventually;
+use support::memory::Memory;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const STREAM: Stream = Stream::Grants;
+
+/// All that a follower hands to its fold.
+#[derive(Debug, Default)]
+struct Seen {
+    records: Vec<(u64, String)>,
+    resets: Vec<u64>,
+}
+
+impl Fold for Seen {
+    fn apply(&mut self, offset: Offset, _at: Wall, record: &str) {
+        self.records.push((offset.0, record.to_owned()));
+    }
+
+    fn reset(&mut self, oldest: Offset) {
+        self.resets.push(oldest.0);
+    }
+}
+
+fn follow(log: impl Log) -> Follower<Seen> {
+    let token = CancellationToken::new();
+    Follower::start(log, STREAM, Offset(0), Seen::default(), token)
+}
+
+async fn until(follower: &Follower<Seen>, count: usize) {
+    let enough = |seen: &Seen| (seen.records.len() >= count).then_some(());
+    follower.wait(bound(), enough).await.expect("records");
+}
+
+fn numbers(range: std::ops::Range<u64>) -> Vec<(u64, String)> {
+    range.map(|n| (n, n.to_string())).collect()
+}
+
+fn put(log: &Memory, range: std::ops::Range<u64>) {
+    log.put(STREAM, range.map(|n| n.to_string()));
+}
+
+#[tokio::test]
+async fn every_record_comes_once_and_in_order() {
+    let log = Memory::default();
+    put(&log, 0..2_500);
+    let follower = follow(log.clone());
+    until(&follower, 2_500).await;
+    put(&log, 2_500..2_510);
+    until(&follower, 2_510).await;
+    follower.view(|seen| assert_eq!(seen.records, numbers(0..2_510)));
+    assert_eq!(follower.next(), Offset(2_510));
+}
+
+#[tokio::test]
+async fn wait_ends_by_an_event_or_at_its_deadline() {
+    let log = Memory::default();
+    let follower = follow(log.clone());
+    let first = |seen: &Seen| seen.records.first().cloned();
+    let soon = Instant::now() + Duration::from_millis(20);
+    assert_eq!(follower.wait(soon, first).await, None);
+    put(&log, 0..1);
+    assert_eq!(follower.wait(bound(), first).await, Some((0, "0".into())));
+}
+
+/// The log forgets records before a node has read them. The fold is told, so that it does not take
+/// what it has for the whole truth, and reading goes on with the oldest record that is kept.
+#[tokio::test]
+async fn passed_retention_is_told_and_passed() {
+    let log = Memory::default();
+    put(&log, 0..10);
+    log.retain(STREAM, Offset(4));
+    let follower = follow(log.clone());
+    until(&follower, 6).await;
+    follower.view(|seen| {
+        assert_eq!(seen.resets, [4]);
+        assert_eq!(seen.records, numbers(4..10));
+    });
+}
+
+/// The log is out, then cut off, then back. Meanwhile the view's age grows and it does not count as
+/// caught up; afterwards no record is missing or doubled.
+#[tokio::test]
+async fn outage_shows_in_the_age_and_loses_nothing() {
+    let log = Memory::default();
+    put(&log, 0..5);
+    let link = log.link();
+    let follower = follow(link.clone());
+    until(&follower, 5).await;
+    eventually("caught up", async || follower.caught_up().then_some(())).await;
+
+    log.outage(Some(Duration::from_millis(10)));
+    eventually("outage seen", async || {
+        (!follower.caught_up()).then_some(())
+    })
+    .await;
+    let during = follower.age();
+    link.cut(true);
+    log.outage(None);
+    put(&log, 5..10);
+    eventually("age grows", async || {
+        (follower.age() > during + Duration::from_millis(50)).then_some(())
+    })
+    .await;
+    follower.view(|seen| assert_eq!(seen.records.len(), 5));
+
+    link.cut(false);
+    until(&follower, 10).await;
+    follower.view(|seen| assert_eq!(seen.records, numbers(0..10)));
+    eventually("caught up again", async || {
+        follower.caught_up().then_some(())
+    })
+    .await;
+}
+
+/// A log whose answers are on their way for a while.
+#[derive(Debug, Clone)]
+struct Slow {
+    log: Memory,
+    delay: Duration,
+}
+
+impl Log for Slow {
+    async fn append(&self, stream: Stream, records: Vec<String>) -> Result<Offset, Error> {
+        self.log.append(stream, records).await
+    }
+
+    async fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Batch, Error> {
+        let answer = self.log.read(stream, from, max, wait).await;
+        tokio::time::sleep(self.delay).await;
+        answer
+    }
+}
+
+/// A process is paused while the log's answer lies in its socket. The answer is as old as the pause
+/// when it is read, and the view must not look fresh.
+#[tokio::test]
+async fn age_counts_from_the_sending_of_a_read() {
+    let delay = Duration::from_millis(200);
+    let log = Memory::default();
+    put(&log, 0..1);
+    let follower = follow(Slow { log, delay });
+    until(&follower, 1).await;
+    assert!(follower.age() >= delay, "{:?}", follower.age());
+}
+
+/// A log that answers from some records before the place asked for.
+#[derive(Debug, Clone)]
+struct Generous(Memory);
+
+impl Log for Generous {
+    async fn append(&self, stream: Stream, records: Vec<String>) -> Result<Offset, Error> {
+        self.0.append(stream, records).await
+    }
+
+    async fn read(
+        &self,
+        stream: Stream,
+        from: Offset,
+        max: usize,
+        wait: Duration,
+    ) -> Result<Batch, Error> {
+        self.0.read(stream, from, max, wait).await?;
+        let before = Offset(from.0.saturating_sub(2));
+        self.0.read(stream, before, max, wait).await
+    }
+}
+
+#[tokio::test]
+async fn repeated_records_are_passed_over() {
+    let log = Memory::default();
+    let follower = follow(Generous(log.clone()));
+    for n in 0..10 {
+        put(&log, n..n + 1);
+        until(&follower, usize::try_from(n + 1).unwrap()).await;
+    }
+    follower.view(|seen| assert_eq!(seen.records, numbers(0..10)));
+}
+
+#[tokio::test]
+async fn closed_gate_reads_nothing() {
+    let log = Memory::default();
+    put(&log, 0..1);
+    let gate = watch::Sender::new(false);
+    let token = CancellationToken::new();
+    let closed = gate.subscribe();
+    let seen = Seen::default();
+    let follower = Follower::start_gated(log.clone(), STREAM, Offset(0), seen, closed, token);
+    let soon = Instant::now() + Duration::from_millis(50);
+    let any = |seen: &Seen| (!seen.records.is_empty()).then_some(());
+    assert_eq!(follower.wait(soon, any).await, None);
+    assert_eq!(log.reads(STREAM), 0);
+    gate.send_replace(true);
+    until(&follower, 1).await;
+}
+
+#[tokio::test]
+async fn cancelled_follower_reads_no_more() {
+    let log = Memory::default();
+    let token = CancellationToken::new();
+    let fold = Seen::default();
+    let follower = Follower::start(log.clone(), STREAM, Offset(0), fold, token.clone());
+    put(&log, 0..1);
+    until(&follower, 1).await;
+    token.cancel();
+    // The reader's task ends with the token; only this follower holds the view after it.
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    put(&log, 1..2);
+    let soon = Instant::now() + Duration::from_millis(50);
+    let second = |seen: &Seen| (seen.records.len() > 1).then_some(());
+    assert_eq!(follower.wait(soon, second).await, None);
+}
--- /dev/null
+++ b/crates/platform/tests/mesh.rs
@@ -0,0 +1,357 @@
+//! The mesh: heartbeats, calls, frames that must be dropped, departures, cuts.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimento_platform::Mesh;
+use pimento_platform::mesh;
+use pimento_platform::mesh::Duty;
+use pimento_platform::mesh::Handler;
+use pimento_platform::mesh::Listener;
+use pimento_platform::mesh::Settings;
+use pimento_units::Offset;
+use pimento_units::id;
+use pimento_wire::Frame;
+use pimento_wire::frame::Key;
+use pimento_wire::frame::MAX_BODY;
+use pimento_wire::frame::MAX_DATAGRAM;
+use pimento_wire::peer::Answer;
+use pimento_wire::peer::Call;
+use pimento_wire::peer::Departure;
+use pimento_wire::peer::Heartbeat;
+use support::eventually;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::net::UdpSocket;
+use tokio_util::sync::CancellationToken;
+
+const KEY: &str = "test";
+
+/// Answers a fetch by nothing, a pull by its own node's refusal, and takes the rest.
+struct Echo(id::Node);
+
+impl Handler for Echo {
+    async fn handle(&self, call: Call) -> Answer {
+        match call {
+            Call::Fetch { .. } => Answer::Nothing,
+            Call::Pull { .. } => Answer::Refused {
+                reason: self.0.as_str().into(),
+            },
+            _ => Answer::Done,
+        }
+    }
+}
+
+fn settings(node: &str, zone: &str, seeds: &[SocketAddr]) -> Settings {
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let key = Key::derive(KEY);
+    let mut settings = Settings::new(node.parse().unwrap(), zone.parse().unwrap(), listen, key);
+    settings.seeds = seeds.to_vec();
+    settings.interval = Duration::from_millis(20);
+    settings.silence = Duration::from_millis(600);
+    settings.timeout = Duration::from_millis(500);
+    settings
+}
+
+async fn bind(settings: Settings, token: &CancellationToken) -> (Mesh, Listener) {
+    let config = mesh::Config::try_from(settings).unwrap();
+    Mesh::bind(config, token.clone()).await.unwrap()
+}
+
+async fn start(settings: Settings) -> Mesh {
+    let node = settings.node.clone();
+    let (mesh, listener) = bind(settings, &CancellationToken::new()).await;
+    listener.serve(Echo(node));
+    mesh
+}
+
+async fn names(mesh: &Mesh, expected: &[&str]) {
+    eventually("these peers", async || {
+        let peers = mesh.peers();
+        let names: Vec<&str> = peers.iter().map(|p| p.node.as_str()).collect();
+        (names == expected).then_some(())
+    })
+    .await;
+}
+
+async fn peer(mesh: &Mesh, name: &str) -> mesh::Peer {
+    eventually("the peer", async || {
+        mesh.peers().into_iter().find(|p| p.node.as_str() == name)
+    })
+    .await
+}
+
+#[tokio::test]
+async fn nodes_find_each_other_by_one_seed() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let b = start(settings("b", "trebon", &[a.address()])).await;
+    let c = start(settings("c", "hluboka", &[a.address()])).await;
+    names(&a, &["b", "c"]).await;
+    names(&b, &["a"]).await;
+    names(&c, &["a"]).await;
+    let answer = a
+        .call(&peer(&a, "b").await, Call::Pull { offset: Offset(0) })
+        .await;
+    let reason = "b".into();
+    assert_eq!(answer.unwrap(), Answer::Refused { reason });
+    // The platform's list gives the addresses that heartbeats alone don't spread.
+    b.learn([c.address()]);
+    names(&b, &["a", "c"]).await;
+    names(&c, &["a", "b"]).await;
+}
+
+#[tokio::test]
+async fn dead_peer_is_no_longer_live() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let token = CancellationToken::new();
+    let (b, listener) = bind(settings("b", "trebon", &[a.address()]), &token).await;
+    listener.serve(Echo(b.node().clone()));
+    names(&a, &["b"]).await;
+    token.cancel();
+    names(&a, &[]).await;
+}
+
+/// The tailer of a zone is found by each node for itself. With the same peers in sight all find the
+/// same one, and when it dies all find the same other.
+#[tokio::test]
+async fn nodes_of_a_zone_choose_the_same_tailer() {
+    let token = CancellationToken::new();
+    let mut nodes = Vec::new();
+    let mut seeds = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        let own = token.child_token();
+        let (mesh, listener) = bind(settings(name, "trebon", &seeds), &own).await;
+        listener.serve(Echo(mesh.node().clone()));
+        seeds.push(mesh.address());
+        nodes.push((mesh, own));
+    }
+    let other = start(settings("z", "hluboka", &seeds)).await;
+    let agree = async |nodes: &[(Mesh, CancellationToken)]| {
+        eventually("one choice", async || {
+            let seen = nodes.iter().all(|(m, _)| m.peers().len() == nodes.len());
+            let choices: Vec<id::Node> =
+                nodes.iter().map(|(m, _)| m.chosen(Duty::Tailer)).collect();
+            let same = choices.iter().all(|choice| *choice == choices[0]);
+            (seen && same).then(|| choices[0].clone())
+        })
+        .await
+    };
+    let first = agree(&nodes).await;
+    assert_eq!(other.chosen(Duty::Tailer), *other.node());
+    let at = nodes.iter().position(|(m, _)| *m.node() == first).unwrap();
+    nodes.remove(at).1.cancel();
+    assert_ne!(agree(&nodes).await, first);
+}
+
+fn heartbeat(node: &str, sequence: u64, offset: u64) -> Heartbeat {
+    Heartbeat {
+        node: node.parse().unwrap(),
+        zone: "trebon".parse().unwrap(),
+        address: "127.0.0.1:9".into(),
+        sequence,
+        offset: Offset(offset),
+        current: None,
+        tailing: false,
+        leaving: false,
+        departures: Vec::new(),
+        quarantined: Vec::new(),
+        heard: Vec::new(),
+    }
+}
+
+fn seal(beat: &Heartbeat, key: &str) -> Vec<u8> {
+    let frame = Frame::seal(beat, &Key::derive(key), MAX_DATAGRAM).unwrap();
+    frame.bytes().to_vec()
+}
+
+async fn send(mesh: &Mesh, bytes: &[u8]) {
+    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    socket.send_to(bytes, mesh.address()).await.unwrap();
+}
+
+/// Datagrams come late, twice, or from a former life under the same name. What is known of a peer
+/// never goes back to an older word.
+#[tokio::test]
+async fn late_heartbeat_changes_nothing() {
+    let a = start(settings("a", "trebon", &[])).await;
+    send(&a, &seal(&heartbeat("x", 7, 70), KEY)).await;
+    names(&a, &["x"]).await;
+    for (sequence, offset) in [(7, 10), (6, 90), (0, 20)] {
+        send(&a, &seal(&heartbeat("x", sequence, offset), KEY)).await;
+    }
+    send(&a, &seal(&heartbeat("y", 1, 0), KEY)).await;
+    names(&a, &["x", "y"]).await;
+    assert_eq!(peer(&a, "x").await.offset, Offset(70));
+    send(&a, &seal(&heartbeat("x", 8, 80), KEY)).await;
+    eventually("the newer word", async || {
+        (peer(&a, "x").await.offset == Offset(80)).then_some(())
+    })
+    .await;
+}
+
+/// Datagrams with another key, damaged, cut off, too long or of another kind reach the port. Each
+/// is counted, none is taken for a peer, and heartbeats go on.
+#[tokio::test]
+async fn bad_datagrams_are_dropped_and_counted() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let good = seal(&heartbeat("x", 1, 0), KEY);
+    let mut damaged = good.clone();
+    *damaged.last_mut().unwrap() ^= 1;
+    let kind = Frame::seal(&u8::MAX, &Key::derive(KEY), MAX_DATAGRAM).unwrap();
+    let bad = [
+        seal(&heartbeat("x", 1, 0), "another"),
+        damaged,
+        good[..10].to_vec(),
+        Vec::new(),
+        vec![0; MAX_DATAGRAM + 1],
+        kind.bytes().to_vec(),
+    ];
+    for bytes in &bad {
+        send(&a, bytes).await;
+    }
+    let expected = mesh::Count {
+        size: 3,
+        mac: 2,
+        body: 1,
+    };
+    eventually("all counted", async || {
+        (a.drops() == expected).then_some(())
+    })
+    .await;
+    assert_eq!(a.peers(), []);
+    send(&a, &good).await;
+    names(&a, &["x"]).await;
+}
+
+fn framed(frame: &Frame) -> Vec<u8> {
+    [&frame.length()[..], &frame.bytes()[..]].concat()
+}
+
+/// The same over TCP: whoever sends a bad frame gets no answer, and the next caller is served.
+#[tokio::test]
+async fn bad_calls_are_dropped_and_counted() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let call = Call::Pull { offset: Offset(0) };
+    let seal = |key: &str| Frame::seal(&call, &Key::derive(key), MAX_BODY).unwrap();
+    let too_long = u32::try_from(MAX_BODY + 1).unwrap().to_le_bytes().to_vec();
+    let bad = [
+        framed(&seal("another")),
+        too_long,
+        5_u32.to_le_bytes().into_iter().chain([0; 5]).collect(),
+        framed(&Frame::seal(&u8::MAX, &Key::derive(KEY), MAX_BODY).unwrap()),
+    ];
+    for bytes in &bad {
+        let mut stream = TcpStream::connect(a.address()).await.unwrap();
+        stream.write_all(bytes).await.unwrap();
+        let mut answer = Vec::new();
+        // A reset is as good as an end: no answer came.
+        let _ = stream.read_to_end(&mut answer).await;
+        assert!(answer.is_empty(), "{answer:?}");
+    }
+    let expected = mesh::Count {
+        size: 2,
+        mac: 1,
+        body: 1,
+    };
+    assert_eq!(a.drops(), expected);
+    let b = start(settings("b", "trebon", &[a.address()])).await;
+    let answer = b.call(&peer(&b, "a").await, call.clone()).await;
+    assert!(answer.is_ok(), "{answer:?}");
+}
+
+/// A call's frame is cut off in the middle, for instance since the caller's VM died. It is dropped
+/// and counted, not taken for a shorter one.
+#[tokio::test]
+async fn call_cut_in_the_middle_is_dropped() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let call = Call::Drop {
+        node: "x".parse().unwrap(),
+        requests: Vec::new(),
+    };
+    let frame = framed(&Frame::seal(&call, &Key::derive(KEY), MAX_BODY).unwrap());
+    let mut stream = TcpStream::connect(a.address()).await.unwrap();
+    stream.write_all(&frame[..frame.len() - 1]).await.unwrap();
+    drop(stream);
+    eventually("counted", async || (a.drops().size == 1).then_some(())).await;
+}
+
+/// An endpoint says that it leaves to one node only. All nodes of all zones hear of it within a few
+/// heartbeats, and word of an older life, or a second word, changes nothing.
+#[tokio::test]
+async fn departure_spreads_to_all_zones_and_stays() {
+    let mut seeds = Vec::new();
+    let mut nodes = Vec::new();
+    for (name, zone) in [
+        ("a", "trebon"),
+        ("b", "hluboka"),
+        ("c", "vodnany"),
+        ("d", "trebon"),
+    ] {
+        let mesh = start(settings(name, zone, &seeds)).await;
+        seeds.push(mesh.address());
+        nodes.push(mesh);
+    }
+    // More at once than fit into one datagram.
+    let departures: Vec<Departure> = (0..40)
+        .map(|n| Departure {
+            endpoint: format!("engine-with-a-rather-long-name-{n:02}")
+                .parse()
+                .unwrap(),
+            incarnation: n,
+        })
+        .collect();
+    for departure in &departures {
+        nodes[0].announce(departure.clone());
+    }
+    for node in &nodes {
+        eventually("all departures", async || {
+            (node.departures() == departures).then_some(())
+        })
+        .await;
+    }
+    let mut reborn = departures[0].clone();
+    reborn.incarnation = 99;
+    assert!(!nodes[3].departed(&reborn), "another life is not leaving");
+    assert!(nodes[3].departed(&departures[0]));
+}
+
+/// A peer's VM is gone but its last heartbeat is fresh. The first call finds out; the peer is not
+/// chosen again before it is heard itself.
+#[tokio::test]
+async fn peer_that_can_not_be_called_is_suspected() {
+    let a = start(settings("a", "trebon", &[])).await;
+    let mut beat = heartbeat("x", 1, 0);
+    let nobody = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = nobody.local_addr().unwrap();
+    drop(nobody);
+    beat.address = address.to_string().into();
+    send(&a, &seal(&beat, KEY)).await;
+    let x = peer(&a, "x").await;
+    let call = Call::Pull { offset: Offset(0) };
+    let error = a.call(&x, call).await.unwrap_err();
+    assert!(matches!(error, mesh::Error::Unreachable { .. }), "{error}");
+    assert_eq!(a.peers(), []);
+    beat.sequence = 2;
+    send(&a, &seal(&beat, KEY)).await;
+    names(&a, &["x"]).await;
+}
+
+#[test]
+fn senseless_settings_are_found() {
+    let change = |change: fn(&mut Settings)| {
+        let mut settings = settings("a", "trebon", &[]);
+        change(&mut settings);
+        mesh::Config::try_from(settings).is_err()
+    };
+    assert!(change(|s| s.interval = Duration::ZERO));
+    assert!(change(|s| s.silence = Duration::ZERO));
+    assert!(change(|s| s.timeout = Duration::ZERO));
+    assert!(change(|s| s.listen = "0.0.0.0:1".parse().unwrap()));
+    assert!(!change(|s| {
+        s.listen = "0.0.0.0:1".parse().unwrap();
+        s.advertise = Some("10.0.0.1:1".parse().unwrap());
+    }));
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -50,12 +50,15 @@
 
 /// Word of another node, passed on: at 50 nodes a zone and three datagrams a second each node hears
 /// any other one only every half minute, which is too seldom to tell a live one from a dead one.
+///
+/// It carries a number and not an age. An age loses a little on each way, so that nodes which tell
+/// each other of a dead one would keep it young for ever.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heard {
     /// Hash of the node's name.
     pub node: u32,
-    /// Tenths of a second since its newest sign of life.
-    pub age: u16,
+    /// Number of its newest heartbeat.
+    pub sequence: u64,
 }
 
 /// An endpoint known to be leaving; sticky for its incarnation.
