--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -137,15 +137,6 @@
     best.map(|(_, place)| place)
 }
 
-/// The endpoint that a prefix belongs to, whatever its load: the first in rendezvous order among
-/// the usable ones.
-#[must_use]
-pub fn home(candidates: &[Candidate], prefix: u64) -> Option<usize> {
-    let usable = candidates.iter().enumerate().filter(|(_, c)| c.usable);
-    let first = usable.max_by_key(|(_, candidate)| number::mix(candidate.key, prefix));
-    first.map(|(place, _)| place)
-}
-
 /// The better of two different ones drawn among the open candidates that `fits` lets through.
 fn two(
     candidates: &[Candidate],
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -129,36 +129,20 @@
     /// be called when a slot is free. A job past its last start is left for
     /// [`expire`](Self::expire).
     pub fn next(&mut self, now: Moment, slots: u32) -> Option<Dispatch> {
-        self.next_preferring(now, slots, |_| false)
-    }
-
-    /// Like [`next`](Self::next), but of the customers that may send now the first whose job
-    /// `fits` goes first, such as one whose prefix's endpoint has a free slot (delay scheduling,
-    /// Zaharia et al., 2010). Nobody loses by it: a customer that is passed over keeps its deficit,
-    /// and the others run out of theirs within a turn.
-    pub fn next_preferring(
-        &mut self,
-        now: Moment,
-        slots: u32,
-        fits: impl Fn(Ticket) -> bool,
-    ) -> Option<Dispatch> {
         let long = self.running_long < self.most_long(slots);
         let chosen = self.choose(now, long)?;
         let lane = &mut self.lanes[chosen];
+        let (entry, flow) = lane.pop(now, long, self.config.quantum)?;
         let priority = lane.priority();
-        let ticket = |sequence, flow| Ticket {
-            sequence,
-            priority,
-            flow,
-        };
-        let fitting = lane.pop_fitting(now, long, |sequence, flow| fits(ticket(sequence, flow)));
-        let popped = fitting.or_else(|| lane.pop(now, long, self.config.quantum));
-        let (entry, flow) = popped?;
         self.waiting -= 1;
         self.running_long += u32::from(entry.long);
         self.share(chosen, entry.tokens);
         Some(Dispatch {
-            ticket: ticket(entry.sequence, flow),
+            ticket: Ticket {
+                sequence: entry.sequence,
+                priority,
+                flow,
+            },
             tokens: entry.tokens,
             long: entry.long,
         })
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -13,10 +13,6 @@
 /// counts, enough to average over sizes and few enough to follow a change of load in seconds.
 const FORGET: f64 = 0.99;
 
-/// Customers that are looked at for a job that fits: enough to find one for most endpoints, few
-/// enough that the look costs less than a choice among many endpoints.
-const LOOK: usize = 8;
-
 /// A waiting job.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Entry {
@@ -217,24 +213,6 @@
         }
     }
 
-    /// Serves the first of the next few customers whose deficit covers its next job and whose job
-    /// fits, if there is one.
-    pub(super) fn pop_fitting(
-        &mut self,
-        now: Moment,
-        long: bool,
-        fits: impl Fn(u64, u32) -> bool,
-    ) -> Option<(Entry, u32)> {
-        let ready = self.ring.iter().take(LOOK).find_map(|place| {
-            let flow = &self.flows[*place as usize];
-            let head = flow.head(now, long)?;
-            let covered = head.tokens.0 <= flow.deficit;
-            (covered && fits(head.sequence, *place)).then_some((*place, head.sequence))
-        });
-        let (place, sequence) = ready?;
-        self.serve(place, sequence)
-    }
-
     /// After a round without a job served: grants at once the rounds that would pass until one is,
     /// so that a job of many quanta costs one pass and not hundreds.
     fn skip(&mut self, now: Moment, long: bool, quantum: Tokens) -> Option<()> {
--- a/crates/policy/tests/model/node.rs
+++ b/crates/policy/tests/model/node.rs
@@ -311,37 +311,28 @@
         }
     }
 
-    fn candidates(&self, usable: impl Fn(usize) -> bool, now: f64) -> [choice::Candidate; ENDPOINTS] {
-        std::array::from_fn(|e| choice::Candidate {
+    fn policy(&mut self, arrival: &Arrival, open: &[usize], now: f64) -> Option<usize> {
+        let random = self.random.bits();
+        let candidate = |e: usize| choice::Candidate {
             key: choice::key(self.endpoints[e].as_str()),
-            usable: usable(e),
-            distance: if e % 3 == self.zone { Duration::ZERO } else { ACROSS },
+            usable: open.contains(&e),
+            distance: if e % 3 == self.zone {
+                Duration::ZERO
+            } else {
+                ACROSS
+            },
             own: self.limiters[e].flying(),
             limit: self.limiters[e].limit(),
             others: self.seen[e].others,
             age: Duration::from_secs_f64((now - self.seen[e].at).max(0.0)),
             run: Duration::from_secs_f64(self.limiters[e].pace() * 100.0),
-        })
-    }
-
-    fn policy(&mut self, arrival: &Arrival, open: &[usize], now: f64) -> Option<usize> {
-        let random = self.random.bits();
-        let candidates = self.candidates(|e| open.contains(&e), now);
-        choice::choose(&candidates, Some(arrival.prefix), random, &choice::Config::default())
-    }
-
-    /// The next request from the queue: by preference one whose prefix's endpoint is free.
-    pub fn next(&mut self, prefix: impl Fn(usize) -> u64, now: f64) -> Option<(usize, queue::Dispatch)> {
-        let slots = self.slots(now);
-        let candidates = self.candidates(|e| self.open(e, now), now);
-        let plain = !self.mechanisms.fair || self.mechanisms.choice != Choice::Policy;
-        let tickets = &self.tickets;
-        let fits = |ticket: queue::Ticket| {
-            let known = tickets.iter().find(|(known, _)| *known == ticket);
-            let home = known.and_then(|(_, request)| choice::home(&candidates, prefix(*request)));
-            !plain && home.is_some_and(|home| candidates[home].own < candidates[home].limit)
         };
-        let dispatch = self.queue.next_preferring(moment(now), slots, fits)?;
-        Some((self.take(dispatch.ticket), dispatch))
+        let candidates: Vec<choice::Candidate> = (0..ENDPOINTS).map(candidate).collect();
+        choice::choose(
+            &candidates,
+            Some(arrival.prefix),
+            random,
+            &choice::Config::default(),
+        )
     }
 }
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -283,10 +283,12 @@
             let request = if let Some(request) = self.nodes[number].redo.pop_front() {
                 request
             } else {
-                let prefix = |request: usize| self.requests[request].arrival.prefix;
-                let Some((request, dispatch)) = self.nodes[number].next(prefix, self.now) else {
+                let node = &mut self.nodes[number];
+                let slots = node.slots(self.now);
+                let Some(dispatch) = node.queue.next(moment(self.now), slots) else {
                     return;
                 };
+                let request = node.take(dispatch.ticket);
                 self.requests[request].dispatch = Some(dispatch);
                 request
             };
