entry: one version of each model for a session

scripts/demo showed 51 moves of sessions between pimento-mini@1 and @2: both serve and are allowed before the roll-in joins them, and the cascade took now one, now the other. Contract::pins leaves one version of each model: the one the session had, else the oldest. Ruled out: forbidding unlinked versions in files (the successor must be placed before its roll-out).

--- a/crates/entry/src/filter/contract.rs
+++ b/crates/entry/src/filter/contract.rs
@@ -60,7 +60,9 @@
             return Vec::new();
         };
         let view = self.view(&state, &quarantined);
-        session::versions(request.session.id, &request.session.pins, class, &view)
+        let known = &request.session.pins;
+        let pins = session::versions(request.session.id, known, class, &view);
+        one_of_each_model(pins, known)
     }
 
     /// The version, if new work of the class may go to it by the configuration in force now. Asked
@@ -101,6 +103,39 @@
     }
 }
 
+/// Leaves one version of each model: the one that the session had before, or else the oldest.
+///
+/// Two versions of a model that no roll-out joins may both be allowed, such as a successor that is
+/// still to be rolled in. If both were candidates, a session would be answered now by one and now
+/// by the other, as the cascade finds them cheaper.
+fn one_of_each_model(pins: Vec<Pin>, known: &[id::Version]) -> Vec<Pin> {
+    let mut kept: Vec<Pin> = Vec::with_capacity(pins.len());
+    for pin in pins {
+        let rival = kept
+            .iter_mut()
+            .find(|rival| model(&rival.version).0 == model(&pin.version).0);
+        match rival {
+            None => kept.push(pin),
+            Some(rival) => {
+                let rank = |pin: &Pin| (!known.contains(&pin.version), model(&pin.version).1);
+                if rank(&pin) < rank(rival) {
+                    *rival = pin;
+                }
+            }
+        }
+    }
+    kept
+}
+
+/// The model's name, and its version's number if it has one: `pimento-mini@2` is the second of
+/// `pimento-mini`.
+fn model(version: &id::Version) -> (&str, Option<u64>) {
+    match version.as_str().split_once('@') {
+        Some((model, number)) => (model, number.parse().ok()),
+        None => (version.as_str(), None),
+    }
+}
+
 fn class<'s>(state: &'s State, customer: &id::Customer, name: &id::Class) -> Option<&'s Class> {
     let contract = state.contract(customer)?;
     contract.classes.iter().find(|class| class.name == *name)
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -31,7 +31,7 @@
 #[derive(Debug, Snafu)]
 pub enum Error {
     /// An address can't be listened on.
-    #[snafu(display("can't listen on {address}"))]
+    #[snafu(display("can't listen on {address}: {source}"))]
     Bind {
         /// Where.
         address: SocketAddr,
--- a/crates/entry/tests/all/versions.rs
+++ b/crates/entry/tests/all/versions.rs
@@ -2,6 +2,7 @@
 
 use hyper::StatusCode;
 use pimento_contract::Value;
+use pimento_endpoint::engine::Engine;
 use pimento_standin::Site;
 use pimento_wire::border::Run;
 
@@ -151,3 +152,33 @@
     }
     assert_eq!(started(&world, LARGE), before);
 }
+
+/// A successor is allowed and serves before it is rolled in. Sessions begin on the older version and
+/// stay there, whichever of the two is cheaper.
+#[tokio::test]
+async fn of_two_versions_of_a_model_a_session_sees_one() {
+    let world = World::start(1).await;
+    let successor = "pimento-mini@2";
+    world.publish(Value::Contract(contract(&[SMALL, successor], 0.5)));
+    world.publish(Value::Version(crate::support::version(successor, 1, 0.9)));
+    let order = pimento_wire::engine::Order::Versions(vec![name(SMALL), name(successor)]);
+    let engine = pimento_endpoint::engine::Remote::new(
+        pimento_endpoint::Pool::default(),
+        world.engines[0].address,
+    );
+    engine.order(order, None).await.unwrap();
+    let entry = world.entry("entry-1").await;
+    let pool = entry.running.node.scheduler.pool(&name("pimento-llm"));
+    until("the successor is held", || {
+        pool.holds(Some(&name(successor)))
+    })
+    .await;
+    let first = entry.chat("answer in 5 tokens", false).send().await;
+    assert_eq!(first.header("model-version"), SMALL);
+    let token = first.header("session-token").to_owned();
+    for _ in 0..5 {
+        let ask = entry.chat("answer in 5 tokens", false);
+        let answer = ask.header("session-token", &token).send().await;
+        assert_eq!(answer.header("model-version"), SMALL);
+    }
+}
