platform: prove the configuration under cuts, and stop a batch where the view jumps

What is accepted must be in force everywhere within seconds and never go back, also where the platform, the neighbours or both are out of reach. Adds 14 tests with nodes over loopback, a log that can be cut for each, and relays. A node that found its checkpoint in the middle of a batch took the rest of the batch for a gap and never became ready (seen in the test of passed retention); the follower now reads on from where the view wants. Ruled out: applying past the gap.

--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -49,6 +49,9 @@
     pub changes: u64,
     /// After so long a checkpoint is written even without changes; well below the log's retention.
     pub interval: Duration,
+    /// The longest wait before a checkpoint that is due is written. Nodes wait a random part of it,
+    /// and most then find it written by another.
+    pub spread: Duration,
     /// From which age on a node reads the log itself, whoever the tailer is.
     pub doubt: Duration,
 }
@@ -62,6 +65,7 @@
             tail: Tail::Always,
             changes: 100,
             interval: Duration::from_hours(1),
+            spread: Duration::from_secs(10),
             doubt: Duration::from_secs(5),
         }
     }
--- a/crates/platform/src/configuration/tasks.rs
+++ b/crates/platform/src/configuration/tasks.rs
@@ -26,9 +26,6 @@
 
 /// Time between looks at ages, which change without an event.
 const TICK: Duration = Duration::from_secs(1);
-/// The longest wait before a checkpoint is written. Nodes that find one due at the same moment
-/// wait a random part of it, and most then find it written by another.
-const SPREAD: Duration = Duration::from_secs(10);
 /// How long an append of a checkpoint is tried. The next look tries again.
 const APPEND: Duration = Duration::from_secs(10);
 
@@ -205,7 +202,11 @@
         let mut records = self.follower.changed();
         loop {
             if self.due() {
-                let wait = SPREAD.mul_f64(rand::rng().random_range(0.0..=1.0));
+                let wait = self
+                    .config
+                    .0
+                    .spread
+                    .mul_f64(rand::rng().random_range(0.0..=1.0));
                 tokio::time::sleep(wait).await;
                 if self.due() {
                     self.write(&appender).await;
--- a/crates/platform/src/follower.rs
+++ b/crates/platform/src/follower.rs
@@ -265,23 +265,7 @@
     }
 
     fn take(&self, from: Offset, batch: &Batch, sent: Instant) {
-        let mut next = from;
-        let resumed = {
-            let mut fold = self
-                .shared
-                .fold
-                .write()
-                .unwrap_or_else(PoisonError::into_inner);
-            for entry in &batch.records {
-                if entry.offset < next {
-                    continue;
-                }
-                fold.apply(entry.offset, entry.at, &entry.record);
-                next = entry.offset.next();
-            }
-            next = next.max(batch.next);
-            fold.resume(next)
-        };
+        let resumed = self.fold(from, batch);
         let mut position = self.shared.position();
         position.next = resumed;
         position.tried = true;
@@ -294,6 +278,29 @@
         self.shared.wake();
     }
 
+    /// Applies a batch and gives the place to read on.
+    fn fold(&self, from: Offset, batch: &Batch) -> Offset {
+        let mut fold = self
+            .shared
+            .fold
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        let mut next = from;
+        for entry in &batch.records {
+            if entry.offset < next {
+                continue;
+            }
+            fold.apply(entry.offset, entry.at, &entry.record);
+            next = entry.offset.next();
+            let resumed = fold.resume(next);
+            // The rest of the batch is not what the fold wants next.
+            if resumed != next {
+                return resumed;
+            }
+        }
+        fold.resume(next.max(batch.next))
+    }
+
     fn lapse(&self, oldest: Offset) {
         log::warn!(
             "follower: {} kept from {oldest} on only, records before were not read",
--- a/crates/platform/src/mesh.rs
+++ b/crates/platform/src/mesh.rs
@@ -154,6 +154,7 @@
 #[derive(Debug)]
 struct Shared {
     settings: Settings,
+    local: SocketAddr,
     address: SocketAddr,
     socket: UdpSocket,
     table: Mutex<Table>,
@@ -208,13 +209,14 @@
     pub async fn bind(config: Config, token: CancellationToken) -> Result<(Self, Listener), Error> {
         let settings = config.0;
         let (inner, socket) = bind(settings.listen).await?;
-        let bound = inner.local_addr().context(BindSnafu {
+        let local = inner.local_addr().context(BindSnafu {
             address: settings.listen,
         })?;
-        let address = settings.advertise.unwrap_or(bound);
+        let address = settings.advertise.unwrap_or(local);
         let table = Table::new(settings.node.clone(), settings.silence, &settings.seeds);
         let shared = Arc::new(Shared {
             settings,
+            local,
             address,
             socket,
             table: Mutex::new(table),
@@ -234,6 +236,12 @@
         Ok((mesh, listener))
     }
 
+    /// Where this node listens.
+    #[must_use]
+    pub fn local(&self) -> SocketAddr {
+        self.shared.local
+    }
+
     /// Where peers reach this node.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
--- /dev/null
+++ b/crates/platform/tests/configuration.rs
@@ -0,0 +1,453 @@
+//! The configuration in force: checkpoints, peers, cuts. What must always hold: it is in force
+//! everywhere within seconds and never goes back.
+
+mod support;
+
+use std::time::Duration;
+
+use pimento_contract::State;
+use pimento_contract::change::Checkpoint;
+use pimento_contract::change::Entry;
+use pimento_contract::service::Fencing;
+use pimento_platform::Mesh;
+use pimento_platform::configuration::Settings;
+use pimento_platform::configuration::Source;
+use pimento_platform::configuration::Tail;
+use pimento_platform::mesh;
+use pimento_platform::mesh::Handler;
+use pimento_units::Offset;
+use pimento_wire::frame::Key;
+use pimento_wire::peer::Answer;
+use pimento_wire::peer::Call;
+use support::eventually;
+use support::memory::Memory;
+use support::nodes::Node;
+use support::nodes::Plan;
+use support::nodes::STREAM;
+use support::nodes::change;
+use support::nodes::publish;
+use support::nodes::subject;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+async fn three_zones(log: &Memory) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for (name, zone) in [("a", "trebon"), ("b", "hluboka"), ("c", "vodnany")] {
+        let plan = Plan::new(name, zone).seeded(&nodes);
+        nodes.push(plan.start(log.link()).await);
+    }
+    for node in &nodes {
+        node.sees(2).await;
+    }
+    nodes
+}
+
+async fn ready(source: &Source) {
+    eventually("ready", async || source.ready().then_some(())).await;
+}
+
+/// Looks on for a while, in which the source must not become ready.
+async fn stays_unready(node: &Node) {
+    let reads = node.link.reads(STREAM);
+    eventually("some more reads", async || {
+        (node.link.reads(STREAM) > reads + 3).then_some(())
+    })
+    .await;
+    assert!(!node.source.ready());
+}
+
+/// The records of the stream as a checkpoint of the state after them.
+fn checkpoint(log: &Memory) -> Checkpoint {
+    let mut state = State::default();
+    for record in log.records(STREAM) {
+        match serde_json::from_str(&record) {
+            Ok(Entry::Change(change)) => drop(state.apply(state.offset, &change)),
+            Ok(Entry::Checkpoint(_)) | Err(_) => state.skip(state.offset),
+        }
+    }
+    Checkpoint::of(&state)
+}
+
+fn text(checkpoint: Checkpoint) -> String {
+    serde_json::to_string(&Entry::Checkpoint(checkpoint)).unwrap()
+}
+
+#[tokio::test]
+async fn change_is_in_force_in_all_zones() {
+    let log = Memory::default();
+    let nodes = three_zones(&log).await;
+    publish(&log, 0..3);
+    for node in &nodes {
+        node.reaches(3).await;
+        assert_eq!(node.source.current(), nodes[0].source.current());
+        ready(&node.source).await;
+    }
+}
+
+/// A zone loses the platform but not its neighbours. Changes reach it through them, and its age
+/// says so: it does not grow beyond theirs.
+#[tokio::test]
+async fn zone_cut_off_from_the_platform_stays_current_through_its_neighbours() {
+    let log = Memory::default();
+    let nodes = three_zones(&log).await;
+    publish(&log, 0..1);
+    nodes[2].reaches(1).await;
+    nodes[2].cut_log(true);
+    publish(&log, 1..4);
+    nodes[2].reaches(4).await;
+    assert_eq!(nodes[2].source.current(), nodes[0].source.current());
+    let now = Instant::now();
+    eventually("word of a later read", async || {
+        (Instant::now() - nodes[2].source.age() > now).then_some(())
+    })
+    .await;
+}
+
+/// Each zone is cut off from the others and from the platform. Each keeps what it has and says how
+/// old that is; none takes up a change it can't know. After healing all agree.
+#[tokio::test]
+async fn zone_cut_off_from_all_keeps_its_state_and_says_its_age() {
+    let log = Memory::default();
+    let nodes = three_zones(&log).await;
+    publish(&log, 0..2);
+    for node in &nodes {
+        node.reaches(2).await;
+        node.cut_log(true);
+        node.relay.cut(true);
+    }
+    publish(&log, 2..4);
+    for node in &nodes {
+        node.sees(0).await;
+        let age = node.source.age();
+        eventually("age grows", async || {
+            (node.source.age() > age + Duration::from_millis(200)).then_some(())
+        })
+        .await;
+        assert_eq!(node.offset(), 2);
+        assert!(node.source.ready());
+    }
+    for node in &nodes {
+        node.relay.cut(false);
+    }
+    nodes[0].cut_log(false);
+    for node in &nodes {
+        node.reaches(4).await;
+        assert_eq!(node.source.current(), nodes[0].source.current());
+    }
+}
+
+/// Two zones see each other and nobody else. They tell each other how current they are, each word
+/// some time on its way; their age must grow all the same, and not stay at the time of one way.
+#[tokio::test]
+async fn two_cut_off_zones_do_not_refresh_each_other() {
+    let delay = Duration::from_millis(100);
+    let log = Memory::default();
+    let slow = |name, zone| Plan {
+        delay,
+        ..Plan::new(name, zone)
+    };
+    let mut nodes = vec![slow("a", "trebon").start(log.link()).await];
+    let second = slow("b", "hluboka").seeded(&nodes);
+    nodes.push(second.start(log.link()).await);
+    publish(&log, 0..1);
+    for node in &nodes {
+        node.sees(1).await;
+        node.reaches(1).await;
+    }
+    for node in &nodes {
+        node.cut_log(true);
+    }
+    for node in &nodes {
+        eventually("an age of ten ways", async || {
+            (node.source.age() > 10 * delay).then_some(())
+        })
+        .await;
+    }
+}
+
+/// The log is out when a VM is replaced. The new one starts on a neighbour's state; while neither
+/// can be had, it is not ready, and serves nothing.
+#[tokio::test]
+async fn new_node_starts_from_peers_while_the_log_is_out() {
+    let log = Memory::default();
+    let nodes = three_zones(&log).await;
+    publish(&log, 0..3);
+    nodes[0].reaches(3).await;
+    ready(&nodes[0].source).await;
+    log.outage(Some(Duration::from_millis(10)));
+
+    let alone = Plan::new("x", "trebon").start(log.link()).await;
+    stays_unready(&alone).await;
+    assert_eq!(alone.offset(), 0);
+
+    let new = Plan::new("y", "trebon")
+        .seeded(&nodes)
+        .start(log.link())
+        .await;
+    ready(&new.source).await;
+    new.reaches(3).await;
+    assert_eq!(new.source.current(), nodes[0].source.current());
+}
+
+/// A node was cut off for long and still has an old state. A new node that meets it first, with the
+/// log in reach, must not serve on that state even for a moment.
+#[tokio::test]
+async fn stale_peer_does_not_make_a_new_node_ready() {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    let stale = Plan::new("a", "trebon").start(log.link()).await;
+    stale.reaches(1).await;
+    ready(&stale.source).await;
+    stale.cut_log(true);
+    publish(&log, 1..5);
+    let peers = [stale];
+    let new = Plan::new("b", "trebon")
+        .seeded(&peers)
+        .start(log.link())
+        .await;
+    // Its first state that counts as ready is the whole one.
+    eventually("ready", async || {
+        let ready = new.source.ready();
+        ready.then(|| assert_eq!(new.offset(), 5))
+    })
+    .await;
+}
+
+/// A node starts, meets peers of all ages, reads the log, is cut off and healed. What is in force
+/// on it never goes back to a lower offset.
+#[tokio::test]
+async fn state_in_force_never_goes_back() {
+    let log = Memory::default();
+    let mut nodes = three_zones(&log).await;
+    publish(&log, 0..2);
+    nodes[1].reaches(2).await;
+    nodes[1].cut_log(true);
+    nodes[1].relay.cut(true);
+    publish(&log, 2..10);
+    let new = Plan::new("n", "hluboka")
+        .seeded(&nodes)
+        .start(log.link())
+        .await;
+    let mut changed = new.source.changed();
+    let watch = tokio::spawn(async move {
+        let mut offsets = vec![changed.borrow_and_update().offset];
+        while changed.changed().await.is_ok() {
+            let offset = changed.borrow_and_update().offset;
+            offsets.push(offset);
+            if offset == Offset(14) {
+                break;
+            }
+        }
+        offsets
+    });
+    new.reaches(10).await;
+    new.cut_log(true);
+    nodes[1].relay.cut(false);
+    publish(&log, 10..13);
+    new.reaches(13).await;
+    nodes.remove(0).kill();
+    new.cut_log(false);
+    publish(&log, 13..14);
+    let offsets = tokio::time::timeout(support::BOUND, watch).await;
+    let offsets = offsets.unwrap().unwrap();
+    assert!(offsets.is_sorted(), "{offsets:?}");
+}
+
+/// Old records are gone from the log when a VM is replaced, and there is no peer. The new one
+/// starts from the checkpoint; a wrong one before it, and one that leaves a gap, are passed over.
+#[tokio::test]
+async fn new_node_starts_from_a_checkpoint_when_retention_has_passed() {
+    let log = Memory::default();
+    publish(&log, 0..4);
+    let early = checkpoint(&log);
+    publish(&log, 4..8);
+    let right = checkpoint(&log);
+    let mut wrong = right.clone();
+    wrong.state = State::default();
+    wrong.state.offset = wrong.offset;
+    let first = log.put(STREAM, [text(early), text(wrong)]);
+    log.retain(STREAM, first);
+
+    let new = Plan::new("a", "trebon").start(log.link()).await;
+    stays_unready(&new).await;
+    assert_eq!(new.offset(), 0);
+
+    let mut state = right.state;
+    state.skip(Offset(8));
+    state.skip(Offset(9));
+    log.put(STREAM, [text(Checkpoint::of(&state))]);
+    publish(&log, 20..22);
+    ready(&new.source).await;
+    new.reaches(13).await;
+    assert_eq!(new.source.current().items().len(), 10);
+    assert_eq!(new.source.wrong_checkpoints(), 1);
+}
+
+/// A checkpoint on the stream fits its own hash but not the records before it. A node that has the
+/// records goes on by them, and counts it.
+#[tokio::test]
+async fn wrong_checkpoint_changes_nothing_where_the_records_are_known() {
+    let log = Memory::default();
+    let node = Plan::new("a", "trebon").start(log.link()).await;
+    publish(&log, 0..3);
+    let mut other = State::default();
+    other.skip(Offset(2));
+    let mut ahead = State::default();
+    ahead.skip(Offset(90));
+    log.put(
+        STREAM,
+        [text(Checkpoint::of(&other)), text(Checkpoint::of(&ahead))],
+    );
+    publish(&log, 3..4);
+    node.reaches(6).await;
+    assert_eq!(node.source.current().items().len(), 4);
+    assert_eq!(node.source.wrong_checkpoints(), 2);
+}
+
+fn checkpoints(log: &Memory) -> Vec<Checkpoint> {
+    let records = log.records(STREAM);
+    let entries = records.iter().filter_map(|r| serde_json::from_str(r).ok());
+    entries
+        .filter_map(|entry| match entry {
+            Entry::Checkpoint(checkpoint) => Some(checkpoint),
+            Entry::Change(_) => None,
+        })
+        .collect()
+}
+
+/// All nodes follow the stream and any may write a checkpoint. After some changes there is a right
+/// one, without an election, and no node goes on writing.
+#[tokio::test]
+async fn checkpoints_are_written_after_some_changes() {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    log.put(STREAM, [text(checkpoint(&log))]);
+    let plan = |name, zone| Plan {
+        settings: Settings {
+            changes: 5,
+            ..Plan::new(name, zone).settings
+        },
+        ..Plan::new(name, zone)
+    };
+    let mut nodes = vec![plan("a", "trebon").start(log.link()).await];
+    nodes.push(plan("b", "hluboka").seeded(&nodes).start(log.link()).await);
+    publish(&log, 1..5);
+    for node in &nodes {
+        node.reaches(6).await;
+    }
+    assert_eq!(checkpoints(&log).len(), 1, "four changes are not enough");
+    publish(&log, 5..6);
+    let written = eventually("a checkpoint", async || checkpoints(&log).get(1).cloned()).await;
+    assert!(written.offset >= Offset(7));
+    assert!(written.check().is_ok());
+    let end = u64::try_from(log.records(STREAM).len()).unwrap();
+    for node in &nodes {
+        node.reaches(end).await;
+        assert_eq!(node.source.wrong_checkpoints(), 0);
+    }
+    assert!(checkpoints(&log).len() <= 3, "at most one from each node");
+}
+
+/// No change comes for longer than the log keeps records. A checkpoint is written all the same,
+/// since the last one is about to be lost.
+#[tokio::test]
+async fn checkpoints_are_written_again_on_a_quiet_stream() {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    let mut plan = Plan::new("a", "trebon");
+    plan.settings.interval = Duration::from_millis(100);
+    let node = plan.start(log.link()).await;
+    eventually("three checkpoints", async || {
+        (checkpoints(&log).len() >= 3).then_some(())
+    })
+    .await;
+    assert_eq!(node.source.wrong_checkpoints(), 0);
+}
+
+/// With one tailer for a zone the others don't read the log and still have each change. When the
+/// tailer dies, another reads.
+#[tokio::test]
+async fn zone_follows_its_tailer_and_the_next_one() {
+    let log = Memory::default();
+    let mut nodes: Vec<Node> = Vec::new();
+    for name in ["a", "b", "c"] {
+        let mut plan = Plan::new(name, "trebon").seeded(&nodes);
+        plan.settings.tail = Tail::Elected;
+        plan.settings.doubt = Duration::from_secs(3);
+        nodes.push(plan.start(log.link()).await);
+    }
+    for node in &nodes {
+        node.sees(2).await;
+        ready(&node.source).await;
+    }
+    publish(&log, 0..3);
+    for node in &nodes {
+        node.reaches(3).await;
+    }
+    let tailer = nodes[0].mesh.chosen(mesh::Duty::Tailer);
+    let at = nodes.iter().position(|n| *n.mesh.node() == tailer).unwrap();
+    nodes.remove(at).kill();
+    publish(&log, 3..5);
+    for node in &nodes {
+        node.reaches(5).await;
+        assert_eq!(node.source.current(), nodes[0].source.current());
+    }
+}
+
+/// Answers every pull by a state that does not fit its hash.
+struct Liar;
+
+impl Handler for Liar {
+    async fn handle(&self, _call: Call) -> Answer {
+        let mut checkpoint = Checkpoint::of(&State::default());
+        checkpoint.offset = Offset(50);
+        checkpoint.state.offset = Offset(50);
+        let checkpoint = serde_json::to_string(&checkpoint).unwrap();
+        Answer::State { checkpoint }
+    }
+}
+
+#[tokio::test]
+async fn state_of_a_peer_that_does_not_fit_its_hash_is_ignored() {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    let node = Plan::new("a", "trebon").start(log.link()).await;
+    node.reaches(1).await;
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let name = "liar".parse().unwrap();
+    let zone = "trebon".parse().unwrap();
+    let mut settings = mesh::Settings::new(name, zone, listen, Key::derive("test"));
+    settings.seeds = vec![node.mesh.address()];
+    settings.interval = Duration::from_millis(20);
+    let config = mesh::Config::try_from(settings).unwrap();
+    let (liar, listener) = Mesh::bind(config, CancellationToken::new()).await.unwrap();
+    listener.serve(Liar);
+    liar.report(|own| own.offset = Offset(50));
+    eventually("it was asked", async || {
+        (node.source.wrong_checkpoints() > 0).then_some(())
+    })
+    .await;
+    assert_eq!(node.offset(), 1);
+}
+
+/// Two operators publish a change of one pool on the same revision. All nodes decide alike, also
+/// the one that has it from a peer.
+#[tokio::test]
+async fn racing_operators_end_the_same_everywhere() {
+    let log = Memory::default();
+    let nodes = three_zones(&log).await;
+    nodes[2].cut_log(true);
+    let records = [
+        change(1, "pool", 0, Fencing::Refuses),
+        change(2, "pool", 1, Fencing::Ignores),
+        change(3, "pool", 1, Fencing::Refuses),
+        change(2, "pool", 1, Fencing::Ignores),
+    ];
+    log.put(STREAM, records);
+    for node in &nodes {
+        node.reaches(4).await;
+        let state = node.source.current();
+        assert_eq!(state.revision(&subject("pool")).0, 2);
+        assert_eq!(state.hash(), nodes[0].source.current().hash());
+    }
+}
--- a/crates/platform/tests/kept/claims.rs
+++ b/crates/platform/tests/kept/claims.rs
@@ -119,7 +119,7 @@
     log.put(Stream::Claims, record);
     let heal = async {
         while log.records(Stream::Claims).len() < 2 {
-            tokio::task::yield_now().await;
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         log.fail_reads(Fault::None);
     };
--- a/crates/platform/tests/support/mod.rs
+++ b/crates/platform/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test program uses its own part of this")]
 
 pub mod memory;
+pub mod nodes;
 pub mod relay;
 
 use std::time::Duration;
--- a/crates/platform/tests/support/relay.rs
+++ b/crates/platform/tests/support/relay.rs
@@ -1,9 +1,10 @@
-//! A relay for datagrams and connections to one address, which can be cut.
+//! A relay for datagrams and connections to one address, which can be cut or slow.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -21,8 +22,8 @@
 }
 
 impl Relay {
-    /// A relay that has no target yet.
-    pub async fn start() -> Self {
+    /// A relay that has no target yet and holds each datagram for `delay`.
+    pub async fn start(delay: Duration) -> Self {
         let (listener, socket) = loop {
             let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
             let address = listener.local_addr().unwrap();
@@ -40,6 +41,7 @@
             socket,
             relay.target.subscribe(),
             Arc::clone(&relay.cut),
+            delay,
         ));
         tokio::spawn(connections(
             listener,
@@ -66,7 +68,9 @@
     socket: UdpSocket,
     target: watch::Receiver<Option<SocketAddr>>,
     cut: Arc<AtomicBool>,
+    delay: Duration,
 ) {
+    let socket = Arc::new(socket);
     let mut buffer = vec![0; 65_536];
     loop {
         let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
@@ -76,8 +80,13 @@
         if let Some(to) = to
             && !cut.load(Ordering::SeqCst)
         {
-            // A datagram that is not sent is a datagram lost.
-            let _ = socket.send_to(&buffer[..length], to).await;
+            let socket = Arc::clone(&socket);
+            let bytes = buffer[..length].to_vec();
+            tokio::spawn(async move {
+                tokio::time::sleep(delay).await;
+                // A datagram that is not sent is a datagram lost.
+                let _ = socket.send_to(&bytes, to).await;
+            });
         }
     }
 }
