--- a/crates/platform/src/bills.rs
+++ b/crates/platform/src/bills.rs
@@ -31,6 +31,7 @@
 use self::copies::Copies;
 use self::pending::Pending;
 use self::worker::Job;
+use self::worker::Wanted;
 use self::worker::Worker;
 
 /// Settings of an [`Outbox`].
@@ -121,15 +122,17 @@
     /// # Errors
     ///
     /// [`Alone`] if that could not be had by `deadline`. The bill is then dropped, since its caller
-    /// won't get the whole answer.
+    /// won't get the whole answer. Only where a peer or the log took it and its answer was lost may
+    /// it count all the same.
     pub async fn hold(self, bill: &Bill, deadline: Instant) -> Result<(), Alone> {
         let shared = &self.outbox.shared;
         let (sender, held) = oneshot::channel();
         let number = shared.pending.insert(bill, self.permit).ok_or(Alone)?;
-        let job = Job::Hold {
+        let job = Job::Hold(Wanted {
             number,
+            deadline,
             held: sender,
-        };
+        });
         if shared.jobs.send(job).is_err() {
             shared.pending.remove(number);
             return Err(Alone);
--- a/crates/platform/src/bills/pending.rs
+++ b/crates/platform/src/bills/pending.rs
@@ -28,6 +28,9 @@
     request: id::Request,
     text: String,
     holder: Option<id::Node>,
+    /// Whether it had a second holder at some time. Before, its caller has not got the last byte
+    /// and it may still be dropped, so that it must not be appended behind the caller's back.
+    settled: bool,
     _room: OwnedSemaphorePermit,
 }
 
@@ -56,6 +59,7 @@
             request: bill.request,
             text,
             holder: None,
+            settled: false,
             _room: room,
         });
         Some(number)
@@ -83,6 +87,7 @@
         for number in numbers {
             if let Ok(place) = table.place(*number) {
                 table.entries[place].holder = Some(holder.clone());
+                table.entries[place].settled = true;
             }
         }
     }
@@ -97,21 +102,22 @@
             .collect()
     }
 
-    /// The oldest bills, at most `most`.
+    /// The oldest settled bills, at most `most`.
     pub fn oldest(&self, most: usize) -> Vec<Item> {
         self.table()
             .entries
             .iter()
+            .filter(|entry| entry.settled)
             .take(most)
             .map(Entry::item)
             .collect()
     }
 
-    /// Bills whose holder is not among `live`, at most `most`.
+    /// Settled bills whose holder is not among `live`, at most `most`.
     pub fn orphans(&self, live: &[id::Node], most: usize) -> Vec<Number> {
         let orphan = |entry: &&Entry| match &entry.holder {
-            Some(holder) => !live.contains(holder),
-            None => true,
+            Some(holder) => entry.settled && !live.contains(holder),
+            None => entry.settled,
         };
         self.table()
             .entries
--- a/crates/platform/src/bills/worker.rs
+++ b/crates/platform/src/bills/worker.rs
@@ -25,12 +25,7 @@
 #[derive(Debug)]
 pub enum Job {
     /// Give a bill a second holder.
-    Hold {
-        /// The bill.
-        number: Number,
-        /// Told once it has one.
-        held: oneshot::Sender<()>,
-    },
+    Hold(Wanted),
     /// Append everything now.
     Flush {
         /// When to give up.
@@ -47,7 +42,16 @@
     pub shared: Arc<Shared>,
 }
 
-type Wanted = (Number, oneshot::Sender<()>);
+/// A bill that wants a second holder.
+#[derive(Debug)]
+pub struct Wanted {
+    /// The bill.
+    pub number: Number,
+    /// When its caller gives up.
+    pub deadline: Instant,
+    /// Told once it has one.
+    pub held: oneshot::Sender<()>,
+}
 
 impl<P: Peers> Worker<P> {
     pub async fn run(self, mut jobs: UnboundedReceiver<Job>) {
@@ -76,13 +80,13 @@
 
     /// Gives bills a second holder: a peer, or else the log.
     async fn spread(&self, wanted: Vec<Wanted>) {
-        if wanted.is_empty() {
+        let Some(deadline) = wanted.iter().map(|wanted| wanted.deadline).min() else {
             return;
-        }
-        let numbers: Vec<Number> = wanted.iter().map(|(number, _)| *number).collect();
-        if self.copy(&numbers).await || self.append(&numbers).await {
-            for (_, held) in wanted {
-                let _ = held.send(());
+        };
+        let numbers: Vec<Number> = wanted.iter().map(|wanted| wanted.number).collect();
+        if self.copy(&numbers).await || self.append(&numbers, deadline).await {
+            for wanted in wanted {
+                let _ = wanted.held.send(());
             }
             return;
         }
@@ -92,9 +96,9 @@
         let pause = self.config.interval;
         self.shared.tasks.spawn(async move {
             tokio::time::sleep(pause).await;
-            for (number, held) in wanted {
-                if !held.is_closed() {
-                    let _ = jobs.send(Job::Hold { number, held });
+            for wanted in wanted {
+                if !wanted.held.is_closed() {
+                    let _ = jobs.send(Job::Hold(wanted));
                 }
             }
         });
@@ -116,9 +120,13 @@
         false
     }
 
-    async fn append(&self, numbers: &[Number]) -> bool {
+    /// Appends bills that have one holder. Not beyond the first caller's deadline: a bill that is
+    /// dropped then must not reach the log later.
+    async fn append(&self, numbers: &[Number], deadline: Instant) -> bool {
         let items = self.shared.pending.items(numbers);
-        self.append_items(items, self.config.patience).await
+        let rest = deadline.saturating_duration_since(Instant::now());
+        self.append_items(items, rest.min(self.config.patience))
+            .await
     }
 
     async fn append_loop(self: Arc<Self>) {
@@ -220,8 +228,8 @@
 /// Puts a job with its like; gives a flush back.
 fn sort(job: Job, wanted: &mut Vec<Wanted>) -> Option<(Instant, oneshot::Sender<()>)> {
     match job {
-        Job::Hold { number, held } => {
-            wanted.push((number, held));
+        Job::Hold(bill) => {
+            wanted.push(bill);
             None
         }
         Job::Flush { deadline, done } => Some((deadline, done)),
--- a/crates/platform/src/grants.rs
+++ b/crates/platform/src/grants.rs
@@ -403,15 +403,15 @@
         let customer = grant.customer.clone();
         let period = grant.period;
         let record = grant.id;
-        let written = self.write(&Allowance::Grant(grant), deadline).await;
-        let read = self
-            .follower
-            .wait(deadline, |view| {
-                let read = view.fold.read(&customer, period, record);
-                let passed = written.is_some_and(|offset| view.next > offset);
-                (read || passed).then_some(())
-            })
-            .await;
+        let allowance = Allowance::Grant(grant);
+        let write = self.write(&allowance, deadline);
+        let look = |view: &View| view.fold.read(&customer, period, record).then_some(());
+        tokio::pin!(write);
+        let read = tokio::select! {
+            // A grant may be read before its append is answered, or though the answer was lost.
+            read = self.follower.wait(deadline, look) => read,
+            written = &mut write => self.pass(written, deadline, look).await,
+        };
         let mut balances = self.balances();
         let balance = self.balance(&mut balances, &customer, period);
         // Also where the answer is not known: a grant that is accepted later is found by reading.
@@ -419,6 +419,19 @@
         read.is_some()
     }
 
+    /// Waits until the record at `written` was read, or found by `look`.
+    async fn pass(
+        &self,
+        written: Option<Offset>,
+        deadline: Instant,
+        look: impl Fn(&View) -> Option<()>,
+    ) -> Option<()> {
+        let passed = |view: &View| written.is_some_and(|offset| view.next > offset);
+        self.follower
+            .wait(deadline, |view| look(view).or(passed(view).then_some(())))
+            .await
+    }
+
     async fn write(&self, allowance: &Allowance, deadline: Instant) -> Option<Offset> {
         let record = serde_json::to_string(allowance).ok()?;
         let appended = self.appender.append(Stream::Grants, record, deadline).await;
