--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -108,6 +108,8 @@
     let mut interrupt = signal(SignalKind::interrupt()).context(SignalSnafu)?;
     let token = CancellationToken::new();
     let running = start(config, &token).await?;
+    // One line on standard output, so that a script can wait for it and learn the port.
+    println!("READY={}", running.address);
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -197,7 +197,6 @@
         number: u64,
     ) -> bool {
         let endpoint = &live.load.endpoint;
-        let given = Instant::now();
         let order = Order::Versions(versions.clone());
         let call = live.engine.order(order, Some(number));
         let answer = tokio::time::timeout(self.settings.flight, call).await;
@@ -205,7 +204,7 @@
             Ok(reply) if reply.accepted => {
                 log::info!("orders: {endpoint} holds {} versions now", versions.len());
                 self.metrics.order(Outcome::Done);
-                self.sent.note(&live.load, given, versions);
+                self.sent.note(&live.load, Instant::now(), versions);
                 true
             }
             Ok(reply) => {
--- a/crates/control/src/orders/sent.rs
+++ b/crates/control/src/orders/sent.rs
@@ -12,7 +12,7 @@
 struct Entry {
     endpoint: id::Endpoint,
     incarnation: u64,
-    given: Instant,
+    answered: Instant,
     versions: Vec<id::Version>,
 }
 
@@ -24,17 +24,18 @@
         let entry = self.place(&load.endpoint).ok().map(|at| &self.0[at]);
         let entry = entry.filter(|entry| entry.incarnation == load.incarnation);
         match entry {
-            Some(entry) if measured <= entry.given => entry.versions == versions,
+            Some(entry) if measured <= entry.answered => entry.versions == versions,
             _ => load.versions == versions,
         }
     }
 
-    /// Notes an accepted order.
-    pub(super) fn note(&mut self, load: &Load, given: Instant, versions: Vec<id::Version>) {
+    /// Notes an accepted order. Loading takes an engine a while, and what it reports until its answer
+    /// may be from before.
+    pub(super) fn note(&mut self, load: &Load, answered: Instant, versions: Vec<id::Version>) {
         let entry = Entry {
             endpoint: load.endpoint.clone(),
             incarnation: load.incarnation,
-            given,
+            answered,
             versions,
         };
         match self.place(&load.endpoint) {
--- a/crates/control/tests/all/orders.rs
+++ b/crates/control/tests/all/orders.rs
@@ -181,6 +181,25 @@
     }
 }
 
+/// An engine takes seconds to load a version and its reports lag. What it reports for a while after
+/// its answer was measured before the version was there. Taken at its word it would get the same
+/// order again and again.
+#[tokio::test(start_paused = true)]
+async fn a_report_from_while_an_order_ran_does_not_repeat_it() {
+    let (fleet, store) = (Fleet(vec![Engine::new("engine-a", &ALL)]), store());
+    let mut state = example();
+    withdraw(&mut state, "pimento-base@1");
+    let mut instance = Instance::new(&fleet, &store, state, settings());
+    instance.hold.give(1, Duration::from_hours(1));
+    fleet.0[0].set(|habit| {
+        habit.flight = Duration::from_secs(5);
+        habit.lag = Duration::from_secs(3);
+    });
+    run(&mut instance, Duration::from_secs(20)).await;
+    assert_eq!(fleet.0[0].held(), without("pimento-base@1"));
+    assert_eq!(fleet.0[0].received(), 1);
+}
+
 /// What the engines of the pool do, and whether the pool says so.
 struct Case {
     refuses: bool,
--- /dev/null
+++ b/tests/all/ctl.rs
@@ -0,0 +1,128 @@
+//! `pimentoctl` as processes over the stand-in of the log.
+
+use std::net::SocketAddr;
+use std::process::Command;
+use std::process::Output;
+use std::process::Stdio;
+
+use pimento_standin::fault::Action;
+use pimento_standin::fault::Rule;
+use pimento_standin::log;
+use pimento_standin::log::Log;
+use pimento_standin::server::Running;
+use tokio::runtime::Runtime;
+use tokio_util::sync::CancellationToken;
+
+const FILES: [&str; 2] = [
+    "examples/nyabarongo/platform.toml",
+    "examples/nyabarongo/contracts.toml",
+];
+
+fn start() -> (Runtime, Running<Log>) {
+    let runtime = Runtime::new().expect("threads can be had");
+    let token = CancellationToken::new();
+    let started = runtime.block_on(log::start(log::Config::default(), token));
+    (runtime, started.expect("a port is free"))
+}
+
+fn command(log: SocketAddr, by: &str, arguments: &[&str]) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pimentoctl"));
+    command
+        .args(["--by", by])
+        .args(arguments)
+        .env("PIMENTO_LOG_ADDRESS", log.to_string())
+        .current_dir(env!("CARGO_MANIFEST_DIR"))
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped());
+    command
+}
+
+fn run(log: SocketAddr, arguments: &[&str]) -> Output {
+    let output = command(log, "setup", arguments).output();
+    output.expect("pimentoctl starts")
+}
+
+/// Two operators roll the same version in at the same moment, with other stages. Both have read the
+/// log before either append takes effect. One ends with 0 and the other with 3, and the loser's
+/// message names the revision that won and whose it is.
+#[test]
+fn of_two_racing_operators_one_wins_and_the_other_is_told() {
+    let (_runtime, log) = start();
+    let published = run(log.address, &["publish", FILES[0], FILES[1]]);
+    assert_eq!(published.status.code(), Some(0));
+    // Appends wait long enough for both to have read.
+    let delay = Rule::new(Action::Delay { ms: 3_000 }).on("POST", "/streams");
+    log.faults.rules([delay]);
+    let roll_in = |by: &str, stages: &str| {
+        let arguments = [
+            "version",
+            "roll-in",
+            "pimento-mini@2",
+            "--from",
+            "pimento-mini@1",
+            "--stages",
+            stages,
+        ];
+        let child = command(log.address, by, &arguments).spawn();
+        child.expect("pimentoctl starts")
+    };
+    let children = [roll_in("ines", "0.1,1"), roll_in("jonas", "0.2,1")];
+    let outputs = children.map(|child| child.wait_with_output().expect("it ends"));
+    let mut codes = outputs.each_ref().map(|output| output.status.code());
+    let loser = usize::from(codes[1] == Some(3));
+    codes.sort();
+    assert_eq!(codes, [Some(0), Some(3)]);
+    let winner = ["jonas", "ines"][loser];
+    let message = String::from_utf8_lossy(&outputs[loser].stderr);
+    assert!(message.contains(&format!("won (by {winner})")), "{message}");
+}
+
+/// The log takes the append and its answer is lost. The operator sees success, and each change
+/// stands in force once.
+#[test]
+fn a_lost_answer_is_read_back() {
+    let (_runtime, log) = start();
+    let lose = Rule::new(Action::LoseAnswer)
+        .on("POST", "/streams")
+        .times(1);
+    log.faults.rules([lose]);
+    let published = run(log.address, &["publish", FILES[0], FILES[1]]);
+    assert_eq!(published.status.code(), Some(0));
+    let history = run(log.address, &["history", "--output", "json"]);
+    let history: Vec<serde_json::Value> =
+        serde_json::from_slice(&history.stdout).expect("the output is JSON");
+    assert_eq!(history.len(), 18, "nothing was appended twice");
+}
+
+/// An outage: nothing is published, and the exit code says so.
+#[test]
+fn an_outage_has_its_own_exit_code() {
+    let (_runtime, log) = start();
+    let refuse = Action::Refuse {
+        status: 503,
+        retry_after: Some(1),
+        run: None,
+    };
+    log.faults.rules([Rule::new(refuse).on("POST", "/streams")]);
+    let published = run(log.address, &["publish", FILES[0], "--timeout", "3s"]);
+    assert_eq!(published.status.code(), Some(4));
+    let shown = run(log.address, &["show", "--output", "json"]);
+    assert_eq!(String::from_utf8_lossy(&shown.stdout).trim(), "[]");
+}
+
+/// A file with five faults is refused with all five, before the log is asked.
+#[test]
+fn five_faults_are_told_at_once() {
+    let file = "crates/contract/tests/raw/five-faults.toml";
+    let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
+    for arguments in [
+        ["contract", "check", file].as_slice(),
+        &["contract", "check", FILES[0], file],
+    ] {
+        let output = run(nowhere, arguments);
+        assert_eq!(output.status.code(), Some(2));
+        let message = String::from_utf8_lossy(&output.stderr);
+        let findings = message.lines().filter(|line| line.starts_with(file));
+        assert!(findings.count() >= 5, "{message}");
+    }
+}
