--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -19,9 +19,11 @@
 /// Figures of a [`Pool`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Errors in a row that eject.
+    /// Errors in a row that eject. Each of many nodes learns alone and sends an endpoint a call only
+    /// every few seconds, so that a third error would take as long again as the first two.
     pub errors: u32,
-    /// Times the pool's median time for a token that ejects.
+    /// Times the pool's median time for a token that ejects. Above the two to one between a full
+    /// batch and a middling one.
     pub slow: f64,
     /// Answers that an endpoint must have given before it can be called slow.
     pub samples: u32,
@@ -40,12 +42,12 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            errors: 3,
-            slow: 3.0,
+            errors: 2,
+            slow: 2.5,
             samples: 3,
             weight: 0.4,
             share: 0.34,
-            first: Duration::from_secs(2),
+            first: Duration::from_secs(4),
             longest: Duration::from_secs(30),
             probes: 3,
         }
--- a/crates/policy/tests/model/scenario.rs
+++ b/crates/policy/tests/model/scenario.rs
@@ -125,6 +125,8 @@
     pub truth: Option<f64>,
     /// Most attempts for each request that got any.
     pub attempts: Option<f64>,
+    /// Most work for each token of work served.
+    pub cost: Option<f64>,
 }
 
 #[derive(Debug, Clone, Deserialize)]
@@ -192,11 +194,15 @@
     /// The scenario with its recorded arrivals.
     pub fn load(name: &str) -> Self {
         let mut scenario = Self::recipe(name);
-        let text = fs::read_to_string(trace(name)).unwrap_or_else(|e| panic!("{name}: {e}"));
-        scenario.arrivals = text.lines().skip(1).map(read).collect();
+        scenario.arrivals = scenario.recorded().lines().skip(1).map(read).collect();
         scenario
     }
 
+    /// The text of the recorded arrivals.
+    pub fn recorded(&self) -> String {
+        fs::read_to_string(trace(&self.name)).unwrap_or_else(|e| panic!("{}: {e}", self.name))
+    }
+
     /// Makes the arrivals by the recipe.
     pub fn generate(&self) -> Vec<Arrival> {
         let recipe = &self.recipe;
--- a/crates/policy/tests/model/world.rs
+++ b/crates/policy/tests/model/world.rs
@@ -100,8 +100,10 @@
     pub nodes: Vec<Node>,
     /// Work that all engines did while requests came in.
     pub busy: f64,
-    /// The most calls of one node at one endpoint over its limit at that time.
-    pub over: u32,
+    /// The most calls that one engine held, running and waiting.
+    pub peak: u32,
+    /// The most endpoints that one node had ejected at once.
+    pub out: usize,
     attempts: Vec<Attempt>,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
@@ -134,7 +136,8 @@
             engines,
             nodes: (0..scenario.nodes).map(node).collect(),
             busy: 0.0,
-            over: 0,
+            peak: 0,
+            out: 0,
             attempts: Vec::new(),
             events: BinaryHeap::new(),
             sequence: 0,
@@ -260,7 +263,15 @@
         }
     }
 
+    /// Calls sent to an endpoint between two times.
+    pub fn sent(&self, endpoint: usize, from: f64, to: f64) -> usize {
+        let sent = |a: &&Attempt| a.endpoint == endpoint && from <= a.sent && a.sent < to;
+        self.attempts.iter().filter(sent).count()
+    }
+
     fn measure(&mut self) {
+        let out = self.nodes.iter().map(|node| node.health.out()).max();
+        self.out = self.out.max(out.unwrap_or(0));
         if self.now <= self.end - AFTER {
             self.busy = self.engines.iter().map(|engine| engine.served).sum();
         }
@@ -269,6 +280,7 @@
                 continue;
             }
             let load = self.engines[engine].load();
+            self.peak = self.peak.max(load.0 + load.1);
             let measured = whole(self.now * 1e9) as u64;
             self.at(self.now + self.lag, Event::Report(engine, load, measured));
         }
@@ -315,10 +327,6 @@
             sender.limiters[endpoint].acquire(),
             "a chosen endpoint has room"
         );
-        let limiter = &sender.limiters[endpoint];
-        self.over = self
-            .over
-            .max(limiter.flying().saturating_sub(limiter.limit()));
         let across = usize::from(endpoint % 3 != sender.zone);
         let left = arrival.at + CLASSES[arrival.class].timeout - self.now;
         let hedge = hedge::delay(
