Demo: replace an entry VM under load; streamed answers counted apart

Cause: a graceful shutdown was not seen under load, and the first byte of whole answers hid that of streams. Ruled out: sending on to another VM after a lost connection, since that could run a call twice.

--- a/crates/standin/src/engine/attempt.rs
+++ b/crates/standin/src/engine/attempt.rs
@@ -3,10 +3,17 @@
 use std::time::Duration;
 
 use pimento_units::id;
+use pimento_wire::border::Chat;
 use pimento_wire::border::Usage;
+use pimento_wire::header;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use crate::clock;
+use crate::engine::cache;
+use crate::engine::settings;
+use crate::engine::settings::Settings;
+use crate::server::Call;
 use crate::shared::Shared;
 use crate::text::Mark;
 
@@ -33,6 +40,9 @@
     readers: Shared<u64>,
 }
 
+/// Tokens of an answer if the caller sets no limit.
+const DEFAULT_TOKENS: u64 = 32;
+
 /// What an attempt is made of.
 #[derive(Debug, Clone)]
 pub struct Plan {
@@ -144,3 +154,28 @@
         });
     }
 }
+
+/// The attempt that a call asks for.
+#[must_use]
+pub fn plan(call: &Call, chat: &Chat, version: id::Version, settings: &Settings) -> Attempt {
+    let prompt = chat.messages.last().map_or("", |m| m.content.as_str());
+    let wanted = wanted(prompt);
+    let limit = chat.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
+    let (_, size) = cache::sizes(&chat.messages);
+    let mark = Mark::new(prompt, &version, settings.quality(&version), settings.seed);
+    Attempt::new(Plan {
+        id: settings::attempt(call.header(header::ATTEMPT)).into(),
+        version,
+        mark,
+        prompt: size,
+        total: wanted.unwrap_or(limit).clamp(1, limit),
+        limited: wanted.is_none_or(|wanted| wanted > limit),
+        created: clock::now().millis() / 1_000,
+    })
+}
+
+/// Tokens that a prompt asks for, as `answer in N tokens`.
+fn wanted(prompt: &str) -> Option<u64> {
+    let (_, rest) = prompt.split_once("answer in ")?;
+    rest.split_once(" tokens")?.0.parse().ok()
+}
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -6,6 +6,7 @@
 pub mod attempt;
 pub mod batch;
 pub mod cache;
+mod orders;
 pub mod reply;
 pub mod settings;
 
@@ -18,8 +19,6 @@
 use pimento_units::id;
 use pimento_wire::border::Chat;
 use pimento_wire::engine::Load;
-use pimento_wire::engine::Order;
-use pimento_wire::engine::Reply;
 use pimento_wire::header;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -27,7 +26,6 @@
 use crate::body::Body;
 use crate::clock;
 use crate::engine::attempt::Attempt;
-use crate::engine::attempt::Plan;
 use crate::engine::batch::Batch;
 use crate::engine::batch::Ticket;
 use crate::engine::cache::Cache;
@@ -39,7 +37,6 @@
 use crate::shared::Shared;
 use crate::tally::Tally;
 use crate::text;
-use crate::text::Mark;
 
 pub use settings::Config;
 pub use settings::Fencing;
@@ -48,8 +45,6 @@
 pub use settings::Stats;
 pub use settings::Work;
 
-/// Tokens of an answer if the caller sets no limit.
-const DEFAULT_TOKENS: u64 = 32;
 /// Attempts kept after their end, so that their streams can be resumed.
 const KEPT: usize = 1_024;
 /// Events that wait for a slow reader.
@@ -223,7 +218,7 @@
             let after = Duration::from_secs(1);
             return server::refusal(StatusCode::TOO_MANY_REQUESTS, after, "full");
         };
-        let attempt = plan(call, &chat, version, &settings);
+        let attempt = attempt::plan(call, &chat, version, &settings);
         self.state.with(|state| state.note(&attempt));
         self.report();
         let reader = attempt.reader(Duration::from_millis(settings.linger_ms));
@@ -288,7 +283,7 @@
         let (sender, source) = mpsc::channel(AHEAD);
         tokio::spawn(async move {
             tokio::select! {
-                () = feed(&attempt, from, &sender) => {}
+                () = reply::feed(&attempt, from, &sender) => {}
                 () = sender.closed() => {}
             }
             drop(reader);
@@ -325,96 +320,6 @@
         attempt.token.cancel();
         server::empty(StatusCode::NO_CONTENT)
     }
-
-    async fn order(&self, call: &Call) -> Answer {
-        let order: Order = match call.json() {
-            Ok(order) => order,
-            Err(answer) => return answer,
-        };
-        let number: Option<u64> = call
-            .header(header::FENCING)
-            .and_then(|text| text.parse().ok());
-        let reply = self.fence(number);
-        if reply.accepted {
-            self.obey(order).await;
-        }
-        server::json(StatusCode::OK, &reply)
-    }
-
-    fn fence(&self, number: Option<u64>) -> Reply {
-        self.state.with(|state| {
-            if state.settings.fencing == Fencing::Ignores {
-                state.stats.orders += 1;
-                return Reply {
-                    accepted: true,
-                    fencing: None,
-                };
-            }
-            let accepted = number >= state.fencing;
-            state.fencing = state.fencing.max(number);
-            state.stats.orders += u64::from(accepted);
-            state.stats.fenced += u64::from(!accepted);
-            Reply {
-                accepted,
-                fencing: state.fencing,
-            }
-        })
-    }
-
-    async fn obey(&self, order: Order) {
-        let Order::Versions(mut wanted) = order else {
-            return;
-        };
-        wanted.sort();
-        let held = self.versions();
-        let new = wanted.iter().filter(|v| held.binary_search(v).is_err());
-        let new = u64::try_from(new.count()).unwrap_or(u64::MAX);
-        let time = self.settings().order_ms.saturating_mul(new);
-        tokio::time::sleep(Duration::from_millis(time)).await;
-        self.state.with(|state| state.versions = wanted);
-        self.report();
-    }
-}
-
-fn plan(call: &Call, chat: &Chat, version: id::Version, settings: &Settings) -> Attempt {
-    let prompt = chat.messages.last().map_or("", |m| m.content.as_str());
-    let wanted = wanted(prompt);
-    let limit = chat.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
-    let (_, size) = cache::sizes(&chat.messages);
-    let mark = Mark::new(prompt, &version, settings.quality(&version), settings.seed);
-    Attempt::new(Plan {
-        id: settings::attempt(call.header(header::ATTEMPT)).into(),
-        version,
-        mark,
-        prompt: size,
-        total: wanted.unwrap_or(limit).clamp(1, limit),
-        limited: wanted.is_none_or(|wanted| wanted > limit),
-        created: clock::now().millis() / 1_000,
-    })
-}
-
-/// Tokens that a prompt asks for, as `answer in N tokens`.
-fn wanted(prompt: &str) -> Option<u64> {
-    let (_, rest) = prompt.split_once("answer in ")?;
-    rest.split_once(" tokens")?.0.parse().ok()
-}
-
-/// Sends the events of an attempt from number `from` on. A cancelled attempt's stream just ends,
-/// without its end mark.
-async fn feed(attempt: &Attempt, from: u64, sender: &mpsc::Sender<bytes::Bytes>) {
-    for number in from..attempt.total {
-        if !attempt.reached(number).await {
-            return;
-        }
-        let Ok(event) = reply::event(attempt, number) else {
-            return;
-        };
-        if sender.send(event).await.is_err() {
-            return;
-        }
-    }
-    // A reader that left does not need the end mark.
-    let _ = sender.send(reply::end()).await;
 }
 
 impl Site for Engine {
--- a/crates/standin/src/engine/reply.rs
+++ b/crates/standin/src/engine/reply.rs
@@ -8,6 +8,7 @@
 use pimento_wire::border::Delta;
 use pimento_wire::border::Message;
 use pimento_wire::border::Piece;
+use tokio::sync::mpsc;
 
 use crate::engine::attempt::Attempt;
 use crate::text;
@@ -65,3 +66,21 @@
 pub fn end() -> Bytes {
     format!("data: {DONE}\n\n").into()
 }
+
+/// Sends the events of an attempt from number `from` on. A cancelled attempt's stream just ends,
+/// without its end mark.
+pub async fn feed(attempt: &Attempt, from: u64, sender: &mpsc::Sender<Bytes>) {
+    for number in from..attempt.total {
+        if !attempt.reached(number).await {
+            return;
+        }
+        let Ok(event) = event(attempt, number) else {
+            return;
+        };
+        if sender.send(event).await.is_err() {
+            return;
+        }
+    }
+    // A reader that left does not need the end mark.
+    let _ = sender.send(end()).await;
+}
--- a/crates/standin/src/load/cli.rs
+++ b/crates/standin/src/load/cli.rs
@@ -22,9 +22,9 @@
 use crate::load::compare::sum;
 use crate::load::drive;
 use crate::load::judge::Evidence;
-use crate::load::judge::Promise;
 use crate::load::mix::Mix;
 use crate::load::plot;
+use crate::load::promise::Promise;
 use crate::load::result::Report;
 use crate::load::trace;
 use crate::load::trace::Arrival;
@@ -116,6 +116,11 @@
             )
             .required(true),
         )
+        .arg(flag(
+            "operators",
+            "PIMENTO_LOAD_OPERATORS",
+            "Operators' addresses of the same entry VMs: those not ready get no calls",
+        ))
         .arg(mix())
         .arg(flag("trace", "PIMENTO_LOAD_TRACE", "Trace file").conflicts_with("mix"))
         .arg(seed())
@@ -219,9 +224,9 @@
     serde_json::from_str(&read(path)?).map_err(|error| finding(path, error))
 }
 
-fn finding(place: &str, finding: impl std::fmt::Display) -> Stop {
+fn finding(path: &str, finding: impl std::fmt::Display) -> Stop {
     let mut findings = Findings::default();
-    findings.note(place, finding);
+    findings.file(path, finding);
     Stop::Findings(findings)
 }
 
@@ -245,7 +250,7 @@
     if let Some(path) = trace {
         return Ok(trace::parse(&read(path)?).unwrap_or_else(|found| {
             for one in found {
-                findings.note(path, one);
+                findings.file(path, one);
             }
             Vec::new()
         }));
@@ -257,13 +262,13 @@
     let mix: Mix = match toml::from_str(&read(path)?) {
         Ok(mix) => mix,
         Err(error) => {
-            findings.note(path, error);
+            findings.file(path, error);
             return Ok(Vec::new());
         }
     };
     Ok(mix.arrivals(seed).unwrap_or_else(|found| {
         for one in found {
-            findings.note(path, one);
+            findings.file(path, one);
         }
         Vec::new()
     }))
@@ -274,7 +279,7 @@
     let paths: Vec<String> = findings.list(matches, "contracts");
     for path in paths {
         if let Err(error) = allowed.add(&read(&path)?) {
-            findings.note(&path, error);
+            findings.file(&path, error);
         }
     }
     Ok(allowed)
@@ -287,6 +292,7 @@
     let patience: Option<Span> = findings.value(matches, "patience");
     let config = drive::Config {
         targets: findings.list(matches, "targets"),
+        operators: findings.list(matches, "operators"),
         prefix: matches.get_one("key-prefix").cloned().unwrap_or_default(),
         allowed: allowed(matches, &mut findings)?,
         timeout: timeout.unwrap_or_default().duration(),
@@ -296,6 +302,9 @@
     if config.targets.is_empty() {
         findings.note("targets", "at least one address is needed");
     }
+    if !config.operators.is_empty() && config.operators.len() != config.targets.len() {
+        findings.note("operators", "as many addresses as targets are needed");
+    }
     checked(findings)?;
     let progress = progress(arrivals.len());
     let report = runtime()?.block_on(drive::drive(config, &arrivals, &progress));
--- a/crates/standin/src/load/drive.rs
+++ b/crates/standin/src/load/drive.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use compact_str::format_compact;
 use hyper::header::HeaderValue;
 use indicatif::ProgressBar;
 use pimento_units::Share;
@@ -15,11 +16,13 @@
 use tokio::task::JoinError;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::clock;
 use crate::load::allowed::Allowed;
+use crate::load::balancer::Balancer;
 use crate::load::call::Call;
 use crate::load::call::Reading;
 use crate::load::client::Client;
@@ -37,6 +40,8 @@
 pub struct Config {
     /// Addresses of the entry VMs, taken in turns.
     pub targets: Vec<String>,
+    /// Operators' addresses of the same entry VMs, to see which are ready; empty to take all.
+    pub operators: Vec<String>,
     /// What stands before the customer's name in its API key.
     pub prefix: String,
     /// Versions that the contracts allow.
@@ -62,6 +67,7 @@
 struct Driver {
     config: Config,
     client: Client,
+    balancer: Balancer,
     start: Instant,
     sessions: Shared<Vec<Session>>,
     keys: Vec<(CompactString, CompactString)>,
@@ -70,9 +76,15 @@
 /// Makes the calls and adds up what came of them.
 pub async fn drive(config: Config, arrivals: &[Arrival], progress: &ProgressBar) -> Report {
     let began = clock::now();
+    let token = CancellationToken::new();
+    // Ends the watch with this function, also if its future is dropped half-way.
+    let _watch = token.clone().drop_guard();
+    let balancer = Balancer::new(config.targets.clone());
+    tokio::spawn(balancer.clone().watch(config.operators.clone(), token));
     let driver = Arc::new(Driver {
         config,
         client: Client::default(),
+        balancer,
         start: Instant::now(),
         sessions: Shared::new(Vec::new()),
         keys: keys(arrivals),
@@ -127,7 +139,7 @@
         let intended = self.start + arrival.at;
         let mut sample = Sample {
             customer: arrival.customer.clone(),
-            target: CompactString::from(arrival.target.to_string()),
+            target: label(arrival),
             at: arrival.at,
             late: intended.elapsed(),
             first: None,
@@ -166,9 +178,7 @@
 
     /// Sends a call; the answer must be there in time.
     async fn send(&self, number: usize, call: &Call) -> Reading {
-        let targets = &self.config.targets;
-        let first = number % targets.len().max(1);
-        let turns = targets.iter().cycle().skip(first).take(targets.len());
+        let turns = self.balancer.turns(number);
         let answer = async {
             let response = self.client.send(&call.message, turns).await?;
             Ok(call.read(response, &self.config.allowed).await)
@@ -267,6 +277,16 @@
     }
 }
 
+/// Streamed and whole answers are counted apart: the first byte of a whole one is its last.
+fn label(arrival: &Arrival) -> CompactString {
+    let target = &arrival.target;
+    if arrival.stream {
+        format_compact!("{target} streamed")
+    } else {
+        format_compact!("{target}")
+    }
+}
+
 /// The model that a version belongs to: what stands before the `@`.
 fn family(version: &id::Version) -> &str {
     let name = version.as_str();
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -2,6 +2,7 @@
 //! every answer, results as files, tables and plots, and the judgement of a whole trial.
 
 pub mod allowed;
+pub mod balancer;
 pub mod call;
 pub mod check;
 pub mod cli;
@@ -12,6 +13,7 @@
 pub mod judge;
 pub mod mix;
 pub mod plot;
+pub mod promise;
 pub mod result;
 pub mod trace;
 
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -27,9 +27,14 @@
 pub struct Findings(Vec<String>);
 
 impl Findings {
-    /// Notes a finding with its place.
-    pub fn note(&mut self, place: &str, finding: impl std::fmt::Display) {
-        self.0.push(format!("--{place}: {finding}"));
+    /// Notes a finding on a flag.
+    pub fn note(&mut self, flag: &str, finding: impl std::fmt::Display) {
+        self.0.push(format!("--{flag}: {finding}"));
+    }
+
+    /// Notes a finding in a file.
+    pub fn file(&mut self, path: &str, finding: impl std::fmt::Display) {
+        self.0.push(format!("{path}: {finding}"));
     }
 
     /// The value of a flag that has a default.
--- a/crates/standin/tests/all/load.rs
+++ b/crates/standin/tests/all/load.rs
@@ -50,6 +50,7 @@
     allowed.add(&contract).unwrap();
     let config = drive::Config {
         targets: vec![running.address.to_string()],
+        operators: Vec::new(),
         prefix: "key-".to_owned(),
         allowed,
         timeout: Duration::from_secs(20),
