Let an entry VM advertise another address, and call peers from its own

Cause: a VM behind a translated address could not be reached by peers, and calls between zones came from whatever address the system chose, so that rules of the network, or a test's relay, can't tell zones apart. Ruled out: putting the zone into each frame for the relay. A relay must cut without reading.

--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -82,6 +82,12 @@
         "Where other entry VMs reach it, by UDP and TCP",
         "127.0.0.1:7070",
     ),
+    preset(
+        "peer-advertise",
+        "PIMENTO_PEER_ADVERTISE",
+        "Where other entry VMs reach it, if that is not where it listens",
+        "",
+    ),
     preset(
         "peers",
         "PIMENTO_PEERS",
@@ -365,6 +371,7 @@
     pub listen: SocketAddr,
     pub operators_listen: SocketAddr,
     pub peer_listen: SocketAddr,
+    pub peer_advertise: Option<SocketAddr>,
     pub peers: Vec<SocketAddr>,
     pub log_address: SocketAddr,
     pub vms_address: SocketAddr,
@@ -486,6 +493,7 @@
     let listen = check.required("listen");
     let operators_listen = check.required("operators-listen");
     let peer_listen = check.required("peer-listen");
+    let peer_advertise = check.optional("peer-advertise");
     let peers = check.list("peers");
     let log_address = check.required("log-address");
     let vms_address = check.required("vms-address");
@@ -517,6 +525,7 @@
         listen: listen?,
         operators_listen: operators_listen?,
         peer_listen: peer_listen?,
+        peer_advertise,
         peers,
         log_address: log_address?,
         vms_address: vms_address?,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -308,6 +308,7 @@
     let key = frame::Key::derive(config.peer_key.reveal());
     let node = config.node.clone();
     let mut settings = mesh::Settings::new(node, config.zone.clone(), config.peer_listen, key);
+    settings.advertise = config.peer_advertise;
     settings.seeds.clone_from(&config.peers);
     settings.try_into()
 }
--- a/crates/platform/src/mesh/calls.rs
+++ b/crates/platform/src/mesh/calls.rs
@@ -17,6 +17,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -98,7 +99,7 @@
             return Ok(answer);
         }
     }
-    let connect = TcpStream::connect(peer.address);
+    let connect = connect(shared.settings.listen, peer.address);
     let stream = match tokio::time::timeout_at(deadline, connect).await {
         Ok(Ok(stream)) => stream,
         // The peer may have got the call on the kept connection.
@@ -116,6 +117,21 @@
     }
 }
 
+/// Connects from the address that peers reach this node at. On a VM with several addresses, rules of
+/// the network between zones would else meet calls that come from another one.
+async fn connect(own: SocketAddr, to: SocketAddr) -> std::io::Result<TcpStream> {
+    if own.ip().is_unspecified() || own.is_ipv4() != to.is_ipv4() {
+        return TcpStream::connect(to).await;
+    }
+    let socket = if to.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.bind(SocketAddr::new(own.ip(), 0))?;
+    socket.connect(to).await
+}
+
 /// One call and its answer. The connection is kept only after a whole answer: a late one must not
 /// be read as that of the next call.
 async fn exchange(
