Append a dead writer's bill copies at once

Cause: a peer kept copies for 30 s before it appended them, also when their writer was gone. In that time it is the last holder, and the loss of a second VM, such as in one rack, loses the bill. Change: copies whose writer is not a live peer are appended with the next batch, within a second of the mesh taking the writer for dead. A living writer's duplicate counts once. Ruled out: a shorter time for all copies. It would append every bill twice whenever the log is slow. The new test fails with the old rule (it is the old filter that it measures against).

--- a/crates/platform/src/bills/copies.rs
+++ b/crates/platform/src/bills/copies.rs
@@ -98,11 +98,11 @@
         }
     }
 
-    /// Copies held longer than `age`, at most `most`.
-    pub fn old(&self, age: Duration, most: usize) -> Vec<Held> {
+    /// Copies held longer than `age`, or whose writer is not among `live`, at most `most`.
+    pub fn due(&self, age: Duration, live: &[id::Node], most: usize) -> Vec<Held> {
         self.entries()
             .iter()
-            .filter(|entry| entry.since.elapsed() >= age)
+            .filter(|entry| entry.since.elapsed() >= age || !live.contains(&entry.node))
             .take(most)
             .map(|entry| Held {
                 request: entry.request,
--- a/crates/platform/src/bills/worker.rs
+++ b/crates/platform/src/bills/worker.rs
@@ -135,7 +135,7 @@
         loop {
             ticks.tick().await;
             self.append_own(self.config.patience).await;
-            self.append_old_copies(self.config.adopt, self.config.patience)
+            self.append_copies(self.config.adopt, self.config.patience)
                 .await;
             self.copy_orphans().await;
         }
@@ -184,13 +184,17 @@
         }
     }
 
-    async fn append_old_copies(&self, age: Duration, patience: Duration) {
+    /// Appends copies that are held for long, and at once those whose writer looks dead: until they
+    /// are on the log this node is their last holder. A writer that is alive after all appends
+    /// them too, which does no harm.
+    async fn append_copies(&self, age: Duration, patience: Duration) {
+        let live = self.peers.peers();
         loop {
-            let old = self.shared.copies.old(age, BATCH);
-            if old.is_empty() {
+            let due = self.shared.copies.due(age, &live, BATCH);
+            if due.is_empty() {
                 return;
             }
-            let records = old.iter().map(|copy| copy.text.clone()).collect();
+            let records = due.iter().map(|copy| copy.text.clone()).collect();
             let deadline = Instant::now() + patience;
             let appended = self
                 .appender
@@ -199,8 +203,8 @@
             if appended.is_err() {
                 return;
             }
-            log::info!("bills: appended {} copies held for peers", old.len());
-            self.shared.copies.remove_all(&old);
+            log::info!("bills: appended {} copies held for peers", due.len());
+            self.shared.copies.remove_all(&due);
         }
     }
 
@@ -221,7 +225,7 @@
         let rest = deadline.saturating_duration_since(Instant::now());
         self.append_own(rest).await;
         let rest = deadline.saturating_duration_since(Instant::now());
-        self.append_old_copies(Duration::ZERO, rest).await;
+        self.append_copies(Duration::ZERO, rest).await;
     }
 }
 
--- a/crates/platform/tests/kept/bills.rs
+++ b/crates/platform/tests/kept/bills.rs
@@ -165,6 +165,31 @@
     token.cancel();
 }
 
+/// The same, and the loss is seen: the peer appends the bill long before copies of living writers are
+/// due, since it is now the last holder.
+#[tokio::test(start_paused = true)]
+async fn a_dead_writers_copy_is_appended_at_once() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let dies = CancellationToken::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &dies);
+    let two = start("node-2", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    hold(&one, 1).await.expect("the peer holds it");
+    dies.cancel();
+    all.cut(&node("node-1"));
+    log.fail_appends(Fault::None);
+    let began = Instant::now();
+    until(|| billed(&log).0 == 1).await;
+    assert!(
+        began.elapsed() < config().adopt,
+        "waited for the usual time"
+    );
+    assert_eq!(two.copies(), 0);
+    token.cancel();
+}
+
 /// The log takes bills and loses its answers for a while, so that each is appended again and again
 /// by both holders. The customer pays for each request once.
 #[tokio::test(start_paused = true)]
