Move roll-outs on by one instance at a time

Cause: in the demo three controls proposed each stage and two lost, which filled the history; at the target size each node would ask every entry VM for evidence. Change: a lease on roll-outs decides whose turn it is; nothing but work depends on it. /state lists resources. Ruled out: rendezvous over the nodes, since a control knows no list of controls. Conclusion: at the target size one instance still asks 400 entry VMs; sums by zone are left.

--- a/crates/control/src/daemon.rs
+++ b/crates/control/src/daemon.rs
@@ -38,6 +38,7 @@
 use crate::orders::Orders;
 use crate::orders::Parts;
 use crate::orders::Settings;
+use crate::rollout;
 use crate::rollout::Rollouts;
 
 /// How long to wait at the end for the log to show that leases are given up.
@@ -180,7 +181,7 @@
     };
     let running = Running {
         address,
-        leases: Leases::default(),
+        leases: Leases::new(config.zone.clone()),
         setup,
         work: token.child_token(),
         holding: token.child_token(),
@@ -225,7 +226,12 @@
             .iter()
             .map(|address| operators::Remote::new(*address, config.timeout))
             .collect();
-        let rollouts = Rollouts::new(config.node.clone(), log.clone(), entries, source.changed());
+        let parts = rollout::Parts {
+            log: log.clone(),
+            entries,
+            turn: self.leases.clone(),
+        };
+        let rollouts = Rollouts::new(config.node.clone(), parts, source.changed());
         self.control(rollouts, config, source, metrics);
     }
 
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -1,4 +1,7 @@
-//! Keeps a lease on the orders of each pool in this node's zone.
+//! Keeps leases: one on the orders of each pool in this node's zone, and one on roll-outs.
+//!
+//! Correctness hangs on the first kind only. The second saves work: without it each instance would
+//! ask all entry VMs for evidence and propose the same steps, of which all but one come too late.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -30,6 +33,12 @@
     fn held(&self, pool: &id::Pool) -> Option<Fencing>;
 }
 
+/// Tells whether it is this node's turn at work that any node could do.
+pub trait Turn: Send + Sync + 'static {
+    /// Whether it is.
+    fn mine(&self) -> bool;
+}
+
 /// What a [`Keeper`] needs.
 #[derive(Debug, Clone)]
 pub struct Setup {
@@ -47,46 +56,64 @@
 
 #[derive(Debug)]
 struct Kept {
-    pool: id::Pool,
     resource: id::Resource,
     lease: Lease,
     token: CancellationToken,
 }
 
-/// The leases that this node holds or waits for, sorted by pool. Clones share them.
-#[derive(Debug, Clone, Default)]
-pub struct Leases(Arc<Mutex<Vec<Kept>>>);
+/// The leases that this node holds or waits for. Clones share them.
+#[derive(Debug, Clone)]
+pub struct Leases {
+    zone: id::Zone,
+    /// Sorted by resource.
+    kept: Arc<Mutex<Vec<Kept>>>,
+}
 
 impl Leases {
+    /// No leases yet, for a node in `zone`.
+    #[must_use]
+    pub fn new(zone: id::Zone) -> Self {
+        Self {
+            zone,
+            kept: Arc::default(),
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, Vec<Kept>> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Pools whose lease is held now, with the fencing number.
+    /// Resources whose lease is held now, with the fencing number.
     #[must_use]
-    pub fn holding(&self) -> Vec<(id::Pool, Fencing)> {
+    pub fn holding(&self) -> Vec<(id::Resource, Fencing)> {
         let kept = self.lock();
-        let held = kept.iter().map(|k| Some((k.pool.clone(), k.lease.held()?)));
+        let held = kept
+            .iter()
+            .map(|k| Some((k.resource.clone(), k.lease.held()?)));
         held.flatten().collect()
     }
 
-    fn resources(&self) -> Vec<id::Resource> {
+    fn find(&self, resource: &id::Resource) -> Option<Fencing> {
         let kept = self.lock();
-        let held = kept.iter().filter(|k| k.lease.held().is_some());
-        held.map(|k| k.resource.clone()).collect()
+        let at = kept.binary_search_by(|k| k.resource.cmp(resource)).ok()?;
+        kept[at].lease.held()
     }
 }
 
 impl Guard for Leases {
     fn held(&self, pool: &id::Pool) -> Option<Fencing> {
-        let kept = self.lock();
-        let at = kept.binary_search_by(|k| k.pool.cmp(pool)).ok()?;
-        kept[at].lease.held()
+        self.find(&resource(pool, &self.zone))
+    }
+}
+
+impl Turn for Leases {
+    /// Whether the lease on roll-outs is held.
+    fn mine(&self) -> bool {
+        self.find(&rollouts()).is_some()
     }
 }
 
-/// The controller that takes a lease for each pool with versions, and gives up those of pools that
-/// are gone.
+/// The controller that takes the leases, and gives up those of pools that are gone.
 #[derive(Debug)]
 pub struct Keeper {
     setup: Setup,
@@ -115,8 +142,7 @@
         }
     }
 
-    fn start(&self, pool: id::Pool) -> Kept {
-        let resource = resource(&pool, &self.setup.zone);
+    fn start(&self, resource: id::Resource) -> Kept {
         let token = self.token.child_token();
         let lease = Lease::start(
             resource.clone(),
@@ -127,7 +153,6 @@
             token.clone(),
         );
         Kept {
-            pool,
             resource,
             lease,
             token,
@@ -135,38 +160,56 @@
     }
 }
 
+impl Keeper {
+    /// Leases that this node should hold or wait for, sorted.
+    fn wanted(&self) -> Vec<id::Resource> {
+        let state = self.state.borrow();
+        let pools = state.versions().map(|version| &version.pool);
+        let mut wanted: Vec<id::Resource> = pools
+            .map(|pool| resource(pool, &self.setup.zone))
+            .chain([rollouts()])
+            .collect();
+        wanted.sort();
+        wanted.dedup();
+        wanted
+    }
+}
+
 impl Controller for Keeper {
     type Error = Infallible;
 
     const NAME: &'static str = "leases";
 
     async fn pass(&mut self) -> Result<Pass, Infallible> {
-        let wanted = pools(&self.state.borrow());
+        let wanted = self.wanted();
         let mut kept = self.leases.lock();
         kept.retain(|k| {
-            let stays = wanted.binary_search(&k.pool).is_ok();
+            let stays = wanted.binary_search(&k.resource).is_ok();
             if !stays {
                 k.token.cancel();
             }
             stays
         });
-        for pool in wanted {
-            if let Err(at) = kept.binary_search_by(|k| k.pool.cmp(&pool)) {
-                kept.insert(at, self.start(pool));
+        for resource in wanted {
+            if let Err(at) = kept.binary_search_by(|k| k.resource.cmp(&resource)) {
+                kept.insert(at, self.start(resource));
             }
         }
         drop(kept);
-        self.metrics.leases(self.leases.holding().len());
+        let rollouts = usize::from(self.leases.mine());
+        let all = self.leases.holding().len();
+        self.metrics.leases(all.saturating_sub(rollouts), rollouts);
         Ok(Pass::Idle)
     }
 }
 
-/// Pools with versions, sorted.
-fn pools(state: &State) -> Vec<id::Pool> {
-    let mut pools: Vec<id::Pool> = state.versions().map(|v| v.pool.clone()).collect();
-    pools.sort();
-    pools.dedup();
-    pools
+/// The name under which roll-outs are leased, for the whole deployment.
+///
+/// # Panics
+///
+/// Never: the name is valid.
+fn rollouts() -> id::Resource {
+    "rollouts".parse().expect("the name is valid")
 }
 
 /// The name under which the orders to a pool in a zone are leased.
@@ -187,7 +230,8 @@
 /// Waits until the log shows the leases of this node as given up, or until `wait` has passed. A
 /// successor then need not wait them out.
 pub async fn released(leases: &Leases, setup: &Setup, token: &CancellationToken, wait: Duration) {
-    let resources = leases.resources();
+    let held = leases.holding().into_iter();
+    let resources: Vec<id::Resource> = held.map(|(resource, _)| resource).collect();
     let ends = setup.follower.view(|view| ends(view, &resources));
     token.cancel();
     let deadline = Instant::now() + wait;
--- a/crates/control/src/metrics.rs
+++ b/crates/control/src/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
-use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -21,7 +21,7 @@
     failures: IntCounterVec,
     orders: IntCounterVec,
     fetches: IntCounterVec,
-    leases: IntGauge,
+    leases: IntGaugeVec,
     age: Gauge,
 }
 
@@ -73,7 +73,10 @@
                 "Calls to the weight store",
                 "outcome",
             )?,
-            leases: IntGauge::new("pimento_control_leases", "Leases held now")?,
+            leases: IntGaugeVec::new(
+                Opts::new("pimento_control_leases", "Leases held now"),
+                &["kind"],
+            )?,
             age: Gauge::new(
                 "pimento_control_state_age_seconds",
                 "Age of the configuration",
@@ -112,9 +115,12 @@
         self.fetches.with_label_values(&[outcome.label()]).inc();
     }
 
-    /// Sets the number of leases held.
-    pub fn leases(&self, held: usize) {
-        self.leases.set(i64::try_from(held).unwrap_or(i64::MAX));
+    /// Sets the number of leases held: on orders to pools, and on roll-outs.
+    pub fn leases(&self, orders: usize, rollouts: usize) {
+        for (kind, held) in [("orders", orders), ("rollouts", rollouts)] {
+            let gauge = self.leases.with_label_values(&[kind]);
+            gauge.set(i64::try_from(held).unwrap_or(i64::MAX));
+        }
     }
 
     /// Sets the age of the configuration.
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -63,7 +63,7 @@
 
 #[derive(Debug, Serialize)]
 struct Held {
-    pool: id::Pool,
+    resource: id::Resource,
     fencing: Offset,
 }
 
@@ -128,8 +128,8 @@
     }
 
     fn state(&self) -> Response<Full<Bytes>> {
-        let held = |(pool, fencing): (id::Pool, pimento_platform::lease::Fencing)| Held {
-            pool,
+        let held = |(resource, fencing): (id::Resource, pimento_platform::lease::Fencing)| Held {
+            resource,
             fencing: fencing.number,
         };
         let age = self.source.age().as_millis();
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -3,4 +3,5 @@
 pub mod controller;
 pub mod decide;
 
+pub use controller::Parts;
 pub use controller::Rollouts;
--- a/crates/control/src/rollout/controller.rs
+++ b/crates/control/src/rollout/controller.rs
@@ -1,8 +1,9 @@
 //! Gathers evidence from the entry VMs and proposes the next step of each roll-out.
 //!
-//! There is no leader: a step is a change with a base revision, and the first in the log wins. An
+//! No leader is needed: a step is a change with a base revision, and the first in the log wins. An
 //! instance that dies between two steps leaves the roll-out at its stage, where any other takes it
-//! up, since all that matters stands in the log and with the entry VMs.
+//! up, since all that matters stands in the log and with the entry VMs. The turn that one instance
+//! has at a time only saves the others' work; two that both think it theirs do no harm.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,38 +34,47 @@
 use super::decide::proposals;
 use crate::controller::Controller;
 use crate::controller::Pass;
+use crate::leases::Turn;
+
+/// What the controller talks to.
+#[derive(Debug)]
+pub struct Parts<L, O, T> {
+    /// The log.
+    pub log: L,
+    /// The entry VMs.
+    pub entries: Vec<O>,
+    /// Whose turn it is.
+    pub turn: T,
+}
 
 /// The controller of roll-outs.
 #[derive(Debug)]
-pub struct Rollouts<L, O> {
+pub struct Rollouts<L, O, T> {
     node: id::Node,
-    log: L,
-    entries: Vec<O>,
+    parts: Parts<L, O, T>,
     state: watch::Receiver<Arc<State>>,
     /// When this instance first saw each running roll-out's revision, sorted by version. A stage's
     /// dwell begins anew with each instance, which errs on the slow side.
     seen: Vec<(id::Version, Revision, Instant)>,
 }
 
-impl<L: Log, O: Operators> Rollouts<L, O> {
-    /// A controller that proposes as `node` and asks `entries` for evidence.
+impl<L: Log, O: Operators, T: Turn> Rollouts<L, O, T> {
+    /// A controller that proposes as `node`.
     pub const fn new(
         node: id::Node,
-        log: L,
-        entries: Vec<O>,
+        parts: Parts<L, O, T>,
         state: watch::Receiver<Arc<State>>,
     ) -> Self {
         Self {
             node,
-            log,
-            entries,
+            parts,
             state,
             seen: Vec::new(),
         }
     }
 
     async fn gather(&self) -> Vec<operators::State> {
-        let answers = join_all(self.entries.iter().map(Operators::state)).await;
+        let answers = join_all(self.parts.entries.iter().map(Operators::state)).await;
         let mut states = Vec::with_capacity(answers.len());
         for answer in answers {
             match answer {
@@ -102,7 +112,10 @@
             .into_iter()
             .filter_map(|proposal| self.record(proposal))
             .collect();
-        self.log.append(Stream::Configuration, records).await?;
+        self.parts
+            .log
+            .append(Stream::Configuration, records)
+            .await?;
         Ok(())
     }
 
@@ -119,7 +132,7 @@
     }
 }
 
-impl<L: Log, O: Operators> Controller for Rollouts<L, O> {
+impl<L: Log, O: Operators, T: Turn> Controller for Rollouts<L, O, T> {
     type Error = log::Error;
 
     const NAME: &'static str = "rollout";
@@ -129,7 +142,7 @@
         self.note(&state);
         let running =
             |rollout: &&Rollout| rollout.status == pimento_contract::rollout::Status::Running;
-        if state.rollouts().find(running).is_none() {
+        if !self.parts.turn.mine() || state.rollouts().find(running).is_none() {
             return Ok(Pass::Idle);
         }
         let nodes = self.gather().await;
--- a/crates/control/tests/all/rollouts.rs
+++ b/crates/control/tests/all/rollouts.rs
@@ -13,6 +13,8 @@
 use pimento_contract::version;
 use pimento_control::controller::Controller;
 use pimento_control::controller::Pass;
+use pimento_control::leases::Turn;
+use pimento_control::rollout::Parts;
 use pimento_control::rollout::Rollouts;
 use pimento_ledger::Stream;
 use pimento_platform::log::Log;
@@ -50,6 +52,16 @@
     }
 }
 
+/// Each instance thinks it its turn: the worst case for the log.
+#[derive(Debug)]
+struct Always;
+
+impl Turn for Always {
+    fn mine(&self) -> bool {
+        true
+    }
+}
+
 /// A log, the state that all have read, one entry VM, and instances of the controller.
 struct Bench {
     log: Memory,
@@ -91,14 +103,13 @@
         }
     }
 
-    fn controller(&self, node: &str) -> Rollouts<Memory, Entries> {
-        let entries = vec![Entries(self.node.subscribe())];
-        Rollouts::new(
-            name(node),
-            self.log.clone(),
-            entries,
-            self.spread.subscribe(),
-        )
+    fn controller(&self, node: &str) -> Rollouts<Memory, Entries, Always> {
+        let parts = Parts {
+            log: self.log.clone(),
+            entries: vec![Entries(self.node.subscribe())],
+            turn: Always,
+        };
+        Rollouts::new(name(node), parts, self.spread.subscribe())
     }
 
     /// Has the entry VM report counts of both versions, as of `offset`.
--- a/tests/all/control.rs
+++ b/tests/all/control.rs
@@ -146,10 +146,12 @@
     }
 }
 
-/// The fencing number that a control holds now.
+/// The fencing number under which a control may give orders now.
 fn fencing(control: &Process) -> Option<u64> {
     let state: Value = control.get("/state")?;
-    state.get("leases")?.get(0)?.get("fencing")?.as_u64()
+    let leases = state.get("leases")?.as_array()?;
+    let orders = |lease: &&Value| lease["resource"].as_str().is_some_and(|r| r.contains(POOL));
+    leases.iter().find(orders)?["fencing"].as_u64()
 }
 
 fn publish(bench: &Bench, fencing: Fencing) {
