--- a/crates/contract/tests/raw.rs
+++ b/crates/contract/tests/raw.rs
@@ -16,6 +16,8 @@
 use pimento_units::Revision;
 use pimento_units::Wall;
 use pimento_units::id;
+use proptest::collection::vec;
+use proptest::proptest;
 use uuid::Uuid;
 
 fn folder(name: &str) -> PathBuf {
@@ -76,6 +78,42 @@
     }
 }
 
+proptest! {
+    /// Whatever an operator's editor did to a file, checking ends with values or with findings that
+    /// name a line of it; it never fails otherwise.
+    #[test]
+    fn a_damaged_file_gives_values_or_findings(
+        lines in vec((0_usize..200, 0_usize..200, ".{0,12}"), 1..6),
+    ) {
+        let mut file = load(&folder("../../examples/nyabarongo/contracts.toml"));
+        for (line, column, text) in lines {
+            file.text = damage(&file.text, line, column, &text);
+        }
+        let count = file.text.lines().count();
+        match check(&[file], &State::default()) {
+            Ok(configuration) => assert!(configuration.values.len() <= 10),
+            Err(findings) => {
+                let lines = findings.as_slice().iter().map(|finding| finding.place.line);
+                assert!(!findings.is_empty());
+                assert!(lines.into_iter().all(|line| (1..=count + 1).contains(&line)));
+            }
+        }
+    }
+}
+
+/// Replaces what follows a place in a line.
+fn damage(text: &str, line: usize, column: usize, with: &str) -> String {
+    let damaged = text.lines().enumerate().map(|(number, content)| {
+        let kept: String = content.chars().take(column % 60).collect();
+        if number == line {
+            format!("{kept}{with}")
+        } else {
+            content.into()
+        }
+    });
+    damaged.collect::<Vec<String>>().join("\n")
+}
+
 #[test]
 fn five_faults_give_five_findings_at_once() {
     let file = load(&folder("tests/raw/five-faults.toml"));
--- a/tests/all/ctl.rs
+++ b/tests/all/ctl.rs
@@ -4,14 +4,25 @@
 use std::process::Command;
 use std::process::Output;
 use std::process::Stdio;
+use std::time::Duration;
 
+use pimento_ledger::Bill;
+use pimento_ledger::Stream;
+use pimento_ledger::record::Item;
+use pimento_platform::Log as _;
+use pimento_platform::log::Remote;
 use pimento_standin::fault::Action;
 use pimento_standin::fault::Rule;
 use pimento_standin::log;
 use pimento_standin::log::Log;
 use pimento_standin::server::Running;
+use pimento_units::Money;
+use pimento_units::Tokens;
+use pimento_units::Wall;
+use pimento_units::id;
 use tokio::runtime::Runtime;
 use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
 
 const FILES: [&str; 2] = [
     "examples/nyabarongo/platform.toml",
@@ -110,6 +121,54 @@
     assert_eq!(String::from_utf8_lossy(&shown.stdout).trim(), "[]");
 }
 
+/// Two entry VMs hold the same bills, the log loses answers, and a record is damaged. Totals count
+/// each request once, whoever appended its bill and how often.
+#[test]
+fn bills_count_each_request_once() {
+    let (runtime, log) = start();
+    let lose = Rule::new(Action::LoseAnswer)
+        .on("POST", "/streams")
+        .times(2);
+    log.faults.rules([lose]);
+    let remote = Remote::new(log.address, Duration::from_secs(5));
+    let bills: Vec<String> = (0..50).map(bill).collect();
+    let append = |records: Vec<String>| {
+        // Some answers are lost, as the rule says; the records are on the log all the same.
+        let _ = runtime.block_on(remote.append(Stream::Usage, records));
+    };
+    append(bills[..30].to_vec());
+    append(bills[20..].to_vec());
+    append(vec!["{}".into(), bills[0].clone()]);
+    append(bills[..30].to_vec());
+    let output = run(log.address, &["bills", "--output", "json"]);
+    let totals: Vec<serde_json::Value> =
+        serde_json::from_slice(&output.stdout).expect("the output is JSON");
+    let count = |key: &str| totals.iter().filter_map(|t| t[key].as_u64()).sum::<u64>();
+    assert_eq!(totals.len(), 2);
+    assert_eq!(count("bills"), 50);
+    assert_eq!(count("repeated"), 10 + 1 + 30);
+    assert_eq!(count("charge"), (0..50).sum::<u64>());
+    assert!(String::from_utf8_lossy(&output.stderr).contains("1 record(s) are no bills"));
+}
+
+fn bill(number: u64) -> String {
+    let name = |text: &str| text.parse().expect("the name is valid");
+    let bill = Bill {
+        request: id::Request(Uuid::from_u128(u128::from(number))),
+        customer: name(["garage-gatenga", "mine-rutongo"][usize::from(number.is_multiple_of(3))]),
+        class: None,
+        item: Item::Service("order-desk".parse().expect("the name is valid")),
+        charge: Money::from_micros(number),
+        cost: Money::ZERO,
+        input: Tokens::ZERO,
+        output: Tokens::ZERO,
+        node: "entry-1".parse().expect("the name is valid"),
+        period: 0,
+        at: Wall::from_millis(0),
+    };
+    serde_json::to_string(&bill).expect("a bill is plain JSON")
+}
+
 /// A file with five faults is refused with all five, before the log is asked.
 #[test]
 fn five_faults_are_told_at_once() {
