entry: send full engines' refusals back to the queue

A limiter begins at the engine's reported batch and stays near it; a refusal closes that engine for 50 ms to 0.8 s at this node, and the request waits again until half of its time has passed. Ruled out: waiting for Retry-After (whole seconds, far longer than a slot takes to come free).

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -57,6 +57,10 @@
 /// Work of a call, in tokens: calls of plain services are taken for equal.
 const WORK: Tokens = Tokens(100);
 
+/// Replicas that refuse a call before its caller is told so. A service has a few, and unlike an
+/// engine it does not report its load, so that waiting for long would be a guess.
+const REFUSALS: u32 = 6;
+
 /// Priority of plain calls in their own pool, where nothing else waits.
 const PRIORITY: u8 = 0;
 
@@ -335,10 +339,14 @@
 
 /// Whether the call is sent again, at another endpoint: always only if no byte of it was sent, or
 /// the endpoint said that it did not start it; else only if it may be repeated.
-fn again_after(node: &Node, call: &Call, trace: &Trace, fault: &Fault) -> bool {
+fn again_after(node: &Node, call: &Call, trace: &mut Trace, fault: &Fault) -> bool {
     if *fault == Fault::Cancelled {
         return false;
     }
+    if matches!(fault, Fault::Refused { .. }) {
+        trace.refused();
+        return trace.refusals < REFUSALS;
+    }
     let now = node.clock.now();
     let pool = node.scheduler.pool(&call.service.pool);
     let failure = retry::Failure {
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -167,10 +167,19 @@
 
     /// Whether another attempt is made. Once the caller has a part of the answer, only a
     /// deterministic answer can be told again from its start.
-    fn again(&self, ask: &Ask<'_>, fault: &Fault) -> bool {
+    fn again(&self, ask: &mut Ask<'_>, fault: &Fault) -> bool {
         let node = self.0;
         let now = node.clock.now();
         let request = ask.request;
+        // An engine that is full and says so has cost a round trip and no work: the request goes
+        // back to the queue. Half of its time is left for the answer then, and for the caller to
+        // ask elsewhere if even that was in vain.
+        if matches!(fault, Fault::Refused { .. }) {
+            let identity = &request.identity;
+            let half = identity.arrived + identity.deadline.since(identity.arrived) / 2;
+            ask.trace.refused();
+            return now < half;
+        }
         let repeats = !ask.delivery.begun() || request.chat.temperature == Some(0.0);
         if *fault == Fault::Cancelled || !repeats || now >= request.identity.deadline {
             return false;
--- a/crates/entry/src/scheduler.rs
+++ b/crates/entry/src/scheduler.rs
@@ -126,7 +126,7 @@
     fn enqueue(&self, waiter: Waiter) -> Result<(queue::Ticket, Moment), Refusal> {
         let now = self.shared.clock.now();
         let mut inner = self.shared.lock();
-        let demand = inner.demand(&waiter.job).ok_or_else(nobody)?;
+        let demand = inner.demand(&waiter.job, now).ok_or_else(nobody)?;
         let verdict = inner.decide(&waiter.job, demand, now, rand::random());
         let start_by = match verdict {
             admission::Verdict::Admit { start_by } => start_by,
--- a/crates/entry/src/scheduler/inner.rs
+++ b/crates/entry/src/scheduler/inner.rs
@@ -60,9 +60,21 @@
 struct Seat {
     member: Member,
     limiter: limit::Limiter,
+    /// The batch that the limiter was made for.
+    batch: Option<u32>,
     key: u64,
+    /// Refusals in a row, and until when no further call is sent because of them.
+    refusals: u32,
+    closed: Moment,
 }
 
+/// How long an endpoint that refused a call gets none from this node: several round trips, in which
+/// calls of other nodes end. Doubled with each further refusal.
+const CLOSED: Duration = Duration::from_millis(50);
+
+/// Doublings at most: 0.8 s is short beside the time of the answers that fill an engine.
+const DOUBLINGS: u32 = 4;
+
 /// Jobs for one version, with their own drain rate: versions differ in speed, and a job of one
 /// must not wait behind jobs of another whose endpoints are full.
 #[derive(Debug)]
@@ -126,7 +138,7 @@
     }
 
     /// What the gate has to know; none if no endpoint holds the version.
-    pub fn demand(&mut self, job: &Job) -> Option<admission::Demand> {
+    pub fn demand(&mut self, job: &Job, now: Moment) -> Option<admission::Demand> {
         let version = job.version.as_ref();
         let seats = self
             .seats
@@ -136,7 +148,9 @@
         for seat in seats {
             any = true;
             slots += seat.limiter.limit();
-            free += seat.limiter.room();
+            if now >= seat.closed {
+                free += seat.limiter.room();
+            }
         }
         if !any {
             return None;
@@ -272,7 +286,11 @@
     fn open(&self, version: Option<&id::Version>, now: Moment) -> bool {
         self.seats.iter().any(|seat| {
             let out = self.health.state(&seat.member.endpoint, now) == eject::State::Out;
-            seat.member.usable && seat.member.holds(version) && !out && seat.limiter.room() > 0
+            seat.member.usable
+                && seat.member.holds(version)
+                && !out
+                && now >= seat.closed
+                && seat.limiter.room() > 0
         })
     }
 
@@ -306,7 +324,8 @@
         let usual = self.health.median();
         let candidate = |seat: &Seat| {
             let healthy = self.health.state(&seat.member.endpoint, now) != eject::State::Out;
-            let usable = seat.member.usable && seat.member.holds(job.version.as_ref());
+            let open = seat.member.usable && now >= seat.closed;
+            let usable = open && seat.member.holds(job.version.as_ref());
             let own = seat.limiter.flying();
             let (others, age) = seat.member.report.map_or((0, Duration::MAX), |(load, at)| {
                 let all = load.running.saturating_add(load.waiting);
@@ -339,6 +358,10 @@
             .find(|s| s.member.endpoint == slot.endpoint);
         if let Some(seat) = seat {
             seat.limiter.release(outcome);
+            if matches!(outcome, limit::Outcome::Served { .. }) {
+                seat.refusals = 0;
+                seat.closed = Moment::ZERO;
+            }
         }
         self.health.record(&slot.endpoint, health, now);
         let station = self.station(slot.version.as_ref());
@@ -350,6 +373,21 @@
         }
     }
 
+    /// Closes an endpoint that refused a call for a while, and gives that while.
+    pub fn close(&mut self, endpoint: &id::Endpoint, now: Moment) -> Duration {
+        let seat = self
+            .seats
+            .iter_mut()
+            .find(|s| s.member.endpoint == *endpoint);
+        let Some(seat) = seat else {
+            return Duration::ZERO;
+        };
+        let span = CLOSED * (1 << seat.refusals.min(DOUBLINGS));
+        seat.refusals = seat.refusals.saturating_add(1);
+        seat.closed = now + span;
+        span
+    }
+
     pub fn depth(&self) -> Depth {
         let usable = self.seats.iter().filter(|s| s.member.usable);
         Depth {
@@ -363,13 +401,33 @@
 }
 
 fn seat(member: Member) -> Seat {
+    let batch = batch(&member);
     Seat {
         key: choice::key(member.endpoint.as_str()),
-        limiter: limit::Limiter::new(limit::Config::default()),
+        limiter: limiter(batch),
+        batch,
+        refusals: 0,
+        closed: Moment::ZERO,
         member,
     }
 }
 
+fn batch(member: &Member) -> Option<u32> {
+    let (report, _) = member.report?;
+    (report.batch > 0).then_some(report.batch)
+}
+
+/// A limiter that begins at the engine's batch and stays near it: what is sent beyond waits there,
+/// where this node can neither order nor refuse it.
+fn limiter(batch: Option<u32>) -> limit::Limiter {
+    let mut config = limit::Config::default();
+    if let Some(batch) = batch {
+        config.start = f64::from(batch);
+        config.most = f64::from(batch + batch / 4 + 1);
+    }
+    limit::Limiter::new(config)
+}
+
 /// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
 fn refresh(mut seat: Seat, member: Member) -> Seat {
     if let Some((report, at)) = member.report
@@ -377,6 +435,11 @@
     {
         seat.limiter.report(report);
     }
+    let fresh = batch(&member);
+    if fresh != seat.batch && seat.limiter.flying() == 0 {
+        seat.batch = fresh;
+        seat.limiter = limiter(fresh);
+    }
     seat.member = member;
     seat
 }
--- a/crates/entry/src/scheduler/permit.rs
+++ b/crates/entry/src/scheduler/permit.rs
@@ -92,9 +92,24 @@
             | Fault::Cut { .. }
             | Fault::Nonsense { .. } => (limit::Outcome::Unknown, eject::Outcome::Failed),
         };
+        // Closed before its slot is given back, or the next job would be sent there at once.
+        if matches!(fault, Fault::Refused { .. }) {
+            self.close(now);
+        }
         self.end(limit, health, now);
     }
 
+    /// Leaves an endpoint that is full alone for a while, and then looks for waiting work again.
+    fn close(&self, now: Moment) {
+        let span = self.shared.lock().close(&self.slot.endpoint, now);
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(async move {
+            tokio::time::sleep(span).await;
+            let now = shared.clock.now();
+            shared.lock().pump(&shared, now);
+        });
+    }
+
     fn end(&mut self, limit: limit::Outcome, health: eject::Outcome, now: Moment) {
         self.ended = true;
         let mut inner = self.shared.lock();
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -18,8 +18,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Trace {
     started: bool,
-    /// Attempts made.
+    /// Attempts made, without those that a full endpoint refused.
     pub attempts: u32,
+    /// Attempts that a full endpoint refused.
+    pub refusals: u32,
     /// Time in queues.
     pub waited: Duration,
     /// What the attempts cost us.
@@ -34,10 +36,18 @@
         self.started = true;
     }
 
-    /// Notes a failed attempt.
+    /// Notes a failed attempt. An endpoint that was full may be asked again.
     pub fn failed(&mut self, endpoint: &id::Endpoint, fault: &Fault) {
         self.started |= !fault.not_run();
-        self.tried.push(endpoint.clone());
+        if !matches!(fault, Fault::Refused { .. }) {
+            self.tried.push(endpoint.clone());
+        }
+    }
+
+    /// Notes that the last attempt was refused by a full endpoint, which is no failure to retry.
+    pub const fn refused(&mut self) {
+        self.refusals += 1;
+        self.attempts = self.attempts.saturating_sub(1);
     }
 
     /// What may be said to the caller.
--- a/crates/entry/tests/all/versions.rs
+++ b/crates/entry/tests/all/versions.rs
@@ -33,7 +33,7 @@
     let world = World::start(1).await;
     world.engines[0].site.change(|settings| {
         settings.token_us = 20_000;
-        settings.batch = 64;
+        settings.batch = 4;
     });
     let entry = world.entry("entry-1").await;
     let ask = || {
