--- a/crates/platform/tests/configuration.rs
+++ b/crates/platform/tests/configuration.rs
@@ -30,6 +30,9 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+/// Spread of checkpoints, where a test looks at them.
+const SPREAD: Duration = Duration::from_millis(50);
+
 async fn three_zones(log: &Memory) -> Vec<Node> {
     let mut nodes = Vec::new();
     for (name, zone) in [("a", "trebon"), ("b", "hluboka"), ("c", "vodnany")] {
@@ -325,6 +328,7 @@
     let plan = |name, zone| Plan {
         settings: Settings {
             changes: 5,
+            spread: SPREAD,
             ..Plan::new(name, zone).settings
         },
         ..Plan::new(name, zone)
@@ -356,6 +360,7 @@
     publish(&log, 0..1);
     let mut plan = Plan::new("a", "trebon");
     plan.settings.interval = Duration::from_millis(100);
+    plan.settings.spread = SPREAD;
     let node = plan.start(log.link()).await;
     eventually("three checkpoints", async || {
         (checkpoints(&log).len() >= 3).then_some(())
--- a/crates/platform/tests/support/nodes.rs
+++ b/crates/platform/tests/support/nodes.rs
@@ -64,13 +64,13 @@
 }
 
 impl Plan {
-    /// A node that reads the log, and writes no checkpoint.
+    /// A node that reads the log, and waits for years before it writes a checkpoint that is due.
     pub fn new(name: &'static str, zone: &'static str) -> Self {
         let settings = Settings {
             tail: Tail::Always,
             changes: u64::MAX,
             interval: Duration::from_hours(24),
-            spread: Duration::from_millis(50),
+            spread: Duration::from_hours(100_000),
             doubt: Duration::from_millis(300),
         };
         Self {
