--- /dev/null
+++ b/crates/policy/benches/decision.rs
@@ -0,0 +1,218 @@
+//! What a decision costs, in time by `criterion` and in bytes by a counting allocator, at 12 and
+//! 600 endpoints and at 10 and 1,000 customers that wait.
+
+use std::alloc::System;
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use pimento_policy::admission;
+use pimento_policy::choice;
+use pimento_policy::choice::Candidate;
+use pimento_policy::eject;
+use pimento_policy::limit;
+use pimento_policy::queue;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+use stats_alloc::INSTRUMENTED_SYSTEM;
+use stats_alloc::Region;
+use stats_alloc::StatsAlloc;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const ENDPOINTS: [usize; 2] = [12, 600];
+const CUSTOMERS: [usize; 2] = [10, 1_000];
+
+/// Decisions that the allocations are counted over.
+const COUNTED: u64 = 10_000;
+
+struct Node {
+    gate: admission::Gate,
+    queue: queue::Queue,
+    limiters: Vec<limit::Limiter>,
+    health: eject::Pool,
+    endpoints: Vec<id::Endpoint>,
+    customers: Vec<id::Customer>,
+    candidates: Vec<Candidate>,
+    turn: u64,
+}
+
+fn name<T: std::str::FromStr>(prefix: &str, number: usize) -> T
+where
+    T::Err: std::fmt::Debug,
+{
+    format!("{prefix}-{number:04}").parse().expect("a name")
+}
+
+impl Node {
+    /// A node in whose queue each customer has one waiting job.
+    fn new(endpoints: usize, customers: usize) -> Self {
+        let endpoints: Vec<id::Endpoint> = (0..endpoints).map(|e| name("engine", e)).collect();
+        let customers: Vec<id::Customer> = (0..customers).map(|c| name("workspace", c)).collect();
+        let mut health = eject::Pool::new(eject::Config::default());
+        health.retain(endpoints.iter().cloned());
+        let limiter = limit::Limiter::new(limit::Config::default());
+        let candidate = |(place, endpoint): (usize, &id::Endpoint)| Candidate {
+            key: choice::key(endpoint.as_str()),
+            usable: true,
+            distance: Duration::from_millis(if place % 3 == 0 { 0 } else { 10 }),
+            own: 0,
+            limit: 8,
+            others: u32::try_from(place % 7).expect("a small number"),
+            age: Duration::from_millis(300),
+            run: Duration::from_millis(500),
+        };
+        let mut node = Self {
+            gate: admission::Gate::new(admission::Config::default()),
+            queue: queue::Queue::new(queue::Config::default()),
+            limiters: vec![limiter; endpoints.len()],
+            health,
+            candidates: endpoints.iter().enumerate().map(candidate).collect(),
+            endpoints,
+            customers,
+            turn: 0,
+        };
+        for place in 0..node.customers.len() {
+            node.enqueue(place);
+        }
+        node
+    }
+
+    fn now(&self) -> Moment {
+        Moment::from_millis(self.turn)
+    }
+
+    fn enqueue(&mut self, place: usize) {
+        self.queue.enqueue(queue::Job {
+            customer: self.customers[place].clone(),
+            weight: 1,
+            priority: u8::try_from(place % 3).expect("a small number"),
+            tokens: Tokens(100),
+            start_by: Moment::from_nanos(u64::MAX),
+        });
+    }
+
+    /// The door: what goes first, and whether it may wait.
+    fn door(&mut self, place: usize) -> admission::Verdict {
+        let customer = &self.customers[place];
+        let priority = u8::try_from(place % 3).expect("a small number");
+        let demand = admission::Demand {
+            ahead: self.queue.ahead(customer, 1, priority, Tokens(100)),
+            slots: u32::try_from(self.limiters.len() * 8).expect("a small number"),
+            free: 0,
+            run: self.gate.run(Tokens(100)),
+            deadline: self.now() + Duration::from_secs(10),
+        };
+        self.gate.decide(demand, self.now(), self.turn)
+    }
+
+    /// Candidates as they stand now, in the place of the former ones.
+    fn refresh(&mut self) {
+        let states = self.health.states(self.now());
+        let seats = self.candidates.iter_mut().zip(&self.limiters).zip(states);
+        for ((candidate, limiter), state) in seats {
+            candidate.usable = state == eject::State::In;
+            candidate.own = limiter.flying();
+            candidate.limit = limiter.limit();
+        }
+    }
+
+    fn choose(&self, prefix: Option<u64>) -> Option<usize> {
+        let random = self.turn.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        choice::choose(&self.candidates, prefix, random, &choice::Config::default())
+    }
+
+    /// All that one request takes: the door, the queue in and out, the choice, the slot, and what is
+    /// learnt from the answer.
+    fn whole(&mut self) {
+        self.turn += 1;
+        let place = usize::try_from(self.turn).expect("small") % self.customers.len();
+        black_box(self.door(place));
+        self.enqueue(place);
+        let now = self.now();
+        let dispatch = self.queue.next(now, 4_800).expect("jobs wait");
+        self.refresh();
+        let chosen = self.choose(Some(self.turn % 64)).expect("slots are free");
+        assert!(self.limiters[chosen].acquire());
+        self.health.sent(&self.endpoints[chosen], now);
+        let took = Duration::from_millis(500);
+        let tokens = Tokens(100);
+        self.limiters[chosen].release(limit::Outcome::Served { tokens, took });
+        let served = eject::Outcome::Served { pace: 0.005 };
+        self.health.record(&self.endpoints[chosen], served, now);
+        self.gate.served(tokens, took, now);
+        self.queue.done(&dispatch);
+    }
+}
+
+/// Allocations and bytes of one run of `decide`, as a mean over many.
+fn count(what: &str, mut decide: impl FnMut()) {
+    for _ in 0..COUNTED {
+        decide();
+    }
+    let region = Region::new(ALLOCATOR);
+    for _ in 0..COUNTED {
+        decide();
+    }
+    let change = region.change();
+    println!(
+        "bytes: {what}: {} allocations, {} bytes in {COUNTED} decisions",
+        change.allocations + change.reallocations,
+        change.bytes_allocated
+    );
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("decision");
+    group.sample_size(30);
+    group.warm_up_time(Duration::from_millis(300));
+    group.measurement_time(Duration::from_secs(1));
+    for endpoints in ENDPOINTS {
+        let mut node = Node::new(endpoints, 10);
+        let mut prefix = 0;
+        group.bench_function(
+            BenchmarkId::new("choice with prefix", endpoints),
+            |bencher| {
+                bencher.iter(|| {
+                    prefix += 1;
+                    black_box(node.choose(Some(prefix)))
+                });
+            },
+        );
+        group.bench_function(BenchmarkId::new("choice of two", endpoints), |bencher| {
+            bencher.iter(|| {
+                node.turn += 1;
+                black_box(node.choose(None))
+            });
+        });
+        count(&format!("choice, {endpoints} endpoints"), || {
+            node.turn += 1;
+            black_box(node.choose(Some(node.turn)));
+            black_box(node.choose(None));
+        });
+        for customers in CUSTOMERS {
+            let region = Region::new(ALLOCATOR);
+            let mut node = Node::new(endpoints, customers);
+            let held = region.change();
+            let held = held.bytes_allocated - held.bytes_deallocated;
+            let sizes = format!("{endpoints} endpoints, {customers} customers");
+            println!("bytes: state of {sizes}: {held} bytes");
+            group.bench_function(BenchmarkId::new("door", &sizes), |bencher| {
+                bencher.iter(|| black_box(node.door(1)));
+            });
+            group.bench_function(BenchmarkId::new("whole", &sizes), |bencher| {
+                bencher.iter(|| node.whole());
+            });
+            count(&format!("whole, {sizes}"), || node.whole());
+        }
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -252,4 +252,15 @@
         let counts = Counts::of(&world, number);
         println!("{name} {}: {counts:?}", class.name);
     }
+    for fault in &scenario.faults {
+        let sent = |second: u32| {
+            let from = f64::from(second) * 5.0;
+            world.sent(fault.endpoint, from, from + 5.0)
+        };
+        let sent: Vec<usize> = (0..18).map(sent).collect();
+        println!(
+            "{name} endpoint {}, calls in each five seconds: {sent:?}",
+            fault.endpoint
+        );
+    }
 }
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -24,8 +24,12 @@
     /// Parts that each node's share of what is left is cut into: two halves it with each grant, so
     /// that the last money is granted in small pieces to those who spend it.
     pub parts: u32,
-    /// Spending that is asked for ahead: the log's answer may take seconds, and longer when slow.
+    /// Spending that is asked for ahead. A node that is cut off from the log lives on this, and
+    /// the log is out for long stretches.
     pub ahead: Duration,
+    /// Calls of the largest size seen that are asked for ahead, whatever the rate of spending: a
+    /// quiet node must be able to serve its zone alone from one moment to the next.
+    pub calls: u32,
     /// The smallest grant worth a record on the log, while that much is left.
     pub least: Money,
     /// Half-life of the measured rate of spending.
@@ -38,7 +42,8 @@
     fn default() -> Self {
         Self {
             parts: 2,
-            ahead: Duration::from_secs(10),
+            ahead: Duration::from_mins(15),
+            calls: 64,
             least: Money::from_micros(10_000),
             memory: Duration::from_secs(30),
             keep: 4,
@@ -71,6 +76,7 @@
     reserved: Money,
     asked: Option<Money>,
     unmet: Money,
+    largest: Money,
     rate: f64,
     at: Moment,
 }
@@ -86,6 +92,7 @@
             reserved: Money::ZERO,
             asked: None,
             unmet: Money::ZERO,
+            largest: Money::ZERO,
             rate: 0.0,
             at: Moment::ZERO,
         }
@@ -123,6 +130,7 @@
 
     /// Sets aside the most that a call can cost; none if the grants don't cover it.
     pub fn reserve(&mut self, most: Money) -> Option<Reservation> {
+        self.largest = self.largest.max(most);
         if most > self.free() {
             self.unmet = self.unmet.max(most);
             return None;
@@ -183,7 +191,8 @@
     fn needed(&self, now: Moment) -> Money {
         let rate = self.rate * number::decay(now.since(self.at), self.config.memory);
         let ahead = number::whole(rate * self.config.ahead.as_secs_f64());
-        self.floor().max(Money::from_micros(ahead))
+        let calls = self.largest.scale(u64::from(self.config.calls), 1);
+        self.floor().max(Money::from_micros(ahead)).max(calls)
     }
 
     fn floor(&self) -> Money {
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -24,7 +24,7 @@
 pub struct Config {
     /// Times the mean load that an endpoint may have and still take a prefix that belongs to it.
     pub bound: f64,
-    /// Half-life of the trust in a load report.
+    /// Age at which a load report counts half.
     pub trust: Duration,
     /// Share of an endpoint's expected wait that must be saved in another zone beyond the link's
     /// own delay: a link between zones costs more than the wait alone shows.
@@ -35,7 +35,7 @@
     fn default() -> Self {
         Self {
             bound: 1.25,
-            trust: Duration::from_secs(1),
+            trust: Duration::from_millis(500),
             spill: 0.2,
         }
     }
@@ -73,9 +73,16 @@
         self.usable && self.own < self.limit
     }
 
-    /// Calls that the endpoint is thought to hold.
+    /// Calls that the endpoint is thought to hold. The trust in a report falls to a half at the
+    /// age `trust`, a third at twice that, and so on: a division, where an exponential would be most
+    /// of the cost of a choice among hundreds.
     fn load(&self, trust: Duration) -> f64 {
-        f64::from(self.own) + f64::from(self.others) * number::decay(self.age, trust)
+        let own = f64::from(self.own);
+        if self.others == 0 {
+            return own;
+        }
+        let trust = seconds(trust);
+        own + f64::from(self.others) * trust / (trust + seconds(self.age))
     }
 
     /// Expected work before and during a call, in seconds.
@@ -114,29 +121,46 @@
     saved > price
 }
 
+/// Seconds to the millisecond, which is as fine as reports are.
+fn seconds(span: Duration) -> f64 {
+    let millis = span.as_secs().saturating_mul(1_000) + u64::from(span.subsec_millis());
+    (number::float(millis) / 1_000.0).max(f64::MIN_POSITIVE)
+}
+
 /// The first in rendezvous order whose load is within the bound, in whatever zone: each zone with
 /// an order of its own would hold each prefix once more, and caches are small.
 fn affine(candidates: &[Candidate], prefix: u64, config: &Config) -> Option<usize> {
-    let mut load = 0.0;
-    let mut count = 0_u32;
-    for candidate in candidates.iter().filter(|c| c.usable) {
-        load += candidate.load(config.trust);
-        count += 1;
-    }
-    let most = (config.bound * (load + 1.0) / f64::from(count.max(1))).ceil();
+    let most = (config.bound * mean(candidates, config.trust)).ceil();
     let mut best = None;
     for (place, candidate) in candidates.iter().enumerate() {
-        if !candidate.open() || candidate.load(config.trust) > most {
-            continue;
-        }
         let rank = number::mix(candidate.key, prefix);
-        if best.is_none_or(|(highest, _)| rank > highest) {
+        let higher = best.is_none_or(|(highest, _)| rank > highest);
+        // The load is looked at last, since few candidates rank higher than all before them.
+        if higher && candidate.open() && candidate.load(config.trust) <= most {
             best = Some((rank, place));
         }
     }
     best.map(|(_, place)| place)
 }
 
+/// Candidates that a mean is taken over. Among hundreds, as many spread over all of them do.
+const SAMPLE: usize = 64;
+
+/// The mean load of the usable candidates once this call is there, too.
+fn mean(candidates: &[Candidate], trust: Duration) -> f64 {
+    let step = candidates.len().div_ceil(SAMPLE).max(1);
+    let mut load = 1.0;
+    let mut count = 0_u32;
+    for candidate in candidates.iter().step_by(step).filter(|c| c.usable) {
+        load += candidate.load(trust);
+        count += 1;
+    }
+    load / f64::from(count.max(1))
+}
+
+/// Draws before all open candidates are counted instead.
+const DRAWS: u64 = 32;
+
 /// The better of two different ones drawn among the open candidates that `fits` lets through.
 fn two(
     candidates: &[Candidate],
@@ -144,38 +168,41 @@
     trust: Duration,
     fits: impl Fn(&Candidate) -> bool,
 ) -> Option<usize> {
-    let open = |candidate: &Candidate| candidate.open() && fits(candidate);
-    let count = candidates.iter().filter(|c| open(c)).count();
-    if count == 0 {
-        return None;
-    }
-    let (first, second) = draw(random, count);
-    let mut one = None;
-    let mut other = None;
-    let drawn = candidates.iter().enumerate().filter(|(_, c)| open(c));
-    for (number, (place, _)) in drawn.enumerate() {
-        if number == first {
-            one = Some(place);
-        }
-        if number == second {
-            other = Some(place);
-        }
-    }
-    let (one, other) = (one?, other?);
+    let open = |place: usize| candidates[place].open() && fits(&candidates[place]);
+    let (one, other) = drawn(candidates.len(), random, &open)
+        .or_else(|| counted(candidates.len(), random, &open))?;
     let better = candidates[other].score(trust) < candidates[one].score(trust);
     Some(if better { other } else { one })
 }
 
-/// Two different numbers below `count`, or twice zero if there is just one.
-fn draw(random: u64, count: usize) -> (usize, usize) {
-    let below = |bits: u64, count: usize| {
-        let wide = u128::from(bits) * (count as u128);
-        usize::try_from(wide >> 64).unwrap_or(0)
-    };
-    let first = below(random, count);
-    if count == 1 {
-        return (first, first);
+/// Two open places by drawing until two were met: a few draws where most are open.
+fn drawn(count: usize, random: u64, open: &impl Fn(usize) -> bool) -> Option<(usize, usize)> {
+    let draws = (0..DRAWS).map(|turn| below(number::mix(random, turn), count));
+    let mut met = draws.filter(|place| *place < count && open(*place));
+    let one = met.next()?;
+    let other = met.find(|place| *place != one)?;
+    Some((one, other))
+}
+
+/// Two open places by counting them, or twice the only one; exact, where few are open.
+fn counted(count: usize, random: u64, open: &impl Fn(usize) -> bool) -> Option<(usize, usize)> {
+    let places = || (0..count).filter(|place| open(*place));
+    let total = places().count();
+    if total == 0 {
+        return None;
     }
-    let second = below(number::mix(random, 2), count - 1);
-    (first, second + usize::from(second >= first))
+    let first = below(random, total);
+    let one = places().nth(first)?;
+    if total == 1 {
+        return Some((one, one));
+    }
+    let second = below(number::mix(random, DRAWS), total - 1);
+    let other = places().nth(second + usize::from(second >= first))?;
+    Some((one, other))
+}
+
+/// A number below `count`; zero if there is none.
+fn below(bits: u64, count: usize) -> usize {
+    let wide = u128::from(bits) * (count as u128);
+    usize::try_from(wide >> 64).unwrap_or(0)
 }
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -47,13 +47,17 @@
             samples: 3,
             weight: 0.4,
             share: 0.34,
-            first: Duration::from_secs(4),
+            first: Duration::from_secs(6),
             longest: Duration::from_secs(30),
             probes: 3,
         }
     }
 }
 
+/// How long a median holds. It moves with the load of the whole pool, over seconds; to sort
+/// hundreds of endpoints at each answer would cost more than all else.
+pub const FRESH: Duration = Duration::from_millis(250);
+
 /// How a call ended, as far as the endpoint's health goes.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Outcome {
@@ -96,6 +100,8 @@
 pub struct Pool {
     config: Config,
     members: Vec<Member>,
+    median: Option<f64>,
+    measured: Moment,
 }
 
 impl Member {
@@ -145,6 +151,8 @@
         Self {
             config,
             members: Vec::new(),
+            median: None,
+            measured: Moment::ZERO,
         }
     }
 
@@ -170,6 +178,13 @@
         })
     }
 
+    /// The states of all endpoints, sorted by endpoint: for a choice among many, where a search for
+    /// each would cost more than the choice itself.
+    pub fn states(&self, now: Moment) -> impl Iterator<Item = State> {
+        let longest = self.config.longest;
+        self.members.iter().map(move |m| m.state(now, longest))
+    }
+
     /// An endpoint that is due for a probe. To be sent a short, repeatable call before any other
     /// choice is made: by choice alone it would be tried late, or by many calls at once.
     #[must_use]
@@ -195,6 +210,7 @@
         let Some(place) = self.find(endpoint) else {
             return;
         };
+        self.measure(now);
         let weight = self.config.weight;
         let member = &mut self.members[place];
         let probing = member.probing.take().is_some();
@@ -218,9 +234,21 @@
         self.members.iter().filter(|member| member.out()).count()
     }
 
-    /// The pool's median of seconds for a token, over the endpoints that answered.
+    /// The pool's median of seconds for a token, over the endpoints that answered, as of the last
+    /// [`FRESH`].
     #[must_use]
-    pub fn median(&self) -> Option<f64> {
+    pub const fn median(&self) -> Option<f64> {
+        self.median
+    }
+
+    fn measure(&mut self, now: Moment) {
+        if self.median.is_none() || now.since(self.measured) >= FRESH {
+            self.median = self.middle();
+            self.measured = now;
+        }
+    }
+
+    fn middle(&self) -> Option<f64> {
         let known = self.members.iter().filter(|member| member.samples > 0);
         let mut paces: Vec<f64> = known.map(|member| member.pace).collect();
         paces.sort_by(f64::total_cmp);
--- a/crates/policy/src/hedge.rs
+++ b/crates/policy/src/hedge.rs
@@ -116,9 +116,10 @@
     (delay < attempt.left).then_some(delay)
 }
 
-/// How long an attempt may go without a first token before it counts as failed, so that a call at
-/// an endpoint that hangs does not wait for its caller's whole timeout. None while too little is
-/// known; the deadline bounds it then.
+/// How long an attempt may go without a first token before it is given up for another one, so that
+/// a call at an endpoint that hangs does not wait for its caller's whole timeout. Only if a retry is
+/// paid for: in a burst a full pool is silent, too, and an attempt given up for nothing is an error
+/// to a caller who would have been served. None while too little is known; the deadline bounds it.
 #[must_use]
 pub fn silence(tail: &Tail) -> Option<Duration> {
     let usual = tail.quantile(0.95)?;
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -28,11 +28,18 @@
     weight: u32,
     short: VecDeque<Entry>,
     long: VecDeque<Entry>,
-    backlog: u64,
     deficit: u64,
     active: bool,
 }
 
+/// What the door has to know of a customer. Apart from its jobs, so that the sum over a thousand
+/// customers reads memory in order.
+#[derive(Debug, Clone, Copy)]
+struct Sum {
+    backlog: u64,
+    weight: u32,
+}
+
 /// One class. `index` is sorted by customer; `flows` keep their place, which tickets refer to;
 /// `ring` holds those with jobs in the order of their turns.
 #[derive(Debug, Clone)]
@@ -40,6 +47,7 @@
     priority: u8,
     index: Vec<(id::Customer, u32)>,
     flows: Vec<Flow>,
+    sums: Vec<Sum>,
     ring: VecDeque<u32>,
     backlog: u64,
     credit: f64,
@@ -52,7 +60,6 @@
             weight: 1,
             short: VecDeque::new(),
             long: VecDeque::new(),
-            backlog: 0,
             deficit: 0,
             active: false,
         }
@@ -82,9 +89,7 @@
             let Ok(place) = jobs.binary_search_by_key(&sequence, |entry| entry.sequence) else {
                 continue;
             };
-            let entry = jobs.remove(place)?;
-            self.backlog -= entry.tokens.0;
-            return Some(entry);
+            return jobs.remove(place);
         }
         None
     }
@@ -100,6 +105,7 @@
             priority,
             index: Vec::new(),
             flows: Vec::new(),
+            sums: Vec::new(),
             ring: VecDeque::new(),
             backlog: 0,
             credit: 0.0,
@@ -149,10 +155,10 @@
         self.heads(now, long).next().is_some()
     }
 
-    /// Whether the credit covers the smallest job that may start.
+    /// Whether the credit covers the next job that may start.
     pub(super) fn covered(&self, now: Moment, long: bool) -> bool {
-        let least = self.heads(now, long).map(|entry| entry.tokens.0).min();
-        least.is_some_and(|tokens| self.credit >= number::float(tokens))
+        let next = self.heads(now, long).next();
+        next.is_some_and(|entry| self.credit >= number::float(entry.tokens.0))
     }
 
     fn heads(&self, now: Moment, long: bool) -> impl Iterator<Item = Entry> {
@@ -165,7 +171,9 @@
         let place = self.flow(job.customer);
         let flow = &mut self.flows[place as usize];
         flow.weight = job.weight;
-        flow.backlog += job.tokens.0;
+        let sum = &mut self.sums[place as usize];
+        sum.weight = job.weight;
+        sum.backlog += job.tokens.0;
         self.backlog += job.tokens.0;
         let entry = Entry {
             sequence,
@@ -233,24 +241,25 @@
     }
 
     fn serve(&mut self, place: u32, sequence: u64) -> Option<(Entry, u32)> {
-        let flow = &mut self.flows[place as usize];
-        let entry = flow.remove(sequence)?;
-        flow.deficit -= entry.tokens.0;
-        self.backlog -= entry.tokens.0;
+        let entry = self.take(place, sequence)?;
+        self.flows[place as usize].deficit -= entry.tokens.0;
         self.settle(place);
         Some((entry, place))
     }
 
     pub(super) fn remove(&mut self, place: u32, sequence: u64) -> bool {
-        let Some(flow) = self.flows.get_mut(place as usize) else {
-            return false;
-        };
-        let Some(entry) = flow.remove(sequence) else {
-            return false;
-        };
+        let taken = self.take(place, sequence).is_some();
+        if taken {
+            self.settle(place);
+        }
+        taken
+    }
+
+    fn take(&mut self, place: u32, sequence: u64) -> Option<Entry> {
+        let entry = self.flows.get_mut(place as usize)?.remove(sequence)?;
+        self.sums[place as usize].backlog -= entry.tokens.0;
         self.backlog -= entry.tokens.0;
-        self.settle(place);
-        true
+        Some(entry)
     }
 
     /// A customer without jobs leaves the ring and its deficit: it can't save up while idle.
@@ -259,7 +268,12 @@
         if flow.is_empty() {
             flow.active = false;
             flow.deficit = 0;
-            self.ring.retain(|other| *other != place);
+            // The one that was served stands in front, so that this mostly costs nothing.
+            if self.ring.front() == Some(&place) {
+                self.ring.pop_front();
+            } else {
+                self.ring.retain(|other| *other != place);
+            }
         }
     }
 
@@ -278,7 +292,7 @@
                     keep
                 });
             }
-            flow.backlog -= lost;
+            self.sums[place as usize].backlog -= lost;
             self.backlog -= lost;
             self.settle(place);
         }
@@ -301,21 +315,16 @@
         tokens: Tokens,
         quantum: Tokens,
     ) -> f64 {
-        let own = self.find(customer).map(|place| place as usize);
-        let waiting = own.map_or(0, |place| self.flows[place].backlog);
+        let own = self.find(customer).map(|place| self.sums[place as usize]);
+        let waiting = own.map_or(0, |sum| sum.backlog);
         let sent = number::float(waiting + tokens.0) / f64::from(weight.max(1));
-        let others = self
-            .ring
-            .iter()
-            .map(|place| *place as usize)
-            .filter(|place| Some(*place) != own)
-            .map(|place| {
-                let flow = &self.flows[place];
-                let turn = number::float(flow.grant(quantum));
-                let part = (sent * f64::from(flow.weight.max(1))).max(turn);
-                part.min(number::float(flow.backlog))
-            });
-        number::float(waiting) + others.sum::<f64>()
+        let quantum = number::float(quantum.0.max(1));
+        let part = |sum: &Sum| {
+            let most = sent.max(quantum) * f64::from(sum.weight.max(1));
+            most.min(number::float(sum.backlog))
+        };
+        let all: f64 = self.sums.iter().map(part).sum();
+        number::float(waiting) + all - own.as_ref().map_or(0.0, part)
     }
 
     fn find(&self, customer: &id::Customer) -> Option<u32> {
@@ -334,6 +343,10 @@
             Err(place) => {
                 let flow = u32::try_from(self.flows.len()).unwrap_or(u32::MAX);
                 self.flows.push(Flow::new());
+                self.sums.push(Sum {
+                    backlog: 0,
+                    weight: 1,
+                });
                 self.index.insert(place, (customer, flow));
                 flow
             }
