entry: bound memory of requests in flight, split large files, mend a restarted last piece

A stream restarted after its last piece but without its end mark lost that piece: it was held from the caller and yet counted as delivered. Delivery::restart now takes it back. Ruled out: a count of requests alone, since bodies differ by 4 MiB.

--- a/crates/entry/src/chain/model.rs
+++ b/crates/entry/src/chain/model.rs
@@ -43,7 +43,7 @@
     gone: CancellationToken,
 ) -> Result<Response<Reply>, Refusal> {
     let caller = Authenticate(node).apply(&head.headers).await?;
-    let body = identify::body(body, node.config.max_body).await?;
+    let body = identify::body(node, body).await?;
     let raw = Raw {
         caller,
         headers: &head.headers,
--- a/crates/entry/src/filter/assemble.rs
+++ b/crates/entry/src/filter/assemble.rs
@@ -145,8 +145,11 @@
     /// attempt must repeat it word for word, and only what follows is passed on.
     pub fn restart(&mut self) {
         if self.begun() {
+            // The last piece was held, so that the caller does not have it.
+            let held = self.last.take();
+            let held = held.as_ref().map_or(0, |chunk| content(chunk).len());
+            self.text.truncate(self.text.len() - held);
             self.repeated = Some(0);
-            self.last = None;
         } else {
             self.clear();
         }
--- /dev/null
+++ b/crates/entry/src/filter/attempt/opened.rs
@@ -0,0 +1,157 @@
+//! An answer that has begun at one engine: its pieces, resuming after a break, and cancelling.
+
+use std::time::Duration;
+
+use futures::StreamExt;
+use pimento_endpoint::Assembler;
+use pimento_endpoint::Fault;
+use pimento_endpoint::engine::Call;
+use pimento_endpoint::engine::Engine;
+use pimento_endpoint::engine::Remote;
+use pimento_endpoint::events::Events;
+use pimento_units::Moment;
+use pimento_units::id;
+use pimento_wire::border::Chunk;
+use tokio::time::Instant;
+use tokio_util::task::TaskTracker;
+
+use crate::filter::assemble::Delivery;
+use crate::scheduler::Permit;
+
+/// Resumes in a row without a new piece. An engine that cuts each time is broken.
+const RESUMES: u32 = 3;
+
+/// Wait before a resume, times its number: the engine may be restarting its listener.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer that has begun.
+pub(super) struct Opened {
+    pub(super) permit: Permit,
+    pub(super) engine: Remote,
+    pub(super) attempt: id::Attempt,
+    pub(super) events: Events,
+    pub(super) assembler: Assembler,
+    pub(super) first: Chunk,
+    pub(super) begun: Moment,
+    pub(super) abort: Abort,
+}
+
+pub(super) async fn begin(
+    engine: &Remote,
+    call: Call,
+) -> Result<(Events, Assembler, Chunk), Fault> {
+    let mut assembler = Assembler::new(call.chat.model.clone());
+    let mut events = engine.stream(call).await?;
+    loop {
+        match events.next().await {
+            Some(Ok(event)) => assembler.accept(event)?,
+            Some(Err(fault)) => return Err(fault),
+            None => return Err(cut()),
+        }
+        if let Some(first) = assembler.next() {
+            return Ok((events, assembler, first));
+        }
+    }
+}
+
+fn cut() -> Fault {
+    Fault::Cut {
+        reason: "the stream ended before its end mark".into(),
+    }
+}
+
+impl Opened {
+    /// Passes all pieces on; resumes at the same engine where the connection breaks.
+    pub(super) async fn drain(
+        &mut self,
+        delivery: &mut Delivery,
+        deadline: Instant,
+        stall: Duration,
+    ) -> Result<(), Fault> {
+        delivery.push(self.first.clone()).await?;
+        let mut resumes = 0;
+        loop {
+            while let Some(chunk) = self.assembler.next() {
+                resumes = 0;
+                delivery.push(chunk).await?;
+            }
+            if self.assembler.whole() {
+                return Ok(());
+            }
+            let by = deadline.min(Instant::now() + stall);
+            let event = tokio::time::timeout_at(by, self.events.next()).await;
+            let broken = match event {
+                Ok(Some(Ok(event))) => {
+                    self.assembler.accept(event)?;
+                    continue;
+                }
+                Ok(Some(Err(fault @ Fault::Nonsense { .. }))) => return Err(fault),
+                Ok(Some(Err(fault))) => fault,
+                Ok(None) => cut(),
+                Err(_) => Fault::Timeout,
+            };
+            resumes += 1;
+            if resumes > RESUMES || Instant::now() >= deadline {
+                return Err(broken);
+            }
+            self.resume(resumes, broken, deadline).await?;
+        }
+    }
+
+    async fn resume(&mut self, number: u32, broken: Fault, deadline: Instant) -> Result<(), Fault> {
+        let Some(last) = self.assembler.last() else {
+            return Err(broken);
+        };
+        let endpoint = self.permit.endpoint();
+        log::info!("attempt: Resuming at {endpoint} after piece {last}: {broken}.");
+        tokio::time::sleep(PAUSE * number).await;
+        let resumed = self.engine.resume(self.attempt, last);
+        match tokio::time::timeout_at(deadline, resumed).await {
+            Ok(Ok(events)) => {
+                self.events = events;
+                Ok(())
+            }
+            // The engine no longer has the attempt; what broke first is what counts.
+            Ok(Err(_)) | Err(_) => Err(broken),
+        }
+    }
+}
+
+/// Cancels an attempt at its engine when it is dropped before its end, so that the engine does not
+/// go on generating for nobody.
+pub(super) struct Abort {
+    engine: Remote,
+    attempt: id::Attempt,
+    tasks: TaskTracker,
+    armed: bool,
+}
+
+impl Abort {
+    pub(super) const fn new(engine: Remote, attempt: id::Attempt, tasks: TaskTracker) -> Self {
+        Self {
+            engine,
+            attempt,
+            tasks,
+            armed: true,
+        }
+    }
+
+    pub(super) fn disarm(mut self) {
+        self.armed = false;
+    }
+}
+
+impl Drop for Abort {
+    fn drop(&mut self) {
+        if !self.armed {
+            return;
+        }
+        let engine = self.engine.clone();
+        let attempt = self.attempt;
+        self.tasks.spawn(async move {
+            if let Err(fault) = engine.cancel(attempt).await {
+                log::debug!("attempt: {attempt} not cancelled: {fault}.");
+            }
+        });
+    }
+}
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -1,5 +1,6 @@
 //! Which request it is: id, deadline, session, class and body.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -8,11 +9,13 @@
 use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::body::Body;
+use hyper::body::Incoming;
 use pimento_contract::contract::Class;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::border::Chat;
 use pimento_wire::header;
+use tokio::sync::OwnedSemaphorePermit;
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
@@ -27,6 +30,13 @@
 /// node has not read yet: a few times what a change takes to spread in a zone.
 const BEHIND: Duration = Duration::from_millis(500);
 
+/// What a request in flight costs beside its body: its task, buffers of its connections and the
+/// pieces that wait for a slow reader.
+const OVERHEAD: usize = 16 << 10;
+
+/// The unit in which memory of requests is counted, since a semaphore counts in 32 bits.
+pub const UNIT: usize = 1 << 10;
+
 /// Reads what a model request says of itself.
 #[derive(Debug, Clone)]
 pub struct Identify<'a>(pub &'a Node);
@@ -44,6 +54,17 @@
     pub deadline: Moment,
     /// Cancelled when the caller went away.
     pub gone: CancellationToken,
+    /// The request's part of the memory for requests in flight.
+    pub room: Arc<OwnedSemaphorePermit>,
+}
+
+/// A body and its part of the memory for requests in flight.
+#[derive(Debug, Clone)]
+pub struct Content {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// The memory.
+    pub room: Arc<OwnedSemaphorePermit>,
 }
 
 /// A model request as it came.
@@ -54,7 +75,7 @@
     /// Its headers.
     pub headers: &'a HeaderMap,
     /// Its body, whole.
-    pub body: Bytes,
+    pub body: Content,
     /// Cancelled when the caller went away.
     pub gone: CancellationToken,
 }
@@ -83,7 +104,7 @@
 
     async fn apply(&self, raw: Raw<'a>) -> Result<Request, Refusal> {
         let node = self.0;
-        let chat = parse(&raw.body)?;
+        let chat = parse(&raw.body.bytes)?;
         let customer = raw.caller.customer;
         let unknown = || {
             let message = format!("the contract has no class {:?}", chat.model);
@@ -93,7 +114,7 @@
         let class = contract.class(&chat.model).ok_or_else(unknown)?.clone();
         let weight = contract.weight;
         let default = class.timeout.duration();
-        let identity = identity(node, raw.headers, default, raw.gone)?;
+        let identity = identity(node, raw.headers, default, raw.gone, raw.body.room)?;
         let (session, token) = self.session(raw.headers, &customer).await?;
         Ok(Request {
             identity,
@@ -141,12 +162,29 @@
 ///
 /// # Errors
 ///
-/// A [`Refusal`] if it is too large or breaks off.
-pub async fn body<B>(body: B, limit: usize) -> Result<Bytes, Refusal>
-where
-    B: Body<Data: Send> + Send,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
+/// A [`Refusal`] if it is too large or breaks off, or if requests in flight fill the memory meant
+/// for them.
+pub async fn body(node: &Node, body: Incoming) -> Result<Content, Refusal> {
+    let limit = node.config.max_body;
+    let announced = body.size_hint().exact();
+    let size = announced.and_then(|size| usize::try_from(size).ok());
+    let size = size.unwrap_or(limit).min(limit) + OVERHEAD;
+    let units = u32::try_from(size.div_ceil(UNIT)).unwrap_or(u32::MAX);
+    let room = Arc::clone(&node.room).try_acquire_many_owned(units);
+    let room = room.map_err(|_| {
+        /// The queues drain meanwhile; how fast is not known here.
+        const AGAIN: Duration = Duration::from_secs(1);
+        let message = "requests in flight fill the memory meant for them";
+        Refusal::not_run(Code::Overloaded, message).retry_after(AGAIN)
+    })?;
+    let bytes = read(body, limit).await?;
+    Ok(Content {
+        bytes,
+        room: Arc::new(room),
+    })
+}
+
+async fn read(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
     match Limited::new(body, limit).collect().await {
         Ok(whole) => Ok(whole.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => {
@@ -180,6 +218,7 @@
     headers: &HeaderMap,
     default: Duration,
     gone: CancellationToken,
+    room: Arc<OwnedSemaphorePermit>,
 ) -> Result<Identity, Refusal> {
     let given = text(headers, header::IDEMPOTENCY_KEY)?;
     let id = match given {
@@ -200,6 +239,7 @@
         arrived,
         deadline: arrived + wait.min(node.config.max_timeout),
         gone,
+        room,
     })
 }
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -53,7 +53,7 @@
     pools: GaugeVec,
     state_age: Gauge,
     bills_waiting: Gauge,
-    spend_free: GaugeVec,
+    spend_granted: GaugeVec,
     kept_bytes: Gauge,
 }
 
@@ -173,10 +173,10 @@
                 "pimento_bills_waiting",
                 "Bills that were not yet read back from the log",
             ),
-            spend_free: gauges(
+            spend_granted: gauges(
                 r,
-                "pimento_spend_free",
-                "Granted money that may still be reserved, in currency units",
+                "pimento_spend_granted",
+                "Money granted to this node in the present spend period, in currency units",
                 &["customer"],
             ),
             kept_bytes: gauge(r, "pimento_kept_bytes", "Memory of kept answers, in bytes"),
@@ -241,12 +241,12 @@
             .inc();
     }
 
-    /// Sets what is left of a customer's grants here.
-    pub fn spend(&self, customer: &id::Customer, free: Money) {
+    /// Sets what was granted to this node for a customer.
+    pub fn granted(&self, customer: &id::Customer, granted: Money) {
         let customer = self.label(customer);
-        self.spend_free
+        self.spend_granted
             .with_label_values(&[customer.as_str()])
-            .set(amount(free));
+            .set(amount(granted));
     }
 
     /// Sets the gauges that are read when asked for.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -28,6 +28,7 @@
 use pimento_wire::frame;
 use pimento_wire::platform::Role;
 use pimento_wire::platform::Vms;
+use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -37,6 +38,7 @@
 use crate::config::Config;
 use crate::estimate;
 use crate::evidence;
+use crate::filter::identify;
 use crate::filter::rate;
 use crate::kept::Kept;
 use crate::metrics::Metrics;
@@ -80,6 +82,8 @@
     pub wallet: Wallet,
     pub kept: Kept,
     pub mesh: Mesh,
+    /// Memory for requests in flight, in units of [`identify::UNIT`].
+    pub room: Arc<Semaphore>,
     pub metrics: Metrics,
     /// Requests in flight and what they left behind to do.
     pub tasks: TaskTracker,
@@ -161,6 +165,7 @@
             wallet,
             kept: Kept::new(config.kept_bytes, config.claims_window),
             mesh,
+            room: Arc::new(Semaphore::new(config.request_memory / identify::UNIT)),
             metrics: Metrics::new(config.metric_customers),
             tasks: TaskTracker::new(),
             leaving: CancellationToken::new(),
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -91,6 +91,17 @@
         node.kept.bytes(),
         &node.scheduler,
     );
+    let state = node.state.current();
+    let now = node.clock.wall();
+    for contract in state.contracts() {
+        let period = contract.spend.period(now).0;
+        let holder = node.wallet.holder();
+        let granted = node
+            .wallet
+            .follower()
+            .view(|view| view.fold().granted(&contract.customer, period, holder));
+        node.metrics.granted(&contract.customer, granted);
+    }
     reply::raw(StatusCode::OK, METRICS, node.metrics.text())
 }
 
--- a/crates/entry/src/scheduler.rs
+++ b/crates/entry/src/scheduler.rs
@@ -7,6 +7,7 @@
 
 mod inner;
 pub mod permit;
+mod seat;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,8 +25,8 @@
 use tokio_util::sync::CancellationToken;
 
 use self::inner::Inner;
-pub use self::inner::Member;
 pub use self::permit::Permit;
+pub use self::seat::Member;
 use crate::clock::Clock;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
--- /dev/null
+++ b/crates/entry/src/scheduler/seat.rs
@@ -0,0 +1,125 @@
+//! An endpoint of a pool, with what this node learnt of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimento_policy::choice;
+use pimento_policy::limit;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+/// A call of ordinary size, for comparing endpoints by how long one takes.
+const ORDINARY: Tokens = Tokens(500);
+
+/// Expected time of a call before any was measured.
+pub(super) const FIRST_RUN: Duration = Duration::from_secs(1);
+
+/// An endpoint of the pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Member {
+    /// Its name.
+    pub endpoint: id::Endpoint,
+    /// Its zone.
+    pub zone: id::Zone,
+    /// Where it is.
+    pub address: SocketAddr,
+    /// Whether it may take new work.
+    pub usable: bool,
+    /// Delay to its zone beyond the own one's.
+    pub distance: Duration,
+    /// Versions that it holds, sorted; none for a plain service.
+    pub versions: Option<Vec<id::Version>>,
+    /// What it reported of its load, and when that was measured.
+    pub report: Option<(limit::Report, Moment)>,
+}
+
+impl Member {
+    pub(super) fn holds(&self, version: Option<&id::Version>) -> bool {
+        match (version, &self.versions) {
+            (Some(version), Some(held)) => held.binary_search(version).is_ok(),
+            (None, None) => true,
+            _ => false,
+        }
+    }
+}
+
+/// A member with what this node learnt of it.
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub(super) member: Member,
+    pub(super) limiter: limit::Limiter,
+    /// The batch that the limiter was made for.
+    batch: Option<u32>,
+    pub(super) key: u64,
+    /// Refusals in a row, and until when no further call is sent because of them.
+    pub(super) refusals: u32,
+    pub(super) closed: Moment,
+}
+
+/// How long an endpoint that refused a call gets none from this node: several round trips, in which
+/// calls of other nodes end. Doubled with each further refusal.
+pub(super) const CLOSED: Duration = Duration::from_millis(50);
+
+/// Doublings at most: 0.8 s is short beside the time of the answers that fill an engine.
+pub(super) const DOUBLINGS: u32 = 4;
+
+pub(super) fn seat(member: Member) -> Seat {
+    let batch = batch(&member);
+    Seat {
+        key: choice::key(member.endpoint.as_str()),
+        limiter: limiter(batch),
+        batch,
+        refusals: 0,
+        closed: Moment::ZERO,
+        member,
+    }
+}
+
+fn batch(member: &Member) -> Option<u32> {
+    let (report, _) = member.report?;
+    (report.batch > 0).then_some(report.batch)
+}
+
+/// A limiter that begins at the engine's batch and stays near it: what is sent beyond waits there,
+/// where this node can neither order nor refuse it.
+fn limiter(batch: Option<u32>) -> limit::Limiter {
+    let mut config = limit::Config::default();
+    if let Some(batch) = batch {
+        config.start = f64::from(batch);
+        config.most = f64::from(batch + batch / 4 + 1);
+    }
+    limit::Limiter::new(config)
+}
+
+/// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
+pub(super) fn refresh(mut seat: Seat, member: Member) -> Seat {
+    if let Some((report, at)) = member.report
+        && seat.member.report.is_none_or(|(_, seen)| seen < at)
+    {
+        seat.limiter.report(report);
+    }
+    let fresh = batch(&member);
+    if fresh != seat.batch && seat.limiter.flying() == 0 {
+        seat.batch = fresh;
+        seat.limiter = limiter(fresh);
+    }
+    seat.member = member;
+    seat
+}
+
+/// How long a call of ordinary size takes. An endpoint that has not answered yet is taken for as
+/// fast as the pool's median: a guess that is too high would keep it idle for ever.
+pub(super) fn ordinary(pace: f64, usual: Option<f64>) -> Duration {
+    let pace = if pace > 0.0 {
+        pace
+    } else {
+        match usual {
+            Some(usual) => usual,
+            None => return FIRST_RUN,
+        }
+    };
+    #[expect(clippy::cast_precision_loss, reason = "the constant is small")]
+    let seconds = pace * ORDINARY.0 as f64;
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
--- a/crates/entry/tests/all/faults.rs
+++ b/crates/entry/tests/all/faults.rs
@@ -51,6 +51,15 @@
                 .on("GET", ATTEMPTS),
             ],
         ),
+        (
+            "the end mark lost, and the engine forgot the attempt",
+            vec![
+                Rule::new(Action::Skip { event: 30 })
+                    .on("POST", CHAT)
+                    .times(1),
+                Rule::new(Action::Drop).on("GET", ATTEMPTS),
+            ],
+        ),
         ("a piece twice", first(Action::Duplicate { event: 4 })),
         (
             "two pieces in the wrong order",
@@ -200,3 +209,32 @@
     .await;
     assert!(world.bills().is_empty());
 }
+
+/// One engine hangs. A short request that has had no first piece for longer than its version usually
+/// takes is sent to a second engine, and the caller gets that one's answer long before the time at
+/// which the first would be given up.
+#[tokio::test]
+async fn a_short_request_at_a_hung_engine_is_hedged() {
+    let world = World::start(2).await;
+    let settings = [("stall-timeout", "1h")];
+    let entry = world.entry_with("entry-1", &settings).await;
+    for number in 0..30 {
+        let prompt = format!("warm up {number}: answer in 3 tokens");
+        let answer = entry.chat(&prompt, false).send().await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    world.engines[0]
+        .faults
+        .rules([Rule::new(Action::Hang).on("POST", CHAT)]);
+    let before = world.engines[1].site.stats().started;
+    let mut asked = 0;
+    // Each prompt has an engine of its own by its prefix; some are the hung one's.
+    while world.engines[0].faults.table().rules[0].hits == 0 {
+        let prompt = format!("question {asked}: answer in 3 tokens");
+        let ask = entry.chat(&prompt, false);
+        let answer = ask.header("request-timeout", "3600").send().await;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        asked += 1;
+    }
+    assert_eq!(world.engines[1].site.stats().started, before + asked);
+}
--- a/crates/entry/tests/all/refusals.rs
+++ b/crates/entry/tests/all/refusals.rs
@@ -194,3 +194,20 @@
         asked.abort();
     }
 }
+
+/// Memory for requests in flight is taken. The next one is refused before its body is read, and the
+/// one after it is served once there is room again.
+#[tokio::test]
+async fn requests_beyond_the_memory_for_them_are_refused() {
+    let world = World::start(1).await;
+    let entry = world.entry("entry-1").await;
+    let room = std::sync::Arc::clone(&entry.running.node.room);
+    let all = u32::try_from(room.available_permits()).unwrap();
+    let taken = room.try_acquire_many_owned(all).unwrap();
+    let answer = chat(&entry).send().await;
+    assert_eq!(answer.status, StatusCode::TOO_MANY_REQUESTS, "{answer:?}");
+    assert_eq!(answer.failure().error.run, Run::NotRun);
+    assert_eq!(world.started(), 0);
+    drop(taken);
+    assert_eq!(chat(&entry).send().await.status, StatusCode::OK);
+}
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -326,6 +326,7 @@
             ("grace", "100ms".into()),
             ("last-bound", "15s".into()),
             ("max-body", "65536".into()),
+            ("request-memory", "16777216".into()),
             ("max-timeout", "1h".into()),
             ("platform-timeout", "1s".into()),
             ("stall-timeout", "1s".into()),
