Take means over seeds in the table

A new column, pressed, holds Retry-After against those who come back while the load is still on. Ruled out: longer traces instead, which would make the files large.

--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -78,7 +78,7 @@
     ("fifo, our choice", Mechanisms::naive(Choice::Policy)),
 ];
 
-const HEAD: [&str; 17] = [
+const HEAD: [&str; 18] = [
     "mechanisms",
     "served",
     "worst",
@@ -92,6 +92,7 @@
     "lost",
     "heard p99",
     "truth",
+    "pressed",
     "attempts",
     "cost",
     "wasted",
@@ -112,6 +113,12 @@
                 .action(ArgAction::SetTrue)
                 .help("The cascade's tables only"),
         )
+        .arg(
+            Arg::new("seeds")
+                .long("seeds")
+                .value_parser(clap::value_parser!(u64))
+                .help("Means over so many seeds, the recorded one first"),
+        )
         .arg(
             Arg::new("classes")
                 .long("classes")
@@ -145,12 +152,13 @@
     } else {
         ROWS.len()
     };
+    let seeds = *matches.get_one::<u64>("seeds").unwrap_or(&1);
     let only = matches.get_one::<String>("only");
     for name in NAMES
         .iter()
         .filter(|name| only.is_none_or(|only| only == *name))
     {
-        table(name, &ROWS[..rows]);
+        table(name, &ROWS[..rows], seeds);
         if matches.get_flag("classes") {
             classes(name);
         }
@@ -203,23 +211,41 @@
     }
 }
 
-fn table(name: &str, rows: &[(&str, Mechanisms)]) {
+fn table(name: &str, rows: &[(&str, Mechanisms)], seeds: u64) {
     let scenario = Scenario::load(name);
+    let weighs = if scenario.deployment == "nyabarongo" {
+        "cost"
+    } else {
+        "latency"
+    };
+    let count = scenario.arrivals.len();
     println!(
-        "\n{name}: {} ({} requests)",
-        scenario.about,
-        scenario.arrivals.len()
+        "\n{name}: {} ({count} requests, weighs {weighs})",
+        scenario.about
     );
     let mut table = Table::new();
     table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
     table.set_header(HEAD);
     for (label, mechanisms) in rows {
-        let world = world::run(&scenario, *mechanisms);
-        table.add_row(row(label, &scenario, &Summary::of(&scenario, &world)));
+        let runs: Vec<Summary> = (0..seeds)
+            .map(|seed| once(&scenario, *mechanisms, seed))
+            .collect();
+        table.add_row(row(label, &scenario, &Summary::mean(&runs)));
     }
     println!("{table}");
 }
 
+/// A run on the recorded arrivals, or for each further seed on others by the same recipe.
+fn once(scenario: &Scenario, mechanisms: Mechanisms, seed: u64) -> Summary {
+    let mut scenario = scenario.clone();
+    if seed > 0 {
+        scenario.recipe.seed += seed * 1_000;
+        scenario.arrivals = scenario.generate();
+    }
+    let world = world::run(&scenario, mechanisms);
+    Summary::of(&scenario, &world)
+}
+
 fn row(label: &str, scenario: &Scenario, summary: &Summary) -> Vec<String> {
     let share = |value: f64| format!("{:.1}%", value * 100.0);
     let time = |value: f64| format!("{value:.2}");
@@ -237,6 +263,7 @@
         share(summary.lost),
         time(summary.refusal_p99),
         summary.truth.map_or_else(|| "-".into(), share),
+        summary.pressed.map_or_else(|| "-".into(), share),
         time(summary.attempts),
         time(summary.cost),
         share(summary.wasted),
--- a/crates/policy/tests/model/summary.rs
+++ b/crates/policy/tests/model/summary.rs
@@ -32,6 +32,8 @@
     pub refusal_p99: f64,
     /// Share served of those who came back when told.
     pub truth: Option<f64>,
+    /// The same of those who came back while new requests still came in.
+    pub pressed: Option<f64>,
     /// Attempts for each request that got any.
     pub attempts: f64,
     /// Work that the engines did for each token of work served in time: losing attempts, late
@@ -123,6 +125,7 @@
         let tried: Vec<&Request> = world.requests.iter().filter(|r| r.attempts > 0).collect();
         let attempts: u64 = tried.iter().map(|r| u64::from(r.attempts)).sum();
         let spent: f64 = world.engines.iter().map(|e| e.served).sum();
+        let pressed = back.clone().filter(|r| r.arrival.at < end);
         let returned = world.requests.iter().any(|r| r.origin.is_some());
         Self {
             served: share(first.iter().copied(), served),
@@ -134,6 +137,7 @@
             refused: share(first.iter().copied(), refused),
             lost: share(first.iter().copied(), |r| !served(r) && !refused(r)),
             refusal_p99: quantile(&mut heard, 0.99),
+            pressed: pressed.clone().next().map(|_| share(pressed, served)),
             truth: returned.then(|| share(back, served)),
             attempts: float(attempts) / float(tried.len().max(1) as u64),
             cost: spent / done.max(1.0),
@@ -142,6 +146,43 @@
         }
     }
 
+    /// The mean of several runs.
+    pub fn mean(runs: &[Self]) -> Self {
+        let count = float(runs.len() as u64);
+        let of = |part: fn(&Self) -> f64| runs.iter().map(part).sum::<f64>() / count;
+        let known = |part: fn(&Self) -> Option<f64>| {
+            let known: Vec<f64> = runs.iter().filter_map(part).collect();
+            let count = float(known.len() as u64);
+            (!known.is_empty()).then(|| known.iter().sum::<f64>() / count)
+        };
+        let customer = |c: usize| runs.iter().map(|run| run.customers[c]).sum::<f64>() / count;
+        Self {
+            served: of(|run| run.served),
+            customers: (0..CUSTOMERS).map(customer).collect(),
+            short: [
+                of(|run| run.short[0]),
+                of(|run| run.short[1]),
+                of(|run| run.short[2]),
+            ],
+            all: [
+                of(|run| run.all[0]),
+                of(|run| run.all[1]),
+                of(|run| run.all[2]),
+            ],
+            goodput: of(|run| run.goodput),
+            busy: of(|run| run.busy),
+            refused: of(|run| run.refused),
+            lost: of(|run| run.lost),
+            refusal_p99: of(|run| run.refusal_p99),
+            truth: known(|run| run.truth),
+            pressed: known(|run| run.pressed),
+            attempts: of(|run| run.attempts),
+            cost: of(|run| run.cost),
+            wasted: of(|run| run.wasted),
+            missed: of(|run| run.missed),
+        }
+    }
+
     /// The customer that fares worst, the hot one left out if there is one.
     pub fn worst(&self, scenario: &Scenario) -> f64 {
         let hot = scenario.recipe.hot_customer.map(|_| 3);
