--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -224,18 +224,27 @@
         };
         let attempt = claim.attempt;
         let by = deadline.min(Instant::now() + self.config.patience);
+        let doubt = Doubt {
+            claimer: self,
+            request,
+            attempt,
+            settled: false,
+        };
         match self.settle(claim, by).await {
-            Some(Some(owner)) if owner.attempt == attempt => Ok(Verdict::Owned(Ticket {
-                request,
-                attempt,
-                deadline,
-            })),
-            Some(Some(owner)) => Ok(Verdict::Taken(owner)),
-            Some(None) => Err(Error::Age { age: Age::Fresh }),
-            None => {
-                self.give_up(request, attempt);
-                Err(self.out())
+            Some(Some(owner)) if owner.attempt == attempt => {
+                doubt.settle();
+                Ok(Verdict::Owned(Ticket {
+                    request,
+                    attempt,
+                    deadline,
+                }))
+            }
+            Some(Some(owner)) => {
+                doubt.settle();
+                Ok(Verdict::Taken(owner))
             }
+            Some(None) => Err(Error::Age { age: Age::Fresh }),
+            None => Err(self.out()),
         }
     }
 
@@ -317,15 +326,33 @@
             }
         }
     }
+}
 
-    /// Releases a claim that may or may not reach the log: if it did and stayed, every later
-    /// attempt of the same call would be turned away though nobody runs it.
-    fn give_up(&self, request: id::Request, attempt: id::Attempt) {
-        self.finish(Outcome {
-            request,
-            attempt,
-            run: Run::NotRun,
-            status: None,
-        });
+/// A claim of which it is not known whether it stands. Dropped in doubt, it is released: if it
+/// reached the log and stayed, every later attempt of the same call would be turned away though
+/// nobody runs it. It may be dropped at any await, when a caller goes away.
+struct Doubt<'a> {
+    claimer: &'a Claimer,
+    request: id::Request,
+    attempt: id::Attempt,
+    settled: bool,
+}
+
+impl Doubt<'_> {
+    fn settle(mut self) {
+        self.settled = true;
+    }
+}
+
+impl Drop for Doubt<'_> {
+    fn drop(&mut self) {
+        if !self.settled {
+            self.claimer.finish(Outcome {
+                request: self.request,
+                attempt: self.attempt,
+                run: Run::NotRun,
+                status: None,
+            });
+        }
     }
 }
--- a/crates/platform/tests/kept/claims.rs
+++ b/crates/platform/tests/kept/claims.rs
@@ -170,6 +170,36 @@
     }
 }
 
+/// The caller goes away while its claim is on the way, so that the claiming task ends there. The claim
+/// reaches the log; it is released, and the caller's next try is served.
+#[tokio::test(start_paused = true)]
+async fn a_claim_dropped_on_the_way_is_released() {
+    let log = Memory::new();
+    let token = CancellationToken::new();
+    let claimer = claimer(&log, "node-1", &token);
+    ready(&claimer).await;
+    let order = order();
+    log.fail_reads(Fault::Hang);
+    let gone = claim(&claimer, &log, order);
+    let left = tokio::time::timeout(Duration::from_millis(100), gone).await;
+    assert!(
+        left.is_err(),
+        "the claim was decided before the caller left"
+    );
+    log.fail_reads(Fault::None);
+    claimer.flush().await;
+    let end = Offset::of(&log);
+    claimer
+        .follower()
+        .wait(soon(), |_| {
+            (claimer.follower().next().0 >= end).then_some(())
+        })
+        .await
+        .expect("the outcome is read");
+    owned(claim(&claimer, &log, order).await);
+    token.cancel();
+}
+
 /// The log has not answered for longer than the bound. Calls are refused without waiting for it,
 /// and no claim is written that could reach the log later.
 #[tokio::test(start_paused = true)]
--- a/tests/all/kills.rs
+++ b/tests/all/kills.rs
@@ -157,20 +157,22 @@
     fleet
         .log
         .faults
-        .rules([Rule::new(Action::Late { ms: 1_000 })]);
+        .rules([Rule::new(Action::Late { ms: 1_500 })]);
+    // Reads that were waiting before the fault was set still answer at once; they end in a second.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
     let frozen = &fleet.nodes[0];
     let claimed = async {
         eventually("the claim is on the log", async || claims(&fleet, &key)).await;
         frozen.signal("STOP");
         fleet.log.faults.rules([]);
-        tokio::time::sleep(Duration::from_secs(3)).await;
+        tokio::time::sleep(Duration::from_secs(4)).await;
         let elsewhere = fleet.caller.order(&fleet.nodes[2], &key).await;
         frozen.signal("CONT");
         elsewhere
     };
     let first = fleet
         .caller
-        .order_within(frozen, &key, Duration::from_secs(2));
+        .order_within(frozen, &key, Duration::from_secs(3));
     let (first, elsewhere) = tokio::join!(first, claimed);
     let elsewhere = elsewhere.expect("answered");
     assert_ne!(
--- a/tests/all/spread.rs
+++ b/tests/all/spread.rs
@@ -67,7 +67,8 @@
 }
 
 /// The log is out. VMs are replaced meanwhile: a new one takes the configuration from its peers and
-/// serves. Over the outage, the replacements and the next change, no VM's offset ever falls.
+/// is ready. It has no grants, so it refuses as "not run" what costs money until the log is back.
+/// Over the outage, the replacements and the next change, no VM's offset ever falls.
 #[tokio::test(flavor = "multi_thread")]
 async fn nothing_goes_back_over_an_outage_and_replacements() {
     let mut fleet = Fleet::start().await;
@@ -82,11 +83,21 @@
     for number in [0, 3, 4] {
         fleet.nodes[number].kill();
         fleet.nodes[number].start();
-        fleet.ready(number).await;
+        let node = fleet.nodes[number].name.clone();
+        eventually(&format!("{node} is ready"), async || {
+            fleet.state(number).await.is_some_and(|state| state.ready)
+        })
+        .await;
         let state = fleet.state(number).await.expect("it is ready");
         assert!(state.offset >= before, "{} went back", state.node);
+        let answer = fleet.caller.chat(&fleet.nodes[number], "hello?").await;
+        let answer = answer.expect("answered");
+        assert!(answer.status == 200 || answer.not_run(), "{answer:?}");
     }
     fleet.log.faults.rules([]);
+    for number in [0, 3, 4] {
+        fleet.ready(number).await;
+    }
     let after = amend(&fleet, 3);
     let mut seen = [before; ALL.len()];
     eventually("all have the next change", async || {
