entry: test deliveries over two attempts, leaving endpoints, and mend a flaky test

The ejection test was flaky: 1 of 3 runs ejected an endpoint for being microseconds slower than the others. It now leaves paces out and asserts as strictly that the failing one gets no call. Ruled out: longer waits. Unspent grants no longer hold a shutdown while the log is out.

--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -133,7 +133,12 @@
     fn note(&self, ask: &mut Ask<'_>, endpoint: &id::Endpoint, fault: &Fault) {
         let node = self.0;
         let id = ask.request.identity.id;
-        log::info!("attempt: {endpoint} failed for {id}: {fault}.");
+        // Under overload there is a refusal for each slot that is looked for.
+        let level = match fault {
+            Fault::Refused { .. } => log::Level::Debug,
+            _ => log::Level::Info,
+        };
+        log::log!(level, "attempt: {endpoint} failed for {id}: {fault}.");
         node.metrics.attempt(ask.pool, name(fault));
         ask.trace.failed(endpoint, fault);
         let harmless = fault.not_run() || *fault == Fault::Cancelled;
--- a/crates/entry/src/filter/authenticate.rs
+++ b/crates/entry/src/filter/authenticate.rs
@@ -1,6 +1,7 @@
 //! Who calls: the customer of an API key.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::HeaderMap;
 use hyper::header::AUTHORIZATION;
@@ -13,6 +14,9 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+/// When to ask again: a new node has read the log, or asked a peer, by then.
+const AGAIN: Duration = Duration::from_secs(1);
+
 /// Finds the customer.
 #[derive(Debug, Clone)]
 pub struct Authenticate<'a>(pub &'a Node);
@@ -33,7 +37,7 @@
         let state = self.0.state.current();
         if !self.0.state.ready() {
             let message = "this entry VM has no configuration yet";
-            return Err(Refusal::not_run(Code::NotReady, message).retry_after(self.0.config.grace));
+            return Err(Refusal::not_run(Code::NotReady, message).retry_after(AGAIN));
         }
         let secret = bearer(headers)?;
         let contract = state
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -141,7 +141,10 @@
         if left > 0 {
             log::warn!("bills: {left} did not reach the log; their copies will.");
         }
-        node.wallet.close(deadline).await;
+        // Unspent grants come back by themselves at the period's end, so that a log that is out is
+        // not waited for on their account.
+        let soon = deadline.min(Instant::now() + FLUSH);
+        node.wallet.close(soon).await;
         outcomes.is_ok() && left == 0
     }
 }
--- a/crates/entry/tests/all/faults.rs
+++ b/crates/entry/tests/all/faults.rs
@@ -177,7 +177,9 @@
     for engine in &world.engines {
         engine.faults.rules([refuse(Some(Run::NotRun))]);
     }
-    let answer = entry.chat(PROMPT, false).send().await;
+    // Half of its time it waits for a slot that an engine does give.
+    let ask = entry.chat(PROMPT, false).header("request-timeout", "2");
+    let answer = ask.send().await;
     assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
     assert_eq!(answer.failure().error.run, Run::NotRun);
     assert_ne!(answer.header("retry-after"), "");
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -2,7 +2,9 @@
 //! process and over loopback.
 
 mod config;
+mod delivery;
 mod faults;
+mod leaving;
 mod model;
 mod refusals;
 mod registry;
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -132,21 +132,21 @@
     let bench = Bench::new(&["a", "b", "c"]);
     let fault = Fault::Failed { status: 500 };
     let failed = async {
-        while bench.pool.depth().ejected == 0 {
+        let mut failures = 0;
+        while failures < 3 {
             let permit = bench.pool.acquire(bench.job(), &bench.token).await.unwrap();
             if permit.endpoint().as_str() == "a" {
                 permit.failed(&fault);
-            } else {
-                permit.served(Tokens(50));
+                failures += 1;
             }
         }
     };
     let ejected = tokio::time::timeout(PATIENCE, failed).await;
     assert!(ejected.is_ok());
+    assert_eq!(bench.pool.depth().ejected, 1);
     for _ in 0..20 {
         let permit = bench.pool.acquire(bench.job(), &bench.token).await.unwrap();
         assert_ne!(permit.endpoint().as_str(), "a");
-        permit.served(Tokens(50));
     }
 }
 
