--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -1,9 +1,11 @@
 //! All tests of the controllers, in one program, so that they share their fakes.
 
+mod daemon;
 mod decisions;
 mod fakes;
 mod orders;
 mod rollouts;
+mod settings;
 
 #[expect(dead_code, reason = "shared with the tests of pimento-ctl")]
 #[path = "../../../ctl/tests/common/mod.rs"]
--- /dev/null
+++ b/crates/control/tests/all/settings.rs
@@ -0,0 +1,62 @@
+//! Settings of the program: all findings together, and values as given.
+
+use std::time::Duration;
+
+use pimento_control::config::Config;
+use pimento_control::config::Findings;
+use pimento_control::config::command;
+
+const GOOD: [&str; 11] = [
+    "pimento-control",
+    "--node",
+    "control-1",
+    "--zone",
+    "kig-remera",
+    "--log-address",
+    "127.0.0.1:1",
+    "--vms-address",
+    "127.0.0.1:2",
+    "--weights-address",
+    "127.0.0.1:3",
+];
+
+fn config(more: &[&str]) -> Result<Config, Findings> {
+    let arguments = GOOD.iter().chain(more);
+    let matches = command().try_get_matches_from(arguments);
+    Config::try_from(&matches.expect("the flags exist"))
+}
+
+#[test]
+fn defaults_are_whole() {
+    let config = config(&[]).expect("the settings are good");
+    assert_eq!(config.lease.span.duration(), Duration::from_secs(15));
+    assert!(config.lease.margin * 2 <= config.lease.span.duration());
+}
+
+#[test]
+fn all_findings_come_together() {
+    let flags = [
+        ("--period", "0s"),
+        ("--lease", "3s"),
+        ("--lease-margin", "2s"),
+        ("--order-flight", "soon"),
+        ("--engine-versions", "0"),
+        ("--operators", "127.0.0.1:4,nowhere"),
+        ("--log-format", "yaml"),
+        ("--log-level", "loud"),
+    ];
+    let more: Vec<&str> = flags
+        .iter()
+        .flat_map(|(flag, value)| [*flag, *value])
+        .collect();
+    let findings = config(&more)
+        .expect_err("seven settings are bad")
+        .to_string();
+    let place = |line: &str| line.split_once(':').map(|(flag, _)| flag.to_owned());
+    let mut places: Vec<String> = findings.lines().filter_map(place).collect();
+    places.sort();
+    let mut expected: Vec<&str> = flags.iter().map(|(flag, _)| *flag).collect();
+    expected.retain(|flag| *flag != "--lease");
+    expected.sort_unstable();
+    assert_eq!(places, expected, "{findings}");
+}
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -37,6 +37,12 @@
             Command::new("publish")
                 .about("Publishes what differs from what is in force")
                 .arg(files())
+                .arg(
+                    Arg::new("dry-run")
+                        .long("dry-run")
+                        .action(ArgAction::SetTrue)
+                        .help("Check over what is in force and list what would change"),
+                )
                 .arg(
                     Arg::new("reinstate")
                         .long("reinstate")
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -15,6 +15,7 @@
 use crate::args;
 use crate::command;
 use crate::command::Context;
+use crate::command::publish::Mode;
 use crate::command::version::Plan;
 use crate::exit::Error;
 use crate::output::Format;
@@ -69,8 +70,11 @@
             _ => Err(unknown()),
         },
         Some(("publish", sub)) => {
-            let reinstate = sub.get_flag("reinstate");
-            command::publish::files(&context(matches)?, &texts(sub, "file"), reinstate).await
+            let mode = Mode {
+                reinstate: sub.get_flag("reinstate"),
+                dry: sub.get_flag("dry-run"),
+            };
+            command::publish::files(&context(matches)?, &texts(sub, "file"), mode).await
         }
         Some(("show", sub)) => command::show::show(&context(matches)?, text(sub, "subject")).await,
         Some(("history", sub)) => {
--- a/crates/ctl/src/command/publish.rs
+++ b/crates/ctl/src/command/publish.rs
@@ -12,17 +12,26 @@
 use crate::publish::Verdicted;
 use crate::snapshot::Snapshot;
 
-/// Publishes what differs from what is in force. Unless `reinstate` is set, withdrawn versions stay
-/// withdrawn and roll-outs keep their progress, whatever the files say.
+/// How files are published.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Mode {
+    /// Withdrawn versions serve again and roll-outs are set back, if the files say so. Else they
+    /// stay as they are in force.
+    pub reinstate: bool,
+    /// Nothing is published; the result lists what would be.
+    pub dry: bool,
+}
+
+/// Publishes what differs from what is in force.
 ///
 /// # Errors
 ///
 /// Findings of the files, the log's failures, or [`Error::Conflict`] if another change came first.
-pub async fn files(context: &Context, paths: &[String], reinstate: bool) -> Result<Output, Error> {
+pub async fn files(context: &Context, paths: &[String], mode: Mode) -> Result<Output, Error> {
     let files = files::load(paths)?;
     let mut snapshot = context.base().await?;
     let mut values = files::check(&files, &snapshot.state)?;
-    if !reinstate {
+    if !mode.reinstate {
         for subject in publish::keep_progress(&snapshot, &mut values) {
             eprintln!("{subject}: kept as it is in force (--reinstate would set it back)");
         }
@@ -31,9 +40,18 @@
     if changes.is_empty() {
         eprintln!("nothing differs from what is in force");
     }
+    if mode.dry {
+        return Ok(proposed(&changes));
+    }
     changes_of(context, &mut snapshot, &changes).await
 }
 
+fn proposed(changes: &[Change]) -> Output {
+    let row = |change: &Change| vec![change.subject.to_string(), change.base.to_string()];
+    let rows = changes.iter().map(row).collect();
+    Output::new(&["would change", "from revision"], rows, &changes)
+}
+
 /// Publishes prepared changes.
 ///
 /// # Errors
--- a/tests/all/ctl.rs
+++ b/tests/all/ctl.rs
@@ -88,6 +88,27 @@
     assert!(message.contains(&format!("won (by {winner})")), "{message}");
 }
 
+/// A file that names what is in force is checked over it, and nothing is published.
+#[test]
+fn a_dry_run_publishes_nothing() {
+    let (_runtime, log) = start();
+    run(log.address, &["publish", FILES[0], FILES[1]]);
+    let file = "examples/nyabarongo/rollouts/mini-2.toml";
+    let dry = run(
+        log.address,
+        &["publish", "--dry-run", file, "--output", "json"],
+    );
+    assert_eq!(dry.status.code(), Some(0));
+    let changes: Vec<serde_json::Value> =
+        serde_json::from_slice(&dry.stdout).expect("the output is JSON");
+    assert_eq!(changes.len(), 1);
+    let history = run(
+        log.address,
+        &["history", "rollout/pimento-mini@2", "--output", "json"],
+    );
+    assert_eq!(String::from_utf8_lossy(&history.stdout).trim(), "[]");
+}
+
 /// The log takes the append and its answer is lost. The operator sees success, and each change
 /// stands in force once.
 #[test]
