Let no hanging store or engine hold up orders

Cause: a pass waited for the weight store (up to five minutes) and for each engine in turn. Change: weights are fetched beside the passes; two engines of a pool get orders at once. Ruled out: all engines at once, since loading slows each of them down.

--- a/crates/control/src/orders.rs
+++ b/crates/control/src/orders.rs
@@ -4,6 +4,7 @@
 //! An order states the wanted result, so that it may be given again: after a lost answer the engine
 //! is asked what it holds, and the order is given once more only if that differs.
 
+mod carrier;
 mod sent;
 mod stock;
 
@@ -23,12 +24,13 @@
 use pimento_units::id;
 use pimento_wire::engine::Load;
 use pimento_wire::engine::Order;
-use pimento_wire::platform::Fetch;
 use pimento_wire::platform::Role;
 use pimento_wire::platform::Vm;
+use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use self::carrier::Carrier;
 use self::sent::Sent;
 use self::stock::Stock;
 use crate::bucket::Bucket;
@@ -81,11 +83,18 @@
     pub dial: D,
 }
 
+/// Engines that get an order at once. One that hangs must not hold up the rest; and loading slows
+/// an engine down, so that not all of them do it together.
+const AT_ONCE: usize = 2;
+
 /// The controller of orders.
 #[derive(Debug)]
 pub struct Orders<G, V, W, D> {
     settings: Settings,
-    parts: Parts<G, V, W, D>,
+    guard: G,
+    list: V,
+    dial: D,
+    carrier: Carrier<W>,
     state: watch::Receiver<Arc<State>>,
     metrics: Metrics,
     stock: Stock,
@@ -109,9 +118,13 @@
     ) -> Self {
         let bucket = Bucket::new(settings.interval, settings.burst);
         let stock = Stock::new(bucket, settings.drain);
+        let carrier = Carrier::new(parts.store, settings.zone.clone());
         Self {
             settings,
-            parts,
+            guard: parts.guard,
+            list: parts.list,
+            dial: parts.dial,
+            carrier,
             state,
             metrics,
             stock,
@@ -120,11 +133,11 @@
     }
 
     fn gate(&self, pool: &id::Pool, fencing: Fencing) -> Gate {
-        let held = self.parts.guard.held(pool);
+        let held = self.guard.held(pool);
         fence::gate(held, fencing, self.settings.flight, Instant::now())
     }
 
-    /// One pool: orders first, since a withdrawal must not wait for weights.
+    /// One pool: what is at hand is ordered, what is missing is fetched for a later pass.
     async fn pool(&mut self, state: &State, pool: &id::Pool, vms: &[Vm]) -> Pass {
         let fencing = state.pool(pool).map_or(Fencing::Ignores, |p| p.fencing);
         if !matches!(self.gate(pool, fencing), Gate::Open(_)) {
@@ -141,24 +154,49 @@
         let keep = self.stock.draining(state, pool, Instant::now());
         let plans = placement::assign(&reports, &demands, &keep, self.settings.room);
         self.stock.hold(reports.iter().flat_map(|r| &r.held));
-        let mut pass = Pass::Idle;
+        let mut due = Vec::new();
         for (live, plan) in engines.iter().zip(&plans) {
             let versions = self.stock.at_hand(&plan.versions);
-            if self.sent.settled(&live.load, live.measured, &versions) {
-                continue;
+            if !self.sent.settled(&live.load, live.measured, &versions) {
+                due.push((live, versions));
             }
-            let Gate::Open(number) = self.gate(pool, fencing) else {
-                return pass;
-            };
-            if !self.order(live, versions, number).await {
-                return pass;
-            }
-            pass = Pass::Acted;
         }
-        if self.fetch(pool, fencing, &plans).await {
-            pass = Pass::Acted;
+        let acted = self.give(pool, fencing, due).await;
+        let fetching = self.fetch(pool, fencing, &plans);
+        if acted || fetching {
+            Pass::Acted
+        } else {
+            Pass::Idle
         }
-        pass
+    }
+
+    /// Gives orders to engines, a few at once; whether any was given.
+    async fn give(
+        &mut self,
+        pool: &id::Pool,
+        fencing: Fencing,
+        due: Vec<(&Live<D::Engine>, Vec<id::Version>)>,
+    ) -> bool {
+        let slots = Semaphore::new(AT_ONCE);
+        let orders = due.into_iter().map(|(live, versions)| {
+            let (this, slots) = (&*self, &slots);
+            async move {
+                let _slot = slots.acquire().await.ok()?;
+                let Gate::Open(number) = this.gate(pool, fencing) else {
+                    return None;
+                };
+                let done = this.order(live, versions.clone(), number).await;
+                Some((live, versions, done))
+            }
+        });
+        let given: Vec<_> = join_all(orders).await.into_iter().flatten().collect();
+        let acted = !given.is_empty();
+        for (live, versions, done) in given {
+            if let Some(answered) = done {
+                self.sent.note(&live.load, answered, versions);
+            }
+        }
+        acted
     }
 
     /// Engines of a pool in this zone that answer and are not leaving, sorted by name.
@@ -172,7 +210,7 @@
             .filter(wanted)
             .filter_map(|vm| vm.address.parse().ok());
         let calls = addresses.map(|address| async move {
-            let engine = self.parts.dial.dial(address);
+            let engine = self.dial.dial(address);
             let asked = Instant::now();
             let load = engine.load().await.ok()?;
             let age = Duration::from_millis(load.age_ms);
@@ -189,70 +227,71 @@
         engines
     }
 
-    /// Gives one order; false if its number is old, so that someone else holds the lease.
+    /// Gives one order; when it was answered, if it was carried out.
     async fn order(
-        &mut self,
+        &self,
         live: &Live<D::Engine>,
         versions: Vec<id::Version>,
         number: u64,
-    ) -> bool {
+    ) -> Option<Instant> {
         let endpoint = &live.load.endpoint;
-        let order = Order::Versions(versions.clone());
-        let call = live.engine.order(order, Some(number));
+        let count = versions.len();
+        let call = live.engine.order(Order::Versions(versions), Some(number));
         let answer = tokio::time::timeout(self.settings.flight, call).await;
         match answer.unwrap_or(Err(Fault::Timeout)) {
             Ok(reply) if reply.accepted => {
-                log::info!("orders: {endpoint} holds {} versions now", versions.len());
+                log::info!("orders: {endpoint} holds {count} versions now");
                 self.metrics.order(Outcome::Done);
-                self.sent.note(&live.load, Instant::now(), versions);
-                true
+                Some(Instant::now())
             }
             Ok(reply) => {
                 let newest = reply.fencing;
                 log::warn!("orders: {endpoint} refused number {number}, newest is {newest:?}");
                 self.metrics.order(Outcome::Refused);
-                false
+                None
             }
             Err(fault) => {
                 log::warn!("orders: order to {endpoint} in doubt: {fault}");
                 self.metrics.order(Outcome::Lost);
-                true
+                None
             }
         }
     }
 
-    /// Brings one missing version to the zone, within the store's rate.
-    async fn fetch(&mut self, pool: &id::Pool, fencing: Fencing, plans: &[Plan]) -> bool {
+    /// Starts to bring a missing version to the zone, within the store's rate.
+    fn fetch(&mut self, pool: &id::Pool, fencing: Fencing, plans: &[Plan]) -> bool {
         let planned = plans.iter().flat_map(|plan| &plan.versions);
         let Some(version) = self.stock.missing(planned) else {
             return false;
         };
-        if !self.stock.permit(Instant::now()) {
+        if self.carrier.busy() || !self.stock.permit(Instant::now()) {
             return false;
         }
         if !matches!(self.gate(pool, fencing), Gate::Open(_)) {
             return false;
         }
         log::info!("orders: fetching weights of {version}");
-        let fetch = Fetch {
-            version: version.clone(),
-            zone: self.settings.zone.clone(),
+        self.carrier.start(version);
+        true
+    }
+
+    /// Takes note of a fetch that has ended.
+    async fn unload(&mut self) {
+        let Some((version, result)) = self.carrier.ended().await else {
+            return;
         };
-        match self.parts.store.fetch(fetch).await {
+        match result {
             Ok(()) => {
                 self.metrics.fetch(Outcome::Done);
                 self.stock.hold([&version]);
-                true
             }
             Err(weights::Error::Refused { after }) => {
                 self.metrics.fetch(Outcome::Refused);
                 self.stock.block(Instant::now(), after);
-                false
             }
             Err(error) => {
                 log::warn!("orders: weights of {version} in doubt: {error}");
                 self.metrics.fetch(Outcome::Lost);
-                false
             }
         }
     }
@@ -271,15 +310,16 @@
     const NAME: &'static str = "orders";
 
     async fn pass(&mut self) -> Result<Pass, vms::Error> {
+        self.unload().await;
         let state = Arc::clone(&self.state.borrow());
         let mut pools: Vec<id::Pool> = state.versions().map(|v| v.pool.clone()).collect();
         pools.sort();
         pools.dedup();
-        pools.retain(|pool| self.parts.guard.held(pool).is_some());
+        pools.retain(|pool| self.guard.held(pool).is_some());
         if pools.is_empty() {
             return Ok(Pass::Idle);
         }
-        let vms = self.parts.list.list().await?.vms;
+        let vms = self.list.list().await?.vms;
         let mut pass = Pass::Idle;
         for pool in pools {
             if self.pool(&state, &pool, &vms).await == Pass::Acted {
--- a/crates/control/tests/all/fakes.rs
+++ b/crates/control/tests/all/fakes.rs
@@ -326,6 +326,8 @@
     calls: Arc<Mutex<Vec<(Instant, id::Version)>>>,
     refusals: Arc<Mutex<usize>>,
     interval: Duration,
+    /// How long a fetch takes.
+    pub slow: Duration,
 }
 
 impl Weights {
@@ -351,6 +353,7 @@
 
 impl weights::Store for Weights {
     async fn fetch(&self, fetch: Fetch) -> Result<(), weights::Error> {
+        tokio::time::sleep(self.slow).await;
         let mut calls = self.calls.lock().expect("no test panics in here");
         let now = Instant::now();
         let free = calls.last().map(|(at, _)| *at + self.interval);
