--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -84,8 +84,8 @@
     fn default() -> Self {
         Self {
             headroom: 0.5,
-            returning: 0.75,
-            kept: 0.5,
+            returning: 0.9,
+            kept: 0.3,
             memory: Duration::from_secs(10),
             pace: 50.0,
             soonest: Duration::from_secs(1),
--- a/crates/policy/src/choice.rs
+++ b/crates/policy/src/choice.rs
@@ -22,7 +22,8 @@
 /// Figures of a choice.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Times the mean load that an endpoint may have and still take a prefix that belongs to it.
+    /// Times the mean load that an endpoint may have and still take a prefix that belongs to it. A
+    /// prompt read anew costs more than the wait behind half as many calls again.
     pub bound: f64,
     /// Age at which a load report counts half.
     pub trust: Duration,
@@ -34,7 +35,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            bound: 1.25,
+            bound: 1.5,
             trust: Duration::from_millis(500),
             spill: 0.2,
         }
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -19,8 +19,9 @@
 /// Figures of a [`Pool`].
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Errors in a row that eject. Each of many nodes learns alone and sends an endpoint a call only
-    /// every few seconds, so that a third error would take as long again as the first two.
+    /// Errors in a row that eject. Two come by chance in a full pool, where a call that was hedged
+    /// and lost counts as one; more would leave a hanging endpoint in use for longer, since each of
+    /// many nodes learns alone and sends it a call only every few seconds.
     pub errors: u32,
     /// Times the pool's median time for a token that ejects. Above the two to one between a full
     /// batch and a middling one.
@@ -42,7 +43,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            errors: 2,
+            errors: 3,
             slow: 2.5,
             samples: 3,
             weight: 0.4,
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -57,19 +57,23 @@
     pub attempts: u32,
     /// Attempts that failed.
     pub failed: u32,
-    /// Seconds that an answered attempt took, in any measure that is the same for all versions.
-    pub pace: f64,
+    /// Time that an answered attempt took, in any measure that is the same for all versions; none
+    /// if it is not known.
+    pub pace: Option<f64>,
 }
 
 impl From<Counts> for Evidence {
     fn from(counts: Counts) -> Self {
-        let timed = f64::from(counts.attempts.saturating_sub(counts.failed));
+        let answered = f64::from(counts.attempts.saturating_sub(counts.failed));
+        // Attempts of unknown time must not count as instant ones: a version beside them would seem
+        // endlessly slow.
+        let timed = counts.pace.map_or(0.0, |_| answered);
         Self {
             rated: f64::from(counts.rated),
             passed: f64::from(counts.passed),
             attempts: f64::from(counts.attempts),
             failed: f64::from(counts.failed),
-            seconds: counts.pace * timed,
+            seconds: counts.pace.unwrap_or(0.0) * timed,
             timed,
             at: Moment::ZERO,
         }
