Don't take an unknown latency for an instant one

Cause: an entry VM with too few samples reports a latency of 0; beside it any version seemed endlessly slow. Change: such attempts don't count for the latency gate (policy::rollout::Counts, the controller). Ruled out: leaving such a node out wholly, since its ratings are good evidence.

--- a/crates/control/src/rollout/decide.rs
+++ b/crates/control/src/rollout/decide.rs
@@ -60,6 +60,13 @@
     let revision = state.revision(&Subject::Rollout(rollout.to.clone()));
     let new = evidence(nodes, &rollout.to, revision);
     let old = evidence(nodes, &rollout.from, revision);
+    log::debug!(
+        "rollout: {} in stage {}: {} of {} samples",
+        rollout.to,
+        rollout.stage,
+        new.samples(),
+        rollout.gate.samples
+    );
     match judge(&new, &old, &rollout.gate, in_stage) {
         Verdict::Wait => None,
         Verdict::Advance => Some(Step::Advance),
@@ -79,7 +86,8 @@
             passed: evidence.passed,
             attempts: evidence.attempts,
             failed: evidence.failed,
-            pace: f64::from(evidence.latency_ms),
+            // An entry VM that has too few samples for a percentile says 0.
+            pace: (evidence.latency_ms > 0).then(|| f64::from(evidence.latency_ms)),
         }));
     }
     sum
--- a/crates/control/tests/all/rollouts.rs
+++ b/crates/control/tests/all/rollouts.rs
@@ -218,6 +218,23 @@
     }
 }
 
+/// An entry VM has too few samples to tell the old version's latency and says 0. The new version must
+/// not seem slow beside that.
+#[tokio::test(start_paused = true)]
+async fn an_unknown_latency_is_no_evidence() {
+    let mut bench = Bench::new();
+    let unknown = Evidence {
+        latency_ms: 0,
+        ..good(FROM)
+    };
+    bench.report(bench.state.offset, good(TO), unknown);
+    let mut controller = bench.controller("entry-1");
+    controller.pass().await.expect("the log takes it");
+    bench.spread().await;
+    assert_eq!(bench.version(), version::Status::Serving);
+    assert_eq!(bench.rollout().stage, 1);
+}
+
 /// Three instances see the same good evidence at once. Each proposes the next stage on the same
 /// revision; the first in the log wins and the roll-out moves by one stage only.
 #[tokio::test(start_paused = true)]
