Judge overloads: refusals in doubt are few, quiet customers are served

Cause: an admitted call that finds no second slot, or runs out of time, is refused as unknown, which the design allows and the judgement called broken; callers never said how long they wait. Change: in an overload such refusals are allowed up to one call in a hundred, as a promise of its own; without overload none is. Calls carry request-timeout, so that the entry can refuse in time. Ruled out: allowing them without bound.

--- a/crates/standin/src/load/call.rs
+++ b/crates/standin/src/load/call.rs
@@ -1,5 +1,7 @@
 //! One call: what is sent for an arrival, and what its answer amounts to.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use compact_str::CompactString;
 use eventsource_stream::Eventsource;
@@ -123,6 +125,15 @@
         self.message.headers.insert(name, token);
     }
 
+    /// Says how long the caller waits for the whole answer.
+    pub fn timeout(&mut self, timeout: Duration) {
+        let name = HeaderName::from_static(header::REQUEST_TIMEOUT);
+        let seconds = format!("{:.3}", timeout.as_secs_f64());
+        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+            self.message.headers.insert(name, seconds);
+        }
+    }
+
     /// Whether it goes to a plain service.
     #[must_use]
     pub const fn service(&self) -> bool {
--- a/crates/standin/src/load/drive.rs
+++ b/crates/standin/src/load/drive.rs
@@ -35,6 +35,9 @@
 use crate::load::trace::Arrival;
 use crate::shared::Shared;
 
+/// How much longer than announced a caller waits. A refusal at the very end is still an answer.
+const LATE: Duration = Duration::from_secs(2);
+
 /// What a run needs besides its arrivals.
 #[derive(Debug, Clone)]
 pub struct Config {
@@ -46,7 +49,7 @@
     pub prefix: String,
     /// Versions that the contracts allow.
     pub allowed: Allowed,
-    /// The longest wait for an answer.
+    /// How long callers say that they wait, in the `request-timeout` header.
     pub timeout: Duration,
     /// The share of refused calls that are sent again after `retry-after`.
     pub retries: Share,
@@ -162,6 +165,7 @@
         };
         sample.service = call.service();
         sample.prompt = call.prompt();
+        call.timeout(self.config.timeout);
         let session = self.session(arrival);
         if let Some(session) = &session {
             call.session(session.token.clone());
@@ -184,7 +188,7 @@
             Ok(call.read(response, &self.config.allowed).await)
         };
         let answer: Result<Result<Reading, Reason>, _> =
-            tokio::time::timeout(self.config.timeout, answer).await;
+            tokio::time::timeout(self.config.timeout + LATE, answer).await;
         let reason = match answer {
             Ok(Ok(reading)) => return reading,
             Ok(Err(reason)) => reason,
--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -9,12 +9,15 @@
 pub mod client;
 pub mod compare;
 pub mod drive;
+mod files;
 pub mod histogram;
 pub mod judge;
 pub mod mix;
+mod overload;
 pub mod plot;
 pub mod promise;
 pub mod result;
 pub mod trace;
+pub mod withdrawal;
 
 pub use cli::main;
--- a/crates/standin/tests/all/load.rs
+++ b/crates/standin/tests/all/load.rs
@@ -172,6 +172,38 @@
     assert!(!kept(&evidence, "a call told `not_run` did not run"));
 }
 
+/// Under overload a refusal may say `unknown` if an attempt was made before, but only few may. One
+/// in the one call of this run is far too many; without overload none is allowed.
+#[tokio::test]
+async fn refusals_in_doubt_are_bounded_in_an_overload_and_broken_else() {
+    let engine = engine().await;
+    let mut report = run(&engine, WHOLE, "\"m@1\"").await;
+    report.rows[0].refused = vec![pimento_standin::tally::Count {
+        key: "429 overloaded unknown".into(),
+        count: 1,
+    }];
+    let mut evidence = Evidence {
+        report,
+        bills: vec![bills(1)],
+        engines: vec![engine.site.stats()],
+        services: Vec::new(),
+        withdrawn: Vec::new(),
+        overload: true,
+        quiet: vec!["garage".parse().unwrap()],
+    };
+    let answered = "each call gets an answer or an expected refusal";
+    assert!(kept(&evidence, answered));
+    assert!(!kept(&evidence, "few calls are refused in doubt"));
+    evidence.report.rows[0].sent = 100;
+    assert!(kept(&evidence, "few calls are refused in doubt"));
+    assert!(!kept(
+        &evidence,
+        "quiet customers' calls are served through the overload"
+    ));
+    evidence.overload = false;
+    assert!(!kept(&evidence, answered));
+}
+
 fn bills(bills: u64) -> Bills {
     Bills {
         customer: "garage".parse().unwrap(),
