--- a/crates/policy/benches/load.rs
+++ b/crates/policy/benches/load.rs
@@ -8,6 +8,7 @@
 use clap::ArgAction;
 use clap::Command;
 use comfy_table::Table;
+use model::float;
 use model::node::Choice;
 use model::node::Mechanisms;
 use model::quality;
@@ -17,6 +18,7 @@
 use model::scenario::CLASSES;
 use model::scenario::NAMES;
 use model::scenario::Scenario;
+use model::spend::spend;
 use model::summary::Counts;
 use model::summary::Summary;
 use model::world;
@@ -111,7 +113,7 @@
             Arg::new("quality")
                 .long("quality")
                 .action(ArgAction::SetTrue)
-                .help("The cascade's tables only"),
+                .help("The tables of the cascade and of spend only"),
         )
         .arg(
             Arg::new("seeds")
@@ -145,6 +147,7 @@
     }
     if matches.get_flag("quality") {
         qualities();
+        spends();
         return;
     }
     let rows = if matches.get_flag("brief") {
@@ -165,9 +168,36 @@
     }
     if only.is_none() && rows > 1 {
         qualities();
+        spends();
     }
 }
 
+/// Prints what six nodes spend of a limit, one cut off and one dead from some second on.
+fn spends() {
+    println!(
+        "\nspend: six nodes, one customer; node 0 is cut off and node 1 dies at the second given"
+    );
+    let mut table = Table::new();
+    table.load_preset(comfy_table::presets::ASCII_MARKDOWN);
+    table.set_header([
+        "limit", "second", "spent", "stranded", "share", "served", "refused",
+    ]);
+    for (limit, second) in [(300_000, 0), (300_000, 5), (300_000, 9), (3_000_000, 60)] {
+        let run = spend(limit, second, 200);
+        let share = 100.0 * float(run.stranded.micros()) / float(limit);
+        table.add_row([
+            model::spend::money(limit).to_string(),
+            second.to_string(),
+            run.spent.to_string(),
+            run.stranded.to_string(),
+            format!("{share:.1}%"),
+            run.served.to_string(),
+            run.refused.to_string(),
+        ]);
+    }
+    println!("{table}");
+}
+
 /// Ways of picking a version.
 const PICKINGS: [(&str, Picking); 5] = [
     ("cascade (nyabarongo: cost)", Picking::Cascade),
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -160,12 +160,14 @@
     /// the number of live nodes. At most one ask is out at a time: after its answer, or once it
     /// can't have been written ([`refused`](Self::refused)), the next may follow.
     pub fn ask(&mut self, left: Money, nodes: u32, now: Moment) -> Option<Money> {
-        let wanted = self.needed(now);
+        let pieces = u64::from(self.config.parts.max(1)) * u64::from(nodes.max(1));
+        let share = left.scale(1, pieces);
+        // A node that holds its share of what is left asks for no more, however long that would
+        // last: what it holds is lost to the others if it dies, and near the limit they need it.
+        let wanted = self.needed(now).min(share.max(self.floor()));
         if self.asked.is_some() || left == Money::ZERO || self.free() >= wanted {
             return None;
         }
-        let pieces = u64::from(self.config.parts.max(1)) * u64::from(nodes.max(1));
-        let share = left.scale(1, pieces);
         let missing = wanted - self.free();
         let amount = share.min(missing + missing).max(self.floor()).min(left);
         self.asked = Some(amount);
--- a/crates/policy/tests/model/mod.rs
+++ b/crates/policy/tests/model/mod.rs
@@ -6,6 +6,7 @@
 pub mod node;
 pub mod quality;
 pub mod scenario;
+pub mod spend;
 pub mod summary;
 pub mod world;
 
--- a/crates/policy/tests/spend.rs
+++ b/crates/policy/tests/spend.rs
@@ -1,6 +1,11 @@
 //! Spend near the limit on six nodes, one cut off from the log and one dead: never over, and how
 //! much of the limit is stranded.
 
+mod model;
+
+use model::spend::NODES;
+use model::spend::money;
+use model::spend::spend;
 use pimento_policy::budget::Config;
 use pimento_policy::budget::Grants;
 use pimento_units::Moment;
@@ -10,86 +15,6 @@
 use proptest::test_runner::Config as Runner;
 use proptest::test_runner::RngSeed;
 
-/// The fold of the grants stream, cut down to its rule.
-struct Fold {
-    limit: Money,
-    granted: Money,
-}
-
-impl Fold {
-    fn left(&self) -> Money {
-        self.limit - self.granted
-    }
-
-    fn grant(&mut self, amount: Money) -> bool {
-        let accepted = amount <= self.left();
-        if accepted {
-            self.granted += amount;
-        }
-        accepted
-    }
-}
-
-const NODES: u32 = 6;
-
-/// What one call can cost at most, and what it does cost.
-const MOST: u64 = 900;
-const COST: u64 = 500;
-
-fn money(micros: u64) -> Money {
-    Money::from_micros(micros)
-}
-
-/// Nodes 0 and 1 may stop reaching the log at a second; node 1 dies then.
-struct Run {
-    spent: Money,
-    stranded: Money,
-    served: u32,
-    refused: u32,
-}
-
-fn spend(limit: u64, cut_at: u64, seconds: u64) -> Run {
-    let mut fold = Fold {
-        limit: money(limit),
-        granted: Money::ZERO,
-    };
-    let mut nodes = vec![Grants::new(Config::default()); NODES as usize];
-    let (mut served, mut refused) = (0, 0);
-    for tick in 0..seconds * 10 {
-        let now = Moment::from_millis(tick * 100);
-        let cut = tick >= cut_at * 10;
-        for (number, node) in nodes.iter_mut().enumerate() {
-            if cut && number == 1 {
-                continue;
-            }
-            if let Some(reservation) = node.reserve(money(MOST)) {
-                node.settle(reservation, money(COST), now);
-                served += 1;
-            } else {
-                refused += 1;
-            }
-            let reaches = !(cut && number == 0);
-            if let Some(amount) = node.ask(fold.left(), NODES, now).filter(|_| reaches) {
-                if fold.grant(amount) {
-                    node.accepted(amount);
-                } else {
-                    node.refused();
-                }
-            }
-            let total: Money = fold.granted;
-            assert!(total <= fold.limit, "granted {total} of {limit}");
-        }
-    }
-    let spent: Money = nodes.iter().map(Grants::spent).sum();
-    let unspent: Money = nodes.iter().map(Grants::free).sum();
-    Run {
-        spent,
-        stranded: unspent,
-        served,
-        refused,
-    }
-}
-
 // Six nodes spend one customer's money, each out of its grants. At second 5 node 0 is cut off from
 // the log and node 1 dies. Node 0 serves on until its grant is used up and then refuses; node 1's
 // grant stays set aside. Together they never spend more than the limit; what is stranded is a
