platform: make the proofs of the configuration fail without their safeguards

Three safeguards could be taken out without a test noticing: the bar against older states from peers, the label of currency by the log's clock, and waiting for the own first read of the log. Adds a late answer of a peer, measures age against the length of the cut, and slows the first read down. Ruled out: longer waits in the tests.

--- a/crates/platform/src/configuration/tasks.rs
+++ b/crates/platform/src/configuration/tasks.rs
@@ -105,13 +105,11 @@
         }
     }
 
-    /// What this node read itself.
+    /// What this node read itself. While records are missing it reads on past its state, and what
+    /// it reads says nothing of that.
     fn own_word(&self, offset: Offset) -> Option<Fresh> {
-        // Taken before the look at the view: a batch that comes between makes the view newer.
         let (at, since) = self.follower.current()?;
-        let next = self.follower.next();
-        let whole = self.follower.view(|reader| !reader.lapsed());
-        (whole && next <= offset).then_some(Fresh { at, since })
+        (self.follower.next() <= offset).then_some(Fresh { at, since })
     }
 
     /// What peers say of states that are not newer than ours.
--- a/crates/platform/tests/configuration.rs
+++ b/crates/platform/tests/configuration.rs
@@ -3,6 +3,9 @@
 
 mod support;
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use pimento_contract::State;
@@ -145,12 +148,12 @@
 async fn two_cut_off_zones_do_not_refresh_each_other() {
     let delay = Duration::from_millis(100);
     let log = Memory::default();
-    let slow = |name, zone| Plan {
+    let plan = |name, zone| Plan {
         delay,
         ..Plan::new(name, zone)
     };
-    let mut nodes = vec![slow("a", "trebon").start(log.link()).await];
-    let second = slow("b", "hluboka").seeded(&nodes);
+    let mut nodes = vec![plan("a", "trebon").start(log.link()).await];
+    let second = plan("b", "hluboka").seeded(&nodes);
     nodes.push(second.start(log.link()).await);
     publish(&log, 0..1);
     for node in &nodes {
@@ -160,11 +163,11 @@
     for node in &nodes {
         node.cut_log(true);
     }
+    let cut = Instant::now();
+    let span = 20 * delay;
+    eventually("a long cut", async || (cut.elapsed() > span).then_some(())).await;
     for node in &nodes {
-        eventually("an age of ten ways", async || {
-            (node.source.age() > 10 * delay).then_some(())
-        })
-        .await;
+        assert!(node.source.age() > span / 2, "{:?}", node.source.age());
     }
 }
 
@@ -204,10 +207,9 @@
     stale.cut_log(true);
     publish(&log, 1..5);
     let peers = [stale];
-    let new = Plan::new("b", "trebon")
-        .seeded(&peers)
-        .start(log.link())
-        .await;
+    // The log's first answer takes longer than meeting the peer.
+    let link = log.slow_link(Duration::from_millis(300));
+    let new = Plan::new("b", "trebon").seeded(&peers).start(link).await;
     // Its first state that counts as ready is the whole one.
     eventually("ready", async || {
         let ready = new.source.ready();
@@ -399,6 +401,21 @@
     }
 }
 
+/// A peer that reports `offset` and answers each pull as the test likes.
+async fn fake(seed: &Node, offset: u64, handler: impl Handler) -> Mesh {
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let name = "fake".parse().unwrap();
+    let zone = "trebon".parse().unwrap();
+    let mut settings = mesh::Settings::new(name, zone, listen, Key::derive("test"));
+    settings.seeds = vec![seed.mesh.address()];
+    settings.interval = Duration::from_millis(20);
+    let config = mesh::Config::try_from(settings).unwrap();
+    let (mesh, listener) = Mesh::bind(config, CancellationToken::new()).await.unwrap();
+    listener.serve(handler);
+    mesh.report(|own| own.offset = Offset(offset));
+    mesh
+}
+
 /// Answers every pull by a state that does not fit its hash.
 struct Liar;
 
@@ -418,16 +435,7 @@
     publish(&log, 0..1);
     let node = Plan::new("a", "trebon").start(log.link()).await;
     node.reaches(1).await;
-    let listen = "127.0.0.1:0".parse().unwrap();
-    let name = "liar".parse().unwrap();
-    let zone = "trebon".parse().unwrap();
-    let mut settings = mesh::Settings::new(name, zone, listen, Key::derive("test"));
-    settings.seeds = vec![node.mesh.address()];
-    settings.interval = Duration::from_millis(20);
-    let config = mesh::Config::try_from(settings).unwrap();
-    let (liar, listener) = Mesh::bind(config, CancellationToken::new()).await.unwrap();
-    listener.serve(Liar);
-    liar.report(|own| own.offset = Offset(50));
+    let _liar = fake(&node, 50, Liar).await;
     eventually("it was asked", async || {
         (node.source.wrong_checkpoints() > 0).then_some(())
     })
@@ -435,6 +443,54 @@
     assert_eq!(node.offset(), 1);
 }
 
+/// Answers the first pull by the state after three records, once the asker has six and the log
+/// can't help it any more.
+struct Late {
+    log: Memory,
+    link: Memory,
+    asker: Source,
+    calls: Arc<AtomicU64>,
+}
+
+impl Handler for Late {
+    async fn handle(&self, _call: Call) -> Answer {
+        if self.calls.fetch_add(1, Ordering::SeqCst) > 0 {
+            return Answer::Nothing;
+        }
+        publish(&self.log, 1..3);
+        let checkpoint = serde_json::to_string(&checkpoint(&self.log)).unwrap();
+        publish(&self.log, 3..6);
+        let mut states = self.asker.changed();
+        let has_six = states.wait_for(|state| state.offset == Offset(6));
+        assert!(has_six.await.is_ok());
+        self.link.cut(true);
+        Answer::State { checkpoint }
+    }
+}
+
+/// A node asks a peer for its newer state. Before the answer comes, the node reads still newer
+/// records from the log. The late answer must not put the older state back in force.
+#[tokio::test]
+async fn late_answer_of_a_peer_does_not_put_back_an_older_state() {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    let node = Plan::new("a", "trebon").start(log.link()).await;
+    node.reaches(1).await;
+    let calls = Arc::new(AtomicU64::new(0));
+    let late = Late {
+        log: log.clone(),
+        link: node.link.clone(),
+        asker: node.source.clone(),
+        calls: Arc::clone(&calls),
+    };
+    let _late = fake(&node, 50, late).await;
+    eventually("the answer was taken, and it asked again", async || {
+        (calls.load(Ordering::SeqCst) > 5).then_some(())
+    })
+    .await;
+    assert_eq!(node.offset(), 6);
+}
+
 /// Two operators publish a change of one pool on the same revision. All nodes decide alike, also
 /// the one that has it from a peer.
 #[tokio::test]
--- a/crates/platform/tests/support/memory.rs
+++ b/crates/platform/tests/support/memory.rs
@@ -41,6 +41,8 @@
     /// The log's clock runs with tokio's, so that a test may pause it.
     start: Instant,
     base: Wall,
+    /// How long a read takes.
+    delay: Duration,
 }
 
 #[derive(Debug, Default)]
@@ -74,6 +76,7 @@
             cut: Arc::clone(&self.cut),
             start: self.start,
             base: self.base,
+            delay: self.delay,
         }
     }
 }
@@ -84,6 +87,7 @@
             data: Arc::default(),
             changed: watch::Sender::new(0),
             cut: Arc::default(),
+            delay: Duration::ZERO,
             start: Instant::now(),
             base: base(),
         }
@@ -104,6 +108,14 @@
         }
     }
 
+    /// Another link, over which each read takes `delay`.
+    pub fn slow_link(&self, delay: Duration) -> Self {
+        Self {
+            delay,
+            ..self.link()
+        }
+    }
+
     /// Cuts or heals this link: while cut, calls are lost after a moment.
     pub fn cut(&self, cut: bool) {
         self.cut.store(cut, Ordering::SeqCst);
@@ -240,6 +252,7 @@
         wait: Duration,
     ) -> Result<Batch, Error> {
         self.data.lock().unwrap().streams[stream as usize].reads += 1;
+        tokio::time::sleep(self.delay).await;
         let end = Instant::now() + wait;
         let mut changed = self.changed.subscribe();
         loop {
