--- a/crates/entry/src/scheduler/seat.rs
+++ b/crates/entry/src/scheduler/seat.rs
@@ -81,13 +81,17 @@
     (report.batch > 0).then_some(report.batch)
 }
 
-/// A limiter that begins at the engine's batch and stays near it: what is sent beyond waits there,
-/// where this node can neither order nor refuse it.
+/// A limiter that begins at the engine's batch and never goes past what may run and wait there. A
+/// report that is late shows an engine as empty that has filled since, and without this bound would
+/// raise the limit to many batches.
 fn limiter(batch: Option<u32>) -> limit::Limiter {
-    let mut config = limit::Config::default();
+    let mut config = limit::Config {
+        round: rand::random_range(0.0..1.0),
+        ..limit::Config::default()
+    };
     if let Some(batch) = batch {
         config.start = f64::from(batch);
-        config.most = f64::from(batch + batch / 4 + 1);
+        config.most = f64::from(batch) * config.reserve;
     }
     limit::Limiter::new(config)
 }
