--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/log.rs
@@ -3,6 +3,7 @@
 //! Speaks the log's part of [`pimento_wire::platform`]. Any stream name is accepted. An outage is a
 //! `refuse` or `hang` rule of the fault table, an append whose answer is lost a `lose_answer` rule.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -117,7 +118,7 @@
 struct Stream {
     name: CompactString,
     oldest: u64,
-    records: std::collections::VecDeque<(Wall, Arc<str>)>,
+    records: VecDeque<(Wall, Arc<str>)>,
 }
 
 #[derive(Debug)]
@@ -190,7 +191,7 @@
             let stream = Stream {
                 name: name.into(),
                 oldest: 0,
-                records: std::collections::VecDeque::new(),
+                records: VecDeque::new(),
             };
             self.streams.insert(at, stream);
             at
