platform: append through the zone's appender, and keep the newest addresses

Adds the forwarding log (a peer's records are joined, doubt stays doubt, a node that can't reach the appender appends itself) and lets the address told longest ago go. Not wired into a program yet. Ruled out: handing on what was handed over, which can go in a circle.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod claims;
 pub mod configuration;
 pub mod follower;
+pub mod forward;
 pub mod grants;
 mod http;
 pub mod lease;
--- a/crates/platform/src/mesh.rs
+++ b/crates/platform/src/mesh.rs
@@ -213,7 +213,8 @@
             address: settings.listen,
         })?;
         let address = settings.advertise.unwrap_or(local);
-        let table = Table::new(settings.node.clone(), settings.silence, &settings.seeds);
+        let node = settings.node.clone();
+        let table = Table::new(node, settings.silence, &settings.seeds, Instant::now());
         let shared = Arc::new(Shared {
             settings,
             local,
@@ -305,11 +306,13 @@
         change(&mut lock(&self.shared.own));
     }
 
-    /// Takes addresses of possible peers, for instance from the platform's list of VMs.
+    /// Takes addresses of possible peers, for instance from the platform's list of VMs. They add to
+    /// those known, so that a list which is suddenly empty or short does no harm.
     pub fn learn(&self, addresses: impl IntoIterator<Item = SocketAddr>) {
+        let now = Instant::now();
         let mut table = lock(&self.shared.table);
         for address in addresses {
-            table.learn(address);
+            table.learn(address, now);
         }
     }
 
--- a/crates/platform/src/mesh/table.rs
+++ b/crates/platform/src/mesh/table.rs
@@ -69,12 +69,25 @@
     own: id::Node,
     silence: Duration,
     known: Vec<Known>,
-    seeds: Vec<SocketAddr>,
+    seeds: Vec<Seed>,
+}
+
+/// An address of a possible peer.
+#[derive(Debug, Clone, Copy)]
+struct Seed {
+    address: SocketAddr,
+    /// When it was last told.
+    told: Instant,
 }
 
 impl Table {
     /// Knows some addresses only.
-    pub(super) fn new(own: id::Node, silence: Duration, seeds: &[SocketAddr]) -> Self {
+    pub(super) fn new(
+        own: id::Node,
+        silence: Duration,
+        seeds: &[SocketAddr],
+        now: Instant,
+    ) -> Self {
         let mut table = Self {
             own,
             silence,
@@ -82,17 +95,26 @@
             seeds: Vec::new(),
         };
         for seed in seeds {
-            table.learn(*seed);
+            table.learn(*seed, now);
         }
         table
     }
 
     /// Takes an address of a possible peer.
-    pub(super) fn learn(&mut self, address: SocketAddr) {
-        if let Err(at) = self.seeds.binary_search(&address)
-            && self.seeds.len() < MAX
-        {
-            self.seeds.insert(at, address);
+    ///
+    /// Addresses are never dropped for being missing from a list: one that is suddenly empty or
+    /// short would cut the node off from peers that it may need after a cut. The one told longest
+    /// ago goes when there are too many, since VMs are replaced every day.
+    pub(super) fn learn(&mut self, address: SocketAddr, now: Instant) {
+        let seed = Seed { address, told: now };
+        match self.seeds.binary_search_by_key(&address, |s| s.address) {
+            Ok(at) => self.seeds[at] = seed,
+            Err(at) => self.seeds.insert(at, seed),
+        }
+        if self.seeds.len() > MAX {
+            let oldest = self.seeds.iter().enumerate().min_by_key(|(_, s)| s.told);
+            let at = oldest.map_or(0, |(at, _)| at);
+            self.seeds.remove(at);
         }
     }
 
@@ -185,7 +207,7 @@
     pub(super) fn quiet(&self, now: Instant) -> Vec<SocketAddr> {
         let silent = self.known.iter().filter(|k| !self.alive(k, now));
         let mut quiet: Vec<SocketAddr> = silent.map(|k| k.peer.address).collect();
-        quiet.extend(&self.seeds);
+        quiet.extend(self.seeds.iter().map(|s| s.address));
         quiet.sort_unstable();
         quiet.dedup();
         let live = self.live(now);
--- /dev/null
+++ b/crates/platform/tests/forward.rs
@@ -0,0 +1,194 @@
+//! Appends through the zone's appender: fewer appends, and no record lost when it fails.
+
+mod support;
+
+use std::time::Duration;
+
+use futures::future::join_all;
+use pimento_ledger::Stream;
+use pimento_platform::Appender;
+use pimento_platform::Log;
+use pimento_platform::Mesh;
+use pimento_platform::appender;
+use pimento_platform::forward::Forward;
+use pimento_platform::log::Error;
+use pimento_platform::mesh;
+use pimento_platform::mesh::Duty;
+use pimento_platform::mesh::Handler;
+use pimento_platform::mesh::Listener;
+use pimento_wire::frame::Key;
+use pimento_wire::peer::Answer;
+use pimento_wire::peer::Call;
+use support::bound;
+use support::eventually;
+use support::memory::Fault;
+use support::memory::Memory;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+const STREAM: Stream = Stream::Claims;
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+struct Node {
+    mesh: Mesh,
+    forward: Forward<Memory>,
+    appender: Appender,
+    token: CancellationToken,
+}
+
+struct Serve(Forward<Memory>);
+
+impl Handler for Serve {
+    async fn handle(&self, call: Call) -> Answer {
+        self.0.answer(&call).await.unwrap_or(Answer::Nothing)
+    }
+}
+
+async fn bind(name: &str, seeds: &[Node], token: &CancellationToken) -> (Mesh, Listener) {
+    let listen = "127.0.0.1:0".parse().unwrap();
+    let key = Key::derive("test");
+    let zone = "trebon".parse().unwrap();
+    let mut settings = mesh::Settings::new(name.parse().unwrap(), zone, listen, key);
+    settings.seeds = seeds.iter().map(|node| node.mesh.address()).collect();
+    settings.interval = Duration::from_millis(20);
+    settings.silence = Duration::from_millis(600);
+    settings.timeout = TIMEOUT;
+    let config = mesh::Config::try_from(settings).unwrap();
+    Mesh::bind(config, token.clone()).await.unwrap()
+}
+
+async fn start(name: &str, seeds: &[Node], log: &Memory) -> Node {
+    let token = CancellationToken::new();
+    let (mesh, listener) = bind(name, seeds, &token).await;
+    let settings = appender::Settings {
+        gather: Duration::from_millis(50),
+        ..appender::Settings::default()
+    };
+    let config = appender::Config::try_from(settings).unwrap();
+    let direct = Appender::start(log.clone(), config, token.clone());
+    // Shorter than that of the peers' calls, so that they hear what became of the append.
+    let forward = Forward::new(log.clone(), direct, mesh.clone(), TIMEOUT / 2);
+    listener.serve(Serve(forward.clone()));
+    let appender = Appender::start(forward.clone(), config, token.clone());
+    Node {
+        mesh,
+        forward,
+        appender,
+        token,
+    }
+}
+
+async fn zone(log: &Memory) -> Vec<Node> {
+    let mut nodes = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        nodes.push(start(name, &nodes, log).await);
+    }
+    for node in &nodes {
+        let all = async || (node.mesh.peers().len() == 3).then_some(());
+        eventually("all nodes of the zone", all).await;
+    }
+    nodes
+}
+
+fn split(nodes: &[Node]) -> (&Node, Vec<&Node>) {
+    let chosen = nodes[0].mesh.chosen(Duty::Appender);
+    let (one, others): (Vec<&Node>, Vec<&Node>) =
+        nodes.iter().partition(|n| *n.mesh.node() == chosen);
+    (one[0], others)
+}
+
+async fn append_from_all(nodes: &[&Node], tag: &str) {
+    let appends = nodes.iter().map(|node| {
+        let record = format!("{tag}-{}", node.mesh.node());
+        node.appender.append(STREAM, record, bound())
+    });
+    for result in join_all(appends).await {
+        result.unwrap();
+    }
+}
+
+fn count(log: &Memory, nodes: &[&Node], tag: &str) -> usize {
+    let records = log.records(STREAM);
+    let wanted = |node: &&&Node| records.contains(&format!("{tag}-{}", node.mesh.node()));
+    nodes.iter().filter(wanted).count()
+}
+
+#[tokio::test]
+async fn records_of_a_zone_share_appends() {
+    let log = Memory::default();
+    let nodes = zone(&log).await;
+    let all: Vec<&Node> = nodes.iter().collect();
+    for round in 0..10 {
+        append_from_all(&all, &round.to_string()).await;
+        assert_eq!(count(&log, &all, &round.to_string()), 4);
+    }
+    let appends = log.appends(STREAM);
+    assert_eq!(appends.iter().sum::<usize>(), 40);
+    // Four nodes for themselves would need four a round.
+    assert!(appends.len() <= 30, "{appends:?}");
+}
+
+/// The zone's appender dies with records of others in hand. Their appends go another way before
+/// their deadline; a record may stand twice, none is missing.
+#[tokio::test]
+async fn death_of_the_appender_loses_no_record() {
+    let log = Memory::default();
+    let nodes = zone(&log).await;
+    let (chosen, others) = split(&nodes);
+    chosen.token.cancel();
+    append_from_all(&others, "after").await;
+    assert_eq!(count(&log, &others, "after"), 3);
+}
+
+/// The log refuses the zone's appender. The peer that handed it a record hears a refusal as well, so
+/// that its caller may be told at once that the call was not run.
+#[tokio::test]
+async fn refusal_of_the_log_reaches_the_peer() {
+    let log = Memory::default();
+    let nodes = zone(&log).await;
+    let (_, others) = split(&nodes);
+    let forward = &others[0].forward;
+
+    log.faults([Fault::Refuse(Duration::from_hours(1))]);
+    let refused = forward.append(STREAM, vec!["r".into()]).await;
+    assert!(matches!(refused, Err(Error::Refused { .. })), "{refused:?}");
+    assert!(log.records(STREAM).is_empty());
+}
+
+/// The log answers nothing to the appender. A peer that handed it a record hears doubt, and not a
+/// refusal: the record may be on the log, and here it is.
+#[tokio::test]
+async fn lost_answer_at_the_log_is_doubt_for_the_peer() {
+    let log = Memory::default();
+    let nodes = zone(&log).await;
+    let (_, others) = split(&nodes);
+    let faults = std::iter::repeat_n(Fault::LoseAfter, 100);
+    log.faults(faults);
+    let deadline = Instant::now() + 2 * TIMEOUT;
+    let lost = others[0]
+        .appender
+        .append(STREAM, "l".into(), deadline)
+        .await;
+    assert!(matches!(lost, Err(Error::Lost { .. })), "{lost:?}");
+    assert!(log.records(STREAM).contains(&"l".to_owned()));
+}
+
+#[tokio::test]
+async fn unknown_stream_is_refused() {
+    let log = Memory::default();
+    let node = start("a", &[], &log).await;
+    let call = Call::Append {
+        stream: "other".into(),
+        records: vec!["x".into()],
+    };
+    let answer = node.forward.answer(&call).await;
+    assert!(matches!(answer, Some(Answer::Refused { .. })), "{answer:?}");
+    assert_eq!(
+        node.forward
+            .answer(&Call::Pull {
+                offset: pimento_units::Offset(0)
+            })
+            .await,
+        None
+    );
+}
--- a/crates/platform/tests/mesh.rs
+++ b/crates/platform/tests/mesh.rs
@@ -146,6 +146,22 @@
     assert_ne!(agree(&nodes).await, first);
 }
 
+/// VMs are replaced every day and the list brings ever new addresses. A node that has heard more of
+/// them than it keeps must still find the newest peer, and an empty list must not lose it one.
+#[tokio::test]
+async fn newest_address_is_tried_after_any_number_of_old_ones() {
+    let mut settings_of_a = settings("a", "trebon", &[]);
+    settings_of_a.interval = Duration::from_millis(5);
+    let a = start(settings_of_a).await;
+    let old = |n: u16| SocketAddr::from(([127, 1, (n >> 8) as u8, (n & 255) as u8], 9));
+    a.learn((0..2_000).map(old));
+    let b = start(settings("b", "trebon", &[])).await;
+    a.learn([b.address()]);
+    a.learn([]);
+    names(&a, &["b"]).await;
+    names(&b, &["a"]).await;
+}
+
 fn heartbeat(node: &str, sequence: u64, offset: u64) -> Heartbeat {
     Heartbeat {
         node: node.parse().unwrap(),
