--- a/crates/entry/src/config.rs
+++ b/crates/entry/src/config.rs
@@ -119,6 +119,7 @@
     pub platform_timeout: Duration,
     pub stall_timeout: Duration,
     pub poll_interval: Duration,
+    pub far_interval: Duration,
     pub zone_delay: Duration,
     pub stale_bound: Duration,
     pub claims_window: Duration,
@@ -242,6 +243,7 @@
     let platform_timeout = check.positive("platform-timeout");
     let stall_timeout = check.positive("stall-timeout");
     let poll_interval = check.positive("poll-interval");
+    let far_interval = check.span("far-interval");
     let zone_delay = check.span("zone-delay");
     let stale_bound = check.positive("stale-bound");
     let claims_window = check.positive("claims-window");
@@ -275,6 +277,7 @@
         platform_timeout: platform_timeout?,
         stall_timeout: stall_timeout?,
         poll_interval: poll_interval?,
+        far_interval: far_interval?,
         zone_delay: zone_delay?,
         stale_bound: stale_bound?,
         claims_window: claims_window?,
--- a/crates/entry/src/config/settings.rs
+++ b/crates/entry/src/config/settings.rs
@@ -164,6 +164,12 @@
         "Time between two reads of the VM list and of the engines' load",
         "1s",
     ),
+    preset(
+        "far-interval",
+        "PIMENTO_FAR_INTERVAL",
+        "Time between two reads of the load of an engine in another zone, if longer",
+        "1s",
+    ),
     preset(
         "zone-delay",
         "PIMENTO_ZONE_DELAY",
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -143,6 +143,7 @@
             zone: config.zone.clone(),
             distance: config.zone_delay,
             interval: config.poll_interval,
+            far: config.far_interval,
         };
         let registry = Registry::new(clock, polling, connections.clone(), scheduler.clone());
         let rater = config
--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -36,8 +36,12 @@
     pub zone: id::Zone,
     /// Delay to other zones beyond the own one's, there and back.
     pub distance: Duration,
-    /// Time between two polls.
+    /// Time between two polls of the list and of the own zone's engines.
     pub interval: Duration,
+    /// Time between two polls of an engine in another zone, if longer. Such engines get what the own
+    /// zone can't carry; asking each of hundreds every second from every node would load them more
+    /// than it helps.
+    pub far: Duration,
 }
 
 /// The endpoint registry of a node; clones share it.
@@ -88,10 +92,7 @@
         let engines: Vec<Endpoint> = {
             let table = self.lock();
             let engines = table.endpoints().iter();
-            engines
-                .filter(|e| e.kind == Kind::Engine)
-                .cloned()
-                .collect()
+            engines.filter(|e| self.due(e)).cloned().collect()
         };
         stream::iter(engines)
             .for_each_concurrent(AT_ONCE, |endpoint| self.report(endpoint))
@@ -99,6 +100,13 @@
         self.publish();
     }
 
+    fn due(&self, endpoint: &Endpoint) -> bool {
+        let near = endpoint.zone == self.config.zone;
+        let asked = endpoint.load.as_ref().map(|(_, at)| *at);
+        let fresh = asked.is_some_and(|at| self.clock.now().since(at) < self.config.far);
+        endpoint.kind == Kind::Engine && (near || !fresh)
+    }
+
     async fn report(&self, endpoint: Endpoint) {
         let engine = Remote::new(self.connections.clone(), endpoint.address);
         let load = engine.load().await;
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -335,6 +335,7 @@
             ("platform-timeout", "1s".into()),
             ("stall-timeout", "1s".into()),
             ("poll-interval", "50ms".into()),
+            ("far-interval", "1s".into()),
             ("zone-delay", "10ms".into()),
             ("stale-bound", "1m".into()),
             ("claims-window", "30m".into()),
