--- a/crates/standin/src/load/mod.rs
+++ b/crates/standin/src/load/mod.rs
@@ -10,6 +10,7 @@
 pub mod compare;
 pub mod drive;
 mod files;
+mod gather;
 pub mod histogram;
 pub mod judge;
 pub mod mix;
--- a/crates/standin/src/load/overload.rs
+++ b/crates/standin/src/load/overload.rs
@@ -1,4 +1,4 @@
-//! Promises that hold when more is offered than the endpoints can carry.
+//! Promises that hold when more is offered than the endpoints can carry, or when they are faulty.
 
 use crate::load::judge::Evidence;
 use crate::load::judge::total;
@@ -9,8 +9,9 @@
 const DOUBT: u64 = 100;
 
 impl Evidence {
-    /// A call that had an attempt before no slot could be had is refused as `unknown`, which is
-    /// true but leaves its caller in doubt. Admission has to keep such calls few.
+    /// A call that had an attempt before no slot could be had, or whose one attempt met a fault, is
+    /// refused as `unknown`, which is true but leaves its caller in doubt. Admission has to keep the
+    /// former few, and there can't be more of the latter than faults struck.
     pub(super) fn doubt(&self) -> Promise {
         let rows = || self.report.rows.iter();
         let sent = total(rows(), |row| row.sent);
@@ -23,7 +24,8 @@
             unknown.map(|count| count.count).sum()
         };
         let unknown = total(rows(), refused);
-        let many = unknown * DOUBT > sent;
+        let crowded = if self.overload { sent / DOUBT } else { 0 };
+        let many = unknown > crowded + self.struck;
         Promise {
             name: "few calls are refused in doubt",
             cases: sent,
--- a/crates/standin/tests/all/load.rs
+++ b/crates/standin/tests/all/load.rs
@@ -138,6 +138,7 @@
         services: vec![service.site.stats()],
         withdrawn: Vec::new(),
         overload: false,
+        struck: 0,
         quiet: Vec::new(),
     };
     assert!(!kept(
@@ -165,6 +166,7 @@
         services: Vec::new(),
         withdrawn: Vec::new(),
         overload: false,
+        struck: 0,
         quiet: Vec::new(),
     };
     assert!(kept(&evidence, "a call told `not_run` did not run"));
@@ -189,6 +191,7 @@
         services: Vec::new(),
         withdrawn: Vec::new(),
         overload: true,
+        struck: 0,
         quiet: vec!["garage".parse().unwrap()],
     };
     let answered = "each call gets an answer or an expected refusal";
@@ -202,6 +205,11 @@
     ));
     evidence.overload = false;
     assert!(!kept(&evidence, answered));
+    evidence.struck = 1;
+    assert!(kept(&evidence, answered));
+    assert!(kept(&evidence, "few calls are refused in doubt"));
+    evidence.report.rows[0].refused[0].count = 2;
+    assert!(!kept(&evidence, "few calls are refused in doubt"));
 }
 
 fn bills(bills: u64) -> Bills {
