--- /dev/null
+++ b/crates/platform/examples/tail.rs
@@ -0,0 +1,79 @@
+//! An appender and a follower over somebody's own log: here a vector that loses the answer to its
+//! first append, after that took effect.
+//!
+//! `cargo run -p pimento-platform --example tail`
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimento_ledger::Stream;
+use pimento_platform::Log;
+use pimento_platform::appender;
+use pimento_platform::follower;
+use pimento_platform::log::Error;
+use pimento_units::Offset;
+use pimento_units::Wall;
+use pimento_wire::platform;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+use tokio_util::sync::CancellationToken;
+
+type Read = Result<platform::Batch, Error>;
+
+#[derive(Clone, Default)]
+struct Own(Arc<Mutex<Vec<platform::Entry>>>);
+
+impl Log for Own {
+    async fn append(&self, _: Stream, new: Vec<String>) -> Result<Offset, Error> {
+        let mut kept = self.0.lock().await;
+        let (first, at) = (kept.len() as u64, Wall::from_millis(0));
+        for (offset, record) in (first..).map(Offset).zip(new) {
+            kept.push(platform::Entry { offset, at, record });
+        }
+        let (reason, taken) = ("cut".into(), (first > 0).then_some(Offset(first)));
+        taken.ok_or(Error::Lost { reason })
+    }
+
+    async fn read(&self, _: Stream, from: Offset, max: usize, _: Duration) -> Read {
+        // A log of one's own would wait for records here instead of being polled.
+        tokio::time::sleep(Duration::from_millis(10)).await;
+        let kept = self.0.lock().await;
+        let new = kept.iter().filter(|entry| entry.offset >= from).take(max);
+        let records: Vec<_> = new.cloned().collect();
+        Ok(platform::Batch {
+            next: Offset(from.0 + records.len() as u64),
+            end: Offset(kept.len() as u64),
+            records,
+            now: Wall::from_millis(0),
+        })
+    }
+}
+
+/// The view: each record once, since it may stand on the log twice.
+#[derive(Default)]
+struct Seen(Vec<String>);
+
+impl follower::Fold for Seen {
+    fn apply(&mut self, offset: Offset, _: Wall, record: &str) {
+        println!("{offset}: {record}");
+        let found = self.0.iter().any(|seen| seen == record);
+        self.0.extend((!found).then(|| record.to_owned()));
+    }
+
+    fn reset(&mut self, _: Offset) {}
+}
+
+#[tokio::main]
+async fn main() -> Result<(), Error> {
+    let (own, token) = (Own::default(), CancellationToken::new());
+    let writer = appender::Appender::start(own.clone(), appender::Config::default(), token.clone());
+    let deadline = Instant::now() + Duration::from_secs(5);
+    let append = |record: &str| writer.append(Stream::Usage, record.into(), deadline);
+    let (one, other) = tokio::join!(append("one"), append("other"));
+    println!("one append, made twice: at {} and {}", one?, other?);
+    let (from, view) = (Offset(0), Seen::default());
+    let follower = follower::Follower::start(own, Stream::Usage, from, view, token);
+    let both = |seen: &Seen| (seen.0.len() == 2).then(|| seen.0.clone());
+    println!("the view: {:?}", follower.wait(deadline, both).await);
+    Ok(())
+}
