Find a given-up lease free without waiting it out

Cause: a node that starts after a release did not see the lease's end move, and waited a whole span; seen by the controllers' maintainer. And a_given_up_lease_passes_on did not show what it says: its token ended the appender with the lease, so the release was never written and the successor waited. Change: a lease whose end lies before the newest record's time is free. The tests end the lease alone and bound the wait by half a span, on the paused clock. Ruled out: comparing with this node's wall clock, which may run ahead of the log's.

--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -57,6 +57,8 @@
 pub struct View {
     fold: leases::Fold,
     next: Offset,
+    /// The log's clock at the newest record read.
+    now: Wall,
 }
 
 impl View {
@@ -70,6 +72,7 @@
 impl follower::Fold for View {
     fn apply(&mut self, offset: Offset, at: Wall, record: &str) {
         self.next = offset.next();
+        self.now = self.now.max(at);
         match serde_json::from_str::<Hold>(record) {
             Ok(hold) => {
                 self.fold.apply(offset, at, &hold);
@@ -150,9 +153,11 @@
     async fn run(&self) {
         let mut seen = Sighting::default();
         loop {
-            let current = self.current();
+            let (current, now) = self.current();
             let wait = match &current {
-                Some(lease) if lease.holder != self.node => seen.wait(lease, self.config.span),
+                Some(lease) if lease.holder != self.node && lease.until > now => {
+                    seen.wait(lease, self.config.span)
+                }
                 _ => Duration::ZERO,
             };
             if wait.is_zero() {
@@ -164,9 +169,11 @@
         }
     }
 
-    fn current(&self) -> Option<leases::Lease> {
+    /// The lease, and the log's clock as far as it was read. A lease that was given up ends with the
+    /// record that says so, so that a node which begins after that need not wait it out.
+    fn current(&self) -> (Option<leases::Lease>, Wall) {
         self.follower
-            .view(|view| view.fold.lease(&self.resource).cloned())
+            .view(|view| (view.fold.lease(&self.resource).cloned(), view.now))
     }
 
     /// Appends a take that follows `current` and reads it back.
@@ -249,7 +256,7 @@
 /// The take of another holder that this node waits out.
 #[derive(Debug, Default)]
 struct Sighting {
-    lease: Option<(Offset, Wall)>,
+    lease: Option<Offset>,
     free: Option<Instant>,
 }
 
@@ -258,13 +265,10 @@
     /// that a wrong guess costs a refused record and nothing else.
     fn wait(&mut self, lease: &leases::Lease, span: Span) -> Duration {
         let now = Instant::now();
-        match self.lease {
-            Some((last, until)) if last == lease.last && until == lease.until => {}
-            // The end of a take moved back: its holder gave the lease up.
-            Some((last, _)) if last == lease.last => self.free = Some(now),
-            _ => self.free = Some(now + span.duration()),
+        if self.lease != Some(lease.last) {
+            self.free = Some(now + span.duration());
         }
-        self.lease = Some((lease.last, lease.until));
+        self.lease = Some(lease.last);
         let poll = span.duration() / RENEWALS;
         let rest = self
             .free
--- a/crates/platform/tests/kept/lease.rs
+++ b/crates/platform/tests/kept/lease.rs
@@ -25,7 +25,8 @@
     "orders:pimento-llm:kig-remera".parse().expect("a name")
 }
 
-fn lease(log: &Memory, node: &str, token: &CancellationToken) -> Lease {
+/// A node's lease; `stops` ends the lease alone, since giving it up needs the log.
+fn lease(log: &Memory, node: &str, token: &CancellationToken, stops: &CancellationToken) -> Lease {
     let config = Config {
         span: Span::from(SPAN),
         margin: SPAN / 9,
@@ -34,7 +35,7 @@
     let view = View::default();
     let follower = Follower::start(log.clone(), Stream::Leases, Offset(0), view, token.clone());
     let node = node.parse().expect("a name");
-    Lease::start(resource(), node, config, appender, follower, token.clone())
+    Lease::start(resource(), node, config, appender, follower, stops.clone())
 }
 
 async fn held(lease: &Lease) -> Fencing {
@@ -54,9 +55,9 @@
 async fn one_of_two_holds() {
     let log = Memory::new();
     let token = CancellationToken::new();
-    let one = lease(&log, "node-1", &token);
+    let one = lease(&log, "node-1", &token, &token);
     let first = held(&one).await;
-    let two = lease(&log, "node-2", &token);
+    let two = lease(&log, "node-2", &token, &token);
     let end = Instant::now() + 4 * SPAN;
     while Instant::now() < end {
         assert_eq!(held(&one).await.number, first.number);
@@ -72,7 +73,7 @@
 async fn a_holder_without_the_log_stops() {
     let log = Memory::new();
     let token = CancellationToken::new();
-    let one = lease(&log, "node-1", &token);
+    let one = lease(&log, "node-1", &token, &token);
     let first = held(&one).await;
     log.fail_appends(Fault::Refuse);
     let deadline = Instant::now() + 10 * SPAN;
@@ -94,12 +95,42 @@
     let log = Memory::new();
     let stops = CancellationToken::new();
     let token = CancellationToken::new();
-    let one = lease(&log, "node-1", &stops);
+    let one = lease(&log, "node-1", &token, &stops);
     let first = held(&one).await;
-    let two = lease(&log, "node-2", &token);
+    let two = lease(&log, "node-2", &token, &token);
     stops.cancel();
+    let began = Instant::now();
     let next = held(&two).await;
     assert!(next.number > first.number);
+    assert!(
+        began.elapsed() < SPAN / 2,
+        "waited for {:?}",
+        began.elapsed()
+    );
+    token.cancel();
+}
+
+/// A holder gives the lease up and ends, and a node that starts after that finds it free: it does not
+/// wait out a lease that nobody holds.
+#[tokio::test(start_paused = true)]
+async fn a_node_that_starts_later_finds_a_given_up_lease_free() {
+    let log = Memory::new();
+    let stops = CancellationToken::new();
+    let token = CancellationToken::new();
+    let one = lease(&log, "node-1", &token, &stops);
+    held(&one).await;
+    stops.cancel();
+    while log.records(Stream::Leases).len() < 2 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+    }
+    let began = Instant::now();
+    let two = lease(&log, "node-2", &token, &token);
+    held(&two).await;
+    assert!(
+        began.elapsed() < SPAN / 2,
+        "waited for {:?}",
+        began.elapsed()
+    );
     token.cancel();
 }
 
@@ -109,7 +140,7 @@
     let log = Memory::new();
     let token = CancellationToken::new();
     log.fail_appends(Fault::LoseAnswer);
-    let one = lease(&log, "node-1", &token);
+    let one = lease(&log, "node-1", &token, &token);
     let first = held(&one).await;
     tokio::time::sleep(2 * SPAN).await;
     assert_eq!(held(&one).await.number, first.number);
