--- a/crates/units/src/offset.rs
+++ b/crates/units/src/offset.rs
@@ -17,10 +17,11 @@
         pub struct $type(pub u64);
 
         impl $type {
-            /// The one after this.
+            /// The one after this. After the last possible one comes itself: a number that a broken
+            /// log or peer made up must not send a reader back to the start.
             #[must_use]
             pub const fn next(self) -> Self {
-                Self(self.0 + 1)
+                Self(self.0.saturating_add(1))
             }
         }
 
@@ -51,6 +52,6 @@
 
 impl From<Offset> for Revision {
     fn from(offset: Offset) -> Self {
-        Self(offset.0 + 1)
+        Self(offset.0.saturating_add(1))
     }
 }
