--- /dev/null
+++ b/crates/platform/examples/spread.rs
@@ -0,0 +1,211 @@
+//! Measures how soon a change is in force on all nodes, and what following it costs a node.
+//!
+//! All nodes run in this process over loopback, with a log in memory; the figures are those of the
+//! mechanism and leave out links and the log's own time. Run with `--release`.
+
+#[path = "../tests/support/mod.rs"]
+mod support;
+
+use std::time::Duration;
+
+use pimento_contract::State;
+use pimento_contract::change::Checkpoint;
+use pimento_contract::change::Entry;
+use pimento_contract::service::Fencing;
+use pimento_platform::configuration::Tail;
+use pimento_units::id;
+use pimento_wire::Frame;
+use pimento_wire::frame::Key;
+use pimento_wire::frame::MAX_DATAGRAM;
+use pimento_wire::peer::Current;
+use pimento_wire::peer::Departure;
+use pimento_wire::peer::Heard;
+use pimento_wire::peer::Heartbeat;
+use support::memory::Memory;
+use support::nodes::Node;
+use support::nodes::Plan;
+use support::nodes::STREAM;
+use support::nodes::change;
+use support::nodes::publish;
+use tokio::time::Instant;
+
+const ZONES: [&str; 3] = ["kig-gikondo", "kig-kicukiro", "kig-remera"];
+/// Time between heartbeats, as in the usual settings.
+const INTERVAL: Duration = Duration::from_secs(1);
+/// Clock ticks of the kernel in a second, as in its accounting of processes.
+const TICKS: f64 = 100.0;
+
+async fn nodes(log: &Memory, count: usize, tail: Tail) -> Vec<Node> {
+    let mut nodes: Vec<Node> = Vec::new();
+    for n in 0..count {
+        let mut plan = Plan::new(&format!("node-{n}"), ZONES[n % ZONES.len()]);
+        plan.seeds = nodes.iter().take(4).map(|n| n.mesh.address()).collect();
+        plan.interval = INTERVAL;
+        plan.settings.tail = tail;
+        plan.settings.doubt = Duration::from_secs(5);
+        nodes.push(plan.start(log.link()).await);
+    }
+    // All addresses, as the platform's list would tell them.
+    for node in &nodes {
+        node.mesh.learn(nodes.iter().map(|n| n.mesh.address()));
+    }
+    tokio::time::sleep(10 * INTERVAL).await;
+    nodes
+}
+
+/// Publishes changes one by one; gives each one's time until the last node has it, sorted.
+async fn spread(log: &Memory, nodes: &[Node], from: u64, changes: u64) -> Vec<Duration> {
+    let mut times = Vec::new();
+    for n in from..from + changes {
+        let begin = Instant::now();
+        publish(log, n..n + 1);
+        for node in nodes {
+            node.reaches(n + 1).await;
+        }
+        times.push(begin.elapsed());
+        // Not in step with the heartbeats.
+        tokio::time::sleep(Duration::from_millis(37 * (n % 11))).await;
+    }
+    times.sort_unstable();
+    times
+}
+
+fn print(what: &str, times: &[Duration]) {
+    let at = |share: usize| times[(times.len() * share / 100).min(times.len() - 1)];
+    println!(
+        "{what}: {} changes, 50th percentile {:?}, 95th {:?}, most {:?}",
+        times.len(),
+        at(50),
+        at(95),
+        at(100)
+    );
+}
+
+/// Processor time of this process so far, in seconds.
+fn processor() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
+    let fields: Vec<&str> = text.split_whitespace().collect();
+    let ticks = |at: usize| fields.get(at).and_then(|f| f.parse().ok()).unwrap_or(0.0);
+    (ticks(13) + ticks(14)) / TICKS
+}
+
+fn number(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
+
+async fn idle(count: usize, tail: Tail) {
+    let log = Memory::default();
+    publish(&log, 0..1);
+    let nodes = nodes(&log, count, tail).await;
+    let span = Duration::from_secs(20);
+    let before = processor();
+    let reads = log.reads(STREAM);
+    tokio::time::sleep(span).await;
+    let seconds = span.as_secs_f64();
+    let share = (processor() - before) / seconds / number(count);
+    let live: usize = nodes.iter().map(|n| n.mesh.peers().len()).sum();
+    println!(
+        "idle, {count} nodes, {tail:?}: {:.3}% of a core a node, {:.2} reads of the log a second in \
+         all, {:.1} of {} peers live at a node",
+        share * 100.0,
+        f64::from(u32::try_from(log.reads(STREAM) - reads).unwrap_or(u32::MAX)) / seconds,
+        number(live) / number(count),
+        count - 1
+    );
+    for node in nodes {
+        node.kill();
+    }
+}
+
+fn fold(subjects: u64) {
+    let entries: Vec<_> = (0..subjects)
+        .map(|n| change(u128::from(n), &format!("pool-{n}"), 0, Fencing::Refuses))
+        .collect();
+    let begin = Instant::now();
+    let mut state = State::default();
+    for text in &entries {
+        if let Ok(Entry::Change(change)) = serde_json::from_str(text) {
+            state.apply(state.offset, &change);
+        }
+    }
+    let folded = begin.elapsed();
+    let begin = Instant::now();
+    let text = serde_json::to_string(&Checkpoint::of(&state)).unwrap_or_default();
+    println!(
+        "fold of {subjects} changes: {:?} each with reading; checkpoint {} bytes in {:?}",
+        folded / u32::try_from(subjects).unwrap_or(1),
+        text.len(),
+        begin.elapsed()
+    );
+}
+
+fn heartbeat(heard: usize, departures: usize) {
+    let node = |n: usize| -> id::Node { format!("entry-vm-{n:04}").parse().expect("a name") };
+    let departure = |n: usize| Departure {
+        endpoint: format!("pimento-llm-{n:04}").parse().expect("a name"),
+        incarnation: 1_700_000_000_000,
+    };
+    let word = |n: usize| Heard {
+        node: u32::MAX - u32::try_from(n).unwrap_or(0),
+        sequence: 1_700_000_000_000,
+    };
+    let beat = Heartbeat {
+        node: node(0),
+        zone: "kig-kicukiro".parse().expect("a name"),
+        address: "10.100.100.100:7000".into(),
+        sequence: 1_700_000_000_000,
+        offset: pimento_units::Offset(1_000_000),
+        current: Some(Current {
+            at: pimento_units::Wall::from_millis(1_700_000_000_000),
+            age_ms: 900,
+        }),
+        tailing: true,
+        leaving: false,
+        departures: (0..departures).map(departure).collect(),
+        quarantined: Vec::new(),
+        heard: (0..heard).map(word).collect(),
+    };
+    match Frame::seal(&beat, &Key::derive("k"), MAX_DATAGRAM) {
+        Ok(frame) => println!(
+            "heartbeat with {heard} nodes heard of and {departures} departures: {} bytes",
+            frame.bytes().len()
+        ),
+        Err(error) => println!("heartbeat with {heard} and {departures}: {error}"),
+    }
+}
+
+#[tokio::main]
+async fn main() {
+    fold(1_200);
+    fold(10_000);
+    heartbeat(1, 0);
+    heartbeat(49, 0);
+    heartbeat(49, 8);
+
+    let log = Memory::default();
+    let six = nodes(&log, 6, Tail::Always).await;
+    print(
+        "in force, 6 nodes, log in reach",
+        &spread(&log, &six, 0, 100).await,
+    );
+    for node in six.iter().skip(2).step_by(3) {
+        node.cut_log(true);
+    }
+    let times = spread(&log, &six, 100, 40).await;
+    print("in force, 6 nodes, one zone cut off from the log", &times);
+    for node in six {
+        node.kill();
+    }
+
+    let log = Memory::default();
+    let sixty = nodes(&log, 60, Tail::Elected).await;
+    let times = spread(&log, &sixty, 0, 40).await;
+    print("in force, 60 nodes, a tailer a zone", &times);
+    for node in sixty {
+        node.kill();
+    }
+    for count in [6, 30, 60, 120] {
+        idle(count, Tail::Elected).await;
+    }
+    idle(6, Tail::Always).await;
+}
--- a/crates/platform/tests/support/nodes.rs
+++ b/crates/platform/tests/support/nodes.rs
@@ -52,11 +52,13 @@
 /// How a node is started.
 pub struct Plan {
     /// Its name.
-    pub name: &'static str,
+    pub name: String,
     /// Its zone.
     pub zone: &'static str,
     /// Peers to begin with.
     pub seeds: Vec<SocketAddr>,
+    /// Time between its heartbeats.
+    pub interval: Duration,
     /// How long datagrams to it take.
     pub delay: Duration,
     /// Settings of its configuration.
@@ -65,7 +67,7 @@
 
 impl Plan {
     /// A node that reads the log, and waits for years before it writes a checkpoint that is due.
-    pub fn new(name: &'static str, zone: &'static str) -> Self {
+    pub fn new(name: &str, zone: &'static str) -> Self {
         let settings = Settings {
             tail: Tail::Always,
             changes: u64::MAX,
@@ -74,9 +76,10 @@
             doubt: Duration::from_millis(300),
         };
         Self {
-            name,
+            name: name.to_owned(),
             zone,
             seeds: Vec::new(),
+            interval: Duration::from_millis(20),
             delay: Duration::ZERO,
             settings,
         }
@@ -97,8 +100,8 @@
         let mut settings = mesh::Settings::new(name, zone, listen, Key::derive("test"));
         settings.advertise = Some(relay.address);
         settings.seeds = self.seeds;
-        settings.interval = Duration::from_millis(20);
-        settings.silence = Duration::from_millis(600);
+        settings.interval = self.interval;
+        settings.silence = 30 * self.interval;
         settings.timeout = Duration::from_millis(500);
         let config = mesh::Config::try_from(settings).unwrap();
         let token = CancellationToken::new();
