Test when a call leaves its zone

Cause: each request of the model has a prefix, so that no test met the drawing within the own zone. Seen: the nine property tests pass.

--- a/crates/policy/tests/properties.rs
+++ b/crates/policy/tests/properties.rs
@@ -241,3 +241,42 @@
         "a twelfth moves, here {moved} of 1,000"
     );
 }
+
+// Without a prefix a call stays in its own zone while that has room and is about as quick; it goes
+// to another zone when the wait there is shorter by more than the link's delay and price, and when
+// the own zone has no free slot.
+#[test]
+fn own_zone_first_until_the_wait_is_worth_the_link() {
+    let candidate = |zone: u64, own: u32, run: u64| Candidate {
+        key: 0,
+        usable: true,
+        distance: Duration::from_millis(zone * 10),
+        own,
+        limit: 8,
+        others: 0,
+        age: Duration::ZERO,
+        run: Duration::from_millis(run),
+    };
+    let config = choice::Config::default();
+    let chosen = |near: Candidate, far: Candidate| {
+        let all = [near, near, far, far];
+        let places = (0..50).map(|random: u64| {
+            choice::choose(
+                &all,
+                None,
+                random.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                &config,
+            )
+        });
+        let far = places.flatten().filter(|place| *place >= 2).count();
+        (far > 0, far == 50)
+    };
+    let (any, _) = chosen(candidate(0, 2, 500), candidate(1, 1, 500));
+    assert!(!any, "a little less load is not worth the link");
+    let (_, all) = chosen(candidate(0, 7, 500), candidate(1, 0, 500));
+    assert!(all, "a full zone is left for an idle one");
+    let (_, all) = chosen(candidate(0, 8, 500), candidate(1, 7, 500));
+    assert!(all, "no free slot in the own zone");
+    let (any, _) = chosen(candidate(0, 7, 5), candidate(1, 0, 5));
+    assert!(!any, "short calls save less than the link takes");
+}
