--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -6,6 +6,7 @@
 
 use compact_str::CompactString;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
 /// Body of `POST /v1/chat/completions`.
@@ -15,8 +16,9 @@
     pub model: CompactString,
     /// The conversation.
     pub messages: Vec<Message>,
-    /// Whether the answer comes as server-sent events.
-    #[serde(default)]
+    /// Whether the answer comes as server-sent events. Null, as some client libraries send it,
+    /// stands for no.
+    #[serde(default, deserialize_with = "or_default")]
     pub stream: bool,
     /// The most tokens to generate.
     #[serde(
@@ -30,6 +32,14 @@
     pub temperature: Option<f32>,
 }
 
+fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: Deserialize<'de> + Default,
+{
+    Option::deserialize(deserializer).map(Option::unwrap_or_default)
+}
+
 /// One message of a conversation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
--- /dev/null
+++ b/crates/wire/tests/border/json.rs
@@ -0,0 +1,257 @@
+//! JSON at the borders: fields that nobody here knows are passed over, so that client libraries and
+//! engines may grow, and any text is read or refused without a panic.
+
+use std::fmt::Debug;
+
+use pimento_units::Wall;
+use pimento_wire::border::Chat;
+use pimento_wire::border::Choice;
+use pimento_wire::border::Chunk;
+use pimento_wire::border::Completion;
+use pimento_wire::border::Delta;
+use pimento_wire::border::Error;
+use pimento_wire::border::Failure;
+use pimento_wire::border::Message;
+use pimento_wire::border::Piece;
+use pimento_wire::border::Run;
+use pimento_wire::border::Usage;
+use pimento_wire::engine::Cache;
+use pimento_wire::engine::Event;
+use pimento_wire::engine::Load;
+use pimento_wire::operators::State;
+use pimento_wire::platform::Batch;
+use pimento_wire::platform::Entry;
+use proptest::collection::vec;
+use proptest::option::of;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::sample::select;
+use proptest::test_runner::TestCaseError;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::values::evidence;
+use crate::values::name;
+use crate::values::offset;
+use crate::values::text;
+
+/// Fields that clients of the widely known shape send, or might some day.
+const UNKNOWN: &[&str] = &["logprobs", "seed", "user", "x_trace", "type_", "", "é"];
+
+fn extra() -> impl Strategy<Value = (String, Value)> {
+    let value = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<String>().prop_map(Value::from),
+        Just(json!({"deep": [1, {"deeper": null}]})),
+    ];
+    (select(UNKNOWN).prop_map(String::from), value)
+}
+
+/// Adds a field to every object.
+fn grow(value: &mut Value, (field, added): &(String, Value)) {
+    match value {
+        Value::Array(items) => items
+            .iter_mut()
+            .for_each(|item| grow(item, &(field.clone(), added.clone()))),
+        Value::Object(fields) => {
+            fields
+                .values_mut()
+                .for_each(|item| grow(item, &(field.clone(), added.clone())));
+            fields.insert(field.clone(), added.clone());
+        }
+        _ => {}
+    }
+}
+
+/// A message is read back, with and without fields that are not known here.
+fn returns<T>(message: &T, extra: &(String, Value)) -> Result<(), TestCaseError>
+where
+    T: Debug + PartialEq + Serialize + DeserializeOwned,
+{
+    let plain = serde_json::to_string(message).unwrap();
+    prop_assert_eq!(&serde_json::from_str::<T>(&plain).unwrap(), message);
+    let mut value = serde_json::to_value(message).unwrap();
+    grow(&mut value, extra);
+    let grown: T = serde_json::from_str(&value.to_string()).unwrap();
+    prop_assert_eq!(&grown, message);
+    Ok(())
+}
+
+fn message() -> impl Strategy<Value = Message> {
+    (text(), any::<String>()).prop_map(|(role, content)| Message { role, content })
+}
+
+fn chat() -> impl Strategy<Value = Chat> {
+    let temperature = of((0_u16..200).prop_map(|hundredths| f32::from(hundredths) / 100.0));
+    (
+        text(),
+        vec(message(), 0..4),
+        any::<bool>(),
+        of(any::<u64>()),
+        temperature,
+    )
+        .prop_map(|(model, messages, stream, max_tokens, temperature)| Chat {
+            model,
+            messages,
+            stream,
+            max_tokens,
+            temperature,
+        })
+}
+
+fn usage() -> impl Strategy<Value = Usage> {
+    any::<(u32, u32)>().prop_map(|(prompt, generated)| Usage {
+        prompt_tokens: prompt.into(),
+        completion_tokens: generated.into(),
+        total_tokens: u64::from(prompt) + u64::from(generated),
+    })
+}
+
+fn completion() -> impl Strategy<Value = Completion> {
+    let choice =
+        (any::<u32>(), message(), text()).prop_map(|(index, message, finish_reason)| Choice {
+            index,
+            message,
+            finish_reason,
+        });
+    (text(), any::<u64>(), text(), vec(choice, 0..3), usage()).prop_map(
+        |(id, created, model, choices, usage)| Completion {
+            id,
+            object: "chat.completion".into(),
+            created,
+            model,
+            choices,
+            usage,
+        },
+    )
+}
+
+fn chunk() -> impl Strategy<Value = Chunk> {
+    let piece =
+        (of(text()), of(any::<String>())).prop_map(|(role, content)| Piece { role, content });
+    let delta = (any::<u32>(), piece, of(text())).prop_map(|(index, delta, finish_reason)| Delta {
+        index,
+        delta,
+        finish_reason,
+    });
+    (text(), any::<u64>(), text(), vec(delta, 0..3), of(usage())).prop_map(
+        |(id, created, model, choices, usage)| Chunk {
+            id,
+            object: "chat.completion.chunk".into(),
+            created,
+            model,
+            choices,
+            usage,
+        },
+    )
+}
+
+fn failure() -> impl Strategy<Value = Failure> {
+    let run = select(&[Run::NotRun, Run::Ran, Run::Unknown][..]);
+    (text(), text(), any::<String>(), run).prop_map(|(kind, code, message, run)| Failure {
+        error: Error {
+            kind,
+            code,
+            message,
+            run,
+        },
+    })
+}
+
+fn load() -> impl Strategy<Value = Load> {
+    let counts = any::<(u64, u32, u32, u32, u64)>();
+    (name(), counts, vec(name(), 0..4), any::<bool>()).prop_map(
+        |(endpoint, counts, versions, leaving)| Load {
+            endpoint,
+            incarnation: counts.0,
+            running: counts.1,
+            waiting: counts.2,
+            batch: counts.3,
+            age_ms: counts.4,
+            versions,
+            leaving,
+        },
+    )
+}
+
+fn cache() -> impl Strategy<Value = Cache> {
+    let event = any::<(u64, u64, bool)>().prop_map(|(sequence, prefix, added)| Event {
+        sequence,
+        prefix,
+        added,
+    });
+    (any::<u64>(), vec(event, 0..4)).prop_map(|(sequence, events)| Cache { sequence, events })
+}
+
+fn batch() -> impl Strategy<Value = Batch> {
+    let wall = || any::<u64>().prop_map(Wall::from_millis);
+    let entry = (offset(), wall(), any::<String>()).prop_map(|(offset, at, record)| Entry {
+        offset,
+        at,
+        record,
+    });
+    (vec(entry, 0..4), offset(), offset(), wall()).prop_map(|(records, next, end, now)| Batch {
+        records,
+        next,
+        end,
+        now,
+    })
+}
+
+fn state() -> impl Strategy<Value = State> {
+    let head = (name(), name(), any::<bool>(), offset(), any::<u64>());
+    (head, vec(evidence(), 0..4)).prop_map(|(head, evidence)| State {
+        node: head.0,
+        zone: head.1,
+        ready: head.2,
+        offset: head.3,
+        age_ms: head.4,
+        evidence,
+    })
+}
+
+proptest! {
+    #[test]
+    fn callers_messages_are_read_back(chat in chat(), completion in completion(), chunk in chunk(), failure in failure(), extra in extra()) {
+        returns(&chat, &extra)?;
+        returns(&completion, &extra)?;
+        returns(&chunk, &extra)?;
+        returns(&failure, &extra)?;
+    }
+
+    #[test]
+    fn endpoints_and_platforms_messages_are_read_back(load in load(), cache in cache(), batch in batch(), state in state(), extra in extra()) {
+        returns(&load, &extra)?;
+        returns(&cache, &extra)?;
+        returns(&batch, &extra)?;
+        returns(&state, &extra)?;
+    }
+
+    /// Client libraries leave out what they have no word on, or send null for it.
+    #[test]
+    fn a_call_needs_its_model_and_messages_only(chat in chat(), left in any::<[Option<bool>; 3]>()) {
+        let mut value = serde_json::to_value(&chat).unwrap();
+        let mut wanted = chat;
+        let optional = ["stream", "max_tokens", "temperature"];
+        for (field, sent) in optional.into_iter().zip(left) {
+            match sent {
+                Some(true) => continue,
+                Some(false) => value[field] = Value::Null,
+                None => drop(value.as_object_mut().unwrap().remove(field)),
+            }
+            wanted.stream &= field != "stream";
+            wanted.max_tokens = wanted.max_tokens.filter(|_| field != "max_tokens");
+            wanted.temperature = wanted.temperature.filter(|_| field != "temperature");
+        }
+        let read: Chat = serde_json::from_value(value).unwrap();
+        prop_assert_eq!(read, wanted);
+    }
+}
