platform: imports in three groups, and links of the docs

The import check names blank lines between crate and own module, and the docs had a link that does not resolve. Joins the groups, mends the link and says in one paragraph what the crate is for. Ruled out: allowing a fourth group.

--- a/crates/platform/src/appender.rs
+++ b/crates/platform/src/appender.rs
@@ -23,13 +23,12 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::http;
-use crate::log::Error;
-use crate::log::Log;
-
 use self::entry::Entry;
 use self::entry::Progress;
 use self::worker::Worker;
+use crate::http;
+use crate::log::Error;
+use crate::log::Log;
 
 /// Settings of an [`Appender`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/platform/src/appender/worker.rs
+++ b/crates/platform/src/appender/worker.rs
@@ -9,13 +9,12 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::backoff::Backoff;
-use crate::log::Error;
-use crate::log::Log;
-
 use super::Closed;
 use super::Settings;
 use super::entry::Entry;
+use crate::backoff::Backoff;
+use crate::log::Error;
+use crate::log::Log;
 
 /// The worker of one stream.
 pub(super) struct Worker<L> {
--- a/crates/platform/src/configuration.rs
+++ b/crates/platform/src/configuration.rs
@@ -23,14 +23,13 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::reader::Reader;
 use crate::appender::Appender;
 use crate::follower::Follower;
 use crate::log::Log;
 use crate::mesh::Fresh;
 use crate::mesh::Mesh;
 
-use self::reader::Reader;
-
 /// Who reads the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Tail {
--- a/crates/platform/src/configuration/tasks.rs
+++ b/crates/platform/src/configuration/tasks.rs
@@ -15,15 +15,14 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use super::Shared;
+use super::Tail;
 use crate::appender::Appender;
 use crate::mesh::Duty;
 use crate::mesh::Fresh;
 use crate::mesh::Mesh;
 use crate::mesh::Peer;
 
-use super::Shared;
-use super::Tail;
-
 /// Time between looks at ages, which change without an event.
 const TICK: Duration = Duration::from_secs(1);
 /// How long an append of a checkpoint is tried. The next look tries again.
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,8 +1,9 @@
-//! Clients of the platform's services behind small traits, the appender and the follower.
+//! Clients of the platform's services behind small traits, and what every node keeps by them.
 //!
-//! [`log::Log`], [`vms::List`], [`weights::Store`] and [`rating::Rater`] are the interfaces; each has an HTTP
-//! client. The appender joins records into few appends; the follower tails a stream, takes state
-//! from checkpoints and peers, and never goes back.
+//! [`log::Log`], [`vms::List`], [`weights::Store`] and [`rating::Rater`] are the interfaces; each has
+//! an HTTP client. The [`Appender`] joins records into few appends, the [`Follower`] folds a stream
+//! into a view, the [`configuration::Source`] keeps what is in force and never goes back, and the
+//! [`Mesh`] lets nodes help each other while the platform is out.
 
 pub mod appender;
 mod backoff;
--- a/crates/platform/src/mesh/config.rs
+++ b/crates/platform/src/mesh/config.rs
@@ -10,7 +10,7 @@
 use super::Error;
 use super::SettingSnafu;
 
-/// Settings of a [`Mesh`].
+/// Settings of a [`super::Mesh`].
 #[derive(Debug, Clone)]
 pub struct Settings {
     /// This node.
