entry: prove resuming and the withheld last byte

Taking safeguards out one by one on a scratch copy showed that leaving out the resume made no test fail, as a deterministic answer is told again from its start. New tests: an answer drawn at random is resumed and not begun twice; without a second holder of the bill neither last piece nor end mark reaches the caller. Ruled out: making retries of such answers impossible in the test by budgets.

--- a/crates/entry/tests/all/faults.rs
+++ b/crates/entry/tests/all/faults.rs
@@ -242,3 +242,55 @@
     }
     assert_eq!(world.engines[1].site.stats().started, before + asked);
 }
+
+/// The answer is drawn at random, so that another attempt would tell it differently. After a cut the
+/// same attempt is resumed at the same engine, and no second one is begun.
+#[tokio::test]
+async fn an_answer_that_is_not_deterministic_is_resumed_and_not_told_again() {
+    let world = World::start(2).await;
+    let entry = world.entry("entry-1").await;
+    for engine in &world.engines {
+        engine.faults.rules(first(Action::Cut { after: 7 }));
+    }
+    let body = serde_json::json!({
+        "model": "stock",
+        "messages": [{"role": "user", "content": PROMPT}],
+        "stream": true,
+        "temperature": 0.9,
+    });
+    let answer = entry.chat(PROMPT, true).body(body.to_string()).send().await;
+    assert!(answer.whole_stream(), "{:?}", answer.events());
+    assert_eq!(world.started(), 1);
+    let stats = world.engines.iter().map(|engine| engine.site.stats());
+    assert_eq!(stats.map(|stats| stats.resumed).sum::<u64>(), 1);
+}
+
+/// No peer and no log can take a copy of the bill. The last piece and the end mark are withheld: had
+/// the caller got them and this VM been lost, the answer would never be billed.
+#[tokio::test]
+async fn without_a_second_holder_of_the_bill_the_last_byte_is_withheld() {
+    let world = World::start(1).await;
+    let settings = [("bill-timeout", "500ms")];
+    let entry = world.entry_with("entry-1", &settings).await;
+    let refused = Action::Refuse {
+        status: 503,
+        retry_after: Some(1),
+        run: None,
+    };
+    world
+        .log
+        .faults
+        .rules([Rule::new(refused).on("POST", "/streams/usage")]);
+    for stream in [true, false] {
+        let answer = entry.chat(PROMPT, stream).send().await;
+        assert!(!answer.whole_stream());
+        let failure = if answer.status == StatusCode::OK {
+            serde_json::from_str(answer.events().last().unwrap()).unwrap()
+        } else {
+            answer.failure()
+        };
+        assert_eq!(failure.error.code, "bills_unavailable", "{answer:?}");
+        assert_eq!(failure.error.run, Run::Ran);
+    }
+    assert!(world.bills().is_empty());
+}
