contract: one place for names that tables define or refer to

Cause: the raw reader noted a defined name in four places and a name referred to in four, each with the same lines; a list was sorted in two. Change: raw::names reads and notes them; the tables name key and kind of subject. Ruled out: a macro over the tables, which would hide the order in which findings come.

--- a/crates/contract/src/raw.rs
+++ b/crates/contract/src/raw.rs
@@ -8,6 +8,7 @@
 mod contract;
 mod finding;
 mod links;
+mod names;
 mod platform;
 mod table;
 
--- a/crates/contract/src/raw/contract.rs
+++ b/crates/contract/src/raw/contract.rs
@@ -7,12 +7,15 @@
 
 use super::Draft;
 use super::links::Link;
-use super::table::Placed;
+use super::names::all_referred;
+use super::names::defined;
+use super::names::sorted;
 use super::table::Table;
 use crate::change::Subject;
 use crate::change::Value;
 use crate::contract::Class;
 use crate::contract::Contract;
+use crate::contract::Key;
 use crate::contract::Spend;
 
 /// The name by which callers ask for the contract's first class; no class may be called so.
@@ -26,24 +29,19 @@
 
 /// Reads one contract.
 pub(super) fn contract(mut table: Table<'_, '_>, draft: &mut Draft) {
-    let customer = table.text::<id::Customer>("customer");
-    let subject = customer
-        .as_ref()
-        .map(|customer| Subject::Contract(customer.value.clone()));
-    if let Some(subject) = &subject {
-        draft.define(subject.clone(), table.place().clone());
-    }
+    let customer = defined(&mut table, "customer", draft, Subject::Contract);
+    let subject = customer.clone().map(Subject::Contract);
     let keys = keys(&mut table, draft, subject.as_ref());
     let weight = table.number_or("weight", 1, DEFAULT_WEIGHT);
     let spend = table.table("spend").and_then(spend);
-    let services = services(&mut table, draft);
+    let services = all_referred(&mut table, "services", draft, Subject::Service);
     let classes = classes(&mut table, draft);
     table.finish();
     let (Some(customer), Some(weight), Some(spend)) = (customer, weight, spend) else {
         return;
     };
     draft.values.push(Value::Contract(Contract {
-        customer: customer.value,
+        customer,
         keys,
         weight,
         spend,
@@ -52,11 +50,7 @@
     }));
 }
 
-fn keys(
-    table: &mut Table<'_, '_>,
-    draft: &mut Draft,
-    owner: Option<&Subject>,
-) -> Vec<crate::contract::Key> {
+fn keys(table: &mut Table<'_, '_>, draft: &mut Draft, owner: Option<&Subject>) -> Vec<Key> {
     let keys = table.texts("keys");
     if keys.is_empty() {
         table.fault("keys", "needs at least one hash of an API key");
@@ -71,22 +65,6 @@
     sorted(keys)
 }
 
-fn services(table: &mut Table<'_, '_>, draft: &mut Draft) -> Vec<id::Service> {
-    let services = table.texts::<id::Service>("services");
-    for service in &services {
-        let subject = Subject::Service(service.value.clone());
-        draft.refer(Link::subject(subject, &service.place));
-    }
-    sorted(services)
-}
-
-fn sorted<T: Ord>(items: Vec<Placed<T>>) -> Vec<T> {
-    let mut values: Vec<T> = items.into_iter().map(|placed| placed.value).collect();
-    values.sort();
-    values.dedup();
-    values
-}
-
 fn spend(mut table: Table<'_, '_>) -> Option<Spend> {
     let limit = table.text::<Money>("limit");
     let period = positive(&mut table, "period");
@@ -157,13 +135,9 @@
 }
 
 fn versions(table: &mut Table<'_, '_>, draft: &mut Draft) -> Vec<id::Version> {
-    let versions = table.texts::<id::Version>("versions");
+    let versions = all_referred(table, "versions", draft, Subject::Version);
     if versions.is_empty() {
         table.fault("versions", "needs at least one version");
     }
-    for version in &versions {
-        let subject = Subject::Version(version.value.clone());
-        draft.refer(Link::subject(subject, &version.place));
-    }
-    sorted(versions)
+    versions
 }
--- a/crates/contract/src/raw/platform.rs
+++ b/crates/contract/src/raw/platform.rs
@@ -7,11 +7,12 @@
 use pimento_units::Money;
 use pimento_units::Share;
 use pimento_units::Span;
-use pimento_units::id;
 
 use super::Draft;
 use super::contract::positive;
-use super::links::Link;
+use super::names::defined;
+use super::names::referred;
+use super::names::sorted;
 use super::table::Table;
 use crate::change::Subject;
 use crate::change::Value;
@@ -64,6 +65,7 @@
     "done" => rollout::Status::Done);
 
 /// An HTTP method in upper case.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
 struct Method(CompactString);
 
 impl FromStr for Method {
@@ -79,27 +81,18 @@
 /// Reads one pool. An engine is taken to ignore fencing numbers unless its pool says otherwise,
 /// since the opposite mistake lets two holders order at once.
 pub(super) fn pool(mut table: Table<'_, '_>, draft: &mut Draft) {
-    let name = table.text::<id::Pool>("name");
+    let name = defined(&mut table, "name", draft, Subject::Pool);
     let fencing = table.text_or("fencing", Choice(Fencing::Ignores));
-    if let Some(name) = &name {
-        let subject = Subject::Pool(name.value.clone());
-        draft.define(subject, table.place().clone());
-    }
     table.finish();
     if let (Some(name), Some(Choice(fencing))) = (name, fencing) {
-        let name = name.value;
         draft.values.push(Value::Pool(Pool { name, fencing }));
     }
 }
 
 /// Reads one version.
 pub(super) fn version(mut table: Table<'_, '_>, draft: &mut Draft) {
-    let id = table.text::<id::Version>("id");
-    if let Some(id) = &id {
-        let subject = Subject::Version(id.value.clone());
-        draft.define(subject, table.place().clone());
-    }
-    let pool = pool_of(&mut table, draft);
+    let id = defined(&mut table, "id", draft, Subject::Version);
+    let pool = referred(&mut table, "pool", draft, Subject::Pool);
     let price = table.table("price").and_then(price);
     let quality = table.share("quality");
     let status = table.text_or("status", Choice(version::Status::Serving));
@@ -111,7 +104,7 @@
         return;
     };
     draft.values.push(Value::Version(Version {
-        id: id.value,
+        id,
         pool,
         price,
         quality,
@@ -119,13 +112,6 @@
     }));
 }
 
-fn pool_of(table: &mut Table<'_, '_>, draft: &mut Draft) -> Option<id::Pool> {
-    let pool = table.text::<id::Pool>("pool")?;
-    let subject = Subject::Pool(pool.value.clone());
-    draft.refer(Link::subject(subject, &pool.place));
-    Some(pool.value)
-}
-
 fn price(mut table: Table<'_, '_>) -> Option<Price> {
     let input = table.text::<Money>("input");
     let output = table.text::<Money>("output");
@@ -138,20 +124,14 @@
 
 /// Reads one plain service. No method is repeatable unless it is listed.
 pub(super) fn service(mut table: Table<'_, '_>, draft: &mut Draft) {
-    let name = table.text::<id::Service>("name");
-    if let Some(name) = &name {
-        let subject = Subject::Service(name.value.clone());
-        draft.define(subject, table.place().clone());
-    }
-    let pool = pool_of(&mut table, draft);
+    let name = defined(&mut table, "name", draft, Subject::Service);
+    let pool = referred(&mut table, "pool", draft, Subject::Pool);
     let methods = table.texts::<Method>("repeatable");
     let claims = table.text_or("claims", Choice(Claims::Log));
     let price = table.text_or("price", Money::ZERO);
     let timeout = positive(&mut table, "timeout");
     table.finish();
-    let mut repeatable: Vec<CompactString> = methods.into_iter().map(|m| m.value.0).collect();
-    repeatable.sort();
-    repeatable.dedup();
+    let repeatable = sorted(methods).into_iter().map(|method| method.0).collect();
     let (Some(name), Some(pool), Some(Choice(claims))) = (name, pool, claims) else {
         return;
     };
@@ -159,7 +139,7 @@
         return;
     };
     draft.values.push(Value::Service(Service {
-        name: name.value,
+        name,
         pool,
         repeatable,
         claims,
@@ -170,8 +150,8 @@
 
 /// Reads one roll-out.
 pub(super) fn rollout(mut table: Table<'_, '_>, draft: &mut Draft) {
-    let from = version_of(&mut table, "from", draft);
-    let to = version_of(&mut table, "to", draft);
+    let from = referred(&mut table, "from", draft, Subject::Version);
+    let to = referred(&mut table, "to", draft, Subject::Version);
     if let Some(to) = &to {
         draft.define(Subject::Rollout(to.clone()), table.place().clone());
     }
@@ -207,17 +187,6 @@
     }));
 }
 
-fn version_of(
-    table: &mut Table<'_, '_>,
-    key: &'static str,
-    draft: &mut Draft,
-) -> Option<id::Version> {
-    let version = table.text::<id::Version>(key)?;
-    let subject = Subject::Version(version.value.clone());
-    draft.refer(Link::subject(subject, &version.place));
-    Some(version.value)
-}
-
 fn check_stages(table: &Table<'_, '_>, stages: &[Share]) {
     let rising = stages.is_sorted_by(|a, b| a < b);
     let begins = stages.first().is_some_and(|first| *first > Share::ZERO);
