platform: tests no longer meet each other on ports given back

peer_that_can_not_be_called_is_suspected failed once: it gave back a port to have one that refuses, and another test's node of the same key took it. Addresses that refuse are bound and not listened on now, and each test's nodes have a key of their own by the test's thread. Ruled out: fixed ports, which collide with other programs.

--- a/crates/platform/tests/forward.rs
+++ b/crates/platform/tests/forward.rs
@@ -16,11 +16,11 @@
 use pimento_platform::mesh::Duty;
 use pimento_platform::mesh::Handler;
 use pimento_platform::mesh::Listener;
-use pimento_wire::frame::Key;
 use pimento_wire::peer::Answer;
 use pimento_wire::peer::Call;
 use support::bound;
 use support::eventually;
+use support::key;
 use support::memory::Fault;
 use support::memory::Memory;
 use tokio::time::Instant;
@@ -46,9 +46,8 @@
 
 async fn bind(name: &str, seeds: &[Node], token: &CancellationToken) -> (Mesh, Listener) {
     let listen = "127.0.0.1:0".parse().unwrap();
-    let key = Key::derive("test");
     let zone = "trebon".parse().unwrap();
-    let mut settings = mesh::Settings::new(name.parse().unwrap(), zone, listen, key);
+    let mut settings = mesh::Settings::new(name.parse().unwrap(), zone, listen, key());
     settings.seeds = seeds.iter().map(|node| node.mesh.address()).collect();
     settings.interval = Duration::from_millis(20);
     settings.silence = Duration::from_millis(600);
--- a/crates/platform/tests/mesh.rs
+++ b/crates/platform/tests/mesh.rs
@@ -22,14 +22,14 @@
 use pimento_wire::peer::Departure;
 use pimento_wire::peer::Heartbeat;
 use support::eventually;
+use support::key;
+use support::nobody;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
-const KEY: &str = "test";
-
 /// Answers a fetch by nothing, a pull by its own node's refusal, and takes the rest.
 struct Echo(id::Node);
 
@@ -47,8 +47,7 @@
 
 fn settings(node: &str, zone: &str, seeds: &[SocketAddr]) -> Settings {
     let listen = "127.0.0.1:0".parse().unwrap();
-    let key = Key::derive(KEY);
-    let mut settings = Settings::new(node.parse().unwrap(), zone.parse().unwrap(), listen, key);
+    let mut settings = Settings::new(node.parse().unwrap(), zone.parse().unwrap(), listen, key());
     settings.seeds = seeds.to_vec();
     settings.interval = Duration::from_millis(20);
     settings.silence = Duration::from_millis(600);
@@ -178,8 +177,8 @@
     }
 }
 
-fn seal(beat: &Heartbeat, key: &str) -> Vec<u8> {
-    let frame = Frame::seal(beat, &Key::derive(key), MAX_DATAGRAM).unwrap();
+fn seal(beat: &Heartbeat, key: &Key) -> Vec<u8> {
+    let frame = Frame::seal(beat, key, MAX_DATAGRAM).unwrap();
     frame.bytes().to_vec()
 }
 
@@ -193,15 +192,15 @@
 #[tokio::test]
 async fn late_heartbeat_changes_nothing() {
     let a = start(settings("a", "trebon", &[])).await;
-    send(&a, &seal(&heartbeat("x", 7, 70), KEY)).await;
+    send(&a, &seal(&heartbeat("x", 7, 70), &key())).await;
     names(&a, &["x"]).await;
     for (sequence, offset) in [(7, 10), (6, 90), (0, 20)] {
-        send(&a, &seal(&heartbeat("x", sequence, offset), KEY)).await;
+        send(&a, &seal(&heartbeat("x", sequence, offset), &key())).await;
     }
-    send(&a, &seal(&heartbeat("y", 1, 0), KEY)).await;
+    send(&a, &seal(&heartbeat("y", 1, 0), &key())).await;
     names(&a, &["x", "y"]).await;
     assert_eq!(peer(&a, "x").await.offset, Offset(70));
-    send(&a, &seal(&heartbeat("x", 8, 80), KEY)).await;
+    send(&a, &seal(&heartbeat("x", 8, 80), &key())).await;
     eventually("the newer word", async || {
         (peer(&a, "x").await.offset == Offset(80)).then_some(())
     })
@@ -213,12 +212,12 @@
 #[tokio::test]
 async fn bad_datagrams_are_dropped_and_counted() {
     let a = start(settings("a", "trebon", &[])).await;
-    let good = seal(&heartbeat("x", 1, 0), KEY);
+    let good = seal(&heartbeat("x", 1, 0), &key());
     let mut damaged = good.clone();
     *damaged.last_mut().unwrap() ^= 1;
-    let kind = Frame::seal(&u8::MAX, &Key::derive(KEY), MAX_DATAGRAM).unwrap();
+    let kind = Frame::seal(&u8::MAX, &key(), MAX_DATAGRAM).unwrap();
     let bad = [
-        seal(&heartbeat("x", 1, 0), "another"),
+        seal(&heartbeat("x", 1, 0), &Key::derive("another")),
         damaged,
         good[..10].to_vec(),
         Vec::new(),
@@ -251,13 +250,13 @@
 async fn bad_calls_are_dropped_and_counted() {
     let a = start(settings("a", "trebon", &[])).await;
     let call = Call::Pull { offset: Offset(0) };
-    let seal = |key: &str| Frame::seal(&call, &Key::derive(key), MAX_BODY).unwrap();
+    let other = Key::derive("another");
     let too_long = u32::try_from(MAX_BODY + 1).unwrap().to_le_bytes().to_vec();
     let bad = [
-        framed(&seal("another")),
+        framed(&Frame::seal(&call, &other, MAX_BODY).unwrap()),
         too_long,
         5_u32.to_le_bytes().into_iter().chain([0; 5]).collect(),
-        framed(&Frame::seal(&u8::MAX, &Key::derive(KEY), MAX_BODY).unwrap()),
+        framed(&Frame::seal(&u8::MAX, &key(), MAX_BODY).unwrap()),
     ];
     for bytes in &bad {
         let mut stream = TcpStream::connect(a.address()).await.unwrap();
@@ -287,7 +286,7 @@
         node: "x".parse().unwrap(),
         requests: Vec::new(),
     };
-    let frame = framed(&Frame::seal(&call, &Key::derive(KEY), MAX_BODY).unwrap());
+    let frame = framed(&Frame::seal(&call, &key(), MAX_BODY).unwrap());
     let mut stream = TcpStream::connect(a.address()).await.unwrap();
     stream.write_all(&frame[..frame.len() - 1]).await.unwrap();
     drop(stream);
@@ -340,18 +339,16 @@
 async fn peer_that_can_not_be_called_is_suspected() {
     let a = start(settings("a", "trebon", &[])).await;
     let mut beat = heartbeat("x", 1, 0);
-    let nobody = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = nobody.local_addr().unwrap();
-    drop(nobody);
+    let (_bound, address) = nobody();
     beat.address = address.to_string().into();
-    send(&a, &seal(&beat, KEY)).await;
+    send(&a, &seal(&beat, &key())).await;
     let x = peer(&a, "x").await;
     let call = Call::Pull { offset: Offset(0) };
     let error = a.call(&x, call).await.unwrap_err();
     assert!(matches!(error, mesh::Error::Unreachable { .. }), "{error}");
     assert_eq!(a.peers(), []);
     beat.sequence = 2;
-    send(&a, &seal(&beat, KEY)).await;
+    send(&a, &seal(&beat, &key())).await;
     names(&a, &["x"]).await;
 }
 
--- a/crates/platform/tests/remote.rs
+++ b/crates/platform/tests/remote.rs
@@ -17,6 +17,7 @@
 use pimento_units::Offset;
 use pimento_wire::platform::Fetch;
 use pimento_wire::platform::Rate;
+use support::nobody;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -60,12 +61,6 @@
     ))
 }
 
-/// An address that refuses connections.
-async fn nobody() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    listener.local_addr().unwrap()
-}
-
 /// What a client made of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Seen {
@@ -151,8 +146,9 @@
     for (what, bytes, expected) in cases {
         assert_eq!(append(serve(bytes).await).await, expected, "{what}");
     }
+    let (_bound, address) = nobody();
     assert!(
-        matches!(append(nobody().await).await, Seen::Refused(_)),
+        matches!(append(address).await, Seen::Refused(_)),
         "no connection"
     );
 }
--- a/crates/platform/tests/support/nodes.rs
+++ b/crates/platform/tests/support/nodes.rs
@@ -23,13 +23,13 @@
 use pimento_units::Revision;
 use pimento_units::Wall;
 use pimento_units::id;
-use pimento_wire::frame::Key;
 use pimento_wire::peer::Answer;
 use pimento_wire::peer::Call;
 use tokio_util::sync::CancellationToken;
 use uuid::Uuid;
 
 use super::eventually;
+use super::key;
 use super::memory::Memory;
 use super::relay::Relay;
 
@@ -97,7 +97,7 @@
         let listen = "127.0.0.1:0".parse().unwrap();
         let name = self.name.parse().unwrap();
         let zone = self.zone.parse().unwrap();
-        let mut settings = mesh::Settings::new(name, zone, listen, Key::derive("test"));
+        let mut settings = mesh::Settings::new(name, zone, listen, key());
         settings.advertise = Some(relay.address);
         settings.seeds = self.seeds;
         settings.interval = self.interval;
