Put the rest of the decisions under load to work on the request path

Cause: returning callers, the Retry-After of those given up in the queue, probes, free repeats of what reached no endpoint and giving up on a silent engine were decided in the policy crate and called by nobody. A long request at a hung engine waited for half of its caller's time. Change: Gate::welcome for request ids made more than a second ago, Gate::again where a wait ends in vain, a due probe before any other choice for calls that may be sent twice, retry::elsewhere for unreachable endpoints, hedge::silence where the budgets pay for the retry. Ruled out: probing with calls that may not be repeated.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -164,6 +164,8 @@
             version: None,
             prefix: None,
             tried: trace.tried.clone(),
+            returning: call.identity.returning,
+            repeatable: call.repeatable,
         },
         gone: &call.identity.gone,
     };
@@ -241,6 +243,9 @@
         run: pool.run(None, WORK),
         deadline: call.identity.deadline,
     };
+    if matches!(fault, Fault::Unreachable { .. }) {
+        return retry::elsewhere(failure, now);
+    }
     node.retries
         .again(&call.customer, &call.service.pool, failure, now)
 }
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -2,6 +2,11 @@
 
 mod opened;
 
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
 use futures::future::Either;
 use pimento_contract::Version;
 use pimento_endpoint::Fault;
@@ -52,6 +57,8 @@
     pub delivery: &'a mut Delivery,
     /// What was done so far.
     pub trace: &'a mut Trace,
+    /// Whether the next attempt is paid for already, by one that was given up for its silence.
+    pub paid: Arc<AtomicBool>,
 }
 
 /// Why a version gave no answer.
@@ -65,7 +72,7 @@
     Failed(Fault),
 }
 
-impl Attempt<'_> {
+impl<'a> Attempt<'a> {
     /// Asks until there is a whole answer, or no further attempt is allowed.
     ///
     /// # Errors
@@ -127,6 +134,8 @@
             version: Some(ask.version.clone()),
             prefix: beginning.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
             tried: ask.trace.tried.clone(),
+            returning: request.identity.returning,
+            repeatable: true,
         }
     }
 
@@ -173,6 +182,12 @@
             run: pool.run(Some(ask.version), self.tokens(ask)),
             deadline: request.identity.deadline,
         };
+        if ask.paid.swap(false, Ordering::Relaxed) {
+            return ask.trace.attempts < retry::ATTEMPTS;
+        }
+        if matches!(fault, Fault::Unreachable { .. }) {
+            return retry::elsewhere(failure, now);
+        }
         node.retries
             .again(&request.customer, ask.pool, failure, now)
     }
@@ -287,19 +302,47 @@
         paid.then_some(permit)
     }
 
+    /// Waits until an attempt without a first piece is to be given up. An engine that hangs would
+    /// hold a request for half of its caller's time. But a full pool in a burst is silent, too, and
+    /// giving up for nothing is an error to a caller who would have been served: so before the last
+    /// moment only if the retry budgets pay for another attempt.
+    fn patience(&self, ask: &Ask<'_>) -> impl Future<Output = ()> + use<'a> {
+        let node = self.0;
+        let now = node.clock.now();
+        let left = ask.request.identity.deadline.since(now);
+        // Half of the time is left for another engine if this one never begins.
+        let longest = (left / 2).max(node.config.stall_timeout).min(left);
+        let silence = node.retries.silence(ask.version);
+        let silence = silence.filter(|silence| *silence < longest && ask.trace.attempts <= 1);
+        let last = node.clock.instant(now + longest);
+        let early = silence.map(|silence| node.clock.instant(now + silence));
+        let customer = ask.request.customer.clone();
+        let pool = ask.pool.clone();
+        let paid = Arc::clone(&ask.paid);
+        async move {
+            if let Some(early) = early {
+                tokio::time::sleep_until(early).await;
+                if node.retries.hedge(&customer, &pool, node.clock.now()) {
+                    paid.store(true, Ordering::Relaxed);
+                    return;
+                }
+            }
+            tokio::time::sleep_until(last).await;
+        }
+    }
+
     /// Sends the call and waits for the first piece. Borrows nothing of the delivery, so that two
     /// of these can run side by side.
     fn open(
         &self,
         permit: Permit,
         ask: &Ask<'_>,
-    ) -> impl Future<Output = Result<Opened, Fault>> + use<> {
+    ) -> impl Future<Output = Result<Opened, Fault>> + use<'a> {
         let node = self.0;
         let now = node.clock.now();
         let deadline = ask.request.identity.deadline;
         let left = deadline.since(now);
-        // Half of the time is left for another engine if this one never begins.
-        let patience = (left / 2).max(node.config.stall_timeout).min(left);
+        let patience = self.patience(ask);
         let mut chat = ask.request.chat.clone();
         chat.model = ask.version.as_str().into();
         chat.stream = true;
@@ -312,12 +355,11 @@
         };
         let engine = Remote::new(node.connections.clone(), permit.address());
         let abort = Abort::new(engine.clone(), call.attempt, node.tasks.clone());
-        let by = node.clock.instant(now + patience);
         async move {
             let attempt = call.attempt;
-            let result = match tokio::time::timeout_at(by, begin(&engine, call)).await {
-                Ok(result) => result,
-                Err(_) => Err(Fault::Timeout),
+            let result = tokio::select! {
+                result = begin(&engine, call) => result,
+                () = patience => Err(Fault::Timeout),
             };
             match result {
                 Ok((events, assembler, first)) => Ok(Opened {
--- a/crates/entry/src/filter/cascade.rs
+++ b/crates/entry/src/filter/cascade.rs
@@ -1,5 +1,6 @@
 //! The cascade: which version is asked, and whether its answer is good enough.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use pimento_contract::Version;
@@ -201,6 +202,7 @@
         let live = chosen.plan.release == Release::Unrated;
         work.delivery.begin(chosen.head.clone(), live);
         let mut ask = Ask {
+            paid: Arc::default(),
             request: &work.funded.bound.request,
             version: &chosen.version.id,
             pool: &chosen.version.pool,
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use pimento_contract::contract::Class;
 use pimento_units::Moment;
+use pimento_units::Wall;
 use pimento_units::id;
 use pimento_wire::border::Chat;
 use pimento_wire::header;
@@ -48,6 +49,8 @@
     pub id: id::Request,
     /// Whether the caller chose it, so that it may ask again under it.
     pub given: bool,
+    /// Whether it was made a while ago: the caller comes back with a request that was refused.
+    pub returning: bool,
     /// When it arrived.
     pub arrived: Moment,
     /// When the whole answer must be there.
@@ -208,6 +211,15 @@
     Ok(chat)
 }
 
+/// Age from which a request id tells of a second call. A first one takes less from its caller to us,
+/// and nobody is told to come back sooner.
+const RETURNS: Duration = Duration::from_secs(1);
+
+fn returns(id: id::Request, now: Wall) -> bool {
+    id.created()
+        .is_some_and(|created| now.since(created) > RETURNS)
+}
+
 /// Reads request id and deadline; `default` is the wait if the caller names none.
 ///
 /// # Errors
@@ -236,6 +248,7 @@
     Ok(Identity {
         id,
         given: given.is_some(),
+        returning: given.is_some() && returns(id, node.clock.wall()),
         arrived,
         deadline: arrived + wait.min(node.config.max_timeout),
         gone,
--- a/crates/entry/src/retries.rs
+++ b/crates/entry/src/retries.rs
@@ -62,7 +62,8 @@
         retry::again(failure, customer, pool, now)
     }
 
-    /// Takes a hedge out of both budgets, if they have it.
+    /// Takes a hedge, or a retry for an attempt that is about to be given up, out of both budgets, if
+    /// they have it.
     pub fn hedge(&self, customer: &id::Customer, pool: &id::Pool, now: Moment) -> bool {
         let inner = &mut *self.lock();
         let customer = entry(&mut inner.customers, customer, budget);
@@ -85,6 +86,14 @@
         hedge::delay(tail, attempt)
     }
 
+    /// How long an attempt may go without a first piece before it is given up, if that is paid for.
+    #[must_use]
+    pub fn silence(&self, version: &id::Version) -> Option<Duration> {
+        let inner = &mut *self.lock();
+        let tail = entry(&mut inner.tails, version, hedge::Tail::default);
+        hedge::silence(tail)
+    }
+
     /// Learns how long a first piece took.
     pub fn first(&self, version: &id::Version, took: Duration, now: Moment) {
         let inner = &mut *self.lock();
--- a/crates/entry/src/scheduler.rs
+++ b/crates/entry/src/scheduler.rs
@@ -50,6 +50,10 @@
     pub prefix: Option<u64>,
     /// Endpoints that failed this request already.
     pub tried: Vec<id::Endpoint>,
+    /// Whether the caller comes back with a request that was refused before.
+    pub returning: bool,
+    /// Whether the call may be sent twice.
+    pub repeatable: bool,
 }
 
 /// What a job waits on.
@@ -105,6 +109,7 @@
     pub async fn acquire(&self, job: Job, cancel: &CancellationToken) -> Result<Permit, Refusal> {
         let (slot, granted) = oneshot::channel();
         let version = job.version.clone();
+        let asked = job.clone();
         let (ticket, start_by) = self.enqueue(Waiter { job, slot })?;
         let _wait = Waiting {
             pool: self,
@@ -120,7 +125,7 @@
                 Err(_) => Err(nobody()),
             },
             () = cancel.cancelled() => Err(Refusal::not_run(Code::Gone, "the caller went away")),
-            () = tokio::time::sleep_until(deadline) => Err(self.late()),
+            () = tokio::time::sleep_until(deadline) => Err(self.late(&asked)),
         }
     }
 
@@ -145,8 +150,9 @@
         self.shared.lock().take(&self.shared, job, now)
     }
 
-    fn late(&self) -> Refusal {
-        let after = self.shared.lock().again();
+    fn late(&self, job: &Job) -> Refusal {
+        let now = self.shared.clock.now();
+        let after = self.shared.lock().again(job, now, rand::random());
         Refusal::not_run(Code::Overloaded, "the work could not start in time").retry_after(after)
     }
 
--- a/crates/entry/src/scheduler/inner.rs
+++ b/crates/entry/src/scheduler/inner.rs
@@ -128,6 +128,9 @@
         random: u64,
     ) -> admission::Verdict {
         let station = self.station(job.version.as_ref());
+        if job.returning {
+            return station.gate.welcome(demand, now, random);
+        }
         station.gate.decide(demand, now, random)
     }
 
@@ -153,13 +156,14 @@
         }
     }
 
-    /// When a job that was given up on may come back: as long as the longest queue lasts.
-    pub fn again(&self) -> Duration {
-        let depths = self.stations.iter().map(|station| {
-            let slots: u32 = self.slots(station.version.as_ref());
-            station.gate.wait(station.queue.backlog(), slots)
-        });
-        depths.max().unwrap_or_default().max(Duration::from_secs(1))
+    /// When a job that was given up on may come back: once the work ahead of it has drained, each
+    /// one at a time of its own.
+    pub fn again(&mut self, job: &Job, now: Moment, random: u64) -> Duration {
+        let Some(demand) = self.demand(job, now) else {
+            return FIRST_RUN;
+        };
+        let station = self.station(job.version.as_ref());
+        station.gate.again(demand, now, random)
     }
 
     fn slots(&self, version: Option<&id::Version>) -> u32 {
@@ -254,7 +258,9 @@
         for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
             candidate.usable &= !job.tried.contains(&seat.member.endpoint);
         }
-        let chosen = choice::choose(&candidates, job.prefix, random, &self.choice)
+        let chosen = self
+            .probe(&candidates, job, now)
+            .or_else(|| choice::choose(&candidates, job.prefix, random, &self.choice))
             .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))?;
         let seat = &mut self.seats[chosen];
         if !seat.limiter.acquire() {
@@ -272,6 +278,19 @@
         Some(Permit::new(Arc::clone(shared), slot))
     }
 
+    /// The endpoint that is due for a probe, if this job may be one: a call that may be sent twice.
+    /// By choice alone an endpoint that was out would be tried late, or by many calls at once.
+    fn probe(&self, candidates: &[choice::Candidate], job: &Job, now: Moment) -> Option<usize> {
+        if !job.repeatable || self.health.out() == 0 {
+            return None;
+        }
+        let due = self.health.due(now)?;
+        let place = self.seats.iter().position(|s| &s.member.endpoint == due)?;
+        let candidate = &candidates[place];
+        let room = self.seats[place].limiter.room() > 0;
+        (candidate.usable && room).then_some(place)
+    }
+
     fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
         let usual = self.health.median();
         let candidate = |seat: &Seat| {
--- a/crates/entry/tests/all/faults.rs
+++ b/crates/entry/tests/all/faults.rs
@@ -243,6 +243,34 @@
     assert_eq!(world.engines[1].site.stats().started, before + asked);
 }
 
+/// One engine hangs. A long request is not hedged; without a first piece for much longer than usual it
+/// is given up and made again at the other engine, if the retry budgets pay for that. Its caller
+/// would else wait for half of an hour, the time that it gave.
+#[tokio::test]
+async fn a_long_request_at_a_hung_engine_is_made_again() {
+    let world = World::start(2).await;
+    let settings = [("stall-timeout", "1h")];
+    let entry = world.entry_with("entry-1", &settings).await;
+    for number in 0..30 {
+        let prompt = format!("warm up {number}: answer in 3 tokens");
+        let answer = entry.chat(&prompt, false).send().await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    world.engines[0]
+        .faults
+        .rules([Rule::new(Action::Hang).on("POST", CHAT)]);
+    let mut asked = 0;
+    while world.engines[0].faults.table().rules[0].hits == 0 {
+        let long = "drum ".repeat(6_000);
+        let prompt = format!("review {asked}: answer in 3 tokens. {long}");
+        let ask = entry.chat(&prompt, false);
+        let answer = ask.header("request-timeout", "3600").send().await;
+        assert_eq!(answer.status, StatusCode::OK, "{answer:?}");
+        asked += 1;
+    }
+    until("one bill for each", || world.bills().len() == 30 + asked).await;
+}
+
 /// The answer is drawn at random, so that another attempt would tell it differently. After a cut the
 /// same attempt is resumed at the same engine, and no second one is begun.
 #[tokio::test]
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -59,9 +59,23 @@
             version: Some(name(SMALL)),
             prefix: None,
             tried: Vec::new(),
+            returning: false,
+            repeatable: true,
         }
     }
 
+    /// The endpoint that a prefix belongs to while all are well and idle.
+    async fn first_for(&self, prefix: u64) -> String {
+        let job = Job {
+            prefix: Some(prefix),
+            ..self.job()
+        };
+        let permit = self.pool.acquire(job, &self.token).await.unwrap();
+        let endpoint = permit.endpoint().to_string();
+        permit.served(Tokens(50));
+        endpoint
+    }
+
     async fn fill(&self) -> Vec<pimento_entry::scheduler::Permit> {
         let mut permits = Vec::new();
         for _ in 0..self.pool.depth().slots {
@@ -150,6 +164,40 @@
     }
 }
 
+/// An endpoint that was out is due for a probe. The next call that may be sent twice goes to it, though
+/// its prefix belongs to another one that is idle: by choice alone it might never be tried again.
+#[tokio::test]
+async fn an_endpoint_that_was_out_is_probed_first() {
+    let bench = Bench::new(&["a", "b", "c"]);
+    let mut prefix = 0;
+    while bench.first_for(prefix).await == "a" {
+        prefix += 1;
+    }
+    let fault = Fault::Failed { status: 500 };
+    while bench.pool.depth().ejected == 0 {
+        let permit = bench.pool.acquire(bench.job(), &bench.token).await.unwrap();
+        if permit.endpoint().as_str() == "a" {
+            permit.failed(&fault);
+        }
+    }
+    let probed = async {
+        loop {
+            let job = Job {
+                prefix: Some(prefix),
+                ..bench.job()
+            };
+            let permit = bench.pool.acquire(job, &bench.token).await.unwrap();
+            let found = permit.endpoint().as_str() == "a";
+            permit.served(Tokens(50));
+            if found {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, probed).await.unwrap();
+}
+
 /// A job whose caller gave up is out of the queue at once.
 #[tokio::test]
 async fn a_cancelled_job_leaves_the_queue() {
