Accept messages as client libraries send them, and charge only what is delivered

Cause: null or a list of text parts as a message's content was refused, though existing client libraries are to work unchanged; a temperature of 1e99 went to the engine as null; a session token opened in other spellings of its bytes; an answer withheld for want of a bill's second holder was charged against the node's grants though not billed. Change: each of the four, with a test; the last by settling after the bill is held. Ruled out: passing unknown parts on. An engine's refusal costs a slot and says less.

--- a/crates/entry/src/filter/bill.rs
+++ b/crates/entry/src/filter/bill.rs
@@ -47,7 +47,7 @@
     async fn apply(&self, answered: Answered) -> Result<(), Refusal> {
         let node = self.0;
         let period = Period(answered.fund.hold.period());
-        let charge = answered.fund.hold.settle(answered.price);
+        let charge = answered.price.min(answered.fund.most);
         let bill = Bill {
             request: answered.request,
             customer: answered.customer,
@@ -63,6 +63,10 @@
         };
         let deadline = tokio::time::Instant::now() + node.config.bill_timeout;
         let held = answered.fund.slot.hold(&bill, deadline).await;
+        // Settled only now: an answer that is withheld is not charged, and its money is free again.
+        if held.is_ok() {
+            let _ = answered.fund.hold.settle(charge);
+        }
         held.map_err(|error| {
             log::error!(
                 "bills: The answer of {} is withheld: {error}.",
--- a/crates/entry/src/session.rs
+++ b/crates/entry/src/session.rs
@@ -135,7 +135,9 @@
 }
 
 fn unhex(text: &str) -> Option<Vec<u8>> {
-    if text.len() > MAX_TEXT || !text.len().is_multiple_of(2) || !text.is_ascii() {
+    // Only what we write ourselves: other spellings of the same bytes would be other tokens.
+    let digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    if text.len() > MAX_TEXT || !text.len().is_multiple_of(2) || !text.bytes().all(digit) {
         return None;
     }
     let byte = |at: usize| u8::from_str_radix(text.get(at..at + 2)?, 16).ok();
--- a/crates/entry/tests/all/session.rs
+++ b/crates/entry/tests/all/session.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Other spellings of the same bytes are not taken either.
+    #[test]
+    fn a_token_in_capitals_is_not_taken(lives in any::<u64>()) {
+        let key = Key::derive(&lives.to_string());
+        let token = key.seal(&session()).to_string().to_uppercase();
+        let opened = key.open(&token, &name("garage"));
+        assert_eq!(opened, Err(Error::Forged));
+    }
+
     #[test]
     fn any_text_is_refused_without_a_panic(text in any::<String>()) {
         let opened = Key::derive("one").open(&text, &name("garage"));
--- a/crates/wire/src/border.rs
+++ b/crates/wire/src/border.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 use serde::Deserializer;
 use serde::Serialize;
+use serde::de::Error as _;
 
 /// Body of `POST /v1/chat/completions`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -28,10 +29,26 @@
     )]
     pub max_tokens: Option<u64>,
     /// Sampling temperature.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "finite",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub temperature: Option<f32>,
 }
 
+/// A number too large for its type reads as infinite, and would go to the engine as null.
+fn finite<'de, D>(deserializer: D) -> Result<Option<f32>, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let number = Option::<f32>::deserialize(deserializer)?;
+    if number.is_some_and(|number| !number.is_finite()) {
+        return Err(D::Error::custom("the temperature is out of range"));
+    }
+    Ok(number)
+}
+
 fn or_default<'de, D, T>(deserializer: D) -> Result<T, D::Error>
 where
     D: Deserializer<'de>,
@@ -45,10 +62,38 @@
 pub struct Message {
     /// `system`, `user` or `assistant`.
     pub role: CompactString,
-    /// The text.
+    /// The text. Client libraries send it as text, as a list of text parts, or as null.
+    #[serde(deserialize_with = "content")]
     pub content: String,
 }
 
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Content {
+    Text(String),
+    Parts(Vec<Part>),
+}
+
+#[derive(Deserialize)]
+#[serde(tag = "type", rename_all = "snake_case")]
+enum Part {
+    Text { text: String },
+}
+
+fn content<'de, D>(deserializer: D) -> Result<String, D::Error>
+where
+    D: Deserializer<'de>,
+{
+    let text = |part: Part| match part {
+        Part::Text { text } => text,
+    };
+    Ok(match Option::<Content>::deserialize(deserializer)? {
+        None => String::new(),
+        Some(Content::Text(text)) => text,
+        Some(Content::Parts(parts)) => parts.into_iter().map(text).collect(),
+    })
+}
+
 /// A whole answer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Completion {
--- a/crates/wire/tests/border/json.rs
+++ b/crates/wire/tests/border/json.rs
@@ -255,3 +255,21 @@
         prop_assert_eq!(read, wanted);
     }
 }
+
+/// Client libraries send a message's text in three forms; a part that is no text, and a number out of
+/// range, are refused here and not by the engine.
+#[test]
+fn texts_come_in_three_forms() {
+    let read = |content: Value| {
+        let message = serde_json::json!({"role": "user", "content": content});
+        serde_json::from_value::<Message>(message).map(|message| message.content)
+    };
+    assert_eq!(read("how many?".into()).unwrap(), "how many?");
+    assert_eq!(read(Value::Null).unwrap(), "");
+    let parts =
+        serde_json::json!([{"type": "text", "text": "how "}, {"type": "text", "text": "many?"}]);
+    assert_eq!(read(parts).unwrap(), "how many?");
+    assert!(read(serde_json::json!([{"type": "image_url", "image_url": {"url": "x"}}])).is_err());
+    let hot = r#"{"model": "stock", "messages": [], "temperature": 1e99}"#;
+    assert!(serde_json::from_str::<Chat>(hot).is_err());
+}
