One view for the folds of claims, grants and leases

Cause: the same wrapper around a fold stood three times, with its offset, its reset and its warning. Change: platform::view, a fold of typed records; the three are types of it. Ruled out: moving it into the follower, which also serves the configuration and must not know records.

--- a/benches/capacity/log.rs
+++ b/benches/capacity/log.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pimento_ledger::Stream;
+use pimento_ledger::claims::Fold;
 use pimento_ledger::record::Call;
 use pimento_platform::Appender;
 use pimento_platform::Follower;
@@ -46,7 +47,7 @@
 /// Processor time while a node appends `rate` claims a second and, if told so, follows their stream.
 async fn run(log: &Remote, rate: u64, follow: bool) -> Duration {
     let token = CancellationToken::new();
-    let view = View::new(Duration::from_mins(30));
+    let view = View::new(Fold::new(Duration::from_mins(30)));
     let follower = follow
         .then(|| Follower::start(log.clone(), Stream::Claims, Offset(0), view, token.clone()));
     let appender = Appender::start(log.clone(), appender::Config::default(), token.clone());
--- a/crates/platform/src/claims.rs
+++ b/crates/platform/src/claims.rs
@@ -26,9 +26,10 @@
 use uuid::Uuid;
 
 use crate::appender::Appender;
-use crate::follower;
 use crate::follower::Follower;
 use crate::log::Log;
+use crate::view;
+use crate::view::Records;
 
 /// How long an outcome is tried to be written. Longer than the log's usual outages; what is not
 /// written by then leaves the request claimed, which is safe and answers later callers with
@@ -60,41 +61,15 @@
 }
 
 /// What this node has read of the claims stream.
-#[derive(Debug)]
-pub struct View {
-    fold: claims::Fold,
-    next: Offset,
-}
-
-impl View {
-    /// An empty view.
-    #[must_use]
-    pub const fn new(window: Duration) -> Self {
-        Self {
-            fold: claims::Fold::new(window),
-            next: Offset(0),
-        }
-    }
+pub type View = view::View<claims::Fold>;
 
-    /// The fold.
-    #[must_use]
-    pub const fn fold(&self) -> &claims::Fold {
-        &self.fold
-    }
-}
+impl Records for claims::Fold {
+    type Record = Call;
 
-impl follower::Fold for View {
-    fn apply(&mut self, offset: Offset, at: Wall, record: &str) {
-        self.next = offset.next();
-        match serde_json::from_str::<Call>(record) {
-            Ok(call) => self.fold.apply(at, &call),
-            Err(error) => log::warn!("claims: record {offset} can't be read: {error}"),
-        }
-    }
+    const PREFIX: &'static str = "claims";
 
-    fn reset(&mut self, oldest: Offset) {
-        // What retention has passed is older than the window, and can't be claimed any more.
-        self.next = oldest;
+    fn take(&mut self, _offset: Offset, at: Wall, call: Call) {
+        self.apply(at, &call);
     }
 }
 
@@ -177,7 +152,7 @@
         appender: Appender,
         token: CancellationToken,
     ) -> Self {
-        let view = View::new(config.window);
+        let view = View::new(claims::Fold::new(config.window));
         let follower = Follower::start(log, Stream::Claims, Offset(0), view, token);
         Self {
             node,
@@ -251,7 +226,7 @@
     /// Who owns a request, as far as this node has read.
     #[must_use]
     pub fn owner(&self, request: id::Request) -> Option<Owner> {
-        self.follower.view(|view| view.fold.owner(request))
+        self.follower.view(|view| view.fold().owner(request))
     }
 
     /// Writes what became of a claimed call, in the background.
@@ -311,7 +286,7 @@
             .append(Stream::Claims, record.as_str().to_owned(), deadline);
         let read = self
             .follower
-            .wait(deadline, |view| view.fold.owner(request));
+            .wait(deadline, |view| view.fold().owner(request));
         tokio::pin!(append);
         tokio::select! {
             // The owner may be read before the append is answered, or though its answer was lost.
@@ -320,7 +295,7 @@
                 let offset = appended.ok()?;
                 self.follower
                     .wait(deadline, |view| {
-                        (view.next > offset).then(|| view.fold.owner(request))
+                        view.passed(offset).then(|| view.fold().owner(request))
                     })
                     .await
             }
--- a/crates/platform/src/grants.rs
+++ b/crates/platform/src/grants.rs
@@ -34,9 +34,10 @@
 use uuid::Uuid;
 
 use crate::appender::Appender;
-use crate::follower;
 use crate::follower::Follower;
 use crate::log::Log;
+use crate::view;
+use crate::view::Records;
 
 /// Characters of a life's mark in the name that a wallet's grants are written under.
 const MARK: usize = 8;
@@ -66,33 +67,15 @@
 }
 
 /// What this node has read of the grants stream.
-#[derive(Debug, Default)]
-pub struct View {
-    fold: grants::Fold,
-    next: Offset,
-}
+pub type View = view::View<grants::Fold>;
 
-impl View {
-    /// The fold.
-    #[must_use]
-    pub const fn fold(&self) -> &grants::Fold {
-        &self.fold
-    }
-}
+impl Records for grants::Fold {
+    type Record = Allowance;
 
-impl follower::Fold for View {
-    fn apply(&mut self, offset: Offset, _at: Wall, record: &str) {
-        self.next = offset.next();
-        match serde_json::from_str::<Allowance>(record) {
-            Ok(allowance) => {
-                self.fold.apply(&allowance);
-            }
-            Err(error) => log::warn!("grants: record {offset} can't be read: {error}"),
-        }
-    }
+    const PREFIX: &'static str = "grants";
 
-    fn reset(&mut self, oldest: Offset) {
-        self.next = oldest;
+    fn take(&mut self, _offset: Offset, _at: Wall, allowance: Allowance) {
+        self.apply(&allowance);
     }
 }
 
@@ -447,12 +430,12 @@
 
     fn granted(&self, customer: &id::Customer, period: u64) -> Money {
         self.follower
-            .view(|view| view.fold.granted(customer, period, &self.holder))
+            .view(|view| view.fold().granted(customer, period, &self.holder))
     }
 
     fn left(&self, customer: &id::Customer, period: u64, limit: Money) -> Money {
         self.follower
-            .view(|view| view.fold.left(customer, period))
+            .view(|view| view.fold().left(customer, period))
             .unwrap_or(limit)
     }
 
@@ -483,7 +466,7 @@
         let record = grant.id;
         let allowance = Allowance::Grant(grant);
         let write = self.write(&allowance, deadline);
-        let look = |view: &View| view.fold.read(&customer, period, record).then_some(());
+        let look = |view: &View| view.fold().read(&customer, period, record).then_some(());
         tokio::pin!(write);
         let read = tokio::select! {
             // A grant may be read before its append is answered, or though the answer was lost.
@@ -504,7 +487,7 @@
         deadline: Instant,
         look: impl Fn(&View) -> Option<()>,
     ) -> Option<()> {
-        let passed = |view: &View| written.is_some_and(|offset| view.next > offset);
+        let passed = |view: &View| written.is_some_and(|offset| view.passed(offset));
         self.follower
             .wait(deadline, |view| look(view).or(passed(view).then_some(())))
             .await
--- a/crates/platform/src/lease.rs
+++ b/crates/platform/src/lease.rs
@@ -25,8 +25,9 @@
 use uuid::Uuid;
 
 use crate::appender::Appender;
-use crate::follower;
 use crate::follower::Follower;
+use crate::view;
+use crate::view::Records;
 
 /// Renewals in the time of one lease. Two may fail before the third ends it.
 const RENEWALS: u32 = 3;
@@ -53,37 +54,15 @@
 }
 
 /// What this node has read of the leases stream.
-#[derive(Debug, Default)]
-pub struct View {
-    fold: leases::Fold,
-    next: Offset,
-    /// The log's clock at the newest record read.
-    now: Wall,
-}
+pub type View = view::View<leases::Fold>;
 
-impl View {
-    /// The fold.
-    #[must_use]
-    pub const fn fold(&self) -> &leases::Fold {
-        &self.fold
-    }
-}
+impl Records for leases::Fold {
+    type Record = Hold;
 
-impl follower::Fold for View {
-    fn apply(&mut self, offset: Offset, at: Wall, record: &str) {
-        self.next = offset.next();
-        self.now = self.now.max(at);
-        match serde_json::from_str::<Hold>(record) {
-            Ok(hold) => {
-                self.fold.apply(offset, at, &hold);
-            }
-            Err(error) => log::warn!("lease: record {offset} can't be read: {error}"),
-        }
-    }
+    const PREFIX: &'static str = "lease";
 
-    fn reset(&mut self, oldest: Offset) {
-        // Leases are far shorter than the log's retention, so that those passed have run out.
-        self.next = oldest;
+    fn take(&mut self, offset: Offset, at: Wall, hold: Hold) {
+        self.apply(offset, at, &hold);
     }
 }
 
@@ -173,7 +152,7 @@
     /// record that says so, so that a node which begins after that need not wait it out.
     fn current(&self) -> (Option<leases::Lease>, Wall) {
         self.follower
-            .view(|view| (view.fold.lease(&self.resource).cloned(), view.now))
+            .view(|view| (view.fold().lease(&self.resource).cloned(), view.now()))
     }
 
     /// Appends a take that follows `current` and reads it back.
@@ -196,9 +175,9 @@
         let taken = self
             .follower
             .wait(deadline, |view| {
-                let lease = view.fold.lease(&self.resource)?;
+                let lease = view.fold().lease(&self.resource)?;
                 let mine = lease.record == record;
-                let passed = appended.as_ref().is_ok_and(|offset| view.next > *offset);
+                let passed = appended.as_ref().is_ok_and(|offset| view.passed(*offset));
                 (mine || passed).then(|| mine.then_some(lease.fencing))
             })
             .await;
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod mesh;
 pub mod operators;
 pub mod rating;
+pub mod view;
 pub mod vms;
 pub mod weights;
 
