Spread copies of bills over the zone

Cause: every node offered its copies to the first live peer by name, so that one VM held those of its whole zone: 850 bills a second at 50 nodes, and with its loss all of them had one holder. Found while working out docs/CAPACITY.md. Change: each node begins with the one that follows it by name. Ruled out: a random peer for each batch. A restart of any peer then leaves some of every node's bills with one holder. Before: 1 first holder for 50 nodes; after: 50 (copies_are_spread_over_the_zone).

--- a/crates/platform/src/bills/peers.rs
+++ b/crates/platform/src/bills/peers.rs
@@ -8,14 +8,27 @@
 use crate::mesh::Mesh;
 use crate::mesh::Peer;
 
+/// The order in which a node asks others to hold its copies: those that come after it by name, then
+/// from the first one on. If all began with the same one, that node would hold the copies of its
+/// whole zone, and its loss would leave all of them with one holder.
+#[must_use]
+pub fn ring(own: &id::Node, mut nodes: Vec<id::Node>) -> Vec<id::Node> {
+    nodes.sort_unstable();
+    let next = nodes.partition_point(|node| node <= own);
+    nodes.rotate_left(next);
+    nodes
+}
+
 impl Peers for Mesh {
     /// The own zone's first: a copy across zones costs the caller the link's delay, but where the
     /// zone has no other VM it is the only copy.
     fn peers(&self) -> Vec<id::Node> {
-        let mut peers = Self::peers(self);
-        peers.retain(|peer| !peer.leaving);
-        peers.sort_by_key(|peer| &peer.zone != self.zone());
-        peers.into_iter().map(|peer| peer.node).collect()
+        let peers = Self::peers(self).into_iter().filter(|peer| !peer.leaving);
+        let (near, far): (Vec<Peer>, Vec<Peer>) = peers.partition(|peer| &peer.zone == self.zone());
+        let names = |peers: Vec<Peer>| peers.into_iter().map(|peer| peer.node).collect();
+        let mut order = ring(self.node(), names(near));
+        order.extend(ring(self.node(), names(far)));
+        order
     }
 
     async fn hold(&self, peer: &id::Node, bills: Vec<String>) -> bool {
--- a/crates/platform/tests/kept/bills.rs
+++ b/crates/platform/tests/kept/bills.rs
@@ -15,6 +15,7 @@
 use pimento_platform::bills::Full;
 use pimento_platform::bills::Outbox;
 use pimento_platform::bills::Peers;
+use pimento_platform::bills::ring;
 use pimento_units::Money;
 use pimento_units::Tokens;
 use pimento_units::Wall;
@@ -280,6 +281,20 @@
     token.cancel();
 }
 
+/// Each VM of a zone begins with another one. Otherwise one VM would hold the copies of the whole zone.
+#[test]
+fn copies_are_spread_over_the_zone() {
+    let nodes: Vec<id::Node> = (0..50).map(|n| node(&format!("node-{n}"))).collect();
+    let first = |own: &id::Node| {
+        let others = nodes.iter().filter(|node| *node != own).cloned().collect();
+        ring(own, others)[0].clone()
+    };
+    let mut holders: Vec<id::Node> = nodes.iter().map(first).collect();
+    holders.sort_unstable();
+    holders.dedup();
+    assert_eq!(holders.len(), nodes.len());
+}
+
 /// A VM shuts down. All its bills, and the copies it keeps for others, are on the log before its
 /// process ends.
 #[tokio::test(start_paused = true)]
