Bill each call under an id, not the id alone

Cause: a caller who sent many model requests under one Idempotency-Key got an answer to each and one bill for all, since the fold counts one bill for each request id. Change: what may be repeated is billed under the caller's id and the call together. A claimed call keeps its id, under which no other call can be made. Ruled out: the call's hash as a field of the bill. Copies and releases between VMs go by request, and would drop the second call's copy with the first one's.

--- a/crates/entry/src/chain/model.rs
+++ b/crates/entry/src/chain/model.rs
@@ -14,6 +14,7 @@
 use crate::filter::Filter;
 use crate::filter::assemble::Delivery;
 use crate::filter::authenticate::Authenticate;
+use crate::filter::bill;
 use crate::filter::bill::Answered;
 use crate::filter::bill::Billing;
 use crate::filter::budget::Budget;
@@ -103,7 +104,7 @@
     let input = served.answer.input();
     let output = served.answer.output();
     let answered = Answered {
-        request: request.identity.id,
+        request: bill::chat(request.identity.id, &request.chat),
         customer: request.customer.clone(),
         class: Some(request.class.name.clone()),
         item: Item::Version(version.id.clone()),
--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -29,6 +29,7 @@
 use crate::filter::admission::Admission;
 use crate::filter::admission::Want;
 use crate::filter::attempt;
+use crate::filter::bill;
 use crate::filter::bill::Answered;
 use crate::filter::bill::Billing;
 use crate::filter::budget::Budget;
@@ -262,7 +263,11 @@
     let charged = !answer.status.is_client_error() && !answer.status.is_server_error();
     if charged {
         let answered = Answered {
-            request: call.identity.id,
+            // A claimed call's id stands for one call; no other can be made under it.
+            request: match call.claim {
+                Some(subject) => subject.request,
+                None => bill::subject(call.identity.id, call.digest),
+            },
             customer: call.customer.clone(),
             class: None,
             item: Item::Service(call.service.name.clone()),
--- a/crates/entry/src/chain/service/call.rs
+++ b/crates/entry/src/chain/service/call.rs
@@ -32,6 +32,8 @@
     pub(super) sent: service::Call,
     /// Whether it may be sent twice.
     pub(super) repeatable: bool,
+    /// Hash of customer, method, path and body.
+    pub(super) digest: u64,
     /// What it is claimed by; none if it needs no claim.
     pub(super) claim: Option<Subject>,
 }
@@ -90,6 +92,7 @@
         service,
         sent,
         repeatable,
+        digest,
         claim,
     })
 }
--- a/crates/entry/src/filter/bill.rs
+++ b/crates/entry/src/filter/bill.rs
@@ -6,7 +6,11 @@
 use pimento_units::Money;
 use pimento_units::Tokens;
 use pimento_units::id;
+use pimento_wire::border::Chat;
 use pimento_wire::border::Run;
+use uuid::Uuid;
+use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::xxh3_128_with_seed;
 
 use super::Filter;
 use super::budget::Fund;
@@ -14,6 +18,31 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+/// What a repeatable request is billed under: the caller's id and the call together. A caller who
+/// sends many calls under one id gets an answer to each, and would else pay for the first alone; the
+/// same call sent again is still one bill.
+#[must_use]
+pub fn subject(request: id::Request, call: u64) -> id::Request {
+    id::Request(Uuid::from_u128(xxh3_128_with_seed(
+        request.0.as_bytes(),
+        call,
+    )))
+}
+
+/// What a model request is billed under. Whole or streamed, it is the same call.
+#[must_use]
+pub fn chat(request: id::Request, chat: &Chat) -> id::Request {
+    let mut hash = Xxh3::new();
+    for message in &chat.messages {
+        for part in [message.role.as_str(), message.content.as_str()] {
+            hash.update(part.as_bytes());
+            hash.update(&[0]);
+        }
+    }
+    hash.update(chat.model.as_bytes());
+    subject(request, hash.digest())
+}
+
 /// Makes the bill safe.
 #[derive(Debug, Clone)]
 pub struct Billing<'a>(pub &'a Node);
--- a/crates/entry/tests/all/support.rs
+++ b/crates/entry/tests/all/support.rs
@@ -462,6 +462,11 @@
         self
     }
 
+    /// The body.
+    pub fn content(&self) -> Bytes {
+        self.body.clone()
+    }
+
     pub async fn send(self) -> Answer {
         let mut request = Request::builder().method(self.method).uri(self.url);
         for (name, value) in &self.headers {
