Take a fleet's addresses for its whole life

Change: a listener on an address of the network is held as long as the fleet. Ruled out: networks by process id alone, since one run starts several fleets at once.

--- a/tests/all/fleet/mod.rs
+++ b/tests/all/fleet/mod.rs
@@ -69,6 +69,8 @@
     pub net: Net,
     pub caller: Caller,
     lists: Vec<Running<vms::Vms>>,
+    /// Keeps other fleets off this one's addresses.
+    taken: Option<TcpListener>,
     token: CancellationToken,
 }
 
@@ -112,6 +114,7 @@
             net,
             caller: Caller::new(),
             lists: Vec::new(),
+            taken: None,
             token,
         };
         fleet.start_endpoints().await;
@@ -155,7 +158,8 @@
     }
 
     async fn prepare_nodes(&mut self) {
-        let net = network();
+        let (net, taken) = network();
+        self.taken = Some(taken);
         let host = |zone: usize, number: u8| {
             let zone = u8::try_from(zone).expect("few zones");
             Ipv4Addr::new(127, net, zone, number)
@@ -396,16 +400,17 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-/// A number for `127.x` that no other fleet on this machine uses now.
-fn network() -> u8 {
+/// A number for `127.x` that no other fleet on this machine uses, also of another test run. It is
+/// taken as long as the listener lives: a look alone lets two runs take the same one at once.
+fn network() -> (u8, TcpListener) {
     static NEXT: AtomicU8 = AtomicU8::new(0);
     let own = u8::try_from(std::process::id() % 200).expect("below 200");
     loop {
         let count = NEXT.fetch_add(1, Ordering::Relaxed);
         let net = 20 + own.wrapping_add(count) % 200;
-        let probe = Ipv4Addr::new(127, net, 0, RELAY + 1);
-        if TcpListener::bind((probe, PEERS)).is_ok() {
-            return net;
+        let lock = Ipv4Addr::new(127, net, u8::MAX, 1);
+        if let Ok(taken) = TcpListener::bind((lock, PEERS)) {
+            return (net, taken);
         }
     }
 }
