Refuse at once who can't be served in time, and don't hold a leaving VM for the log

Cause 1: while every engine refused and said when to come back, a request went round them until half of its time was gone, though none would take it before its deadline. Change 1: if each endpoint's own word lies beyond the job's last start, it is refused there and then with the earliest of them as Retry-After. Change 2: thirty seconds. Bills that have not reached the log by then have a second holder. Ruled out: closing an endpoint for as long as it says. Full engines say a second and are free sooner. Seen failing first: who_cannot_be_served_in_time_hears_at_once, on a scratch copy without the rule.

--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -23,9 +23,9 @@
 use crate::server::Callers;
 use crate::server::Stop;
 
-/// Time for the last records to reach the log, if the last bound leaves less. The log may be slow
-/// just then, and a peer holds what does not reach it.
-const FLUSH: Duration = Duration::from_secs(5);
+/// Time for the last records to reach the log. It may be out for long just then, and a VM that goes
+/// must not wait for it: a peer holds what does not reach it.
+const FLUSH: Duration = Duration::from_secs(30);
 
 /// Why the program could not start.
 #[derive(Debug, Snafu)]
@@ -102,7 +102,7 @@
         self.node.leave();
         tokio::time::sleep(grace).await;
         let finished = self.finish(bound).await;
-        let flushed = self.flush(bound.max(Instant::now() + FLUSH)).await;
+        let flushed = self.flush(Instant::now() + FLUSH).await;
         self.operators_stop.closing.cancel();
         self.operators_stop.cut.cancel();
         self.background.cancel();
--- a/crates/entry/src/scheduler.rs
+++ b/crates/entry/src/scheduler.rs
@@ -133,6 +133,9 @@
         let now = self.shared.clock.now();
         let mut inner = self.shared.lock();
         let demand = inner.demand(&waiter.job, now).ok_or_else(nobody)?;
+        if let Some(after) = inner.hopeless(&waiter.job, now) {
+            return Err(overloaded(after));
+        }
         let verdict = inner.decide(&waiter.job, demand, now, rand::random());
         let start_by = match verdict {
             admission::Verdict::Admit { start_by } => start_by,
--- a/crates/entry/src/scheduler/inner.rs
+++ b/crates/entry/src/scheduler/inner.rs
@@ -332,6 +332,7 @@
             if matches!(outcome, limit::Outcome::Served { .. }) {
                 seat.refusals = 0;
                 seat.closed = Moment::ZERO;
+                seat.back = Moment::ZERO;
             }
         }
         self.health.record(&slot.endpoint, health, now);
@@ -344,8 +345,27 @@
         }
     }
 
-    /// Closes an endpoint that refused a call for a while, and gives that while.
-    pub fn close(&mut self, endpoint: &id::Endpoint, now: Moment) -> Duration {
+    /// When a job may come back that no endpoint will take in time: each one refused its last call
+    /// and said to come back after this job's last start. Such a job hears it at once; going round
+    /// the endpoints until its time is short would give it nothing.
+    pub fn hopeless(&self, job: &Job, now: Moment) -> Option<Duration> {
+        let version = job.version.as_ref();
+        let last = job
+            .deadline
+            .since(now)
+            .saturating_sub(self.run(version, job.tokens));
+        let seats = self
+            .seats
+            .iter()
+            .filter(|s| s.member.usable && s.member.holds(version));
+        let earliest = seats.map(|seat| seat.back).min()?;
+        let after = earliest.since(now);
+        (after > last).then_some(after)
+    }
+
+    /// Closes an endpoint that refused a call for a while, and gives that while. `after` is what it
+    /// said itself: a full engine says a second or so and is often free sooner.
+    pub fn close(&mut self, endpoint: &id::Endpoint, after: Duration, now: Moment) -> Duration {
         let seat = self
             .seats
             .iter_mut()
@@ -356,6 +376,7 @@
         let span = CLOSED * (1 << seat.refusals.min(DOUBLINGS));
         seat.refusals = seat.refusals.saturating_add(1);
         seat.closed = now + span;
+        seat.back = now + after;
         span
     }
 
--- a/crates/entry/src/scheduler/permit.rs
+++ b/crates/entry/src/scheduler/permit.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pimento_endpoint::Fault;
 use pimento_policy::eject;
@@ -93,15 +94,16 @@
             | Fault::Nonsense { .. } => (limit::Outcome::Unknown, eject::Outcome::Failed),
         };
         // Closed before its slot is given back, or the next job would be sent there at once.
-        if matches!(fault, Fault::Refused { .. }) {
-            self.close(now);
+        if let Fault::Refused { after, .. } = fault {
+            self.close(after.unwrap_or_default(), now);
         }
         self.end(limit, health, now);
     }
 
     /// Leaves an endpoint that is full alone for a while, and then looks for waiting work again.
-    fn close(&self, now: Moment) {
-        let span = self.shared.lock().close(&self.slot.endpoint, now);
+    fn close(&self, after: Duration, now: Moment) {
+        let endpoint = &self.slot.endpoint;
+        let span = self.shared.lock().close(endpoint, after, now);
         let shared = Arc::clone(&self.shared);
         tokio::spawn(async move {
             tokio::time::sleep(span).await;
--- a/crates/entry/src/scheduler/seat.rs
+++ b/crates/entry/src/scheduler/seat.rs
@@ -55,6 +55,8 @@
     /// Refusals in a row, and until when no further call is sent because of them.
     pub(super) refusals: u32,
     pub(super) closed: Moment,
+    /// When it said that it takes calls again, with its last refusal.
+    pub(super) back: Moment,
 }
 
 /// How long an endpoint that refused a call gets none from this node: several round trips, in which
@@ -72,6 +74,7 @@
         batch,
         refusals: 0,
         closed: Moment::ZERO,
+        back: Moment::ZERO,
         member,
     }
 }
--- a/crates/entry/tests/all/faults.rs
+++ b/crates/entry/tests/all/faults.rs
@@ -6,6 +6,7 @@
 use pimento_standin::fault::Rule;
 use pimento_wire::border::Run;
 
+use crate::support::PATIENCE;
 use crate::support::World;
 use crate::support::until;
 
@@ -193,6 +194,29 @@
     assert_eq!(answer.failure().error.run, Run::Unknown, "{answer:?}");
 }
 
+/// All engines refuse and say to come back in an hour; the caller waits for ten minutes at most. It hears
+/// at once, with when to come back, and is not held while the engines are asked again and again: the
+/// wait for this answer is bounded far below the caller's time.
+#[tokio::test]
+async fn who_cannot_be_served_in_time_hears_at_once() {
+    let world = World::start(2).await;
+    let entry = world.entry("entry-1").await;
+    for engine in &world.engines {
+        let refuse = Action::Refuse {
+            status: 503,
+            retry_after: Some(3_600),
+            run: Some(Run::NotRun),
+        };
+        engine.faults.rules([Rule::new(refuse).on("POST", CHAT)]);
+    }
+    let ask = entry.chat(PROMPT, false).header("request-timeout", "600");
+    let answer = tokio::time::timeout(PATIENCE, ask.send()).await.unwrap();
+    assert_eq!(answer.failure().error.run, Run::NotRun);
+    let after: u64 = answer.header("retry-after").parse().unwrap();
+    assert!(after > 3_000, "come back in {after} s");
+    assert_eq!(world.started(), 0);
+}
+
 /// The caller hangs up in the middle of a stream. The engine is told to stop, so that it does not
 /// generate for nobody, and there is no bill for an answer that nobody got.
 #[tokio::test]
