Don't take one failed rating for an outage of the rating service

Cause: each failed rating rested the service for five seconds on that node, and requests meanwhile went to versions that need no rating. Change: a rest from the second failure in a row on, from half a second doubled up to eight. Ruled out: asking the service twice for one answer. Where it is slow the caller waits twice.

--- a/crates/entry/src/filter/rate.rs
+++ b/crates/entry/src/filter/rate.rs
@@ -14,9 +14,16 @@
 
 use crate::node::Node;
 
-/// How long the rating service is left alone after it failed: calls meanwhile would each wait for
-/// nothing while a caller waits for them.
-const REST: Duration = Duration::from_secs(5);
+/// How long the rating service is left alone once it failed twice in a row, doubled with each further
+/// failure: calls meanwhile would each wait for nothing while a caller waits for them.
+const REST: Duration = Duration::from_millis(500);
+
+/// The longest rest, so that a service that is back is used again within seconds.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// Failures in a row that are taken for chance. While the service rests, requests go to versions that
+/// need no rating, at several times the cost: one failed call in ten must not bring that about.
+const CHANCE: u32 = 1;
 
 /// How long a rating is expected to take before any was seen.
 const FIRST: Duration = Duration::from_millis(50);
@@ -34,6 +41,7 @@
 struct Inner {
     mean: Option<Duration>,
     rest: Option<Moment>,
+    failures: u32,
 }
 
 impl Health {
@@ -49,15 +57,24 @@
         (!resting).then(|| inner.mean.unwrap_or(FIRST))
     }
 
-    fn answered(&self, took: Duration) {
+    /// Learns of a rating.
+    pub fn answered(&self, took: Duration) {
         let mut inner = self.lock();
         let mean = inner.mean.unwrap_or(took);
         inner.mean = Some(mean.mul_f64(1.0 - WEIGHT) + took.mul_f64(WEIGHT));
         inner.rest = None;
+        inner.failures = 0;
     }
 
-    fn failed(&self, now: Moment) {
-        self.lock().rest = Some(now + REST);
+    /// Learns that a rating could not be had.
+    pub fn failed(&self, now: Moment) {
+        let mut inner = self.lock();
+        inner.failures = inner.failures.saturating_add(1);
+        let Some(further) = inner.failures.checked_sub(CHANCE + 1) else {
+            return;
+        };
+        let rest = REST.saturating_mul(1 << further.min(u32::BITS - 1));
+        inner.rest = Some(now + rest.min(LONGEST));
     }
 }
 
