Give back the room of bills that were tried again, and drop what stood twice

Cause: bills that first found no second holder come back behind newer ones, and were then searched in a list that was taken for sorted: some stayed in the outbox after they were on the log and kept their room. Change: the list is sorted. Whether a bill had a second holder is told by the holder, in place of a flag beside it; the loans' search for a peer calls that of the bills; the three clients that want a message or an error share http::Reply::done. Ruled out: keeping order on the way back, which would let a bill without a holder block the newer ones.

--- a/crates/platform/src/bills.rs
+++ b/crates/platform/src/bills.rs
@@ -27,6 +27,7 @@
 use tokio_util::task::TaskTracker;
 
 use self::copies::Copies;
+pub(crate) use self::peers::find;
 pub use self::peers::ring;
 use self::pending::Pending;
 use self::worker::Job;
--- a/crates/platform/src/bills/peers.rs
+++ b/crates/platform/src/bills/peers.rs
@@ -50,7 +50,7 @@
     }
 }
 
-fn find(mesh: &Mesh, node: &id::Node) -> Option<Peer> {
+pub(crate) fn find(mesh: &Mesh, node: &id::Node) -> Option<Peer> {
     Mesh::peers(mesh)
         .into_iter()
         .find(|peer| &peer.node == node)
--- a/crates/platform/src/bills/pending.rs
+++ b/crates/platform/src/bills/pending.rs
@@ -27,10 +27,10 @@
     number: Number,
     request: id::Request,
     text: String,
+    /// Its second holder, the last one if it had several. A bill that never had one may still be
+    /// dropped, since its caller has not got the last byte, and must not be appended behind the
+    /// caller's back.
     holder: Option<id::Node>,
-    /// Whether it had a second holder at some time. Before, its caller has not got the last byte
-    /// and it may still be dropped, so that it must not be appended behind the caller's back.
-    settled: bool,
     _room: OwnedSemaphorePermit,
 }
 
@@ -59,7 +59,6 @@
             request: bill.request,
             text,
             holder: None,
-            settled: false,
             _room: room,
         });
         Some(number)
@@ -87,7 +86,6 @@
         for number in numbers {
             if let Ok(place) = table.place(*number) {
                 table.entries[place].holder = Some(holder.clone());
-                table.entries[place].settled = true;
             }
         }
     }
@@ -102,23 +100,21 @@
             .collect()
     }
 
-    /// The oldest settled bills, at most `most`.
+    /// The oldest bills that had a second holder, at most `most`.
     pub fn oldest(&self, most: usize) -> Vec<Item> {
         self.table()
             .entries
             .iter()
-            .filter(|entry| entry.settled)
+            .filter(|entry| entry.holder.is_some())
             .take(most)
             .map(Entry::item)
             .collect()
     }
 
-    /// Settled bills whose holder is not among `live`, at most `most`.
+    /// Bills whose second holder is not among `live`, at most `most`.
     pub fn orphans(&self, live: &[id::Node], most: usize) -> Vec<Number> {
-        let orphan = |entry: &&Entry| match &entry.holder {
-            Some(holder) => entry.settled && !live.contains(holder),
-            None => entry.settled,
-        };
+        let gone = |holder: &id::Node| !live.contains(holder);
+        let orphan = |entry: &&Entry| entry.holder.as_ref().is_some_and(gone);
         self.table()
             .entries
             .iter()
--- a/crates/platform/src/bills/worker.rs
+++ b/crates/platform/src/bills/worker.rs
@@ -165,7 +165,10 @@
             log::warn!("bills: {} not appended: {error}", items.len());
             return false;
         }
-        let numbers: Vec<Number> = items.iter().map(|item| item.number).collect();
+        let mut numbers: Vec<Number> = items.iter().map(|item| item.number).collect();
+        // Bills that are tried again stand behind newer ones. Searched unsorted, some would stay and
+        // keep their room for ever.
+        numbers.sort_unstable();
         self.shared.pending.remove_all(&numbers);
         self.release(items).await;
         true
--- a/crates/platform/src/grants/lenders.rs
+++ b/crates/platform/src/grants/lenders.rs
@@ -21,10 +21,7 @@
         period: u64,
         amount: Money,
     ) -> Money {
-        let Some(peer) = Self::peers(self)
-            .into_iter()
-            .find(|known| &known.node == peer)
-        else {
+        let Some(peer) = bills::find(self, peer) else {
             return Money::ZERO;
         };
         let call = Call::Lend {
--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -64,6 +64,14 @@
         serde_json::from_slice(&self.body).map_err(|e| format!("unreadable body: {e}"))
     }
 
+    /// The body of a reply that says that all is well.
+    pub(crate) fn done<T: DeserializeOwned>(&self) -> Result<T, String> {
+        if self.status != StatusCode::OK {
+            return Err(format!("status {}", self.status));
+        }
+        self.read()
+    }
+
     /// When to ask again, if the service said before doing anything that it won't.
     ///
     /// A status 503 without `Retry-After` is not taken for a refusal: a gateway in between says
--- a/crates/platform/src/operators.rs
+++ b/crates/platform/src/operators.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use pimento_wire::operators::State;
 use snafu::Snafu;
 
@@ -43,11 +42,7 @@
 impl Operators for Remote {
     async fn state(&self) -> Result<State, Error> {
         let reply = self.client.get("/state", Duration::ZERO).await?;
-        if reply.status != StatusCode::OK {
-            let reason = format!("status {}", reply.status);
-            return Err(Error { reason });
-        }
-        reply.read().map_err(|reason| Error { reason })
+        reply.done().map_err(|reason| Error { reason })
     }
 }
 
--- a/crates/platform/src/rating.rs
+++ b/crates/platform/src/rating.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use pimento_wire::platform::Rate;
 use pimento_wire::platform::Rating;
 use snafu::Snafu;
@@ -44,11 +43,7 @@
 impl Rater for Remote {
     async fn rate(&self, rate: Rate) -> Result<Rating, Error> {
         let reply = self.client.post("/rate", &rate).await?;
-        if reply.status != StatusCode::OK {
-            let reason = format!("status {}", reply.status);
-            return Err(Error { reason });
-        }
-        reply.read().map_err(|reason| Error { reason })
+        reply.done().map_err(|reason| Error { reason })
     }
 }
 
--- a/crates/platform/src/vms.rs
+++ b/crates/platform/src/vms.rs
@@ -4,7 +4,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use pimento_wire::platform::Vms;
 use snafu::Snafu;
 
@@ -43,11 +42,7 @@
 impl List for Remote {
     async fn list(&self) -> Result<Vms, Error> {
         let reply = self.client.get("/vms", Duration::ZERO).await?;
-        if reply.status != StatusCode::OK {
-            let reason = format!("status {}", reply.status);
-            return Err(Error { reason });
-        }
-        reply.read().map_err(|reason| Error { reason })
+        reply.done().map_err(|reason| Error { reason })
     }
 }
 
--- a/crates/platform/tests/kept/bills.rs
+++ b/crates/platform/tests/kept/bills.rs
@@ -223,6 +223,32 @@
     token.cancel();
 }
 
+/// Bills that first found no second holder are tried again behind newer ones, and all reach the log at
+/// last. Each gives its room back: a leak would one day refuse every request.
+#[tokio::test(start_paused = true)]
+async fn bills_tried_again_give_their_room_back() {
+    let log = Memory::new();
+    let all = Neighbours::new();
+    let token = CancellationToken::new();
+    let one = start("node-1", &log, &all, &token);
+    log.fail_appends(Fault::Refuse);
+    let holds = (0..60_u32).map(|number| {
+        let one = one.clone();
+        async move {
+            tokio::time::sleep(Duration::from_millis(20) * number).await;
+            hold(&one, u128::from(number)).await
+        }
+    });
+    let heal = async {
+        tokio::time::sleep(Duration::from_millis(1_100)).await;
+        log.fail_appends(Fault::None);
+    };
+    let (holds, ()) = tokio::join!(futures::future::join_all(holds), heal);
+    assert!(holds.iter().all(Result::is_ok), "{holds:?}");
+    assert_eq!((one.waiting(), billed(&log).0), (0, 60));
+    token.cancel();
+}
+
 /// Neither a peer nor the log can be reached. The bill has one holder and the caller doesn't get
 /// the last byte; nothing is billed for what was not delivered whole.
 #[tokio::test(start_paused = true)]
