Name the crate that keeps state through a log after its job

Cause: two things are about to be called platform: the crate that keeps state through the platform's log, and the folder that translates between the product and the users' platform.

Change: crates/platform becomes crates/coordination (pimento-coordination), moved without other changes; docs and the facade crate follow.

Ruled out: naming the adapter something else; the users ask for platform/.

Conclusion: the name platform is free for the adapter.

--- a/benches/capacity/log.rs
+++ b/benches/capacity/log.rs
@@ -3,14 +3,14 @@
 use std::process::Command;
 use std::time::Duration;
 
+use pimento_coordination::Appender;
+use pimento_coordination::Follower;
+use pimento_coordination::appender;
+use pimento_coordination::claims::View;
+use pimento_coordination::log::Remote;
 use pimento_ledger::Stream;
 use pimento_ledger::claims::Fold;
 use pimento_ledger::record::Call;
-use pimento_platform::Appender;
-use pimento_platform::Follower;
-use pimento_platform::appender;
-use pimento_platform::claims::View;
-use pimento_platform::log::Remote;
 use pimento_units::Offset;
 use tokio::runtime::Runtime;
 use tokio::time::Instant;
--- a/benches/capacity/mesh.rs
+++ b/benches/capacity/mesh.rs
@@ -3,10 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pimento_platform::mesh::Config;
-use pimento_platform::mesh::Handler;
-use pimento_platform::mesh::Mesh;
-use pimento_platform::mesh::Settings;
+use pimento_coordination::mesh::Config;
+use pimento_coordination::mesh::Handler;
+use pimento_coordination::mesh::Mesh;
+use pimento_coordination::mesh::Settings;
 use pimento_wire::frame::Key;
 use pimento_wire::peer::Answer;
 use pimento_wire::peer::Call;
--- a/crates/control/src/config.rs
+++ b/crates/control/src/config.rs
@@ -11,7 +11,7 @@
 use clap::ArgMatches;
 use clap::Command;
 use log::LevelFilter;
-use pimento_platform::lease;
+use pimento_coordination::lease;
 use pimento_units::Span;
 use pimento_units::id;
 
--- a/crates/control/src/fence.rs
+++ b/crates/control/src/fence.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use pimento_contract::service::Fencing;
-use pimento_platform::lease;
+use pimento_coordination::lease;
 use tokio::time::Instant;
 
 /// Whether an order may be given now, and if not, why.
--- a/crates/control/src/leases.rs
+++ b/crates/control/src/leases.rs
@@ -11,12 +11,12 @@
 use std::time::Duration;
 
 use pimento_contract::State;
-use pimento_platform::Appender;
-use pimento_platform::Follower;
-use pimento_platform::lease;
-use pimento_platform::lease::Fencing;
-use pimento_platform::lease::Lease;
-use pimento_platform::lease::View;
+use pimento_coordination::Appender;
+use pimento_coordination::Follower;
+use pimento_coordination::lease;
+use pimento_coordination::lease::Fencing;
+use pimento_coordination::lease::Lease;
+use pimento_coordination::lease::View;
 use pimento_units::id;
 use tokio::sync::watch;
 use tokio::time::Instant;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,7 @@
 //! `pimento-control` runs beside `pimento-entry` on the entry VMs; none is set aside for it and all
 //! do the same. Decisions are pure functions ([`rollout::decide`], [`placement`], [`fence`],
 //! [`bucket`]); a [`controller::Controller`] gathers their input and carries out their result, over
-//! the small traits of `pimento-platform` and `pimento-endpoint`. Whatever one instance leaves
+//! the small traits of `pimento-coordination` and `pimento-endpoint`. Whatever one instance leaves
 //! undone, any other picks up from the log and from what the engines report.
 
 pub mod bucket;
--- a/crates/control/src/operators.rs
+++ b/crates/control/src/operators.rs
@@ -15,7 +15,7 @@
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
-use pimento_platform::configuration::Source;
+use pimento_coordination::configuration::Source;
 use pimento_units::Offset;
 use pimento_units::id;
 use serde::Serialize;
@@ -128,10 +128,11 @@
     }
 
     fn state(&self) -> Response<Full<Bytes>> {
-        let held = |(resource, fencing): (id::Resource, pimento_platform::lease::Fencing)| Held {
-            resource,
-            fencing: fencing.number,
-        };
+        let held =
+            |(resource, fencing): (id::Resource, pimento_coordination::lease::Fencing)| Held {
+                resource,
+                fencing: fencing.number,
+            };
         let age = self.source.age().as_millis();
         let state = State {
             node: &self.node,
--- a/crates/control/src/orders/carrier.rs
+++ b/crates/control/src/orders/carrier.rs
@@ -3,8 +3,8 @@
 //! A fetch takes minutes, and a store that hangs takes its whole timeout. Waited for in a pass, it
 //! would hold up the orders that drop a withdrawn version and those of other pools.
 
-use pimento_platform::weights;
-use pimento_platform::weights::Store;
+use pimento_coordination::weights;
+use pimento_coordination::weights::Store;
 use pimento_units::id;
 use pimento_wire::platform::Fetch;
 use tokio_util::task::AbortOnDropHandle;
--- a/crates/control/tests/all/decisions.rs
+++ b/crates/control/tests/all/decisions.rs
@@ -9,7 +9,7 @@
 use pimento_control::placement::Demand;
 use pimento_control::placement::Engine;
 use pimento_control::placement::assign;
-use pimento_platform::lease;
+use pimento_coordination::lease;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::Share;
--- a/crates/platform/examples/spread.rs
+++ b/crates/coordination/examples/spread.rs
@@ -12,7 +12,7 @@
 use pimento_contract::change::Checkpoint;
 use pimento_contract::change::Entry;
 use pimento_contract::service::Fencing;
-use pimento_platform::configuration::Tail;
+use pimento_coordination::configuration::Tail;
 use pimento_units::id;
 use pimento_wire::Frame;
 use pimento_wire::frame::Key;
--- a/crates/platform/examples/tail.rs
+++ b/crates/coordination/examples/tail.rs
@@ -1,16 +1,16 @@
 //! An appender and a follower over somebody's own log: here a vector that loses the answer to its
 //! first append, after that took effect.
 //!
-//! `cargo run -p pimento-platform --example tail`
+//! `cargo run -p pimento-coordination --example tail`
 
 use std::sync::Arc;
 use std::time::Duration;
 
+use pimento_coordination::Log;
+use pimento_coordination::appender;
+use pimento_coordination::follower;
+use pimento_coordination::log::Error;
 use pimento_ledger::Stream;
-use pimento_platform::Log;
-use pimento_platform::appender;
-use pimento_platform::follower;
-use pimento_platform::log::Error;
 use pimento_units::Offset;
 use pimento_units::Wall;
 use pimento_wire::platform;
--- a/crates/platform/tests/appender.rs
+++ b/crates/coordination/tests/appender.rs
@@ -8,11 +8,11 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use pimento_coordination::Appender;
+use pimento_coordination::appender::Config;
+use pimento_coordination::appender::Settings;
+use pimento_coordination::log::Error;
 use pimento_ledger::Stream;
-use pimento_platform::Appender;
-use pimento_platform::appender::Config;
-use pimento_platform::appender::Settings;
-use pimento_platform::log::Error;
 use pimento_units::Offset;
 use support::bound;
 use support::eventually;
--- a/crates/platform/tests/follower.rs
+++ b/crates/coordination/tests/follower.rs
@@ -4,11 +4,11 @@
 
 use std::time::Duration;
 
+use pimento_coordination::Follower;
+use pimento_coordination::Log;
+use pimento_coordination::follower::Fold;
+use pimento_coordination::log::Error;
 use pimento_ledger::Stream;
-use pimento_platform::Follower;
-use pimento_platform::Log;
-use pimento_platform::follower::Fold;
-use pimento_platform::log::Error;
 use pimento_units::Offset;
 use pimento_units::Wall;
 use pimento_wire::platform::Batch;
--- a/crates/platform/tests/kept/claims.rs
+++ b/crates/coordination/tests/kept/claims.rs
@@ -2,18 +2,18 @@
 
 use std::time::Duration;
 
+use pimento_coordination::Appender;
+use pimento_coordination::appender;
+use pimento_coordination::claims::Claimer;
+use pimento_coordination::claims::Config;
+use pimento_coordination::claims::Error;
+use pimento_coordination::claims::Ticket;
+use pimento_coordination::claims::Verdict;
 use pimento_ledger::Claim;
 use pimento_ledger::Stream;
 use pimento_ledger::claims::Age;
 use pimento_ledger::record::Call;
 use pimento_ledger::record::Run;
-use pimento_platform::Appender;
-use pimento_platform::appender;
-use pimento_platform::claims::Claimer;
-use pimento_platform::claims::Config;
-use pimento_platform::claims::Error;
-use pimento_platform::claims::Ticket;
-use pimento_platform::claims::Verdict;
 use pimento_units::id;
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
--- a/crates/platform/tests/kept/faulty.rs
+++ b/crates/coordination/tests/kept/faulty.rs
@@ -4,9 +4,9 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
+use pimento_coordination::Log;
+use pimento_coordination::log::Error;
 use pimento_ledger::Stream;
-use pimento_platform::Log;
-use pimento_platform::log::Error;
 use pimento_units::Offset;
 use pimento_units::Wall;
 use pimento_wire::platform::Batch;
--- a/crates/platform/tests/kept/lease.rs
+++ b/crates/coordination/tests/kept/lease.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
+use pimento_coordination::Appender;
+use pimento_coordination::Follower;
+use pimento_coordination::appender;
+use pimento_coordination::lease::Config;
+use pimento_coordination::lease::Fencing;
+use pimento_coordination::lease::Lease;
+use pimento_coordination::lease::View;
 use pimento_ledger::Stream;
-use pimento_platform::Appender;
-use pimento_platform::Follower;
-use pimento_platform::appender;
-use pimento_platform::lease::Config;
-use pimento_platform::lease::Fencing;
-use pimento_platform::lease::Lease;
-use pimento_platform::lease::View;
 use pimento_units::Offset;
 use pimento_units::Span;
 use pimento_units::id;
--- a/crates/platform/tests/mesh.rs
+++ b/crates/coordination/tests/mesh.rs
@@ -5,12 +5,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pimento_platform::Mesh;
-use pimento_platform::mesh;
-use pimento_platform::mesh::Duty;
-use pimento_platform::mesh::Handler;
-use pimento_platform::mesh::Listener;
-use pimento_platform::mesh::Settings;
+use pimento_coordination::Mesh;
+use pimento_coordination::mesh;
+use pimento_coordination::mesh::Duty;
+use pimento_coordination::mesh::Handler;
+use pimento_coordination::mesh::Listener;
+use pimento_coordination::mesh::Settings;
 use pimento_units::Offset;
 use pimento_units::id;
 use pimento_wire::Frame;
--- a/crates/platform/tests/support/memory.rs
+++ b/crates/coordination/tests/support/memory.rs
@@ -9,9 +9,9 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use pimento_coordination::Log;
+use pimento_coordination::log::Error;
 use pimento_ledger::Stream;
-use pimento_platform::Log;
-use pimento_platform::log::Error;
 use pimento_units::Offset;
 use pimento_units::Wall;
 use pimento_wire::platform::Batch;
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pimento_platform::log;
+use pimento_coordination::log;
 use tokio::time::Instant;
 
 use crate::exit::Error;
--- a/crates/ctl/src/command/endpoint.rs
+++ b/crates/ctl/src/command/endpoint.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pimento_platform::vms;
-use pimento_platform::vms::List;
+use pimento_coordination::vms;
+use pimento_coordination::vms::List;
 use pimento_wire::platform::Role;
 use pimento_wire::platform::Vm;
 
--- a/crates/ctl/src/command/status.rs
+++ b/crates/ctl/src/command/status.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use futures::future::join_all;
-use pimento_platform::operators;
-use pimento_platform::operators::Operators;
+use pimento_coordination::operators;
+use pimento_coordination::operators::Operators;
 use pimento_units::Span;
 use pimento_wire::operators::State;
 use serde::Serialize;
--- a/crates/ctl/src/exit.rs
+++ b/crates/ctl/src/exit.rs
@@ -2,7 +2,7 @@
 
 use std::process::ExitCode;
 
-use pimento_platform::log;
+use pimento_coordination::log;
 use snafu::Snafu;
 
 /// Why a command failed.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`publish`] proposes changes on the platform's log and reads their verdicts back, so that a lost
 //! answer or a racing operator never leaves the caller guessing; [`snapshot`] folds the
-//! configuration stream. Both work over any [`pimento_platform::Log`]. [`command`] holds one module
+//! configuration stream. Both work over any [`pimento_coordination::Log`]. [`command`] holds one module
 //! for each subcommand, [`exit`] the exit codes.
 
 mod args;
--- a/crates/ctl/src/stream.rs
+++ b/crates/ctl/src/stream.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use pimento_coordination::log::Error;
+use pimento_coordination::log::Log;
 use pimento_ledger::Stream;
-use pimento_platform::log::Error;
-use pimento_platform::log::Log;
 use pimento_units::Offset;
 use pimento_wire::platform::Entry;
 use tokio::time::Instant;
--- a/crates/ctl/tests/common/mod.rs
+++ b/crates/ctl/tests/common/mod.rs
@@ -6,9 +6,9 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use pimento_coordination::log::Error;
+use pimento_coordination::log::Log;
 use pimento_ledger::Stream;
-use pimento_platform::log::Error;
-use pimento_platform::log::Log;
 use pimento_units::Offset;
 use pimento_units::Wall;
 use pimento_wire::platform::Batch;
--- a/crates/entry/src/filter/budget.rs
+++ b/crates/entry/src/filter/budget.rs
@@ -6,10 +6,10 @@
 use pimento_contract::Contract;
 use pimento_contract::Subject;
 use pimento_contract::contract::Class;
-use pimento_platform::bills;
-use pimento_platform::grants;
-use pimento_platform::grants::Account;
-use pimento_platform::grants::Hold;
+use pimento_coordination::bills;
+use pimento_coordination::grants;
+use pimento_coordination::grants::Account;
+use pimento_coordination::grants::Hold;
 use pimento_units::Moment;
 use pimento_units::Money;
 use pimento_units::Tokens;
--- a/crates/entry/src/filter/claim.rs
+++ b/crates/entry/src/filter/claim.rs
@@ -1,11 +1,11 @@
 //! The claim of a call that may not be repeated: made in the platform's log before any byte is
 //! sent, and read back as the first.
 
+use pimento_coordination::claims;
+use pimento_coordination::claims::Ticket;
+use pimento_coordination::claims::Verdict;
 use pimento_ledger::claims::Owner;
 use pimento_ledger::record;
-use pimento_platform::claims;
-use pimento_platform::claims::Ticket;
-use pimento_platform::claims::Verdict;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::border::Run;
--- a/crates/entry/src/filter/rate.rs
+++ b/crates/entry/src/filter/rate.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use pimento_contract::Version;
-use pimento_platform::rating::Rater;
+use pimento_coordination::rating::Rater;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::border::Chat;
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -3,8 +3,8 @@
 use std::sync::Weak;
 use std::time::Duration;
 
+use pimento_coordination::mesh::Handler;
 use pimento_ledger::Stream;
-use pimento_platform::mesh::Handler;
 use pimento_wire::peer::Answer;
 use pimento_wire::peer::Call;
 use tokio::time::Instant;
--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -8,10 +8,10 @@
 
 use futures::StreamExt;
 use futures::stream;
+use pimento_coordination::vms::List;
 use pimento_endpoint::Pool;
 use pimento_endpoint::engine::Engine;
 use pimento_endpoint::engine::Remote;
-use pimento_platform::vms::List;
 use pimento_policy::limit;
 use pimento_units::Moment;
 use pimento_units::id;
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use pimento_platform::mesh;
+use pimento_coordination::mesh;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,16 +1,16 @@
 //! pimentobarrow as one library: the parts that others embed, re-exported under one name.
 //!
 //! [`contract`], [`ledger`] and [`policy`] are state machines without clock, network or randomness
-//! of their own; [`platform`] and [`endpoint`] connect them to the outside. The daemons are thin
+//! of their own; [`coordination`] and [`endpoint`] connect them to the outside. The daemons are thin
 //! programs over [`entry`] and [`control`].
 
 pub use pimento_contract as contract;
 pub use pimento_control as control;
+pub use pimento_coordination as coordination;
 pub use pimento_ctl as ctl;
 pub use pimento_endpoint as endpoint;
 pub use pimento_entry as entry;
 pub use pimento_ledger as ledger;
-pub use pimento_platform as platform;
 pub use pimento_policy as policy;
 pub use pimento_standin as standin;
 pub use pimento_units as units;
--- a/tests/all/ctl.rs
+++ b/tests/all/ctl.rs
@@ -6,11 +6,11 @@
 use std::process::Stdio;
 use std::time::Duration;
 
+use pimento_coordination::Log as _;
+use pimento_coordination::log::Remote;
 use pimento_ledger::Bill;
 use pimento_ledger::Stream;
 use pimento_ledger::record::Item;
-use pimento_platform::Log as _;
-use pimento_platform::log::Remote;
 use pimento_standin::fault::Action;
 use pimento_standin::fault::Rule;
 use pimento_standin::log;
