Take the scheduler out of the entry, for a second chain to share

Cause: a second chain over the same decisions is about to be built; the slots of endpoints stood inside the first one and spoke its refusals.

Change: crates/scheduler holds pools, slots and the process's clocks; it says why a job got no slot with a type of its own, which the entry turns into its refusals.

Ruled out: a second scheduler beside the first.

Conclusion: one scheduler for both chains.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -15,6 +15,8 @@
 use pimento_ledger::record;
 use pimento_ledger::record::Item;
 use pimento_policy::retry;
+use pimento_scheduler::Job;
+use pimento_scheduler::Permit;
 use pimento_units::Money;
 use pimento_units::Tokens;
 use pimento_wire::border::Run;
@@ -45,8 +47,6 @@
 use crate::node::Node;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
-use crate::scheduler::Job;
-use crate::scheduler::Permit;
 use crate::trace::Trace;
 
 /// Work of a call, in tokens: calls of plain services are taken for equal.
--- a/crates/entry/src/filter/admission.rs
+++ b/crates/entry/src/filter/admission.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
+use pimento_scheduler::Job;
+use pimento_scheduler::Permit;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
 use super::Filter;
 use crate::node::Node;
 use crate::refusal::Refusal;
-use crate::scheduler::Job;
-use crate::scheduler::Permit;
 
 /// Waits for a slot.
 #[derive(Debug, Clone)]
--- a/crates/entry/src/filter/assemble.rs
+++ b/crates/entry/src/filter/assemble.rs
@@ -10,6 +10,7 @@
 use compact_str::format_compact;
 use hyper::Response;
 use pimento_endpoint::Fault;
+use pimento_scheduler::Clock;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -21,7 +22,6 @@
 
 use crate::body::Reply;
 use crate::body::Writer;
-use crate::clock::Clock;
 use crate::filter::reply;
 use crate::refusal::Refusal;
 
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -14,6 +14,8 @@
 use pimento_endpoint::engine::Remote;
 use pimento_policy::hedge;
 use pimento_policy::retry;
+use pimento_scheduler::Job;
+use pimento_scheduler::Permit;
 use pimento_units::Tokens;
 use pimento_units::id;
 use uuid::Uuid;
@@ -31,8 +33,6 @@
 use crate::filter::identify::Request;
 use crate::node::Node;
 use crate::refusal::Refusal;
-use crate::scheduler::Job;
-use crate::scheduler::Permit;
 use crate::trace::Trace;
 
 /// Tokens from which a job is long, as in the queue.
--- a/crates/entry/src/filter/attempt/opened.rs
+++ b/crates/entry/src/filter/attempt/opened.rs
@@ -9,6 +9,7 @@
 use pimento_endpoint::engine::Engine;
 use pimento_endpoint::engine::Remote;
 use pimento_endpoint::events::Events;
+use pimento_scheduler::Permit;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::border::Chunk;
@@ -16,7 +17,6 @@
 use tokio_util::task::TaskTracker;
 
 use crate::filter::assemble::Delivery;
-use crate::scheduler::Permit;
 
 /// Resumes in a row without a new piece. An engine that cuts each time is broken.
 const RESUMES: u32 = 3;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,13 +2,12 @@
 //!
 //! A request passes the filters in [`filter`], composed in [`chain`]; what they share is
 //! [`node::Node`]. [`registry`] and [`state`] are kept current by tasks in the background, and
-//! [`scheduler`] joins the decisions of `pimento_policy` into slots at endpoints. [`run::Running`]
+//! `pimento_scheduler` joins the decisions of `pimento_policy` into slots at endpoints. [`run::Running`]
 //! binds the listeners and ends without cutting a request; [`cli`] is the command line.
 
 pub mod body;
 pub mod chain;
 pub mod cli;
-pub mod clock;
 pub mod config;
 pub mod estimate;
 pub mod evidence;
@@ -23,7 +22,6 @@
 pub mod registry;
 pub mod retries;
 pub mod run;
-pub mod scheduler;
 pub mod server;
 pub mod session;
 pub mod state;
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use pimento_scheduler::Scheduler;
 use pimento_units::Money;
 use pimento_units::id;
 use prometheus::Encoder;
@@ -17,7 +18,6 @@
 use prometheus::TextEncoder;
 
 use crate::refusal::Code;
-use crate::scheduler::Scheduler;
 
 /// Bounds of latency histograms in seconds: the target for a first token is 0.41 s, so that the
 /// steps are finest around it; reviews take minutes.
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -23,6 +23,8 @@
 use pimento_coordination::rating;
 use pimento_coordination::vms;
 use pimento_ledger::Stream;
+use pimento_scheduler::Clock;
+use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::frame;
@@ -34,7 +36,6 @@
 use tokio_util::task::TaskTracker;
 use uuid::Uuid;
 
-use crate::clock::Clock;
 use crate::config::Config;
 use crate::estimate;
 use crate::evidence;
@@ -46,7 +47,6 @@
 use crate::registry::poll;
 use crate::registry::poll::Registry;
 use crate::retries;
-use crate::scheduler::Scheduler;
 use crate::session;
 use crate::state::Handle;
 
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -147,7 +147,7 @@
 
 fn pools(node: &Node) -> Vec<Pool> {
     let pools = node.scheduler.pools().into_iter();
-    let pool = |(name, pool): (id::Pool, crate::scheduler::Pool)| {
+    let pool = |(name, pool): (id::Pool, pimento_scheduler::Pool)| {
         let depth = pool.depth();
         Pool {
             name,
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -10,6 +10,7 @@
 use hyper::header::ALLOW;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use pimento_scheduler::Refused;
 use pimento_wire::border::Error;
 use pimento_wire::border::Failure;
 use pimento_wire::border::Run;
@@ -134,6 +135,20 @@
     pub after: Option<Duration>,
 }
 
+impl From<Refused> for Refusal {
+    fn from(refused: Refused) -> Self {
+        let (code, after) = match refused {
+            Refused::Nobody { after } => (Code::NoEndpoint, Some(after)),
+            Refused::Overloaded { after } | Refused::Late { after } => {
+                (Code::Overloaded, Some(after))
+            }
+            Refused::Gone => (Code::Gone, None),
+        };
+        let refusal = Self::not_run(code, refused.to_string());
+        Self { after, ..refusal }
+    }
+}
+
 impl Refusal {
     /// A refusal before anything was sent to an endpoint.
     #[must_use]
--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -13,6 +13,9 @@
 use pimento_endpoint::engine::Engine;
 use pimento_endpoint::engine::Remote;
 use pimento_policy::limit;
+use pimento_scheduler::Clock;
+use pimento_scheduler::Member;
+use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::peer::Departure;
@@ -22,9 +25,6 @@
 use super::Endpoint;
 use super::Kind;
 use super::Table;
-use crate::clock::Clock;
-use crate::scheduler::Member;
-use crate::scheduler::Scheduler;
 
 /// Load reports asked for at once. Bounds the sockets that polling holds.
 const AT_ONCE: usize = 32;
--- a/crates/entry/src/state.rs
+++ b/crates/entry/src/state.rs
@@ -11,11 +11,10 @@
 
 use arc_swap::ArcSwap;
 use pimento_contract::State;
+use pimento_scheduler::Clock;
 use pimento_units::Offset;
 use tokio::sync::watch;
 
-use crate::clock::Clock;
-
 /// The configuration in force; clones share it.
 #[derive(Debug, Clone)]
 pub struct Handle {
--- a/crates/entry/tests/all/delivery.rs
+++ b/crates/entry/tests/all/delivery.rs
@@ -2,9 +2,9 @@
 
 use http_body_util::BodyExt;
 use pimento_endpoint::Fault;
-use pimento_entry::clock::Clock;
 use pimento_entry::filter::assemble::Delivery;
 use pimento_entry::filter::reply::Head;
+use pimento_scheduler::Clock;
 use pimento_units::Moment;
 use pimento_units::id;
 use pimento_wire::border::Chunk;
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
-use pimento_entry::clock::Clock;
 use pimento_entry::refusal::Code;
-use pimento_entry::scheduler::Job;
-use pimento_entry::scheduler::Member;
-use pimento_entry::scheduler::Pool;
-use pimento_entry::scheduler::Scheduler;
+use pimento_entry::refusal::Refusal;
+use pimento_scheduler::Clock;
+use pimento_scheduler::Job;
+use pimento_scheduler::Member;
+use pimento_scheduler::Pool;
+use pimento_scheduler::Scheduler;
 use pimento_units::Tokens;
 use pimento_wire::border::Run;
 use tokio_util::sync::CancellationToken;
@@ -76,7 +77,7 @@
         endpoint
     }
 
-    async fn fill(&self) -> Vec<pimento_entry::scheduler::Permit> {
+    async fn fill(&self) -> Vec<pimento_scheduler::Permit> {
         let mut permits = Vec::new();
         for _ in 0..self.pool.depth().slots {
             permits.push(self.pool.acquire(self.job(), &self.token).await.unwrap());
@@ -124,6 +125,7 @@
     let mut job = bench.job();
     job.version = Some(name("unknown@1"));
     let refusal = bench.pool.acquire(job, &bench.token).await.unwrap_err();
+    let refusal = Refusal::from(refusal);
     assert_eq!(refusal.code, Code::NoEndpoint);
     assert_eq!(refusal.run, Run::NotRun);
     assert!(refusal.after.is_some());
@@ -209,6 +211,7 @@
     until("it waits", || bench.pool.depth().waiting == 1).await;
     gone.cancel();
     let refusal = waiting.await.unwrap().unwrap_err();
+    let refusal = Refusal::from(refusal);
     assert_eq!(refusal.code, Code::Gone);
     assert_eq!(bench.pool.depth().waiting, 0);
 }
--- a/crates/entry/src/scheduler/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -12,20 +12,20 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
-use super::Depth;
-use super::Job;
-use super::Permit;
-use super::Shared;
-use super::Waiter;
-use super::permit::Slot;
-use super::seat::CLOSED;
-use super::seat::DOUBLINGS;
-use super::seat::FIRST_RUN;
-use super::seat::Member;
-use super::seat::Seat;
-use super::seat::ordinary;
-use super::seat::refresh;
-use super::seat::seat;
+use crate::permit::Permit;
+use crate::permit::Slot;
+use crate::pool::Depth;
+use crate::pool::Job;
+use crate::pool::Shared;
+use crate::pool::Waiter;
+use crate::seat::CLOSED;
+use crate::seat::DOUBLINGS;
+use crate::seat::FIRST_RUN;
+use crate::seat::Member;
+use crate::seat::Seat;
+use crate::seat::ordinary;
+use crate::seat::refresh;
+use crate::seat::seat;
 
 /// Jobs for one version, with their own drain rate: versions differ in speed, and a job of one
 /// must not wait behind jobs of another whose endpoints are full.
@@ -40,7 +40,7 @@
 
 /// The state of one pool.
 #[derive(Debug)]
-pub(super) struct Inner {
+pub(crate) struct Inner {
     seats: Vec<Seat>,
     stations: Vec<Station>,
     health: eject::Pool,
--- a/crates/entry/src/scheduler/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -12,11 +12,11 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
-use super::Shared;
+use crate::pool::Shared;
 
 /// A slot as the pool gave it.
 #[derive(Debug, Clone)]
-pub(super) struct Slot {
+pub(crate) struct Slot {
     pub endpoint: id::Endpoint,
     pub zone: id::Zone,
     pub address: SocketAddr,
@@ -35,7 +35,7 @@
 }
 
 impl Permit {
-    pub(super) const fn new(shared: Arc<Shared>, slot: Slot) -> Self {
+    pub(crate) const fn new(shared: Arc<Shared>, slot: Slot) -> Self {
         Self {
             shared,
             slot,
@@ -44,12 +44,12 @@
     }
 
     /// Takes the slot out without giving it back, for a holder of the pool's lock.
-    pub(super) fn defuse(mut self) -> Slot {
+    pub(crate) fn defuse(mut self) -> Slot {
         self.ended = true;
         self.slot.clone()
     }
 
-    pub(super) const fn dispatched(&mut self, dispatch: queue::Dispatch) {
+    pub(crate) const fn dispatched(&mut self, dispatch: queue::Dispatch) {
         self.slot.dispatch = Some(dispatch);
     }
 
--- a/crates/entry/src/scheduler.rs
+++ b/crates/scheduler/src/pool.rs
@@ -1,13 +1,4 @@
-//! Slots of endpoints: who gets one, who waits, who is refused, and which endpoint it is.
-//!
-//! One [`Pool`] for each pool of endpoints joins the decisions of `pimento_policy`: the admission
-//! gate, the fair queue, the concurrency limits, the choice of an endpoint and ejection. They are
-//! plain state machines; this module gives them the time, random bits and a lock that is never held
-//! over an await.
-
-mod inner;
-pub mod permit;
-mod seat;
+//! The pools of endpoints and the jobs that wait for their slots.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,12 +15,11 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
-use self::inner::Inner;
-pub use self::permit::Permit;
-pub use self::seat::Member;
 use crate::clock::Clock;
-use crate::refusal::Code;
-use crate::refusal::Refusal;
+use crate::inner::Inner;
+use crate::permit::Permit;
+use crate::refused::Refused;
+use crate::seat::Member;
 
 /// Work that wants a slot.
 #[derive(Debug, Clone)]
@@ -58,9 +48,9 @@
 
 /// What a job waits on.
 #[derive(Debug)]
-struct Waiter {
-    job: Job,
-    slot: oneshot::Sender<Permit>,
+pub(crate) struct Waiter {
+    pub(crate) job: Job,
+    pub(crate) slot: oneshot::Sender<Permit>,
 }
 
 /// One pool's scheduler; clones share it.
@@ -70,13 +60,13 @@
 }
 
 #[derive(Debug)]
-struct Shared {
-    clock: Clock,
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
     inner: Mutex<Inner>,
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Inner> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Inner> {
         // A panic between two steps of the bookkeeping is a bug; going on beats refusing all.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -105,8 +95,8 @@
     ///
     /// # Errors
     ///
-    /// A [`Refusal`], at once if the job can't start in time, else when its last chance has passed.
-    pub async fn acquire(&self, job: Job, cancel: &CancellationToken) -> Result<Permit, Refusal> {
+    /// [`Refused`], at once if the job can't start in time, else when its last chance has passed.
+    pub async fn acquire(&self, job: Job, cancel: &CancellationToken) -> Result<Permit, Refused> {
         let (slot, granted) = oneshot::channel();
         let version = job.version.clone();
         let asked = job.clone();
@@ -124,22 +114,22 @@
                 Ok(permit) => Ok(permit),
                 Err(_) => Err(nobody()),
             },
-            () = cancel.cancelled() => Err(Refusal::not_run(Code::Gone, "the caller went away")),
+            () = cancel.cancelled() => Err(Refused::Gone),
             () = tokio::time::sleep_until(deadline) => Err(self.late(&asked)),
         }
     }
 
-    fn enqueue(&self, waiter: Waiter) -> Result<(queue::Ticket, Moment), Refusal> {
+    fn enqueue(&self, waiter: Waiter) -> Result<(queue::Ticket, Moment), Refused> {
         let now = self.shared.clock.now();
         let mut inner = self.shared.lock();
         let demand = inner.demand(&waiter.job, now).ok_or_else(nobody)?;
         if let Some(after) = inner.hopeless(&waiter.job, now) {
-            return Err(overloaded(after));
+            return Err(Refused::Overloaded { after });
         }
         let verdict = inner.decide(&waiter.job, demand, now, rand::random());
         let start_by = match verdict {
             admission::Verdict::Admit { start_by } => start_by,
-            admission::Verdict::Refuse { after } => return Err(overloaded(after)),
+            admission::Verdict::Refuse { after } => return Err(Refused::Overloaded { after }),
         };
         let ticket = inner.enqueue(waiter, start_by);
         inner.pump(&self.shared, now);
@@ -153,10 +143,10 @@
         self.shared.lock().take(&self.shared, job, now)
     }
 
-    fn late(&self, job: &Job) -> Refusal {
+    fn late(&self, job: &Job) -> Refused {
         let now = self.shared.clock.now();
         let after = self.shared.lock().again(job, now, rand::random());
-        Refusal::not_run(Code::Overloaded, "the work could not start in time").retry_after(after)
+        Refused::Late { after }
     }
 
     /// How long work of `tokens` is expected to run on a version.
@@ -208,15 +198,10 @@
     }
 }
 
-fn nobody() -> Refusal {
+const fn nobody() -> Refused {
     /// A list or load report later, an endpoint may be there.
     const AGAIN: Duration = Duration::from_secs(2);
-    Refusal::not_run(Code::NoEndpoint, "no endpoint can take the call now").retry_after(AGAIN)
-}
-
-fn overloaded(after: Duration) -> Refusal {
-    let message = "the work could not start by its deadline";
-    Refusal::not_run(Code::Overloaded, message).retry_after(after)
+    Refused::Nobody { after: AGAIN }
 }
 
 /// All pools of a node; clones share them.
--- a/crates/entry/src/scheduler/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -13,7 +13,7 @@
 const ORDINARY: Tokens = Tokens(500);
 
 /// Expected time of a call before any was measured.
-pub(super) const FIRST_RUN: Duration = Duration::from_secs(1);
+pub(crate) const FIRST_RUN: Duration = Duration::from_secs(1);
 
 /// An endpoint of the pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -35,7 +35,7 @@
 }
 
 impl Member {
-    pub(super) fn holds(&self, version: Option<&id::Version>) -> bool {
+    pub(crate) fn holds(&self, version: Option<&id::Version>) -> bool {
         match (version, &self.versions) {
             (Some(version), Some(held)) => held.binary_search(version).is_ok(),
             (None, None) => true,
@@ -46,27 +46,27 @@
 
 /// A member with what this node learnt of it.
 #[derive(Debug)]
-pub(super) struct Seat {
-    pub(super) member: Member,
-    pub(super) limiter: limit::Limiter,
+pub(crate) struct Seat {
+    pub(crate) member: Member,
+    pub(crate) limiter: limit::Limiter,
     /// The batch that the limiter was made for.
     batch: Option<u32>,
-    pub(super) key: u64,
+    pub(crate) key: u64,
     /// Refusals in a row, and until when no further call is sent because of them.
-    pub(super) refusals: u32,
-    pub(super) closed: Moment,
+    pub(crate) refusals: u32,
+    pub(crate) closed: Moment,
     /// When it said that it takes calls again, with its last refusal.
-    pub(super) back: Moment,
+    pub(crate) back: Moment,
 }
 
 /// How long an endpoint that refused a call gets none from this node: several round trips, in which
 /// calls of other nodes end. Doubled with each further refusal.
-pub(super) const CLOSED: Duration = Duration::from_millis(50);
+pub(crate) const CLOSED: Duration = Duration::from_millis(50);
 
 /// Doublings at most: 0.8 s is short beside the time of the answers that fill an engine.
-pub(super) const DOUBLINGS: u32 = 4;
+pub(crate) const DOUBLINGS: u32 = 4;
 
-pub(super) fn seat(member: Member) -> Seat {
+pub(crate) fn seat(member: Member) -> Seat {
     let batch = batch(&member);
     Seat {
         key: choice::key(member.endpoint.as_str()),
@@ -100,7 +100,7 @@
 }
 
 /// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
-pub(super) fn refresh(mut seat: Seat, member: Member) -> Seat {
+pub(crate) fn refresh(mut seat: Seat, member: Member) -> Seat {
     if let Some((report, at)) = member.report
         && seat.member.report.is_none_or(|(_, seen)| seen < at)
     {
@@ -117,7 +117,7 @@
 
 /// How long a call of ordinary size takes. An endpoint that has not answered yet is taken for as
 /// fast as the pool's median: a guess that is too high would keep it idle for ever.
-pub(super) fn ordinary(pace: f64, usual: Option<f64>) -> Duration {
+pub(crate) fn ordinary(pace: f64, usual: Option<f64>) -> Duration {
     let pace = if pace > 0.0 {
         pace
     } else {
