Take listeners and bodies out of the entry, for a second chain to share

Cause: a second chain needs the same listeners, which end without cutting a request, and the same bodies, which can't end cleanly by accident.

Change: crates/serve holds both; what callers may send is a limit of the service in place of a constant.

Ruled out: a copy beside the first.

--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -9,11 +9,11 @@
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
+use pimento_serve::Reply;
 use pimento_wire::border::Model;
 use pimento_wire::border::Models;
 use tokio_util::sync::CancellationToken;
 
-use crate::body::Reply;
 use crate::filter::Filter;
 use crate::filter::authenticate::Authenticate;
 use crate::filter::reply;
--- a/crates/entry/src/filter/assemble.rs
+++ b/crates/entry/src/filter/assemble.rs
@@ -11,6 +11,8 @@
 use hyper::Response;
 use pimento_endpoint::Fault;
 use pimento_scheduler::Clock;
+use pimento_serve::Reply;
+use pimento_serve::Writer;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -20,8 +22,6 @@
 use serde::Serialize;
 use tokio::sync::oneshot;
 
-use crate::body::Reply;
-use crate::body::Writer;
 use crate::filter::reply;
 use crate::refusal::Refusal;
 
--- a/crates/entry/src/filter/reply.rs
+++ b/crates/entry/src/filter/reply.rs
@@ -8,6 +8,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderValue;
+use pimento_serve::Reply;
 use pimento_units::Wall;
 use pimento_units::id;
 use pimento_wire::border::Choice;
@@ -16,7 +17,6 @@
 use pimento_wire::header;
 use serde::Serialize;
 
-use crate::body::Reply;
 use crate::filter::assemble::Answer;
 
 /// Headers of a model answer.
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,6 @@
 //! `pimento_scheduler` joins the decisions of `pimento_policy` into slots at endpoints. [`run::Running`]
 //! binds the listeners and ends without cutting a request; [`cli`] is the command line.
 
-pub mod body;
 pub mod chain;
 pub mod cli;
 pub mod config;
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -7,17 +7,17 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use pimento_serve::Reply;
+use pimento_serve::Serve;
 use pimento_units::id;
 use pimento_wire::operators;
 use pimento_wire::peer::Departure;
 use serde::Serialize;
 
-use crate::body::Reply;
 use crate::filter::reply;
 use crate::node::Node;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
-use crate::server::Serve;
 
 /// Content type of the metrics.
 const METRICS: &str = "text/plain; version=0.0.4";
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -11,13 +11,12 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use pimento_scheduler::Refused;
+use pimento_serve::Reply;
 use pimento_wire::border::Error;
 use pimento_wire::border::Failure;
 use pimento_wire::border::Run;
 use pimento_wire::header;
 
-use crate::body::Reply;
-
 /// Why a caller gets an error in place of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Code {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use pimento_coordination::mesh;
+use pimento_serve::Stop;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -19,9 +20,7 @@
 use crate::config::Config;
 use crate::node::Node;
 use crate::operators::Operators;
-use crate::server;
 use crate::server::Callers;
-use crate::server::Stop;
 
 /// Time for the last records to reach the log. It may be out for long just then, and a VM that goes
 /// must not wait for it: a peer holds what does not reach it.
@@ -79,9 +78,9 @@
         };
         let operators_stop = Stop::default();
         let page = Operators(Arc::clone(&node));
-        tokio::spawn(server::run(operators, page, operators_stop.clone()));
+        tokio::spawn(pimento_serve::run(operators, page, operators_stop.clone()));
         let service = Callers(Arc::clone(&node));
-        let serving = tokio::spawn(server::run(callers, service, stop.clone()));
+        let serving = tokio::spawn(pimento_serve::run(callers, service, stop.clone()));
         Ok(Self {
             node,
             callers: callers_at,
--- /dev/null
+++ b/crates/serve/src/server.rs
@@ -0,0 +1,129 @@
+//! Listeners: connections over HTTP/1, closed in an order that cuts no request.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::body::Reply;
+
+/// Wait after a failed accept, which mostly means that file descriptors have run out.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What a caller may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// How long a caller may take to send the head of a request, idle time on a kept connection
+    /// included.
+    pub head: Duration,
+    /// Bytes of a head that are read before it is refused.
+    pub head_bytes: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: Duration::from_secs(30),
+            head_bytes: 400 << 10,
+        }
+    }
+}
+
+/// Answers requests.
+pub trait Serve: Clone + Send + Sync + 'static {
+    /// Answers one request. The future is dropped when the caller closes its connection.
+    fn serve(&self, request: Request<Incoming>) -> impl Future<Output = Response<Reply>> + Send;
+
+    /// What callers may send, asked for each new connection.
+    fn limits(&self) -> Limits {
+        Limits::default()
+    }
+}
+
+/// When a server stops.
+#[derive(Debug, Clone, Default)]
+pub struct Stop {
+    /// Responses ask callers to close their connection.
+    pub leaving: CancellationToken,
+    /// No further connection is accepted, and each is closed once it is idle.
+    pub closing: CancellationToken,
+    /// All connections are cut.
+    pub cut: CancellationToken,
+}
+
+/// Serves until told to close; returns once all connections are closed.
+pub async fn run(listener: TcpListener, service: impl Serve, stop: Stop) {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = connection(stream, service.clone(), stop.clone());
+                connections.spawn(connection);
+            }
+            Err(error) => {
+                log::warn!("server: Connection not accepted: {error}.");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    drop(listener);
+    connections.close();
+    connections.wait().await;
+}
+
+async fn connection(stream: TcpStream, service: impl Serve, stop: Stop) {
+    // Each piece of a stream goes out at once.
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("server: {error}.");
+    }
+    let limits = service.limits();
+    let leaving = stop.leaving.clone();
+    let answer = service_fn(move |request| {
+        let service = service.clone();
+        let leaving = leaving.clone();
+        async move {
+            let mut response = service.serve(request).await;
+            if leaving.is_cancelled() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.head)
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(TokioIo::new(stream), answer);
+    tokio::pin!(connection);
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = stop.closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                result = connection => result,
+                () = stop.cut.cancelled() => Ok(()),
+            }
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("server: Connection ended: {error}.");
+    }
+}
