--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -10,10 +10,10 @@
 use hyper::http::request::Parts;
 use pimento_coordination::claims::Ticket;
 use pimento_endpoint::Fault;
-use pimento_endpoint::service::Service as _;
 use pimento_endpoint::service;
-use pimento_ledger::record::Item;
+use pimento_endpoint::service::Service as _;
 use pimento_ledger::record;
+use pimento_ledger::record::Item;
 use pimento_policy::retry;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
@@ -25,13 +25,15 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use self::call::Call;
+use self::call::read;
 use crate::filter::Filter;
 use crate::filter::admission::Admission;
 use crate::filter::admission::Want;
 use crate::filter::attempt;
+use crate::filter::bill;
 use crate::filter::bill::Answered;
 use crate::filter::bill::Billing;
-use crate::filter::bill;
 use crate::filter::budget::Budget;
 use crate::filter::budget::Fund;
 use crate::filter::claim::Claim;
@@ -46,8 +48,6 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 use crate::trace::Trace;
-use self::call::Call;
-use self::call::read;
 
 /// Work of a call, in tokens: calls of plain services are taken for equal.
 const WORK: Tokens = Tokens(100);
--- /dev/null
+++ b/crates/relay/src/admit.rs
@@ -0,0 +1,133 @@
+//! What a request may do: its route, its customer and its deadline.
+//!
+//! Asked when the request comes and again before each send: while a request waits, its key may be
+//! revoked, its route dropped or moved to another service, or the configuration grow too old.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimento_units::id;
+
+use crate::boot;
+use crate::border::Ask;
+use crate::border::Border;
+use crate::codec::Codec;
+use crate::node::Freshness;
+use crate::node::Node;
+use crate::refusal::Cause;
+use crate::refusal::Refusal;
+use crate::table::Customer;
+use crate::table::Route;
+use crate::table::Table;
+use crate::topic::Log;
+
+/// A configuration at most this old is taken at its word that a route or key does not exist. One
+/// that was added and acknowledged longer ago than a read takes is then known.
+const CERTAIN: Duration = Duration::from_millis(100);
+
+/// When to come back to a VM that can't know its configuration: its balancer has noticed by then,
+/// and other VMs of the zone take the request.
+const ELSEWHERE: Duration = Duration::from_millis(200);
+
+/// What a request may do.
+#[derive(Debug, Clone)]
+pub struct Grant {
+    /// The configuration that says so.
+    pub table: Arc<Table>,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Its customer; none on a public route.
+    pub customer: Option<Customer>,
+}
+
+/// Why the configuration at hand does not let a request in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Denial {
+    NoTable,
+    Stale,
+    Route,
+    Key,
+}
+
+/// What a request may do by the configuration at hand, without asking anybody.
+fn look<P: Border + Codec, L: Log>(
+    node: &Node<P, L>,
+    ask: &Ask,
+    path: &str,
+) -> Result<Grant, Denial> {
+    let table = node.table().ok_or(Denial::NoTable)?;
+    let route = table.route(&ask.host, path).ok_or(Denial::Route)?;
+    let route = Arc::clone(route);
+    if route.public || !table.keyed() {
+        return Ok(Grant {
+            table,
+            route,
+            customer: None,
+        });
+    }
+    if node.freshness() == Freshness::Stale {
+        return Err(Denial::Stale);
+    }
+    let customer = ask.key.as_deref().and_then(|key| table.customer(key));
+    let customer = customer.cloned().ok_or(Denial::Key)?;
+    Ok(Grant {
+        table,
+        route,
+        customer: Some(customer),
+    })
+}
+
+/// Lets a request in. An unknown route or key may have been added a moment ago, so that the log is
+/// asked once more before the caller hears that it does not exist.
+///
+/// # Errors
+///
+/// A [`Refusal`].
+pub async fn admit<P: Border + Codec, L: Log>(
+    node: &Node<P, L>,
+    ask: &Ask,
+    path: &str,
+) -> Result<Grant, Refusal> {
+    let denial = match look(node, ask, path) {
+        Ok(grant) => return Ok(grant),
+        Err(denial) => denial,
+    };
+    if matches!(denial, Denial::Route | Denial::Key) {
+        let now = boot::now();
+        let certain = node.operators.age().is_some_and(|age| age <= CERTAIN);
+        if !certain && !node.operators.confirm(now).await {
+            return Err(Refusal::new(Cause::Stale).after(ELSEWHERE));
+        }
+    }
+    look(node, ask, path).map_err(refusal)
+}
+
+/// Whether a request that was let in may still be sent to `pool`.
+///
+/// # Errors
+///
+/// A [`Refusal`] of the request as not run.
+pub fn still<P: Border + Codec, L: Log>(
+    node: &Node<P, L>,
+    ask: &Ask,
+    path: &str,
+) -> Result<Grant, Refusal> {
+    look(node, ask, path).map_err(refusal)
+}
+
+fn refusal(denial: Denial) -> Refusal {
+    match denial {
+        Denial::NoTable => Refusal::new(Cause::NotReady).after(ELSEWHERE),
+        Denial::Stale => Refusal::new(Cause::Stale).after(ELSEWHERE),
+        Denial::Route => Refusal::new(Cause::UnknownRoute),
+        Denial::Key => Refusal::new(Cause::UnknownKey),
+    }
+}
+
+impl Grant {
+    /// The service for a request.
+    #[must_use]
+    pub fn pool(&self, random: u64) -> Option<id::Pool> {
+        self.route.target(random).cloned()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/attempts.rs
@@ -0,0 +1,340 @@
+//! The attempts of one request: each at a slot of the scheduler, over a connection of its own, until
+//! an endpoint answers.
+//!
+//! What may have run is known here, and only here: nothing else decides whether a refusal may
+//! promise that the request did not run, or whether it may be sent again.
+
+use std::time::Duration;
+
+use pimento_endpoint::Fault;
+use pimento_policy::admission;
+use pimento_scheduler::Job;
+use pimento_scheduler::Permit;
+use pimento_units::Tokens;
+use pimento_units::id;
+use tokio_util::sync::CancellationToken;
+
+use crate::admit;
+use crate::border::Border;
+use crate::border::Order;
+use crate::border::Reply;
+use crate::call::Call;
+use crate::call::Connection;
+use crate::call::Message;
+use crate::codec::Codec;
+use crate::node::Node;
+use crate::refusal::Cause;
+use crate::refusal::Refusal;
+use crate::topic::Log;
+use crate::work::Work;
+
+/// Endpoints that are asked for one request and did not run it, at most. Each costs a round trip,
+/// and where so many refuse the pool is full or its list out of date.
+const ASKED: usize = 5;
+
+/// Work of a plain call. Plain services say nothing of the size of a call before it has run.
+const PLAIN: Tokens = Tokens(1);
+
+/// An answer of an endpoint whose head has come and belongs to the request.
+#[derive(Debug)]
+pub struct Opened {
+    /// The slot, to be given back with what became of the answer.
+    pub permit: Permit,
+    /// The answer.
+    pub call: Call,
+    /// What its head says.
+    pub reply: Reply,
+}
+
+/// What to send in this attempt beside the request itself.
+#[derive(Debug, Clone, Default)]
+pub struct Variant {
+    /// The model to run.
+    pub model: Option<id::Version>,
+    /// The last event that the caller has.
+    pub resume: Option<u64>,
+}
+
+/// What was done so far.
+#[derive(Debug, Clone, Default)]
+pub struct State {
+    /// Times that the request was sent to an endpoint that may have run it.
+    runs: u32,
+    /// Times that it was sent to an endpoint at all.
+    sent: u32,
+    tried: Vec<id::Endpoint>,
+    /// Endpoints that did not run it.
+    asked: usize,
+}
+
+/// The attempts of one request.
+#[derive(Debug)]
+pub struct Attempts<'a, P, L> {
+    node: &'a Node<P, L>,
+    request: &'a Work,
+    state: State,
+}
+
+impl<'a, P: Border + Codec, L: Log> Attempts<'a, P, L> {
+    /// No attempt yet.
+    #[must_use]
+    pub fn new(node: &'a Node<P, L>, request: &'a Work) -> Self {
+        Self::resume(node, request, State::default())
+    }
+
+    /// Goes on after what was done so far.
+    #[must_use]
+    pub const fn resume(node: &'a Node<P, L>, request: &'a Work, state: State) -> Self {
+        Self {
+            node,
+            request,
+            state,
+        }
+    }
+
+    /// What was done so far.
+    #[must_use]
+    pub fn state(self) -> State {
+        self.state
+    }
+
+    /// Whether the request may have run.
+    #[must_use]
+    pub const fn ran(&self) -> bool {
+        self.state.runs > 0
+    }
+
+    /// Whether one more attempt may be made after one that may have run. Takes it out of the budget.
+    #[must_use]
+    pub fn again(&self) -> bool {
+        let route = &self.request.grant.route;
+        let left = !self.request.left(self.node.now()).is_zero();
+        route.repeatable() && self.state.runs < route.attempts && left
+    }
+
+    /// A refusal that promises no more than is known.
+    #[must_use]
+    pub const fn refuse(&self, refusal: Refusal) -> Refusal {
+        if self.ran() {
+            refusal.unsure()
+        } else {
+            refusal
+        }
+    }
+
+    /// Makes attempts until an endpoint has answered.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] once no further attempt may be made.
+    pub async fn open(&mut self, variant: &Variant) -> Result<Opened, Refusal> {
+        loop {
+            let permit = self.slot().await?;
+            let connection = match Connection::open(permit.address()).await {
+                Ok(connection) => connection,
+                Err(fault) => {
+                    self.not_run(permit, &fault)?;
+                    continue;
+                }
+            };
+            self.check(&permit)?;
+            if self.state.sent > 0 && !self.repeat() {
+                return Err(self.refuse(Refusal::new(Cause::Failed)));
+            }
+            if let Some(opened) = self.send(permit, connection, variant).await? {
+                return Ok(opened);
+            }
+        }
+    }
+
+    /// Takes a repeat out of the budget.
+    fn repeat(&self) -> bool {
+        let now = self.node.now();
+        self.node.repeats.take(&self.request.pool, now)
+    }
+
+    /// Waits for a slot at an endpoint that may still be used.
+    async fn slot(&mut self) -> Result<Permit, Refusal> {
+        loop {
+            let pool = self.node.scheduler.pool(&self.request.pool);
+            // Dropping this future takes the job out of the queue, so that nothing is cancelled by
+            // token.
+            let gone = CancellationToken::new();
+            let permit = pool.acquire(self.job(), &gone).await;
+            let permit = permit.map_err(|refused| self.refuse(refused.into()))?;
+            if self.node.usable(permit.endpoint()) {
+                return Ok(permit);
+            }
+            // The list moved on while the job waited; the pool follows it at once.
+            self.state.tried.push(permit.endpoint().clone());
+            self.count()?;
+        }
+    }
+
+    /// Counts an endpoint that did not run the request.
+    fn count(&mut self) -> Result<(), Refusal> {
+        self.state.asked += 1;
+        if self.state.asked >= ASKED {
+            let refusal = Refusal::new(Cause::NoEndpoint).after(AGAIN);
+            return Err(self.refuse(refusal));
+        }
+        Ok(())
+    }
+
+    fn not_run(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
+        log::info!(
+            "attempt: {} not run by {}: {fault}.",
+            self.request.ask.id,
+            permit.endpoint()
+        );
+        self.state.tried.push(permit.endpoint().clone());
+        permit.failed(fault);
+        self.count()
+    }
+
+    /// Whether the request may still be sent: its key, its route and its service, as of now.
+    fn check(&self, permit: &Permit) -> Result<(), Refusal> {
+        let request = self.request;
+        let grant = admit::still(self.node, &request.ask, request.path());
+        let grant = grant.map_err(|refusal| self.refuse(refusal))?;
+        let same = grant.customer == request.grant.customer;
+        if !same || !grant.route.allows(&request.pool) || !self.node.usable(permit.endpoint()) {
+            let refusal = Refusal::new(Cause::NoEndpoint).after(AGAIN);
+            return Err(self.refuse(refusal));
+        }
+        Ok(())
+    }
+
+    /// Sends the request; none if the endpoint did not run it and another one is to be asked.
+    async fn send(
+        &mut self,
+        permit: Permit,
+        connection: Connection,
+        variant: &Variant,
+    ) -> Result<Option<Opened>, Refusal> {
+        let message = self.message(&permit, variant);
+        self.state.sent += 1;
+        self.state.runs += 1;
+        let left = self.request.left(self.node.now());
+        let sent = tokio::time::timeout(left, connection.send(message)).await;
+        let fault = match sent {
+            Ok(Ok(call)) => match self.read(call) {
+                Ok((call, reply)) => {
+                    return Ok(Some(Opened {
+                        permit,
+                        call,
+                        reply,
+                    }));
+                }
+                Err(fault) => fault,
+            },
+            Ok(Err(fault)) => fault,
+            Err(_) => Fault::Timeout,
+        };
+        if fault.not_run() {
+            self.state.runs -= 1;
+            self.not_run(permit, &fault)?;
+            return Ok(None);
+        }
+        self.broken(permit, &fault)?;
+        Ok(None)
+    }
+
+    /// An endpoint had the request and gave no answer that can be used. Whether to go on.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if no further attempt may be made.
+    pub fn broken(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
+        log::info!(
+            "attempt: {} broken off by {}: {fault}.",
+            self.request.ask.id,
+            permit.endpoint()
+        );
+        self.state.tried.push(permit.endpoint().clone());
+        permit.failed(fault);
+        if self.again() {
+            return Ok(());
+        }
+        let cause = match fault {
+            Fault::Timeout => Cause::Timeout,
+            _ => Cause::Failed,
+        };
+        Err(self.refuse(Refusal::new(cause)))
+    }
+
+    /// Reads the head of an answer, and whether it is one to this request.
+    fn read(&self, call: Call) -> Result<(Call, Reply), Fault> {
+        let reply = self.node.platform.reply(&call.head);
+        let status = call.head.status;
+        if reply.refused || reply.misdirected {
+            return Err(Fault::Refused {
+                status: status.as_u16(),
+                after: None,
+            });
+        }
+        let other = reply
+            .id
+            .as_ref()
+            .is_some_and(|id| *id != self.request.ask.id);
+        if other {
+            return Err(nonsense("the answer is to another request"));
+        }
+        if !reply.signed {
+            return Err(nonsense("the answer bears no signature"));
+        }
+        Ok((call, reply))
+    }
+
+    fn message(&self, permit: &Permit, variant: &Variant) -> Message {
+        let request = self.request;
+        let customer = request.grant.customer.as_ref();
+        let order = Order {
+            endpoint: permit.endpoint(),
+            customer: customer.map(|customer| &customer.name),
+            left: Some(request.left(self.node.now())),
+            model: variant.model.as_ref(),
+            resume: variant.resume.or(request.ask.resume),
+            urgency: None,
+        };
+        Message {
+            method: request.head.method.clone(),
+            uri: request.head.uri.clone(),
+            headers: self.node.platform.order(&request.head, &order),
+            body: request.body.clone(),
+        }
+    }
+
+    fn job(&self) -> Job {
+        let request = self.request;
+        let customer = request.grant.customer.as_ref();
+        let name = customer.map_or_else(|| PUBLIC.parse(), |customer| Ok(customer.name.clone()));
+        let tokens = request
+            .usage()
+            .map_or(PLAIN, |(input, output)| admission::work(input, output));
+        Job {
+            customer: name.expect("the name of public requests is valid"),
+            weight: 1,
+            priority: request.grant.route.priority,
+            tokens,
+            deadline: request.deadline,
+            version: None,
+            prefix: request.prefix(),
+            tried: self.state.tried.clone(),
+            returning: false,
+            repeatable: request.grant.route.repeatable(),
+        }
+    }
+}
+
+/// Whose requests on public routes are, for fairness among customers.
+const PUBLIC: &str = "public";
+
+/// When to come back after all endpoints asked refused: their queues move on within this time.
+const AGAIN: Duration = Duration::from_millis(500);
+
+fn nonsense(reason: &'static str) -> Fault {
+    Fault::Nonsense {
+        reason: reason.into(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,37 @@
+//! Passes requests on to endpoints as they are: the chain for borders whose bodies are not ours.
+//!
+//! A [`Border`](border::Border) reads and writes heads, a [`Codec`](codec::Codec) the records of
+//! operators and endpoints, and a [`Log`](topic::Log) carries them; none of them decides anything. What
+//! a request may do is told by the operators' [`Table`](table::Table), where it runs by
+//! `pimento_scheduler`, what may be sent again by its [`Attempts`](attempts::Attempts).
+//! [`Running`] binds the listeners and ends without cutting a request.
+
+pub mod admit;
+pub mod attempts;
+pub mod boot;
+pub mod border;
+pub mod call;
+pub mod chain;
+pub mod codec;
+pub mod config;
+pub mod directory;
+pub mod endpoint;
+pub mod events;
+pub mod follow;
+pub mod node;
+pub mod operators;
+mod pools;
+pub mod refusal;
+pub mod repeats;
+
+pub mod run;
+pub mod stream;
+pub mod table;
+pub mod topic;
+pub mod whole;
+pub mod work;
+
+pub use config::Config;
+pub use node::Node;
+pub use refusal::Refusal;
+pub use run::Running;
--- /dev/null
+++ b/crates/relay/src/node.rs
@@ -0,0 +1,169 @@
+//! What all requests of an entry VM share.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use pimento_scheduler::Clock;
+use pimento_scheduler::Scheduler;
+use pimento_units::Moment;
+use pimento_units::id;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::boot;
+use crate::border::Border;
+use crate::codec::Codec;
+use crate::config::Config;
+use crate::directory::Directory;
+use crate::follow::Follower;
+use crate::follow::Pace;
+use crate::operators::Operators;
+use crate::pools;
+use crate::repeats::Repeats;
+use crate::table::Table;
+use crate::topic::Log;
+use crate::topic::Topic;
+
+/// How the operators' topic is read. Changes are rare, so that a read may wait for one; the wait
+/// bounds the age that is proven on a quiet topic and must leave room for a read that gets no
+/// answer and one more within the bound on revoked keys.
+const OPERATORS: Pace = Pace {
+    wait: Duration::from_secs(1),
+    pause: Duration::ZERO,
+    patience: Duration::from_millis(450),
+};
+
+/// How the endpoints' topic is read. Each endpoint writes about once a second; a read that waits
+/// would be answered for each. A read that gets no answer and one more must fit within the bound on
+/// leaving endpoints, which is two seconds.
+const ENDPOINTS: Pace = Pace {
+    wait: Duration::ZERO,
+    pause: Duration::from_millis(600),
+    patience: Duration::from_millis(450),
+};
+
+/// Share of the bound on revoked keys that a configuration may be old and still let keys in: what
+/// is left covers the time that a request takes to reach its endpoint.
+const FRESH: f64 = 0.6;
+
+/// What requests share. Clones share it.
+#[derive(Debug)]
+pub struct Node<P, L> {
+    /// Settings.
+    pub config: Arc<Config>,
+    /// Heads and records as the platform writes them.
+    pub platform: P,
+    /// The operators' records.
+    pub operators: Follower<Operators<P>, L>,
+    /// The endpoints' records.
+    pub directory: Follower<Directory<P>, L>,
+    /// Slots at endpoints.
+    pub scheduler: Scheduler,
+    /// The budget of repeats.
+    pub repeats: Arc<Repeats>,
+    /// The process's clocks.
+    pub clock: Clock,
+    /// Set when the VM is to leave.
+    pub leaving: CancellationToken,
+    /// Streams that are still passed on.
+    pub tasks: TaskTracker,
+}
+
+impl<P: Clone, L: Clone> Clone for Node<P, L> {
+    fn clone(&self) -> Self {
+        Self {
+            config: Arc::clone(&self.config),
+            platform: self.platform.clone(),
+            operators: self.operators.clone(),
+            directory: self.directory.clone(),
+            scheduler: self.scheduler.clone(),
+            repeats: Arc::clone(&self.repeats),
+            clock: self.clock,
+            leaving: self.leaving.clone(),
+            tasks: self.tasks.clone(),
+        }
+    }
+}
+
+/// How old the configuration is, as far as keys go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Freshness {
+    /// Young enough.
+    Fresh,
+    /// Keys may have been revoked meanwhile.
+    Stale,
+}
+
+impl<P: Border + Codec, L: Log> Node<P, L> {
+    /// Starts to follow the log.
+    pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
+        let operators = Follower::start(
+            log.clone(),
+            Topic::Operators,
+            OPERATORS,
+            Operators::new(platform.clone()),
+            token.clone(),
+        );
+        let directory = Follower::start(
+            log,
+            Topic::Endpoints,
+            ENDPOINTS,
+            Directory::new(platform.clone()),
+            token.clone(),
+        );
+        let clock = Clock::default();
+        let repeats = Repeats::new(config.bounds.retry);
+        let node = Self {
+            config: Arc::new(config),
+            platform,
+            operators,
+            directory,
+            scheduler: Scheduler::new(clock),
+            repeats: Arc::new(repeats),
+            clock,
+            leaving: CancellationToken::new(),
+            tasks: TaskTracker::new(),
+        };
+        pools::start(&node, token.clone());
+        node
+    }
+
+    /// The configuration in force; none before the first was read.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.operators.view(Operators::table)
+    }
+
+    /// Whether keys may be let in.
+    #[must_use]
+    pub fn freshness(&self) -> Freshness {
+        let Some(revoke) = self.config.bounds.revoke else {
+            return Freshness::Fresh;
+        };
+        match self.operators.age() {
+            Some(age) if age <= revoke.mul_f64(FRESH) => Freshness::Fresh,
+            _ => Freshness::Stale,
+        }
+    }
+
+    /// Whether new work may be sent to an endpoint now.
+    #[must_use]
+    pub fn usable(&self, endpoint: &id::Endpoint) -> bool {
+        let now = boot::now();
+        self.directory.view(|view| view.usable(endpoint, now))
+    }
+
+    /// Whether the VM takes requests.
+    #[must_use]
+    pub fn ready(&self) -> bool {
+        let read = self.directory.proven().is_some();
+        let leaving = self.leaving.is_cancelled();
+        read && !leaving && self.table().is_some() && self.freshness() == Freshness::Fresh
+    }
+
+    /// The moment now, on the clock of deadlines.
+    #[must_use]
+    pub fn now(&self) -> Moment {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/operators.rs
@@ -0,0 +1,105 @@
+//! What the operators' records say: the configuration in force and the orders to roll out.
+
+use std::sync::Arc;
+
+use pimento_units::Moment;
+use pimento_units::Offset;
+
+use crate::codec::Codec;
+use crate::codec::Operator;
+use crate::codec::Rollout;
+use crate::follow::Fold;
+use crate::follow::Told;
+use crate::table::Table;
+use crate::topic::Record;
+
+/// An order to roll out, as it was read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Order {
+    /// What is ordered.
+    pub rollout: Rollout,
+    /// Its place in the topic, which tells it from an earlier order of the same kind.
+    pub offset: Offset,
+    /// When it was read here.
+    pub read: Moment,
+}
+
+/// The operators' records, folded.
+#[derive(Debug)]
+pub struct Operators<C> {
+    codec: C,
+    table: Option<Arc<Table>>,
+    /// The newest order for each service, sorted by service.
+    orders: Vec<Order>,
+}
+
+impl<C: Codec> Operators<C> {
+    /// Nothing read yet.
+    #[must_use]
+    pub const fn new(codec: C) -> Self {
+        Self {
+            codec,
+            table: None,
+            orders: Vec::new(),
+        }
+    }
+
+    /// The configuration in force; none before the first was read.
+    #[must_use]
+    pub fn table(&self) -> Option<Arc<Table>> {
+        self.table.clone()
+    }
+
+    /// The newest order for each service, sorted by service.
+    #[must_use]
+    pub fn orders(&self) -> &[Order] {
+        &self.orders
+    }
+
+    fn order(&mut self, order: Order) {
+        let find = |known: &Order| known.rollout.pool.cmp(&order.rollout.pool);
+        match self.orders.binary_search_by(find) {
+            Ok(place) => self.orders[place] = order,
+            Err(place) => self.orders.insert(place, order),
+        }
+    }
+}
+
+impl<C: Codec> Fold for Operators<C> {
+    fn apply(&mut self, record: &Record, told: Told) {
+        let Some(value) = &record.value else {
+            log::warn!("operators: {} was dropped, what it said holds.", record.key);
+            return;
+        };
+        match self.codec.operator(&record.key, value) {
+            Ok(Operator::Table(table)) => {
+                log::info!(
+                    "operators: Configuration {} in force, offset {}.",
+                    table.version(),
+                    record.offset
+                );
+                self.table = Some(Arc::from(table));
+            }
+            Ok(Operator::Rollout(rollout)) => {
+                log::info!(
+                    "operators: {} is to move to {} within {:?}, offset {}.",
+                    rollout.pool,
+                    rollout.target,
+                    rollout.lasts,
+                    record.offset
+                );
+                self.order(Order {
+                    rollout,
+                    offset: record.offset,
+                    read: told.at,
+                });
+            }
+            Ok(Operator::Other) => {}
+            Err(error) => log::warn!(
+                "operators: {} at offset {} left out: {error}.",
+                record.key,
+                record.offset
+            ),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pools.rs
@@ -0,0 +1,84 @@
+//! Keeps the scheduler's pools as the endpoints registered themselves.
+
+use std::time::Duration;
+
+use pimento_policy::limit;
+use pimento_scheduler::Member;
+use pimento_units::Moment;
+use pimento_units::id;
+use tokio_util::sync::CancellationToken;
+
+use crate::boot;
+use crate::border::Border;
+use crate::codec::Codec;
+use crate::directory;
+use crate::node::Node;
+use crate::topic::Log;
+
+/// Delay to another zone beyond that within the own one: links between zones are between three and
+/// six milliseconds one way.
+const FAR: Duration = Duration::from_millis(10);
+
+/// Starts to follow the endpoints and the services.
+pub fn start<P: Border + Codec, L: Log>(node: &Node<P, L>, token: CancellationToken) {
+    let node = node.clone();
+    tokio::spawn(async move { token.run_until_cancelled(follow(node)).await });
+}
+
+async fn follow<P: Border + Codec, L: Log>(node: Node<P, L>) {
+    let mut endpoints = node.directory.changes();
+    let mut operators = node.operators.changes();
+    loop {
+        refresh(&node);
+        let sweep = node.directory.view(directory::Directory::next_sweep);
+        let now = boot::now();
+        let pause = sweep.map_or(Duration::from_hours(1), |at| at.since(now));
+        tokio::select! {
+            _ = endpoints.changed() => {}
+            _ = operators.changed() => {}
+            () = tokio::time::sleep(pause) => {
+                node.directory.amend(|view| view.sweep(boot::now()));
+            }
+        }
+    }
+}
+
+fn refresh<P: Border + Codec, L: Log>(node: &Node<P, L>) {
+    let now = boot::now();
+    let zone = &node.config.zone;
+    let mut members: Vec<(id::Pool, Member)> = node.directory.view(|view| {
+        let seats = view.members().iter();
+        seats
+            .map(|m| (m.entry.pool.clone(), member(m, zone, now)))
+            .collect()
+    });
+    members.sort_by(|one, other| one.0.cmp(&other.0));
+    let mut pools: Vec<id::Pool> = members.iter().map(|(pool, _)| pool.clone()).collect();
+    pools.extend(node.scheduler.pools().into_iter().map(|(name, _)| name));
+    pools.sort();
+    pools.dedup();
+    for pool in pools {
+        let of_pool = members.iter().filter(|(name, _)| *name == pool);
+        let list = of_pool.map(|(_, member)| member.clone()).collect();
+        node.scheduler.pool(&pool).update(list);
+    }
+}
+
+fn member(member: &directory::Member, zone: &id::Zone, now: Moment) -> Member {
+    let entry = &member.entry;
+    let near = entry.zone == *zone;
+    let report = limit::Report {
+        running: 0,
+        waiting: 0,
+        batch: entry.slots,
+    };
+    Member {
+        endpoint: entry.id.clone(),
+        zone: entry.zone.clone(),
+        address: entry.address,
+        usable: member.usable(now),
+        distance: if near { Duration::ZERO } else { FAR },
+        versions: None,
+        report: Some((report, Moment::ZERO)),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,301 @@
+//! Streams: events are passed on as they come, each once and in order, and a stream that breaks goes
+//! on at another endpoint within the same answer.
+//!
+//! The caller gets its head with the first event. Until then an answer may be dropped and asked for
+//! again; afterwards the head and signature of the first endpoint stay, and a new attempt resumes
+//! after the last event passed on. A stream that can't be finished is broken off, never ended.
+
+use std::time::Duration;
+
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::http::response;
+use pimento_endpoint::Fault;
+use pimento_scheduler::Permit;
+use pimento_serve::Reply;
+use pimento_serve::Writer;
+use pimento_units::Tokens;
+
+use crate::attempts::Attempts;
+use crate::attempts::Opened;
+use crate::attempts::Variant;
+use crate::border::Border;
+use crate::call::Answer;
+use crate::codec::Codec;
+use crate::events::Event;
+use crate::events::Splitter;
+use crate::node::Node;
+use crate::refusal::Cause;
+use crate::refusal::Refusal;
+use crate::topic::Log;
+use crate::work::Work;
+
+/// How long a stream may be silent before it is taken up elsewhere. An engine that reads long
+/// prompts between the tokens of others, or preempts, pauses for over a second; callers leave after
+/// eight.
+const SILENCE: Duration = Duration::from_secs(4);
+
+/// The largest body of a failure that is kept to be handed on.
+const FAILURE: usize = 64 << 10;
+
+/// A stream at one endpoint.
+#[derive(Debug)]
+struct Source {
+    permit: Permit,
+    body: Answer,
+    splitter: Splitter,
+}
+
+/// What comes next from a source.
+enum Step {
+    Event(Event),
+    End,
+}
+
+impl Source {
+    fn new(permit: Permit, body: Answer) -> Self {
+        Self {
+            permit,
+            body,
+            splitter: Splitter::default(),
+        }
+    }
+
+    /// The next whole event, or the clean end.
+    async fn next(&mut self, silence: Duration) -> Result<Step, Fault> {
+        loop {
+            if let Some(event) = self.splitter.take() {
+                return Ok(Step::Event(event));
+            }
+            let data = tokio::time::timeout(silence, self.body.next()).await;
+            match data.unwrap_or(Err(Fault::Timeout))? {
+                Some(data) => self.splitter.push(&data).map_err(|error| Fault::Nonsense {
+                    reason: error.to_string().into(),
+                })?,
+                None if self.splitter.torn() => {
+                    return Err(Fault::Cut {
+                        reason: "the stream ended within an event".into(),
+                    });
+                }
+                None => return Ok(Step::End),
+            }
+        }
+    }
+}
+
+/// What an endpoint's answer turned out to be.
+enum Begun {
+    /// A stream, with its first event.
+    Stream(Box<response::Parts>, Source, Event),
+    /// A failure, to be handed on if nothing better comes.
+    Failure(Response<Reply>),
+}
+
+/// Answers a request for a stream.
+///
+/// # Errors
+///
+/// A [`Refusal`] if no endpoint answered.
+pub async fn serve<P: Border + Codec, L: Log>(
+    node: &Node<P, L>,
+    request: Work,
+) -> Result<Response<Reply>, Refusal> {
+    let mut attempts = Attempts::new(node, &request);
+    let mut failure: Option<Response<Reply>> = None;
+    let variant = Variant {
+        model: request.grant.route.models.first().cloned(),
+        resume: None,
+    };
+    let (mut head, source, first) = loop {
+        let opened = match attempts.open(&variant).await {
+            Ok(opened) => opened,
+            Err(refusal) => return failure.ok_or(refusal),
+        };
+        match begin(&mut attempts, node, &request, opened).await {
+            Ok(Some(Begun::Stream(head, source, first))) => break (head, source, first),
+            Ok(Some(Begun::Failure(response))) => {
+                if !attempts.again() {
+                    return Ok(response);
+                }
+                failure = Some(response);
+            }
+            Ok(None) => {}
+            Err(refusal) => return failure.ok_or(refusal),
+        }
+    };
+    let state = attempts.state();
+    node.platform.strip(&mut head.headers);
+    let (writer, reply) = Reply::stream();
+    let node = node.clone();
+    let tasks = node.tasks.clone();
+    tasks.spawn(async move {
+        let attempts = Attempts::resume(&node, &request, state);
+        let mut stream = Stream {
+            node: &node,
+            request: &request,
+            attempts,
+            variant,
+            last: request.ask.resume,
+        };
+        stream.run(writer, source, first).await;
+    });
+    Ok(Response::from_parts(*head, reply))
+}
+
+/// Reads up to the first event; none if the answer broke off and another attempt may be made.
+async fn begin<P: Border + Codec, L: Log>(
+    attempts: &mut Attempts<'_, P, L>,
+    node: &Node<P, L>,
+    request: &Work,
+    opened: Opened,
+) -> Result<Option<Begun>, Refusal> {
+    let Opened { permit, call, .. } = opened;
+    let (mut head, mut body) = (call.head, call.body);
+    let left = request.left(node.now());
+    if head.status != StatusCode::OK {
+        let read = tokio::time::timeout(left, collect(&mut body)).await;
+        return match read.unwrap_or(Err(Fault::Timeout)) {
+            Ok(bytes) => {
+                permit.failed(&Fault::Failed {
+                    status: head.status.as_u16(),
+                });
+                node.platform.strip(&mut head.headers);
+                let response = Response::from_parts(head, Reply::whole(bytes));
+                Ok(Some(Begun::Failure(response)))
+            }
+            Err(fault) => attempts.broken(permit, &fault).map(|()| None),
+        };
+    }
+    let mut source = Source::new(permit, body);
+    match source.next(left.min(SILENCE)).await {
+        Ok(Step::Event(event)) => Ok(Some(Begun::Stream(Box::new(head), source, event))),
+        Ok(Step::End) => {
+            let fault = Fault::Cut {
+                reason: "the stream has no event".into(),
+            };
+            attempts.broken(source.permit, &fault).map(|()| None)
+        }
+        Err(fault) => attempts.broken(source.permit, &fault).map(|()| None),
+    }
+}
+
+async fn collect(body: &mut Answer) -> Result<Vec<u8>, Fault> {
+    let mut bytes = Vec::new();
+    while let Some(data) = body.next().await? {
+        if bytes.len() + data.len() > FAILURE {
+            return Err(Fault::Nonsense {
+                reason: "the body of a failure is too long".into(),
+            });
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes)
+}
+
+/// A stream on its way to a caller.
+struct Stream<'a, P, L> {
+    node: &'a Node<P, L>,
+    request: &'a Work,
+    attempts: Attempts<'a, P, L>,
+    variant: Variant,
+    /// Id of the last event passed on.
+    last: Option<u64>,
+}
+
+/// Why a stream came to its end.
+enum End {
+    /// All events were passed on.
+    Whole,
+    /// The caller left.
+    Gone,
+    /// It can't be finished.
+    Broken(Cause),
+}
+
+impl<P: Border + Codec, L: Log> Stream<'_, P, L> {
+    async fn run(&mut self, writer: Writer, source: Source, first: Event) {
+        let left = self.request.left(self.node.now());
+        let passing = self.pass(&writer, source, first);
+        let end = tokio::select! {
+            end = passing => end,
+            () = writer.gone() => End::Gone,
+            () = tokio::time::sleep(left) => End::Broken(Cause::Timeout),
+        };
+        let id = &self.request.ask.id;
+        match end {
+            End::Whole => {
+                let _ = writer.end().await;
+            }
+            End::Gone => log::info!("stream: The caller of {id} left."),
+            End::Broken(cause) => log::warn!("stream: {id} broken off: {cause}."),
+        }
+    }
+
+    async fn pass(&mut self, writer: &Writer, source: Source, first: Event) -> End {
+        let mut source = source;
+        let mut step = Ok(Step::Event(first));
+        loop {
+            match step {
+                Ok(Step::Event(event)) => match self.take(&event) {
+                    Ok(true) => {
+                        if writer.send(event.bytes).await.is_err() {
+                            return End::Gone;
+                        }
+                        step = source.next(SILENCE).await;
+                    }
+                    Ok(false) => step = source.next(SILENCE).await,
+                    Err(fault) => step = Err(fault),
+                },
+                Ok(Step::End) => {
+                    source.permit.served(Tokens(1));
+                    return End::Whole;
+                }
+                Err(fault) => {
+                    if let Err(refusal) = self.attempts.broken(source.permit, &fault) {
+                        return End::Broken(refusal.cause);
+                    }
+                    source = match self.resume().await {
+                        Ok(source) => source,
+                        Err(refusal) => return End::Broken(refusal.cause),
+                    };
+                    step = source.next(SILENCE).await;
+                }
+            }
+        }
+    }
+
+    /// Whether an event is the next one. One that was passed on already is left out.
+    fn take(&mut self, event: &Event) -> Result<bool, Fault> {
+        let Some(id) = event.id else {
+            return Ok(true);
+        };
+        if let Some(last) = self.last {
+            if id <= last {
+                return Ok(false);
+            }
+            if id > last + 1 {
+                return Err(Fault::Nonsense {
+                    reason: "an event is missing".into(),
+                });
+            }
+        }
+        self.last = Some(id);
+        Ok(true)
+    }
+
+    /// Goes on after the last event at another endpoint.
+    async fn resume(&mut self) -> Result<Source, Refusal> {
+        self.variant.resume = self.last;
+        loop {
+            let opened = self.attempts.open(&self.variant).await?;
+            let Opened { permit, call, .. } = opened;
+            if call.head.status == StatusCode::OK {
+                return Ok(Source::new(permit, call.body));
+            }
+            let fault = Fault::Failed {
+                status: call.head.status.as_u16(),
+            };
+            self.attempts.broken(permit, &fault)?;
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/work.rs
@@ -0,0 +1,68 @@
+//! A request that was let in, with all that its attempts need.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::http::request;
+use pimento_policy::choice;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use pimento_units::id;
+
+use crate::admit::Grant;
+use crate::border::Ask;
+
+/// A request that was let in.
+#[derive(Debug)]
+pub struct Work {
+    /// What its head says.
+    pub ask: Ask,
+    /// Its head.
+    pub head: request::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// What it may do.
+    pub grant: Grant,
+    /// The service that it goes to.
+    pub pool: id::Pool,
+    /// When its head had come.
+    pub began: Moment,
+    /// When its caller and its route expect the whole answer.
+    pub deadline: Moment,
+    /// Bits that are the same for each attempt of this request.
+    pub random: u64,
+}
+
+impl Work {
+    /// The path that its route was found by.
+    #[must_use]
+    pub fn path(&self) -> &str {
+        self.head.uri.path()
+    }
+
+    /// Time left until the answer must be whole.
+    #[must_use]
+    pub fn left(&self, now: Moment) -> Duration {
+        self.deadline.since(now)
+    }
+
+    /// Hash of the longest beginning of the prompt that other requests share: the last part belongs
+    /// to the request itself.
+    #[must_use]
+    pub fn prefix(&self) -> Option<u64> {
+        let (_, shared) = self.ask.parts.split_last()?;
+        shared.last().map(|part| part.hash)
+    }
+
+    /// Tokens of the prompt, and the most of the answer.
+    #[must_use]
+    pub fn usage(&self) -> Option<(Tokens, Tokens)> {
+        self.ask.usage
+    }
+}
+
+/// Bits for a request's draws, from its id.
+#[must_use]
+pub fn random(ask: &Ask) -> u64 {
+    choice::key(&ask.id)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub use pimento_entry as entry;
 pub use pimento_ledger as ledger;
 pub use pimento_policy as policy;
+pub use pimento_relay as relay;
 pub use pimento_scheduler as scheduler;
 pub use pimento_serve as serve;
 pub use pimento_standin as standin;
