Carry roll-outs through: fixed places for sessions, evidence shared over the log

Change: policy::shift decides phase, share and verdict; relay::rollouts keeps orders, evidence of all VMs and the sessions' versions; its controller announces over a topic of the entry VMs and tells operators by an append that holds only if the status topic has not moved.

Ruled out: a leader; the status topic as the place where VMs agree.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod retry;
 pub mod rollout;
 pub mod session;
+pub mod shift;
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -163,7 +163,9 @@
         self.passed / self.rated.max(f64::MIN_POSITIVE)
     }
 
-    fn errors(&self) -> f64 {
+    /// The share of failed attempts.
+    #[must_use]
+    pub fn errors(&self) -> f64 {
         self.failed / self.attempts.max(f64::MIN_POSITIVE)
     }
 
@@ -188,7 +190,8 @@
 }
 
 /// Whether the evidence shows the new version to be worse than the gate allows.
-fn fault(new: &Evidence, old: &Evidence, gate: &Gate) -> Option<Cause> {
+#[must_use]
+pub fn fault(new: &Evidence, old: &Evidence, gate: &Gate) -> Option<Cause> {
     let (_, best) = wilson(new.passed, new.rated);
     if new.rated >= FEWEST && best < wanted(old, gate) {
         return Some(Cause::Quality);
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -10,11 +10,13 @@
 use pimento_policy::admission;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
+use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
 use crate::admit;
+use crate::boot;
 use crate::border::Border;
 use crate::border::Order;
 use crate::border::Reply;
@@ -25,6 +27,8 @@
 use crate::node::Node;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::rollouts::Outcome;
+use crate::rollouts::Seen;
 use crate::topic::Log;
 use crate::work::Work;
 
@@ -65,6 +69,8 @@
     tried: Vec<id::Endpoint>,
     /// Endpoints that did not run it.
     asked: usize,
+    /// When the last attempt was sent.
+    began: Moment,
 }
 
 /// The attempts of one request.
@@ -162,7 +168,7 @@
             let gone = CancellationToken::new();
             let permit = pool.acquire(self.job(), &gone).await;
             let permit = permit.map_err(|refused| self.refuse(refused.into()))?;
-            if self.node.usable(permit.endpoint()) {
+            if self.node.usable(permit.endpoint()) && !self.withdrawn(&permit) {
                 return Ok(permit);
             }
             // The list moved on while the job waited; the pool follows it at once.
@@ -171,6 +177,14 @@
         }
     }
 
+    /// Whether the version was found to be bad while the job waited.
+    fn withdrawn(&self, permit: &Permit) -> bool {
+        let Some(version) = permit.version() else {
+            return false;
+        };
+        self.node.rollouts(|r| r.bad(&self.request.pool, version))
+    }
+
     /// Counts an endpoint that did not run the request.
     fn count(&mut self) -> Result<(), Refusal> {
         self.state.asked += 1;
@@ -215,6 +229,8 @@
         let message = self.message(&permit, variant);
         self.state.sent += 1;
         self.state.runs += 1;
+        self.state.began = self.node.now();
+        self.note(&permit);
         let left = self.request.left(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(message)).await;
         let fault = match sent {
@@ -231,6 +247,9 @@
             Ok(Err(fault)) => fault,
             Err(_) => Fault::Timeout,
         };
+        if matches!(fault, Fault::Timeout) {
+            self.seen(&permit, self.waited());
+        }
         if fault.not_run() {
             self.state.runs -= 1;
             self.not_run(permit, &fault)?;
@@ -240,6 +259,45 @@
         Ok(None)
     }
 
+    /// How long the last attempt has taken.
+    fn waited(&self) -> Outcome {
+        let took = self.node.now().since(self.state.began);
+        Outcome::Served(took.as_secs_f64())
+    }
+
+    /// Notes the version of the request's session.
+    pub fn note(&self, permit: &Permit) {
+        let session = self.request.ask.session;
+        if let Some((session, version)) = session.zip(permit.version()) {
+            let now = boot::now();
+            self.node.rollouts(|r| r.note(session, version, now));
+        }
+    }
+
+    /// The answer has begun, or its endpoint failed it: evidence in a roll-out.
+    pub fn judged(&self, permit: &Permit, failed: bool) {
+        let outcome = if failed {
+            Outcome::Failed
+        } else {
+            self.waited()
+        };
+        self.seen(permit, outcome);
+    }
+
+    fn seen(&self, permit: &Permit, outcome: Outcome) {
+        let Some(version) = permit.version() else {
+            return;
+        };
+        let seen = Seen {
+            pool: &self.request.pool,
+            route: &self.request.grant.route.name,
+            version,
+            endpoint: permit.endpoint(),
+            outcome,
+        };
+        self.node.rollouts(|r| r.record(&seen));
+    }
+
     /// An endpoint had the request and gave no answer that can be used. Whether to go on.
     ///
     /// # Errors
@@ -305,6 +363,14 @@
         }
     }
 
+    /// The version that the request uses now.
+    fn version(&self) -> Option<id::Version> {
+        let session = self.request.ask.session.unwrap_or(self.request.random);
+        let now = boot::now();
+        let pool = &self.request.pool;
+        self.node.rollouts(|r| r.version(pool, session, now))
+    }
+
     fn job(&self) -> Job {
         let request = self.request;
         let customer = request.grant.customer.as_ref();
@@ -318,7 +384,7 @@
             priority: request.grant.route.priority,
             tokens,
             deadline: request.deadline,
-            version: None,
+            version: self.version(),
             prefix: request.prefix(),
             tried: self.state.tried.clone(),
             returning: false,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,7 +24,9 @@
 pub mod refusal;
 pub mod repeats;
 
+pub mod rollouts;
 pub mod run;
+pub mod sessions;
 pub mod stream;
 pub mod table;
 pub mod topic;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -1,6 +1,8 @@
 //! What all requests of an entry VM share.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use pimento_scheduler::Clock;
@@ -20,6 +22,8 @@
 use crate::operators::Operators;
 use crate::pools;
 use crate::repeats::Repeats;
+use crate::rollouts::Rollouts;
+use crate::rollouts::controller;
 use crate::table::Table;
 use crate::topic::Log;
 use crate::topic::Topic;
@@ -61,6 +65,7 @@
     pub scheduler: Scheduler,
     /// The budget of repeats.
     pub repeats: Arc<Repeats>,
+    rollouts: Arc<Mutex<Rollouts>>,
     /// The process's clocks.
     pub clock: Clock,
     /// Set when the VM is to leave.
@@ -78,6 +83,7 @@
             directory: self.directory.clone(),
             scheduler: self.scheduler.clone(),
             repeats: Arc::clone(&self.repeats),
+            rollouts: Arc::clone(&self.rollouts),
             clock: self.clock,
             leaving: self.leaving.clone(),
             tasks: self.tasks.clone(),
@@ -105,7 +111,7 @@
             token.clone(),
         );
         let directory = Follower::start(
-            log,
+            log.clone(),
             Topic::Endpoints,
             ENDPOINTS,
             Directory::new(platform.clone()),
@@ -113,6 +119,7 @@
         );
         let clock = Clock::default();
         let repeats = Repeats::new(config.bounds.retry);
+        let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session);
         let node = Self {
             config: Arc::new(config),
             platform,
@@ -120,11 +127,13 @@
             directory,
             scheduler: Scheduler::new(clock),
             repeats: Arc::new(repeats),
+            rollouts: Arc::new(Mutex::new(rollouts)),
             clock,
             leaving: CancellationToken::new(),
             tasks: TaskTracker::new(),
         };
         pools::start(&node, token.clone());
+        controller::start(&node, log, token.clone());
         node
     }
 
@@ -161,6 +170,12 @@
         read && !leaving && self.table().is_some() && self.freshness() == Freshness::Fresh
     }
 
+    /// Looks at or changes the roll-outs. `act` runs under a lock and must be short.
+    pub fn rollouts<T>(&self, act: impl FnOnce(&mut Rollouts) -> T) -> T {
+        let mut rollouts = self.rollouts.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut rollouts)
+    }
+
     /// The moment now, on the clock of deadlines.
     #[must_use]
     pub fn now(&self) -> Moment {
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -59,11 +59,26 @@
     pools.dedup();
     for pool in pools {
         let of_pool = members.iter().filter(|(name, _)| *name == pool);
-        let list = of_pool.map(|(_, member)| member.clone()).collect();
+        let list: Vec<Member> = of_pool.map(|(_, member)| member.clone()).collect();
+        let versions = versions(&list);
+        node.rollouts(|rollouts| rollouts.see(&pool, versions));
         node.scheduler.pool(&pool).update(list);
     }
 }
 
+/// The versions of the endpoints that may be used, sorted, with how many there are of each.
+fn versions(members: &[Member]) -> Vec<(id::Version, usize)> {
+    let mut versions: Vec<(id::Version, usize)> = Vec::new();
+    let usable = members.iter().filter(|member| member.usable);
+    for version in usable.filter_map(|member| member.versions.as_ref()?.first()) {
+        match versions.binary_search_by(|(known, _)| known.cmp(version)) {
+            Ok(place) => versions[place].1 += 1,
+            Err(place) => versions.insert(place, (version.clone(), 1)),
+        }
+    }
+    versions
+}
+
 fn member(member: &directory::Member, zone: &id::Zone, now: Moment) -> Member {
     let entry = &member.entry;
     let near = entry.zone == *zone;
@@ -78,7 +93,7 @@
         address: entry.address,
         usable: member.usable(now),
         distance: if near { Duration::ZERO } else { FAR },
-        versions: None,
+        versions: Some(vec![entry.version.clone()]),
         report: Some((report, Moment::ZERO)),
     }
 }
--- /dev/null
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -0,0 +1,90 @@
+//! What the entry VMs tell each other of a roll-out: one record for each VM, which replaces its last.
+
+use compact_str::CompactString;
+use pimento_policy::rollout;
+use pimento_units::Offset;
+use pimento_units::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::Outcome;
+
+/// Counts of one route on one version since the order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+pub struct Sum {
+    /// Requests that ended.
+    pub attempts: u32,
+    /// Requests that the endpoint failed.
+    pub failed: u32,
+    /// Seconds until the first byte of those that were answered.
+    pub seconds: f64,
+}
+
+impl Sum {
+    /// Counts a request.
+    pub fn count(&mut self, outcome: Outcome) {
+        self.attempts = self.attempts.saturating_add(1);
+        match outcome {
+            Outcome::Served(seconds) => self.seconds += seconds,
+            Outcome::Failed => self.failed = self.failed.saturating_add(1),
+        }
+    }
+
+    /// Adds another VM's counts.
+    pub fn add(&mut self, other: &Self) {
+        self.attempts = self.attempts.saturating_add(other.attempts);
+        self.failed = self.failed.saturating_add(other.failed);
+        self.seconds += other.seconds;
+    }
+
+    /// The counts as evidence.
+    #[must_use]
+    pub fn evidence(&self) -> rollout::Evidence {
+        let served = self.attempts.saturating_sub(self.failed);
+        let pace = (served > 0).then(|| self.seconds / f64::from(served));
+        rollout::Evidence::from(rollout::Counts {
+            rated: 0,
+            passed: 0,
+            attempts: self.attempts,
+            failed: self.failed,
+            pace,
+        })
+    }
+}
+
+/// Counts of one route.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// Its name.
+    pub name: CompactString,
+    /// On the new version.
+    pub new: Sum,
+    /// On the old one.
+    pub old: Sum,
+}
+
+/// What a VM says of one roll-out.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Announcement {
+    /// The service.
+    pub pool: id::Pool,
+    /// The order's place in its topic.
+    pub order: Offset,
+    /// How old the order is, in milliseconds.
+    pub age_ms: u64,
+    /// What was seen since.
+    pub routes: Vec<Route>,
+    /// Endpoints of the new version that failed a request, as hashes.
+    pub failing: Vec<u64>,
+    /// Whether the new version is bad.
+    pub bad: bool,
+    /// Whether no request is at the old version any more, nor will be.
+    pub left: bool,
+}
+
+/// All that a VM says.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Word {
+    /// Of each roll-out.
+    pub rollouts: Vec<Announcement>,
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -156,6 +156,7 @@
         let read = tokio::time::timeout(left, collect(&mut body)).await;
         return match read.unwrap_or(Err(Fault::Timeout)) {
             Ok(bytes) => {
+                attempts.judged(&permit, head.status.is_server_error());
                 permit.failed(&Fault::Failed {
                     status: head.status.as_u16(),
                 });
@@ -168,7 +169,10 @@
     }
     let mut source = Source::new(permit, body);
     match source.next(left.min(SILENCE)).await {
-        Ok(Step::Event(event)) => Ok(Some(Begun::Stream(Box::new(head), source, event))),
+        Ok(Step::Event(event)) => {
+            attempts.judged(&source.permit, false);
+            Ok(Some(Begun::Stream(Box::new(head), source, event)))
+        }
         Ok(Step::End) => {
             let fault = Fault::Cut {
                 reason: "the stream has no event".into(),
@@ -247,6 +251,7 @@
                     Err(fault) => step = Err(fault),
                 },
                 Ok(Step::End) => {
+                    self.attempts.note(&source.permit);
                     source.permit.served(Tokens(1));
                     return End::Whole;
                 }
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -60,6 +60,8 @@
         match read {
             Ok(Read::Whole(bytes)) => {
                 let failed = head.status.is_server_error();
+                attempts.judged(&permit, failed);
+                attempts.note(&permit);
                 permit.served(WORK);
                 let response = Response::from_parts(head, Reply::whole(bytes));
                 if failed && attempts.again() {
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -380,6 +380,11 @@
         span
     }
 
+    pub fn flying_beside(&self, version: &id::Version) -> u32 {
+        let beside = self.seats.iter().filter(|s| !s.member.holds(Some(version)));
+        beside.map(|seat| seat.limiter.flying()).sum()
+    }
+
     pub fn depth(&self) -> Depth {
         let usable = self.seats.iter().filter(|s| s.member.usable);
         Depth {
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -65,6 +65,12 @@
         &self.slot.zone
     }
 
+    /// The version that the job was for.
+    #[must_use]
+    pub const fn version(&self) -> Option<&id::Version> {
+        self.slot.version.as_ref()
+    }
+
     /// Where it is.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -34,7 +34,7 @@
     pub tokens: Tokens,
     /// When the whole answer must be there.
     pub deadline: Moment,
-    /// The version that the endpoint must hold; none for plain services.
+    /// The version that the endpoint must hold; none if any will do.
     pub version: Option<id::Version>,
     /// Hash of the prompt's beginning, for the prefix cache.
     pub prefix: Option<u64>,
@@ -161,6 +161,12 @@
         self.shared.lock().holds(version)
     }
 
+    /// Calls in flight at endpoints that don't hold `version`.
+    #[must_use]
+    pub fn flying_beside(&self, version: &id::Version) -> u32 {
+        self.shared.lock().flying_beside(version)
+    }
+
     /// Waiting jobs, calls in flight, slots and ejected endpoints.
     #[must_use]
     pub fn depth(&self) -> Depth {
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -38,8 +38,8 @@
     pub(crate) fn holds(&self, version: Option<&id::Version>) -> bool {
         match (version, &self.versions) {
             (Some(version), Some(held)) => held.binary_search(version).is_ok(),
-            (None, None) => true,
-            _ => false,
+            (None, _) => true,
+            (Some(_), None) => false,
         }
     }
 }
