Place prompts by unread work and ask the largest model where it adds enough

First answers are more urgent at the engine than larger models' ones. A safe request that an endpoint failed goes to another one.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -164,6 +164,7 @@
             deadline: call.identity.deadline,
             version: None,
             prefix: None,
+            prompt: None,
             tried: trace.tried.clone(),
             returning: call.identity.returning,
             repeatable: call.repeatable,
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -133,6 +133,7 @@
             deadline: request.identity.deadline,
             version: Some(ask.version.clone()),
             prefix: beginning.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
+            prompt: None,
             tried: ask.trace.tried.clone(),
             returning: request.identity.returning,
             repeatable: true,
--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -196,6 +196,8 @@
             },
             versions,
             report,
+            memory: None,
+            life: 0,
         }
     }
 
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -29,6 +29,8 @@
         distance: Duration::ZERO,
         versions: Some(vec![name(SMALL)]),
         report: None,
+        memory: None,
+        life: 0,
     }
 }
 
@@ -59,6 +61,7 @@
             deadline: self.clock.now() + PATIENCE,
             version: Some(name(SMALL)),
             prefix: None,
+            prompt: None,
             tried: Vec::new(),
             returning: false,
             repeatable: true,
--- /dev/null
+++ b/crates/policy/src/engine.rs
@@ -0,0 +1,391 @@
+//! Where a prompt is read: the load of batching engines as one node knows it.
+//!
+//! **Load:** prompts of hundreds to tens of thousands of tokens, models whose speed of reading differs
+//! tenfold, long beginnings that several requests share. **Without it:** counting calls in flight
+//! takes an engine that reads one prompt of 30,000 tokens for less busy than one that generates five
+//! short answers, and the next caller's first token waits for seconds; and each engine reads each
+//! shared beginning anew. **How:** engines read prompts in turn, between the tokens of running
+//! answers, so that the wait for a first token is the unread work sent there before, plus the
+//! prompt's own unread parts. Both are known for the node's own calls: a prompt counts as unread
+//! until its first token has come. Peers tell theirs. What an engine keeps is followed as it works:
+//! the parts least recently used yield once the memory is full.
+//!
+//! **Grounds:** join the shortest queue, with the work known (Harchol-Balter, Crovella and Murta,
+//! 1999, for sizes as unlike as these); prefix-aware placing weighs a hit against the wait for it, as
+//! in Preble (2024). The speeds are learnt from prompts that found their engine idle.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+use pimento_units::Tokens;
+
+use crate::number;
+
+/// A part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Hash of its text.
+    pub hash: u64,
+    /// Its length.
+    pub tokens: Tokens,
+}
+
+/// A prompt for one model.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Prompt {
+    /// Hash of the model, as parts are kept for each model by itself.
+    pub model: u64,
+    /// Its parts in order.
+    pub parts: Vec<Part>,
+}
+
+impl Prompt {
+    /// Tokens in all parts.
+    #[must_use]
+    pub fn tokens(&self) -> Tokens {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// Each part's key, which depends on the model and all parts before it.
+    fn keys(&self) -> impl Iterator<Item = (u64, Tokens)> {
+        self.parts.iter().scan(self.model, |key, part| {
+            *key = number::mix(*key, part.hash);
+            Some((*key, part.tokens))
+        })
+    }
+}
+
+/// How fast each model reads, sorted by model.
+#[derive(Debug, Clone, Default)]
+pub struct Paces {
+    models: Vec<(u64, f64)>,
+}
+
+/// Seconds for a token before any was measured: a large model on a fast accelerator. Too high a
+/// guess is put right by the first prompt that finds an idle engine.
+const FIRST_PACE: f64 = 0.000_05;
+
+/// Weight of a sample that is below the estimate, and of one above it. A prompt's time is its own
+/// reading and at times somebody else's that was not known of, so that low samples tell the speed.
+const DOWN: f64 = 0.3;
+const UP: f64 = 0.05;
+
+/// Prompts from this size on tell a speed; for shorter ones the steps of running answers outweigh
+/// their own reading.
+const LEAST: Tokens = Tokens(400);
+
+/// Time to a first token beside the reading: two steps of the batch and the way there and back,
+/// as prompts of one part show that are kept as a whole.
+const START: Duration = Duration::from_millis(8);
+
+impl Paces {
+    /// Seconds for a token of a prompt.
+    #[must_use]
+    pub fn pace(&self, model: u64) -> f64 {
+        let found = self.models.binary_search_by_key(&model, |(m, _)| *m);
+        found.map_or(FIRST_PACE, |place| self.models[place].1)
+    }
+
+    /// How long reading `unread` tokens takes.
+    #[must_use]
+    pub fn work(&self, model: u64, unread: Tokens) -> Duration {
+        START + number::seconds(self.pace(model) * number::float(unread.0))
+    }
+
+    /// Learns from a prompt that found its engine idle.
+    fn learn(&mut self, model: u64, unread: Tokens, took: Duration) {
+        if unread < LEAST {
+            return;
+        }
+        let sample = took.saturating_sub(START).as_secs_f64() / number::float(unread.0);
+        match self.models.binary_search_by_key(&model, |(m, _)| *m) {
+            Ok(place) => {
+                let pace = &mut self.models[place].1;
+                let weight = if sample < *pace { DOWN } else { UP };
+                *pace += weight * (sample - *pace);
+            }
+            Err(place) => self.models.insert(place, (model, sample)),
+        }
+    }
+}
+
+/// A call at an engine. Given by the caller, unlike those of all other calls there.
+pub type Ticket = u64;
+
+/// A prompt that was sent and whose first token has not come.
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    ticket: Ticket,
+    model: u64,
+    unread: Tokens,
+    work: Duration,
+    sent: Moment,
+    /// Whether nothing was ahead of it when it was sent.
+    alone: bool,
+}
+
+/// What a peer said of its calls at the engine.
+#[derive(Debug, Clone, Copy)]
+struct Peer {
+    node: u64,
+    wait: Duration,
+    at: Moment,
+}
+
+/// A part that the engine is thought to keep.
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    key: u64,
+    tokens: Tokens,
+    used: Moment,
+}
+
+/// What a node knows of one engine.
+#[derive(Debug, Clone)]
+pub struct Engine {
+    memory: Tokens,
+    pending: Vec<Pending>,
+    /// Sorted by node.
+    peers: Vec<Peer>,
+    /// Sorted by key.
+    kept: Vec<Kept>,
+    held: Tokens,
+    /// When the first of the pending became first.
+    head: Moment,
+    /// Times that prompts take what they are expected to.
+    slowness: f64,
+}
+
+/// Weight of a prompt in an engine's slowness: an engine that turned slow is known by about five.
+const SLOWNESS: f64 = 0.2;
+
+/// Weight of a prompt that took about what it was expected to. One such prompt clears most of the
+/// suspicion that others raised which waited for work that was not known of.
+const RECOVERY: f64 = 0.6;
+
+/// Times its expected time within which a prompt took what it was expected to.
+const SLOW: f64 = 1.3;
+
+/// The most that an engine counts as slower than others; beyond, it is ejected.
+const SLOWEST: f64 = 8.0;
+
+/// Waits up to this long count as none: an engine that is between two steps.
+const IDLE: Duration = Duration::from_millis(5);
+
+impl Engine {
+    /// An engine that has read nothing yet, with memory for running requests and kept parts.
+    #[must_use]
+    pub const fn new(memory: Tokens) -> Self {
+        Self {
+            memory,
+            pending: Vec::new(),
+            peers: Vec::new(),
+            kept: Vec::new(),
+            held: Tokens::ZERO,
+            head: Moment::ZERO,
+            slowness: 1.0,
+        }
+    }
+
+    /// Tokens of a prompt that the engine would have to read: all from the first part on that it
+    /// does not keep.
+    #[must_use]
+    pub fn unread(&self, prompt: &Prompt) -> Tokens {
+        let missing = prompt.keys().skip_while(|(key, _)| self.find(*key).is_ok());
+        missing.map(|(_, tokens)| tokens).sum()
+    }
+
+    /// How long the prompts sent before take until they are read.
+    #[must_use]
+    pub fn wait(&self, now: Moment) -> Duration {
+        let own: Duration = self.pending.iter().map(|p| p.work).sum();
+        let first = self.pending.first().map_or(Duration::ZERO, |p| p.work);
+        let done = now.since(self.head).min(first);
+        own.saturating_sub(done).mul_f64(self.slowness) + self.others(now)
+    }
+
+    /// The part of the wait that peers' calls cause.
+    fn others(&self, now: Moment) -> Duration {
+        let left = |peer: &Peer| peer.wait.saturating_sub(now.since(peer.at));
+        self.peers.iter().map(left).sum()
+    }
+
+    /// The wait that this node's own calls cause, for its peers.
+    #[must_use]
+    pub fn own(&self, now: Moment) -> Duration {
+        self.wait(now).saturating_sub(self.others(now))
+    }
+
+    /// Times that prompts take what they are expected to.
+    #[must_use]
+    pub const fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
+    /// A prompt is sent.
+    pub fn begin(&mut self, ticket: Ticket, prompt: &Prompt, paces: &Paces, now: Moment) {
+        let unread = self.unread(prompt);
+        let alone = self.wait(now) <= IDLE;
+        if self.pending.is_empty() {
+            self.head = now;
+        }
+        self.pending.push(Pending {
+            ticket,
+            model: prompt.model,
+            unread,
+            work: paces.work(prompt.model, unread),
+            sent: now,
+            alone,
+        });
+        self.keep(prompt, now);
+    }
+
+    /// Notes that the engine reads a prompt, sent by whomever.
+    pub fn keep(&mut self, prompt: &Prompt, now: Moment) {
+        for (key, tokens) in prompt.keys() {
+            match self.find(key) {
+                Ok(place) => self.kept[place].used = now,
+                Err(place) => {
+                    let kept = Kept {
+                        key,
+                        tokens,
+                        used: now,
+                    };
+                    self.kept.insert(place, kept);
+                    self.held = self.held + tokens;
+                }
+            }
+        }
+        while self.held > self.memory {
+            self.evict();
+        }
+    }
+
+    /// The first token of a call has come: its prompt is read.
+    pub fn read(&mut self, ticket: Ticket, paces: &mut Paces, now: Moment) {
+        let Some(pending) = self.remove(ticket, now) else {
+            return;
+        };
+        let took = now.since(pending.sent);
+        if !pending.alone {
+            return;
+        }
+        let ratio = took.as_secs_f64() / pending.work.as_secs_f64().max(f64::MIN_POSITIVE);
+        let weight = if ratio < SLOW { RECOVERY } else { SLOWNESS };
+        self.slowness += weight * (ratio.clamp(1.0, SLOWEST) - self.slowness);
+        paces.learn(pending.model, pending.unread, took);
+    }
+
+    /// A call has ended, read or not.
+    pub fn end(&mut self, ticket: Ticket, now: Moment) {
+        self.remove(ticket, now);
+    }
+
+    /// A peer says how long the engine takes for its calls.
+    pub fn hear(&mut self, node: u64, wait: Duration, now: Moment) {
+        let peer = Peer {
+            node,
+            wait,
+            at: now,
+        };
+        match self.peers.binary_search_by_key(&node, |p| p.node) {
+            Ok(place) => self.peers[place] = peer,
+            Err(place) => self.peers.insert(place, peer),
+        }
+    }
+
+    fn remove(&mut self, ticket: Ticket, now: Moment) -> Option<Pending> {
+        let place = self.pending.iter().position(|p| p.ticket == ticket)?;
+        if place == 0 {
+            self.head = now;
+        }
+        Some(self.pending.remove(place))
+    }
+
+    fn find(&self, key: u64) -> Result<usize, usize> {
+        self.kept.binary_search_by_key(&key, |kept| kept.key)
+    }
+
+    /// Gives up the part that was not used for longest.
+    fn evict(&mut self) {
+        let oldest = self.kept.iter().enumerate().min_by_key(|(_, k)| k.used);
+        let Some((place, _)) = oldest else {
+            self.held = Tokens::ZERO;
+            return;
+        };
+        let kept = self.kept.remove(place);
+        self.held = Tokens(self.held.0.saturating_sub(kept.tokens.0));
+    }
+}
+
+/// Figures of a choice among engines.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Config {
+    /// Times that a prompt's own reading counts against the wait for it: what one call reads anew,
+    /// all calls behind it wait for.
+    pub reading: f64,
+    /// What another zone must save. A prompt's bytes between zones cost a twentieth to a tenth of
+    /// what its answer is worth.
+    pub far: Duration,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            reading: 1.5,
+            far: Duration::from_millis(400),
+        }
+    }
+}
+
+/// An engine that might read a prompt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Hash of the engine's name, the same at every node.
+    pub key: u64,
+    /// Whether it may be chosen.
+    pub usable: bool,
+    /// Whether it is in another zone.
+    pub far: bool,
+    /// Wait for what was sent there before.
+    pub wait: Duration,
+    /// Time to read the prompt.
+    pub work: Duration,
+    /// Calls running there, as a share of its slots.
+    pub full: f64,
+}
+
+impl Candidate {
+    /// Time to the first token.
+    #[must_use]
+    pub fn first(&self) -> Duration {
+        self.wait + self.work
+    }
+
+    fn cost(&self, config: &Config) -> f64 {
+        let far = if self.far { config.far } else { Duration::ZERO };
+        let reading = self.work.as_secs_f64() * config.reading;
+        self.wait.as_secs_f64() + reading + far.as_secs_f64() + self.full * CROWD
+    }
+}
+
+/// Seconds that a full batch costs against an empty one: each running answer slows all the others'
+/// tokens a little.
+const CROWD: f64 = 0.05;
+
+/// Costs this close count as equal, and the prompt's own order of the engines decides, so that nodes
+/// that know nothing of each other send the same beginning to the same place.
+const EQUAL: f64 = 0.01;
+
+/// The engine for a prompt, as an index; none if no usable one is there. `prefix` is the hash of its
+/// shared beginning.
+#[must_use]
+pub fn choose(candidates: &[Candidate], prefix: u64, config: &Config) -> Option<usize> {
+    let usable = || candidates.iter().enumerate().filter(|(_, c)| c.usable);
+    let least = usable()
+        .map(|(_, c)| c.cost(config))
+        .min_by(f64::total_cmp)?;
+    let near = usable().filter(|(_, c)| c.cost(config) <= least + EQUAL);
+    near.max_by_key(|(_, c)| number::mix(c.key, prefix))
+        .map(|(place, _)| place)
+}
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -8,6 +8,7 @@
 
 use pimento_endpoint::Fault;
 use pimento_policy::admission;
+use pimento_scheduler::Estimate;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
 use pimento_units::Moment;
@@ -23,6 +24,7 @@
 use crate::call::Call;
 use crate::call::Connection;
 use crate::call::Message;
+use crate::cascade;
 use crate::codec::Codec;
 use crate::node::Node;
 use crate::refusal::Cause;
@@ -135,7 +137,7 @@
     /// A [`Refusal`] once no further attempt may be made.
     pub async fn open(&mut self, variant: &Variant) -> Result<Opened, Refusal> {
         loop {
-            let permit = self.slot().await?;
+            let permit = self.slot(variant).await?;
             let connection = match Connection::open(permit.address()).await {
                 Ok(connection) => connection,
                 Err(fault) => {
@@ -160,13 +162,13 @@
     }
 
     /// Waits for a slot at an endpoint that may still be used.
-    async fn slot(&mut self) -> Result<Permit, Refusal> {
+    async fn slot(&mut self, variant: &Variant) -> Result<Permit, Refusal> {
         loop {
             let pool = self.node.scheduler.pool(&self.request.pool);
             // Dropping this future takes the job out of the queue, so that nothing is cancelled by
             // token.
             let gone = CancellationToken::new();
-            let permit = pool.acquire(self.job(), &gone).await;
+            let permit = pool.acquire(self.job(variant), &gone).await;
             let permit = permit.map_err(|refused| self.refuse(refused.into()))?;
             if self.node.usable(permit.endpoint()) && !self.withdrawn(&permit) {
                 return Ok(permit);
@@ -265,6 +267,11 @@
         Outcome::Served(took.as_secs_f64())
     }
 
+    /// Another attempt is to be made elsewhere.
+    pub fn leave(&mut self, endpoint: &id::Endpoint) {
+        self.state.tried.push(endpoint.clone());
+    }
+
     /// Notes the version of the request's session.
     pub fn note(&self, permit: &Permit) {
         let session = self.request.ask.session;
@@ -353,7 +360,7 @@
             left: Some(request.left(self.node.now())),
             model: variant.model.as_ref(),
             resume: variant.resume.or(request.ask.resume),
-            urgency: None,
+            urgency: Some(cascade::urgency(request, variant)),
         };
         Message {
             method: request.head.method.clone(),
@@ -371,7 +378,33 @@
         self.node.rollouts(|r| r.version(pool, session, now))
     }
 
-    fn job(&self) -> Job {
+    /// What is sent.
+    #[must_use]
+    pub const fn work(&self) -> &Work {
+        self.request
+    }
+
+    /// Time since the request came.
+    #[must_use]
+    pub fn spent(&self) -> Duration {
+        self.node.now().since(self.request.began)
+    }
+
+    /// Whether the budget would pay for one more attempt.
+    #[must_use]
+    pub fn affords(&self) -> bool {
+        let now = self.node.now();
+        self.node.repeats.affords(&self.request.pool, now)
+    }
+
+    /// What the attempt would meet at the endpoint that it would get now.
+    #[must_use]
+    pub fn estimate(&self, variant: &Variant) -> Option<Estimate> {
+        let pool = self.node.scheduler.pool(&self.request.pool);
+        pool.estimate(&self.job(variant))
+    }
+
+    fn job(&self, variant: &Variant) -> Job {
         let request = self.request;
         let customer = request.grant.customer.as_ref();
         let name = customer.map_or_else(|| PUBLIC.parse(), |customer| Ok(customer.name.clone()));
@@ -386,6 +419,7 @@
             deadline: request.deadline,
             version: self.version(),
             prefix: request.prefix(),
+            prompt: variant.model.as_ref().and_then(|m| request.prompt(m)),
             tried: self.state.tried.clone(),
             returning: false,
             repeatable: request.grant.route.repeatable(),
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -5,6 +5,7 @@
 use pimento_policy::limit;
 use pimento_scheduler::Member;
 use pimento_units::Moment;
+use pimento_units::Tokens;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
@@ -46,10 +47,19 @@
 fn refresh<P: Border + Codec, L: Log>(node: &Node<P, L>) {
     let now = boot::now();
     let zone = &node.config.zone;
+    let table = node.table();
+    let memory = |pool: &id::Pool| {
+        let service = table.as_ref()?.service(pool)?;
+        service.engine.as_ref().map(|engine| engine.memory)
+    };
     let mut members: Vec<(id::Pool, Member)> = node.directory.view(|view| {
         let seats = view.members().iter();
         seats
-            .map(|m| (m.entry.pool.clone(), member(m, zone, now)))
+            .map(|m| {
+                let pool = m.entry.pool.clone();
+                let member = member(m, zone, memory(&pool), now);
+                (pool, member)
+            })
             .collect()
     });
     members.sort_by(|one, other| one.0.cmp(&other.0));
@@ -79,7 +89,12 @@
     versions
 }
 
-fn member(member: &directory::Member, zone: &id::Zone, now: Moment) -> Member {
+fn member(
+    member: &directory::Member,
+    zone: &id::Zone,
+    memory: Option<Tokens>,
+    now: Moment,
+) -> Member {
     let entry = &member.entry;
     let near = entry.zone == *zone;
     let report = limit::Report {
@@ -95,5 +110,7 @@
         distance: if near { Duration::ZERO } else { FAR },
         versions: Some(vec![entry.version.clone()]),
         report: Some((report, Moment::ZERO)),
+        memory,
+        life: entry.born,
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -21,6 +21,7 @@
 use crate::attempts::Variant;
 use crate::border::Border;
 use crate::call::Answer;
+use crate::cascade;
 use crate::codec::Codec;
 use crate::events::Event;
 use crate::events::Splitter;
@@ -83,10 +84,19 @@
     }
 }
 
+/// A stream whose first event has come.
+struct First {
+    head: response::Parts,
+    source: Source,
+    first: Event,
+    /// The model's opinion of its answer.
+    confidence: Option<u8>,
+}
+
 /// What an endpoint's answer turned out to be.
 enum Begun {
     /// A stream, with its first event.
-    Stream(Box<response::Parts>, Source, Event),
+    Stream(Box<First>),
     /// A failure, to be handed on if nothing better comes.
     Failure(Response<Reply>),
 }
@@ -102,8 +112,8 @@
 ) -> Result<Response<Reply>, Refusal> {
     let mut attempts = Attempts::new(node, &request);
     let mut failure: Option<Response<Reply>> = None;
-    let variant = Variant {
-        model: request.grant.route.models.first().cloned(),
+    let mut variant = Variant {
+        model: cascade::first(&request),
         resume: None,
     };
     let (mut head, source, first) = loop {
@@ -112,7 +122,13 @@
             Err(refusal) => return failure.ok_or(refusal),
         };
         match begin(&mut attempts, node, &request, opened).await {
-            Ok(Some(Begun::Stream(head, source, first))) => break (head, source, first),
+            Ok(Some(Begun::Stream(begun))) => {
+                let larger = cascade::larger(&attempts, &variant, begun.confidence);
+                let Some(model) = larger else {
+                    break (begun.head, begun.source, begun.first);
+                };
+                variant.model = Some(model);
+            }
             Ok(Some(Begun::Failure(response))) => {
                 if !attempts.again() {
                     return Ok(response);
@@ -139,7 +155,7 @@
         };
         stream.run(writer, source, first).await;
     });
-    Ok(Response::from_parts(*head, reply))
+    Ok(Response::from_parts(head, reply))
 }
 
 /// Reads up to the first event; none if the answer broke off and another attempt may be made.
@@ -149,7 +165,11 @@
     request: &Work,
     opened: Opened,
 ) -> Result<Option<Begun>, Refusal> {
-    let Opened { permit, call, .. } = opened;
+    let Opened {
+        permit,
+        call,
+        reply,
+    } = opened;
     let (mut head, mut body) = (call.head, call.body);
     let left = request.left(node.now());
     if head.status != StatusCode::OK {
@@ -170,8 +190,14 @@
     let mut source = Source::new(permit, body);
     match source.next(left.min(SILENCE)).await {
         Ok(Step::Event(event)) => {
+            source.permit.begun();
             attempts.judged(&source.permit, false);
-            Ok(Some(Begun::Stream(Box::new(head), source, event)))
+            Ok(Some(Begun::Stream(Box::new(First {
+                head,
+                source,
+                first: event,
+                confidence: reply.confidence,
+            }))))
         }
         Ok(Step::End) => {
             let fault = Fault::Cut {
@@ -264,6 +290,9 @@
                         Err(refusal) => return End::Broken(refusal.cause),
                     };
                     step = source.next(SILENCE).await;
+                    if matches!(step, Ok(Step::Event(_))) {
+                        source.permit.begun();
+                    }
                 }
             }
         }
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -62,6 +62,7 @@
                 let failed = head.status.is_server_error();
                 attempts.judged(&permit, failed);
                 attempts.note(&permit);
+                attempts.leave(permit.endpoint());
                 permit.served(WORK);
                 let response = Response::from_parts(head, Reply::whole(bytes));
                 if failed && attempts.again() {
--- a/crates/relay/src/work.rs
+++ b/crates/relay/src/work.rs
@@ -5,6 +5,8 @@
 use bytes::Bytes;
 use hyper::http::request;
 use pimento_policy::choice;
+use pimento_policy::engine;
+use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -54,6 +56,20 @@
         shared.last().map(|part| part.hash)
     }
 
+    /// The prompt for a model; none if its parts are not known.
+    #[must_use]
+    pub fn prompt(&self, model: &id::Version) -> Option<Prompt> {
+        let parts = self.ask.parts.iter().map(|part| engine::Part {
+            hash: part.hash,
+            tokens: part.tokens,
+        });
+        let parts: Vec<engine::Part> = parts.collect();
+        (!parts.is_empty()).then(|| Prompt {
+            model: choice::key(model.as_str()),
+            parts,
+        })
+    }
+
     /// Tokens of the prompt, and the most of the answer.
     #[must_use]
     pub fn usage(&self) -> Option<(Tokens, Tokens)> {
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -6,6 +6,8 @@
 use pimento_policy::admission;
 use pimento_policy::choice;
 use pimento_policy::eject;
+use pimento_policy::engine;
+use pimento_policy::engine::Prompt;
 use pimento_policy::limit;
 use pimento_policy::queue;
 use pimento_units::Moment;
@@ -15,6 +17,7 @@
 use crate::permit::Permit;
 use crate::permit::Slot;
 use crate::pool::Depth;
+use crate::pool::Estimate;
 use crate::pool::Job;
 use crate::pool::Shared;
 use crate::pool::Waiter;
@@ -45,6 +48,9 @@
     stations: Vec<Station>,
     health: eject::Pool,
     choice: choice::Config,
+    placing: engine::Config,
+    paces: engine::Paces,
+    tickets: engine::Ticket,
     turn: usize,
 }
 
@@ -55,6 +61,9 @@
             stations: Vec::new(),
             health: eject::Pool::new(eject::Config::default()),
             choice: choice::Config::default(),
+            placing: engine::Config::default(),
+            paces: engine::Paces::default(),
+            tickets: 0,
             turn: 0,
         }
     }
@@ -252,21 +261,21 @@
 
     /// Chooses an endpoint with a free slot and takes it. Endpoints tried before come last.
     pub fn take(&mut self, shared: &Arc<Shared>, job: &Job, now: Moment) -> Option<Permit> {
-        let random: u64 = rand::random();
-        let mut candidates = self.candidates(job, now);
-        let again = candidates.clone();
-        for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
-            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
-        }
-        let chosen = self
-            .probe(&candidates, job, now)
-            .or_else(|| choice::choose(&candidates, job.prefix, random, &self.choice))
-            .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))?;
+        let chosen = match &job.prompt {
+            Some(prompt) => self.place(prompt, job, now),
+            None => self.draw(job, now),
+        }?;
         let seat = &mut self.seats[chosen];
         if !seat.limiter.acquire() {
             return None;
         }
         self.health.sent(&seat.member.endpoint, now);
+        let ticket = job.prompt.as_ref().zip(seat.engine.as_mut());
+        let ticket = ticket.map(|(prompt, engine)| {
+            self.tickets += 1;
+            engine.begin(self.tickets, prompt, &self.paces, now);
+            self.tickets
+        });
         let slot = Slot {
             endpoint: seat.member.endpoint.clone(),
             zone: seat.member.zone.clone(),
@@ -274,21 +283,122 @@
             version: job.version.clone(),
             dispatch: None,
             since: now,
+            ticket,
         };
         Some(Permit::new(Arc::clone(shared), slot))
     }
 
+    /// The endpoint for a call of which only the load is known.
+    fn draw(&self, job: &Job, now: Moment) -> Option<usize> {
+        let random: u64 = rand::random();
+        let mut candidates = self.candidates(job, now);
+        let again = candidates.clone();
+        for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
+            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        }
+        self.probe(&candidates, job, now)
+            .or_else(|| choice::choose(&candidates, job.prefix, random, &self.choice))
+            .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))
+    }
+
+    /// The engine for a prompt.
+    fn place(&self, prompt: &Prompt, job: &Job, now: Moment) -> Option<usize> {
+        let prefix = job.prefix.unwrap_or(prompt.model);
+        let mut engines = self.engines(prompt, job, now);
+        let again = engines.clone();
+        for (candidate, seat) in engines.iter_mut().zip(&self.seats) {
+            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        }
+        self.due(&engines, job, now)
+            .or_else(|| engine::choose(&engines, prefix, &self.placing))
+            .or_else(|| engine::choose(&again, prefix, &self.placing))
+    }
+
+    fn engines(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
+        let candidate = |seat: &Seat| {
+            let (wait, work) = seat
+                .engine
+                .as_ref()
+                .map_or_else(Default::default, |engine| {
+                    let work = self.paces.work(prompt.model, engine.unread(prompt));
+                    (engine.wait(now), work.mul_f64(engine.slowness()))
+                });
+            let flying = f64::from(seat.limiter.flying());
+            engine::Candidate {
+                key: seat.key,
+                usable: self.free(seat, job, now),
+                far: !seat.member.distance.is_zero(),
+                wait,
+                work,
+                full: flying / f64::from(seat.limiter.limit().max(1)),
+            }
+        };
+        self.seats.iter().map(candidate).collect()
+    }
+
+    /// Whether a call may be sent to an endpoint now.
+    fn free(&self, seat: &Seat, job: &Job, now: Moment) -> bool {
+        seat.member.usable
+            && seat.member.holds(job.version.as_ref())
+            && now >= seat.closed
+            && seat.limiter.room() > 0
+            && self.health.state(&seat.member.endpoint, now) != eject::State::Out
+    }
+
+    /// What a job with a prompt would meet.
+    pub fn estimate(&self, job: &Job, now: Moment) -> Option<Estimate> {
+        let prompt = job.prompt.as_ref()?;
+        let place = self.place(prompt, job, now)?;
+        let engines = self.engines(prompt, job, now);
+        let mut waits: Vec<Duration> = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| e.usable && !e.far)
+            .map(|(at, e)| if at == place { e.first() } else { e.wait })
+            .collect();
+        waits.sort_unstable();
+        let half = waits.len().div_ceil(2);
+        let sum: Duration = waits.iter().take(half).sum();
+        let next = sum / u32::try_from(half.max(1)).unwrap_or(u32::MAX);
+        Some(Estimate {
+            wait: engines[place].wait,
+            work: engines[place].work,
+            full: self.paces.work(prompt.model, prompt.tokens()),
+            next,
+        })
+    }
+
+    /// The first token of a call has come.
+    pub fn begun(&mut self, slot: &Slot, now: Moment) {
+        let Some(ticket) = slot.ticket else { return };
+        let seat = self
+            .seats
+            .iter_mut()
+            .find(|s| s.member.endpoint == slot.endpoint);
+        if let Some(engine) = seat.and_then(|seat| seat.engine.as_mut()) {
+            engine.read(ticket, &mut self.paces, now);
+        }
+    }
+
     /// The endpoint that is due for a probe, if this job may be one: a call that may be sent twice.
     /// By choice alone an endpoint that was out would be tried late, or by many calls at once.
     fn probe(&self, candidates: &[choice::Candidate], job: &Job, now: Moment) -> Option<usize> {
+        self.suspect(job, now)
+            .filter(|place| candidates[*place].usable)
+    }
+
+    fn due(&self, engines: &[engine::Candidate], job: &Job, now: Moment) -> Option<usize> {
+        self.suspect(job, now)
+            .filter(|place| engines[*place].usable)
+    }
+
+    fn suspect(&self, job: &Job, now: Moment) -> Option<usize> {
         if !job.repeatable || self.health.out() == 0 {
             return None;
         }
         let due = self.health.due(now)?;
         let place = self.seats.iter().position(|s| &s.member.endpoint == due)?;
-        let candidate = &candidates[place];
-        let room = self.seats[place].limiter.room() > 0;
-        (candidate.usable && room).then_some(place)
+        (self.seats[place].limiter.room() > 0).then_some(place)
     }
 
     fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
@@ -328,6 +438,9 @@
             .iter_mut()
             .find(|s| s.member.endpoint == slot.endpoint);
         if let Some(seat) = seat {
+            if let Some((engine, ticket)) = seat.engine.as_mut().zip(slot.ticket) {
+                engine.end(ticket, now);
+            }
             seat.limiter.release(outcome);
             if matches!(outcome, limit::Outcome::Served { .. }) {
                 seat.refusals = 0;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -15,6 +15,7 @@
 pub use clock::Clock;
 pub use permit::Permit;
 pub use pool::Depth;
+pub use pool::Estimate;
 pub use pool::Job;
 pub use pool::Pool;
 pub use pool::Scheduler;
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -6,6 +6,7 @@
 
 use pimento_endpoint::Fault;
 use pimento_policy::eject;
+use pimento_policy::engine;
 use pimento_policy::limit;
 use pimento_policy::queue;
 use pimento_units::Moment;
@@ -23,6 +24,8 @@
     pub version: Option<id::Version>,
     pub dispatch: Option<queue::Dispatch>,
     pub since: Moment,
+    /// Its prompt at an engine.
+    pub ticket: Option<engine::Ticket>,
 }
 
 /// The right to make one call at one endpoint. Dropped without a word, it says nothing about the
@@ -77,6 +80,14 @@
         self.slot.address
     }
 
+    /// The first token has come: the prompt is read.
+    pub fn begun(&mut self) {
+        let now = self.shared.clock.now();
+        let mut inner = self.shared.lock();
+        inner.begun(&self.slot, now);
+        inner.pump(&self.shared, now);
+    }
+
     /// Gives the slot back after a whole answer of `tokens`, prompt included.
     pub fn served(mut self, tokens: Tokens) {
         let now = self.shared.clock.now();
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use pimento_policy::admission;
+use pimento_policy::engine::Prompt;
 use pimento_policy::queue;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -38,6 +39,8 @@
     pub version: Option<id::Version>,
     /// Hash of the prompt's beginning, for the prefix cache.
     pub prefix: Option<u64>,
+    /// The prompt, for engines that it is placed at by what they have read and have still to read.
+    pub prompt: Option<Prompt>,
     /// Endpoints that failed this request already.
     pub tried: Vec<id::Endpoint>,
     /// Whether the caller comes back with a request that was refused before.
@@ -149,6 +152,14 @@
         Refused::Late { after }
     }
 
+    /// What a job with a prompt would meet at the endpoint that it would get; none if there is none,
+    /// or the job has no prompt.
+    #[must_use]
+    pub fn estimate(&self, job: &Job) -> Option<Estimate> {
+        let now = self.shared.clock.now();
+        self.shared.lock().estimate(job, now)
+    }
+
     /// How long work of `tokens` is expected to run on a version.
     #[must_use]
     pub fn run(&self, version: Option<&id::Version>, tokens: Tokens) -> Duration {
@@ -174,6 +185,20 @@
     }
 }
 
+/// What a prompt would meet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Estimate {
+    /// Wait for the prompts sent before.
+    pub wait: Duration,
+    /// Reading of what the engine does not keep.
+    pub work: Duration,
+    /// Reading of the whole prompt.
+    pub full: Duration,
+    /// What the next prompt would wait: the mean over the less busy half of the engines nearby, once
+    /// this one is placed.
+    pub next: Duration,
+}
+
 /// Figures of a pool for metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Depth {
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pimento_policy::choice;
+use pimento_policy::engine::Engine;
 use pimento_policy::limit;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -32,6 +33,10 @@
     pub versions: Option<Vec<id::Version>>,
     /// What it reported of its load, and when that was measured.
     pub report: Option<(limit::Report, Moment)>,
+    /// For an engine whose calls bring their prompts: its memory, for running calls and kept parts.
+    pub memory: Option<Tokens>,
+    /// Tells one life of an endpoint from the next under the same name, which knows nothing of it.
+    pub life: u64,
 }
 
 impl Member {
@@ -57,6 +62,8 @@
     pub(crate) closed: Moment,
     /// When it said that it takes calls again, with its last refusal.
     pub(crate) back: Moment,
+    /// What is known of its prompts, for an engine.
+    pub(crate) engine: Option<Engine>,
 }
 
 /// How long an endpoint that refused a call gets none from this node: several round trips, in which
@@ -70,11 +77,12 @@
     let batch = batch(&member);
     Seat {
         key: choice::key(member.endpoint.as_str()),
-        limiter: limiter(batch),
+        limiter: limiter(batch, member.memory.is_some()),
         batch,
         refusals: 0,
         closed: Moment::ZERO,
         back: Moment::ZERO,
+        engine: member.memory.map(Engine::new),
         member,
     }
 }
@@ -87,7 +95,10 @@
 /// A limiter that begins at the engine's batch and never goes past what may run and wait there. A
 /// report that is late shows an engine as empty that has filled since, and without this bound would
 /// raise the limit to many batches.
-fn limiter(batch: Option<u32>) -> limit::Limiter {
+///
+/// An engine whose prompts are known is limited by the wait for them. Its answers differ a hundredfold
+/// in length and in speed, and the time that they take says nothing of its load.
+fn limiter(batch: Option<u32>, engine: bool) -> limit::Limiter {
     let mut config = limit::Config {
         round: rand::random_range(0.0..1.0),
         ..limit::Config::default()
@@ -96,11 +107,17 @@
         config.start = f64::from(batch);
         config.most = f64::from(batch) * config.reserve;
     }
+    if engine {
+        config.tolerance = f64::INFINITY;
+    }
     limit::Limiter::new(config)
 }
 
 /// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
 pub(crate) fn refresh(mut seat: Seat, member: Member) -> Seat {
+    if seat.member.life != member.life {
+        seat.engine = member.memory.map(Engine::new);
+    }
     if let Some((report, at)) = member.report
         && seat.member.report.is_none_or(|(_, seen)| seen < at)
     {
@@ -109,7 +126,7 @@
     let fresh = batch(&member);
     if fresh != seat.batch && seat.limiter.flying() == 0 {
         seat.batch = fresh;
-        seat.limiter = limiter(fresh);
+        seat.limiter = limiter(fresh, member.memory.is_some());
     }
     seat.member = member;
     seat
