Let entry VMs tell each other what engines read and have still to read

Cause: each VM knew only its own prompts; in a zone of three VMs two thirds of the unread work and of the kept parts were unknown, and a part that another zone had read was read anew.

Change: relay::neighbours sends datagrams: waits and reads to all VMs of the zone, shared parts to one VM of each other zone, which passes them on. VMs find each other on their common topic (relay::fleet).

Ruled out: asking engines for their reports or cache events, which are priced as probes and late.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -169,6 +169,9 @@
 /// The most that an engine counts as slower than others; beyond, it is ejected.
 const SLOWEST: f64 = 8.0;
 
+/// A peer that said nothing for this long has no calls there any more, or is gone.
+const FORGOTTEN: Duration = Duration::from_secs(10);
+
 /// Waits up to this long count as none: an engine that is between two steps.
 const IDLE: Duration = Duration::from_millis(5);
 
@@ -283,6 +286,7 @@
 
     /// A peer says how long the engine takes for its calls.
     pub fn hear(&mut self, node: u64, wait: Duration, now: Moment) {
+        self.peers.retain(|peer| now.since(peer.at) < FORGOTTEN);
         let peer = Peer {
             node,
             wait,
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -20,6 +20,8 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
+    /// Where other VMs of the system send datagrams.
+    pub peer_listen: SocketAddr,
     /// What must hold, with its figures.
     pub bounds: Bounds,
 }
--- /dev/null
+++ b/crates/relay/src/neighbours/message.rs
@@ -0,0 +1,64 @@
+//! The datagrams between entry VMs.
+
+use pimento_policy::engine::Part;
+use pimento_policy::engine::Prompt;
+use pimento_units::Tokens;
+use pimento_units::id;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A datagram.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Who says it.
+    pub node: id::Node,
+    /// The teller's zone.
+    pub zone: id::Zone,
+    /// Milliseconds that engines take for the teller's prompts, by their keys; all others take none.
+    pub waits: Vec<(u64, u32)>,
+    /// Prompts that engines read since the last datagram.
+    pub reads: Vec<Read>,
+}
+
+/// A prompt that an engine read.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Read {
+    /// The engine's key.
+    pub engine: u64,
+    /// Hash of the model.
+    pub model: u64,
+    /// The parts, each as hash and tokens.
+    pub parts: Vec<(u64, u32)>,
+}
+
+impl Read {
+    /// A prompt that was sent to an engine.
+    pub fn new((engine, prompt): &(u64, Prompt)) -> Self {
+        let tokens = |part: &Part| u32::try_from(part.tokens.0).unwrap_or(u32::MAX);
+        let parts = prompt.parts.iter().map(|part| (part.hash, tokens(part)));
+        Self {
+            engine: *engine,
+            model: prompt.model,
+            parts: parts.collect(),
+        }
+    }
+
+    /// The parts that other requests share; none if it has none. The last part is the request's own.
+    pub fn shared(sent: &(u64, Prompt)) -> Option<Self> {
+        let mut read = Self::new(sent);
+        read.parts.pop();
+        (!read.parts.is_empty()).then_some(read)
+    }
+
+    /// The prompt.
+    pub fn prompt(&self) -> Prompt {
+        let parts = self.parts.iter().map(|(hash, tokens)| Part {
+            hash: *hash,
+            tokens: Tokens(u64::from(*tokens)),
+        });
+        Prompt {
+            model: self.model,
+            parts: parts.collect(),
+        }
+    }
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -17,8 +17,10 @@
 use crate::codec::Codec;
 use crate::config::Config;
 use crate::directory::Directory;
+use crate::fleet::Word;
 use crate::follow::Follower;
 use crate::follow::Pace;
+use crate::neighbours;
 use crate::operators::Operators;
 use crate::pools;
 use crate::repeats::Repeats;
@@ -133,7 +135,8 @@
             tasks: TaskTracker::new(),
         };
         pools::start(&node, token.clone());
-        controller::start(&node, log, token.clone());
+        controller::start(&node, log.clone(), token.clone());
+        neighbours::start(&node, log, token.clone());
         node
     }
 
@@ -170,6 +173,16 @@
         read && !leaving && self.table().is_some() && self.freshness() == Freshness::Fresh
     }
 
+    /// What this VM says of itself, without roll-outs.
+    #[must_use]
+    pub fn word(&self) -> Word {
+        Word {
+            zone: self.config.zone.clone(),
+            address: self.config.peer_listen,
+            rollouts: Vec::new(),
+        }
+    }
+
     /// Looks at or changes the roll-outs. `act` runs under a lock and must be short.
     pub fn rollouts<T>(&self, act: impl FnOnce(&mut Rollouts) -> T) -> T {
         let mut rollouts = self.rollouts.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/src/rollouts/announcement.rs
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -81,10 +81,3 @@
     /// Whether no request is at the old version any more, nor will be.
     pub left: bool,
 }
-
-/// All that a VM says.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Word {
-    /// Of each roll-out.
-    pub rollouts: Vec<Announcement>,
-}
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -18,12 +18,13 @@
 use super::Rollouts;
 use super::announcement::Announcement;
 use super::announcement::Route;
-use super::announcement::Word;
 use crate::boot;
 use crate::border::Border;
 use crate::codec::Codec;
 use crate::codec::Stage;
 use crate::codec::Status;
+use crate::fleet;
+use crate::fleet::Word;
 use crate::follow::Fold;
 use crate::follow::Follower;
 use crate::follow::Pace;
@@ -74,15 +75,7 @@
 
 impl Fold for Words {
     fn apply(&mut self, record: &Record, _: Told) {
-        let Some(value) = &record.value else { return };
-        let Ok(node) = record.key.parse() else {
-            log::warn!("rollout: {:?} names no VM.", record.key);
-            return;
-        };
-        match postcard::from_bytes(value) {
-            Ok(word) => self.news.push((node, word)),
-            Err(error) => log::warn!("rollout: The word of {node} left out: {error}."),
-        }
+        self.news.extend(fleet::read(record));
     }
 }
 
@@ -113,7 +106,7 @@
         log,
         fleet: None,
         announced: Moment::ZERO,
-        said: Word::default(),
+        said: node.word(),
         due: None,
     };
     tokio::spawn(async move { token.run_until_cancelled(controller.run()).await });
@@ -310,27 +303,16 @@
         let now = boot::now();
         let word = self.word(running, now);
         let since = now.since(self.announced);
-        let news = word.news(&self.said);
+        let news = news(&word, &self.said);
         let bad = word.rollouts.iter().any(|said| said.bad);
         let said_bad = self.said.rollouts.iter().any(|said| said.bad);
         let early = since < NEWS || (since < ANNOUNCE && !news);
         if early && (said_bad || !bad) {
             return;
         }
-        let value = match postcard::to_stdvec(&word) {
-            Ok(value) => value,
-            Err(error) => {
-                log::error!("rollout: The word can't be written: {error}.");
-                return;
-            }
-        };
         self.announced = now;
-        let key = self.node.config.node.as_str();
-        let append = self.log.append(Topic::Fleet, key, value.into(), None);
-        match tokio::time::timeout(CALL, append).await {
-            Ok(Ok(_)) => self.said = word,
-            Ok(Err(error)) => log::warn!("rollout: Not announced: {error}."),
-            Err(_) => log::warn!("rollout: Not announced in time."),
+        if word.say(&self.node.config.node, &self.log).await {
+            self.said = word;
         }
     }
 
@@ -341,20 +323,19 @@
         });
         Word {
             rollouts: said.collect(),
+            ..self.node.word()
         }
     }
 }
 
-impl Word {
-    /// Whether it says something that others should know soon.
-    fn news(&self, before: &Self) -> bool {
-        let bad = |word: &Self| {
-            let said = word.rollouts.iter();
-            said.map(|s| (s.order, s.bad, s.left, s.failing.len()))
-                .collect::<Vec<_>>()
-        };
-        bad(self) != bad(before)
-    }
+/// Whether a word says something that others should know soon.
+fn news(word: &Word, before: &Word) -> bool {
+    let told = |word: &Word| {
+        let said = word.rollouts.iter();
+        said.map(|s| (s.order, s.bad, s.left, s.failing.len()))
+            .collect::<Vec<_>>()
+    };
+    told(word) != told(before)
 }
 
 impl Rollouts {
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -51,9 +51,15 @@
     placing: engine::Config,
     paces: engine::Paces,
     tickets: engine::Ticket,
+    /// Prompts sent since they were last told to other VMs.
+    sent: Vec<(u64, Prompt)>,
     turn: usize,
 }
 
+/// Prompts that are kept to be told to other VMs. They are told several times a second; a VM that
+/// tells nobody keeps no more than these.
+const TOLD: usize = 128;
+
 impl Default for Inner {
     fn default() -> Self {
         Self {
@@ -64,6 +70,7 @@
             placing: engine::Config::default(),
             paces: engine::Paces::default(),
             tickets: 0,
+            sent: Vec::new(),
             turn: 0,
         }
     }
@@ -275,6 +282,9 @@
         let ticket = ticket.map(|(prompt, engine)| {
             self.tickets += 1;
             engine.begin(self.tickets, prompt, &self.paces, now);
+            if self.sent.len() < TOLD {
+                self.sent.push((seat.key, prompt.clone()));
+            }
             self.tickets
         });
         let slot = Slot {
@@ -382,6 +392,33 @@
         })
     }
 
+    pub fn sent(&mut self) -> Vec<(u64, Prompt)> {
+        std::mem::take(&mut self.sent)
+    }
+
+    pub fn waits(&self, now: Moment) -> Vec<(u64, Duration)> {
+        let engines = self.seats.iter();
+        let waits = engines.filter_map(|seat| Some((seat.key, seat.engine.as_ref()?.own(now))));
+        waits.filter(|(_, wait)| !wait.is_zero()).collect()
+    }
+
+    pub fn hear(&mut self, node: u64, waits: &[(u64, Duration)], now: Moment) {
+        for seat in &mut self.seats {
+            let Some(engine) = seat.engine.as_mut() else {
+                continue;
+            };
+            let said = waits.iter().find(|(key, _)| *key == seat.key);
+            engine.hear(node, said.map_or(Duration::ZERO, |(_, wait)| *wait), now);
+        }
+    }
+
+    pub fn learn(&mut self, key: u64, prompt: &Prompt, now: Moment) {
+        let seat = self.seats.iter_mut().find(|seat| seat.key == key);
+        if let Some(engine) = seat.and_then(|seat| seat.engine.as_mut()) {
+            engine.keep(prompt, now);
+        }
+    }
+
     /// The first token of a call has come.
     pub fn begun(&mut self, slot: &Slot, now: Moment) {
         let Some(ticket) = slot.ticket else { return };
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -172,6 +172,31 @@
         self.shared.lock().holds(version)
     }
 
+    /// Prompts sent since the last call, each with the key of its engine, for other VMs.
+    #[must_use]
+    pub fn sent(&self) -> Vec<(u64, Prompt)> {
+        self.shared.lock().sent()
+    }
+
+    /// How long each engine takes for this VM's prompts, for other VMs; only those that take time.
+    #[must_use]
+    pub fn waits(&self) -> Vec<(u64, Duration)> {
+        let now = self.shared.clock.now();
+        self.shared.lock().waits(now)
+    }
+
+    /// Another VM says how long engines take for its prompts.
+    pub fn hear(&self, node: u64, waits: &[(u64, Duration)]) {
+        let now = self.shared.clock.now();
+        self.shared.lock().hear(node, waits, now);
+    }
+
+    /// Another VM sent a prompt to an engine, which keeps its parts from now on.
+    pub fn learn(&self, engine: u64, prompt: &Prompt) {
+        let now = self.shared.clock.now();
+        self.shared.lock().learn(engine, prompt, now);
+    }
+
     /// Calls in flight at endpoints that don't hold `version`.
     #[must_use]
     pub fn flying_beside(&self, version: &id::Version) -> u32 {
