Choose among all sizes by what they add, and learn it from confidences

Cause: prompts over about 30,000 tokens can't be read by the largest model within the target, and the middle one was never asked.

Change: policy::confidence weighs each larger model, with a measured curve of passing answers and what larger models said since; an unmeasured model counts as fast, so that it is tried.

Ruled out: the middle model below a confidence of 20 (measured: adds nothing).

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -61,9 +61,10 @@
     models: Vec<(u64, f64)>,
 }
 
-/// Seconds for a token before any was measured: a large model on a fast accelerator. Too high a
-/// guess is put right by the first prompt that finds an idle engine.
-const FIRST_PACE: f64 = 0.000_05;
+/// Seconds for a token before any was measured: a middling model on a fast accelerator. The first
+/// prompt that finds an idle engine puts it right. A guess that is too high would never be put right:
+/// the model would seem too slow to be asked.
+const FIRST_PACE: f64 = 0.000_015;
 
 /// Weight of a sample that is below the estimate, and of one above it. A prompt's time is its own
 /// reading and at times somebody else's that was not known of, so that low samples tell the speed.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -385,10 +385,10 @@
         self.request
     }
 
-    /// Time since the request came.
+    /// The VM.
     #[must_use]
-    pub fn spent(&self) -> Duration {
-        self.node.now().since(self.request.began)
+    pub const fn node(&self) -> &Node<P, L> {
+        self.node
     }
 
     /// Whether the budget would pay for one more attempt.
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -1,5 +1,9 @@
 //! Which model a request runs on, where the route leaves the choice.
 
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use pimento_policy::choice;
 use pimento_policy::confidence;
 use pimento_policy::confidence::Answer;
 use pimento_policy::confidence::Larger;
@@ -18,6 +22,20 @@
 const FIRST: u8 = 1;
 const LARGER: u8 = 5;
 
+/// What was seen of the models' confidences here.
+#[derive(Debug, Default)]
+pub struct Book {
+    config: confidence::Config,
+    seen: Mutex<confidence::Book>,
+}
+
+/// An answer that was dropped: its model and its confidence.
+#[derive(Debug, Clone)]
+pub struct Dropped {
+    model: u64,
+    confidence: u8,
+}
+
 /// The model to begin with: the smallest, or the one that the caller named.
 pub fn first(request: &Work) -> Option<id::Version> {
     match &request.ask.model {
@@ -35,43 +53,66 @@
     }
 }
 
-/// The larger model to drop an answer for; none if the answer is passed on.
+fn key(model: &id::Version) -> u64 {
+    choice::key(model.as_str())
+}
+
+/// The larger model to drop an answer for; none if the answer is passed on. `dropped` is the answer
+/// that was dropped before.
 pub fn larger<P: Border + Codec, L: Log>(
     attempts: &Attempts<'_, P, L>,
     variant: &Variant,
     confidence: Option<u8>,
+    dropped: &mut Option<Dropped>,
 ) -> Option<id::Version> {
     let request = attempts.work();
-    let route = &request.grant.route;
+    let models = &request.grant.route.models;
     let confidence = confidence?;
-    let largest = route.models.last()?;
-    let chosen = route.models.contains(variant.model.as_ref()?);
-    let same = variant.model.as_ref() == Some(largest);
+    let model = variant.model.as_ref()?;
+    let place = models.iter().position(|known| known == model)?;
+    let book = &attempts.node().models;
+    let mut seen = book.seen.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Some(before) = dropped.take() {
+        seen.learn((before.model, before.confidence), (key(model), confidence));
+    }
     let asked = matches!(request.ask.model, Some(Wish::Named(_)));
-    if !chosen || same || asked || !attempts.again() || !attempts.affords() {
+    if asked || !attempts.again() || !attempts.affords() {
         return None;
     }
-    let next = Variant {
-        model: Some(largest.clone()),
-        resume: variant.resume,
-    };
-    let estimate = attempts.estimate(&next)?;
-    let answer = Answer {
+    let mut candidates: Vec<Larger> = Vec::new();
+    let mut answer = Answer {
+        model: key(model),
         confidence,
-        spent: attempts.spent(),
-        target: route.target,
+        began: request.began,
+        target: request.grant.route.target,
+        full: std::time::Duration::ZERO,
+        next: std::time::Duration::ZERO,
     };
-    let larger = Larger {
-        wait: estimate.wait,
-        work: estimate.work,
-        full: estimate.full,
-        next: estimate.next,
-    };
-    let drops = confidence::Config::default().drops(&answer, &larger);
+    for (rank, larger) in models.iter().enumerate().skip(place + 1) {
+        let next = Variant {
+            model: Some(larger.clone()),
+            resume: variant.resume,
+        };
+        let estimate = attempts.estimate(&next)?;
+        answer.full = estimate.full;
+        answer.next = estimate.next;
+        candidates.push(Larger {
+            model: key(larger),
+            rank: confidence::rank(rank, models.len()),
+            wait: estimate.wait,
+            work: estimate.work,
+        });
+    }
+    let now = attempts.node().now();
+    let chosen = book.config.choose(&answer, &candidates, &seen, now);
     log::info!(
-        "cascade: {}: confidence {confidence}, {answer:?}, {larger:?}: {}.",
-        request.ask.id,
-        if drops { "dropped" } else { "kept" }
+        "cascade: {}: {answer:?}, {candidates:?}: {chosen:?}.",
+        request.ask.id
     );
-    drops.then(|| largest.clone())
+    let larger = models.get(place + 1 + chosen?)?;
+    *dropped = Some(Dropped {
+        model: key(model),
+        confidence,
+    });
+    Some(larger.clone())
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -14,6 +14,7 @@
 
 use crate::boot;
 use crate::border::Border;
+use crate::cascade;
 use crate::codec::Codec;
 use crate::config::Config;
 use crate::directory::Directory;
@@ -67,6 +68,8 @@
     pub scheduler: Scheduler,
     /// The budget of repeats.
     pub repeats: Arc<Repeats>,
+    /// What was seen of models' confidences.
+    pub(crate) models: Arc<cascade::Book>,
     rollouts: Arc<Mutex<Rollouts>>,
     /// The process's clocks.
     pub clock: Clock,
@@ -85,6 +88,7 @@
             directory: self.directory.clone(),
             scheduler: self.scheduler.clone(),
             repeats: Arc::clone(&self.repeats),
+            models: Arc::clone(&self.models),
             rollouts: Arc::clone(&self.rollouts),
             clock: self.clock,
             leaving: self.leaving.clone(),
@@ -129,6 +133,7 @@
             directory,
             scheduler: Scheduler::new(clock),
             repeats: Arc::new(repeats),
+            models: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
             clock,
             leaving: CancellationToken::new(),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -112,6 +112,7 @@
 ) -> Result<Response<Reply>, Refusal> {
     let mut attempts = Attempts::new(node, &request);
     let mut failure: Option<Response<Reply>> = None;
+    let mut dropped = None;
     let mut variant = Variant {
         model: cascade::first(&request),
         resume: None,
@@ -123,7 +124,7 @@
         };
         match begin(&mut attempts, node, &request, opened).await {
             Ok(Some(Begun::Stream(begun))) => {
-                let larger = cascade::larger(&attempts, &variant, begun.confidence);
+                let larger = cascade::larger(&attempts, &variant, begun.confidence, &mut dropped);
                 let Some(model) = larger else {
                     break (begun.head, begun.source, begun.first);
                 };
