Count what prompts take beyond what is known as an engine's wait

Cause: after a restart, and where other senders aren't known, engines looked idle while prompts waited for seconds; a factor of slowness learnt from them was wrong as often as right.

Change: a prompt that is overdue counts as late for as long again, and what prompts took beyond the expected is added to the wait and halves in 0.8 s.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -121,6 +121,8 @@
     unread: Tokens,
     work: Duration,
     sent: Moment,
+    /// What it was expected to take.
+    expected: Duration,
     /// Whether nothing was ahead of it when it was sent.
     alone: bool,
 }
@@ -153,22 +155,21 @@
     held: Tokens,
     /// When the first of the pending became first.
     head: Moment,
-    /// Times that prompts take what they are expected to.
-    slowness: f64,
+    /// What prompts lately took beyond what was expected, as of a moment.
+    surplus: Duration,
+    at: Moment,
 }
 
-/// Weight of a prompt in an engine's slowness: an engine that turned slow is known by about five.
-const SLOWNESS: f64 = 0.2;
-
-/// Weight of a prompt that took about what it was expected to. One such prompt clears most of the
-/// suspicion that others raised which waited for work that was not known of.
-const RECOVERY: f64 = 0.6;
+/// Weight of a prompt in its engine's surplus.
+const SURPLUS: f64 = 0.5;
 
-/// Times its expected time within which a prompt took what it was expected to.
-const SLOW: f64 = 1.3;
+/// Half-life of a surplus. It stands for work of others, most of which is read within a second, and
+/// an engine that is slow by itself must be tried again now and then.
+const MEMORY: Duration = Duration::from_millis(800);
 
-/// The most that an engine counts as slower than others; beyond, it is ejected.
-const SLOWEST: f64 = 8.0;
+/// The most that a prompt is late and still counts as about to be read; what is later by far sits at
+/// an engine that hangs.
+const OVERDUE: Duration = Duration::from_secs(3);
 
 /// A peer that said nothing for this long has no calls there any more, or is gone.
 const FORGOTTEN: Duration = Duration::from_secs(10);
@@ -187,7 +188,8 @@
             kept: Vec::new(),
             held: Tokens::ZERO,
             head: Moment::ZERO,
-            slowness: 1.0,
+            surplus: Duration::ZERO,
+            at: Moment::ZERO,
         }
     }
 
@@ -199,37 +201,43 @@
         missing.map(|(_, tokens)| tokens).sum()
     }
 
-    /// How long the prompts sent before take until they are read.
+    /// How long the prompts sent before take until they are read: those known of, and what prompts
+    /// lately took beyond that.
     #[must_use]
     pub fn wait(&self, now: Moment) -> Duration {
-        let own: Duration = self.pending.iter().map(|p| p.work).sum();
-        let first = self.pending.first().map_or(Duration::ZERO, |p| p.work);
-        let done = now.since(self.head).min(first);
-        own.saturating_sub(done).mul_f64(self.slowness) + self.others(now)
+        self.own(now) + self.others(now) + self.hidden(now)
     }
 
-    /// The part of the wait that peers' calls cause.
-    fn others(&self, now: Moment) -> Duration {
-        let left = |peer: &Peer| peer.wait.saturating_sub(now.since(peer.at));
-        self.peers.iter().map(left).sum()
-    }
-
-    /// The wait that this node's own calls cause, for its peers.
+    /// The wait that this node's own calls cause.
     #[must_use]
     pub fn own(&self, now: Moment) -> Duration {
-        self.wait(now).saturating_sub(self.others(now))
+        let works: Duration = self.pending.iter().map(|p| p.work).sum();
+        let Some(first) = self.pending.first() else {
+            return Duration::ZERO;
+        };
+        let reading = now.since(self.head);
+        // One that is late is as likely late for as long again.
+        let overdue = reading.saturating_sub(first.work).min(OVERDUE);
+        works.saturating_sub(reading.min(first.work)) + overdue
     }
 
-    /// Times that prompts take what they are expected to.
-    #[must_use]
-    pub const fn slowness(&self) -> f64 {
-        self.slowness
+    /// What is left of the surplus.
+    fn hidden(&self, now: Moment) -> Duration {
+        let kept = number::decay(now.since(self.at), MEMORY);
+        self.surplus.mul_f64(kept)
+    }
+
+    /// The part of the wait that peers' calls cause.
+    fn others(&self, now: Moment) -> Duration {
+        let left = |peer: &Peer| peer.wait.saturating_sub(now.since(peer.at));
+        self.peers.iter().map(left).sum()
     }
 
     /// A prompt is sent.
     pub fn begin(&mut self, ticket: Ticket, prompt: &Prompt, paces: &Paces, now: Moment) {
         let unread = self.unread(prompt);
-        let alone = self.wait(now) <= IDLE;
+        let wait = self.wait(now);
+        let work = paces.work(prompt.model, unread);
         if self.pending.is_empty() {
             self.head = now;
         }
@@ -237,9 +245,10 @@
             ticket,
             model: prompt.model,
             unread,
-            work: paces.work(prompt.model, unread),
+            work,
             sent: now,
-            alone,
+            expected: wait + work,
+            alone: wait <= IDLE,
         });
         self.keep(prompt, now);
     }
@@ -271,13 +280,13 @@
             return;
         };
         let took = now.since(pending.sent);
-        if !pending.alone {
-            return;
+        let beyond = took.saturating_sub(pending.expected);
+        let hidden = self.hidden(now);
+        self.surplus = hidden.mul_f64(1.0 - SURPLUS) + beyond.mul_f64(SURPLUS);
+        self.at = now;
+        if pending.alone {
+            paces.learn(pending.model, pending.unread, took);
         }
-        let ratio = took.as_secs_f64() / pending.work.as_secs_f64().max(f64::MIN_POSITIVE);
-        let weight = if ratio < SLOW { RECOVERY } else { SLOWNESS };
-        self.slowness += weight * (ratio.clamp(1.0, SLOWEST) - self.slowness);
-        paces.learn(pending.model, pending.unread, took);
     }
 
     /// A call has ended, read or not.
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -343,9 +343,7 @@
                 |(_, seconds)| Duration::from_secs_f64(seconds),
             );
             let engine = seat.engine.as_ref();
-            let (wait, work) = engine.map_or_else(Default::default, |engine| {
-                (engine.wait(now), work.mul_f64(engine.slowness()))
-            });
+            let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
             let flying = f64::from(seat.limiter.flying());
             engine::Candidate {
                 key: seat.key,
