Weigh each model's own price in the cascade

Cause: one hurdle for all models kept the middle one, which costs half, from being asked, and counted a price only for what an engine did not keep.

Change: each model's price counts in full, the engines' time by what is read.

Conclusion: kept at 0.18.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -27,10 +27,10 @@
 pub struct Config {
     /// What an answer after the target is worth, as a share.
     pub late: f64,
-    /// What the largest model's reading of a whole prompt must add while the engines are idle, as a
-    /// share of the answer's worth: the price of its use.
-    pub base: f64,
-    /// The same for each target's length that the next prompt would wait at the engines.
+    /// What the most expensive model must add by its price, as a share of the answer's worth.
+    pub price: f64,
+    /// What reading a whole prompt by the largest model must add for each target's length that the
+    /// next prompt would wait at the engines.
     pub rise: f64,
     /// Share of the target that an estimate may take: the rest is for its error.
     pub trust: f64,
@@ -40,7 +40,7 @@
     fn default() -> Self {
         Self {
             late: 0.3,
-            base: 0.15,
+            price: 0.18,
             rise: 3.0,
             trust: 0.85,
         }
@@ -170,6 +170,8 @@
     pub model: u64,
     /// Its place between the smallest model, 0, and the largest, 1.
     pub rank: f64,
+    /// What its use costs, as a share of what the most expensive one costs.
+    pub cost: f64,
     /// Wait for the prompts before it.
     pub wait: Duration,
     /// Reading of what the engine does not keep.
@@ -206,14 +208,15 @@
         let spent = now.since(answer.began);
         let passes = passes(answer.confidence);
         let target = answer.target.as_secs_f64().max(f64::MIN_POSITIVE);
-        let hurdle = self.base + self.rise * answer.next.as_secs_f64() / target;
+        let rise = self.rise * answer.next.as_secs_f64() / target;
         let full = answer.full.as_secs_f64().max(f64::MIN_POSITIVE);
         let gain = |model: &Larger| {
             let first = spent + model.wait + model.work;
             let in_time = first <= answer.target.mul_f64(self.trust);
             let worth = if in_time { 1.0 } else { self.late };
             let better = book.passes(answer.model, answer.confidence, model) * worth;
-            better - passes - hurdle * model.work.as_secs_f64() / full
+            let taken = model.work.as_secs_f64() / full;
+            better - passes - self.price * model.cost - rise * taken
         };
         let gains = larger.iter().map(gain).enumerate();
         let best = gains.max_by(|one, other| one.1.total_cmp(&other.1))?;
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -53,6 +53,18 @@
     }
 }
 
+/// What a model's use costs, as a share of what the service's most expensive one costs.
+fn cost(request: &Work, model: &id::Version) -> f64 {
+    let engine = request.grant.table.service(&request.pool);
+    let Some(engine) = engine.and_then(|service| service.engine.as_ref()) else {
+        return 1.0;
+    };
+    let most = engine.models.iter().map(|m| m.cost).fold(0.0, f64::max);
+    let own = engine.models.iter().find(|known| known.name == *model);
+    own.filter(|_| most > 0.0)
+        .map_or(1.0, |own| own.cost / most)
+}
+
 fn key(model: &id::Version) -> u64 {
     choice::key(model.as_str())
 }
@@ -99,6 +111,7 @@
         candidates.push(Larger {
             model: key(larger),
             rank: confidence::rank(rank, models.len()),
+            cost: cost(request, larger),
             wait: estimate.wait,
             work: estimate.work,
         });
