Send events that follow each other closely in one packet

Cause: each event went out in a packet of its own, 35 to 57 for a chat; a lost one keeps the rest waiting for a retransmission, and the stream is late.

Change: events after the first are held for up to 40 ms.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use bytes::BytesMut;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response;
@@ -14,7 +15,9 @@
 use pimento_scheduler::Permit;
 use pimento_serve::Reply;
 use pimento_serve::Writer;
+use pimento_serve::body::Gone;
 use pimento_units::Tokens;
+use tokio::time::Instant;
 
 use crate::attempts::Attempts;
 use crate::attempts::Opened;
@@ -223,6 +226,52 @@
     Ok(bytes)
 }
 
+/// How long an event may be held back to go out with those that follow. An engine makes one each
+/// ten to twenty milliseconds; a caller reads three at once as well, and each packet less is one less
+/// that may be lost and keep all after it waiting for a retransmission.
+const HOLD: Duration = Duration::from_millis(40);
+
+/// Events that go out together.
+#[derive(Debug, Default)]
+struct Held {
+    bytes: BytesMut,
+    due: Option<Instant>,
+    begun: bool,
+}
+
+impl Held {
+    fn push(&mut self, event: &Event, now: Instant) {
+        self.bytes.extend_from_slice(&event.bytes);
+        // The first event of all is what the caller waits for.
+        let hold = if self.begun { HOLD } else { Duration::ZERO };
+        self.begun = true;
+        self.due.get_or_insert(now + hold);
+    }
+
+    async fn flush(&mut self, writer: &Writer) -> Result<(), Gone> {
+        self.due = None;
+        if self.bytes.is_empty() {
+            return Ok(());
+        }
+        writer.send(self.bytes.split().freeze()).await
+    }
+}
+
+/// What comes next; meanwhile events that are due go out.
+async fn next(
+    source: &mut Source,
+    writer: &Writer,
+    held: &mut Held,
+) -> Result<Result<Step, Fault>, Gone> {
+    while let Some(due) = held.due {
+        match tokio::time::timeout_at(due, source.next(SILENCE)).await {
+            Ok(step) => return Ok(step),
+            Err(_) => held.flush(writer).await?,
+        }
+    }
+    Ok(source.next(SILENCE).await)
+}
+
 /// A stream on its way to a caller.
 struct Stream<'a, P, L> {
     node: &'a Node<P, L>,
@@ -264,25 +313,33 @@
 
     async fn pass(&mut self, writer: &Writer, source: Source, first: Event) -> End {
         let mut source = source;
+        let mut held = Held::default();
         let mut step = Ok(Step::Event(first));
         loop {
             match step {
                 Ok(Step::Event(event)) => match self.take(&event) {
                     Ok(true) => {
-                        if writer.send(event.bytes).await.is_err() {
-                            return End::Gone;
-                        }
-                        step = source.next(SILENCE).await;
+                        held.push(&event, Instant::now());
+                        step = match next(&mut source, writer, &mut held).await {
+                            Ok(step) => step,
+                            Err(Gone) => return End::Gone,
+                        };
                     }
                     Ok(false) => step = source.next(SILENCE).await,
                     Err(fault) => step = Err(fault),
                 },
                 Ok(Step::End) => {
+                    if held.flush(writer).await.is_err() {
+                        return End::Gone;
+                    }
                     self.attempts.note(&source.permit);
                     source.permit.served(Tokens(1));
                     return End::Whole;
                 }
                 Err(fault) => {
+                    if held.flush(writer).await.is_err() {
+                        return End::Gone;
+                    }
                     if let Err(refusal) = self.attempts.broken(source.permit, &fault) {
                         return End::Broken(refusal.cause);
                     }
