Let one VM of a zone read the log for the others

Change: the first VM by name that lives and stays reads for its zone. What it tells the others proves their view as of their own newest stamp that it had before it sent the read; word of a change makes them read at once; a proof that grows old makes them read again. relay::zone holds stamps and roles. Test first failing: the_logs_return_counts_from_when_another_vm_vouched.

Ruled out: passing records on; a change is rare enough for each VM to read.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -101,9 +101,9 @@
         let sample = took.saturating_sub(START).as_secs_f64() / number::float(unread.0);
         match self.models.binary_search_by_key(&model, |(m, _)| *m) {
             Ok(place) => {
-                let pace = &mut self.models[place].1;
-                let weight = if sample < *pace { DOWN } else { UP };
-                *pace += weight * (sample - *pace);
+                let known = &mut self.models[place].1;
+                let weight = if sample < *known { DOWN } else { UP };
+                *known += weight * (sample - *known);
             }
             Err(place) => self.models.insert(place, (model, sample)),
         }
@@ -265,7 +265,7 @@
                         used: now,
                     };
                     self.kept.insert(place, kept);
-                    self.held = self.held + tokens;
+                    self.held += tokens;
                 }
             }
         }
@@ -406,15 +406,15 @@
 /// none for one that nothing can be fetched from.
 #[must_use]
 pub fn fetch(unread: &[Option<Tokens>], at: usize, own: Tokens, pace: f64) -> Option<(usize, f64)> {
-    let best = unread.iter().enumerate();
-    let best = best.filter_map(|(place, tokens)| tokens.map(|tokens| (tokens, place)));
-    let (least, place) = best.filter(|(_, place)| *place != at).min()?;
+    let others = unread.iter().enumerate().filter(|(place, _)| *place != at);
+    let known = others.filter_map(|(place, tokens)| tokens.map(|tokens| (tokens, place)));
+    let (least, source) = known.min()?;
     let moved = own.saturating_sub(least);
     if moved < FETCHED || pace < FETCH {
         return None;
     }
     let seconds = pace * number::float(least.0) + MOVE * number::float(moved.0) + SETUP;
-    Some((place, seconds))
+    Some((source, seconds))
 }
 
 /// Costs this close count as equal, and the prompt's own order of the engines decides, so that nodes
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use pimento_units::Moment;
+use pimento_units::Offset;
 use pimento_units::id;
 
 use crate::codec::Codec;
@@ -85,6 +86,26 @@
         self.members.iter().filter_map(|member| member.until).min()
     }
 
+    /// Takes an entry; whether it says more than that its endpoint lives.
+    fn renew(&mut self, entry: Entry, offset: Offset) -> bool {
+        let known = self.member(&entry.id);
+        let same = known.is_some_and(|member| member.until.is_none() && member.entry == entry);
+        if same {
+            return false;
+        }
+        if known.is_none_or(|member| member.entry.leaving != entry.leaving) {
+            let does = if entry.leaving { "leaves" } else { "is there" };
+            log::info!(
+                "directory: {} of {} {does}, version {}, offset {offset}.",
+                entry.id,
+                entry.pool,
+                entry.version
+            );
+        }
+        self.put(entry);
+        true
+    }
+
     fn put(&mut self, entry: Entry) {
         let member = Member { entry, until: None };
         let find = |known: &Member| known.entry.id.cmp(&member.entry.id);
@@ -121,36 +142,26 @@
 }
 
 impl<C: Codec> Fold for Directory<C> {
-    fn apply(&mut self, record: &Record, told: Told) {
+    fn apply(&mut self, record: &Record, told: Told) -> bool {
         let Ok(id) = record.key.parse::<id::Endpoint>() else {
             log::warn!("directory: {:?} names no endpoint.", record.key);
-            return;
+            return false;
         };
         let Some(value) = &record.value else {
             self.remove(&id, told);
-            return;
+            return true;
         };
         match self.codec.endpoint(&record.key, value) {
-            Ok(entry) => {
-                let known = self.member(&id);
-                if known.is_none_or(|member| member.entry.leaving != entry.leaving) {
-                    let does = if entry.leaving { "leaves" } else { "is there" };
-                    log::info!(
-                        "directory: {id} of {} {does}, version {}, offset {}.",
-                        entry.pool,
-                        entry.version,
-                        record.offset
-                    );
-                }
-                self.put(entry);
-            }
+            Ok(entry) => self.renew(entry, record.offset),
             Err(error) => {
                 // The record names no endpoint to use. If the endpoint lives it writes again soon.
                 log::warn!(
                     "directory: The entry of {id} at offset {} left out: {error}.",
                     record.offset
                 );
+                let before = self.members.len();
                 self.members.retain(|member| member.entry.id != id);
+                self.members.len() != before
             }
         }
     }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -4,6 +4,11 @@
 //! A read proves that nothing newer was there when it was *sent*: its answer may be late, and the
 //! topic may have moved since. Reads are given up after a bound and made on another connection, as
 //! a connection may fall silent for good.
+//!
+//! In a zone one VM reads for the others ([`Lead`]), which then make no calls while nothing changes.
+//! What it tells them proves their view only as of a moment of their own clock: it names their newest
+//! stamp that had come to it before it sent the read. A datagram that was delayed, by the network or
+//! by a VM that was suspended, can therefore never make a view look younger than it is.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,6 +19,7 @@
 use compact_str::CompactString;
 use pimento_units::Moment;
 use pimento_units::Offset;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -23,11 +29,14 @@
 use crate::topic::Log;
 use crate::topic::Record;
 use crate::topic::Topic;
+use crate::zone::Stamp;
+use crate::zone::Zone;
 
 /// A view that is folded from a topic's records.
 pub trait Fold: Send + 'static {
-    /// Takes a record that is newer than all others seen of its key.
-    fn apply(&mut self, record: &Record, told: Told);
+    /// Takes a record that is newer than all others seen of its key. Whether the view changed in a
+    /// way that others must hear of soon.
+    fn apply(&mut self, record: &Record, told: Told) -> bool;
 
     /// The follower lost touch with the log for so long that what it knows may be out of date, or
     /// is in touch again.
@@ -52,18 +61,56 @@
     Regained(Moment),
 }
 
-/// How a topic is read.
+/// One way of reading.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pace {
+pub struct Gait {
     /// How long a read waits for records at the log.
     pub wait: Duration,
     /// Pause between reads. On a topic on which many write, a read that waits would be answered for
     /// each record.
     pub pause: Duration,
-    /// How long an answer may take beyond `wait`.
+}
+
+/// How a topic is read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Pace {
+    /// By a VM that reads for itself.
+    pub alone: Gait,
+    /// By a VM that reads for others as well, whose proofs reach them later.
+    pub leading: Gait,
+    /// A VM that others read for reads by itself once its proof is this old.
+    pub trust: Duration,
+    /// How long an answer may take beyond the wait.
     pub patience: Duration,
 }
 
+/// Who reads for whom among the VMs of a zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Lead {
+    /// Nobody else is there.
+    #[default]
+    Alone,
+    /// This VM reads for the others.
+    Leading,
+    /// Another VM reads for this one.
+    Led,
+}
+
+/// What a VM that reads can tell another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Proof {
+    /// The offset after the last record that changed the view.
+    pub changed: Offset,
+    /// The other VM's newest stamp that had come before the proving read was sent.
+    pub stamp: Moment,
+}
+
+/// How a VM reads that knows of something new, or that nobody reads for any more.
+const AT_ONCE: Gait = Gait {
+    wait: Duration::ZERO,
+    pause: Duration::ZERO,
+};
+
 /// After this long without an answered read the log counts as out of touch: two reads that were
 /// given up, at the shortest bounds in use.
 const OUT_OF_TOUCH: Duration = Duration::from_millis(1_200);
@@ -81,8 +128,12 @@
     /// Newest offset of each key, sorted by key.
     seen: Vec<(CompactString, Offset)>,
     next: Option<Offset>,
+    /// The offset after the last record that changed the view.
+    changed: Offset,
     /// When the last read that reached the end was sent.
     proven: Option<Moment>,
+    /// Other VMs' stamps that had come by then.
+    stamps: Vec<Stamp>,
     touch: Option<Moment>,
 }
 
@@ -92,7 +143,10 @@
     topic: Topic,
     log: L,
     pace: Pace,
+    zone: Zone,
+    began: Moment,
     inner: Arc<Mutex<Inner<F>>>,
+    nudge: Arc<Notify>,
     changed: Arc<watch::Sender<u64>>,
     confirming: Arc<tokio::sync::Mutex<()>>,
 }
@@ -103,6 +157,9 @@
             topic: self.topic,
             log: self.log.clone(),
             pace: self.pace,
+            zone: self.zone.clone(),
+            began: self.began,
+            nudge: Arc::clone(&self.nudge),
             inner: Arc::clone(&self.inner),
             changed: Arc::clone(&self.changed),
             confirming: Arc::clone(&self.confirming),
@@ -112,18 +169,30 @@
 
 impl<F: Fold, L: Log> Follower<F, L> {
     /// Follows `topic` until `token`.
-    pub fn start(log: L, topic: Topic, pace: Pace, fold: F, token: CancellationToken) -> Self {
+    pub fn start(
+        log: L,
+        topic: Topic,
+        pace: Pace,
+        zone: Zone,
+        fold: F,
+        token: CancellationToken,
+    ) -> Self {
         let inner = Inner {
             fold,
             seen: Vec::new(),
             next: None,
+            changed: Offset::default(),
             proven: None,
+            stamps: Vec::new(),
             touch: None,
         };
         let follower = Self {
             topic,
             log,
             pace,
+            zone,
+            began: boot::now(),
+            nudge: Arc::default(),
             inner: Arc::new(Mutex::new(inner)),
             changed: Arc::new(watch::Sender::new(0)),
             confirming: Arc::default(),
@@ -167,6 +236,37 @@
         self.lock().next
     }
 
+    /// What this VM can tell another one; none if it has not heard of it before its last read.
+    #[must_use]
+    pub fn proof(&self, node: u64) -> Option<Proof> {
+        let inner = self.lock();
+        let found = inner.stamps.iter().find(|stamp| stamp.node == node)?;
+        Some(Proof {
+            changed: inner.changed,
+            stamp: found.at,
+        })
+    }
+
+    /// Another VM read up to the end after it had this VM's stamp. If nothing that this VM has not
+    /// read changed the view, that proves its own; otherwise it reads at once.
+    pub fn vouch(&self, proof: Proof) {
+        // A stamp of an earlier life may be in use still, and after a restart of the VM it is one of
+        // a time to come: the view would seem young until then.
+        let possible = self.began <= proof.stamp && proof.stamp <= boot::now();
+        if !possible {
+            return;
+        }
+        let mut inner = self.lock();
+        if inner.next.is_none_or(|next| next < proof.changed) {
+            self.nudge.notify_one();
+            return;
+        }
+        inner.proven = inner.proven.max(Some(proof.stamp));
+        // The log is back as of now, and not only when this VM next reads it: until then an endpoint
+        // that leaves would count as one whose entry the outage had ended.
+        inner.regain(boot::now());
+    }
+
     /// Tells of each change of the view.
     #[must_use]
     pub fn changes(&self) -> watch::Receiver<u64> {
@@ -183,11 +283,12 @@
         let Some(next) = self.next() else {
             return false;
         };
+        let stamps = self.zone.stamps();
         let sent = boot::now();
         let read = self.log.read(self.topic, next, Duration::ZERO);
         match tokio::time::timeout(self.pace.patience, read).await {
             Ok(Ok(batch)) => {
-                self.take(&batch, sent);
+                self.take(&batch, sent, stamps);
                 self.proven().is_some_and(|proven| proven >= sent)
             }
             Ok(Err(error)) => {
@@ -202,18 +303,33 @@
     }
 
     async fn run(self) {
+        let mut lead = self.zone.lead.subscribe();
         let mut pause = FIRST_PAUSE;
         loop {
-            match self.read().await {
+            let role = *lead.borrow_and_update();
+            if role == Lead::Led && self.trusts() {
+                let left = self.age().map(|age| self.pace.trust.saturating_sub(age));
+                tokio::select! {
+                    () = self.nudge.notified() => {}
+                    _ = lead.changed() => continue,
+                    () = tokio::time::sleep(left.unwrap_or_default()) => continue,
+                }
+            }
+            let gait = match role {
+                Lead::Alone => self.pace.alone,
+                Lead::Leading => self.pace.leading,
+                Lead::Led => AT_ONCE,
+            };
+            match self.read(gait.wait).await {
                 Ok(whole) => {
                     pause = FIRST_PAUSE;
                     if whole {
-                        tokio::time::sleep(self.pace.pause).await;
+                        tokio::time::sleep(gait.pause).await;
                     }
                 }
                 Err(reason) => {
                     log::warn!("follower: {} not read: {reason}.", self.topic.as_str());
-                    self.stumble();
+                    self.stumble(gait);
                     let share = rand::random_range(0.5..=1.0);
                     tokio::time::sleep(pause.mul_f64(share)).await;
                     pause = (pause * 2).min(LONGEST_PAUSE);
@@ -222,11 +338,16 @@
         }
     }
 
+    /// Whether what another VM proved is young enough.
+    fn trusts(&self) -> bool {
+        self.age().is_some_and(|age| age < self.pace.trust)
+    }
+
     /// Reads once; whether the end was reached.
-    async fn read(&self) -> Result<bool, CompactString> {
+    async fn read(&self, wait: Duration) -> Result<bool, CompactString> {
+        let stamps = self.zone.stamps();
         let sent = boot::now();
         let next = self.next();
-        let wait = self.pace.wait;
         let exchange = async {
             match next {
                 None => self.log.newest(self.topic).await,
@@ -235,7 +356,7 @@
         };
         let bound = self.pace.patience + wait;
         match tokio::time::timeout(bound, exchange).await {
-            Ok(Ok(batch)) => Ok(self.take(&batch, sent)),
+            Ok(Ok(batch)) => Ok(self.take(&batch, sent, stamps)),
             Ok(Err(Error::Gone { oldest })) => {
                 log::info!(
                     "follower: {} begins at {oldest}, reading the newest of each key.",
@@ -250,7 +371,7 @@
     }
 
     /// Applies what is new; whether the view now holds all up to the end.
-    fn take(&self, batch: &Batch, sent: Moment) -> bool {
+    fn take(&self, batch: &Batch, sent: Moment, stamps: Vec<Stamp>) -> bool {
         let now = boot::now();
         let mut inner = self.lock();
         let mut changed = false;
@@ -270,8 +391,9 @@
         };
         inner.next = inner.next.max(Some(reached));
         let whole = inner.next >= Some(batch.end);
-        if whole {
-            inner.proven = inner.proven.max(Some(sent));
+        if whole && inner.proven < Some(sent) {
+            inner.proven = Some(sent);
+            inner.stamps = stamps;
         }
         drop(inner);
         if changed {
@@ -280,12 +402,12 @@
         whole
     }
 
-    fn stumble(&self) {
+    fn stumble(&self, gait: Gait) {
         let now = boot::now();
         let mut inner = self.lock();
-        let silent = inner.proven.is_none_or(|proven| {
-            now.since(proven) > OUT_OF_TOUCH + self.pace.wait + self.pace.pause
-        });
+        let silent = inner
+            .proven
+            .is_none_or(|proven| now.since(proven) > OUT_OF_TOUCH + gait.wait + gait.pause);
         if silent && inner.touch.take().is_some() {
             inner.fold.touch(Touch::Lost);
             log::warn!("follower: {} is out of touch.", self.topic.as_str());
@@ -313,8 +435,11 @@
             at: now,
             touch: self.touch.unwrap_or(now),
         };
-        self.fold.apply(record, told);
-        true
+        let changed = self.fold.apply(record, told);
+        if changed {
+            self.changed = self.changed.max(record.offset.next());
+        }
+        changed
     }
 
     /// Drops the keys that a reading of the newest records no longer has.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod topic;
 pub mod whole;
 pub mod work;
+pub mod zone;
 
 pub use config::Config;
 pub use node::Node;
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -1,7 +1,7 @@
-//! What the entry VMs tell each other by datagrams: how long engines take for their prompts, and
-//! which prompts engines have read.
+//! What the entry VMs tell each other by datagrams: how long engines take for their prompts, which
+//! prompts engines have read, and what one VM of a zone, which reads the log for the others, found.
 //!
-//! All of it is a hint. A datagram that is lost makes a prompt wait a little longer or be read once
+//! All but the last is a hint. A datagram that is lost makes a prompt wait a little longer or be read once
 //! more; nothing that must be agreed on depends on it. VMs find each other by the topic that they
 //! share, read once at the start; who starts later is met by its first datagram.
 //!
@@ -9,6 +9,7 @@
 //! so that bytes between zones grow with the number of zones and not with that of VMs.
 
 mod message;
+mod peers;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,22 +18,26 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use pimento_policy::choice;
 use pimento_policy::engine;
 use pimento_units::Moment;
-use pimento_units::id;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use self::message::Message;
+use self::message::Proofs;
 use self::message::Read;
+use self::peers::Peer;
+use self::peers::Peers;
 use crate::boot;
 use crate::border::Border;
 use crate::codec::Codec;
 use crate::fleet;
+use crate::follow::Lead;
 use crate::node::Node;
 use crate::topic::Log;
 use crate::topic::Topic;
+use crate::zone::Stamp;
+use crate::zone::Zone;
 
 /// Time between datagrams to each VM of the zone, for each VM there: with two neighbours news is
 /// 40 ms old, which is half of the shortest prompt's reading by the largest model; with fifty, a VM
@@ -43,17 +48,12 @@
 /// seconds, so that this age matters little.
 const FAR: Duration = Duration::from_millis(300);
 
-/// A VM that says nothing for this long is told nothing but a rare word, in case it comes back.
-const SILENT: Duration = Duration::from_secs(5);
+/// A VM with nothing new says so this often, so that it counts as living and the VM that reads the
+/// log has a young stamp of it.
+const BEAT: Duration = Duration::from_millis(400);
 
-/// A VM of another zone gets each datagram for this long, then the next one does.
-const TURN: Duration = Duration::from_secs(2);
-
-/// A VM that was not heard for this long is gone; in a zone of fifty each is met every 100 seconds.
-const FORGOTTEN: Duration = Duration::from_mins(5);
-
-/// A VM with nothing new says so this often, so that it counts as living.
-const BEAT: Duration = Duration::from_secs(1);
+/// A VM with nothing new for another zone says so this often.
+const SECOND: Duration = Duration::from_secs(1);
 
 /// Pause after a failure, so that one that stays doesn't take the whole processor.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -67,28 +67,28 @@
 /// The largest datagram that is taken.
 const LARGEST: usize = 2_048;
 
-/// Another VM.
-#[derive(Debug, Clone)]
-struct Peer {
-    node: id::Node,
-    zone: id::Zone,
-    address: SocketAddr,
-    heard: Moment,
-}
-
 #[derive(Debug, Default)]
 struct Inner {
-    /// Sorted by node.
-    peers: Vec<Peer>,
+    peers: Peers,
     /// What other zones are to be told.
     far: Vec<Read>,
     /// What other zones told and the own one is to be told.
     passed: Vec<Read>,
 }
 
+/// What there is to tell of the schedulers.
+#[derive(Default)]
+struct News {
+    /// Prompts, each with its engine's key.
+    sent: Vec<(u64, engine::Prompt)>,
+    /// Milliseconds that engines take, by their keys.
+    waits: Vec<(u64, u32)>,
+}
+
 struct Neighbours<P, L> {
     node: Node<P, L>,
     log: L,
+    zone: Zone,
     socket: Arc<UdpSocket>,
     inner: Arc<Mutex<Inner>>,
 }
@@ -98,6 +98,7 @@
         Self {
             node: self.node.clone(),
             log: self.log.clone(),
+            zone: self.zone.clone(),
             socket: Arc::clone(&self.socket),
             inner: Arc::clone(&self.inner),
         }
@@ -105,12 +106,17 @@
 }
 
 /// Starts to tell other VMs and to listen to them.
-pub fn start<P: Border + Codec, L: Log>(node: &Node<P, L>, log: L, token: CancellationToken) {
+pub fn start<P: Border + Codec, L: Log>(
+    node: &Node<P, L>,
+    log: L,
+    zone: Zone,
+    token: CancellationToken,
+) {
     let node = node.clone();
-    tokio::spawn(async move { token.run_until_cancelled(run(node, log)).await });
+    tokio::spawn(async move { token.run_until_cancelled(run(node, log, zone)).await });
 }
 
-async fn run<P: Border + Codec, L: Log>(node: Node<P, L>, log: L) {
+async fn run<P: Border + Codec, L: Log>(node: Node<P, L>, log: L, zone: Zone) {
     let address = node.config.peer_listen;
     let socket = match UdpSocket::bind(address).await {
         Ok(socket) => Arc::new(socket),
@@ -122,6 +128,7 @@
     let neighbours = Neighbours {
         node,
         log,
+        zone,
         socket,
         inner: Arc::default(),
     };
@@ -154,7 +161,8 @@
                     let words = batch.records.iter().filter_map(fleet::read);
                     let now = boot::now();
                     for (node, word) in words.filter(|(node, _)| node != own) {
-                        self.lock().met(node, word.zone, word.address, now);
+                        let peer = Peer::new(node, word.zone, word.address, now);
+                        self.lock().peers.met(peer);
                     }
                     return;
                 }
@@ -191,14 +199,23 @@
         }
         let near = message.zone == config.zone;
         let now = boot::now();
-        let teller = choice::key(message.node.as_str());
+        let mut peer = Peer::new(message.node, message.zone, from, now);
+        peer.leaving = message.leaving;
+        let teller = peer.key;
         {
             let mut inner = self.lock();
-            inner.met(message.node, message.zone, from, now);
+            inner.peers.met(peer);
             if !near {
                 inner.passed.extend(message.reads.iter().cloned());
             }
         }
+        if near {
+            self.zone.heard(Stamp {
+                node: teller,
+                at: message.stamp,
+            });
+            self.vouch(message.proofs);
+        }
         let waits: Vec<(u64, Duration)> = message
             .waits
             .iter()
@@ -214,15 +231,31 @@
         }
     }
 
+    /// What another VM read proves to this one.
+    fn vouch(&self, proofs: Proofs) {
+        if let Some(proof) = proofs.operators {
+            self.node.operators.vouch(message::read(proof));
+        }
+        if let Some(proof) = proofs.endpoints {
+            self.node.directory.vouch(message::read(proof));
+        }
+    }
+
     /// Tells the zone.
     async fn tell_near(&self) {
         let mut told = Moment::ZERO;
         let mut silent = true;
+        let mut operators = self.node.operators.changes();
+        let mut endpoints = self.node.directory.changes();
         loop {
-            let peers = self.lock().near(&self.node.config.zone, boot::now());
+            let peers = self.peers();
             let count = u32::try_from(peers.len()).unwrap_or(u32::MAX).max(1);
-            tokio::time::sleep(NEAR * count).await;
-            let (sent, waits) = self.news();
+            let changed = tokio::select! {
+                () = tokio::time::sleep(NEAR * count) => false,
+                _ = operators.changed() => true,
+                _ = endpoints.changed() => true,
+            };
+            let News { sent, waits } = self.news();
             let mut reads: Vec<Read> = sent.iter().map(Read::new).collect();
             {
                 let mut inner = self.lock();
@@ -230,31 +263,53 @@
                 reads.append(&mut inner.passed);
             }
             let now = boot::now();
-            let nothing = reads.is_empty() && waits.is_empty();
+            let nothing = reads.is_empty() && waits.is_empty() && !changed;
             if nothing && silent && now.since(told) < BEAT {
                 continue;
             }
             silent = nothing;
             told = now;
-            let addresses: Vec<SocketAddr> = peers.iter().map(|peer| peer.address).collect();
-            self.send(&addresses, &reads, &waits).await;
+            for peer in &peers {
+                self.send(peer.address, Some(peer.key), &reads, &waits)
+                    .await;
+            }
+        }
+    }
+
+    /// The VMs of the zone; settles who reads the log for whom.
+    fn peers(&self) -> Vec<Peer> {
+        let config = &self.node.config;
+        let now = boot::now();
+        let leaving = self.node.leaving.is_cancelled();
+        let mut inner = self.lock();
+        inner.peers.sweep(now);
+        let lead = inner.peers.lead(&config.node, &config.zone, leaving, now);
+        let peers = inner.peers.of(&config.zone);
+        drop(inner);
+        self.zone
+            .keep(|node| peers.iter().any(|peer| peer.key == node));
+        let settle = |known: &mut Lead| {
+            let changed = *known != lead;
+            *known = lead;
+            changed
+        };
+        if self.zone.lead.send_if_modified(settle) {
+            log::info!("neighbours: Reading the log: {lead:?}.");
         }
+        peers
     }
 
     /// What the schedulers sent since, and how long engines take for it.
-    fn news(&self) -> (Vec<(u64, engine::Prompt)>, Vec<(u64, u32)>) {
-        let mut sent = Vec::new();
-        let mut waits = Vec::new();
+    fn news(&self) -> News {
+        let mut news = News::default();
         for (_, pool) in self.node.scheduler.pools() {
-            sent.extend(pool.sent());
+            news.sent.extend(pool.sent());
             let millis = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
-            waits.extend(
-                pool.waits()
-                    .into_iter()
-                    .map(|(key, wait)| (key, millis(wait))),
-            );
+            let waits = pool.waits().into_iter();
+            news.waits
+                .extend(waits.map(|(key, wait)| (key, millis(wait))));
         }
-        (sent, waits)
+        news
     }
 
     /// Tells one VM of each other zone.
@@ -263,20 +318,29 @@
         loop {
             tokio::time::sleep(FAR).await;
             let now = boot::now();
-            let (reads, peers) = {
+            let (reads, addresses) = {
                 let mut inner = self.lock();
                 let reads = std::mem::take(&mut inner.far);
-                (reads, inner.far(&self.node.config, now))
+                (reads, inner.peers.far(&self.node.config.zone, now))
             };
-            if reads.is_empty() && now.since(told) < BEAT {
+            if reads.is_empty() && now.since(told) < SECOND {
                 continue;
             }
             told = now;
-            self.send(&peers, &reads, &[]).await;
+            for address in addresses {
+                self.send(address, None, &reads, &[]).await;
+            }
         }
     }
 
-    async fn send(&self, addresses: &[SocketAddr], reads: &[Read], waits: &[(u64, u32)]) {
+    /// Sends one VM what there is to tell; `near` is its key if it is of this zone.
+    async fn send(
+        &self,
+        address: SocketAddr,
+        near: Option<u64>,
+        reads: &[Read],
+        waits: &[(u64, u32)],
+    ) {
         let mut parts: Vec<&[Read]> = reads.chunks(READS).collect();
         if parts.is_empty() {
             parts.push(&[]);
@@ -285,6 +349,9 @@
             let message = Message {
                 node: self.node.config.node.clone(),
                 zone: self.node.config.zone.clone(),
+                stamp: boot::now(),
+                leaving: self.node.leaving.is_cancelled(),
+                proofs: near.map(|node| self.proofs(node)).unwrap_or_default(),
                 waits: waits.to_vec(),
                 reads: part.to_vec(),
             };
@@ -292,51 +359,19 @@
                 Ok(bytes) => bytes,
                 Err(error) => return log::error!("neighbours: Not written: {error}."),
             };
-            for address in addresses {
-                if let Err(error) = self.socket.send_to(&bytes, address).await {
-                    log::debug!("neighbours: Nothing sent to {address}: {error}.");
-                }
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log::debug!("neighbours: Nothing sent to {address}: {error}.");
             }
         }
     }
-}
 
-impl Inner {
-    fn met(&mut self, node: id::Node, zone: id::Zone, address: SocketAddr, now: Moment) {
-        let peer = Peer {
-            node,
-            zone,
-            address,
-            heard: now,
-        };
-        match self.peers.binary_search_by(|p| p.node.cmp(&peer.node)) {
-            Ok(place) => self.peers[place] = peer,
-            Err(place) => {
-                log::info!("neighbours: {} of {} met.", peer.node, peer.zone);
-                self.peers.insert(place, peer);
-            }
+    /// What this VM's last reads prove to another one.
+    fn proofs(&self, node: u64) -> Proofs {
+        let operators = self.node.operators.proof(node);
+        let endpoints = self.node.directory.proof(node);
+        Proofs {
+            operators: operators.map(message::written),
+            endpoints: endpoints.map(message::written),
         }
     }
-
-    /// The VMs of a zone that live.
-    fn near(&self, zone: &id::Zone, now: Moment) -> Vec<Peer> {
-        let live = |peer: &&Peer| peer.zone == *zone && now.since(peer.heard) < SILENT;
-        self.peers.iter().filter(live).cloned().collect()
-    }
-
-    /// One VM of each other zone, another one in each turn: one that is down misses a part only, and
-    /// each hears of all others in time.
-    fn far(&mut self, config: &crate::Config, now: Moment) -> Vec<SocketAddr> {
-        self.peers.retain(|peer| now.since(peer.heard) < FORGOTTEN);
-        let turn = now.since(Moment::ZERO).as_secs() / TURN.as_secs();
-        let zones = config.zones.iter().map(|(zone, _)| zone);
-        let others = zones.filter(|zone| **zone != config.zone);
-        let one = |zone: &id::Zone| {
-            let peers: Vec<&Peer> = self.peers.iter().filter(|p| p.zone == *zone).collect();
-            let count = u64::try_from(peers.len()).ok().filter(|count| *count > 0)?;
-            let place = usize::try_from(turn % count).ok()?;
-            Some(peers[place].address)
-        };
-        others.filter_map(one).collect()
-    }
 }
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -2,11 +2,15 @@
 
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
+use pimento_units::Moment;
+use pimento_units::Offset;
 use pimento_units::Tokens;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::follow::Proof;
+
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Message {
@@ -14,12 +18,37 @@
     pub node: id::Node,
     /// The teller's zone.
     pub zone: id::Zone,
+    /// When it was sent, by the teller's boot-time clock.
+    pub stamp: Moment,
+    /// Whether the teller is about to go, and reads for nobody.
+    pub leaving: bool,
+    /// What the teller's last reads of the log prove to whom it tells this.
+    pub proofs: Proofs,
     /// Milliseconds that engines take for the teller's prompts, by their keys; all others take none.
     pub waits: Vec<(u64, u32)>,
     /// Prompts that engines read since the last datagram.
     pub reads: Vec<Read>,
 }
 
+/// Proofs of the two topics that all VMs read: the offset of the last change, and the stamp.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Proofs {
+    /// Of the operators' records.
+    pub operators: Option<(Offset, Moment)>,
+    /// Of the endpoints' records.
+    pub endpoints: Option<(Offset, Moment)>,
+}
+
+/// A proof as it is written.
+pub const fn written(proof: Proof) -> (Offset, Moment) {
+    (proof.changed, proof.stamp)
+}
+
+/// A proof as it was read.
+pub const fn read((changed, stamp): (Offset, Moment)) -> Proof {
+    Proof { changed, stamp }
+}
+
 /// A prompt that an engine read.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Read {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -20,6 +20,7 @@
 use crate::directory::Directory;
 use crate::fleet::Word;
 use crate::follow::Follower;
+use crate::follow::Gait;
 use crate::follow::Pace;
 use crate::neighbours;
 use crate::operators::Operators;
@@ -30,13 +31,22 @@
 use crate::table::Table;
 use crate::topic::Log;
 use crate::topic::Topic;
+use crate::zone::Zone;
 
-/// How the operators' topic is read. Changes are rare, so that a read may wait for one; the wait
-/// bounds the age that is proven on a quiet topic and must leave room for a read that gets no
-/// answer and one more within the bound on revoked keys.
+/// How the operators' topic is read. Changes are rare, so that a read may wait for one. A proof is as
+/// old as the read that proves it, which is up to twice the wait, and must leave room for a read that
+/// gets no answer and one more within three fifths of the bound on revoked keys, three seconds. For
+/// others it is older by the time between datagrams, twice.
 const OPERATORS: Pace = Pace {
-    wait: Duration::from_secs(1),
-    pause: Duration::ZERO,
+    alone: Gait {
+        wait: Duration::from_secs(1),
+        pause: Duration::ZERO,
+    },
+    leading: Gait {
+        wait: Duration::from_millis(700),
+        pause: Duration::ZERO,
+    },
+    trust: Duration::from_millis(2_300),
     patience: Duration::from_millis(450),
 };
 
@@ -44,8 +54,15 @@
 /// would be answered for each. A read that gets no answer and one more must fit within the bound on
 /// leaving endpoints, which is two seconds.
 const ENDPOINTS: Pace = Pace {
-    wait: Duration::ZERO,
-    pause: Duration::from_millis(600),
+    alone: Gait {
+        wait: Duration::ZERO,
+        pause: Duration::from_millis(900),
+    },
+    leading: Gait {
+        wait: Duration::ZERO,
+        pause: Duration::from_millis(700),
+    },
+    trust: Duration::from_millis(1_500),
     patience: Duration::from_millis(450),
 };
 
@@ -109,10 +126,12 @@
 impl<P: Border + Codec, L: Log> Node<P, L> {
     /// Starts to follow the log.
     pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
+        let zone = Zone::default();
         let operators = Follower::start(
             log.clone(),
             Topic::Operators,
             OPERATORS,
+            zone.clone(),
             Operators::new(platform.clone()),
             token.clone(),
         );
@@ -120,6 +139,7 @@
             log.clone(),
             Topic::Endpoints,
             ENDPOINTS,
+            zone.clone(),
             Directory::new(platform.clone()),
             token.clone(),
         );
@@ -141,7 +161,7 @@
         };
         pools::start(&node, token.clone());
         controller::start(&node, log.clone(), token.clone());
-        neighbours::start(&node, log, token.clone());
+        neighbours::start(&node, log, zone, token.clone());
         node
     }
 
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -66,10 +66,10 @@
 }
 
 impl<C: Codec> Fold for Operators<C> {
-    fn apply(&mut self, record: &Record, told: Told) {
+    fn apply(&mut self, record: &Record, told: Told) -> bool {
         let Some(value) = &record.value else {
             log::warn!("operators: {} was dropped, what it said holds.", record.key);
-            return;
+            return false;
         };
         match self.codec.operator(&record.key, value) {
             Ok(Operator::Table(table)) => {
@@ -101,5 +101,6 @@
                 record.offset
             ),
         }
+        true
     }
 }
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -27,6 +27,7 @@
 use crate::fleet::Word;
 use crate::follow::Fold;
 use crate::follow::Follower;
+use crate::follow::Gait;
 use crate::follow::Pace;
 use crate::follow::Told;
 use crate::node::Node;
@@ -35,6 +36,7 @@
 use crate::topic::Log;
 use crate::topic::Record;
 use crate::topic::Topic;
+use crate::zone::Zone;
 
 /// How often a roll-out is looked at. Several times within the second that evidence may take.
 const TICK: Duration = Duration::from_millis(250);
@@ -58,9 +60,15 @@
 
 /// How the entry VMs' own topic is read while a roll-out is under way.
 const FLEET: Pace = Pace {
+    alone: SECONDLY,
+    leading: SECONDLY,
+    trust: Duration::ZERO,
+    patience: Duration::from_millis(450),
+};
+
+const SECONDLY: Gait = Gait {
     wait: Duration::ZERO,
     pause: Duration::from_secs(1),
-    patience: Duration::from_millis(450),
 };
 
 /// A call of the log takes at most this long; the next tick may try again.
@@ -74,8 +82,9 @@
 }
 
 impl Fold for Words {
-    fn apply(&mut self, record: &Record, _: Told) {
+    fn apply(&mut self, record: &Record, _: Told) -> bool {
         self.news.extend(fleet::read(record));
+        true
     }
 }
 
@@ -166,6 +175,7 @@
                 self.log.clone(),
                 Topic::Fleet,
                 FLEET,
+                Zone::default(),
                 Words::default(),
                 token.clone(),
             );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -91,7 +91,7 @@
 struct First {
     head: response::Parts,
     source: Source,
-    first: Event,
+    event: Event,
     /// The model's opinion of its answer.
     confidence: Option<u8>,
 }
@@ -129,7 +129,7 @@
             Ok(Some(Begun::Stream(begun))) => {
                 let larger = cascade::larger(&attempts, &variant, begun.confidence, &mut dropped);
                 let Some(model) = larger else {
-                    break (begun.head, begun.source, begun.first);
+                    break (begun.head, begun.source, begun.event);
                 };
                 variant.model = Some(model);
             }
@@ -199,7 +199,7 @@
             Ok(Some(Begun::Stream(Box::new(First {
                 head,
                 source,
-                first: event,
+                event,
                 confidence: reply.confidence,
             }))))
         }
--- /dev/null
+++ b/crates/relay/tests/all/follow.rs
@@ -0,0 +1,261 @@
+//! Following a topic: order, age, and what another VM's reads prove.
+
+use std::time::Duration;
+
+use compact_str::CompactString;
+use pimento_relay::boot;
+use pimento_relay::follow::Fold;
+use pimento_relay::follow::Follower;
+use pimento_relay::follow::Gait;
+use pimento_relay::follow::Lead;
+use pimento_relay::follow::Pace;
+use pimento_relay::follow::Proof;
+use pimento_relay::follow::Told;
+use pimento_relay::topic::Record;
+use pimento_relay::topic::Topic;
+use pimento_relay::zone::Stamp;
+use pimento_relay::zone::Zone;
+use pimento_units::Moment;
+use pimento_units::Offset;
+use tokio_util::sync::CancellationToken;
+
+use crate::log::Memory;
+use crate::log::Mood;
+
+/// Longer than anything here takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const QUICK: Gait = Gait {
+    wait: Duration::from_millis(20),
+    pause: Duration::ZERO,
+};
+
+const PACE: Pace = Pace {
+    alone: QUICK,
+    leading: QUICK,
+    trust: Duration::from_secs(60),
+    patience: Duration::from_millis(200),
+};
+
+/// Keeps all records, and what was known when each came.
+#[derive(Debug, Default)]
+struct All(Vec<(CompactString, Offset, Told)>);
+
+impl Fold for All {
+    fn apply(&mut self, record: &Record, told: Told) -> bool {
+        self.0.push((record.key.clone(), record.offset, told));
+        true
+    }
+}
+
+struct Fixture {
+    log: Memory,
+    zone: Zone,
+    follower: Follower<All, Memory>,
+    _token: tokio_util::sync::DropGuard,
+}
+
+impl Fixture {
+    fn new() -> Self {
+        let log = Memory::new();
+        let zone = Zone::default();
+        let token = CancellationToken::new();
+        let follower = Follower::start(
+            log.clone(),
+            Topic::Endpoints,
+            PACE,
+            zone.clone(),
+            All::default(),
+            token.clone(),
+        );
+        Self {
+            log,
+            zone,
+            follower,
+            _token: token.drop_guard(),
+        }
+    }
+
+    fn keys(&self) -> Vec<CompactString> {
+        self.follower
+            .view(|all| all.0.iter().map(|(key, _, _)| key.clone()).collect())
+    }
+
+    async fn until(&self, what: &str, reached: impl Fn(&Self) -> bool) {
+        let begun = tokio::time::Instant::now();
+        while !reached(self) {
+            assert!(begun.elapsed() < PATIENCE, "not reached: {what}");
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+
+    /// Lets another VM read for this one.
+    async fn led(&self) {
+        self.until("a first proof", |f| f.follower.proven().is_some())
+            .await;
+        self.zone.lead.send_replace(Lead::Led);
+        let mut calls = self.log.calls();
+        // The read that is under way ends first.
+        loop {
+            tokio::time::sleep(Duration::from_millis(60)).await;
+            if self.log.calls() == calls {
+                return;
+            }
+            calls = self.log.calls();
+        }
+    }
+}
+
+#[tokio::test]
+async fn records_come_once_and_in_order() {
+    let fixture = Fixture::new();
+    fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    fixture.log.put("b", Some("1"));
+    fixture.log.put("a", None);
+    fixture
+        .until("three", |f| f.keys() == ["a", "b", "a"])
+        .await;
+}
+
+// The log has dropped its history, and with it the record that ended a key. The follower reads the
+// newest of each key instead, and ends the keys that are no longer there.
+#[tokio::test]
+async fn what_vanished_with_the_history_is_dropped() {
+    let fixture = Fixture::new();
+    fixture.log.put("a", Some("1"));
+    fixture.log.put("b", Some("1"));
+    fixture.until("both", |f| f.keys().len() == 2).await;
+    fixture.log.set(Mood::Down);
+    fixture.log.put("a", None);
+    let next = fixture.log.put("c", Some("1"));
+    fixture.log.forget(next.0);
+    fixture.log.set(Mood::Well);
+    fixture
+        .until("a ended, c begun", |f| {
+            let keys = f.keys();
+            keys.len() == 4 && keys[2..].contains(&"a".into()) && keys[2..].contains(&"c".into())
+        })
+        .await;
+}
+
+// A connection fell silent: a read gets no answer for ever. It is given up, and the age of the view
+// meanwhile counts from the last read that was answered.
+#[tokio::test]
+async fn a_read_without_an_answer_proves_nothing() {
+    let fixture = Fixture::new();
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    fixture.log.set(Mood::Silent);
+    let silent = boot::now();
+    tokio::time::sleep(PACE.patience + QUICK.wait * 3).await;
+    assert!(fixture.follower.proven().unwrap() <= silent);
+    assert!(!fixture.follower.confirm(boot::now()).await);
+    fixture.log.set(Mood::Well);
+    fixture
+        .until("a new proof", |f| f.follower.proven().unwrap() > silent)
+        .await;
+}
+
+// Another VM reads for this one. While nothing changes this one makes no calls, and its view is as
+// young as the stamp that the other one had before its read.
+#[tokio::test]
+async fn another_vms_read_proves_the_view_as_of_the_own_stamp() {
+    let fixture = Fixture::new();
+    let next = fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    fixture.led().await;
+    let calls = fixture.log.calls();
+    let stamp = boot::now();
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp,
+    });
+    assert_eq!(fixture.follower.proven(), Some(stamp));
+    assert_eq!(fixture.log.calls(), calls);
+}
+
+// Something changed that this VM has not read. The other VM's word is no proof then: the VM reads by
+// itself, at once.
+#[tokio::test]
+async fn word_of_a_change_is_no_proof_but_makes_the_vm_read() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    let before = fixture.follower.proven();
+    let next = fixture.log.put("a", Some("1"));
+    let stamp = boot::now();
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp,
+    });
+    assert_eq!(fixture.follower.proven(), before);
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+}
+
+// A VM was started anew and its clock began again, while others still have the stamp of its former
+// life. Taken as a proof it would make the view look young for as long as that life had lasted.
+#[tokio::test]
+async fn a_stamp_of_another_life_proves_nothing() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    let before = fixture.follower.proven();
+    for stamp in [boot::now() + PATIENCE, Moment::ZERO] {
+        fixture.follower.vouch(Proof {
+            changed: Offset::default(),
+            stamp,
+        });
+        assert_eq!(fixture.follower.proven(), before);
+    }
+}
+
+// The log was out; other VMs found it back and vouched for this one, which made no call. Seconds
+// later an endpoint leaves for good. It was not the outage that ended its entry, so it must count as
+// gone at once: with the outage's grace it went on getting requests for two seconds.
+#[tokio::test]
+async fn the_logs_return_counts_from_when_another_vm_vouched() {
+    let fixture = Fixture::new();
+    let next = fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    fixture.log.set(Mood::Down);
+    // Long enough that the follower knows itself to be out of touch.
+    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    fixture.zone.lead.send_replace(Lead::Led);
+    fixture.log.set(Mood::Well);
+    let back = boot::now();
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp: back,
+    });
+    let vouched = boot::now();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let next = fixture.log.put("a", None);
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp: boot::now(),
+    });
+    fixture.until("a ended", |f| f.keys().len() == 2).await;
+    let touch = fixture.follower.view(|all| all.0[1].2.touch);
+    assert!(
+        touch <= vouched,
+        "in touch since {touch}, vouched {vouched}"
+    );
+}
+
+// What this VM proves to another: only what it read after it had the other one's stamp.
+#[tokio::test]
+async fn a_proof_names_a_stamp_that_came_before_the_read() {
+    let fixture = Fixture::new();
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    let node = 7;
+    assert_eq!(fixture.follower.proof(node), None);
+    let at = Moment::from_millis(1_234);
+    fixture.zone.heard(Stamp { node, at });
+    fixture
+        .until("a proof for it", |f| f.follower.proof(node).is_some())
+        .await;
+    assert_eq!(fixture.follower.proof(node).unwrap().stamp, at);
+}
--- /dev/null
+++ b/crates/relay/tests/all/log.rs
@@ -0,0 +1,149 @@
+//! A log in memory that can be made to fail.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use bytes::Bytes;
+use pimento_relay::topic::Batch;
+use pimento_relay::topic::Error;
+use pimento_relay::topic::Log;
+use pimento_relay::topic::Record;
+use pimento_relay::topic::Topic;
+use pimento_units::Offset;
+use tokio::sync::Notify;
+
+/// How calls are answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mood {
+    Well,
+    /// Every call is refused.
+    Down,
+    /// No call is answered.
+    Silent,
+}
+
+#[derive(Debug)]
+struct State {
+    records: Vec<Record>,
+    first: u64,
+    mood: Mood,
+    calls: usize,
+}
+
+/// One topic. Clones share it.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    state: Arc<Mutex<State>>,
+    appended: Arc<Notify>,
+}
+
+impl Memory {
+    pub fn new() -> Self {
+        let state = State {
+            records: Vec::new(),
+            first: 0,
+            mood: Mood::Well,
+            calls: 0,
+        };
+        Self {
+            state: Arc::new(Mutex::new(state)),
+            appended: Arc::default(),
+        }
+    }
+
+    pub fn put(&self, key: &str, value: Option<&'static str>) -> Offset {
+        let mut state = self.state.lock().unwrap();
+        let offset = Offset(state.records.len() as u64);
+        state.records.push(Record {
+            offset,
+            key: key.into(),
+            value: value.map(|text| Bytes::from_static(text.as_bytes())),
+        });
+        drop(state);
+        self.appended.notify_waiters();
+        offset.next()
+    }
+
+    pub fn set(&self, mood: Mood) {
+        self.state.lock().unwrap().mood = mood;
+    }
+
+    /// Records before `first` are no longer kept, but for the newest of each key.
+    pub fn forget(&self, first: u64) {
+        self.state.lock().unwrap().first = first;
+    }
+
+    pub fn calls(&self) -> usize {
+        self.state.lock().unwrap().calls
+    }
+
+    async fn answer(&self) -> Result<(), Error> {
+        let mood = {
+            let mut state = self.state.lock().unwrap();
+            state.calls += 1;
+            state.mood
+        };
+        match mood {
+            Mood::Well => Ok(()),
+            Mood::Down => Err(Error::Refused {
+                reason: "down".into(),
+            }),
+            Mood::Silent => std::future::pending().await,
+        }
+    }
+
+    fn from(&self, from: Offset) -> Result<Batch, Error> {
+        let state = self.state.lock().unwrap();
+        if from.0 < state.first {
+            return Err(Error::Gone {
+                oldest: Offset(state.first),
+            });
+        }
+        let records = state.records.iter().filter(|r| r.offset >= from);
+        Ok(Batch {
+            records: records.cloned().collect(),
+            end: Offset(state.records.len() as u64),
+        })
+    }
+}
+
+impl Log for Memory {
+    async fn newest(&self, _: Topic) -> Result<Batch, Error> {
+        self.answer().await?;
+        let state = self.state.lock().unwrap();
+        let mut records: Vec<Record> = Vec::new();
+        for record in &state.records {
+            records.retain(|known| known.key != record.key);
+            if record.value.is_some() {
+                records.push(record.clone());
+            }
+        }
+        Ok(Batch {
+            records,
+            end: Offset(state.records.len() as u64),
+        })
+    }
+
+    async fn read(&self, _: Topic, from: Offset, wait: Duration) -> Result<Batch, Error> {
+        self.answer().await?;
+        let appended = self.appended.notified();
+        let batch = self.from(from)?;
+        if !batch.records.is_empty() || wait.is_zero() {
+            return Ok(batch);
+        }
+        let _ = tokio::time::timeout(wait, appended).await;
+        self.from(from)
+    }
+
+    async fn append(
+        &self,
+        _: Topic,
+        _: &str,
+        _: Bytes,
+        _: Option<Offset>,
+    ) -> Result<Offset, Error> {
+        self.answer().await?;
+        Ok(Offset::default())
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the relay's parts over its public surface.
+
+mod follow;
+mod log;
