--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -33,7 +33,7 @@
 const PACE: Pace = Pace {
     alone: QUICK,
     leading: QUICK,
-    trust: Duration::from_secs(60),
+    trust: Duration::from_mins(1),
     patience: Duration::from_millis(200),
 };
 
@@ -220,7 +220,7 @@
     fixture.until("a", |f| f.keys() == ["a"]).await;
     fixture.log.set(Mood::Down);
     // Long enough that the follower knows itself to be out of touch.
-    tokio::time::sleep(Duration::from_millis(2_000)).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
     fixture.zone.lead.send_replace(Lead::Led);
     fixture.log.set(Mood::Well);
     let back = boot::now();
