--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -31,6 +31,10 @@
     /// Part of the time until the deadline that the trial lasts. Sessions may change their version
     /// in the second half only.
     pub half: f64,
+    /// Time from the order until the trial begins. Sessions go from node to node, so that each must
+    /// know which of them used the old version before; that takes word between zones and within one,
+    /// a second at most.
+    pub before: Duration,
     /// How much longer the trial lasts, as nodes read an order at slightly different times.
     pub settle: Duration,
     /// How long the share takes to rise to the whole. Much shorter, and a fault under load is met
@@ -44,6 +48,7 @@
         Self {
             trial: 0.6,
             half: 0.5,
+            before: Duration::from_millis(1_500),
             settle: Duration::from_millis(400),
             ramp: Duration::from_millis(2_500),
         }
@@ -53,6 +58,8 @@
 /// Where a shift is.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Phase {
+    /// None but those who used the new version already; nodes learn who is known.
+    Before,
     /// A small share uses the new version; nobody who is known changes.
     Trial(Share),
     /// The share rises; sessions change to the new version, not back.
@@ -62,11 +69,20 @@
 }
 
 impl Config {
+    /// The share of sessions that the trial uses.
+    #[must_use]
+    pub fn share(&self, exposure: f64) -> Share {
+        part((exposure * self.trial).clamp(0.0, 1.0))
+    }
+
     /// Where a shift is whose order is `age` old and must be done after `lasts`.
     #[must_use]
     pub fn phase(&self, age: Duration, lasts: Duration, exposure: f64) -> Phase {
         let trial = lasts.mul_f64(self.half) + self.settle;
         let share = (exposure * self.trial).clamp(0.0, 1.0);
+        if age < self.before {
+            return Phase::Before;
+        }
         if age < trial {
             return Phase::Trial(part(share));
         }
@@ -79,10 +95,17 @@
 }
 
 impl Phase {
+    /// Whether a session that is known keeps its version.
+    #[must_use]
+    pub const fn keeps(self) -> bool {
+        matches!(self, Self::Before | Self::Trial(_))
+    }
+
     /// The share of sessions that use the new version.
     #[must_use]
     pub const fn weight(self) -> Share {
         match self {
+            Self::Before => Share::ZERO,
             Self::Trial(share) | Self::Ramp(share) => share,
             Self::Moved => Share::ONE,
         }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -29,8 +29,8 @@
 use crate::node::Node;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
-use crate::rollouts::Outcome;
 use crate::rollouts::Seen;
+use crate::rollouts::announcement::Outcome;
 use crate::topic::Log;
 use crate::work::Work;
 
@@ -264,7 +264,7 @@
     /// How long the last attempt has taken.
     fn waited(&self) -> Outcome {
         let took = self.node.now().since(self.state.began);
-        Outcome::Served(took.as_secs_f64())
+        Outcome::Served(took)
     }
 
     /// Another attempt is to be made elsewhere.
@@ -277,7 +277,8 @@
         let session = self.request.ask.session;
         if let Some((session, version)) = session.zip(permit.version()) {
             let now = boot::now();
-            self.node.rollouts(|r| r.note(session, version, now));
+            let pool = &self.request.pool;
+            self.node.rollouts(|r| r.note(pool, session, version, now));
         }
     }
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -8,7 +8,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::Said;
 use crate::topic::Log;
 use crate::topic::Record;
 use crate::topic::Topic;
@@ -23,8 +23,8 @@
     pub zone: id::Zone,
     /// Where it takes datagrams.
     pub address: SocketAddr,
-    /// What it saw of each roll-out under way.
-    pub rollouts: Vec<Announcement>,
+    /// What it and the VMs that it reads the log for saw of roll-outs.
+    pub rollouts: Vec<Said>,
 }
 
 impl Word {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -50,6 +50,8 @@
     pub at: Moment,
     /// Since when reads have been answered without a long break.
     pub touch: Moment,
+    /// Whether it was there when the topic was first read.
+    pub first: bool,
 }
 
 /// Whether reads are answered.
@@ -338,6 +340,12 @@
         }
     }
 
+    /// Whether this VM reads by itself.
+    #[must_use]
+    pub fn reads(&self) -> bool {
+        *self.zone.lead.borrow() != Lead::Led || !self.trusts()
+    }
+
     /// Whether what another VM proved is young enough.
     fn trusts(&self) -> bool {
         self.age().is_some_and(|age| age < self.pace.trust)
@@ -394,6 +402,7 @@
         if whole && inner.proven < Some(sent) {
             inner.proven = Some(sent);
             inner.stamps = stamps;
+            self.zone.proved.notify_one();
         }
         drop(inner);
         if changed {
@@ -434,6 +443,7 @@
         let told = Told {
             at: now,
             touch: self.touch.unwrap_or(now),
+            first: self.proven.is_none(),
         };
         let changed = self.fold.apply(record, told);
         if changed {
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -18,7 +18,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use pimento_policy::engine;
 use pimento_units::Moment;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
@@ -34,6 +33,10 @@
 use crate::fleet;
 use crate::follow::Lead;
 use crate::node::Node;
+use crate::rollouts::Rollouts;
+use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::Kept;
+use crate::rollouts::announcement::Said;
 use crate::topic::Log;
 use crate::topic::Topic;
 use crate::zone::Stamp;
@@ -64,6 +67,9 @@
 /// Prompts told in one datagram; more than these would not fit the smallest usual path.
 const READS: usize = 16;
 
+/// Sessions told in one datagram, for the same reason.
+const KEPT: usize = 24;
+
 /// The largest datagram that is taken.
 const LARGEST: usize = 2_048;
 
@@ -74,15 +80,39 @@
     far: Vec<Read>,
     /// What other zones told and the own one is to be told.
     passed: Vec<Read>,
+    /// The same of sessions that keep a version.
+    far_kept: Vec<Kept>,
+    passed_kept: Vec<Kept>,
 }
 
-/// What there is to tell of the schedulers.
+/// What there is to tell.
 #[derive(Default)]
 struct News {
-    /// Prompts, each with its engine's key.
-    sent: Vec<(u64, engine::Prompt)>,
+    /// Prompts that engines read.
+    reads: Vec<Read>,
     /// Milliseconds that engines take, by their keys.
     waits: Vec<(u64, u32)>,
+    /// What this VM says of roll-outs.
+    rollouts: Vec<Announcement>,
+    /// Sessions that keep a version.
+    kept: Vec<Kept>,
+}
+
+impl News {
+    const fn is_empty(&self) -> bool {
+        let prompts = self.reads.is_empty() && self.waits.is_empty();
+        prompts && self.rollouts.is_empty() && self.kept.is_empty()
+    }
+
+    /// The news in parts that fit a datagram each.
+    fn parts(&self) -> impl Iterator<Item = (&[Read], &[Kept])> {
+        let reads = self.reads.chunks(READS);
+        let kept = self.kept.chunks(KEPT);
+        let count = reads.len().max(kept.len()).max(1);
+        let reads = reads.chain(std::iter::repeat(&[][..]));
+        let kept = kept.chain(std::iter::repeat(&[][..]));
+        reads.zip(kept).take(count)
+    }
 }
 
 struct Neighbours<P, L> {
@@ -199,7 +229,7 @@
         }
         let near = message.zone == config.zone;
         let now = boot::now();
-        let mut peer = Peer::new(message.node, message.zone, from, now);
+        let mut peer = Peer::new(message.node.clone(), message.zone, from, now);
         peer.leaving = message.leaving;
         let teller = peer.key;
         {
@@ -207,14 +237,22 @@
             inner.peers.met(peer);
             if !near {
                 inner.passed.extend(message.reads.iter().cloned());
+                inner.passed_kept.extend(&message.kept);
             }
         }
+        for kept in &message.kept {
+            self.node.rollouts(|r| r.keep(*kept));
+        }
         if near {
             self.zone.heard(Stamp {
                 node: teller,
                 at: message.stamp,
             });
             self.vouch(message.proofs);
+            for what in message.rollouts {
+                let node = message.node.clone();
+                self.node.rollouts(|r| r.hear(&Said { node, what }, now));
+            }
         }
         let waits: Vec<(u64, Duration)> = message
             .waits
@@ -254,24 +292,18 @@
                 () = tokio::time::sleep(NEAR * count) => false,
                 _ = operators.changed() => true,
                 _ = endpoints.changed() => true,
+                () = self.zone.proved.notified() => *self.zone.lead.borrow() == Lead::Leading,
             };
-            let News { sent, waits } = self.news();
-            let mut reads: Vec<Read> = sent.iter().map(Read::new).collect();
-            {
-                let mut inner = self.lock();
-                inner.far.extend(sent.iter().filter_map(Read::shared));
-                reads.append(&mut inner.passed);
-            }
+            let news = self.news();
             let now = boot::now();
-            let nothing = reads.is_empty() && waits.is_empty() && !changed;
+            let nothing = news.is_empty() && !changed;
             if nothing && silent && now.since(told) < BEAT {
                 continue;
             }
             silent = nothing;
             told = now;
             for peer in &peers {
-                self.send(peer.address, Some(peer.key), &reads, &waits)
-                    .await;
+                self.send(peer.address, Some(peer.key), &news).await;
             }
         }
     }
@@ -299,16 +331,28 @@
         peers
     }
 
-    /// What the schedulers sent since, and how long engines take for it.
+    /// What is to be told to the zone.
     fn news(&self) -> News {
-        let mut news = News::default();
+        let mut news = News {
+            rollouts: self.node.due_announcements(boot::now()),
+            kept: self.node.rollouts(Rollouts::untold),
+            ..News::default()
+        };
+        let mut shared = Vec::new();
         for (_, pool) in self.node.scheduler.pools() {
-            news.sent.extend(pool.sent());
+            let sent = pool.sent();
+            news.reads.extend(sent.iter().map(Read::new));
+            shared.extend(sent.iter().filter_map(Read::shared));
             let millis = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
             let waits = pool.waits().into_iter();
             news.waits
                 .extend(waits.map(|(key, wait)| (key, millis(wait))));
         }
+        let mut inner = self.lock();
+        inner.far.extend(shared);
+        inner.far_kept.extend(&news.kept);
+        news.reads.append(&mut inner.passed);
+        news.kept.append(&mut inner.passed_kept);
         news
     }
 
@@ -318,42 +362,38 @@
         loop {
             tokio::time::sleep(FAR).await;
             let now = boot::now();
-            let (reads, addresses) = {
+            let (news, addresses) = {
                 let mut inner = self.lock();
-                let reads = std::mem::take(&mut inner.far);
-                (reads, inner.peers.far(&self.node.config.zone, now))
+                let news = News {
+                    reads: std::mem::take(&mut inner.far),
+                    kept: std::mem::take(&mut inner.far_kept),
+                    ..News::default()
+                };
+                (news, inner.peers.far(&self.node.config.zone, now))
             };
-            if reads.is_empty() && now.since(told) < SECOND {
+            if news.is_empty() && now.since(told) < SECOND {
                 continue;
             }
             told = now;
             for address in addresses {
-                self.send(address, None, &reads, &[]).await;
+                self.send(address, None, &news).await;
             }
         }
     }
 
     /// Sends one VM what there is to tell; `near` is its key if it is of this zone.
-    async fn send(
-        &self,
-        address: SocketAddr,
-        near: Option<u64>,
-        reads: &[Read],
-        waits: &[(u64, u32)],
-    ) {
-        let mut parts: Vec<&[Read]> = reads.chunks(READS).collect();
-        if parts.is_empty() {
-            parts.push(&[]);
-        }
-        for part in parts {
+    async fn send(&self, address: SocketAddr, near: Option<u64>, news: &News) {
+        for (place, (reads, kept)) in news.parts().enumerate() {
             let message = Message {
                 node: self.node.config.node.clone(),
                 zone: self.node.config.zone.clone(),
                 stamp: boot::now(),
                 leaving: self.node.leaving.is_cancelled(),
                 proofs: near.map(|node| self.proofs(node)).unwrap_or_default(),
-                waits: waits.to_vec(),
-                reads: part.to_vec(),
+                rollouts: if place == 0 { &news.rollouts[..] } else { &[] }.to_vec(),
+                waits: news.waits.clone(),
+                kept: kept.to_vec(),
+                reads: reads.to_vec(),
             };
             let bytes = match postcard::to_stdvec(&message) {
                 Ok(bytes) => bytes,
@@ -365,8 +405,13 @@
         }
     }
 
-    /// What this VM's last reads prove to another one.
+    /// What this VM's last reads prove to another one. Only the VM that reads for the zone tells:
+    /// while endpoints register by the dozen, every read finds something new, and VMs that told each
+    /// other would make each other read without end.
     fn proofs(&self, node: u64) -> Proofs {
+        if *self.zone.lead.borrow() != Lead::Leading {
+            return Proofs::default();
+        }
         let operators = self.node.operators.proof(node);
         let endpoints = self.node.directory.proof(node);
         Proofs {
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -10,6 +10,8 @@
 use serde::Serialize;
 
 use crate::follow::Proof;
+use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::Kept;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -24,6 +26,10 @@
     pub leaving: bool,
     /// What the teller's last reads of the log prove to whom it tells this.
     pub proofs: Proofs,
+    /// What the teller says of roll-outs, if that is due.
+    pub rollouts: Vec<Announcement>,
+    /// Sessions that keep the old version in a roll-out.
+    pub kept: Vec<Kept>,
     /// Milliseconds that engines take for the teller's prompts, by their keys; all others take none.
     pub waits: Vec<(u64, u32)>,
     /// Prompts that engines read since the last datagram.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -35,15 +35,16 @@
 
 /// How the operators' topic is read. Changes are rare, so that a read may wait for one. A proof is as
 /// old as the read that proves it, which is up to twice the wait, and must leave room for a read that
-/// gets no answer and one more within three fifths of the bound on revoked keys, three seconds. For
-/// others it is older by the time between datagrams, twice.
+/// gets no answer and one more within three fifths of the bound on revoked keys, three seconds. What
+/// a VM proves to another is older: the stamp waits for a datagram, then for a read to begin and to
+/// end, and holds until the next proof, 2.2 s in all, so that `trust` is not used up by that.
 const OPERATORS: Pace = Pace {
     alone: Gait {
         wait: Duration::from_secs(1),
         pause: Duration::ZERO,
     },
     leading: Gait {
-        wait: Duration::from_millis(700),
+        wait: Duration::from_millis(600),
         pause: Duration::ZERO,
     },
     trust: Duration::from_millis(2_300),
@@ -52,7 +53,7 @@
 
 /// How the endpoints' topic is read. Each endpoint writes about once a second; a read that waits
 /// would be answered for each. A read that gets no answer and one more must fit within the bound on
-/// leaving endpoints, which is two seconds.
+/// leaving endpoints, which is two seconds. For others a stamp is up to 1.4 s old.
 const ENDPOINTS: Pace = Pace {
     alone: Gait {
         wait: Duration::ZERO,
@@ -60,7 +61,7 @@
     },
     leading: Gait {
         wait: Duration::ZERO,
-        pause: Duration::from_millis(700),
+        pause: Duration::from_millis(500),
     },
     trust: Duration::from_millis(1_500),
     patience: Duration::from_millis(450),
@@ -198,6 +199,13 @@
         read && !leaving && self.table().is_some() && self.freshness() == Freshness::Fresh
     }
 
+    /// Whether this VM reads the log by itself, for others or because nobody else's reads can be
+    /// trusted.
+    #[must_use]
+    pub fn reads(&self) -> bool {
+        self.operators.reads()
+    }
+
     /// What this VM says of itself, without roll-outs.
     #[must_use]
     pub fn word(&self) -> Word {
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -22,6 +22,8 @@
     pub offset: Offset,
     /// When it was read here.
     pub read: Moment,
+    /// Whether it was there already when this process first read the topic.
+    pub first: bool,
 }
 
 /// The operators' records, folded.
@@ -92,6 +94,7 @@
                     rollout,
                     offset: record.offset,
                     read: told.at,
+                    first: told.first,
                 });
             }
             Ok(Operator::Other) => {}
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -1,70 +1,40 @@
 //! Roll-outs under way: which version a request uses, and what was seen of each.
 //!
 //! The decisions are `pimento_policy::shift`'s; here they get the orders, the ages and the evidence
-//! of all VMs. [`controller`] shares the evidence over the log and tells operators of the end.
+//! of all VMs. [`controller`] shares the evidence and tells operators of the end.
 
 pub mod announcement;
 pub mod controller;
+pub mod progress;
 
 use std::time::Duration;
 
-use compact_str::CompactString;
 use pimento_policy::rollout;
 use pimento_policy::shift;
 use pimento_policy::shift::Phase;
 use pimento_units::Moment;
-use pimento_units::Offset;
 use pimento_units::id;
 use uuid::Uuid;
 
 use self::announcement::Announcement;
-use self::announcement::Sum;
-use crate::codec::Stage;
+use self::announcement::End;
+use self::announcement::Kept;
+use self::announcement::Outcome;
+use self::announcement::Said;
+use self::progress::Progress;
+use self::progress::Step;
 use crate::config::Exposure;
 use crate::operators::Order;
 use crate::sessions::Sessions;
 
-/// What was seen of one route on both versions, here.
-#[derive(Debug, Clone)]
-struct Route {
-    name: CompactString,
-    new: Sum,
-    old: Sum,
-}
-
-/// Another VM's last word on a roll-out.
-#[derive(Debug, Clone)]
-struct Peer {
-    node: id::Node,
-    said: Announcement,
-    heard: Moment,
-}
+/// How often a VM announces at least, so that the others know that it lives.
+const ANNOUNCE: Duration = Duration::from_secs(2);
 
-/// A roll-out that was ordered.
-#[derive(Debug)]
-pub struct Rollout {
-    order: Order,
-    /// How old the order was when it was read here, as other VMs tell.
-    behind: Duration,
-    stage: Stage,
-    /// Cause for which the new version counts as bad.
-    bad: Option<CompactString>,
-    /// Sorted by name.
-    routes: Vec<Route>,
-    /// Endpoints of the new version that failed a request, as hashes, sorted.
-    failing: Vec<u64>,
-    /// Sorted by node.
-    peers: Vec<Peer>,
-}
+/// How soon it announces news, such as a failure of the new version.
+const NEWS: Duration = Duration::from_millis(700);
 
-/// How one request ended, as evidence.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub enum Outcome {
-    /// Answered, with the seconds until its first byte.
-    Served(f64),
-    /// The endpoint failed it.
-    Failed,
-}
+/// Before the deadline operators are told in any case, whoever has not been heard of.
+const MARGIN: Duration = Duration::from_secs(2);
 
 /// The versions of a service's endpoints that may be used, with how many there are of each.
 #[derive(Debug)]
@@ -76,18 +46,6 @@
     versions: Vec<(id::Version, usize)>,
 }
 
-/// All roll-outs, and the sessions' versions.
-#[derive(Debug)]
-pub struct Rollouts {
-    config: shift::Config,
-    exposure: Exposure,
-    /// The newest of each service, sorted by service.
-    newest: Vec<Rollout>,
-    /// Sorted by service.
-    present: Vec<Present>,
-    sessions: Sessions,
-}
-
 impl Present {
     fn count(&self, version: &id::Version) -> usize {
         let found = self.versions.binary_search_by(|(v, _)| v.cmp(version));
@@ -101,78 +59,45 @@
     }
 }
 
-impl Rollout {
-    fn new(order: Order, stage: Stage) -> Self {
-        Self {
-            order,
-            behind: Duration::ZERO,
-            stage,
-            bad: None,
-            routes: Vec::new(),
-            failing: Vec::new(),
-            peers: Vec::new(),
-        }
-    }
-
-    /// How old the order is.
-    fn age(&self, now: Moment) -> Duration {
-        now.since(self.order.read) + self.behind
-    }
-
-    fn target(&self) -> &id::Version {
-        &self.order.rollout.target
-    }
+/// When this VM last announced, and what.
+#[derive(Debug, Default)]
+struct Told {
+    at: Moment,
+    what: Vec<Announcement>,
+}
 
-    fn route(&mut self, name: &str) -> &mut Route {
-        let found = self.routes.binary_search_by(|r| r.name.as_str().cmp(name));
-        let place = found.unwrap_or_else(|place| {
-            let route = Route {
-                name: name.into(),
-                new: Sum::default(),
-                old: Sum::default(),
-            };
-            self.routes.insert(place, route);
-            place
-        });
-        &mut self.routes[place]
-    }
+/// All roll-outs, and the sessions' versions.
+#[derive(Debug)]
+pub struct Rollouts {
+    config: shift::Config,
+    exposure: Exposure,
+    /// The newest of each service, sorted by service.
+    newest: Vec<Progress>,
+    /// Sorted by service.
+    present: Vec<Present>,
+    sessions: Sessions,
+    /// To the zone.
+    told: Told,
+}
 
-    /// The evidence of all VMs, for each route.
-    fn tallies(&self) -> Vec<shift::Tally> {
-        let mut routes = self.routes.clone();
-        for peer in &self.peers {
-            for said in &peer.said.routes {
-                match routes.binary_search_by(|r| r.name.cmp(&said.name)) {
-                    Ok(place) => {
-                        routes[place].new.add(&said.new);
-                        routes[place].old.add(&said.old);
-                    }
-                    Err(place) => {
-                        let route = Route {
-                            name: said.name.clone(),
-                            new: said.new,
-                            old: said.old,
-                        };
-                        routes.insert(place, route);
-                    }
-                }
-            }
-        }
-        let tally = |route: &Route| shift::Tally {
-            new: route.new.evidence(),
-            old: route.old.evidence(),
-        };
-        routes.iter().map(tally).collect()
-    }
+/// The fixed place of a session among all.
+const fn place(session: u64) -> id::Session {
+    id::Session(Uuid::from_u64_pair(session, session))
+}
 
-    /// Endpoints of the new version that failed a request, at any VM.
-    fn failing(&self) -> usize {
-        let peers = self.peers.iter().flat_map(|peer| &peer.said.failing);
-        let mut all: Vec<u64> = self.failing.iter().chain(peers).copied().collect();
-        all.sort_unstable();
-        all.dedup();
-        all.len()
-    }
+/// A request that ended, as evidence.
+#[derive(Debug, Clone, Copy)]
+pub struct Seen<'a> {
+    /// The service.
+    pub pool: &'a id::Pool,
+    /// The route.
+    pub route: &'a str,
+    /// The version.
+    pub version: &'a id::Version,
+    /// The endpoint.
+    pub endpoint: &'a id::Endpoint,
+    /// How it ended.
+    pub outcome: Outcome,
 }
 
 impl Rollouts {
@@ -185,6 +110,7 @@
             newest: Vec::new(),
             present: Vec::new(),
             sessions: Sessions::new(session),
+            told: Told::default(),
         }
     }
 
@@ -193,22 +119,35 @@
             .binary_search_by(|r| r.order.rollout.pool.cmp(pool))
     }
 
-    fn get(&self, pool: &id::Pool) -> Option<&Rollout> {
+    fn get(&self, pool: &id::Pool) -> Option<&Progress> {
         self.find(pool).ok().map(|place| &self.newest[place])
     }
 
-    fn get_mut(&mut self, pool: &id::Pool) -> Option<&mut Rollout> {
+    fn get_mut(&mut self, pool: &id::Pool) -> Option<&mut Progress> {
         self.find(pool).ok().map(|place| &mut self.newest[place])
     }
 
-    /// Takes an order; false if it is known.
-    fn order(&mut self, order: Order, stage: Stage) -> bool {
-        match self.find(&order.rollout.pool) {
-            Ok(place) if self.newest[place].order.offset >= order.offset => return false,
-            Ok(place) => self.newest[place] = Rollout::new(order, stage),
-            Err(place) => self.newest.insert(place, Rollout::new(order, stage)),
+    /// Whether an order was taken.
+    #[must_use]
+    pub fn knows(&self, order: &Order) -> bool {
+        let known = self.get(&order.rollout.pool);
+        known.is_some_and(|known| known.offset() >= order.offset)
+    }
+
+    /// Takes an order; `ended` tells how it ended before this process began.
+    pub fn order(&mut self, order: Order, ended: Option<End>, now: Moment) {
+        let mut progress = Progress::new(order, ended.map(|end| (end, now)));
+        if ended.is_none() {
+            for session in self.sessions.live(now) {
+                if self.tried(session, progress.target()) {
+                    progress.keep(session, true);
+                }
+            }
+        }
+        match self.find(&progress.order.rollout.pool) {
+            Ok(place) => self.newest[place] = progress,
+            Err(place) => self.newest.insert(place, progress),
         }
-        true
     }
 
     /// Takes the versions of a service's endpoints that may be used, sorted, with their numbers.
@@ -253,55 +192,90 @@
         let Some(old) = present.other(target) else {
             return Some(target.clone());
         };
-        if present.count(target) == 0 || rollout.bad.is_some() {
+        if present.count(target) == 0 || rollout.is_bad() {
             return Some(old.clone());
         }
-        match rollout.stage {
-            Stage::Done => return Some(target.clone()),
-            Stage::Undone => return Some(old.clone()),
-            Stage::Running => {}
+        if rollout.ended() == Some(End::Done) {
+            return Some(target.clone());
         }
         let phase = self.phase(rollout, now);
         let used = self.sessions.version(session, now);
         if used == Some(target) {
             return Some(target.clone());
         }
-        if matches!(phase, Phase::Trial(_)) && used.is_some() {
+        if phase.keeps() && (used.is_some() || rollout.keeps(session)) {
             return Some(old.clone());
         }
-        let place = id::Session(Uuid::from_u64_pair(session, session));
-        let moves = rollout::moves(place, target, phase.weight());
+        let moves = rollout::moves(place(session), target, phase.weight());
         Some(if moves { target } else { old }.clone())
     }
 
     /// Endpoints of the version that is moved to.
     fn endpoints(&self, pool: &id::Pool) -> usize {
-        let target = self.get(pool).map(Rollout::target);
+        let target = self.get(pool).map(Progress::target);
         let present = self.present(pool);
         present.zip(target).map_or(0, |(p, target)| p.count(target))
     }
 
     /// The version that a service moves to, if it does.
-    fn target(&self, pool: &id::Pool) -> Option<id::Version> {
+    #[must_use]
+    pub fn target(&self, pool: &id::Pool) -> Option<id::Version> {
         self.get(pool).map(|rollout| rollout.target().clone())
     }
 
-    fn phase(&self, rollout: &Rollout, now: Moment) -> Phase {
+    fn phase(&self, rollout: &Progress, now: Moment) -> Phase {
         let lasts = rollout.order.rollout.lasts;
         self.config
             .phase(rollout.age(now), lasts, self.exposure.share)
     }
 
-    /// Notes that a request of a session is sent to a version, or was answered by it.
-    pub fn note(&mut self, session: u64, version: &id::Version, now: Moment) {
+    /// Notes that a request of a session is sent to a version of a service, or was answered by it.
+    pub fn note(&mut self, pool: &id::Pool, session: u64, version: &id::Version, now: Moment) {
         self.sessions.note(session, version, now);
+        let Some(rollout) = self.get(pool).filter(|r| r.ended().is_none()) else {
+            return;
+        };
+        let target = rollout.target();
+        let kept = target != version && self.phase(rollout, now).keeps();
+        if !kept || !self.tried(session, target) {
+            return;
+        }
+        if let Some(rollout) = self.get_mut(pool) {
+            rollout.keep(session, true);
+        }
+    }
+
+    /// Whether the trial's share would move a session.
+    fn tried(&self, session: u64, target: &id::Version) -> bool {
+        let share = self.config.share(self.exposure.share);
+        rollout::moves(place(session), target, share)
+    }
+
+    /// Sessions that used the old version here and that other VMs were not told of yet, each with its
+    /// order.
+    pub fn untold(&mut self) -> Vec<Kept> {
+        let mut untold = Vec::new();
+        for rollout in &mut self.newest {
+            let order = rollout.offset();
+            let sessions = rollout.take_untold().into_iter();
+            untold.extend(sessions.map(|session| Kept { order, session }));
+        }
+        untold
+    }
+
+    /// Another VM says that a session used the old version.
+    pub fn keep(&mut self, kept: Kept) {
+        let order = self.newest.iter_mut().find(|r| r.offset() == kept.order);
+        if let Some(rollout) = order {
+            rollout.keep(kept.session, false);
+        }
     }
 
     /// Whether a version is known to be bad.
     #[must_use]
     pub fn bad(&self, pool: &id::Pool, version: &id::Version) -> bool {
         let rollout = self.get(pool).filter(|r| r.target() == version);
-        rollout.is_some_and(|r| r.bad.is_some() || r.stage == Stage::Undone)
+        rollout.is_some_and(Progress::is_bad)
     }
 
     /// Counts how a request ended.
@@ -310,86 +284,103 @@
         let Some(rollout) = self.get_mut(seen.pool) else {
             return;
         };
-        if rollout.stage != Stage::Running {
+        if rollout.ended().is_some() {
             return;
         }
         let new = rollout.target() == seen.version;
-        let failed = seen.outcome == Outcome::Failed;
-        if new && failed {
-            let hash = pimento_policy::choice::key(seen.endpoint.as_str());
-            if let Err(place) = rollout.failing.binary_search(&hash) {
-                rollout.failing.insert(place, hash);
-            }
-        }
-        let route = rollout.route(seen.route);
-        let sum = if new { &mut route.new } else { &mut route.old };
-        sum.count(seen.outcome);
+        rollout.count(seen.route, new, seen.endpoint, seen.outcome);
         if new {
             rollout.judge(endpoints);
         }
     }
-}
 
-/// A request that ended, as evidence.
-#[derive(Debug, Clone, Copy)]
-pub struct Seen<'a> {
-    /// The service.
-    pub pool: &'a id::Pool,
-    /// The route.
-    pub route: &'a str,
-    /// The version.
-    pub version: &'a id::Version,
-    /// The endpoint.
-    pub endpoint: &'a id::Endpoint,
-    /// How it ended.
-    pub outcome: Outcome,
-}
+    /// Services with a roll-out under way.
+    #[must_use]
+    pub fn running(&self) -> Vec<id::Pool> {
+        let running = self.newest.iter().filter(|r| r.ended().is_none());
+        running.map(|r| r.order.rollout.pool.clone()).collect()
+    }
 
-impl Rollout {
-    /// Whether the new version is bad, by the evidence of all VMs.
-    fn judge(&mut self, endpoints: usize) {
-        if self.bad.is_some() {
-            return;
-        }
-        let told = self.peers.iter().any(|peer| peer.said.bad);
-        let cause = if told {
-            Some(CompactString::const_new("another VM says so"))
-        } else {
-            let cause = shift::verdict(&self.tallies(), self.failing(), endpoints);
-            cause.map(|cause| CompactString::from(format!("{cause:?}")))
-        };
-        if let Some(cause) = cause {
-            log::warn!(
-                "rollout: {} of {} is bad: {cause}; {:?}.",
-                self.order.rollout.target,
-                self.order.rollout.pool,
-                self.routes
-            );
-            self.bad = Some(cause);
+    /// Takes another VM's word.
+    pub fn hear(&mut self, said: &Said, now: Moment) {
+        let endpoints = self.endpoints(&said.what.pool);
+        if let Some(rollout) = self.get_mut(&said.what.pool) {
+            rollout.hear(&said.node, &said.what, now);
+            if rollout.ended().is_none() {
+                rollout.judge(endpoints);
+            }
         }
     }
 
-    /// Takes another VM's word.
-    fn hear(&mut self, node: &id::Node, said: Announcement, now: Moment) {
-        if said.order != self.order.offset {
-            return;
+    /// What this VM says of all roll-outs that are news. `left` tells whether none of its requests
+    /// is at another version than the one moved to.
+    #[must_use]
+    pub fn announcements(
+        &self,
+        left: impl Fn(&id::Pool, &id::Version) -> bool,
+        now: Moment,
+    ) -> Vec<Announcement> {
+        let news = self.newest.iter().filter(|rollout| rollout.is_news(now));
+        news.map(|rollout| {
+            let left = left(&rollout.order.rollout.pool, rollout.target());
+            rollout.announcement(self.phase(rollout, now), left, now)
+        })
+        .collect()
+    }
+
+    /// The same if the zone is to be told now.
+    pub fn due(
+        &mut self,
+        left: impl Fn(&id::Pool, &id::Version) -> bool,
+        now: Moment,
+    ) -> Vec<Announcement> {
+        let since = now.since(self.told.at);
+        if since < NEWS || self.newest.iter().all(|rollout| !rollout.is_news(now)) {
+            return Vec::new();
+        }
+        let what = self.announcements(left, now);
+        if since < ANNOUNCE && !differ(&what, &self.told.what) {
+            return Vec::new();
         }
-        let age = Duration::from_millis(said.age_ms);
-        let own = self.age(now);
-        self.behind += age.saturating_sub(own);
-        let peer = Peer {
-            node: node.clone(),
-            said,
-            heard: now,
+        self.told = Told {
+            at: now,
+            what: what.clone(),
         };
-        match self.peers.binary_search_by(|p| p.node.cmp(node)) {
-            Ok(place) => self.peers[place] = peer,
-            Err(place) => self.peers.insert(place, peer),
+        what
+    }
+
+    /// What the other VMs said, to be passed on.
+    #[must_use]
+    pub fn heard(&self, now: Moment) -> Vec<Said> {
+        let news = self.newest.iter().filter(|rollout| rollout.is_news(now));
+        news.flat_map(|rollout| rollout.heard(now)).collect()
+    }
+
+    /// What operators are to be told of a roll-out.
+    fn step(&self, pool: &id::Pool, left: bool, now: Moment) -> Step {
+        let Some(rollout) = self.get(pool) else {
+            return Step::Wait;
+        };
+        rollout.step(self.phase(rollout, now), left, MARGIN, now)
+    }
+
+    fn end(&mut self, pool: &id::Pool, end: End, now: Moment) {
+        if let Some(rollout) = self.get_mut(pool) {
+            rollout.end(end, now);
         }
     }
 
-    /// The order's place in its topic.
-    fn offset(&self) -> Offset {
-        self.order.offset
+    fn rank(&self, pool: &id::Pool, own: &id::Node, now: Moment) -> u32 {
+        self.get(pool).map_or(0, |rollout| rollout.rank(own, now))
     }
 }
+
+/// Whether announcements say something that others should know soon.
+#[must_use]
+pub fn differ(now: &[Announcement], before: &[Announcement]) -> bool {
+    now.len() != before.len()
+        || now
+            .iter()
+            .zip(before)
+            .any(|(one, other)| one.differs(other))
+}
--- a/crates/relay/src/rollouts/announcement.rs
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -1,4 +1,6 @@
-//! What the entry VMs tell each other of a roll-out: one record for each VM, which replaces its last.
+//! What the entry VMs tell each other of a roll-out.
+
+use std::time::Duration;
 
 use compact_str::CompactString;
 use pimento_policy::rollout;
@@ -7,7 +9,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use super::Outcome;
+/// How one request ended, as evidence.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// Answered, with the time until its first byte.
+    Served(Duration),
+    /// The endpoint failed it.
+    Failed,
+}
 
 /// Counts of one route on one version since the order.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
@@ -17,7 +26,7 @@
     /// Requests that the endpoint failed.
     pub failed: u32,
     /// Seconds until the first byte of those that were answered.
-    pub seconds: f64,
+    pub seconds: f32,
 }
 
 impl Sum {
@@ -25,7 +34,7 @@
     pub fn count(&mut self, outcome: Outcome) {
         self.attempts = self.attempts.saturating_add(1);
         match outcome {
-            Outcome::Served(seconds) => self.seconds += seconds,
+            Outcome::Served(took) => self.seconds += took.as_secs_f32(),
             Outcome::Failed => self.failed = self.failed.saturating_add(1),
         }
     }
@@ -41,7 +50,7 @@
     #[must_use]
     pub fn evidence(&self) -> rollout::Evidence {
         let served = self.attempts.saturating_sub(self.failed);
-        let pace = (served > 0).then(|| self.seconds / f64::from(served));
+        let pace = (served > 0).then(|| f64::from(self.seconds) / f64::from(served));
         rollout::Evidence::from(rollout::Counts {
             rated: 0,
             passed: 0,
@@ -52,7 +61,7 @@
     }
 }
 
-/// Counts of one route.
+/// Counts of one route on both versions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
@@ -63,6 +72,15 @@
     pub old: Sum,
 }
 
+/// How a roll-out ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// The old version is left for good.
+    Done,
+    /// The new version is left for good.
+    Undone,
+}
+
 /// What a VM says of one roll-out.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Announcement {
@@ -71,7 +89,7 @@
     /// The order's place in its topic.
     pub order: Offset,
     /// How old the order is, in milliseconds.
-    pub age_ms: u64,
+    pub age_ms: u32,
     /// What was seen since.
     pub routes: Vec<Route>,
     /// Endpoints of the new version that failed a request, as hashes.
@@ -80,4 +98,33 @@
     pub bad: bool,
     /// Whether no request is at the old version any more, nor will be.
     pub left: bool,
+    /// How it ended, if it has.
+    pub ended: Option<End>,
+}
+
+impl Announcement {
+    /// Whether it says something that others should know soon, compared with an earlier one.
+    #[must_use]
+    pub fn differs(&self, before: &Self) -> bool {
+        let told = |said: &Self| (said.order, said.bad, said.left, said.ended);
+        told(self) != told(before) || self.failing.len() != before.failing.len()
+    }
+}
+
+/// A session that used the old version before the trial and keeps it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// The order's place in its topic.
+    pub order: Offset,
+    /// The session.
+    pub session: u64,
+}
+
+/// A VM's announcement, as another one passes it on.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Said {
+    /// Who said it.
+    pub node: id::Node,
+    /// What.
+    pub what: Announcement,
 }
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -1,23 +1,26 @@
-//! Carries a roll-out through: shares evidence with the other VMs over the log, and tells operators
-//! once it is done or undone.
+//! Carries a roll-out through: shares evidence with the other VMs, and tells operators once it is
+//! done or undone.
 //!
-//! Nobody leads. Each VM announces what it saw and whether it has left the old version; any VM that
-//! sees that all have tells operators, by an append that holds only if the topic has not moved since
-//! it was read. An append whose answer was lost is found by the next read.
+//! Nobody leads. Within a zone VMs tell each other by datagrams; the VM that reads the log for its
+//! zone says on the VMs' own topic what it knows of all of them, and reads what other zones say. Any
+//! such VM that sees that all have left the old version tells operators, by an append that holds only
+//! if the topic has not moved since it was read. An append whose answer was lost is found by the next
+//! read.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use pimento_policy::shift::Phase;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
-use super::Rollout;
 use super::Rollouts;
 use super::announcement::Announcement;
-use super::announcement::Route;
+use super::announcement::End;
+use super::announcement::Said;
+use super::differ;
+use super::progress::Step;
 use crate::boot;
 use crate::border::Border;
 use crate::codec::Codec;
@@ -41,23 +44,17 @@
 /// How often a roll-out is looked at. Several times within the second that evidence may take.
 const TICK: Duration = Duration::from_millis(250);
 
-/// How often a VM announces at least, so that the others know that it lives.
-const ANNOUNCE: Duration = Duration::from_secs(2);
-
-/// How soon it announces news: evidence against the new version, or that it left the old one.
+/// How often a VM says on the log what it knows at least, and how soon it says news.
+const SAY: Duration = Duration::from_secs(2);
 const NEWS: Duration = Duration::from_millis(700);
 
-/// After this long without an announcement a VM is no longer waited for: it is down, or cut off
-/// from the log, in which case it lets no keys in and sends nothing.
-const DEAD: Duration = Duration::from_millis(4_500);
-
-/// Before the deadline operators are told in any case, whoever has not been heard of.
-const MARGIN: Duration = Duration::from_secs(2);
-
-/// Pause before a VM tells operators, times its rank among those that announced: the first one's
-/// word should be there before the others write the same.
+/// Pause before a VM tells operators, times its rank among those that live: the first one's word
+/// should be there before the others write the same.
 const RANK: Duration = Duration::from_millis(300);
 
+/// The most that a VM waits for others to tell operators.
+const LONGEST: Duration = Duration::from_millis(1_500);
+
 /// How the entry VMs' own topic is read while a roll-out is under way.
 const FLEET: Pace = Pace {
     alone: SECONDLY,
@@ -74,10 +71,9 @@
 /// A call of the log takes at most this long; the next tick may try again.
 const CALL: Duration = Duration::from_secs(1);
 
-/// The VMs' words, newest of each, in the order of their arrival.
+/// The VMs' words that were not yet taken in, in the order of their arrival.
 #[derive(Debug, Default)]
 struct Words {
-    /// Those that were not yet taken in.
     news: Vec<(id::Node, Word)>,
 }
 
@@ -88,24 +84,19 @@
     }
 }
 
-/// What a tick found to be done.
-enum Step {
-    /// Nothing that operators must be told.
-    Wait,
-    /// Tell operators of this stage.
-    Tell(Stage),
-}
-
 /// State of the controller between ticks.
 struct Controller<P, L> {
     node: Node<P, L>,
     log: L,
-    /// Started while a roll-out is under way.
+    /// Followed while a roll-out is under way and this VM reads for itself.
     fleet: Option<(Follower<Words, L>, CancellationToken)>,
-    announced: Moment,
-    said: Word,
+    /// When this VM last said something on the log, and what of itself.
+    said_at: Moment,
+    said: Vec<Announcement>,
     /// When this VM first found that operators are to be told.
     due: Option<Moment>,
+    /// Where the status topic ended when a roll-out began, for each that did under this VM's eyes.
+    since: Vec<(Offset, Offset)>,
 }
 
 /// Carries roll-outs through until `token`.
@@ -114,9 +105,10 @@
         node: node.clone(),
         log,
         fleet: None,
-        announced: Moment::ZERO,
-        said: node.word(),
+        said_at: Moment::ZERO,
+        said: Vec::new(),
         due: None,
+        since: Vec::new(),
     };
     tokio::spawn(async move { token.run_until_cancelled(controller.run()).await });
 }
@@ -126,20 +118,25 @@
         let mut changes = self.node.operators.changes();
         loop {
             self.take_orders().await;
-            let running = self.node.rollouts(Rollouts::running);
+            let running = self.node.rollouts(|r| r.running());
             if running.is_empty() {
+                self.say().await;
                 self.rest();
                 if changes.changed().await.is_err() {
                     return;
                 }
                 continue;
             }
-            self.follow();
-            self.hear();
+            if self.node.reads() {
+                self.follow();
+                self.hear();
+                self.say().await;
+            } else {
+                self.rest();
+            }
             for pool in &running {
                 self.step(pool).await;
             }
-            self.announce(&running).await;
             tokio::select! {
                 _ = changes.changed() => {}
                 () = tokio::time::sleep(TICK) => {}
@@ -152,19 +149,24 @@
     async fn take_orders(&mut self) {
         let orders: Vec<Order> = self.node.operators.view(|view| view.orders().to_vec());
         let known = |order: &Order| self.node.rollouts(|r| r.knows(order));
-        if orders.iter().all(known) {
-            return;
-        }
-        let Some((statuses, _)) = self.statuses().await else {
-            return;
-        };
-        for order in orders {
-            let first = self.node.rollouts(|r| r.find(&order.rollout.pool).is_err());
-            let told = statuses.iter().find(|status| {
-                status.pool == order.rollout.pool && status.target == order.rollout.target
-            });
-            let stage = told.filter(|_| first).map_or(Stage::Running, |s| s.stage);
-            self.node.rollouts(|r| r.order(order, stage));
+        let new: Vec<Order> = orders.into_iter().filter(|order| !known(order)).collect();
+        let now = boot::now();
+        for order in new {
+            let ended = if order.first {
+                let Some((statuses, _)) = self.statuses().await else {
+                    return;
+                };
+                ended(&statuses, &order, Offset::default())
+            } else {
+                if self.node.reads() {
+                    let Some((_, end)) = self.statuses().await else {
+                        return;
+                    };
+                    self.since.push((order.offset, end));
+                }
+                None
+            };
+            self.node.rollouts(|r| r.order(order, ended, now));
         }
     }
 
@@ -187,10 +189,9 @@
         if let Some((_, token)) = self.fleet.take() {
             token.cancel();
         }
-        self.due = None;
     }
 
-    /// Takes in what the other VMs said since.
+    /// Takes in what the other VMs said on the log since.
     fn hear(&self) {
         let Some((fleet, _)) = &self.fleet else {
             return;
@@ -198,74 +199,107 @@
         let news = fleet.amend(|words| std::mem::take(&mut words.news));
         let now = boot::now();
         let own = &self.node.config.node;
-        for (node, word) in news.into_iter().filter(|(node, _)| node != own) {
-            self.node.rollouts(|r| r.hear(&node, word, now));
+        let said = news.iter().flat_map(|(_, word)| &word.rollouts);
+        for said in said.filter(|said| said.node != *own) {
+            self.node.rollouts(|r| r.hear(said, now));
+        }
+    }
+
+    /// Says on the log what this VM and those of its zone saw, if it is time or there is news.
+    async fn say(&mut self) {
+        let now = boot::now();
+        let own = self.node.announcements(now);
+        if own.is_empty() {
+            return;
+        }
+        let since = now.since(self.said_at);
+        let bad = |said: &[Announcement]| said.iter().any(|s| s.bad || s.ended.is_some());
+        let urgent = bad(&own) && !bad(&self.said);
+        let news = differ(&own, &self.said);
+        let ended = own.iter().all(|said| said.ended.is_some());
+        let early = since < NEWS || (since < SAY || ended) && !news;
+        if early && !urgent {
+            return;
+        }
+        self.said_at = now;
+        let node = &self.node.config.node;
+        let mut rollouts = self.node.rollouts(|r| r.heard(now));
+        rollouts.extend(own.iter().map(|what| Said {
+            node: node.clone(),
+            what: what.clone(),
+        }));
+        let word = Word {
+            rollouts,
+            ..self.node.word()
+        };
+        if word.say(node, &self.log).await {
+            self.said = own;
         }
     }
 
     /// What is to be done about one roll-out now.
     async fn step(&mut self, pool: &id::Pool) {
-        let left = self.left(pool);
+        let Some(order) = self.node.rollouts(|r| r.get(pool).map(|p| p.order.clone())) else {
+            return;
+        };
         let now = boot::now();
+        let left = self.node.left(pool, &order.rollout.target);
         let step = self.node.rollouts(|r| r.step(pool, left, now));
-        let Step::Tell(stage) = step else {
+        let Step::Tell(end) = step else {
             self.due = None;
             return;
         };
         // The others must know before this VM rests.
-        if stage == Stage::Undone && !self.said.rollouts.iter().any(|said| said.bad) {
+        let said = self.said.iter().any(|said| said.bad);
+        if end == End::Undone && self.node.reads() && !said {
             return;
         }
         let due = *self.due.get_or_insert(now);
         let own = &self.node.config.node;
         let rank = self.node.rollouts(|r| r.rank(pool, own, now));
-        if now.since(due) < RANK * rank {
-            return;
-        }
-        if self.tell(pool, stage).await {
+        let patience = if self.node.reads() {
+            (RANK * rank).min(LONGEST)
+        } else {
+            LONGEST * 2
+        };
+        if now.since(due) >= patience && self.tell(&order, end).await {
             self.due = None;
         }
     }
 
-    /// Whether no request of this VM is at an endpoint of another version than the one moved to.
-    fn left(&self, pool: &id::Pool) -> bool {
-        let Some(target) = self.node.rollouts(|r| r.target(pool)) else {
-            return true;
-        };
-        self.node.scheduler.pool(pool).flying_beside(&target) == 0
-    }
-
-    /// Tells operators of a stage unless they were told of an end; whether they know now.
-    async fn tell(&self, pool: &id::Pool, stage: Stage) -> bool {
-        let Some(order) = self.node.rollouts(|r| r.get(pool).map(|r| r.order.clone())) else {
-            return true;
-        };
-        let Some((statuses, end)) = self.statuses().await else {
+    /// Tells operators of an end unless they were told of one; whether they know now.
+    async fn tell(&self, order: &Order, end: End) -> bool {
+        let pool = &order.rollout.pool;
+        let target = &order.rollout.target;
+        let Some((statuses, at)) = self.statuses().await else {
             return false;
         };
-        let target = &order.rollout.target;
-        let told = statuses
+        let since = self
+            .since
             .iter()
-            .find(|s| s.pool == *pool && s.target == *target);
-        if let Some(told) = told
-            && told.stage != Stage::Running
-        {
-            self.node.rollouts(|r| r.end(pool, told.stage));
+            .find(|(offset, _)| *offset == order.offset);
+        let since = since.map_or(Offset::default(), |(_, since)| *since);
+        let now = boot::now();
+        if let Some(told) = ended(&statuses, order, since) {
+            self.node.rollouts(|r| r.end(pool, told, now));
             return true;
         }
         let status = Status {
             pool: pool.clone(),
             target: target.clone(),
-            stage,
+            stage: match end {
+                End::Done => Stage::Done,
+                End::Undone => Stage::Undone,
+            },
         };
         let (key, value) = self.node.platform.tell(&status);
         let append = self
             .log
-            .append(Topic::Status, &key, Bytes::from(value), Some(end));
+            .append(Topic::Status, &key, Bytes::from(value), Some(at));
         match tokio::time::timeout(CALL, append).await {
             Ok(Ok(_)) => {
-                log::info!("rollout: {pool} to {target}: operators told {stage:?}.");
-                self.node.rollouts(|r| r.end(pool, stage));
+                log::info!("rollout: {pool} to {target}: operators told {end:?}.");
+                self.node.rollouts(|r| r.end(pool, end, now));
                 true
             }
             Ok(Err(Error::Moved { .. })) => false,
@@ -280,8 +314,8 @@
         }
     }
 
-    /// What operators were told, and the end of that topic.
-    async fn statuses(&self) -> Option<(Vec<Status>, Offset)> {
+    /// What operators were told, each with its offset, and the end of that topic.
+    async fn statuses(&self) -> Option<(Vec<(Offset, Status)>, Offset)> {
         let newest = self.log.newest(Topic::Status);
         let batch = match tokio::time::timeout(CALL, newest).await {
             Ok(Ok(batch)) => batch,
@@ -297,7 +331,7 @@
         let read = |record: &Record| {
             let value = record.value.as_ref()?;
             match self.node.platform.status(&record.key, value) {
-                Ok(status) => status,
+                Ok(status) => status.map(|status| (record.offset, status)),
                 Err(error) => {
                     log::warn!("rollout: Status {} left out: {error}.", record.key);
                     None
@@ -307,130 +341,35 @@
         let statuses = batch.records.iter().filter_map(read).collect();
         Some((statuses, batch.end))
     }
-
-    /// Says what was seen here, if it is time or there is news.
-    async fn announce(&mut self, running: &[id::Pool]) {
-        let now = boot::now();
-        let word = self.word(running, now);
-        let since = now.since(self.announced);
-        let news = news(&word, &self.said);
-        let bad = word.rollouts.iter().any(|said| said.bad);
-        let said_bad = self.said.rollouts.iter().any(|said| said.bad);
-        let early = since < NEWS || (since < ANNOUNCE && !news);
-        if early && (said_bad || !bad) {
-            return;
-        }
-        self.announced = now;
-        if word.say(&self.node.config.node, &self.log).await {
-            self.said = word;
-        }
-    }
-
-    fn word(&self, running: &[id::Pool], now: Moment) -> Word {
-        let said = running.iter().filter_map(|pool| {
-            let left = self.left(pool);
-            self.node.rollouts(|r| r.announcement(pool, left, now))
-        });
-        Word {
-            rollouts: said.collect(),
-            ..self.node.word()
-        }
-    }
 }
 
-/// Whether a word says something that others should know soon.
-fn news(word: &Word, before: &Word) -> bool {
-    let told = |word: &Word| {
-        let said = word.rollouts.iter();
-        said.map(|s| (s.order, s.bad, s.left, s.failing.len()))
-            .collect::<Vec<_>>()
-    };
-    told(word) != told(before)
-}
-
-impl Rollouts {
-    /// Services with a roll-out under way.
-    fn running(&mut self) -> Vec<id::Pool> {
-        let running = self.newest.iter().filter(|r| r.stage == Stage::Running);
-        running.map(|r| r.order.rollout.pool.clone()).collect()
-    }
-
-    fn knows(&self, order: &Order) -> bool {
-        let known = self.get(&order.rollout.pool);
-        known.is_some_and(|known| known.offset() >= order.offset)
-    }
-
-    fn end(&mut self, pool: &id::Pool, stage: Stage) {
-        if let Some(rollout) = self.get_mut(pool) {
-            rollout.stage = stage;
-        }
-    }
-
-    fn hear(&mut self, node: &id::Node, word: Word, now: Moment) {
-        for said in word.rollouts {
-            if let Some(rollout) = self.get_mut(&said.pool) {
-                rollout.hear(node, said, now);
-            }
-        }
-    }
-
-    fn announcement(&self, pool: &id::Pool, left: bool, now: Moment) -> Option<Announcement> {
-        let rollout = self.get(pool)?;
-        let age = rollout.age(now);
-        let moved = self.phase(rollout, now) == Phase::Moved;
-        let routes = rollout.routes.iter().map(|route| Route {
-            name: route.name.clone(),
-            new: route.new,
-            old: route.old,
-        });
-        Some(Announcement {
-            pool: pool.clone(),
-            order: rollout.offset(),
-            age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-            routes: routes.collect(),
-            failing: rollout.failing.clone(),
-            bad: rollout.bad.is_some(),
-            left: moved && left,
-        })
+/// How an order ended by what operators were told from an offset on: an earlier order may have been
+/// for the same version.
+fn ended(statuses: &[(Offset, Status)], order: &Order, since: Offset) -> Option<End> {
+    let told = statuses.iter().find(|(offset, status)| {
+        *offset >= since
+            && status.pool == order.rollout.pool
+            && status.target == order.rollout.target
+    });
+    match told?.1.stage {
+        Stage::Running => None,
+        Stage::Done => Some(End::Done),
+        Stage::Undone => Some(End::Undone),
     }
+}
 
-    /// What is to be done. `left` says whether no request of this VM is at the old version.
-    fn step(&mut self, pool: &id::Pool, left: bool, now: Moment) -> Step {
-        let endpoints = self.endpoints(pool);
-        let config = self.config;
-        let share = self.exposure.share;
-        let Some(rollout) = self.get_mut(pool) else {
-            return Step::Wait;
-        };
-        rollout.judge(endpoints);
-        if rollout.bad.is_some() {
-            return Step::Tell(Stage::Undone);
-        }
-        let lasts = rollout.order.rollout.lasts;
-        let age = rollout.age(now);
-        let moved = config.phase(age, lasts, share) == Phase::Moved;
-        let all = rollout.all_left(now);
-        let late = age + MARGIN >= lasts;
-        if moved && ((left && all) || late) {
-            return Step::Tell(Stage::Done);
-        }
-        Step::Wait
+impl<P: Border + Codec, L: Log> Node<P, L> {
+    /// Whether no request of this VM is at an endpoint of another version than `target`.
+    fn left(&self, pool: &id::Pool, target: &id::Version) -> bool {
+        self.scheduler.pool(pool).flying_beside(target) == 0
     }
 
-    fn rank(&self, pool: &id::Pool, own: &id::Node, now: Moment) -> u32 {
-        let Some(rollout) = self.get(pool) else {
-            return 0;
-        };
-        let live = rollout.peers.iter().filter(|p| now.since(p.heard) < DEAD);
-        let before = live.filter(|peer| peer.node < *own).count();
-        u32::try_from(before).unwrap_or(u32::MAX)
+    fn announcements(&self, now: Moment) -> Vec<Announcement> {
+        self.rollouts(|r| r.announcements(|pool, target| self.left(pool, target), now))
     }
-}
 
-impl Rollout {
-    /// Whether all other VMs that live have left the old version.
-    fn all_left(&self, now: Moment) -> bool {
-        let mut live = self.peers.iter().filter(|p| now.since(p.heard) < DEAD);
-        live.all(|peer| peer.said.left)
+    /// What the zone is to be told of roll-outs now.
+    pub(crate) fn due_announcements(&self, now: Moment) -> Vec<Announcement> {
+        self.rollouts(|r: &mut Rollouts| r.due(|pool, target| self.left(pool, target), now))
     }
 }
--- a/crates/relay/src/sessions.rs
+++ b/crates/relay/src/sessions.rs
@@ -66,6 +66,14 @@
         }
     }
 
+    /// The sessions that are not over.
+    pub fn live(&self, now: Moment) -> impl Iterator<Item = u64> {
+        let limit = self.life;
+        let seen = self.seen.iter();
+        let live = seen.filter(move |seen| now.since(seen.at) <= limit);
+        live.map(|seen| seen.session)
+    }
+
     fn sweep(&mut self, now: Moment) {
         if now.since(self.swept) < SWEEP {
             return;
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 
 use pimento_units::Moment;
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::follow::Lead;
@@ -25,6 +26,8 @@
     stamps: Arc<Mutex<Vec<Stamp>>>,
     /// Who reads for whom.
     pub lead: Arc<watch::Sender<Lead>>,
+    /// Told of each read that proves something.
+    pub proved: Arc<Notify>,
 }
 
 impl Zone {
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -2,3 +2,4 @@
 
 mod follow;
 mod log;
+mod rollouts;
