Keep how fast models read on the log

Cause: after a start of all VMs at once each placed prompts by a guess of how fast models read, just when callers came back together.

Change: paces are part of a VM's word on the common topic; the VM that reads for its zone says them once it has learnt enough, and a VM that starts takes them from there. It reads before its own word replaces its former one, and once more after, to meet those that started with it.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -59,8 +59,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct Paces {
     models: Vec<(u64, f64)>,
+    samples: u32,
 }
 
+/// Prompts after which paces are told to others: some of each of three models.
+const ENOUGH: u32 = 40;
+
 /// Seconds for a token before any was measured: a middling model on a fast accelerator. The first
 /// prompt that finds an idle engine puts it right. A guess that is too high would never be put right:
 /// the model would seem too slow to be asked.
@@ -71,6 +75,10 @@
 const DOWN: f64 = 0.3;
 const UP: f64 = 0.05;
 
+/// Weight of a sample of a prompt that had to wait: its own part of the time is only as good as the
+/// estimate of its wait. Without these a busy pool would keep to its first guess.
+const WAITED: f64 = 0.1;
+
 /// Prompts from this size on tell a speed; for shorter ones the steps of running answers outweigh
 /// their own reading.
 const LEAST: Tokens = Tokens(400);
@@ -93,21 +101,53 @@
         START + number::seconds(self.pace(model) * number::float(unread.0))
     }
 
-    /// Learns from a prompt that found its engine idle.
-    fn learn(&mut self, model: u64, unread: Tokens, took: Duration) {
-        if unread < LEAST {
+    /// Learns from a prompt that was read in `took`, beside its wait.
+    fn learn(&mut self, model: u64, unread: Tokens, took: Duration, alone: bool) {
+        if unread < LEAST || took <= START {
             return;
         }
         let sample = took.saturating_sub(START).as_secs_f64() / number::float(unread.0);
+        self.samples = self.samples.saturating_add(1);
         match self.models.binary_search_by_key(&model, |(m, _)| *m) {
             Ok(place) => {
                 let known = &mut self.models[place].1;
-                let weight = if sample < *known { DOWN } else { UP };
+                let weight = match (alone, sample < *known) {
+                    (true, true) => DOWN,
+                    (true, false) => UP,
+                    (false, _) => WAITED,
+                };
                 *known += weight * (sample - *known);
             }
             Err(place) => self.models.insert(place, (model, sample)),
         }
     }
+
+    /// Whether anything was learnt of a model.
+    fn knows(&self, model: u64) -> bool {
+        let found = self.models.binary_search_by_key(&model, |(m, _)| *m);
+        found.is_ok()
+    }
+
+    /// Takes what another node learnt of models that are not known here.
+    pub fn seed(&mut self, models: impl IntoIterator<Item = (u64, f64)>) {
+        for (model, pace) in models {
+            if let Err(place) = self.models.binary_search_by_key(&model, |(m, _)| *m) {
+                self.models.insert(place, (model, pace));
+                // It rested on as many there, and is as good to be passed on.
+                self.samples = self.samples.max(ENOUGH);
+            }
+        }
+    }
+
+    /// The seconds for a token of each model, sorted by model; none before they rest on enough
+    /// prompts to be told to others.
+    #[must_use]
+    pub fn told(&self) -> &[(u64, f64)] {
+        if self.samples < ENOUGH {
+            return &[];
+        }
+        &self.models
+    }
 }
 
 /// A call at an engine. Given by the caller, unlike those of all other calls there.
@@ -284,8 +324,11 @@
         let hidden = self.hidden(now);
         self.surplus = hidden.mul_f64(1.0 - SURPLUS) + beyond.mul_f64(SURPLUS);
         self.at = now;
-        if pending.alone {
-            paces.learn(pending.model, pending.unread, took);
+        let waited = pending.expected.saturating_sub(pending.work);
+        let first = !paces.knows(pending.model) && waited <= pending.work;
+        if pending.alone || first {
+            let own = took.saturating_sub(waited);
+            paces.learn(pending.model, pending.unread, own, pending.alone);
         }
     }
 
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -23,6 +23,10 @@
     pub zone: id::Zone,
     /// Where it takes datagrams.
     pub address: SocketAddr,
+    /// How fast models read: seconds for a token, by the models' hashes. A VM that starts knows them
+    /// from others; after a start of all VMs at once it would place prompts by guesses, just when
+    /// callers come back all together.
+    pub paces: Vec<(u64, f64)>,
     /// What it and the VMs that it reads the log for saw of roll-outs.
     pub rollouts: Vec<Said>,
 }
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -19,6 +19,7 @@
 use std::time::Duration;
 
 use pimento_units::Moment;
+use pimento_units::id;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
@@ -31,6 +32,7 @@
 use crate::border::Border;
 use crate::codec::Codec;
 use crate::fleet;
+use crate::fleet::Word;
 use crate::follow::Lead;
 use crate::node::Node;
 use crate::rollouts::Rollouts;
@@ -58,6 +60,9 @@
 /// A VM with nothing new for another zone says so this often.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// How often a VM looks whether it has learnt enough to tell those that start later.
+const LEARNT: Duration = Duration::from_secs(5);
+
 /// A VM whose view of the log is older than this reads for nobody else: reads of others prove it
 /// every 2.2 s at least.
 const BLIND: Duration = Duration::from_millis(2_600);
@@ -182,21 +187,27 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Says where this VM is, and reads where the others are.
+    /// Meets the other VMs on the log.
     async fn meet(&self) {
+        // What its own former life had learnt is read before this life's word replaces it; those that
+        // start at the same time are read after it, when each has said its own.
+        self.read_words().await;
         let own = &self.node.config.node;
         while !self.node.word().say(own, &self.log).await {
             tokio::time::sleep(PAUSE).await;
         }
+        self.read_words().await;
+        self.teach().await;
+    }
+
+    /// Reads where the others are and what they learnt.
+    async fn read_words(&self) {
         loop {
             let newest = self.log.newest(Topic::Fleet);
             match tokio::time::timeout(CALL, newest).await {
                 Ok(Ok(batch)) => {
-                    let words = batch.records.iter().filter_map(fleet::read);
-                    let now = boot::now();
-                    for (node, word) in words.filter(|(node, _)| node != own) {
-                        let peer = Peer::new(node, word.zone, word.address, now);
-                        self.lock().peers.met(peer);
+                    for (node, word) in batch.records.iter().filter_map(fleet::read) {
+                        self.meet_one(node, word);
                     }
                     return;
                 }
@@ -207,6 +218,28 @@
         }
     }
 
+    fn meet_one(&self, node: id::Node, word: Word) {
+        self.node.scheduler.seed(&word.paces);
+        if node != self.node.config.node {
+            let peer = Peer::new(node, word.zone, word.address, boot::now());
+            self.lock().peers.met(peer);
+        }
+    }
+
+    /// Says once more where this VM is, with what it has learnt by then, for those that start later.
+    /// One VM of a zone does.
+    async fn teach(&self) {
+        loop {
+            tokio::time::sleep(LEARNT).await;
+            let word = self.node.word();
+            let known = !word.paces.is_empty();
+            let alone = *self.zone.lead.borrow() != Lead::Led;
+            if known && alone && word.say(&self.node.config.node, &self.log).await {
+                return;
+            }
+        }
+    }
+
     async fn listen(&self) {
         let mut buffer = vec![0; LARGEST];
         loop {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -222,10 +222,17 @@
         Word {
             zone: self.config.zone.clone(),
             address: self.config.peer_listen,
+            paces: self.paces(),
             rollouts: Vec::new(),
         }
     }
 
+    /// How fast models read.
+    fn paces(&self) -> Vec<(u64, f64)> {
+        let pools = self.scheduler.pools();
+        pools.iter().flat_map(|(_, pool)| pool.paces()).collect()
+    }
+
     /// Looks at or changes the roll-outs. `act` runs under a lock and must be short.
     pub fn rollouts<T>(&self, act: impl FnOnce(&mut Rollouts) -> T) -> T {
         let mut rollouts = self.rollouts.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -400,6 +400,14 @@
         waits.filter(|(_, wait)| !wait.is_zero()).collect()
     }
 
+    pub const fn paces(&self) -> &engine::Paces {
+        &self.paces
+    }
+
+    pub fn seed(&mut self, paces: &[(u64, f64)]) {
+        self.paces.seed(paces.iter().copied());
+    }
+
     pub fn hear(&mut self, node: u64, waits: &[(u64, Duration)], now: Moment) {
         for seat in &mut self.seats {
             let Some(engine) = seat.engine.as_mut() else {
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -197,6 +197,13 @@
         self.shared.lock().learn(engine, prompt, now);
     }
 
+    /// How fast models read, in seconds for a token by the models' hashes; none before enough is
+    /// known to be told to others.
+    #[must_use]
+    pub fn paces(&self) -> Vec<(u64, f64)> {
+        self.shared.lock().paces().told().to_vec()
+    }
+
     /// Calls in flight at endpoints that don't hold `version`.
     #[must_use]
     pub fn flying_beside(&self, version: &id::Version) -> u32 {
@@ -266,6 +273,8 @@
     clock: Clock,
     /// Sorted by pool.
     pools: Arc<RwLock<Vec<(id::Pool, Pool)>>>,
+    /// How fast models read, as other VMs learnt, for pools to come.
+    paces: Arc<RwLock<Vec<(u64, f64)>>>,
 }
 
 impl Scheduler {
@@ -275,6 +284,7 @@
         Self {
             clock,
             pools: Arc::default(),
+            paces: Arc::default(),
         }
     }
 
@@ -293,12 +303,23 @@
             Ok(place) => pools[place].1.clone(),
             Err(place) => {
                 let pool = Pool::new(self.clock);
+                let paces = self.paces.read().unwrap_or_else(PoisonError::into_inner);
+                pool.shared.lock().seed(&paces);
                 pools.insert(place, (name.clone(), pool.clone()));
                 pool
             }
         }
     }
 
+    /// Takes what another VM learnt of how fast models read, for all pools.
+    pub fn seed(&self, paces: &[(u64, f64)]) {
+        for (_, pool) in self.pools() {
+            pool.shared.lock().seed(paces);
+        }
+        let mut known = self.paces.write().unwrap_or_else(PoisonError::into_inner);
+        known.extend_from_slice(paces);
+    }
+
     /// All pools, sorted by name.
     #[must_use]
     pub fn pools(&self) -> Vec<(id::Pool, Pool)> {
