Count a prompt whose parts are fetched as what is left to read

Cause: a prompt whose kept parts come from another engine counted with its whole unread length as the wait for those behind it, ten times too long.

Change: the work of the chosen place is what counts; such prompts teach no pace.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -179,7 +179,7 @@
 }
 
 /// The answer at hand, and what the engines are like.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answer {
     /// Hash of the model.
     pub model: u64,
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -273,11 +273,22 @@
         self.peers.iter().map(left).sum()
     }
 
-    /// A prompt is sent.
-    pub fn begin(&mut self, ticket: Ticket, prompt: &Prompt, paces: &Paces, now: Moment) {
-        let unread = self.unread(prompt);
+    /// A prompt is sent that takes `work` to read; `fetched` if parts of it come from another engine,
+    /// so that its time tells nothing of the model's speed.
+    pub fn begin(
+        &mut self,
+        ticket: Ticket,
+        prompt: &Prompt,
+        work: Duration,
+        fetched: bool,
+        now: Moment,
+    ) {
+        let unread = if fetched {
+            Tokens::ZERO
+        } else {
+            self.unread(prompt)
+        };
         let wait = self.wait(now);
-        let work = paces.work(prompt.model, unread);
         if self.pending.is_empty() {
             self.head = now;
         }
@@ -396,7 +407,7 @@
 }
 
 /// An engine that might read a prompt.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Candidate {
     /// Hash of the engine's name, the same at every node.
     pub key: u64,
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -268,11 +268,11 @@
 
     /// Chooses an endpoint with a free slot and takes it. Endpoints tried before come last.
     pub fn take(&mut self, shared: &Arc<Shared>, job: &Job, now: Moment) -> Option<Permit> {
-        let (chosen, source) = match &job.prompt {
+        let (chosen, placed) = match &job.prompt {
             Some(prompt) => self.place(prompt, job, now)?,
-            None => (self.draw(job, now)?, None),
+            None => (self.draw(job, now)?, engine::Candidate::default()),
         };
-        let source = source.map(|place| self.seats[place].member.address);
+        let source = placed.fetch.map(|place| self.seats[place].member.address);
         let seat = &mut self.seats[chosen];
         if !seat.limiter.acquire() {
             return None;
@@ -281,7 +281,8 @@
         let ticket = job.prompt.as_ref().zip(seat.engine.as_mut());
         let ticket = ticket.map(|(prompt, engine)| {
             self.tickets += 1;
-            engine.begin(self.tickets, prompt, &self.paces, now);
+            let fetched = source.is_some();
+            engine.begin(self.tickets, prompt, placed.work, fetched, now);
             if self.sent.len() < TOLD {
                 self.sent.push((seat.key, prompt.clone()));
             }
@@ -313,8 +314,8 @@
             .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))
     }
 
-    /// The engine for a prompt, and the one that it fetches kept parts from.
-    fn place(&self, prompt: &Prompt, job: &Job, now: Moment) -> Option<(usize, Option<usize>)> {
+    /// The engine for a prompt, and what the prompt meets there.
+    fn place(&self, prompt: &Prompt, job: &Job, now: Moment) -> Option<(usize, engine::Candidate)> {
         let prefix = job.prefix.unwrap_or(prompt.model);
         let mut engines = self.engines(prompt, job, now);
         let again = engines.clone();
@@ -325,7 +326,7 @@
             .due(&engines, job, now)
             .or_else(|| engine::choose(&engines, prefix, &self.placing))
             .or_else(|| engine::choose(&again, prefix, &self.placing))?;
-        Some((chosen, engines[chosen].fetch))
+        Some((chosen, engines[chosen]))
     }
 
     fn engines(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
@@ -370,7 +371,7 @@
     /// What a job with a prompt would meet.
     pub fn estimate(&self, job: &Job, now: Moment) -> Option<Estimate> {
         let prompt = job.prompt.as_ref()?;
-        let (place, _) = self.place(prompt, job, now)?;
+        let (place, placed) = self.place(prompt, job, now)?;
         let engines = self.engines(prompt, job, now);
         let mut waits: Vec<Duration> = engines
             .iter()
@@ -383,8 +384,8 @@
         let sum: Duration = waits.iter().take(half).sum();
         let next = sum / u32::try_from(half.max(1)).unwrap_or(u32::MAX);
         Some(Estimate {
-            wait: engines[place].wait,
-            work: engines[place].work,
+            wait: placed.wait,
+            work: placed.work,
             full: self.paces.work(prompt.model, prompt.tokens()),
             next,
         })
@@ -419,10 +420,13 @@
     }
 
     pub fn learn(&mut self, key: u64, prompt: &Prompt, now: Moment) {
-        let seat = self.seats.iter_mut().find(|seat| seat.key == key);
-        if let Some(engine) = seat.and_then(|seat| seat.engine.as_mut()) {
-            engine.keep(prompt, now);
-        }
+        let Some(seat) = self.seats.iter_mut().find(|seat| seat.key == key) else {
+            return;
+        };
+        let Some(engine) = seat.engine.as_mut() else {
+            return;
+        };
+        engine.keep(prompt, now);
     }
 
     /// The first token of a call has come.
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -218,7 +218,7 @@
 }
 
 /// What a prompt would meet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Estimate {
     /// Wait for the prompts sent before.
     pub wait: Duration,
