Count repeats in a window instead of a balance with a cap

Change: policy::retry::Window counts requests and repeats of the operators' window; a VM's part of the extra follows the number of VMs that it knows.

Ruled out: a larger cap, which all VMs together could overrun.

--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -101,6 +101,90 @@
     }
 }
 
+/// Pieces that a window is counted in. Requests and repeats leave it a piece at a time; counting in
+/// twenty errs by a twentieth.
+const PIECES: usize = 20;
+
+/// Figures of a [`Window`].
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Repeats for each request.
+    pub share: f64,
+    /// Repeats beyond those.
+    pub extra: f64,
+    /// The window that both are counted in.
+    pub span: Duration,
+}
+
+/// Requests and repeats of a sliding window.
+#[derive(Debug, Clone)]
+pub struct Window {
+    bound: Bound,
+    /// Requests and repeats of each piece.
+    pieces: [(u32, u32); PIECES],
+    /// Number of the newest piece.
+    newest: u64,
+}
+
+impl Window {
+    /// An empty window.
+    #[must_use]
+    pub const fn new(bound: Bound) -> Self {
+        Self {
+            bound,
+            pieces: [(0, 0); PIECES],
+            newest: 0,
+        }
+    }
+
+    /// Sets how many repeats are allowed beyond the share.
+    pub const fn allow(&mut self, extra: f64) {
+        self.bound.extra = extra;
+    }
+
+    /// Counts a request.
+    pub fn request(&mut self, now: Moment) {
+        let place = self.turn(now);
+        self.pieces[place].0 = self.pieces[place].0.saturating_add(1);
+    }
+
+    /// Whether a repeat is within the bound.
+    #[must_use]
+    pub fn affords(&mut self, now: Moment) -> bool {
+        self.turn(now);
+        let sums = self.pieces.iter().fold((0.0, 0.0), |sums, piece| {
+            (sums.0 + f64::from(piece.0), sums.1 + f64::from(piece.1))
+        });
+        let (requests, repeats) = sums;
+        repeats + 1.0 <= requests * self.bound.share + self.bound.extra
+    }
+
+    /// Takes a repeat, if it is within the bound.
+    #[must_use]
+    pub fn take(&mut self, now: Moment) -> bool {
+        if !self.affords(now) {
+            return false;
+        }
+        let place = self.turn(now);
+        self.pieces[place].1 = self.pieces[place].1.saturating_add(1);
+        true
+    }
+
+    /// Moves on to the present piece.
+    fn turn(&mut self, now: Moment) -> usize {
+        let length = self.bound.span.as_nanos() / PIECES as u128;
+        let length = u64::try_from(length).unwrap_or(u64::MAX).max(1);
+        let number = now.nanos() / length;
+        let passed = number.saturating_sub(self.newest).min(PIECES as u64);
+        for step in 1..=passed {
+            let place = (number - passed + step) % PIECES as u64;
+            self.pieces[usize::try_from(place).unwrap_or(0)] = (0, 0);
+        }
+        self.newest = self.newest.max(number);
+        usize::try_from(self.newest % PIECES as u64).unwrap_or(0)
+    }
+}
+
 /// What a failed attempt leaves to decide.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Failure {
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -354,6 +354,7 @@
         inner.peers.sweep(now);
         let lead = inner.peers.lead(&config.node, &config.zone, able, now);
         let peers = inner.peers.of(&config.zone);
+        self.node.repeats.share_among(inner.peers.count() + 1);
         drop(inner);
         self.zone
             .keep(|node| peers.iter().any(|peer| peer.key == node));
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -69,6 +69,11 @@
         self.peers.retain(|peer| now.since(peer.heard) < FORGOTTEN);
     }
 
+    /// How many are known.
+    pub const fn count(&self) -> usize {
+        self.peers.len()
+    }
+
     /// The VMs of a zone.
     pub fn of(&self, zone: &id::Zone) -> Vec<Peer> {
         let near = self.peers.iter().filter(|peer| peer.zone == *zone);
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -3,70 +3,97 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
-use pimento_policy::retry;
+use pimento_policy::retry::Bound;
+use pimento_policy::retry::Window;
 use pimento_units::Moment;
 use pimento_units::id;
 
 use crate::config::Retry;
 
-/// Part of the share that is used. Calls of one window may be counted against the requests of a
-/// neighbouring one, and a request that is still on its way counts for the VM before it does for
-/// its endpoint.
+/// Part of the share and of the extra that is used. A request counts here when it comes and at its
+/// endpoint when it arrives there, which may be in the next window; a repeat that was sent may arrive
+/// late as well.
 const USED: f64 = 0.85;
 
-/// VMs that the extra repeats are divided among, as long as their number is not known. More VMs
-/// than this together hold less than the extra, since each is left with at least one.
-const VMS: u32 = 24;
+/// VMs that the extra repeats are divided among at least. A VM that has met none of the others yet
+/// must not take what is theirs.
+const VMS: usize = 8;
 
 /// The budgets of all pools.
 #[derive(Debug)]
 pub struct Repeats {
-    config: retry::Config,
+    config: Retry,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    /// Repeats beyond the share that are this VM's.
+    extra: f64,
     /// Sorted by pool.
-    budgets: Mutex<Vec<(id::Pool, retry::Budget)>>,
+    windows: Vec<(id::Pool, Window)>,
 }
 
 impl Repeats {
     /// Budgets by the bounds that all VMs keep together.
     #[must_use]
-    pub fn new(bounds: Retry) -> Self {
-        let config = retry::Config {
-            share: bounds.share * USED,
-            cap: f64::from((bounds.extra / VMS).max(1)),
-            reserve: 0.0,
-            memory: bounds.window,
+    pub fn new(config: Retry) -> Self {
+        let state = State {
+            extra: part(config.extra, 0),
+            windows: Vec::new(),
         };
         Self {
             config,
-            budgets: Mutex::default(),
+            state: Mutex::new(state),
         }
     }
 
-    fn with<T>(&self, pool: &id::Pool, act: impl FnOnce(&mut retry::Budget) -> T) -> T {
-        let mut budgets = self.budgets.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = budgets.binary_search_by(|(known, _)| known.cmp(pool));
-        let place = place.unwrap_or_else(|place| {
-            let budget = retry::Budget::new(self.config);
-            budgets.insert(place, (pool.clone(), budget));
+    fn with<T>(&self, pool: &id::Pool, act: impl FnOnce(&mut Window) -> T) -> T {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let extra = state.extra;
+        let found = state.windows.binary_search_by(|(known, _)| known.cmp(pool));
+        let place = found.unwrap_or_else(|place| {
+            let bound = Bound {
+                share: self.config.share * USED,
+                extra,
+                span: self.config.window,
+            };
+            state
+                .windows
+                .insert(place, (pool.clone(), Window::new(bound)));
             place
         });
-        act(&mut budgets[place].1)
+        let window = &mut state.windows[place].1;
+        window.allow(extra);
+        act(window)
+    }
+
+    /// Takes the number of VMs that are known.
+    pub fn share_among(&self, vms: usize) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.extra = part(self.config.extra, vms);
     }
 
     /// Counts a request.
     pub fn arrived(&self, pool: &id::Pool, now: Moment) {
-        self.with(pool, |budget| budget.success(now));
+        self.with(pool, |window| window.request(now));
     }
 
     /// Takes a repeat out, if there is one.
     #[must_use]
     pub fn take(&self, pool: &id::Pool, now: Moment) -> bool {
-        self.with(pool, |budget| budget.withdraw(now))
+        self.with(pool, |window| window.take(now))
     }
 
     /// Whether a repeat could be paid for.
     #[must_use]
     pub fn affords(&self, pool: &id::Pool, now: Moment) -> bool {
-        self.with(pool, |budget| budget.affords(now))
+        self.with(pool, |window| window.affords(now))
     }
 }
+
+/// This VM's part of the extra repeats.
+fn part(extra: u32, vms: usize) -> f64 {
+    let vms = u32::try_from(vms.max(VMS)).unwrap_or(u32::MAX);
+    f64::from(extra) * USED / f64::from(vms)
+}
