Keep paces of models true where engines keep more than is known

Cause: after a restart of all VMs most prompts for the largest model were expected to be read within 8 ms. Engines kept parts that the new processes knew nothing of, each such prompt counted as a sample of the model's speed with weight 0.3, and the pace fell to nothing within ten prompts; it was then told to others. A second way to the same end: the first prompt of an unknown model was taken at its word even when it had waited.

Change: samples below a fifth of the estimate move it by a twentieth only, samples above twice raise it by 15%, and prompts that waited tell nothing. Parts count as kept once the first token has come, or while a prompt is about to be read there, no longer from sending on.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -75,9 +75,16 @@
 const DOWN: f64 = 0.3;
 const UP: f64 = 0.05;
 
-/// Weight of a sample of a prompt that had to wait: its own part of the time is only as good as the
-/// estimate of its wait. Without these a busy pool would keep to its first guess.
-const WAITED: f64 = 0.1;
+/// Times the estimate from which on a sample counts as FAR above it: fifteen such make up for an
+/// estimate that is seven times too low, the widest between the models of one pool.
+const ABOVE: f64 = 2.0;
+const FAR: f64 = 1.15;
+
+/// Share of the estimate below which a prompt's parts were kept and nobody here knew, as of all that
+/// came before a restart. Taken at their word, ten of them made the largest model look free, and all
+/// prompts went to it. Twenty in a row still bring down an estimate that is much too high.
+const BELOW: f64 = 0.2;
+const KEPT: f64 = 0.95;
 
 /// Prompts from this size on tell a speed; for shorter ones the steps of running answers outweigh
 /// their own reading.
@@ -99,6 +106,18 @@
     count * (1.0 + ATTENTION * before)
 }
 
+/// What an estimate becomes by a sample.
+fn follow(known: f64, sample: f64) -> f64 {
+    if sample < known * BELOW {
+        known * KEPT
+    } else if sample > known * ABOVE {
+        known * FAR
+    } else {
+        let weight = if sample < known { DOWN } else { UP };
+        known + weight * (sample - known)
+    }
+}
+
 impl Paces {
     /// Seconds for the first token of a prompt.
     #[must_use]
@@ -114,8 +133,8 @@
     }
 
     /// Learns from a prompt that was read in `took`, beside its wait.
-    fn learn(&mut self, pending: &Pending, took: Duration, alone: bool) {
-        let Pending { model, unread, .. } = *pending;
+    fn learn(&mut self, pending: &Pending, took: Duration) {
+        let (model, unread) = (pending.model, pending.unread);
         if unread < LEAST || took <= START {
             return;
         }
@@ -124,23 +143,16 @@
         match self.models.binary_search_by_key(&model, |(m, _)| *m) {
             Ok(place) => {
                 let known = &mut self.models[place].1;
-                let weight = match (alone, sample < *known) {
-                    (true, true) => DOWN,
-                    (true, false) => UP,
-                    (false, _) => WAITED,
-                };
-                *known += weight * (sample - *known);
+                *known = follow(*known, sample);
             }
-            Err(place) => self.models.insert(place, (model, sample)),
+            // The first tells the order of size, if its parts were not kept.
+            Err(place) if sample >= FIRST_PACE * BELOW => {
+                self.models.insert(place, (model, sample));
+            }
+            Err(_) => {}
         }
     }
 
-    /// Whether anything was learnt of a model.
-    fn knows(&self, model: u64) -> bool {
-        let found = self.models.binary_search_by_key(&model, |(m, _)| *m);
-        found.is_ok()
-    }
-
     /// Takes what another node learnt of models that are not known here.
     pub fn seed(&mut self, models: impl IntoIterator<Item = (u64, f64)>) {
         for (model, pace) in models {
@@ -167,10 +179,12 @@
 pub type Ticket = u64;
 
 /// A prompt that was sent and whose first token has not come.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 struct Pending {
     ticket: Ticket,
     model: u64,
+    /// Its parts, which the engine keeps once it has read them.
+    parts: Vec<(u64, Tokens)>,
     unread: Tokens,
     total: Tokens,
     work: Duration,
@@ -248,13 +262,20 @@
     }
 
     /// Tokens of a prompt that the engine would have to read: all from the first part on that it
-    /// does not keep.
+    /// neither keeps nor is to read before.
     #[must_use]
     pub fn unread(&self, prompt: &Prompt) -> Tokens {
-        let missing = prompt.keys().skip_while(|(key, _)| self.find(*key).is_ok());
+        let kept = |key: u64| self.find(key).is_ok() || self.awaits(key);
+        let missing = prompt.keys().skip_while(|(key, _)| kept(*key));
         missing.map(|(_, tokens)| tokens).sum()
     }
 
+    /// Whether a prompt that was sent and is not yet read has a part.
+    fn awaits(&self, part: u64) -> bool {
+        let mut parts = self.pending.iter().flat_map(|pending| &pending.parts);
+        parts.any(|(key, _)| *key == part)
+    }
+
     /// How long the prompts sent before take until they are read: those known of, and what prompts
     /// lately took beyond that.
     #[must_use]
@@ -309,6 +330,7 @@
         self.pending.push(Pending {
             ticket,
             model: prompt.model,
+            parts: prompt.keys().collect(),
             unread,
             total: prompt.tokens(),
             work,
@@ -316,12 +338,16 @@
             expected: wait + work,
             alone: wait <= IDLE,
         });
-        self.keep(prompt, now);
     }
 
-    /// Notes that the engine reads a prompt, sent by whomever.
+    /// Notes that the engine has read a prompt, sent by whomever.
     pub fn keep(&mut self, prompt: &Prompt, now: Moment) {
-        for (key, tokens) in prompt.keys() {
+        let parts: Vec<(u64, Tokens)> = prompt.keys().collect();
+        self.keep_parts(&parts, now);
+    }
+
+    fn keep_parts(&mut self, parts: &[(u64, Tokens)], now: Moment) {
+        for (key, tokens) in parts.iter().copied() {
             match self.find(key) {
                 Ok(place) => self.kept[place].used = now,
                 Err(place) => {
@@ -340,21 +366,21 @@
         }
     }
 
-    /// The first token of a call has come: its prompt is read.
+    /// The first token of a call has come: its prompt is read, and only now its parts are kept. Of a
+    /// call that was given up before, they may not be: taken for kept, they drew the next attempt to
+    /// an engine that was too full to read the first.
     pub fn read(&mut self, ticket: Ticket, paces: &mut Paces, now: Moment) {
         let Some(pending) = self.remove(ticket, now) else {
             return;
         };
+        self.keep_parts(&pending.parts, now);
         let took = now.since(pending.sent);
         let beyond = took.saturating_sub(pending.expected);
         let hidden = self.hidden(now);
         self.surplus = hidden.mul_f64(1.0 - SURPLUS) + beyond.mul_f64(SURPLUS);
         self.at = now;
-        let waited = pending.expected.saturating_sub(pending.work);
-        let first = !paces.knows(pending.model) && waited <= pending.work;
-        if pending.alone || first {
-            let own = took.saturating_sub(waited);
-            paces.learn(&pending, own, pending.alone);
+        if pending.alone {
+            paces.learn(&pending, took);
         }
     }
 
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -385,9 +385,9 @@
         };
         let mut shared = Vec::new();
         for (_, pool) in self.node.scheduler.pools() {
-            let sent = pool.sent();
-            news.reads.extend(sent.iter().map(Read::new));
-            shared.extend(sent.iter().filter_map(Read::shared));
+            let read = pool.read();
+            news.reads.extend(read.iter().map(Read::new));
+            shared.extend(read.iter().filter_map(Read::shared));
             let millis = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
             let waits = pool.waits().into_iter();
             news.waits
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -51,8 +51,8 @@
     placing: engine::Config,
     paces: engine::Paces,
     tickets: engine::Ticket,
-    /// Prompts sent since they were last told to other VMs.
-    sent: Vec<(u64, Prompt)>,
+    /// Prompts that engines read since they were last told to other VMs.
+    read: Vec<(u64, Prompt)>,
     turn: usize,
 }
 
@@ -70,7 +70,7 @@
             placing: engine::Config::default(),
             paces: engine::Paces::default(),
             tickets: 0,
-            sent: Vec::new(),
+            read: Vec::new(),
             turn: 0,
         }
     }
@@ -283,11 +283,9 @@
             self.tickets += 1;
             let fetched = source.is_some();
             engine.begin(self.tickets, prompt, placed.work, fetched, now);
-            if self.sent.len() < TOLD {
-                self.sent.push((seat.key, prompt.clone()));
-            }
             self.tickets
         });
+        let prompt = ticket.and(job.prompt.clone());
         let slot = Slot {
             endpoint: seat.member.endpoint.clone(),
             zone: seat.member.zone.clone(),
@@ -296,6 +294,7 @@
             dispatch: None,
             since: now,
             ticket,
+            prompt,
             source,
         };
         Some(Permit::new(Arc::clone(shared), slot))
@@ -394,8 +393,8 @@
         })
     }
 
-    pub fn sent(&mut self) -> Vec<(u64, Prompt)> {
-        std::mem::take(&mut self.sent)
+    pub fn read(&mut self) -> Vec<(u64, Prompt)> {
+        std::mem::take(&mut self.read)
     }
 
     pub fn waits(&self, now: Moment) -> Vec<(u64, Duration)> {
@@ -439,8 +438,15 @@
             .seats
             .iter_mut()
             .find(|s| s.member.endpoint == slot.endpoint);
-        if let Some(engine) = seat.and_then(|seat| seat.engine.as_mut()) {
-            engine.read(ticket, &mut self.paces, now);
+        let Some(seat) = seat else { return };
+        let Some(engine) = seat.engine.as_mut() else {
+            return;
+        };
+        engine.read(ticket, &mut self.paces, now);
+        if let Some(prompt) = &slot.prompt
+            && self.read.len() < TOLD
+        {
+            self.read.push((seat.key, prompt.clone()));
         }
     }
 
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -26,6 +26,8 @@
     pub since: Moment,
     /// Its prompt at an engine.
     pub ticket: Option<engine::Ticket>,
+    /// The prompt itself.
+    pub prompt: Option<engine::Prompt>,
     /// The engine that it fetches kept parts of the prompt from.
     pub source: Option<SocketAddr>,
 }
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -172,10 +172,10 @@
         self.shared.lock().holds(version)
     }
 
-    /// Prompts sent since the last call, each with the key of its engine, for other VMs.
+    /// Prompts that engines read since the last call, each with the key of its engine, for other VMs.
     #[must_use]
-    pub fn sent(&self) -> Vec<(u64, Prompt)> {
-        self.shared.lock().sent()
+    pub fn read(&self) -> Vec<(u64, Prompt)> {
+        self.shared.lock().read()
     }
 
     /// How long each engine takes for this VM's prompts, for other VMs; only those that take time.
@@ -191,7 +191,7 @@
         self.shared.lock().hear(node, waits, now);
     }
 
-    /// Another VM sent a prompt to an engine, which keeps its parts from now on.
+    /// An engine read another VM's prompt and keeps its parts from now on.
     pub fn learn(&self, engine: u64, prompt: &Prompt) {
         let now = self.shared.clock.now();
         self.shared.lock().learn(engine, prompt, now);
