Tell each decision about a request in lines with fields, and serve metrics

Cause: lines had no request's id, inputs or ages in fields, were written on the thread that serves (a full pipe would have stopped it), had no bound on their number, and metrics were settings without a page behind them.

Ruled out: logforth's own standard output, which blocks; a task in place of a thread, since the pipe would have to be made non-blocking for whoever shares it.

--- /dev/null
+++ b/crates/logs/src/append.rs
@@ -0,0 +1,61 @@
+//! The queue as `logforth` sees it.
+
+use std::sync::Arc;
+
+use logforth::Append;
+use logforth::Diagnostic;
+use logforth::Error;
+use logforth::Layout;
+use logforth::kv::Key;
+use logforth::kv::Value;
+use logforth::kv::Visitor;
+use logforth::record::Level;
+use logforth::record::Record;
+use pimento_units::Moment;
+
+use crate::budget::Weight;
+use crate::queue::Queue;
+
+/// A clock that does not jump.
+pub type Clock = fn() -> Moment;
+
+/// Queues lines.
+#[derive(Debug)]
+pub struct Queued {
+    pub queue: Arc<Queue>,
+    pub layout: Box<dyn Layout>,
+    pub clock: Clock,
+}
+
+fn weight(level: Level) -> Weight {
+    if level >= Level::Warn {
+        Weight::Grave
+    } else {
+        Weight::Plain
+    }
+}
+
+impl Append for Queued {
+    fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        if self.queue.admits(weight(record.level()), (self.clock)()) {
+            self.queue.push(&self.layout.format(record, diags)?);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Adds a time to each line that orders the lines of a VM also where its time of day jumps.
+#[derive(Debug)]
+pub struct Steady(pub Clock);
+
+impl Diagnostic for Steady {
+    fn visit(&self, visitor: &mut dyn Visitor) -> Result<(), Error> {
+        let millis = (self.0)().nanos() / 1_000_000;
+        let key = Key::new("steady_ms");
+        visitor.visit(key.view(), Value::u64(millis).view())
+    }
+}
--- /dev/null
+++ b/crates/logs/src/queue.rs
@@ -0,0 +1,186 @@
+//! Lines that wait to be written.
+
+use std::io::Write;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+use std::time::Instant;
+
+use pimento_units::Moment;
+
+use crate::budget::Budget;
+use crate::budget::Weight;
+
+/// Bytes that wait at most, about a thousand lines. The smallest VMs have 88 MB for all.
+const WAITING: usize = 256 << 10;
+
+/// How long lines are gathered before they are written together. Each write is a wake-up of a thread
+/// and a system call, and a reader of logs doesn't mind a twentieth of a second.
+const GATHER: Duration = Duration::from_millis(50);
+
+/// Lines that were left out since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeftOut {
+    /// Since there were too many.
+    pub budget: u64,
+    /// Since nobody read them in time, or the output failed.
+    pub unread: u64,
+}
+
+impl LeftOut {
+    const fn sum(self) -> u64 {
+        self.budget + self.unread
+    }
+}
+
+#[derive(Debug)]
+struct State {
+    bytes: Vec<u8>,
+    budget: Budget,
+    left_out: LeftOut,
+    /// What of it the output was told.
+    told: u64,
+    /// Bytes were taken out and are not written yet.
+    writing: bool,
+    closed: bool,
+}
+
+/// A bounded queue of lines.
+#[derive(Debug)]
+pub struct Queue {
+    state: Mutex<State>,
+    filled: Condvar,
+    written: Condvar,
+}
+
+impl Queue {
+    /// An empty one.
+    #[must_use]
+    pub const fn new(now: Moment) -> Self {
+        let state = State {
+            bytes: Vec::new(),
+            budget: Budget::new(now),
+            left_out: LeftOut {
+                budget: 0,
+                unread: 0,
+            },
+            told: 0,
+            writing: false,
+            closed: false,
+        };
+        Self {
+            state: Mutex::new(state),
+            filled: Condvar::new(),
+            written: Condvar::new(),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether a line may be made now; counts one that may not. Asked before the line is formatted,
+    /// which is most of its cost.
+    #[must_use]
+    pub fn admits(&self, weight: Weight, now: Moment) -> bool {
+        let mut state = self.lock();
+        if state.bytes.len() >= WAITING {
+            state.left_out.unread += 1;
+            return false;
+        }
+        let admitted = state.budget.take(weight, now);
+        if !admitted {
+            state.left_out.budget += 1;
+        }
+        admitted
+    }
+
+    /// Adds a line, without its end.
+    pub fn push(&self, line: &[u8]) {
+        let mut state = self.lock();
+        if state.bytes.len() + line.len() > WAITING {
+            state.left_out.unread += 1;
+            return;
+        }
+        let first = state.bytes.is_empty();
+        state.bytes.extend_from_slice(line);
+        state.bytes.push(b'\n');
+        drop(state);
+        if first {
+            self.filled.notify_one();
+        }
+    }
+
+    /// Lines that were left out.
+    #[must_use]
+    pub fn left_out(&self) -> LeftOut {
+        self.lock().left_out
+    }
+
+    /// Writes lines as they come, until the queue is closed. `missing` makes the line that says how
+    /// many are missing.
+    pub fn write(&self, mut output: impl Write, missing: impl Fn(u64) -> Vec<u8>) {
+        while let Some((bytes, left_out)) = self.take() {
+            let mut written = output.write_all(&bytes);
+            if left_out > 0 {
+                let mut line = missing(left_out);
+                line.push(b'\n');
+                written = written.and_then(|()| output.write_all(&line));
+            }
+            let written = written.and_then(|()| output.flush());
+            let mut state = self.lock();
+            if written.is_err() {
+                // There is nowhere to say so but in the count.
+                let lines = bytes.split(|byte| *byte == b'\n').count() - 1;
+                state.left_out.unread += lines as u64;
+            }
+            state.writing = false;
+            drop(state);
+            self.written.notify_all();
+        }
+    }
+
+    /// Waits for lines; none once the queue is closed and empty.
+    fn take(&self) -> Option<(Vec<u8>, u64)> {
+        let mut state = self.lock();
+        while state.bytes.is_empty() && !state.closed {
+            let waited = self.filled.wait(state);
+            state = waited.unwrap_or_else(PoisonError::into_inner);
+        }
+        if state.bytes.is_empty() {
+            return None;
+        }
+        if !state.closed {
+            drop(state);
+            std::thread::sleep(GATHER);
+            state = self.lock();
+        }
+        state.writing = true;
+        let left_out = state.left_out.sum() - state.told;
+        state.told += left_out;
+        Some((std::mem::take(&mut state.bytes), left_out))
+    }
+
+    /// Ends [`write`](Self::write) once all is written.
+    pub fn close(&self) {
+        self.lock().closed = true;
+        self.filled.notify_one();
+    }
+
+    /// Waits until all lines are written, or for `most`. Whether they are.
+    pub fn flush(&self, most: Duration) -> bool {
+        let until = Instant::now() + most;
+        let mut state = self.lock();
+        while !state.bytes.is_empty() || state.writing {
+            let left = until.saturating_duration_since(Instant::now());
+            if left.is_zero() {
+                return false;
+            }
+            let waited = self.written.wait_timeout(state, left);
+            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/logs/src/start.rs
@@ -0,0 +1,135 @@
+//! Setting up the process's logger.
+
+use std::io;
+use std::io::Write;
+use std::str::FromStr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
+
+use log::LevelFilter;
+use logforth::Layout;
+use logforth::layout::JsonLayout;
+use logforth::layout::TextLayout;
+
+use crate::append::Clock;
+use crate::append::Queued;
+use crate::append::Steady;
+use crate::queue::LeftOut;
+use crate::queue::Queue;
+
+/// How long [`flush`] waits. A process that ends has a grace of seconds, of which its requests need
+/// nearly all.
+const LAST: Duration = Duration::from_millis(300);
+
+/// The form of lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Format {
+    /// For people.
+    Text,
+    /// One object a line, for machines.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            other => Err(format!("{other:?} is neither text nor json")),
+        }
+    }
+}
+
+/// Where lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Stdout,
+    /// Standard error, for programs whose output is their result.
+    Stderr,
+}
+
+/// How lines are written.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Their form.
+    pub format: Format,
+    /// The least level.
+    pub level: LevelFilter,
+    /// Where they go.
+    pub output: Output,
+    /// A clock that does not jump, whose time stands in each line beside the time of day.
+    pub clock: Clock,
+}
+
+static QUEUE: OnceLock<Arc<Queue>> = OnceLock::new();
+
+/// Makes this the process's logger. A second start changes nothing.
+///
+/// # Errors
+///
+/// If the thread that writes can't be started.
+pub fn start(settings: Settings) -> io::Result<()> {
+    let queue = Arc::new(Queue::new((settings.clock)()));
+    if QUEUE.set(Arc::clone(&queue)).is_err() {
+        return Ok(());
+    }
+    let layout: Box<dyn Layout> = match settings.format {
+        Format::Text => Box::new(TextLayout::default()),
+        Format::Json => Box::new(JsonLayout::default()),
+    };
+    let writer = Arc::clone(&queue);
+    let output: Box<dyn Write + Send> = match settings.output {
+        Output::Stdout => Box::new(io::stdout()),
+        Output::Stderr => Box::new(io::stderr()),
+    };
+    thread::Builder::new()
+        .name("logs".into())
+        .spawn(move || writer.write(output, |count| missing(settings.format, count)))?;
+    let append = Queued {
+        queue,
+        layout,
+        clock: settings.clock,
+    };
+    let builder = logforth::starter_log::builder();
+    let builder = builder.dispatch(|dispatch| {
+        let dispatch = dispatch.diagnostic(Steady(settings.clock));
+        dispatch.append(append)
+    });
+    if builder.try_apply().is_ok() {
+        log::set_max_level(settings.level);
+    }
+    Ok(())
+}
+
+/// The line that says how many are missing.
+fn missing(format: Format, count: u64) -> Vec<u8> {
+    match format {
+        Format::Text => format!("logs: {count} lines left out.").into_bytes(),
+        Format::Json => serde_json::json!({
+            "level": "WARN",
+            "message": "logs: Lines left out.",
+            "kvs": {"lines": count},
+        })
+        .to_string()
+        .into_bytes(),
+    }
+}
+
+/// Waits a moment for what is queued to be written. Whether it is.
+pub fn flush() -> bool {
+    QUEUE.get().is_none_or(|queue| queue.flush(LAST))
+}
+
+/// Lines that were left out since the start.
+#[must_use]
+pub fn left_out() -> LeftOut {
+    QUEUE
+        .get()
+        .map(|queue| queue.left_out())
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/logs/tests/queue.rs
@@ -0,0 +1,143 @@
+//! The queue of lines under floods, with an output that nobody reads, and one that fails.
+
+use std::io;
+use std::io::Write;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use pimento_logs::Budget;
+use pimento_logs::Queue;
+use pimento_logs::budget::Weight;
+use pimento_units::Moment;
+
+/// Longer than anything here takes.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const LINE: &[u8; 100] = &[b'x'; 100];
+
+/// An output that takes nothing until it is opened.
+#[derive(Debug, Clone, Default)]
+struct Pipe {
+    shared: Arc<(Mutex<State>, Condvar)>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    open: bool,
+    bytes: Vec<u8>,
+}
+
+impl Pipe {
+    fn open(&self) {
+        self.shared.0.lock().unwrap().open = true;
+        self.shared.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.shared.0.lock().unwrap().bytes.clone()).unwrap()
+    }
+}
+
+impl Write for Pipe {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let state = self.shared.0.lock().unwrap();
+        let mut state = self.shared.1.wait_while(state, |s| !s.open).unwrap();
+        state.bytes.extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+fn missing(count: u64) -> Vec<u8> {
+    format!("missing {count}").into_bytes()
+}
+
+fn start(queue: &Arc<Queue>, output: impl Write + Send + 'static) -> thread::JoinHandle<()> {
+    let queue = Arc::clone(queue);
+    thread::spawn(move || queue.write(output, missing))
+}
+
+/// Whoever reads the program's output stops reading. The pipe fills, the writing thread hangs, and
+/// the program must neither wait nor grow: lines are left out. When reading goes on, a line says how
+/// many are missing, and later lines come again.
+#[test]
+fn an_output_that_nobody_reads_holds_nobody_up() {
+    let queue = Arc::new(Queue::new(Moment::ZERO));
+    let pipe = Pipe::default();
+    let writer = start(&queue, pipe.clone());
+    let pushed: u64 = 50_000;
+    for _ in 0..pushed {
+        queue.push(LINE);
+    }
+    let lost = queue.left_out().unread;
+    assert!(lost > 0, "everything fitted");
+    pipe.open();
+    assert!(queue.flush(PATIENCE));
+    queue.push(b"after");
+    queue.close();
+    writer.join().unwrap();
+    let text = pipe.text();
+    let whole = text.lines().filter(|line| line.as_bytes() == LINE).count();
+    assert_eq!(whole as u64 + lost, pushed);
+    let missing: u64 = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("missing "))
+        .map(|count| count.parse::<u64>().unwrap())
+        .sum();
+    assert_eq!(missing, lost);
+    assert!(text.lines().any(|line| line == "after"));
+}
+
+/// The output is closed for good: lines are counted as lost, and nobody hears of it otherwise.
+#[test]
+fn lines_to_a_closed_output_are_counted() {
+    struct Closed;
+    impl Write for Closed {
+        fn write(&mut self, _: &[u8]) -> io::Result<usize> {
+            Err(io::ErrorKind::BrokenPipe.into())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let queue = Arc::new(Queue::new(Moment::ZERO));
+    let writer = start(&queue, Closed);
+    queue.push(b"one");
+    queue.push(b"two");
+    assert!(queue.flush(PATIENCE));
+    queue.close();
+    writer.join().unwrap();
+    assert_eq!(queue.left_out().unread, 2);
+}
+
+/// A flood of requests makes more lines than the budget has. Those of single requests are left out
+/// and counted, while warnings still come through.
+#[test]
+fn a_flood_leaves_room_for_warnings() {
+    let queue = Queue::new(Moment::ZERO);
+    let plain = (0..10_000).filter(|_| queue.admits(Weight::Plain, Moment::ZERO));
+    let plain = plain.count();
+    assert!(plain < 1_000, "{plain} lines at once");
+    assert_eq!(queue.left_out().budget, 10_000 - plain as u64);
+    let grave = (0..100).filter(|_| queue.admits(Weight::Grave, Moment::ZERO));
+    assert_eq!(grave.count(), 100);
+}
+
+/// Over a long time the budget lets through what it names, whatever the times of the lines.
+#[test]
+fn the_budget_refills_with_time() {
+    let mut budget = Budget::new(Moment::ZERO);
+    let mut taken: u32 = 0;
+    for step in 0..100_000_u64 {
+        let now = Moment::ZERO + Duration::from_millis(step);
+        taken += u32::from(budget.take(Weight::Plain, now));
+    }
+    // 100 s at 400 lines a second, and what the bucket held at first.
+    assert!((39_900..=40_800).contains(&taken), "{taken} lines");
+}
--- a/crates/policy/src/retry.rs
+++ b/crates/policy/src/retry.rs
@@ -148,15 +148,21 @@
         self.pieces[place].0 = self.pieces[place].0.saturating_add(1);
     }
 
-    /// Whether a repeat is within the bound.
+    /// Repeats that are within the bound.
     #[must_use]
-    pub fn affords(&mut self, now: Moment) -> bool {
+    pub fn left(&mut self, now: Moment) -> f64 {
         self.turn(now);
         let sums = self.pieces.iter().fold((0.0, 0.0), |sums, piece| {
             (sums.0 + f64::from(piece.0), sums.1 + f64::from(piece.1))
         });
         let (requests, repeats) = sums;
-        repeats + 1.0 <= requests * self.bound.share + self.bound.extra
+        requests * self.bound.share + self.bound.extra - repeats
+    }
+
+    /// Whether a repeat is within the bound.
+    #[must_use]
+    pub fn affords(&mut self, now: Moment) -> bool {
+        self.left(now) >= 1.0
     }
 
     /// Takes a repeat, if it is within the bound.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -27,6 +27,7 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::node::Node;
+use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::rollouts::Seen;
@@ -168,7 +169,11 @@
             // Dropping this future takes the job out of the queue, so that nothing is cancelled by
             // token.
             let gone = CancellationToken::new();
+            let asked = self.node.now();
             let permit = pool.acquire(self.job(variant), &gone).await;
+            let waited = self.node.now().since(asked);
+            let route = &self.request.grant.route.name;
+            self.node.metrics.queued(route, waited);
             let permit = permit.map_err(|refused| self.refuse(refused.into()))?;
             if self.node.usable(permit.endpoint()) && !self.withdrawn(&permit) {
                 return Ok(permit);
@@ -187,6 +192,44 @@
         self.node.rollouts(|r| r.bad(&self.request.pool, version))
     }
 
+    /// Tells what became of an attempt.
+    fn tell(&self, permit: &Permit, fault: &Fault, what: &str) {
+        let took = self.node.now().since(self.state.began);
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            endpoint = permit.endpoint().as_str(),
+            fault:%,
+            attempt = self.state.sent,
+            runs = self.state.runs,
+            took_ms = millis(took),
+            left_ms = millis(self.request.left(self.node.now()));
+            "{what}"
+        );
+    }
+
+    /// Tells where the request goes, and by what.
+    fn sent(&self, permit: &Permit, variant: &Variant) {
+        let request = self.request;
+        let belief = self.node.belief();
+        let now = self.node.now();
+        log::info!(
+            request = request.ask.id.as_str(),
+            route = request.grant.route.name.as_str(),
+            endpoint = permit.endpoint().as_str(),
+            zone = permit.zone().as_str(),
+            version = permit.version().map(id::Version::as_str),
+            model = variant.model.as_ref().map(id::Version::as_str),
+            resume = variant.resume,
+            attempt = self.state.sent,
+            since_ms = millis(now.since(request.began)),
+            left_ms = millis(request.left(now)),
+            configuration = belief.configuration,
+            configuration_age_ms = belief.configuration_age.map(millis),
+            endpoints_age_ms = belief.endpoints_age.map(millis);
+            "attempt: Sent."
+        );
+    }
+
     /// Counts an endpoint that did not run the request.
     fn count(&mut self) -> Result<(), Refusal> {
         self.state.asked += 1;
@@ -198,11 +241,8 @@
     }
 
     fn not_run(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
-        log::info!(
-            "attempt: {} not run by {}: {fault}.",
-            self.request.ask.id,
-            permit.endpoint()
-        );
+        self.tell(&permit, fault, "attempt: Not run by the endpoint.");
+        self.node.metrics.attempt(&self.request.pool, "not_run");
         self.state.tried.push(permit.endpoint().clone());
         permit.failed(fault);
         self.count()
@@ -233,6 +273,7 @@
         self.state.runs += 1;
         self.state.began = self.node.now();
         self.note(&permit);
+        self.sent(&permit, variant);
         let left = self.request.left(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(message)).await;
         let fault = match sent {
@@ -289,6 +330,8 @@
         } else {
             self.waited()
         };
+        let result = if failed { "failed" } else { "answered" };
+        self.node.metrics.attempt(&self.request.pool, result);
         self.seen(permit, outcome);
     }
 
@@ -312,11 +355,8 @@
     ///
     /// A [`Refusal`] if no further attempt may be made.
     pub fn broken(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
-        log::info!(
-            "attempt: {} broken off by {}: {fault}.",
-            self.request.ask.id,
-            permit.endpoint()
-        );
+        self.tell(&permit, fault, "attempt: No answer that can be used.");
+        self.node.metrics.attempt(&self.request.pool, "broken");
         self.state.tried.push(permit.endpoint().clone());
         permit.failed(fault);
         if self.again() {
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use pimento_policy::choice;
 use pimento_policy::confidence;
@@ -14,6 +15,7 @@
 use crate::border::Border;
 use crate::border::Wish;
 use crate::codec::Codec;
+use crate::node::millis;
 use crate::topic::Log;
 use crate::work::Work;
 
@@ -77,6 +79,10 @@
     choice::key(model.as_str())
 }
 
+fn waits(times: impl Iterator<Item = Duration>) -> Vec<u64> {
+    times.map(millis).collect()
+}
+
 /// The larger model to drop an answer for; none if the answer is passed on. `dropped` is the answer
 /// that was dropped before.
 pub fn larger<P: Border + Codec, L: Log>(
@@ -105,8 +111,8 @@
         confidence,
         began: request.began,
         target: request.grant.route.target,
-        full: std::time::Duration::ZERO,
-        next: std::time::Duration::ZERO,
+        full: Duration::ZERO,
+        next: Duration::ZERO,
     };
     for (rank, larger) in models.iter().enumerate().skip(place + 1) {
         let next = Variant {
@@ -126,10 +132,19 @@
     }
     let now = attempts.node().now();
     let chosen = book.config.choose(&answer, &candidates, &seen, now);
+    let named = |place: usize| models.get(place).map(id::Version::as_str);
     log::info!(
-        "cascade: {}: {answer:?}, {candidates:?}: {chosen:?}.",
-        request.ask.id
+        request = request.ask.id.as_str(),
+        model = model.as_str(),
+        confidence,
+        since_ms = millis(now.since(request.began)),
+        waits_ms:? = waits(candidates.iter().map(|larger| larger.wait)),
+        reads_ms:? = waits(candidates.iter().map(|larger| larger.work)),
+        next_ms = millis(answer.next),
+        larger = chosen.and_then(|chosen| named(place + 1 + chosen));
+        "cascade: Weighed larger models."
     );
+    attempts.node().metrics.step(model, chosen.is_some());
     let larger = models.get(place + 1 + chosen?)?;
     *dropped = Some(Dropped {
         model: key(model),
--- a/crates/relay/src/chain.rs
+++ b/crates/relay/src/chain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use http_body_util::BodyExt;
 use http_body_util::Limited;
 use hyper::Request;
@@ -10,14 +11,18 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::http::request;
+use pimento_scheduler::Clock;
 use pimento_serve::Limits;
 use pimento_serve::Reply;
 use pimento_serve::Serve;
+use pimento_units::Moment;
 
 use crate::admit;
+use crate::border::Ask;
 use crate::border::Border;
 use crate::codec::Codec;
 use crate::node::Node;
+use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::stream;
@@ -49,13 +54,25 @@
 
 impl<P: Border + Codec, L: Log> Serve for Callers<P, L> {
     async fn serve(&self, request: Request<Incoming>) -> Response<Reply> {
-        match answer(&self.0, request).await {
-            Ok(response) => response,
-            Err(refusal) => {
-                log::info!("request: Refused, {}, {:?}.", refusal.cause, refusal.after);
-                refusal.response()
+        let node = &self.0;
+        let began = node.now();
+        let (head, body) = request.into_parts();
+        let ask = match node.platform.ask(&head) {
+            Ok(ask) => ask,
+            Err(error) => {
+                let refusal = Refusal::new(Cause::BadHead);
+                log::info!(path = head.uri.path(), error:%; "request: Head not read.");
+                node.metrics.refused(&refusal);
+                return refusal.response();
             }
-        }
+        };
+        let mut story = Story::new(ask.id.clone(), began, node.clock);
+        let answer = answer(node, (head, body), ask, began).await;
+        story.told = true;
+        answer.unwrap_or_else(|refusal| {
+            story.refused(node, &refusal);
+            refusal.response()
+        })
     }
 
     fn limits(&self) -> Limits {
@@ -70,16 +87,62 @@
     }
 }
 
+/// Tells of a request that gets no answer: it was refused, or its caller left while it waited, which
+/// drops this without a word.
+struct Story {
+    id: CompactString,
+    began: Moment,
+    clock: Clock,
+    told: bool,
+}
+
+impl Story {
+    const fn new(id: CompactString, began: Moment, clock: Clock) -> Self {
+        Self {
+            id,
+            began,
+            clock,
+            told: false,
+        }
+    }
+
+    fn took(&self) -> u64 {
+        millis(self.clock.now().since(self.began))
+    }
+
+    fn refused<P: Border + Codec, L: Log>(&self, node: &Node<P, L>, refusal: &Refusal) {
+        node.metrics.refused(refusal);
+        let belief = node.belief();
+        log::info!(
+            request = self.id.as_str(),
+            cause = refusal.cause.as_str(),
+            status = refusal.status().as_u16(),
+            may_have_run = refusal.ran,
+            retry_after_ms = refusal.after.map(millis),
+            took_ms = self.took(),
+            configuration = belief.configuration,
+            configuration_age_ms = belief.configuration_age.map(millis),
+            endpoints_age_ms = belief.endpoints_age.map(millis);
+            "request: Refused."
+        );
+    }
+}
+
+impl Drop for Story {
+    fn drop(&mut self) {
+        if !self.told {
+            let (request, took_ms) = (self.id.as_str(), self.took());
+            log::info!(request, took_ms; "request: The caller left before its answer.");
+        }
+    }
+}
+
 async fn answer<P: Border + Codec, L: Log>(
     node: &Node<P, L>,
-    request: Request<Incoming>,
+    (head, body): (request::Parts, Incoming),
+    ask: Ask,
+    began: Moment,
 ) -> Result<Response<Reply>, Refusal> {
-    let began = node.now();
-    let (head, body) = request.into_parts();
-    let ask = node.platform.ask(&head).map_err(|error| {
-        log::info!("request: Head not read: {error}.");
-        Refusal::new(Cause::BadHead)
-    })?;
     let grant = admit::admit(node, &ask, head.uri.path()).await?;
     let limits = *grant.table.limits();
     if bytes(&head) > limits.head {
@@ -134,7 +197,7 @@
             Err(Refusal::new(Cause::LargeBody))
         }
         Ok(Err(error)) => {
-            log::info!("request: Body not read: {error}.");
+            log::info!(error:%; "request: Body not read.");
             Err(Refusal::new(Cause::BadBody))
         }
         Err(_) => Err(Refusal::new(Cause::SlowBody)),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -94,12 +94,14 @@
             return false;
         }
         if known.is_none_or(|member| member.entry.leaving != entry.leaving) {
-            let does = if entry.leaving { "leaves" } else { "is there" };
             log::info!(
-                "directory: {} of {} {does}, version {}, offset {offset}.",
-                entry.id,
-                entry.pool,
-                entry.version
+                topic = "endpoints",
+                offset = offset.0,
+                endpoint = entry.id.as_str(),
+                pool = entry.pool.as_str(),
+                version = entry.version.as_str(),
+                leaving = entry.leaving;
+                "directory: Endpoint registered."
             );
         }
         self.put(entry);
@@ -122,11 +124,14 @@
         let renewal = self.regained.map(|regained| regained + RENEWAL);
         match renewal.filter(|until| told.at < *until) {
             Some(until) if !self.members[place].entry.leaving => {
-                log::info!("directory: The entry of {id} vanished while the log was out.");
+                log::info!(
+                    endpoint = id.as_str();
+                    "directory: The entry vanished while the log was out, kept for a moment."
+                );
                 self.members[place].until = Some(until);
             }
             _ => {
-                log::info!("directory: {id} is gone.");
+                log::info!(endpoint = id.as_str(); "directory: Endpoint gone.");
                 self.members.remove(place);
             }
         }
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -270,7 +270,7 @@
         inner.proven = inner.proven.max(Some(proof.stamp));
         // The log is back as of now, and not only when this VM next reads it: until then an endpoint
         // that leaves would count as one whose entry the outage had ended.
-        inner.regain(boot::now());
+        self.regain(&mut inner, boot::now());
     }
 
     /// Tells of each change of the view.
@@ -396,7 +396,7 @@
         let mut inner = self.lock();
         let mut changed = false;
         let snapshot = inner.next.is_none();
-        inner.regain(now);
+        self.regain(&mut inner, now);
         for record in &batch.records {
             changed |= inner.apply(record, now);
         }
@@ -423,6 +423,15 @@
         whole
     }
 
+    /// Notes that a read was answered, here or at a VM that vouches for this one.
+    fn regain(&self, inner: &mut Inner<F>, now: Moment) {
+        if inner.touch.is_none() {
+            inner.touch = Some(now);
+            inner.fold.touch(Touch::Regained(now));
+            log::info!(topic = self.topic.as_str(); "follower: The log is in touch.");
+        }
+    }
+
     fn stumble(&self, gait: Gait) {
         let now = boot::now();
         let mut inner = self.lock();
@@ -431,19 +440,12 @@
             .is_none_or(|proven| now.since(proven) > OUT_OF_TOUCH + gait.wait + gait.pause);
         if silent && inner.touch.take().is_some() {
             inner.fold.touch(Touch::Lost);
-            log::warn!("follower: {} is out of touch.", self.topic.as_str());
+            log::warn!(topic = self.topic.as_str(); "follower: The log is out of touch.");
         }
     }
 }
 
 impl<F: Fold> Inner<F> {
-    fn regain(&mut self, now: Moment) {
-        if self.touch.is_none() {
-            self.touch = Some(now);
-            self.fold.touch(Touch::Regained(now));
-        }
-    }
-
     /// Applies a record unless a newer one of its key was seen: pages of the newest records are no
     /// snapshot, and two reads may overlap.
     fn apply(&mut self, record: &Record, now: Moment) -> bool {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,13 +20,13 @@
 pub mod events;
 pub mod fleet;
 pub mod follow;
+mod metrics;
 mod neighbours;
 pub mod node;
 pub mod operators;
 mod pools;
 pub mod refusal;
 pub mod repeats;
-
 pub mod rollouts;
 pub mod run;
 pub mod sessions;
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,329 @@
+//! Counters and histograms of an entry VM, with a bounded number of series.
+
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use compact_str::CompactString;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use pimento_scheduler::Scheduler;
+use pimento_serve::Reply;
+use pimento_serve::Serve;
+use pimento_units::id;
+use prometheus::Encoder;
+use prometheus::GaugeVec;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+use crate::border::Border;
+use crate::codec::Codec;
+use crate::node::Node;
+use crate::refusal::Refusal;
+use crate::topic::Log;
+
+/// Bounds of latency histograms in seconds: the targets for a first event and for a whole answer of
+/// a plain service are 0.3 to 3 s, around which the steps are finest; streams last up to half a
+/// minute.
+const LATENCY: [f64; 14] = [
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 1.5, 2.0, 4.0, 10.0, 30.0,
+];
+
+/// Routes with series of their own. A configuration may have hundreds; a scrape of so many would be
+/// half a megabyte.
+const ROUTES: usize = 16;
+
+/// The label of all routes past those.
+const OTHERS: &str = "other";
+
+/// Where the text is served.
+const PATH: &str = "/metrics";
+
+/// All metrics.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Routes with series of their own, sorted.
+    routes: Mutex<Vec<CompactString>>,
+    answers: IntCounterVec,
+    refusals: IntCounterVec,
+    attempts: IntCounterVec,
+    cascade: IntCounterVec,
+    first: HistogramVec,
+    last: HistogramVec,
+    queued: HistogramVec,
+    pools: GaugeVec,
+    ages: GaugeVec,
+    rollouts: GaugeVec,
+    log_lines: GaugeVec,
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    let vec = GaugeVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn histogram(registry: &Registry, name: &str, help: &str) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(LATENCY.to_vec());
+    let vec = HistogramVec::new(options, &["route"]);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+fn register(registry: &Registry, metric: &(impl prometheus::core::Collector + Clone + 'static)) {
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("each name is registered once");
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let registry = Registry::new();
+        let r = &registry;
+        Self {
+            answers: counter(
+                r,
+                "pimento_answers_total",
+                "Answers of endpoints that were passed on, by route and how they ended",
+                &["route", "end"],
+            ),
+            refusals: counter(
+                r,
+                "pimento_refusals_total",
+                "Requests that got no answer of an endpoint, by cause and whether they may have run",
+                &["cause", "run"],
+            ),
+            attempts: counter(
+                r,
+                "pimento_attempts_total",
+                "Attempts at endpoints, by pool and how they ended",
+                &["pool", "result"],
+            ),
+            cascade: counter(
+                r,
+                "pimento_cascade_total",
+                "First answers with a confidence, by model and whether they were dropped for a \
+                 larger one",
+                &["model", "result"],
+            ),
+            first: histogram(
+                r,
+                "pimento_first_byte_seconds",
+                "Time from a request's head to its answer's head",
+            ),
+            last: histogram(
+                r,
+                "pimento_last_byte_seconds",
+                "Time from a request's head to the end of its answer",
+            ),
+            queued: histogram(
+                r,
+                "pimento_queue_wait_seconds",
+                "Time that an attempt waited for a slot",
+            ),
+            pools: gauge(
+                r,
+                "pimento_pool",
+                "Jobs waiting, calls in flight, slots, endpoints usable and ejected, repeats left, by \
+                 pool",
+                &["pool", "figure"],
+            ),
+            ages: gauge(
+                r,
+                "pimento_view_age_seconds",
+                "Time since a topic's view was last known to be current",
+                &["topic"],
+            ),
+            rollouts: gauge(
+                r,
+                "pimento_rollout_evidence",
+                "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
+                &["pool", "outcome"],
+            ),
+            log_lines: gauge(
+                r,
+                "pimento_log_lines_left_out",
+                "Log lines left out since the start, by reason",
+                &["reason"],
+            ),
+            routes: Mutex::default(),
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// The label of a route.
+    fn label(&self, route: &CompactString) -> CompactString {
+        let mut known = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
+        match known.binary_search(route) {
+            Ok(_) => route.clone(),
+            Err(place) if known.len() < ROUTES => {
+                known.insert(place, route.clone());
+                route.clone()
+            }
+            Err(_) => OTHERS.into(),
+        }
+    }
+
+    /// Counts the head of an answer on its way to a caller.
+    pub fn began(&self, route: &CompactString, took: Duration) {
+        let label = self.label(route);
+        let first = self.first.with_label_values(&[label.as_str()]);
+        first.observe(took.as_secs_f64());
+    }
+
+    /// Counts the end of an answer.
+    pub fn ended(&self, route: &CompactString, end: &str, took: Duration) {
+        let label = self.label(route);
+        let last = self.last.with_label_values(&[label.as_str()]);
+        last.observe(took.as_secs_f64());
+        self.answers.with_label_values(&[label.as_str(), end]).inc();
+    }
+
+    /// Counts a request that got no answer of an endpoint.
+    pub fn refused(&self, refusal: &Refusal) {
+        let run = if refusal.ran { "unknown" } else { "not_run" };
+        let labels = [refusal.cause.as_str(), run];
+        self.refusals.with_label_values(&labels).inc();
+    }
+
+    /// Counts an attempt.
+    pub fn attempt(&self, pool: &id::Pool, result: &str) {
+        let labels = [pool.as_str(), result];
+        self.attempts.with_label_values(&labels).inc();
+    }
+
+    /// Counts a wait for a slot.
+    pub fn queued(&self, route: &CompactString, waited: Duration) {
+        let label = self.label(route);
+        let queued = self.queued.with_label_values(&[label.as_str()]);
+        queued.observe(waited.as_secs_f64());
+    }
+
+    /// Counts a decision of the cascade.
+    pub fn step(&self, model: &id::Version, dropped: bool) {
+        let result = if dropped { "dropped" } else { "kept" };
+        let labels = [model.as_str(), result];
+        self.cascade.with_label_values(&labels).inc();
+    }
+
+    fn depths(&self, scheduler: &Scheduler) {
+        for (name, pool) in scheduler.pools() {
+            let depth = pool.depth();
+            let figures = [
+                ("waiting", float(depth.waiting)),
+                ("flying", f64::from(depth.flying)),
+                ("slots", f64::from(depth.slots)),
+                ("usable", float(depth.usable)),
+                ("ejected", float(depth.ejected)),
+            ];
+            for (figure, value) in figures {
+                self.pool(&name, figure, value);
+            }
+        }
+    }
+
+    fn pool(&self, name: &id::Pool, figure: &str, value: f64) {
+        self.pools
+            .with_label_values(&[name.as_str(), figure])
+            .set(value);
+    }
+
+    fn age(&self, topic: &str, age: Option<Duration>) {
+        // A view that was never read has no age; an absent series says so.
+        if let Some(age) = age {
+            self.ages.with_label_values(&[topic]).set(age.as_secs_f64());
+        }
+    }
+
+    fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        if let Err(error) = encoded {
+            log::error!("metrics: Not encoded: {error}.");
+        }
+        text
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
+const fn float(count: usize) -> f64 {
+    count as f64
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
+const fn long(count: u64) -> f64 {
+    count as f64
+}
+
+/// Serves the metrics.
+#[derive(Debug)]
+pub struct Page<P, L>(pub Node<P, L>);
+
+impl<P: Clone, L: Clone> Clone for Page<P, L> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+impl<P: Border + Codec, L: Log> Page<P, L> {
+    /// Sets the figures that are read when asked for.
+    fn gauges(&self) {
+        let node = &self.0;
+        let metrics = &node.metrics;
+        metrics.depths(&node.scheduler);
+        metrics.age("operators", node.operators.age());
+        metrics.age("endpoints", node.directory.age());
+        for (pool, left) in node.repeats.left(node.now()) {
+            metrics.pool(&pool, "repeats_left", left);
+        }
+        for (pool, sum) in node.rollouts(|rollouts| rollouts.sums()) {
+            let served = sum.attempts.saturating_sub(sum.failed);
+            let outcomes = [("served", served), ("failed", sum.failed)];
+            for (outcome, count) in outcomes {
+                let labels = [pool.as_str(), outcome];
+                let gauge = metrics.rollouts.with_label_values(&labels);
+                gauge.set(f64::from(count));
+            }
+        }
+        let left_out = pimento_logs::left_out();
+        let reasons = [("budget", left_out.budget), ("unread", left_out.unread)];
+        for (reason, count) in reasons {
+            let gauge = metrics.log_lines.with_label_values(&[reason]);
+            gauge.set(long(count));
+        }
+    }
+}
+
+impl<P: Border + Codec, L: Log> Serve for Page<P, L> {
+    async fn serve(&self, request: Request<Incoming>) -> Response<Reply> {
+        if request.uri().path() != PATH {
+            let mut response = Response::new(Reply::whole("not found\n"));
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+        self.gauges();
+        let mut response = Response::new(Reply::whole(self.0.metrics.text()));
+        let kind = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+        response.headers_mut().insert(CONTENT_TYPE, kind);
+        response
+    }
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,6 +22,7 @@
 use crate::follow::Follower;
 use crate::follow::Gait;
 use crate::follow::Pace;
+use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::operators::Operators;
 use crate::pools;
@@ -93,6 +94,8 @@
     pub repeats: Arc<Repeats>,
     /// What was seen of models' confidences.
     pub(crate) models: Arc<cascade::Book>,
+    /// Counters and histograms.
+    pub(crate) metrics: Arc<Metrics>,
     rollouts: Arc<Mutex<Rollouts>>,
     /// The process's clocks.
     pub clock: Clock,
@@ -112,6 +115,7 @@
             scheduler: self.scheduler.clone(),
             repeats: Arc::clone(&self.repeats),
             models: Arc::clone(&self.models),
+            metrics: Arc::clone(&self.metrics),
             rollouts: Arc::clone(&self.rollouts),
             clock: self.clock,
             leaving: self.leaving.clone(),
@@ -120,6 +124,23 @@
     }
 }
 
+/// What a decision was based on, for log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Belief {
+    /// Version of the configuration in force.
+    pub configuration: Option<u64>,
+    /// Its age.
+    pub configuration_age: Option<Duration>,
+    /// Age of the list of endpoints.
+    pub endpoints_age: Option<Duration>,
+}
+
+/// A time in log lines.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// How old the configuration is, as far as keys go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
@@ -160,6 +181,7 @@
             scheduler: Scheduler::new(clock),
             repeats: Arc::new(repeats),
             models: Arc::default(),
+            metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
             clock,
             leaving: CancellationToken::new(),
@@ -177,6 +199,16 @@
         self.operators.view(Operators::table)
     }
 
+    /// What decisions are based on now.
+    #[must_use]
+    pub fn belief(&self) -> Belief {
+        Belief {
+            configuration: self.table().map(|table| table.version()),
+            configuration_age: self.operators.age(),
+            endpoints_age: self.directory.age(),
+        }
+    }
+
     /// Whether keys may be let in.
     #[must_use]
     pub fn freshness(&self) -> Freshness {
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -10,6 +10,7 @@
 use crate::codec::Rollout;
 use crate::follow::Fold;
 use crate::follow::Told;
+use crate::node::millis;
 use crate::table::Table;
 use crate::topic::Record;
 
@@ -76,19 +77,21 @@
         match self.codec.operator(&record.key, value) {
             Ok(Operator::Table(table)) => {
                 log::info!(
-                    "operators: Configuration {} in force, offset {}.",
-                    table.version(),
-                    record.offset
+                    topic = "operators",
+                    offset = record.offset.0,
+                    configuration = table.version();
+                    "operators: Configuration in force."
                 );
                 self.table = Some(Arc::from(table));
             }
             Ok(Operator::Rollout(rollout)) => {
                 log::info!(
-                    "operators: {} is to move to {} within {:?}, offset {}.",
-                    rollout.pool,
-                    rollout.target,
-                    rollout.lasts,
-                    record.offset
+                    topic = "operators",
+                    offset = record.offset.0,
+                    pool = rollout.pool.as_str(),
+                    version = rollout.target.as_str(),
+                    lasts_ms = millis(rollout.lasts);
+                    "operators: Roll-out ordered."
                 );
                 self.order(Order {
                     rollout,
--- a/crates/relay/src/repeats.rs
+++ b/crates/relay/src/repeats.rs
@@ -85,6 +85,16 @@
         self.with(pool, |window| window.take(now))
     }
 
+    /// Repeats that are left, by pool.
+    #[must_use]
+    pub fn left(&self, now: Moment) -> Vec<(id::Pool, f64)> {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let windows = state.windows.iter_mut();
+        windows
+            .map(|(pool, window)| (pool.clone(), window.left(now)))
+            .collect()
+    }
+
     /// Whether a repeat could be paid for.
     #[must_use]
     pub fn affords(&self, pool: &id::Pool, now: Moment) -> bool {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -21,6 +21,7 @@
 use self::announcement::Kept;
 use self::announcement::Outcome;
 use self::announcement::Said;
+use self::announcement::Sum;
 use self::progress::Progress;
 use self::progress::Step;
 use crate::config::Exposure;
@@ -301,6 +302,15 @@
         running.map(|r| r.order.rollout.pool.clone()).collect()
     }
 
+    /// Answers of the new version by the evidence of all VMs, by service.
+    #[must_use]
+    pub fn sums(&self) -> Vec<(id::Pool, Sum)> {
+        let newest = self.newest.iter();
+        newest
+            .map(|rollout| (rollout.order.rollout.pool.clone(), rollout.sum()))
+            .collect()
+    }
+
     /// Takes another VM's word.
     pub fn hear(&mut self, said: &Said, now: Moment) {
         let endpoints = self.endpoints(&said.what.pool);
--- a/crates/relay/src/rollouts/progress.rs
+++ b/crates/relay/src/rollouts/progress.rs
@@ -185,6 +185,17 @@
         routes.iter().map(tally).collect()
     }
 
+    /// Answers of the new version on all routes, at any VM.
+    #[must_use]
+    pub fn sum(&self) -> Sum {
+        let peers = self.peers.iter().flat_map(|peer| &peer.said.routes);
+        let mut sum = Sum::default();
+        for route in self.routes.iter().chain(peers) {
+            sum.add(&route.new);
+        }
+        sum
+    }
+
     /// Endpoints of the new version that failed a request, at any VM.
     fn failing(&self) -> usize {
         let peers = self.peers.iter().flat_map(|peer| &peer.said.failing);
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -23,6 +23,7 @@
 use crate::chain::Callers;
 use crate::codec::Codec;
 use crate::config::Config;
+use crate::metrics::Page;
 use crate::node::Node;
 use crate::topic::Log;
 
@@ -59,10 +60,13 @@
     pub async fn start(config: Config, platform: P, log: L) -> Result<Self, Error> {
         let callers = bind(config.listen).await?;
         let ready = bind(config.ready_listen).await?;
+        let metrics = bind(config.metrics_listen).await?;
         log::info!(
-            "server: {} starts, callers at {}.",
-            config.node,
-            config.listen
+            node = config.node.as_str(),
+            zone = config.zone.as_str(),
+            listen:% = config.listen,
+            metrics:% = config.metrics_listen;
+            "server: Starts."
         );
         let background = CancellationToken::new();
         let node = Node::start(config, platform, log, &background);
@@ -75,6 +79,11 @@
             Ready(node.clone()),
             Stop::default(),
         ));
+        tokio::spawn(pimento_serve::run(
+            metrics,
+            Page(node.clone()),
+            Stop::default(),
+        ));
         let service = Callers(node.clone());
         let serving = tokio::spawn(pimento_serve::run(callers, service, stop.clone()));
         Ok(Self {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -29,6 +29,7 @@
 use crate::events::Event;
 use crate::events::Splitter;
 use crate::node::Node;
+use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::topic::Log;
@@ -145,6 +146,8 @@
     };
     let state = attempts.state();
     node.platform.strip(&mut head.headers);
+    let took = node.now().since(request.began);
+    node.metrics.began(&request.grant.route.name, took);
     let (writer, reply) = Reply::stream();
     let node = node.clone();
     let tasks = node.tasks.clone();
@@ -156,6 +159,7 @@
             attempts,
             variant,
             last: request.ask.resume,
+            events: 0,
         };
         stream.run(writer, source, first).await;
     });
@@ -280,6 +284,8 @@
     variant: Variant,
     /// Id of the last event passed on.
     last: Option<u64>,
+    /// Events passed on.
+    events: u64,
 }
 
 /// Why a stream came to its end.
@@ -301,16 +307,34 @@
             () = writer.gone() => End::Gone,
             () = tokio::time::sleep(left) => End::Broken(Cause::Timeout),
         };
-        let id = &self.request.ask.id;
-        match end {
-            End::Whole => {
-                let _ = writer.end().await;
-            }
-            End::Gone => log::info!("stream: The caller of {id} left."),
-            End::Broken(cause) => log::warn!("stream: {id} broken off: {cause}."),
+        self.tell(&end);
+        // Dropped without its end, the writer breaks the connection.
+        if matches!(end, End::Whole) && writer.end().await.is_err() {
+            log::debug!("stream: The caller left at the end.");
         }
     }
 
+    /// Tells how the stream ended.
+    fn tell(&self, end: &End) {
+        let took = self.node.now().since(self.request.began);
+        let (end, cause) = match end {
+            End::Whole => ("whole", None),
+            End::Gone => ("caller_left", None),
+            End::Broken(cause) => ("broken_off", Some(cause.as_str())),
+        };
+        let route = &self.request.grant.route.name;
+        self.node.metrics.ended(route, end, took);
+        log::info!(
+            request = self.request.ask.id.as_str(),
+            end,
+            cause,
+            events = self.events,
+            last = self.last,
+            took_ms = millis(took);
+            "stream: Ended."
+        );
+    }
+
     async fn pass(&mut self, writer: &Writer, source: Source, first: Event) -> End {
         let mut source = source;
         let mut held = Held::default();
@@ -372,6 +396,7 @@
             }
         }
         self.last = Some(id);
+        self.events += 1;
         Ok(true)
     }
 
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use hyper::Response;
+use hyper::StatusCode;
 use pimento_endpoint::Fault;
 use pimento_serve::Reply;
 use pimento_serve::Writer;
@@ -19,6 +20,7 @@
 use crate::call::Answer;
 use crate::codec::Codec;
 use crate::node::Node;
+use crate::node::millis;
 use crate::refusal::Refusal;
 use crate::topic::Log;
 use crate::work::Work;
@@ -64,6 +66,7 @@
                 attempts.note(&permit);
                 attempts.leave(permit.endpoint());
                 permit.served(WORK);
+                answered(node, request, head.status, bytes.len());
                 let response = Response::from_parts(head, Reply::whole(bytes));
                 if failed && attempts.again() {
                     failure = Some(response);
@@ -95,6 +98,26 @@
     }
 }
 
+/// Tells of an endpoint's whole answer.
+fn answered<P, L>(node: &Node<P, L>, request: &Work, status: StatusCode, bytes: usize) {
+    let took = node.clock.now().since(request.began);
+    let route = &request.grant.route.name;
+    let end = if status.is_server_error() {
+        "failed"
+    } else {
+        "whole"
+    };
+    node.metrics.began(route, took);
+    node.metrics.ended(route, end, took);
+    log::info!(
+        request = request.ask.id.as_str(),
+        status = status.as_u16(),
+        bytes,
+        took_ms = millis(took);
+        "request: Answered by the endpoint."
+    );
+}
+
 /// Work of a plain call, as the scheduler counts it.
 const WORK: Tokens = Tokens(1);
 
