--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -185,6 +185,8 @@
         return match read.unwrap_or(Err(Fault::Timeout)) {
             Ok(bytes) => {
                 attempts.judged(&permit, head.status.is_server_error());
+                // Its prompt is kept there, so that the next attempt would go to it first.
+                attempts.leave(permit.endpoint());
                 permit.failed(&Fault::Failed {
                     status: head.status.as_u16(),
                 });
