Hand records of the log on within a zone

Cause: one VM of a zone reads the log for the others, and its word of a change made each of them read it as well. On 66 VMs each endpoint that registered, left or was replaced was read sixty times: calls of the log were the largest price of the large deployments.

Change: relay::recent keeps the last records that changed a view; the VM that reads hands them on in its datagrams, before the proof that speaks of them, and the others take them if their view holds all before. Whoever misses one reads by itself, as before; so does everybody after a record over 900 bytes.

Ruled out: handing on whole answers of the log, most of which are heartbeats; decoded entries, which are smaller but would need a second way into the view.

Tests: four in crates/relay/tests/all/follow.rs (no read needed, a gap, late records, records that are not kept).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,6 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::boot;
+use crate::recent::Recent;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -136,6 +137,8 @@
     next: Option<Offset>,
     /// The offset after the last record that changed the view.
     changed: Offset,
+    /// The last of those records.
+    recent: Recent,
     /// When the last read that reached the end was sent.
     proven: Option<Moment>,
     /// Other VMs' stamps that had come by then.
@@ -188,6 +191,7 @@
             seen: Vec::new(),
             next: None,
             changed: Offset::default(),
+            recent: Recent::default(),
             proven: None,
             stamps: Vec::new(),
             touch: None,
@@ -253,6 +257,36 @@
         })
     }
 
+    /// What others lack that have all records before `from`: the records that changed the view since,
+    /// in parts that fit a datagram each, and the offset after the last of them; no parts if they
+    /// must read by themselves.
+    #[must_use]
+    pub fn since(&self, from: Offset) -> (Option<Vec<Vec<Record>>>, Offset) {
+        let inner = self.lock();
+        (inner.recent.since(from), inner.changed)
+    }
+
+    /// Takes records of another VM, which are all that change the view between two offsets. They are
+    /// left out unless the view holds all before them; then the next word of that VM makes this one
+    /// read.
+    pub fn hand(&self, from: Offset, to: Offset, records: &[Record]) {
+        let now = boot::now();
+        let mut inner = self.lock();
+        let fits = inner.next.is_some_and(|next| from <= next && next < to);
+        if !fits {
+            return;
+        }
+        let mut changed = false;
+        for record in records {
+            changed |= inner.apply(record, now);
+        }
+        inner.next = Some(to);
+        drop(inner);
+        if changed {
+            self.changed.send_modify(|count| *count += 1);
+        }
+    }
+
     /// Another VM read up to the end after it had this VM's stamp. If nothing that this VM has not
     /// read changed the view, that proves its own; otherwise it reads at once.
     pub fn vouch(&self, proof: Proof) {
@@ -402,6 +436,7 @@
         }
         if snapshot {
             changed |= inner.drop_missing(batch, now);
+            inner.recent.reset(batch.end);
         }
         let last = batch.records.last().map(|record| record.offset.next());
         let reached = if snapshot {
@@ -462,6 +497,7 @@
         let changed = self.fold.apply(record, told);
         if changed {
             self.changed = self.changed.max(record.offset.next());
+            self.recent.push(record);
         }
         changed
     }
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -19,13 +19,16 @@
 use std::time::Duration;
 
 use pimento_units::Moment;
+use pimento_units::Offset;
 use pimento_units::id;
 use tokio::net::UdpSocket;
 use tokio_util::sync::CancellationToken;
 
 use self::message::Message;
+use self::message::Passage;
 use self::message::Proofs;
 use self::message::Read;
+use self::message::Shared;
 use self::peers::Peer;
 use self::peers::Peers;
 use crate::boot;
@@ -92,6 +95,9 @@
     /// The same of sessions that keep a version.
     far_kept: Vec<Kept>,
     passed_kept: Vec<Kept>,
+    /// Up to which offsets the zone was told of the operators' and the endpoints' records; none
+    /// while this VM does not read for it.
+    told: Option<(Offset, Offset)>,
 }
 
 /// What there is to tell.
@@ -105,25 +111,43 @@
     rollouts: Vec<Announcement>,
     /// Sessions that keep a version.
     kept: Vec<Kept>,
+    /// Records of the log.
+    passages: Vec<Passage>,
 }
 
 impl News {
     const fn is_empty(&self) -> bool {
         let prompts = self.reads.is_empty() && self.waits.is_empty();
-        prompts && self.rollouts.is_empty() && self.kept.is_empty()
+        let versions = self.rollouts.is_empty() && self.kept.is_empty();
+        prompts && versions && self.passages.is_empty()
     }
 
     /// The news in parts that fit a datagram each.
-    fn parts(&self) -> impl Iterator<Item = (&[Read], &[Kept])> {
-        let reads = self.reads.chunks(READS);
-        let kept = self.kept.chunks(KEPT);
-        let count = reads.len().max(kept.len()).max(1);
-        let reads = reads.chain(std::iter::repeat(&[][..]));
-        let kept = kept.chain(std::iter::repeat(&[][..]));
-        reads.zip(kept).take(count)
+    fn parts(&self) -> Vec<Part<'_>> {
+        let mut reads = self.reads.chunks(READS);
+        let mut kept = self.kept.chunks(KEPT);
+        let mut passages = self.passages.chunks(1);
+        let count = reads.len().max(kept.len()).max(passages.len()).max(1);
+        let part = |place| Part {
+            first: place == 0,
+            last: place + 1 == count,
+            reads: reads.next().unwrap_or_default(),
+            kept: kept.next().unwrap_or_default(),
+            passages: passages.next().unwrap_or_default(),
+        };
+        (0..count).map(part).collect()
     }
 }
 
+/// What goes in one datagram.
+struct Part<'a> {
+    first: bool,
+    last: bool,
+    reads: &'a [Read],
+    kept: &'a [Kept],
+    passages: &'a [Passage],
+}
+
 struct Neighbours<P, L> {
     node: Node<P, L>,
     log: L,
@@ -285,6 +309,9 @@
                 node: teller,
                 at: message.stamp,
             });
+            for passage in &message.passages {
+                self.hand(passage);
+            }
             self.vouch(message.proofs);
             for what in message.rollouts {
                 let node = message.node.clone();
@@ -306,6 +333,49 @@
         }
     }
 
+    /// Takes records that another VM read.
+    fn hand(&self, passage: &Passage) {
+        let Passage {
+            topic, from, to, ..
+        } = *passage;
+        let records = passage.records();
+        match topic {
+            Shared::Operators => self.node.operators.hand(from, to, &records),
+            Shared::Endpoints => self.node.directory.hand(from, to, &records),
+        }
+    }
+
+    /// Whether this VM reads the log for its zone.
+    fn leads(&self) -> bool {
+        *self.zone.lead.borrow() == Lead::Leading
+    }
+
+    /// Records that the zone was not told of yet, if this VM reads for it.
+    fn passages(&self) -> Vec<Passage> {
+        let told = self.lock().told.take();
+        if !self.leads() {
+            return Vec::new();
+        }
+        let (operators, endpoints) = told.unwrap_or_default();
+        let (changed, operators_end) = self.node.operators.since(operators);
+        let (registered, endpoints_end) = self.node.directory.since(endpoints);
+        self.lock().told = Some((operators_end, endpoints_end));
+        if told.is_none() {
+            return Vec::new();
+        }
+        // Where records are missing, or too large, the others read by themselves.
+        let changed = changed.unwrap_or_default();
+        let registered = registered.unwrap_or_default();
+        let mut passages = Passage::list(Shared::Operators, operators, changed, operators_end);
+        passages.extend(Passage::list(
+            Shared::Endpoints,
+            endpoints,
+            registered,
+            endpoints_end,
+        ));
+        passages
+    }
+
     /// What another VM read proves to this one.
     fn vouch(&self, proofs: Proofs) {
         if let Some(proof) = proofs.operators {
@@ -327,9 +397,9 @@
             let count = u32::try_from(peers.len()).unwrap_or(u32::MAX).max(1);
             let changed = tokio::select! {
                 () = tokio::time::sleep(NEAR * count) => false,
-                _ = operators.changed() => true,
-                _ = endpoints.changed() => true,
-                () = self.zone.proved.notified() => *self.zone.lead.borrow() == Lead::Leading,
+                _ = operators.changed() => self.leads(),
+                _ = endpoints.changed() => self.leads(),
+                () = self.zone.proved.notified() => self.leads(),
             };
             let news = self.news();
             let now = boot::now();
@@ -381,6 +451,7 @@
         let mut news = News {
             rollouts: self.node.due_announcements(boot::now()),
             kept: self.node.rollouts(Rollouts::untold),
+            passages: self.passages(),
             ..News::default()
         };
         let mut shared = Vec::new();
@@ -428,17 +499,21 @@
 
     /// Sends one VM what there is to tell; `near` is its key if it is of this zone.
     async fn send(&self, address: SocketAddr, near: Option<u64>, news: &News) {
-        for (place, (reads, kept)) in news.parts().enumerate() {
+        for part in news.parts() {
+            // A proof that came before the records that it speaks of would make the other VM read.
+            let proven = near.filter(|_| part.last);
+            let rollouts = if part.first { &news.rollouts[..] } else { &[] };
             let message = Message {
                 node: self.node.config.node.clone(),
                 zone: self.node.config.zone.clone(),
                 stamp: boot::now(),
                 able: self.able(),
-                proofs: near.map(|node| self.proofs(node)).unwrap_or_default(),
-                rollouts: if place == 0 { &news.rollouts[..] } else { &[] }.to_vec(),
+                passages: part.passages.to_vec(),
+                proofs: proven.map(|node| self.proofs(node)).unwrap_or_default(),
+                rollouts: rollouts.to_vec(),
                 waits: news.waits.clone(),
-                kept: kept.to_vec(),
-                reads: reads.to_vec(),
+                kept: part.kept.to_vec(),
+                reads: part.reads.to_vec(),
             };
             let bytes = match postcard::to_stdvec(&message) {
                 Ok(bytes) => bytes,
@@ -454,7 +529,7 @@
     /// while endpoints register by the dozen, every read finds something new, and VMs that told each
     /// other would make each other read without end.
     fn proofs(&self, node: u64) -> Proofs {
-        if *self.zone.lead.borrow() != Lead::Leading {
+        if !self.leads() {
             return Proofs::default();
         }
         let operators = self.node.operators.proof(node);
--- /dev/null
+++ b/crates/relay/src/recent.rs
@@ -0,0 +1,81 @@
+//! The last records that changed a view, for other VMs whose view lacks them.
+//!
+//! Without this each VM of a zone reads the log for each change: when a tenth of a service's endpoints
+//! are replaced, sixty VMs made thousands of calls to learn the same few records.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use pimento_units::Offset;
+
+use crate::topic::Record;
+
+/// Records kept: what a hundred endpoints that register within a second write between two datagrams.
+const KEPT: usize = 64;
+
+/// The largest record that is handed on, in bytes: it goes in one datagram with what else a datagram
+/// says. A configuration is larger, and rare enough for each VM to read.
+const LARGEST: usize = 900;
+
+/// The last records that changed a view.
+#[derive(Debug, Default)]
+pub struct Recent {
+    /// From this offset on all of them are here.
+    from: Offset,
+    records: VecDeque<Record>,
+}
+
+/// Bytes that a record takes in a datagram, nearly.
+fn size(record: &Record) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
+}
+
+impl Recent {
+    /// Forgets all, since records before `from` may be missing.
+    pub fn reset(&mut self, from: Offset) {
+        self.from = from;
+        self.records.clear();
+    }
+
+    /// Takes a record that changed the view.
+    pub fn push(&mut self, record: &Record) {
+        if size(record) > LARGEST {
+            self.reset(record.offset.next());
+            return;
+        }
+        if self.records.len() == KEPT
+            && let Some(oldest) = self.records.pop_front()
+        {
+            self.from = oldest.offset.next();
+        }
+        // A copy, since the value is a part of a whole answer of the log, which it would keep.
+        let value = record.value.as_deref().map(Bytes::copy_from_slice);
+        self.records.push_back(Record {
+            offset: record.offset,
+            key: record.key.clone(),
+            value,
+        });
+    }
+
+    /// The records from `from` on, in parts that fit a datagram each; none if one is missing.
+    #[must_use]
+    pub fn since(&self, from: Offset) -> Option<Vec<Vec<Record>>> {
+        if from < self.from {
+            return None;
+        }
+        let mut parts: Vec<Vec<Record>> = Vec::new();
+        let mut filled = LARGEST;
+        for record in self.records.iter().filter(|r| r.offset >= from) {
+            let own = size(record);
+            if filled + own > LARGEST {
+                parts.push(Vec::new());
+                filled = 0;
+            }
+            filled += own;
+            if let Some(part) = parts.last_mut() {
+                part.push(record.clone());
+            }
+        }
+        Some(parts)
+    }
+}
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -259,3 +259,100 @@
         .await;
     assert_eq!(fixture.follower.proof(node).unwrap().stamp, at);
 }
+
+/// What another VM that reads for this one has read since `from`.
+fn handed(other: &Fixture, from: Offset) -> (Vec<Vec<Record>>, Offset) {
+    let (parts, to) = other.follower.since(from);
+    (parts.expect("all records are kept"), to)
+}
+
+// Dozens of endpoints are replaced. One VM of the zone reads so and hands the records on: the others
+// know them without a call of the log, and its word then proves their view.
+#[tokio::test]
+async fn records_that_are_handed_on_need_no_read() {
+    let other = Fixture::new();
+    let own = Fixture::new();
+    for fixture in [&other, &own] {
+        fixture.log.put("a", Some("1"));
+        fixture.until("a", |f| f.keys() == ["a"]).await;
+    }
+    own.led().await;
+    let calls = own.log.calls();
+    let from = own.follower.next().unwrap();
+    let stamp = boot::now();
+    other.log.put("b", Some("1"));
+    other.log.put("a", None);
+    other.until("three", |f| f.keys() == ["a", "b", "a"]).await;
+    let (parts, to) = handed(&other, from);
+    own.follower.hand(from, to, &parts.concat());
+    own.follower.vouch(Proof { changed: to, stamp });
+    assert_eq!(own.keys(), ["a", "b", "a"]);
+    assert_eq!(own.follower.proven(), Some(stamp));
+    assert_eq!(own.log.calls(), calls);
+}
+
+// A datagram with records was lost. Those of the next one must not be taken, or what the lost one
+// said would never be known: the VM reads by itself.
+#[tokio::test]
+async fn records_after_a_gap_are_read_instead() {
+    let own = Fixture::new();
+    own.led().await;
+    own.log.put("lost", Some("1"));
+    let from = own.log.put("c", Some("1"));
+    let record = Record {
+        offset: from,
+        key: "d".into(),
+        value: Some(bytes::Bytes::from_static(b"1")),
+    };
+    let to = own.log.put("d", Some("1"));
+    own.follower.hand(from, to, &[record]);
+    assert!(own.keys().is_empty());
+    own.follower.vouch(Proof {
+        changed: to,
+        stamp: boot::now(),
+    });
+    own.until("all three", |f| f.keys() == ["lost", "c", "d"])
+        .await;
+}
+
+// Records come again, or late, after the view has moved on. Nothing is taken back.
+#[tokio::test]
+async fn records_that_come_late_take_nothing_back() {
+    let other = Fixture::new();
+    other.until("read", |f| f.follower.next().is_some()).await;
+    other.log.put("a", Some("1"));
+    other.until("a", |f| f.keys() == ["a"]).await;
+    let own = Fixture::new();
+    own.log.put("a", Some("1"));
+    own.log.put("a", None);
+    own.until("read", |f| f.follower.next() == Some(Offset(2)))
+        .await;
+    own.led().await;
+    let before = own.keys();
+    let (parts, to) = handed(&other, Offset(0));
+    own.follower.hand(Offset(0), to, &parts.concat());
+    assert_eq!(own.keys(), before);
+    assert_eq!(own.follower.next(), Some(Offset(2)));
+}
+
+// A record is too large to be handed on, or so many changed that some are no longer kept. Whoever
+// lacks them must hear so, and read.
+#[tokio::test]
+async fn records_that_are_not_kept_are_not_handed_on() {
+    let other = Fixture::new();
+    other.until("read", |f| f.follower.next().is_some()).await;
+    let large: &'static str = Box::leak("x".repeat(4_000).into_boxed_str());
+    other.log.put("large", Some(large));
+    other.until("large", |f| f.keys() == ["large"]).await;
+    assert_eq!(other.follower.since(Offset(0)).0, None);
+    assert!(other.follower.since(Offset(1)).0.is_some());
+    for _ in 0..100 {
+        other.log.put("b", Some("1"));
+    }
+    other.until("all", |f| f.keys().len() == 101).await;
+    assert_eq!(other.follower.since(Offset(1)).0, None);
+    let (parts, to) = handed(&other, Offset(90));
+    let offsets: Vec<u64> = parts.concat().iter().map(|r| r.offset.0).collect();
+    assert_eq!(offsets, (90..101).collect::<Vec<u64>>());
+    assert_eq!(to, Offset(101));
+}
