Tell a request's story from VMs' log lines, and write whole lines at once

Change: pimentoctl explain REQUEST FOLDER; lines are ordered by the time since boot, VMs compared by the records of the log that both read. The queue of lines writes whole lines, up to 4,096 bytes at once.

Ruled out: the time of day, which jumps by seconds; the request's own lines as the only evidence, since what a VM believed stands in lines without an id.

Tests: crates/ctl/tests/story.rs, whole_lines_are_written_at_once.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -69,6 +69,21 @@
                 .about("Adds up bills for each customer, one for each request")
                 .arg(Arg::new("customer").help("Only this customer")),
         )
+        .subcommand(
+            Command::new("explain")
+                .about("Tells what became of a request, out of log lines")
+                .arg(
+                    Arg::new("request")
+                        .required(true)
+                        .help("The request's id"),
+                )
+                .arg(
+                    Arg::new("folder")
+                        .required(true)
+                        .value_parser(value_parser!(std::path::PathBuf))
+                        .help("A folder with one file of log lines for each VM"),
+                ),
+        )
         .subcommand(
             Command::new("status")
                 .about("Shows how far each entry VM has got and how old its state is")
--- a/crates/ctl/src/cli.rs
+++ b/crates/ctl/src/cli.rs
@@ -85,6 +85,11 @@
         Some(("bills", sub)) => {
             command::bills::bills(&context(matches)?, text(sub, "customer")).await
         }
+        Some(("explain", sub)) => {
+            let request: String = one(sub, "request")?;
+            let folder: std::path::PathBuf = one(sub, "folder")?;
+            command::explain::explain(&request, &folder)
+        }
         Some(("status", sub)) => {
             let addresses: Vec<SocketAddr> = many(sub, "operators");
             command::status::status(&addresses, timeout(matches).min(ASK)).await
--- a/crates/ctl/src/command.rs
+++ b/crates/ctl/src/command.rs
@@ -3,6 +3,7 @@
 pub mod bills;
 pub mod contract;
 pub mod endpoint;
+pub mod explain;
 pub mod history;
 pub mod key;
 pub mod publish;
--- /dev/null
+++ b/crates/ctl/src/command/explain.rs
@@ -0,0 +1,54 @@
+//! `explain`: what became of a request, out of a folder of log lines.
+
+use std::path::Path;
+
+use serde_json::Value;
+
+use crate::exit::Error;
+use crate::output::Output;
+use crate::story;
+use crate::story::Event;
+
+/// Tells the story of a request.
+///
+/// # Errors
+///
+/// [`Error::Failed`] if the folder can't be read or no line names the request.
+pub fn explain(request: &str, folder: &Path) -> Result<Output, Error> {
+    let journals = story::folder(folder)
+        .map_err(|error| Error::failed(format!("{}: {error}", folder.display())))?;
+    let unread: usize = journals.iter().map(|journal| journal.unread).sum();
+    if unread > 0 {
+        eprintln!("{unread} lines can't be read and are left out");
+    }
+    let events = story::tell(&journals, request);
+    if events.is_empty() {
+        return Err(Error::failed(format!(
+            "no line of {} files names request {request}",
+            journals.len()
+        )));
+    }
+    let rows = events.iter().map(row).collect();
+    let columns = ["ms", "vm", "", "what", "inputs and outcome"];
+    Ok(Output::new(&columns, rows, &events))
+}
+
+fn row(event: &Event) -> Vec<String> {
+    let fields = event.fields.iter();
+    let fields = fields.filter(|(name, value)| *name != "request" && !value.is_null());
+    let fields: Vec<String> = fields.map(|(name, value)| field(name, value)).collect();
+    vec![
+        event.at_ms.to_string(),
+        event.vm.to_string(),
+        if event.own { "*" } else { "" }.into(),
+        event.what.clone(),
+        fields.join(" "),
+    ]
+}
+
+fn field(name: &str, value: &Value) -> String {
+    match value {
+        Value::String(text) => format!("{name}={text}"),
+        other => format!("{name}={other}"),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/story.rs
@@ -0,0 +1,197 @@
+//! What became of one request, out of the log lines of several VMs.
+//!
+//! A request is served by one VM, whose lines name it. What that VM believed, and what other VMs saw of
+//! the same endpoints, stands in lines without its id. VMs' clocks differ, and jump; so lines are
+//! ordered by the time since boot that each carries, and two VMs are compared by what both read of the
+//! platform's log: a record has one offset, and VMs read it within a fraction of a second.
+
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use compact_str::CompactString;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+/// Milliseconds before a request's first line and after its last in which other lines may bear on it:
+/// a VM that falls out of touch says so within two seconds, and refuses keys after four.
+const AROUND: i64 = 5_000;
+
+/// A line as a program wrote it.
+#[derive(Debug, Clone, Deserialize)]
+struct Raw {
+    message: String,
+    level: CompactString,
+    #[serde(default)]
+    kvs: Map<String, Value>,
+    #[serde(default)]
+    diags: Map<String, Value>,
+}
+
+/// A line of one VM.
+#[derive(Debug, Clone)]
+struct Line {
+    raw: Raw,
+    /// Milliseconds since the VM booted.
+    at: i64,
+}
+
+impl Line {
+    fn text(&self, field: &str) -> Option<&str> {
+        self.raw.kvs.get(field)?.as_str()
+    }
+
+    /// The record of the log that it tells of.
+    fn record(&self) -> Option<(&str, u64)> {
+        let offset = self.raw.kvs.get("offset")?.as_u64()?;
+        Some((self.text("topic")?, offset))
+    }
+}
+
+/// The lines of one VM, in the order in which it wrote them.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    vm: CompactString,
+    lines: Vec<Line>,
+    /// Lines that are none of ours, or were cut.
+    pub unread: usize,
+}
+
+impl Journal {
+    /// Reads a VM's lines.
+    #[must_use]
+    pub fn read(vm: &str, text: &str) -> Self {
+        let mut journal = Self {
+            vm: vm.into(),
+            lines: Vec::new(),
+            unread: 0,
+        };
+        for line in text.lines().filter(|line| !line.trim().is_empty()) {
+            match serde_json::from_str::<Raw>(line) {
+                Ok(raw) => journal.push(raw),
+                Err(_) => journal.unread += 1,
+            }
+        }
+        journal
+    }
+
+    fn push(&mut self, raw: Raw) {
+        // The line about missing lines is written outside of their order, and has no time.
+        let before = self.lines.last().map_or(0, |line| line.at);
+        let at = raw.diags.get("steady_ms").and_then(Value::as_i64);
+        let at = at.unwrap_or(before);
+        if let Some(node) = raw.kvs.get("node").and_then(Value::as_str) {
+            self.vm = node.into();
+        }
+        self.lines.push(Line { raw, at });
+    }
+
+    fn first(&self, record: (&str, u64)) -> Option<i64> {
+        let found = self.lines.iter().find(|l| l.record() == Some(record));
+        found.map(|line| line.at)
+    }
+
+    /// What is to be added to this VM's times to compare them with another's: the median over the
+    /// records that both read; none if there is none.
+    fn offset(&self, other: &Self) -> Option<i64> {
+        let records = other.lines.iter().filter_map(|line| {
+            let own = self.first(line.record()?)?;
+            Some(line.at - own)
+        });
+        let mut offsets: Vec<i64> = records.collect();
+        offsets.sort_unstable();
+        offsets.get(offsets.len() / 2).copied()
+    }
+}
+
+/// Reads the journals of a folder, one file for each VM, whose name is the VM's until a line says it.
+///
+/// # Errors
+///
+/// If the folder or a file can't be read.
+pub fn folder(path: &Path) -> io::Result<Vec<Journal>> {
+    let mut journals = Vec::new();
+    let mut entries = fs::read_dir(path)?.collect::<io::Result<Vec<_>>>()?;
+    entries.sort_by_key(fs::DirEntry::file_name);
+    for entry in entries {
+        if !entry.file_type()?.is_file() {
+            continue;
+        }
+        let bytes = fs::read(entry.path())?;
+        let name = entry.path();
+        let name = name.file_stem().unwrap_or_default().to_string_lossy();
+        journals.push(Journal::read(&name, &String::from_utf8_lossy(&bytes)));
+    }
+    Ok(journals)
+}
+
+/// One event of a story.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Event {
+    /// Milliseconds since the request's first line, by the clock of the VM that served it.
+    pub at_ms: i64,
+    /// Who saw it.
+    pub vm: CompactString,
+    /// Whether the line names the request.
+    pub own: bool,
+    /// What happened.
+    pub what: String,
+    /// The inputs and the outcome.
+    pub fields: Map<String, Value>,
+}
+
+/// What became of a request; empty if no line names it.
+#[must_use]
+pub fn tell(journals: &[Journal], request: &str) -> Vec<Event> {
+    let names = |line: &Line| line.text("request") == Some(request);
+    let serving = journals.iter().find(|j| j.lines.iter().any(names));
+    let Some(serving) = serving else {
+        return Vec::new();
+    };
+    let own: Vec<&Line> = serving.lines.iter().filter(|line| names(line)).collect();
+    let first = own.first().map_or(0, |line| line.at);
+    let last = own.last().map_or(0, |line| line.at);
+    let endpoints: Vec<&str> = own.iter().filter_map(|l| l.text("endpoint")).collect();
+    let mut events = Vec::new();
+    for journal in journals {
+        let same = journal.vm == serving.vm;
+        let offset = if same {
+            Some(0)
+        } else {
+            journal.offset(serving)
+        };
+        // Without a record that both read, its times say nothing here.
+        let Some(offset) = offset else { continue };
+        for line in &journal.lines {
+            let at = line.at + offset;
+            let near = (first - AROUND..=last + AROUND).contains(&at);
+            let own = names(line);
+            if own || near && bears(line, same, &endpoints) {
+                events.push(Event {
+                    at_ms: at - first,
+                    vm: journal.vm.clone(),
+                    own,
+                    what: line.raw.message.clone(),
+                    fields: line.raw.kvs.clone(),
+                });
+            }
+        }
+    }
+    // Stable, so that lines of one millisecond stay in the order in which their VM wrote them.
+    events.sort_by_key(|event| event.at_ms);
+    events
+}
+
+/// Whether a line that does not name the request bears on it: what the VM itself came to believe, and
+/// what others saw of the same endpoints.
+fn bears(line: &Line, same: bool, endpoints: &[&str]) -> bool {
+    if line.text("request").is_some() {
+        return false;
+    }
+    let endpoint = line.text("endpoint");
+    let named = endpoint.is_some_and(|endpoint| endpoints.contains(&endpoint));
+    let believed = same && (endpoint.is_none() || line.raw.level == "WARN");
+    named || believed
+}
--- /dev/null
+++ b/crates/ctl/tests/story.rs
@@ -0,0 +1,109 @@
+//! Stories of requests, out of log lines of VMs whose clocks differ.
+
+use pimento_ctl::story::Event;
+use pimento_ctl::story::Journal;
+use pimento_ctl::story::tell;
+use serde_json::Value;
+use serde_json::json;
+
+fn line(steady: i64, message: &str, fields: &Value) -> String {
+    let line = json!({
+        "timestamp": "2026-01-01T00:00:00+00:00", "level": "INFO", "message": message,
+        "kvs": fields, "diags": {"steady_ms": steady}
+    });
+    line.to_string() + "\n"
+}
+
+fn told(events: &[Event]) -> Vec<(i64, &str, &str)> {
+    let events = events.iter();
+    let told = events.map(|e| (e.at_ms, e.vm.as_str(), e.what.as_str()));
+    told.collect()
+}
+
+/// The serving VM: its boot-time clock stands at a thousand seconds.
+fn serving() -> Journal {
+    let text = [
+        line(1_000_000, "started", &json!({"node": "vm-1"})),
+        line(
+            1_000_100,
+            "entry",
+            &json!({"topic": "endpoints", "offset": 7, "endpoint": "i-1"}),
+        ),
+        line(
+            1_002_000,
+            "other",
+            &json!({"request": "r-2", "endpoint": "i-1"}),
+        ),
+        line(
+            1_003_000,
+            "sent",
+            &json!({"request": "r-1", "endpoint": "i-1"}),
+        ),
+        line(1_003_400, "out of touch", &json!({"topic": "operators"})),
+        line(
+            1_003_500,
+            "refused",
+            &json!({"request": "r-1", "cause": "stale"}),
+        ),
+        line(1_099_000, "much later", &json!({"topic": "operators"})),
+    ];
+    Journal::read("file-a", &text.concat())
+}
+
+/// Another VM, which booted later, and read the same record of the log.
+fn other() -> Journal {
+    let text = [
+        line(
+            5_100,
+            "entry",
+            &json!({"topic": "endpoints", "offset": 7, "endpoint": "i-1"}),
+        ),
+        line(
+            8_200,
+            "broken",
+            &json!({"request": "r-9", "endpoint": "i-1"}),
+        ),
+        line(8_300, "gone", &json!({"endpoint": "i-1"})),
+        line(8_300, "gone", &json!({"endpoint": "i-5"})),
+        "not a line of ours\n".to_string(),
+    ];
+    Journal::read("vm-2", &text.concat())
+}
+
+/// The story is in the order of what happened, over clocks that are far apart; what bears on it from
+/// other VMs is what they saw of the same endpoints, and nothing of other requests.
+#[test]
+fn a_story_is_told_in_order_over_clocks_that_differ() {
+    let events = tell(&[other(), serving()], "r-1");
+    assert_eq!(
+        told(&events),
+        [
+            (-3_000, "vm-1", "started"),
+            (-2_900, "vm-2", "entry"),
+            (-2_900, "vm-1", "entry"),
+            (0, "vm-1", "sent"),
+            (300, "vm-2", "gone"),
+            (400, "vm-1", "out of touch"),
+            (500, "vm-1", "refused"),
+        ]
+    );
+    let own: Vec<bool> = events.iter().map(|event| event.own).collect();
+    assert_eq!(own, [false, false, false, true, false, false, true]);
+    assert_eq!(events[6].fields["cause"], "stale");
+    assert_eq!(other().unread, 1);
+}
+
+/// A VM that read nothing of what the serving one read can't be compared with it, and is left out
+/// rather than put at a wrong time.
+#[test]
+fn a_vm_that_cannot_be_compared_is_left_out() {
+    let text = line(8_300, "gone", &json!({"endpoint": "i-1"}));
+    let strange = Journal::read("vm-3", &text);
+    let events = tell(&[strange, serving()], "r-1");
+    assert!(events.iter().all(|event| event.vm == "vm-1"));
+}
+
+#[test]
+fn a_request_that_no_line_names_has_no_story() {
+    assert!(tell(&[serving()], "r-404").is_empty());
+}
--- a/crates/logs/src/queue.rs
+++ b/crates/logs/src/queue.rs
@@ -20,6 +20,22 @@
 /// and a system call, and a reader of logs doesn't mind a twentieth of a second.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// Bytes that are written at once. A pipe takes so many as one; with more, a line of another process
+/// that shares the pipe could come in between.
+const AT_ONCE: usize = 4_096;
+
+/// Whole lines, cut into pieces to be written at once. A longer line is a piece by itself.
+fn pieces(mut bytes: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        let most = bytes.len().min(AT_ONCE);
+        let last = bytes[..most].iter().rposition(|byte| *byte == b'\n');
+        let end = last.or_else(|| bytes.iter().position(|byte| *byte == b'\n'))?;
+        let (piece, rest) = bytes.split_at(end + 1);
+        bytes = rest;
+        Some(piece)
+    })
+}
+
 /// Lines that were left out since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LeftOut {
@@ -123,7 +139,7 @@
     /// many are missing.
     pub fn write(&self, mut output: impl Write, missing: impl Fn(u64) -> Vec<u8>) {
         while let Some((bytes, left_out)) = self.take() {
-            let mut written = output.write_all(&bytes);
+            let mut written = pieces(&bytes).try_for_each(|piece| output.write_all(piece));
             if left_out > 0 {
                 let mut line = missing(left_out);
                 line.push(b'\n');
--- a/crates/logs/tests/queue.rs
+++ b/crates/logs/tests/queue.rs
@@ -141,3 +141,30 @@
     // 100 s at 400 lines a second, and what the bucket held at first.
     assert!((39_900..=40_800).contains(&taken), "{taken} lines");
 }
+
+/// Several processes share one pipe. What is written at once must be whole lines and no more than a
+/// pipe takes as one, or another process's line comes in between.
+#[test]
+fn whole_lines_are_written_at_once() {
+    #[derive(Clone, Default)]
+    struct Calls(Arc<Mutex<Vec<Vec<u8>>>>);
+    impl Write for Calls {
+        fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+            self.0.lock().unwrap().push(bytes.to_vec());
+            Ok(bytes.len())
+        }
+        fn flush(&mut self) -> io::Result<()> {
+            Ok(())
+        }
+    }
+    let queue = Arc::new(Queue::new(Moment::ZERO));
+    for length in [10, 3_000, 2_000, 9_000, 50, 60] {
+        queue.push(&vec![b'y'; length]);
+    }
+    let calls = Calls::default();
+    let writer = start(&queue, calls.clone());
+    queue.close();
+    writer.join().unwrap();
+    let lengths: Vec<usize> = calls.0.lock().unwrap().iter().map(Vec::len).collect();
+    assert_eq!(lengths, [10 + 1 + 3_000 + 1, 2_001, 9_001, 51 + 61]);
+}
