Take endpoints for engines when the configuration says so later

Cause: a VM that starts while everything runs may read the list of endpoints before the configuration. Its endpoints then had no memory, and got no prompts to be followed when the configuration came: every prompt seemed to be read in 8 ms by every model, for the rest of the VM's life.

Change: an endpoint's engine and its limiter are made anew when its memory becomes known or changes.

Ruled out: keeping endpoints back until the configuration is read; the memory may change with a later configuration as well.

Test first failing: endpoints_that_turn_out_to_be_engines_are_taken_for_engines (8 ms in place of 368).

--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -54,8 +54,8 @@
 pub(crate) struct Seat {
     pub(crate) member: Member,
     pub(crate) limiter: limit::Limiter,
-    /// The batch that the limiter was made for.
-    batch: Option<u32>,
+    /// What the limiter was made for.
+    shape: Shape,
     pub(crate) key: u64,
     /// Refusals in a row, and until when no further call is sent because of them.
     pub(crate) refusals: u32,
@@ -74,11 +74,11 @@
 pub(crate) const DOUBLINGS: u32 = 4;
 
 pub(crate) fn seat(member: Member) -> Seat {
-    let batch = batch(&member);
+    let shape = Shape::of(&member);
     Seat {
         key: choice::key(member.endpoint.as_str()),
-        limiter: limiter(batch, member.memory.is_some()),
-        batch,
+        limiter: limiter(shape),
+        shape,
         refusals: 0,
         closed: Moment::ZERO,
         back: Moment::ZERO,
@@ -87,9 +87,23 @@
     }
 }
 
-fn batch(member: &Member) -> Option<u32> {
-    let (report, _) = member.report?;
-    (report.batch > 0).then_some(report.batch)
+/// What a limiter depends on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Shape {
+    /// The endpoint's batch, if it is known.
+    batch: Option<u32>,
+    /// Whether it is an engine whose prompts are known.
+    engine: bool,
+}
+
+impl Shape {
+    fn of(member: &Member) -> Self {
+        let batch = member.report.map(|(report, _)| report.batch);
+        Self {
+            batch: batch.filter(|batch| *batch > 0),
+            engine: member.memory.is_some(),
+        }
+    }
 }
 
 /// A limiter that begins at the engine's batch and never goes past what may run and wait there. A
@@ -98,16 +112,16 @@
 ///
 /// An engine whose prompts are known is limited by the wait for them. Its answers differ a hundredfold
 /// in length and in speed, and the time that they take says nothing of its load.
-fn limiter(batch: Option<u32>, engine: bool) -> limit::Limiter {
+fn limiter(shape: Shape) -> limit::Limiter {
     let mut config = limit::Config {
         round: rand::random_range(0.0..1.0),
         ..limit::Config::default()
     };
-    if let Some(batch) = batch {
+    if let Some(batch) = shape.batch {
         config.start = f64::from(batch);
         config.most = f64::from(batch) * config.reserve;
     }
-    if engine {
+    if shape.engine {
         config.tolerance = f64::INFINITY;
     }
     limit::Limiter::new(config)
@@ -115,7 +129,9 @@
 
 /// Keeps what was learnt of an endpoint, and tells its limiter of a report that is new.
 pub(crate) fn refresh(mut seat: Seat, member: Member) -> Seat {
-    if seat.member.life != member.life {
+    // A VM that starts may read the list of endpoints before the configuration that says how much
+    // memory they have. Without prompts an engine would look idle and each prompt read for ever.
+    if seat.member.life != member.life || seat.member.memory != member.memory {
         seat.engine = member.memory.map(Engine::new);
     }
     if let Some((report, at)) = member.report
@@ -123,10 +139,10 @@
     {
         seat.limiter.report(report);
     }
-    let fresh = batch(&member);
-    if fresh != seat.batch && seat.limiter.flying() == 0 {
-        seat.batch = fresh;
-        seat.limiter = limiter(fresh, member.memory.is_some());
+    let fresh = Shape::of(&member);
+    if fresh != seat.shape && seat.limiter.flying() == 0 {
+        seat.shape = fresh;
+        seat.limiter = limiter(fresh);
     }
     seat.member = member;
     seat
