Split the follower's view and the neighbours' news into files of their own

Change: follow::view, neighbours::news; reasons as fields. No other change.

Observed: tests of relay and adapter pass as before.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,6 +10,8 @@
 //! stamp that had come to it before it sent the read. A datagram that was delayed, by the network or
 //! by a VM that was suspended, can therefore never make a view look younger than it is.
 
+mod view;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -23,8 +25,8 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+use self::view::View;
 use crate::boot;
-use crate::recent::Recent;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -129,23 +131,6 @@
 /// are paid for, also those that are refused.
 const LED_PAUSE: Duration = Duration::from_millis(1_200);
 
-#[derive(Debug)]
-struct Inner<F> {
-    fold: F,
-    /// Newest offset of each key, sorted by key.
-    seen: Vec<(CompactString, Offset)>,
-    next: Option<Offset>,
-    /// The offset after the last record that changed the view.
-    changed: Offset,
-    /// The last of those records.
-    recent: Recent,
-    /// When the last read that reached the end was sent.
-    proven: Option<Moment>,
-    /// Other VMs' stamps that had come by then.
-    stamps: Vec<Stamp>,
-    touch: Option<Moment>,
-}
-
 /// Follows one topic. Clones share the view.
 #[derive(Debug)]
 pub struct Follower<F, L> {
@@ -154,7 +139,7 @@
     pace: Pace,
     zone: Zone,
     began: Moment,
-    inner: Arc<Mutex<Inner<F>>>,
+    inner: Arc<Mutex<View<F>>>,
     nudge: Arc<Notify>,
     changed: Arc<watch::Sender<u64>>,
     confirming: Arc<tokio::sync::Mutex<()>>,
@@ -186,16 +171,7 @@
         fold: F,
         token: CancellationToken,
     ) -> Self {
-        let inner = Inner {
-            fold,
-            seen: Vec::new(),
-            next: None,
-            changed: Offset::default(),
-            recent: Recent::default(),
-            proven: None,
-            stamps: Vec::new(),
-            touch: None,
-        };
+        let inner = View::new(fold);
         let follower = Self {
             topic,
             log,
@@ -212,7 +188,7 @@
         follower
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner<F>> {
+    fn lock(&self) -> MutexGuard<'_, View<F>> {
         // A panic in a fold is a bug; going on with what was folded beats refusing all.
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -332,11 +308,13 @@
                 self.proven().is_some_and(|proven| proven >= sent)
             }
             Ok(Err(error)) => {
-                log::warn!("follower: {} not confirmed: {error}.", self.topic.as_str());
+                let topic = self.topic.as_str();
+                log::warn!(topic, error:%; "follower: Not confirmed.");
                 false
             }
             Err(_) => {
-                log::warn!("follower: {} not confirmed in time.", self.topic.as_str());
+                let topic = self.topic.as_str();
+                log::warn!(topic; "follower: Not confirmed in time.");
                 false
             }
         }
@@ -368,7 +346,8 @@
                     }
                 }
                 Err(reason) => {
-                    log::warn!("follower: {} not read: {reason}.", self.topic.as_str());
+                    let topic = self.topic.as_str();
+                    log::warn!(topic, reason = reason.as_str(); "follower: Not read.");
                     self.stumble(gait);
                     let share = rand::random_range(0.5..=1.0);
                     // Word of a change doesn't end the pause: it comes several times a second, also
@@ -414,8 +393,9 @@
             Ok(Ok(batch)) => Ok(self.take(&batch, sent, stamps)),
             Ok(Err(Error::Gone { oldest })) => {
                 log::info!(
-                    "follower: {} begins at {oldest}, reading the newest of each key.",
-                    self.topic.as_str()
+                    topic = self.topic.as_str(),
+                    oldest = oldest.0;
+                    "follower: History is gone, reading the newest of each key."
                 );
                 self.lock().next = None;
                 Ok(false)
@@ -460,7 +440,7 @@
     }
 
     /// Notes that a read was answered, here or at a VM that vouches for this one.
-    fn regain(&self, inner: &mut Inner<F>, now: Moment) {
+    fn regain(&self, inner: &mut View<F>, now: Moment) {
         if inner.touch.is_none() {
             inner.touch = Some(now);
             inner.fold.touch(Touch::Regained(now));
@@ -480,49 +460,3 @@
         }
     }
 }
-
-impl<F: Fold> Inner<F> {
-    /// Applies a record unless a newer one of its key was seen: pages of the newest records are no
-    /// snapshot, and two reads may overlap.
-    fn apply(&mut self, record: &Record, now: Moment) -> bool {
-        match self.seen.binary_search_by(|(key, _)| key.cmp(&record.key)) {
-            Ok(place) if self.seen[place].1 >= record.offset => return false,
-            Ok(place) => self.seen[place].1 = record.offset,
-            Err(place) => self.seen.insert(place, (record.key.clone(), record.offset)),
-        }
-        let told = Told {
-            at: now,
-            touch: self.touch.unwrap_or(now),
-            first: self.proven.is_none(),
-        };
-        let changed = self.fold.apply(record, told);
-        if changed {
-            self.changed = self.changed.max(record.offset.next());
-            self.recent.push(record);
-        }
-        changed
-    }
-
-    /// Drops the keys that a reading of the newest records no longer has.
-    fn drop_missing(&mut self, batch: &Batch, now: Moment) -> bool {
-        let before = batch.end;
-        let gone: Vec<CompactString> = self
-            .seen
-            .iter()
-            .filter(|(key, offset)| {
-                *offset < before && !batch.records.iter().any(|record| record.key == *key)
-            })
-            .map(|(key, _)| key.clone())
-            .collect();
-        let mut changed = false;
-        for key in gone {
-            let record = Record {
-                offset: Offset(before.0.saturating_sub(1)),
-                key,
-                value: None,
-            };
-            changed |= self.apply(&record, now);
-        }
-        changed
-    }
-}
--- /dev/null
+++ b/crates/relay/src/follow/view.rs
@@ -0,0 +1,93 @@
+//! A topic's view: each record applied once and in order.
+
+use compact_str::CompactString;
+use pimento_units::Moment;
+use pimento_units::Offset;
+
+use super::Fold;
+use super::Told;
+use crate::recent::Recent;
+use crate::topic::Batch;
+use crate::topic::Record;
+use crate::zone::Stamp;
+
+/// A view with its place in the topic, and how it is proven.
+#[derive(Debug)]
+pub struct View<F> {
+    /// What the records are folded into.
+    pub fold: F,
+    /// Newest offset of each key, sorted by key.
+    pub seen: Vec<(CompactString, Offset)>,
+    /// Where to read on; none before the first read.
+    pub next: Option<Offset>,
+    /// The offset after the last record that changed the view.
+    pub changed: Offset,
+    /// The last of those records.
+    pub recent: Recent,
+    /// When the last read that reached the end was sent.
+    pub proven: Option<Moment>,
+    /// Other VMs' stamps that had come by then.
+    pub stamps: Vec<Stamp>,
+    /// Since when reads are answered; none while they are not.
+    pub touch: Option<Moment>,
+}
+
+impl<F: Fold> View<F> {
+    /// A view before the first read.
+    pub fn new(fold: F) -> Self {
+        Self {
+            fold,
+            seen: Vec::new(),
+            next: None,
+            changed: Offset::default(),
+            recent: Recent::default(),
+            proven: None,
+            stamps: Vec::new(),
+            touch: None,
+        }
+    }
+
+    /// Applies a record unless a newer one of its key was seen: pages of the newest records are no
+    /// snapshot, and two reads may overlap.
+    pub fn apply(&mut self, record: &Record, now: Moment) -> bool {
+        match self.seen.binary_search_by(|(key, _)| key.cmp(&record.key)) {
+            Ok(place) if self.seen[place].1 >= record.offset => return false,
+            Ok(place) => self.seen[place].1 = record.offset,
+            Err(place) => self.seen.insert(place, (record.key.clone(), record.offset)),
+        }
+        let told = Told {
+            at: now,
+            touch: self.touch.unwrap_or(now),
+            first: self.proven.is_none(),
+        };
+        let changed = self.fold.apply(record, told);
+        if changed {
+            self.changed = self.changed.max(record.offset.next());
+            self.recent.push(record);
+        }
+        changed
+    }
+
+    /// Drops the keys that a reading of the newest records no longer has.
+    pub fn drop_missing(&mut self, batch: &Batch, now: Moment) -> bool {
+        let before = batch.end;
+        let gone: Vec<CompactString> = self
+            .seen
+            .iter()
+            .filter(|(key, offset)| {
+                *offset < before && !batch.records.iter().any(|record| record.key == *key)
+            })
+            .map(|(key, _)| key.clone())
+            .collect();
+        let mut changed = false;
+        for key in gone {
+            let record = Record {
+                offset: Offset(before.0.saturating_sub(1)),
+                key,
+                value: None,
+            };
+            changed |= self.apply(&record, now);
+        }
+        changed
+    }
+}
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -9,6 +9,7 @@
 //! so that bytes between zones grow with the number of zones and not with that of VMs.
 
 mod message;
+mod news;
 mod peers;
 
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
 use self::message::Proofs;
 use self::message::Read;
 use self::message::Shared;
+use self::news::News;
 use self::peers::Peer;
 use self::peers::Peers;
 use crate::boot;
@@ -39,7 +41,6 @@
 use crate::follow::Lead;
 use crate::node::Node;
 use crate::rollouts::Rollouts;
-use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::Kept;
 use crate::rollouts::announcement::Said;
 use crate::topic::Log;
@@ -76,12 +77,6 @@
 /// A call of the log takes at most this long.
 const CALL: Duration = Duration::from_secs(1);
 
-/// Prompts told in one datagram; more than these would not fit the smallest usual path.
-const READS: usize = 16;
-
-/// Sessions told in one datagram, for the same reason.
-const KEPT: usize = 24;
-
 /// The largest datagram that is taken: one with the largest record that is handed on, and some.
 const LARGEST: usize = 10 << 10;
 
@@ -100,54 +95,6 @@
     told: Option<(Offset, Offset)>,
 }
 
-/// What there is to tell.
-#[derive(Default)]
-struct News {
-    /// Prompts that engines read.
-    reads: Vec<Read>,
-    /// Milliseconds that engines take, by their keys.
-    waits: Vec<(u64, u32)>,
-    /// What this VM says of roll-outs.
-    rollouts: Vec<Announcement>,
-    /// Sessions that keep a version.
-    kept: Vec<Kept>,
-    /// Records of the log.
-    passages: Vec<Passage>,
-}
-
-impl News {
-    const fn is_empty(&self) -> bool {
-        let prompts = self.reads.is_empty() && self.waits.is_empty();
-        let versions = self.rollouts.is_empty() && self.kept.is_empty();
-        prompts && versions && self.passages.is_empty()
-    }
-
-    /// The news in parts that fit a datagram each.
-    fn parts(&self) -> Vec<Part<'_>> {
-        let mut reads = self.reads.chunks(READS);
-        let mut kept = self.kept.chunks(KEPT);
-        let mut passages = self.passages.chunks(1);
-        let count = reads.len().max(kept.len()).max(passages.len()).max(1);
-        let part = |place| Part {
-            first: place == 0,
-            last: place + 1 == count,
-            reads: reads.next().unwrap_or_default(),
-            kept: kept.next().unwrap_or_default(),
-            passages: passages.next().unwrap_or_default(),
-        };
-        (0..count).map(part).collect()
-    }
-}
-
-/// What goes in one datagram.
-struct Part<'a> {
-    first: bool,
-    last: bool,
-    reads: &'a [Read],
-    kept: &'a [Kept],
-    passages: &'a [Passage],
-}
-
 struct Neighbours<P, L> {
     node: Node<P, L>,
     log: L,
--- /dev/null
+++ b/crates/relay/src/neighbours/news.rs
@@ -0,0 +1,66 @@
+//! What there is to tell other VMs, cut into datagrams.
+
+use super::message::Passage;
+use super::message::Read;
+use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::Kept;
+
+/// Prompts told in one datagram; more than these would not fit the smallest usual path.
+const READS: usize = 16;
+
+/// Sessions told in one datagram, for the same reason.
+const KEPT: usize = 24;
+
+/// What there is to tell.
+#[derive(Default)]
+pub struct News {
+    /// Prompts that engines read.
+    pub reads: Vec<Read>,
+    /// Milliseconds that engines take, by their keys.
+    pub waits: Vec<(u64, u32)>,
+    /// What this VM says of roll-outs.
+    pub rollouts: Vec<Announcement>,
+    /// Sessions that keep a version.
+    pub kept: Vec<Kept>,
+    /// Records of the log.
+    pub passages: Vec<Passage>,
+}
+
+impl News {
+    /// Whether there is nothing.
+    pub const fn is_empty(&self) -> bool {
+        let prompts = self.reads.is_empty() && self.waits.is_empty();
+        let versions = self.rollouts.is_empty() && self.kept.is_empty();
+        prompts && versions && self.passages.is_empty()
+    }
+
+    /// The news in parts that fit a datagram each.
+    pub fn parts(&self) -> Vec<Part<'_>> {
+        let mut reads = self.reads.chunks(READS);
+        let mut kept = self.kept.chunks(KEPT);
+        let mut passages = self.passages.chunks(1);
+        let count = reads.len().max(kept.len()).max(passages.len()).max(1);
+        let part = |place| Part {
+            first: place == 0,
+            last: place + 1 == count,
+            reads: reads.next().unwrap_or_default(),
+            kept: kept.next().unwrap_or_default(),
+            passages: passages.next().unwrap_or_default(),
+        };
+        (0..count).map(part).collect()
+    }
+}
+
+/// What goes in one datagram.
+pub struct Part<'a> {
+    /// Whether it is the first of the news.
+    pub first: bool,
+    /// Whether it is the last.
+    pub last: bool,
+    /// Prompts that engines read.
+    pub reads: &'a [Read],
+    /// Sessions that keep a version.
+    pub kept: &'a [Kept],
+    /// Records of the log.
+    pub passages: &'a [Passage],
+}
