Judge a VM's touch with the log by the word of the one that reads for it

Each return began the grace for entries that an outage ended anew, so that an endpoint that left counted as one whose entry had lapsed.

Change: its bound is the trust in the other VM's word.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -348,7 +348,7 @@
                 Err(reason) => {
                     let topic = self.topic.as_str();
                     log::warn!(topic, reason = reason.as_str(); "follower: Not read.");
-                    self.stumble(gait);
+                    self.stumble(role, gait);
                     let share = rand::random_range(0.5..=1.0);
                     // Word of a change doesn't end the pause: it comes several times a second, also
                     // while the log turns this VM away and serves the one that reads for it.
@@ -448,12 +448,19 @@
         }
     }
 
-    fn stumble(&self, gait: Gait) {
+    /// A read failed. A VM that another one reads for is in touch by that one's word, which may be as
+    /// old as the trust in it: judged by its own reads alone it would fall out of touch and back
+    /// several times a second while the log turns it away.
+    fn stumble(&self, role: Lead, gait: Gait) {
+        let usual = match role {
+            Lead::Led => self.pace.trust,
+            Lead::Alone | Lead::Leading => gait.wait + gait.pause,
+        };
         let now = boot::now();
         let mut inner = self.lock();
         let silent = inner
             .proven
-            .is_none_or(|proven| now.since(proven) > OUT_OF_TOUCH + gait.wait + gait.pause);
+            .is_none_or(|proven| now.since(proven) > OUT_OF_TOUCH + usual);
         if silent && inner.touch.take().is_some() {
             inner.fold.touch(Touch::Lost);
             log::warn!(topic = self.topic.as_str(); "follower: The log is out of touch.");
