Read what a VM knows to lack, also after a refused read

Change: the follower remembers that it is behind until a read has succeeded, and goes on reading with growing pauses.

Test first failing: a_change_that_could_not_be_read_is_read_later.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -323,12 +323,15 @@
     async fn run(self) {
         let mut lead = self.zone.lead.subscribe();
         let mut pause = FIRST_PAUSE;
+        // Word of a change came and no read has succeeded since: without this a VM whose read was
+        // refused would wait for the next word, or until its trust is used up.
+        let mut behind = false;
         loop {
             let role = *lead.borrow_and_update();
-            if role == Lead::Led && self.trusts() {
+            if role == Lead::Led && self.trusts() && !behind {
                 let left = self.age().map(|age| self.pace.trust.saturating_sub(age));
                 tokio::select! {
-                    () = self.nudge.notified() => {}
+                    () = self.nudge.notified() => behind = true,
                     _ = lead.changed() => continue,
                     () = tokio::time::sleep(left.unwrap_or_default()) => continue,
                 }
@@ -341,6 +344,7 @@
             match self.read(gait.wait).await {
                 Ok(whole) => {
                     pause = FIRST_PAUSE;
+                    behind &= !whole;
                     if whole {
                         tokio::time::sleep(gait.pause).await;
                     }
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -410,3 +410,25 @@
     }
     assert_eq!(fixture.follower.view(|all| all.1), 0);
 }
+
+// One word of a change comes while the log turns this VM away, and no other follows. The VM knows that
+// it lacks something: it reads as soon as the log serves it again, not when its trust in the other
+// VM's last proof is used up.
+#[tokio::test]
+async fn a_change_that_could_not_be_read_is_read_later() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    let next = fixture.log.put("a", Some("1"));
+    fixture.log.set(Mood::Down);
+    let calls = fixture.log.calls();
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp: boot::now(),
+    });
+    fixture
+        .until("a refused read", |f| f.log.calls() > calls)
+        .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fixture.log.set(Mood::Well);
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+}
