--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -4,18 +4,19 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use pimento_metrics::counter;
+use pimento_metrics::figure;
+use pimento_metrics::gauge;
+use pimento_metrics::gauges;
+use pimento_metrics::histogram;
 use pimento_scheduler::Scheduler;
 use pimento_units::Money;
 use pimento_units::id;
-use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::GaugeVec;
-use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
-use prometheus::Opts;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::refusal::Code;
 
@@ -30,6 +31,9 @@
     0.000_01, 0.000_1, 0.000_5, 0.001, 0.005, 0.01, 0.05, 0.1, 0.5, 5.0,
 ];
 
+/// Labels of the histograms.
+const LABELS: [&str; 2] = ["customer", "class"];
+
 /// The label of all customers past the settable count.
 const OTHERS: &str = "other";
 
@@ -70,39 +74,6 @@
     pub cost: Money,
 }
 
-fn histogram(registry: &Registry, name: &str, help: &str, bounds: &[f64]) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
-    let vec = HistogramVec::new(options, &["customer", "class"]);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let vec = IntCounterVec::new(Opts::new(name, help), labels);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
-    let vec = GaugeVec::new(Opts::new(name, help), labels);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
-    let gauge = Gauge::new(name, help).expect("the name is a constant that prometheus takes");
-    register(registry, &gauge);
-    gauge
-}
-
-fn register(registry: &Registry, metric: &(impl prometheus::core::Collector + Clone + 'static)) {
-    let registered = registry.register(Box::new(metric.clone()));
-    registered.expect("each name is registered once");
-}
-
 impl Metrics {
     /// Metrics with series of their own for at most `customers` customers.
     ///
@@ -119,19 +90,28 @@
                 "pimento_first_byte_seconds",
                 "Time to the first byte of an answer",
                 &LATENCY,
+                &LABELS,
             ),
             last_byte: histogram(
                 r,
                 "pimento_last_byte_seconds",
                 "Time to the last byte of an answer",
                 &LATENCY,
+                &LABELS,
+            ),
+            queue_wait: histogram(
+                r,
+                "pimento_queue_wait_seconds",
+                "Time in queues",
+                &LATENCY,
+                &LABELS,
             ),
-            queue_wait: histogram(r, "pimento_queue_wait_seconds", "Time in queues", &LATENCY),
             cost: histogram(
                 r,
                 "pimento_cost",
                 "Cost to us of a request, all attempts and steps, in currency units",
                 &COST,
+                &LABELS,
             ),
             served: counter(
                 r,
@@ -274,12 +254,7 @@
     /// All metrics in the text format.
     #[must_use]
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            log::error!("metrics: Not encoded: {error}.");
-        }
-        text
+        pimento_metrics::text(&self.registry)
     }
 }
 
@@ -288,7 +263,6 @@
     money.micros() as f64 / pimento_units::money::MICROS as f64
 }
 
-#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
-const fn float(count: usize) -> f64 {
-    count as f64
+fn float(count: usize) -> f64 {
+    figure(u64::try_from(count).unwrap_or(u64::MAX))
 }
--- a/crates/logs/src/append.rs
+++ b/crates/logs/src/append.rs
@@ -21,9 +21,9 @@
 
 /// Queues lines.
 #[derive(Debug)]
-pub struct Queued {
+pub struct Queued<L> {
     pub queue: Arc<Queue>,
-    pub layout: Box<dyn Layout>,
+    pub layout: L,
     pub clock: Clock,
 }
 
@@ -35,7 +35,7 @@
     }
 }
 
-impl Append for Queued {
+impl<L: Layout> Append for Queued<L> {
     fn append(&self, record: &Record, diags: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
         if self.queue.admits(weight(record.level()), (self.clock)()) {
             self.queue.push(&self.layout.format(record, diags)?);
--- a/crates/logs/src/start.rs
+++ b/crates/logs/src/start.rs
@@ -1,7 +1,6 @@
 //! Setting up the process's logger.
 
 use std::io;
-use std::io::Write;
 use std::str::FromStr;
 use std::sync::Arc;
 use std::sync::OnceLock;
@@ -78,18 +77,21 @@
     if QUEUE.set(Arc::clone(&queue)).is_err() {
         return Ok(());
     }
-    let layout: Box<dyn Layout> = match settings.format {
-        Format::Text => Box::new(TextLayout::default()),
-        Format::Json => Box::new(JsonLayout::default()),
-    };
     let writer = Arc::clone(&queue);
-    let output: Box<dyn Write + Send> = match settings.output {
-        Output::Stdout => Box::new(io::stdout()),
-        Output::Stderr => Box::new(io::stderr()),
+    let missing = move |count| missing(settings.format, count);
+    let write = move || match settings.output {
+        Output::Stdout => writer.write(io::stdout(), missing),
+        Output::Stderr => writer.write(io::stderr(), missing),
     };
-    thread::Builder::new()
-        .name("logs".into())
-        .spawn(move || writer.write(output, |count| missing(settings.format, count)))?;
+    thread::Builder::new().name("logs".into()).spawn(write)?;
+    match settings.format {
+        Format::Text => apply(queue, TextLayout::default(), settings),
+        Format::Json => apply(queue, JsonLayout::default(), settings),
+    }
+    Ok(())
+}
+
+fn apply(queue: Arc<Queue>, layout: impl Layout, settings: Settings) {
     let append = Queued {
         queue,
         layout,
@@ -103,7 +105,6 @@
     if builder.try_apply().is_ok() {
         log::set_max_level(settings.level);
     }
-    Ok(())
 }
 
 /// The line that says how many are missing.
--- /dev/null
+++ b/crates/metrics/src/lib.rs
@@ -0,0 +1,98 @@
+//! Series of metrics: registered once, bounded by who uses them, and written as text.
+//!
+//! Names and labels are constants of the programs. One that `prometheus` does not take, or that is
+//! registered twice, is a fault of the program and ends it at its start.
+
+use prometheus::Encoder;
+use prometheus::Gauge;
+use prometheus::GaugeVec;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounterVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+
+/// Content type of [`text`].
+pub const TYPE: &str = prometheus::TEXT_FORMAT;
+
+/// A histogram by `labels`, with these upper bounds.
+///
+/// # Panics
+///
+/// If the name or a label can't be used, or the name is registered already.
+#[must_use]
+pub fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    bounds: &[f64],
+    labels: &[&str],
+) -> HistogramVec {
+    let options = HistogramOpts::new(name, help).buckets(bounds.to_vec());
+    let vec = HistogramVec::new(options, labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+/// A counter by `labels`.
+///
+/// # Panics
+///
+/// If the name or a label can't be used, or the name is registered already.
+#[must_use]
+pub fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let vec = IntCounterVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+/// A gauge by `labels`.
+///
+/// # Panics
+///
+/// If the name or a label can't be used, or the name is registered already.
+#[must_use]
+pub fn gauges(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+    let vec = GaugeVec::new(Opts::new(name, help), labels);
+    let vec = vec.expect("the name and labels are constants that prometheus takes");
+    register(registry, &vec);
+    vec
+}
+
+/// A single gauge.
+///
+/// # Panics
+///
+/// If the name can't be used or is registered already.
+#[must_use]
+pub fn gauge(registry: &Registry, name: &str, help: &str) -> Gauge {
+    let gauge = Gauge::new(name, help).expect("the name is a constant that prometheus takes");
+    register(registry, &gauge);
+    gauge
+}
+
+fn register(registry: &Registry, metric: &(impl prometheus::core::Collector + Clone + 'static)) {
+    let registered = registry.register(Box::new(metric.clone()));
+    registered.expect("each name is registered once");
+}
+
+/// All metrics of a registry as text.
+#[must_use]
+pub fn text(registry: &Registry) -> Vec<u8> {
+    let mut text = Vec::new();
+    let encoded = TextEncoder::new().encode(&registry.gather(), &mut text);
+    if let Err(error) = encoded {
+        log::error!("metrics: Not encoded: {error}.");
+    }
+    text
+}
+
+/// A count as a figure for a chart.
+#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
+#[must_use]
+pub const fn figure(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -288,9 +288,9 @@
             || (member.samples >= self.config.samples && self.slow(place, member.pace))
     }
 
-    fn slow(&self, place: usize, pace: f64) -> bool {
+    fn slow(&self, place: usize, own: f64) -> bool {
         self.usual(place)
-            .is_some_and(|usual| pace > usual * self.config.slow)
+            .is_some_and(|usual| own > usual * self.config.slow)
     }
 
     /// Whether one more may go out. At least one always may, so that pools of two or three are
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -11,18 +11,18 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use pimento_metrics::counter;
+use pimento_metrics::figure;
+use pimento_metrics::gauges;
+use pimento_metrics::histogram;
 use pimento_scheduler::Scheduler;
 use pimento_serve::Reply;
 use pimento_serve::Serve;
 use pimento_units::id;
-use prometheus::Encoder;
 use prometheus::GaugeVec;
-use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
 use prometheus::IntCounterVec;
-use prometheus::Opts;
 use prometheus::Registry;
-use prometheus::TextEncoder;
 
 use crate::border::Border;
 use crate::codec::Codec;
@@ -66,33 +66,6 @@
     log_lines: GaugeVec,
 }
 
-fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
-    let vec = IntCounterVec::new(Opts::new(name, help), labels);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn gauge(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
-    let vec = GaugeVec::new(Opts::new(name, help), labels);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn histogram(registry: &Registry, name: &str, help: &str) -> HistogramVec {
-    let options = HistogramOpts::new(name, help).buckets(LATENCY.to_vec());
-    let vec = HistogramVec::new(options, &["route"]);
-    let vec = vec.expect("the name and labels are constants that prometheus takes");
-    register(registry, &vec);
-    vec
-}
-
-fn register(registry: &Registry, metric: &(impl prometheus::core::Collector + Clone + 'static)) {
-    let registered = registry.register(Box::new(metric.clone()));
-    registered.expect("each name is registered once");
-}
-
 impl Default for Metrics {
     fn default() -> Self {
         let registry = Registry::new();
@@ -127,37 +100,43 @@
                 r,
                 "pimento_first_byte_seconds",
                 "Time from a request's head to its answer's head",
+                &LATENCY,
+                &["route"],
             ),
             last: histogram(
                 r,
                 "pimento_last_byte_seconds",
                 "Time from a request's head to the end of its answer",
+                &LATENCY,
+                &["route"],
             ),
             queued: histogram(
                 r,
                 "pimento_queue_wait_seconds",
                 "Time that an attempt waited for a slot",
+                &LATENCY,
+                &["route"],
             ),
-            pools: gauge(
+            pools: gauges(
                 r,
                 "pimento_pool",
                 "Jobs waiting, calls in flight, slots, endpoints usable and ejected, repeats left, by \
                  pool",
                 &["pool", "figure"],
             ),
-            ages: gauge(
+            ages: gauges(
                 r,
                 "pimento_view_age_seconds",
                 "Time since a topic's view was last known to be current",
                 &["topic"],
             ),
-            rollouts: gauge(
+            rollouts: gauges(
                 r,
                 "pimento_rollout_evidence",
                 "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
                 &["pool", "outcome"],
             ),
-            log_lines: gauge(
+            log_lines: gauges(
                 r,
                 "pimento_log_lines_left_out",
                 "Log lines left out since the start, by reason",
@@ -253,25 +232,10 @@
             self.ages.with_label_values(&[topic]).set(age.as_secs_f64());
         }
     }
-
-    fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut text);
-        if let Err(error) = encoded {
-            log::error!("metrics: Not encoded: {error}.");
-        }
-        text
-    }
-}
-
-#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
-const fn float(count: usize) -> f64 {
-    count as f64
 }
 
-#[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
-const fn long(count: u64) -> f64 {
-    count as f64
+fn float(count: usize) -> f64 {
+    figure(u64::try_from(count).unwrap_or(u64::MAX))
 }
 
 /// Serves the metrics.
@@ -308,7 +272,7 @@
         let reasons = [("budget", left_out.budget), ("unread", left_out.unread)];
         for (reason, count) in reasons {
             let gauge = metrics.log_lines.with_label_values(&[reason]);
-            gauge.set(long(count));
+            gauge.set(figure(count));
         }
     }
 }
@@ -321,8 +285,10 @@
             return response;
         }
         self.gauges();
-        let mut response = Response::new(Reply::whole(self.0.metrics.text()));
-        let kind = HeaderValue::from_static(prometheus::TEXT_FORMAT);
+        let mut response = Response::new(Reply::whole(pimento_metrics::text(
+            &self.0.metrics.registry,
+        )));
+        let kind = HeaderValue::from_static(pimento_metrics::TYPE);
         response.headers_mut().insert(CONTENT_TYPE, kind);
         response
     }
