--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -1,9 +1,11 @@
 //! What the entry VMs tell each other by datagrams: how long engines take for their prompts, which
 //! prompts engines have read, and what one VM of a zone, which reads the log for the others, found.
 //!
-//! All but the last is a hint. A datagram that is lost makes a prompt wait a little longer or be read once
-//! more; nothing that must be agreed on depends on it. VMs find each other by the topic that they
-//! share, read once at the start; who starts later is met by its first datagram.
+//! All but the last is a hint. A datagram that is lost makes a prompt wait a little longer or be read
+//! once more, or a VM read the log by itself. What was found are records and what proves them; it is
+//! taken from whoever reaches the internal ports, which the platform keeps to the system's own VMs.
+//! VMs find each other by the topic that they share, read once at the start; who starts later is met
+//! by its first datagram.
 //!
 //! Within a zone each VM tells all others. To another zone it tells one VM, which passes it on there,
 //! so that bytes between zones grow with the number of zones and not with that of VMs.
