Keep one copy of bounded labels, pool figures and counts in metrics

Change: pimento_metrics::Names, figure and TYPE, scheduler's Depth::figures, relay's millis. Series, names and values are as before.

Ruled out: one start of logs for all programs.

--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,9 +1,8 @@
 //! Metrics of an entry VM, with a bounded number of series.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
+use pimento_metrics::Names;
 use pimento_metrics::counter;
 use pimento_metrics::figure;
 use pimento_metrics::gauge;
@@ -34,9 +33,6 @@
 /// Labels of the histograms.
 const LABELS: [&str; 2] = ["customer", "class"];
 
-/// The label of all customers past the settable count.
-const OTHERS: &str = "other";
-
 /// Label of requests that have no class: plain services.
 pub const NO_CLASS: &str = "service";
 
@@ -44,8 +40,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    customers: Mutex<Vec<id::Customer>>,
-    most: usize,
+    /// Customers with series of their own.
+    customers: Names,
     first_byte: HistogramVec,
     last_byte: HistogramVec,
     queue_wait: HistogramVec,
@@ -160,31 +156,14 @@
                 &["customer"],
             ),
             kept_bytes: gauge(r, "pimento_kept_bytes", "Memory of kept answers, in bytes"),
-            customers: Mutex::default(),
-            most: customers,
+            customers: Names::new(customers),
             registry,
         }
     }
 
-    /// The label of a customer.
-    fn label(&self, customer: &id::Customer) -> String {
-        let mut known = self
-            .customers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        match known.binary_search(customer) {
-            Ok(_) => customer.to_string(),
-            Err(place) if known.len() < self.most => {
-                known.insert(place, customer.clone());
-                customer.to_string()
-            }
-            Err(_) => OTHERS.into(),
-        }
-    }
-
     /// Counts an answer.
     pub fn served(&self, customer: &id::Customer, class: &str, by: &str, sample: Sample) {
-        let customer = self.label(customer);
+        let customer = self.customers.label(customer.as_str());
         let labels = [customer.as_str(), class];
         let observe = |vec: &HistogramVec, time: Duration| {
             vec.with_label_values(&labels).observe(time.as_secs_f64());
@@ -223,7 +202,7 @@
 
     /// Sets what was granted to this node for a customer.
     pub fn granted(&self, customer: &id::Customer, granted: Money) {
-        let customer = self.label(customer);
+        let customer = self.customers.label(customer.as_str());
         self.spend_granted
             .with_label_values(&[customer.as_str()])
             .set(amount(granted));
@@ -232,21 +211,13 @@
     /// Sets the gauges that are read when asked for.
     pub fn gauge(&self, age: Duration, bills: usize, kept: usize, scheduler: &Scheduler) {
         self.state_age.set(age.as_secs_f64());
-        self.bills_waiting.set(float(bills));
-        self.kept_bytes.set(float(kept));
+        self.bills_waiting.set(figure(bills));
+        self.kept_bytes.set(figure(kept));
         for (name, pool) in scheduler.pools() {
-            let depth = pool.depth();
-            let figures = [
-                ("waiting", float(depth.waiting)),
-                ("flying", f64::from(depth.flying)),
-                ("slots", f64::from(depth.slots)),
-                ("usable", float(depth.usable)),
-                ("ejected", float(depth.ejected)),
-            ];
-            for (figure, value) in figures {
+            for (which, count) in pool.depth().figures() {
                 self.pools
-                    .with_label_values(&[name.as_str(), figure])
-                    .set(value);
+                    .with_label_values(&[name.as_str(), which])
+                    .set(figure(count));
             }
         }
     }
@@ -262,7 +233,3 @@
 fn amount(money: Money) -> f64 {
     money.micros() as f64 / pimento_units::money::MICROS as f64
 }
-
-fn float(count: usize) -> f64 {
-    figure(u64::try_from(count).unwrap_or(u64::MAX))
-}
--- a/crates/entry/src/operators.rs
+++ b/crates/entry/src/operators.rs
@@ -19,9 +19,6 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
-/// Content type of the metrics.
-const METRICS: &str = "text/plain; version=0.0.4";
-
 /// The operators' side.
 #[derive(Debug, Clone)]
 pub struct Operators(pub Arc<Node>);
@@ -102,7 +99,7 @@
             .view(|view| view.fold().granted(&contract.customer, period, holder));
         node.metrics.granted(&contract.customer, granted);
     }
-    reply::raw(StatusCode::OK, METRICS, node.metrics.text())
+    reply::raw(StatusCode::OK, pimento_metrics::TYPE, node.metrics.text())
 }
 
 fn state(node: &Node) -> State {
--- a/crates/metrics/src/lib.rs
+++ b/crates/metrics/src/lib.rs
@@ -3,6 +3,10 @@
 //! Names and labels are constants of the programs. One that `prometheus` does not take, or that is
 //! registered twice, is a fault of the program and ends it at its start.
 
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use compact_str::CompactString;
 use prometheus::Encoder;
 use prometheus::Gauge;
 use prometheus::GaugeVec;
@@ -93,6 +97,43 @@
 /// A count as a figure for a chart.
 #[expect(clippy::cast_precision_loss, reason = "a figure for a chart")]
 #[must_use]
-pub const fn figure(count: u64) -> f64 {
-    count as f64
+pub fn figure(count: impl TryInto<u64>) -> f64 {
+    count.try_into().unwrap_or(u64::MAX) as f64
+}
+
+/// The label of all names past the bound.
+const OTHERS: &str = "other";
+
+/// Names that have series of their own: the first so many that were seen. Names come from operators,
+/// and each one more is a series of every metric that bears it.
+#[derive(Debug)]
+pub struct Names {
+    most: usize,
+    /// Sorted.
+    known: Mutex<Vec<CompactString>>,
+}
+
+impl Names {
+    /// None seen yet, of at most so many.
+    #[must_use]
+    pub const fn new(most: usize) -> Self {
+        Self {
+            most,
+            known: Mutex::new(Vec::new()),
+        }
+    }
+
+    /// The label of a name.
+    #[must_use]
+    pub fn label(&self, name: &str) -> CompactString {
+        let mut known = self.known.lock().unwrap_or_else(PoisonError::into_inner);
+        match known.binary_search_by(|known| known.as_str().cmp(name)) {
+            Ok(place) => known[place].clone(),
+            Err(place) if known.len() < self.most => {
+                known.insert(place, name.into());
+                name.into()
+            }
+            Err(_) => OTHERS.into(),
+        }
+    }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,5 @@
 //! Counters and histograms of an entry VM, with a bounded number of series.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -11,6 +9,7 @@
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use pimento_metrics::Names;
 use pimento_metrics::counter;
 use pimento_metrics::figure;
 use pimento_metrics::gauges;
@@ -41,9 +40,6 @@
 /// half a megabyte.
 const ROUTES: usize = 16;
 
-/// The label of all routes past those.
-const OTHERS: &str = "other";
-
 /// Where the text is served.
 const PATH: &str = "/metrics";
 
@@ -51,8 +47,8 @@
 #[derive(Debug)]
 pub struct Metrics {
     registry: Registry,
-    /// Routes with series of their own, sorted.
-    routes: Mutex<Vec<CompactString>>,
+    /// Routes with series of their own.
+    routes: Names,
     answers: IntCounterVec,
     refusals: IntCounterVec,
     attempts: IntCounterVec,
@@ -142,36 +138,23 @@
                 "Log lines left out since the start, by reason",
                 &["reason"],
             ),
-            routes: Mutex::default(),
+            routes: Names::new(ROUTES),
             registry,
         }
     }
 }
 
 impl Metrics {
-    /// The label of a route.
-    fn label(&self, route: &CompactString) -> CompactString {
-        let mut known = self.routes.lock().unwrap_or_else(PoisonError::into_inner);
-        match known.binary_search(route) {
-            Ok(_) => route.clone(),
-            Err(place) if known.len() < ROUTES => {
-                known.insert(place, route.clone());
-                route.clone()
-            }
-            Err(_) => OTHERS.into(),
-        }
-    }
-
     /// Counts the head of an answer on its way to a caller.
     pub fn began(&self, route: &CompactString, took: Duration) {
-        let label = self.label(route);
+        let label = self.routes.label(route);
         let first = self.first.with_label_values(&[label.as_str()]);
         first.observe(took.as_secs_f64());
     }
 
     /// Counts the end of an answer.
     pub fn ended(&self, route: &CompactString, end: &str, took: Duration) {
-        let label = self.label(route);
+        let label = self.routes.label(route);
         let last = self.last.with_label_values(&[label.as_str()]);
         last.observe(took.as_secs_f64());
         self.answers.with_label_values(&[label.as_str(), end]).inc();
@@ -192,7 +175,7 @@
 
     /// Counts a wait for a slot.
     pub fn queued(&self, route: &CompactString, waited: Duration) {
-        let label = self.label(route);
+        let label = self.routes.label(route);
         let queued = self.queued.with_label_values(&[label.as_str()]);
         queued.observe(waited.as_secs_f64());
     }
@@ -206,16 +189,8 @@
 
     fn depths(&self, scheduler: &Scheduler) {
         for (name, pool) in scheduler.pools() {
-            let depth = pool.depth();
-            let figures = [
-                ("waiting", float(depth.waiting)),
-                ("flying", f64::from(depth.flying)),
-                ("slots", f64::from(depth.slots)),
-                ("usable", float(depth.usable)),
-                ("ejected", float(depth.ejected)),
-            ];
-            for (figure, value) in figures {
-                self.pool(&name, figure, value);
+            for (which, count) in pool.depth().figures() {
+                self.pool(&name, which, figure(count));
             }
         }
     }
@@ -234,10 +209,6 @@
     }
 }
 
-fn float(count: usize) -> f64 {
-    figure(u64::try_from(count).unwrap_or(u64::MAX))
-}
-
 /// Serves the metrics.
 #[derive(Debug)]
 pub struct Page<P, L>(pub Node<P, L>);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -135,7 +135,7 @@
     pub endpoints_age: Option<Duration>,
 }
 
-/// A time in log lines.
+/// A time in whole milliseconds.
 #[must_use]
 pub fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -246,6 +246,21 @@
     pub usable: usize,
 }
 
+impl Depth {
+    /// The figures with their names in metrics.
+    #[must_use]
+    pub fn figures(&self) -> [(&'static str, u64); 5] {
+        let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
+        [
+            ("waiting", count(self.waiting)),
+            ("flying", u64::from(self.flying)),
+            ("slots", u64::from(self.slots)),
+            ("usable", count(self.usable)),
+            ("ejected", count(self.ejected)),
+        ]
+    }
+}
+
 /// Takes the job out of the queue if its caller stops waiting for whatever reason, so that no slot
 /// is given to nobody.
 struct Waiting<'a> {
