Bring the pool up to the list before a request is refused for want of an endpoint

Cause: the test records_that_cannot_be_read_change_nothing once got 503 in place of 200. The list of endpoints and the scheduler's pool are brought together by a task of its own, which runs only when the request's task waits. A free slot is given without waiting: the request was offered the leaving endpoint, found it unusable, asked again, and after five rounds was refused, all without a pause, while the endpoint that had just registered was in the list and not in the pool. Where the list moved on between the connection and the send, it was refused at once.

Change: an endpoint that the list no longer allows, and a pool without anybody, bring the pool up to the list before the next look; an endpoint that left before the send sends the request elsewhere.

Ruled out: a yield before the next look (whether the other task runs then is up to the runtime), and updating the pool within the fold (the list is read under its lock by many).

Before: both tests of platform/tests/all/attempts.rs, which hold list and pool apart without luck, fail (NoEndpoint). After: both pass, 49 of 49 of that crate's tests.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -11,6 +11,7 @@
 use pimento_scheduler::Estimate;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
+use pimento_scheduler::Refused;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -28,6 +29,7 @@
 use crate::codec::Codec;
 use crate::node::Node;
 use crate::node::millis;
+use crate::pools;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::rollouts::Seen;
@@ -146,7 +148,10 @@
                     continue;
                 }
             };
-            self.check(&permit)?;
+            if !self.check(&permit)? {
+                self.moved_on(permit.endpoint())?;
+                continue;
+            }
             if self.state.sent > 0 && !self.repeat() {
                 return Err(self.refuse(Refusal::new(Cause::Failed)));
             }
@@ -164,6 +169,7 @@
 
     /// Waits for a slot at an endpoint that may still be used.
     async fn slot(&mut self, variant: &Variant) -> Result<Permit, Refusal> {
+        let mut followed = false;
         loop {
             let pool = self.node.scheduler.pool(&self.request.pool);
             // Dropping this future takes the job out of the queue, so that nothing is cancelled by
@@ -174,16 +180,33 @@
             let waited = self.node.now().since(asked);
             let route = &self.request.grant.route.name;
             self.node.metrics.queued(route, waited);
-            let permit = permit.map_err(|refused| self.refuse(refused.into()))?;
+            let permit = match permit {
+                Ok(permit) => permit,
+                // Whoever could take it may have registered since the pool was last brought up to
+                // the list. Once is enough: nothing else runs between the two looks.
+                Err(Refused::Nobody { .. }) if !followed => {
+                    followed = true;
+                    pools::refresh(self.node);
+                    continue;
+                }
+                Err(refused) => return Err(self.refuse(refused.into())),
+            };
             if self.node.usable(permit.endpoint()) && !self.withdrawn(&permit) {
                 return Ok(permit);
             }
-            // The list moved on while the job waited; the pool follows it at once.
-            self.state.tried.push(permit.endpoint().clone());
-            self.count()?;
+            self.moved_on(permit.endpoint())?;
         }
     }
 
+    /// The list says that an endpoint takes no new work while the pool still offers it: the task that
+    /// brings the pool up to the list runs only once this one waits. Without this a request went
+    /// round the same leaving endpoint until it was refused, while others were free.
+    fn moved_on(&mut self, endpoint: &id::Endpoint) -> Result<(), Refusal> {
+        self.state.tried.push(endpoint.clone());
+        pools::refresh(self.node);
+        self.count()
+    }
+
     /// Whether the version was found to be bad while the job waited.
     fn withdrawn(&self, permit: &Permit) -> bool {
         let Some(version) = permit.version() else {
@@ -248,17 +271,21 @@
         self.count()
     }
 
-    /// Whether the request may still be sent: its key, its route and its service, as of now.
-    fn check(&self, permit: &Permit) -> Result<(), Refusal> {
+    /// Whether the endpoint may still be sent the request.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if its key, its route or its service no longer allow it.
+    fn check(&self, permit: &Permit) -> Result<bool, Refusal> {
         let request = self.request;
         let grant = admit::still(self.node, &request.ask, request.path());
         let grant = grant.map_err(|refusal| self.refuse(refusal))?;
         let same = grant.customer == request.grant.customer;
-        if !same || !grant.route.allows(&request.pool) || !self.node.usable(permit.endpoint()) {
+        if !same || !grant.route.allows(&request.pool) {
             let refusal = Refusal::new(Cause::NoEndpoint).after(AGAIN);
             return Err(self.refuse(refusal));
         }
-        Ok(())
+        Ok(self.node.usable(permit.endpoint()))
     }
 
     /// Sends the request; none if the endpoint did not run it and another one is to be asked.
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -44,7 +44,8 @@
     }
 }
 
-fn refresh<P: Border + Codec, L: Log>(node: &Node<P, L>) {
+/// Brings the scheduler's pools up to the list of endpoints and to the services.
+pub(crate) fn refresh<P: Border + Codec, L: Log>(node: &Node<P, L>) {
     let now = boot::now();
     let zone = &node.config.zone;
     let table = node.table();
