Hold the bound on ejected endpoints when others leave, and refuse what nobody can serve in time

The bound on how many may be out was asked only when one went out, and endpoints that were leaving counted as in use. A call that only endpoints could take that are out until after its last start waited all the same.

Change: a pool that shrinks takes the endpoint back whose time ends first; only endpoints that take new work count; a call that nobody takes back in time is refused at once with the time at which the first one is back.

Ruled out: no ejection at all in pools of three or fewer (one that fails fast drew most calls).

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -143,6 +143,14 @@
         }
     }
 
+    /// In use again, with nothing held against it.
+    fn back(&mut self) {
+        self.until = None;
+        self.probing = None;
+        self.samples = 0;
+        self.errors = 0;
+    }
+
     fn learn(&mut self, pace: f64, weight: f64) {
         self.errors = 0;
         self.samples = self.samples.saturating_add(1);
@@ -179,6 +187,21 @@
         }
         self.out = members.iter().filter(|member| member.out()).count();
         self.members = members;
+        self.readmit();
+    }
+
+    /// Takes endpoints back in use while more are out than may be, since others left: the one whose
+    /// time ends first goes first. Held to its time, the last endpoint of a pool left all calls
+    /// waiting for seconds though it was well.
+    fn readmit(&mut self) {
+        while self.out > self.most() {
+            let out = self.members.iter_mut().filter(|member| member.out());
+            let Some(member) = out.min_by_key(|member| member.until) else {
+                return;
+            };
+            member.back();
+            self.out -= 1;
+        }
     }
 
     /// Whether an endpoint may get a call. An unknown one may.
@@ -190,6 +213,14 @@
         })
     }
 
+    /// When an endpoint may get calls again; [`Moment::ZERO`] for one that is in use.
+    #[must_use]
+    pub fn back(&self, endpoint: &id::Endpoint) -> Moment {
+        let place = self.find(endpoint);
+        let until = place.and_then(|place| self.members[place].until);
+        until.unwrap_or(Moment::ZERO)
+    }
+
     /// The states of all endpoints, sorted by endpoint: for a choice among many, where a search for
     /// each would cost more than the choice itself. While [`out`](Self::out) is zero all are in, and
     /// it need not be asked.
@@ -293,13 +324,17 @@
             .is_some_and(|usual| own > usual * self.config.slow)
     }
 
-    /// Whether one more may go out. At least one always may, so that pools of two or three are
-    /// protected too, but never the last one.
+    /// Whether one more may go out.
     fn spare(&self) -> bool {
+        self.out < self.most()
+    }
+
+    /// Endpoints that may be out. At least one always may, so that pools of two or three are
+    /// protected too, but never the last one.
+    fn most(&self) -> usize {
         let total = u32::try_from(self.members.len()).unwrap_or(u32::MAX);
-        let out = u32::try_from(self.out()).unwrap_or(u32::MAX);
         let most = crate::number::small(f64::from(total) * self.config.share).max(1);
-        out < most && out + 1 < total
+        most.min(total.saturating_sub(1)) as usize
     }
 
     fn eject(&mut self, place: usize, now: Moment) {
@@ -328,10 +363,8 @@
         let member = &mut self.members[place];
         member.probes += 1;
         if member.probes >= probes {
-            member.until = None;
+            member.back();
             self.out -= 1;
-            member.samples = 0;
-            member.errors = 0;
             member.ejections = member.ejections.saturating_sub(1);
         }
     }
--- a/crates/policy/tests/eject.rs
+++ b/crates/policy/tests/eject.rs
@@ -73,3 +73,49 @@
     }
     assert_eq!(pool.state(&endpoint(0), now), State::In);
 }
+
+fn failed(pool: &mut Pool, number: usize, now: Moment) {
+    for _ in 0..3 {
+        pool.record(&endpoint(number), Outcome::Failed, now);
+    }
+}
+
+// One of three endpoints goes out, then the two others leave. The pool is the one that is out: held
+// out to the end of its time, it left every call waiting for what could not come, while other nodes
+// went on with it.
+#[test]
+fn the_last_one_that_stays_is_back_in_use() {
+    let mut pool = pool(3);
+    let now = Moment::ZERO;
+    failed(&mut pool, 0, now);
+    assert_eq!(pool.state(&endpoint(0), now), State::Out);
+    pool.retain([endpoint(0)]);
+    assert_eq!(pool.state(&endpoint(0), now), State::In);
+    assert_eq!(pool.out(), 0);
+}
+
+// Two of six are out, three of the well ones leave: of the three that stay one may be out, and the
+// one whose time ends first is back.
+#[test]
+fn a_pool_that_shrinks_keeps_its_bound() {
+    let mut pool = pool(6);
+    let begin = Moment::ZERO;
+    let later = begin + Duration::from_secs(2);
+    failed(&mut pool, 4, begin);
+    failed(&mut pool, 5, later);
+    assert_eq!(pool.out(), 2);
+    pool.retain([3, 4, 5].map(endpoint));
+    let states = [3, 4, 5].map(|number| pool.state(&endpoint(number), later));
+    assert_eq!(states, [State::In, State::In, State::Out]);
+}
+
+// An endpoint that is out comes back at a known time; one in use is there.
+#[test]
+fn an_endpoint_that_is_out_says_when_it_is_back() {
+    let mut pool = pool(3);
+    let now = Moment::ZERO + Duration::from_secs(1);
+    failed(&mut pool, 0, now);
+    let first = Config::default().first;
+    assert_eq!(pool.back(&endpoint(0)), now + first);
+    assert_eq!(pool.back(&endpoint(1)), Moment::ZERO);
+}
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -79,8 +79,9 @@
 impl Inner {
     pub fn update(&mut self, mut members: Vec<Member>) {
         members.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
-        self.health
-            .retain(members.iter().map(|m| m.endpoint.clone()));
+        // One that is leaving serves nobody, and must not count as one that is left.
+        let usable = members.iter().filter(|member| member.usable);
+        self.health.retain(usable.map(|m| m.endpoint.clone()));
         let mut former = std::mem::take(&mut self.seats);
         for member in members {
             let known = former
@@ -528,8 +529,8 @@
         }
     }
 
-    /// When a job may come back that no endpoint will take in time: each one refused its last call
-    /// and said to come back after this job's last start. Such a job hears it at once; going round
+    /// When a job may come back that no endpoint will take in time: each one is out, or refused its
+    /// last call and said to come back, until after this job's last start. Such a job hears it at once; going round
     /// the endpoints until its time is short would give it nothing.
     pub fn hopeless(&self, job: &Job, now: Moment) -> Option<Duration> {
         let version = job.version.as_ref();
@@ -541,7 +542,8 @@
             .seats
             .iter()
             .filter(|s| s.member.usable && s.member.holds(version));
-        let earliest = seats.map(|seat| seat.back).min()?;
+        let back = |seat: &Seat| seat.back.max(self.health.back(&seat.member.endpoint));
+        let earliest = seats.map(back).min()?;
         let after = earliest.since(now);
         (after > last).then_some(after)
     }
