Weigh larger models by what an answer is worth, its price and the engines' time

Cause: the cascade charged each answer the same share of its worth for a larger model, whatever its prompt and answer cost, and counted the reading of any prompt as one whole. Notes took 1.3 of the 7 engine-seconds that prompts take in a second.

Change: policy::worth. An answer is worth its work in generated tokens, less by its route's rank. Price and reading are held against that, each compared with what is usual among the latest requests of the VM, so that no unit of money and no speed is built in.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -4,8 +4,9 @@
 //! **Without it:** the small model alone answers half of the requests too poorly to be of use; the
 //! large one alone takes seven times the engines' time, and under load a third of the callers get
 //! nothing. **How:** the smallest model answers first, and its head brings its confidence before the
-//! caller has anything. What each larger model is expected to add is weighed against the engines'
-//! time that it takes from others: the fuller the engines, the more it must add. An answer that
+//! caller has anything. What each larger model is expected to add is weighed, by what the answer is
+//! worth, against its price and the engines' time that it takes from others: the fuller the engines, the
+//! more it must add. An answer that
 //! would come after the caller's target counts for little, so that a prompt which the largest model
 //! reads too slowly goes to a middle one. What larger models say of requests that a smaller one was
 //! unsure of is kept, and replaces the first guess.
@@ -21,17 +22,19 @@
 use pimento_units::Moment;
 
 use crate::number;
+use crate::worth::Stake;
 
 /// Figures of a cascade by confidence.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
     /// What an answer after the target is worth, as a share.
     pub late: f64,
-    /// What the most expensive model must add by its price, as a share of the answer's worth. At 0.22
-    /// one answer in a hundred fewer was of use on whole days, at 0.14 its price was not earned.
+    /// What the most expensive model must add by its price to an answer that costs the usual for its
+    /// worth, as a share of that. At 0.35 one answer in a hundred fewer was of use on whole days, at
+    /// 0.17 the price of some was not earned.
     pub price: f64,
-    /// What reading a whole prompt by the largest model must add for each target's length that the
-    /// next prompt would wait at the engines. At 3.5 one answer in a hundred fewer was of use, at 5
+    /// What reading the usual prompt by the largest model must add to an answer of the usual worth for
+    /// each target's length that the next prompt would wait at the engines. At 3.5 one answer in a hundred fewer was of use, at 5
     /// four; at 1.8 others waited for what it gained.
     pub rise: f64,
     /// Share of the target that an estimate may take. Of prompts that take over half a second to read,
@@ -43,7 +46,7 @@
     fn default() -> Self {
         Self {
             late: 0.3,
-            price: 0.17,
+            price: 0.25,
             rise: 2.5,
             trust: 0.95,
         }
@@ -192,10 +195,10 @@
     pub began: Moment,
     /// Time until the first token that the caller is to have.
     pub target: Duration,
-    /// Reading of the whole prompt by the largest model.
-    pub full: Duration,
     /// What the next prompt would wait at the engines.
     pub next: Duration,
+    /// What is at stake with it.
+    pub stake: Stake,
 }
 
 impl Config {
@@ -212,14 +215,16 @@
         let passes = passes(answer.confidence);
         let target = answer.target.as_secs_f64().max(f64::MIN_POSITIVE);
         let rise = self.rise * answer.next.as_secs_f64() / target;
-        let full = answer.full.as_secs_f64().max(f64::MIN_POSITIVE);
+        let stake = answer.stake;
+        let usual = (stake.reading.as_secs_f64() * stake.worth).max(f64::MIN_POSITIVE);
+        let price = self.price * stake.price;
         let gain = |model: &Larger| {
             let first = spent + model.wait + model.work;
             let in_time = first <= answer.target.mul_f64(self.trust);
             let worth = if in_time { 1.0 } else { self.late };
             let better = book.passes(answer.model, answer.confidence, model) * worth;
-            let taken = model.work.as_secs_f64() / full;
-            better - passes - self.price * model.cost - rise * taken
+            let taken = model.work.as_secs_f64() / usual;
+            better - passes - price * model.cost - rise * taken
         };
         let gains = larger.iter().map(gain).enumerate();
         let best = gains.max_by(|one, other| one.1.total_cmp(&other.1))?;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod rollout;
 pub mod session;
 pub mod shift;
+pub mod worth;
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -123,7 +123,7 @@
         let mut paces = Paces::default();
         let mut engine = engine();
         for round in 0..60 {
-            let tokens = [150, 600, 900, 300, 2_500][round as usize % 5];
+            let tokens = [150, 600, 900, 300, 2_500][usize::try_from(round % 5).expect("small")];
             let prompt = prompt(&[(round + 1, tokens)]);
             let reading = paces_of(tokens);
             ask(
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -8,6 +8,7 @@
 use pimento_policy::confidence;
 use pimento_policy::confidence::Answer;
 use pimento_policy::confidence::Larger;
+use pimento_policy::worth;
 use pimento_units::id;
 
 use crate::attempts::Attempts;
@@ -35,6 +36,24 @@
 pub struct Book {
     config: confidence::Config,
     seen: Mutex<confidence::Book>,
+    usual: Mutex<worth::Usual>,
+}
+
+impl Book {
+    /// What is at stake with a request's answer. It counts as one more request with its first answer.
+    fn stake(&self, request: &Work, full: Duration, first: bool) -> worth::Stake {
+        let (prompt, most) = request.usage().unwrap_or_default();
+        let asked = worth::Request {
+            prompt,
+            answer: request.ask.length.unwrap_or(most).min(most),
+            priority: request.grant.route.priority,
+        };
+        let mut usual = self.usual.lock().unwrap_or_else(PoisonError::into_inner);
+        if first {
+            usual.count(&asked, full);
+        }
+        usual.stake(&asked)
+    }
 }
 
 /// An answer that was dropped: its model and its confidence.
@@ -106,22 +125,14 @@
         return None;
     }
     let mut candidates: Vec<Larger> = Vec::new();
-    let mut answer = Answer {
-        model: key(model),
-        confidence,
-        began: request.began,
-        target: request.grant.route.target,
-        full: Duration::ZERO,
-        next: Duration::ZERO,
-    };
+    let (mut full, mut next_wait) = (Duration::ZERO, Duration::ZERO);
     for (rank, larger) in models.iter().enumerate().skip(place + 1) {
         let next = Variant {
             model: Some(larger.clone()),
             resume: variant.resume,
         };
         let estimate = attempts.estimate(&next)?;
-        answer.full = estimate.full;
-        answer.next = estimate.next;
+        (full, next_wait) = (estimate.full, estimate.next);
         candidates.push(Larger {
             model: key(larger),
             rank: confidence::rank(rank, models.len()),
@@ -130,6 +141,14 @@
             work: estimate.work,
         });
     }
+    let answer = Answer {
+        model: key(model),
+        confidence,
+        began: request.began,
+        target: request.grant.route.target,
+        next: next_wait,
+        stake: book.stake(request, full, place == 0),
+    };
     let now = attempts.node().now();
     let chosen = book.config.choose(&answer, &candidates, &seen, now);
     let named = |place: usize| models.get(place).map(id::Version::as_str);
@@ -141,6 +160,8 @@
         waits_ms:? = waits(candidates.iter().map(|larger| larger.wait)),
         reads_ms:? = waits(candidates.iter().map(|larger| larger.work)),
         next_ms = millis(answer.next),
+        worth = answer.stake.worth,
+        price = answer.stake.price,
         larger = chosen.and_then(|chosen| named(place + 1 + chosen));
         "cascade: Weighed larger models."
     );
