Swap the last endpoint in use for one that is out once it fails

A call that one endpoint failed was sent there again before one that is out was tried.

Change: an endpoint that fails when no more may go out takes the place of the one whose time ends first; a call goes to endpoints that are out before it goes again to one that failed it.

Ruled out: a slow one in place of one that fails (what is out may be worse).

Before: the new tests fail (the cut one stays in; the second try goes to it again). After: they pass.

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -4,7 +4,8 @@
 //! fast has the fewest calls in flight, so that least-loaded choice sends it most requests; the
 //! slow one sets the pool's 95th percentile. **How:** an endpoint goes out after consecutive
 //! errors, or when its time for a token stays over a multiple of the pool's median. At most a
-//! share of the pool is out, since a pool that fails as a whole is not helped by shrinking it. It
+//! share of the pool is out, since a pool that fails as a whole is not helped by shrinking it; one that
+//! fails when that many are out takes the place of the one that has been out for longest. It
 //! comes back by single probes: first one call, then an ordinary share; each further ejection
 //! lasts longer.
 //!
@@ -270,6 +271,20 @@
             }
         } else if self.bad(place) && self.spare() {
             self.eject(place, now);
+        } else if self.failing(place) {
+            self.swap(place, now);
+        }
+    }
+
+    /// Puts an endpoint that fails out in place of one that is out already and may be well by now. With
+    /// the bound alone, the last one in use kept its place when it was cut off, and all calls went to it
+    /// beside an endpoint that had recovered.
+    fn swap(&mut self, place: usize, now: Moment) {
+        let out = self.members.iter_mut().filter(|member| member.out());
+        if let Some(member) = out.min_by_key(|member| member.until) {
+            member.back();
+            self.out -= 1;
+            self.eject(place, now);
         }
     }
 
@@ -315,10 +330,14 @@
 
     fn bad(&self, place: usize) -> bool {
         let member = &self.members[place];
-        member.errors >= self.config.errors
+        self.failing(place)
             || (member.samples >= self.config.samples && self.slow(place, member.pace))
     }
 
+    fn failing(&self, place: usize) -> bool {
+        self.members[place].errors >= self.config.errors
+    }
+
     fn slow(&self, place: usize, own: f64) -> bool {
         self.usual(place)
             .is_some_and(|usual| own > usual * self.config.slow)
--- a/crates/policy/tests/eject.rs
+++ b/crates/policy/tests/eject.rs
@@ -119,3 +119,30 @@
     assert_eq!(pool.back(&endpoint(0)), now + first);
     assert_eq!(pool.back(&endpoint(1)), Moment::ZERO);
 }
+
+// One of two endpoints is out; then the other one is cut off. The pool kept to the one that no call
+// reached any more, since the last one never goes out, and callers were refused for seconds beside an
+// endpoint that had come back. They change places.
+#[test]
+fn the_last_one_in_use_changes_places_once_it_fails() {
+    let mut pool = pool(2);
+    let now = Moment::ZERO;
+    failed(&mut pool, 0, now);
+    let later = now + Duration::from_secs(1);
+    failed(&mut pool, 1, later);
+    let states = [0, 1].map(|number| pool.state(&endpoint(number), later));
+    assert_eq!(states, [State::In, State::Out]);
+    assert_eq!(pool.out(), 1);
+}
+
+// A slow one goes out only where the bound has room: what is out may be worse.
+#[test]
+fn a_slow_one_does_not_take_the_place_of_one_that_fails() {
+    let mut pool = pool(3);
+    let now = Moment::ZERO;
+    failed(&mut pool, 0, now);
+    served(&mut pool, 1, 60.0, 5, now);
+    served(&mut pool, 2, 600.0, 8, now);
+    let states = [0, 1, 2].map(|number| pool.state(&endpoint(number), now));
+    assert_eq!(states, [State::Out, State::In, State::In]);
+}
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -304,14 +304,33 @@
     /// The endpoint for a call of which only the load is known.
     fn draw(&self, job: &Job, now: Moment) -> Option<usize> {
         let random: u64 = rand::random();
-        let mut candidates = self.candidates(job, now);
-        let again = candidates.clone();
+        let choose =
+            |seats: &[choice::Candidate]| choice::choose(seats, job.prefix, random, &self.choice);
+        let again = self.candidates(job, now);
+        let mut candidates = again.clone();
         for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
             candidate.usable &= !job.tried.contains(&seat.member.endpoint);
         }
         self.probe(&candidates, job, now)
-            .or_else(|| choice::choose(&candidates, job.prefix, random, &self.choice))
-            .or_else(|| choice::choose(&again, job.prefix, random, &self.choice))
+            .or_else(|| choose(&candidates))
+            .or_else(|| choose(&self.ejected(&again, job, now)))
+            .or_else(|| choose(&again))
+    }
+
+    /// Candidates of which only those may be chosen that are out and did not fail this job: for a job
+    /// that all others failed they are the better chance.
+    fn ejected(
+        &self,
+        candidates: &[choice::Candidate],
+        job: &Job,
+        now: Moment,
+    ) -> Vec<choice::Candidate> {
+        let mut ejected = candidates.to_vec();
+        for (candidate, seat) in ejected.iter_mut().zip(&self.seats) {
+            let failed = job.tried.contains(&seat.member.endpoint);
+            candidate.usable = !job.tried.is_empty() && !failed && seat.takes(job, now);
+        }
+        ejected
     }
 
     /// The engine for a prompt, and what the prompt meets there.
@@ -362,9 +381,7 @@
 
     /// Whether a call may be sent to an endpoint now.
     fn free(&self, seat: &Seat, job: &Job, now: Moment) -> bool {
-        seat.member.usable
-            && seat.member.holds(job.version.as_ref())
-            && now >= seat.closed
+        seat.takes(job, now)
             && seat.limiter.room() > 0
             && self.health.state(&seat.member.endpoint, now) != eject::State::Out
     }
@@ -476,8 +493,6 @@
         let usual = self.health.median();
         let candidate = |seat: &Seat| {
             let healthy = self.health.state(&seat.member.endpoint, now) != eject::State::Out;
-            let open = seat.member.usable && now >= seat.closed;
-            let usable = open && seat.member.holds(job.version.as_ref());
             let own = seat.limiter.flying();
             let (others, age) = seat.member.report.map_or((0, Duration::MAX), |(load, at)| {
                 let all = load.running.saturating_add(load.waiting);
@@ -485,7 +500,7 @@
             });
             choice::Candidate {
                 key: seat.key,
-                usable: usable && healthy,
+                usable: seat.takes(job, now) && healthy,
                 distance: seat.member.distance,
                 own,
                 limit: seat.limiter.limit(),
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -10,6 +10,8 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use crate::pool::Job;
+
 /// A call of ordinary size, for comparing endpoints by how long one takes.
 const ORDINARY: Tokens = Tokens(500);
 
@@ -66,6 +68,14 @@
     pub(crate) engine: Option<Engine>,
 }
 
+impl Seat {
+    /// Whether the endpoint says that it takes calls such as this one.
+    pub(crate) fn takes(&self, job: &Job, now: Moment) -> bool {
+        let member = &self.member;
+        member.usable && member.holds(job.version.as_ref()) && now >= self.closed
+    }
+}
+
 /// How long an endpoint that refused a call gets none from this node: several round trips, in which
 /// calls of other nodes end. Doubled with each further refusal.
 pub(crate) const CLOSED: Duration = Duration::from_millis(50);
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -146,3 +146,19 @@
     };
     assert!(after > Duration::from_secs(3), "{after:?}");
 }
+
+// Of two endpoints one is out when a call can't reach the other. It goes to the one that is out, rather
+// than again to the one that just failed it: three such tries in a row were the caller's whole time.
+#[tokio::test]
+async fn a_call_that_failed_goes_to_an_endpoint_that_is_out_before_it_is_tried_again() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"desk".parse().unwrap());
+    pool.update(vec![desk(1, true), desk(2, true)]);
+    eject(&pool, "i-1", &["i-2"]).await;
+    let job = Job {
+        tried: vec!["i-2".parse().unwrap()],
+        ..call()
+    };
+    let permit = pool.acquire(job, &CancellationToken::new()).await;
+    assert_eq!(permit.unwrap().endpoint().as_str(), "i-1");
+}
