Bound connections by what they usually take, and silence by the route's pause

Change: policy::reach bounds a connection by the mean and deviation of those that were made (RFC 6298, times ten, 100 to 350 ms); a stream's silence is bounded by 0.8 of the route's longest pause.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limit;
 mod number;
 pub mod queue;
+pub mod reach;
 pub mod retry;
 pub mod rollout;
 pub mod session;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -141,8 +141,14 @@
     pub async fn open(&mut self, variant: &Variant) -> Result<Opened, Refusal> {
         loop {
             let permit = self.slot(variant).await?;
-            let connection = match Connection::open(permit.address()).await {
-                Ok(connection) => connection,
+            let asked = self.node.now();
+            let bound = self.node.reach(|reach| reach.bound());
+            let connection = match Connection::open(permit.address(), bound).await {
+                Ok(connection) => {
+                    let took = self.node.now().since(asked);
+                    self.node.reach(|reach| reach.made(took));
+                    connection
+                }
                 Err(fault) => {
                     self.not_run(permit, &fault)?;
                     continue;
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -28,11 +28,6 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-/// How long a connection may take to be made: round trips within and between zones are a few
-/// milliseconds and a new connection costs an endpoint about one more, so that an endpoint without
-/// an answer in this time is down or cut off. Nothing was sent, so that another one may be asked.
-pub const CONNECT: Duration = Duration::from_millis(350);
-
 /// The largest head of an answer, in bytes.
 const HEAD: usize = 64 << 10;
 
@@ -99,13 +94,13 @@
 }
 
 impl Connection {
-    /// Connects to an endpoint.
+    /// Connects to an endpoint within `bound`.
     ///
     /// # Errors
     ///
     /// [`Fault::Unreachable`]: nothing was sent.
-    pub async fn open(address: SocketAddr) -> Result<Self, Fault> {
-        let connecting = tokio::time::timeout(CONNECT, TcpStream::connect(address));
+    pub async fn open(address: SocketAddr, bound: Duration) -> Result<Self, Fault> {
+        let connecting = tokio::time::timeout(bound, TcpStream::connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(unreachable(&error)),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use pimento_policy::reach::Reach;
 use pimento_scheduler::Clock;
 use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
@@ -97,6 +98,8 @@
     /// Counters and histograms.
     pub(crate) metrics: Arc<Metrics>,
     rollouts: Arc<Mutex<Rollouts>>,
+    /// What connections to endpoints take.
+    reach: Arc<Mutex<Reach>>,
     /// The process's clocks.
     pub clock: Clock,
     /// Set when the VM is to leave.
@@ -117,6 +120,7 @@
             models: Arc::clone(&self.models),
             metrics: Arc::clone(&self.metrics),
             rollouts: Arc::clone(&self.rollouts),
+            reach: Arc::clone(&self.reach),
             clock: self.clock,
             leaving: self.leaving.clone(),
             tasks: self.tasks.clone(),
@@ -183,6 +187,7 @@
             models: Arc::default(),
             metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
+            reach: Arc::default(),
             clock,
             leaving: CancellationToken::new(),
             tasks: TaskTracker::new(),
@@ -271,6 +276,12 @@
         act(&mut rollouts)
     }
 
+    /// Looks at or adds to what connections to endpoints take. `act` runs under a lock and must be short.
+    pub fn reach<T>(&self, act: impl FnOnce(&mut Reach) -> T) -> T {
+        let mut reach = self.reach.lock().unwrap_or_else(PoisonError::into_inner);
+        act(&mut reach)
+    }
+
     /// The moment now, on the clock of deadlines.
     #[must_use]
     pub fn now(&self) -> Moment {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,14 +32,24 @@
 use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::table::Route;
 use crate::topic::Log;
 use crate::work::Work;
 
-/// How long a stream may be silent before it is taken up elsewhere. An engine that reads long
-/// prompts between the tokens of others, or preempts, pauses for over a second; callers leave after
-/// eight.
+/// How long a stream may be silent before it is taken up elsewhere, where its route says nothing of
+/// pauses. An engine that reads long prompts between the tokens of others, or preempts, pauses for over
+/// a second; callers leave after eight.
 const SILENCE: Duration = Duration::from_secs(4);
 
+/// Share of the longest pause that a route has for on time, after which a stream is taken up elsewhere.
+/// The rest is for the other engine to read the prompt. Without it, a stream whose endpoint fell silent
+/// came late by seconds; of the pauses between events that do go on none in a thousand is as long.
+const QUIET: f64 = 0.8;
+
+/// The shortest silence that counts, whatever a route says: some ten steps of an engine that reads a
+/// chunk of a long prompt in each.
+const LEAST: Duration = Duration::from_millis(400);
+
 /// The largest body of a failure that is kept to be handed on.
 const FAILURE: usize = 64 << 10;
 
@@ -49,6 +59,8 @@
     permit: Permit,
     body: Answer,
     splitter: Splitter,
+    /// How long it may be silent between events.
+    silence: Duration,
 }
 
 /// What comes next from a source.
@@ -58,16 +70,27 @@
 }
 
 impl Source {
-    fn new(permit: Permit, body: Answer) -> Self {
+    fn new(permit: Permit, body: Answer, route: &Route) -> Self {
+        let quiet = route.gap.map(|gap| gap.mul_f64(QUIET));
         Self {
             permit,
             body,
             splitter: Splitter::default(),
+            silence: quiet.map_or(SILENCE, |quiet| quiet.clamp(LEAST, SILENCE)),
         }
     }
 
     /// The next whole event, or the clean end.
-    async fn next(&mut self, silence: Duration) -> Result<Step, Fault> {
+    async fn next(&mut self) -> Result<Step, Fault> {
+        self.within(self.silence).await
+    }
+
+    /// The same for the first event, which waits for the prompt to be read.
+    async fn first(&mut self, left: Duration) -> Result<Step, Fault> {
+        self.within(left.min(SILENCE)).await
+    }
+
+    async fn within(&mut self, silence: Duration) -> Result<Step, Fault> {
         loop {
             if let Some(event) = self.splitter.take() {
                 return Ok(Step::Event(event));
@@ -197,8 +220,8 @@
             Err(fault) => attempts.broken(permit, &fault).map(|()| None),
         };
     }
-    let mut source = Source::new(permit, body);
-    match source.next(left.min(SILENCE)).await {
+    let mut source = Source::new(permit, body, &request.grant.route);
+    match source.first(left).await {
         Ok(Step::Event(event)) => {
             source.permit.begun();
             attempts.judged(&source.permit, false);
@@ -270,12 +293,12 @@
     held: &mut Held,
 ) -> Result<Result<Step, Fault>, Gone> {
     while let Some(due) = held.due {
-        match tokio::time::timeout_at(due, source.next(SILENCE)).await {
+        match tokio::time::timeout_at(due, source.next()).await {
             Ok(step) => return Ok(step),
             Err(_) => held.flush(writer).await?,
         }
     }
-    Ok(source.next(SILENCE).await)
+    Ok(source.next().await)
 }
 
 /// A stream on its way to a caller.
@@ -351,7 +374,7 @@
                             Err(Gone) => return End::Gone,
                         };
                     }
-                    Ok(false) => step = source.next(SILENCE).await,
+                    Ok(false) => step = source.next().await,
                     Err(fault) => step = Err(fault),
                 },
                 Ok(Step::End) => {
@@ -373,7 +396,7 @@
                         Ok(source) => source,
                         Err(refusal) => return End::Broken(refusal.cause),
                     };
-                    step = source.next(SILENCE).await;
+                    step = source.first(self.request.left(self.node.now())).await;
                     if matches!(step, Ok(Step::Event(_))) {
                         source.permit.begun();
                     }
@@ -409,7 +432,7 @@
             let opened = self.attempts.open(&self.variant).await?;
             let Opened { permit, call, .. } = opened;
             if call.head.status == StatusCode::OK {
-                return Ok(Source::new(permit, call.body));
+                return Ok(Source::new(permit, call.body, &self.request.grant.route));
             }
             let fault = Fault::Failed {
                 status: call.head.status.as_u16(),
