--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -22,7 +22,6 @@
 use pimento_units::Tokens;
 
 pub use self::paces::Paces;
-use self::paces::weight;
 use crate::number;
 
 /// A part of a prompt.
@@ -73,8 +72,6 @@
     total: Tokens,
     work: Duration,
     sent: Moment,
-    /// What it was expected to take.
-    expected: Duration,
     /// Whether nothing was ahead of it when it was sent.
     alone: bool,
 }
@@ -107,18 +104,8 @@
     held: Tokens,
     /// When the first of the pending became first.
     head: Moment,
-    /// What prompts lately took beyond what was expected, as of a moment.
-    surplus: Duration,
-    at: Moment,
 }
 
-/// Weight of a prompt in its engine's surplus.
-const SURPLUS: f64 = 0.5;
-
-/// Half-life of a surplus. It stands for work of others, most of which is read within a second, and
-/// an engine that is slow by itself must be tried again now and then.
-const MEMORY: Duration = Duration::from_millis(800);
-
 /// The most that a prompt is late and still counts as about to be read; what is later by far sits at
 /// an engine that hangs.
 const OVERDUE: Duration = Duration::from_secs(3);
@@ -140,8 +127,6 @@
             kept: Vec::new(),
             held: Tokens::ZERO,
             head: Moment::ZERO,
-            surplus: Duration::ZERO,
-            at: Moment::ZERO,
         }
     }
 
@@ -164,7 +149,7 @@
     /// lately took beyond that.
     #[must_use]
     pub fn wait(&self, now: Moment) -> Duration {
-        self.own(now) + self.others(now) + self.hidden(now)
+        self.own(now) + self.others(now)
     }
 
     /// The wait that this node's own calls cause.
@@ -180,33 +165,15 @@
         works.saturating_sub(reading.min(first.work)) + overdue
     }
 
-    /// What is left of the surplus.
-    fn hidden(&self, now: Moment) -> Duration {
-        let kept = number::decay(now.since(self.at), MEMORY);
-        self.surplus.mul_f64(kept)
-    }
-
     /// The part of the wait that peers' calls cause.
     fn others(&self, now: Moment) -> Duration {
         let left = |peer: &Peer| peer.wait.saturating_sub(now.since(peer.at));
         self.peers.iter().map(left).sum()
     }
 
-    /// A prompt is sent that takes `work` to read; `fetched` if parts of it come from another engine,
-    /// so that its time tells nothing of the model's speed.
-    pub fn begin(
-        &mut self,
-        ticket: Ticket,
-        prompt: &Prompt,
-        work: Duration,
-        fetched: bool,
-        now: Moment,
-    ) {
-        let unread = if fetched {
-            Tokens::ZERO
-        } else {
-            self.unread(prompt)
-        };
+    /// A prompt is sent that takes `work` to read.
+    pub fn begin(&mut self, ticket: Ticket, prompt: &Prompt, work: Duration, now: Moment) {
+        let unread = self.unread(prompt);
         let wait = self.wait(now);
         if self.pending.is_empty() {
             self.head = now;
@@ -219,7 +186,6 @@
             total: prompt.tokens(),
             work,
             sent: now,
-            expected: wait + work,
             alone: wait <= IDLE,
         });
     }
@@ -259,10 +225,6 @@
         };
         self.keep_parts(&pending.parts, now);
         let took = now.since(pending.sent);
-        let beyond = took.saturating_sub(pending.expected);
-        let hidden = self.hidden(now);
-        self.surplus = hidden.mul_f64(1.0 - SURPLUS) + beyond.mul_f64(SURPLUS);
-        self.at = now;
         if pending.alone {
             paces.learn(&pending, took);
         }
@@ -342,10 +304,8 @@
     pub far: bool,
     /// Wait for what was sent there before.
     pub wait: Duration,
-    /// Time to read what the engine neither keeps nor fetches.
+    /// Time to read what the engine does not keep.
     pub work: Duration,
-    /// The candidate that it fetches kept parts from, as an index.
-    pub fetch: Option<usize>,
     /// Calls running there, as a share of its slots.
     pub full: f64,
 }
@@ -368,40 +328,6 @@
 /// tokens a little.
 const CROWD: f64 = 0.05;
 
-/// Seconds for a token that fetching must save. Moving a token's memory costs about what an engine's
-/// time is worth in which the smallest model reads three.
-const FETCH: f64 = 0.000_025;
-
-/// The fewest tokens worth fetching: below, setting the transfer up takes as long as reading them.
-const FETCHED: Tokens = Tokens(1_000);
-
-/// Seconds for a token on the way from one engine to another, and to set the transfer up: 160 KB on
-/// a link of 1 Tbit/s, twice as long between zones.
-const MOVE: f64 = 0.000_002_5;
-const SETUP: f64 = 0.002;
-
-/// How a prompt is read best: what each engine would have to read by itself, where the rest could be
-/// fetched from, and the time that the whole takes. `unread` holds the tokens for each engine, or
-/// none for one that nothing can be fetched from; `total` those of the prompt.
-#[must_use]
-pub fn fetch(
-    unread: &[Option<Tokens>],
-    at: usize,
-    total: Tokens,
-    pace: f64,
-) -> Option<(usize, f64)> {
-    let own = unread.get(at).copied().flatten()?;
-    let others = unread.iter().enumerate().filter(|(place, _)| *place != at);
-    let known = others.filter_map(|(place, tokens)| tokens.map(|tokens| (tokens, place)));
-    let (least, source) = known.min()?;
-    let moved = own.saturating_sub(least);
-    if moved < FETCHED || pace < FETCH {
-        return None;
-    }
-    let seconds = pace * weight(least, total) + MOVE * number::float(moved.0) + SETUP;
-    Some((source, seconds))
-}
-
 /// Costs this close count as equal, and the prompt's own order of the engines decides, so that nodes
 /// that know nothing of each other send the same beginning to the same place.
 const EQUAL: f64 = 0.01;
--- a/crates/policy/src/engine/paces.rs
+++ b/crates/policy/src/engine/paces.rs
@@ -55,7 +55,7 @@
 const ATTENTION: f64 = 0.000_02;
 
 /// The last `unread` of `total` tokens, each weighed by the time that it takes against a first one.
-pub(super) fn weight(unread: Tokens, total: Tokens) -> f64 {
+fn weight(unread: Tokens, total: Tokens) -> f64 {
     let count = number::float(unread.0);
     let before = number::float(total.0.max(unread.0)) - count / 2.0;
     count * (1.0 + ATTENTION * before)
@@ -96,7 +96,7 @@
         let (model, unread) = (pending.model, pending.unread);
         let tokens = weight(unread, pending.total);
         if unread < LEAST {
-            self.learn_start(took.as_secs_f64() - self.pace(model) * tokens, unread);
+            self.learn_start(took.as_secs_f64() - self.pace(model) * tokens);
             return;
         }
         let sample = (took.as_secs_f64() - self.start()) / tokens;
@@ -117,10 +117,9 @@
         }
     }
 
-    /// Learns from what a short prompt took beside its reading. One of which nothing was to be read may
-    /// be one whose parts come from another engine, in a time that tells of the way.
-    fn learn_start(&mut self, sample: f64, unread: Tokens) {
-        if sample > 0.0 && unread > Tokens::ZERO {
+    /// Learns from what a short prompt took beside its reading.
+    fn learn_start(&mut self, sample: f64) {
+        if sample > 0.0 {
             self.start = Some(self.start.map_or(sample, |known| follow(known, sample)));
         }
     }
--- a/crates/policy/tests/engine.rs
+++ b/crates/policy/tests/engine.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use pimento_policy::engine;
 use pimento_policy::engine::Engine;
 use pimento_policy::engine::Paces;
 use pimento_policy::engine::Part;
@@ -43,7 +42,7 @@
     let work = paces.work(MODEL, unread, prompt.tokens());
     let ticket = sent.since(Moment::ZERO).as_micros().try_into();
     let ticket = ticket.expect("within the day");
-    engine.begin(ticket, prompt, work, false, sent);
+    engine.begin(ticket, prompt, work, sent);
     engine.read(ticket, paces, sent + took);
 }
 
@@ -157,7 +156,7 @@
     let mut engine = engine();
     let both = prompt(&[(1, 4_000), (2, 500)]);
     let work = paces.work(MODEL, Tokens(4_500), Tokens(4_500));
-    engine.begin(1, &both, work, false, at(0));
+    engine.begin(1, &both, work, at(0));
     // About to be read: what comes behind it finds its parts.
     assert_eq!(engine.unread(&prompt(&[(1, 4_000), (3, 500)])), Tokens(500));
     engine.end(1, at(50));
@@ -199,7 +198,7 @@
 fn a_late_prompt_lengthens_the_wait() {
     let mut engine = engine();
     let work = Duration::from_millis(100);
-    engine.begin(1, &prompt(&[(1, 4_000)]), work, false, at(0));
+    engine.begin(1, &prompt(&[(1, 4_000)]), work, at(0));
     assert_eq!(engine.own(at(60)), Duration::from_millis(40));
     assert_eq!(engine.own(at(400)), Duration::from_millis(300));
     assert_eq!(engine.own(at(60_000)), Duration::from_secs(3));
@@ -218,18 +217,3 @@
     engine.hear(1, Duration::ZERO, at(200));
     assert_eq!(engine.wait(at(200)), Duration::ZERO);
 }
-
-// A short prompt fetches nothing; a long one for a large model fetches what a peer keeps.
-#[test]
-fn long_prompts_of_slow_models_fetch_what_others_keep() {
-    let total = Tokens(9_000);
-    let unread = [Some(Tokens(9_000)), Some(Tokens(500)), None];
-    let (source, seconds) = engine::fetch(&unread, 0, total, PACE).expect("worth it");
-    assert_eq!(source, 1);
-    assert!(seconds < 9_000.0 * PACE / 2.0, "{seconds}");
-    assert_eq!(engine::fetch(&unread, 1, total, PACE), None);
-    assert_eq!(engine::fetch(&unread, 2, total, PACE), None);
-    assert_eq!(engine::fetch(&unread, 0, total, 0.000_008), None);
-    let short = [Some(Tokens(900)), Some(Tokens(0))];
-    assert_eq!(engine::fetch(&short, 0, Tokens(900), PACE), None);
-}
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -434,7 +434,6 @@
             left: Some(request.left(self.node.now())),
             model: variant.model.as_ref(),
             resume: variant.resume.or(request.ask.resume),
-            source: permit.source(),
             urgency: Some(cascade::urgency(request, variant)),
         };
         Message {
--- a/crates/relay/src/border.rs
+++ b/crates/relay/src/border.rs
@@ -3,7 +3,6 @@
 //!
 //! A border knows the names of headers and decides nothing. Bodies pass as they are.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -82,8 +81,6 @@
     pub resume: Option<u64>,
     /// Urgency at the engine; lower goes first.
     pub urgency: Option<u8>,
-    /// The engine to fetch kept parts of the prompt from.
-    pub source: Option<SocketAddr>,
 }
 
 /// What the head of an endpoint's answer says beside its status.
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -273,7 +273,6 @@
             Some(prompt) => self.place(prompt, job, now)?,
             None => (self.draw(job, now)?, engine::Candidate::default()),
         };
-        let source = placed.fetch.map(|place| self.seats[place].member.address);
         let seat = &mut self.seats[chosen];
         if !seat.limiter.acquire() {
             return None;
@@ -282,8 +281,7 @@
         let ticket = job.prompt.as_ref().zip(seat.engine.as_mut());
         let ticket = ticket.map(|(prompt, engine)| {
             self.tickets += 1;
-            let fetched = source.is_some();
-            engine.begin(self.tickets, prompt, placed.work, fetched, now);
+            engine.begin(self.tickets, prompt, placed.work, now);
             self.tickets
         });
         let prompt = ticket.and(job.prompt.clone());
@@ -296,7 +294,6 @@
             since: now,
             ticket,
             prompt,
-            source,
         };
         Some(Permit::new(Arc::clone(shared), slot))
     }
@@ -349,21 +346,11 @@
     }
 
     fn engines(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
-        let pace = self.paces.pace(prompt.model);
         let total = prompt.tokens();
-        let unread = self.seats.iter().map(|seat| {
-            let engine = seat.engine.as_ref().filter(|_| seat.member.usable)?;
-            Some(engine.unread(prompt))
-        });
-        let unread: Vec<Option<Tokens>> = unread.collect();
-        let candidate = |(place, seat): (usize, &Seat)| {
-            let own = unread[place].unwrap_or_default();
-            let fetch = engine::fetch(&unread, place, total, pace);
-            let work = fetch.map_or_else(
-                || self.paces.work(prompt.model, own, total),
-                |(_, seconds)| Duration::from_secs_f64(seconds),
-            );
+        let candidate = |seat: &Seat| {
             let engine = seat.engine.as_ref();
+            let unread = engine.map_or(Tokens::ZERO, |engine| engine.unread(prompt));
+            let work = self.paces.work(prompt.model, unread, total);
             let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
             let flying = f64::from(seat.limiter.flying());
             engine::Candidate {
@@ -372,11 +359,10 @@
                 far: !seat.member.distance.is_zero(),
                 wait,
                 work,
-                fetch: fetch.map(|(place, _)| place),
                 full: flying / f64::from(seat.limiter.limit().max(1)),
             }
         };
-        self.seats.iter().enumerate().map(candidate).collect()
+        self.seats.iter().map(candidate).collect()
     }
 
     /// Whether a call may be sent to an endpoint now.
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -28,8 +28,6 @@
     pub ticket: Option<engine::Ticket>,
     /// The prompt itself.
     pub prompt: Option<engine::Prompt>,
-    /// The engine that it fetches kept parts of the prompt from.
-    pub source: Option<SocketAddr>,
 }
 
 /// The right to make one call at one endpoint. Dropped without a word, it says nothing about the
@@ -66,12 +64,6 @@
         &self.slot.endpoint
     }
 
-    /// The engine to fetch kept parts of the prompt from.
-    #[must_use]
-    pub const fn source(&self) -> Option<SocketAddr> {
-        self.slot.source
-    }
-
     /// Its zone.
     #[must_use]
     pub const fn zone(&self) -> &id::Zone {
