Split the placing of prompts from pools, and what an attempt sends and tells from when it is made

Change: inner::placing and attempts::detail, moved without other changes. Ruled out: traits between them. Conclusion: no behaviour changes.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -4,36 +4,28 @@
 //! What may have run is known here, and only here: nothing else decides whether a refusal may
 //! promise that the request did not run, or whether it may be sent again.
 
+mod detail;
+
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
-use pimento_policy::admission;
 use pimento_scheduler::Estimate;
-use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
 use pimento_scheduler::Refused;
 use pimento_units::Moment;
-use pimento_units::Tokens;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
 use crate::admit;
-use crate::boot;
 use crate::border::Border;
-use crate::border::Order;
 use crate::border::Reply;
 use crate::call::Call;
 use crate::call::Connection;
-use crate::call::Message;
-use crate::cascade;
 use crate::codec::Codec;
 use crate::node::Node;
-use crate::node::millis;
 use crate::pools;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
-use crate::rollouts::Seen;
-use crate::rollouts::announcement::Outcome;
 use crate::topic::Log;
 use crate::work::Work;
 
@@ -41,9 +33,6 @@
 /// and where so many refuse the pool is full or its list out of date.
 const ASKED: usize = 5;
 
-/// Work of a plain call. Plain services say nothing of the size of a call before it has run.
-const PLAIN: Tokens = Tokens(1);
-
 /// An answer of an endpoint whose head has come and belongs to the request.
 #[derive(Debug)]
 pub struct Opened {
@@ -221,44 +210,6 @@
         self.node.rollouts(|r| r.bad(&self.request.pool, version))
     }
 
-    /// Tells what became of an attempt.
-    fn tell(&self, permit: &Permit, fault: &Fault, what: &str) {
-        let now = self.node.now();
-        log::info!(
-            request = self.request.ask.id.as_str(),
-            endpoint = permit.endpoint().as_str(),
-            fault:%,
-            attempt = self.state.sent,
-            runs = self.state.runs,
-            since_ms = millis(now.since(self.request.began)),
-            left_ms = millis(self.request.left(now));
-            "{what}"
-        );
-    }
-
-    /// Tells where the request goes, and by what.
-    fn sent(&self, permit: &Permit, variant: &Variant) {
-        let request = self.request;
-        let belief = self.node.belief();
-        let now = self.node.now();
-        log::info!(
-            request = request.ask.id.as_str(),
-            route = request.grant.route.name.as_str(),
-            endpoint = permit.endpoint().as_str(),
-            zone = permit.zone().as_str(),
-            version = permit.version().map(id::Version::as_str),
-            model = variant.model.as_ref().map(id::Version::as_str),
-            resume = variant.resume,
-            attempt = self.state.sent,
-            since_ms = millis(now.since(request.began)),
-            left_ms = millis(request.left(now)),
-            configuration = belief.configuration,
-            configuration_age_ms = belief.configuration_age.map(millis),
-            endpoints_age_ms = belief.endpoints_age.map(millis);
-            "attempt: Sent."
-        );
-    }
-
     /// Counts an endpoint that did not run the request.
     fn count(&mut self) -> Result<(), Refusal> {
         self.state.asked += 1;
@@ -335,53 +286,11 @@
         Ok(None)
     }
 
-    /// How long the last attempt has taken.
-    fn waited(&self) -> Outcome {
-        let took = self.node.now().since(self.state.began);
-        Outcome::Served(took)
-    }
-
     /// Another attempt is to be made elsewhere.
     pub fn leave(&mut self, endpoint: &id::Endpoint) {
         self.state.tried.push(endpoint.clone());
     }
 
-    /// Notes the version of the request's session.
-    pub fn note(&self, permit: &Permit) {
-        let session = self.request.ask.session;
-        if let Some((session, version)) = session.zip(permit.version()) {
-            let now = boot::now();
-            let pool = &self.request.pool;
-            self.node.rollouts(|r| r.note(pool, session, version, now));
-        }
-    }
-
-    /// The answer has begun, or its endpoint failed it: evidence in a roll-out.
-    pub fn judged(&self, permit: &Permit, failed: bool) {
-        let outcome = if failed {
-            Outcome::Failed
-        } else {
-            self.waited()
-        };
-        let result = if failed { "failed" } else { "answered" };
-        self.node.metrics.attempt(&self.request.pool, result);
-        self.seen(permit, outcome);
-    }
-
-    fn seen(&self, permit: &Permit, outcome: Outcome) {
-        let Some(version) = permit.version() else {
-            return;
-        };
-        let seen = Seen {
-            pool: &self.request.pool,
-            route: &self.request.grant.route.name,
-            version,
-            endpoint: permit.endpoint(),
-            outcome,
-        };
-        self.node.rollouts(|r| r.record(&seen));
-    }
-
     /// An endpoint had the request and gave no answer that can be used. Whether to go on.
     ///
     /// # Errors
@@ -425,33 +334,6 @@
         Ok((call, reply))
     }
 
-    fn message(&self, permit: &Permit, variant: &Variant) -> Message {
-        let request = self.request;
-        let customer = request.grant.customer.as_ref();
-        let order = Order {
-            endpoint: permit.endpoint(),
-            customer: customer.map(|customer| &customer.name),
-            left: Some(request.left(self.node.now())),
-            model: variant.model.as_ref(),
-            resume: variant.resume.or(request.ask.resume),
-            urgency: Some(cascade::urgency(request, variant)),
-        };
-        Message {
-            method: request.head.method.clone(),
-            uri: request.head.uri.clone(),
-            headers: self.node.platform.order(&request.head, &order),
-            body: request.body.clone(),
-        }
-    }
-
-    /// The version that the request uses now.
-    fn version(&self) -> Option<id::Version> {
-        let session = self.request.ask.session.unwrap_or(self.request.random);
-        let now = boot::now();
-        let pool = &self.request.pool;
-        self.node.rollouts(|r| r.version(pool, session, now))
-    }
-
     /// What is sent.
     #[must_use]
     pub const fn work(&self) -> &Work {
@@ -477,33 +359,8 @@
         let pool = self.node.scheduler.pool(&self.request.pool);
         pool.estimate(&self.job(variant))
     }
-
-    fn job(&self, variant: &Variant) -> Job {
-        let request = self.request;
-        let customer = request.grant.customer.as_ref();
-        let name = customer.map_or_else(|| PUBLIC.parse(), |customer| Ok(customer.name.clone()));
-        let tokens = request
-            .usage()
-            .map_or(PLAIN, |(input, output)| admission::work(input, output));
-        Job {
-            customer: name.expect("the name of public requests is valid"),
-            weight: 1,
-            priority: request.grant.route.priority,
-            tokens,
-            deadline: request.deadline,
-            version: self.version(),
-            prefix: request.prefix(),
-            prompt: variant.model.as_ref().and_then(|m| request.prompt(m)),
-            tried: self.state.tried.clone(),
-            returning: false,
-            repeatable: request.grant.route.repeatable(),
-        }
-    }
 }
 
-/// Whose requests on public routes are, for fairness among customers.
-const PUBLIC: &str = "public";
-
 /// When to come back after all endpoints asked refused: their queues move on within this time.
 const AGAIN: Duration = Duration::from_millis(500);
 
--- /dev/null
+++ b/crates/scheduler/src/inner/placing.rs
@@ -0,0 +1,155 @@
+//! Prompts at engines: where one goes, what it would meet, and what this and other VMs learnt.
+
+use std::time::Duration;
+
+use pimento_policy::eject;
+use pimento_policy::engine;
+use pimento_policy::engine::Prompt;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+
+use super::Inner;
+use crate::permit::Slot;
+use crate::pool::Estimate;
+use crate::pool::Job;
+use crate::seat::Seat;
+
+/// Prompts that are kept to be told to other VMs. They are told several times a second; a VM that
+/// tells nobody keeps no more than these.
+const TOLD: usize = 128;
+
+impl Inner {
+    /// The engine for a prompt, and what the prompt meets there.
+    pub(super) fn place(
+        &self,
+        prompt: &Prompt,
+        job: &Job,
+        now: Moment,
+    ) -> Option<(usize, engine::Candidate)> {
+        let prefix = job.prefix.unwrap_or(prompt.model);
+        let mut engines = self.engines(prompt, job, now);
+        let again = engines.clone();
+        for (candidate, seat) in engines.iter_mut().zip(&self.seats) {
+            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        }
+        let chosen = self
+            .due(&engines, job, now)
+            .or_else(|| engine::choose(&engines, prefix, &self.placing))
+            .or_else(|| engine::choose(&again, prefix, &self.placing))?;
+        Some((chosen, engines[chosen]))
+    }
+
+    fn engines(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
+        let total = prompt.tokens();
+        let candidate = |seat: &Seat| {
+            let engine = seat.engine.as_ref();
+            let unread = engine.map_or(Tokens::ZERO, |engine| engine.unread(prompt));
+            let work = self.paces.work(prompt.model, unread, total);
+            let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
+            let flying = f64::from(seat.limiter.flying());
+            engine::Candidate {
+                key: seat.key,
+                usable: self.free(seat, job, now),
+                far: !seat.member.distance.is_zero(),
+                wait,
+                work,
+                full: flying / f64::from(seat.limiter.limit().max(1)),
+            }
+        };
+        self.seats.iter().map(candidate).collect()
+    }
+
+    /// Whether a call may be sent to an endpoint now.
+    fn free(&self, seat: &Seat, job: &Job, now: Moment) -> bool {
+        seat.takes(job, now)
+            && seat.limiter.room() > 0
+            && self.health.state(&seat.member.endpoint, now) != eject::State::Out
+    }
+
+    /// What a job with a prompt would meet.
+    pub fn estimate(&self, job: &Job, now: Moment) -> Option<Estimate> {
+        let prompt = job.prompt.as_ref()?;
+        let (place, placed) = self.place(prompt, job, now)?;
+        let engines = self.engines(prompt, job, now);
+        let mut waits: Vec<Duration> = engines
+            .iter()
+            .enumerate()
+            .filter(|(_, e)| e.usable && !e.far)
+            .map(|(at, e)| if at == place { e.first() } else { e.wait })
+            .collect();
+        waits.sort_unstable();
+        let half = waits.len().div_ceil(2);
+        let sum: Duration = waits.iter().take(half).sum();
+        let next = sum / u32::try_from(half.max(1)).unwrap_or(u32::MAX);
+        Some(Estimate {
+            wait: placed.wait,
+            work: placed.work,
+            full: self
+                .paces
+                .work(prompt.model, prompt.tokens(), prompt.tokens()),
+            next,
+        })
+    }
+
+    pub fn read(&mut self) -> Vec<(u64, Prompt)> {
+        std::mem::take(&mut self.read)
+    }
+
+    pub fn waits(&self, now: Moment) -> Vec<(u64, Duration)> {
+        let engines = self.seats.iter();
+        let waits = engines.filter_map(|seat| Some((seat.key, seat.engine.as_ref()?.own(now))));
+        waits.filter(|(_, wait)| !wait.is_zero()).collect()
+    }
+
+    pub const fn paces(&self) -> &engine::Paces {
+        &self.paces
+    }
+
+    pub fn seed(&mut self, paces: &[(u64, f64)]) {
+        self.paces.seed(paces.iter().copied());
+    }
+
+    pub fn hear(&mut self, node: u64, waits: &[(u64, Duration)], now: Moment) {
+        for seat in &mut self.seats {
+            let Some(engine) = seat.engine.as_mut() else {
+                continue;
+            };
+            let said = waits.iter().find(|(key, _)| *key == seat.key);
+            engine.hear(node, said.map_or(Duration::ZERO, |(_, wait)| *wait), now);
+        }
+    }
+
+    pub fn learn(&mut self, key: u64, prompt: &Prompt, now: Moment) {
+        let Some(seat) = self.seats.iter_mut().find(|seat| seat.key == key) else {
+            return;
+        };
+        let Some(engine) = seat.engine.as_mut() else {
+            return;
+        };
+        engine.keep(prompt, now);
+    }
+
+    /// The first token of a call has come.
+    pub fn begun(&mut self, slot: &Slot, now: Moment) {
+        let Some(ticket) = slot.ticket else { return };
+        let seat = self
+            .seats
+            .iter_mut()
+            .find(|s| s.member.endpoint == slot.endpoint);
+        let Some(seat) = seat else { return };
+        let Some(engine) = seat.engine.as_mut() else {
+            return;
+        };
+        engine.read(ticket, &mut self.paces, now);
+        if let Some(prompt) = &slot.prompt
+            && self.read.len() < TOLD
+        {
+            self.read.push((seat.key, prompt.clone()));
+        }
+    }
+
+    fn due(&self, engines: &[engine::Candidate], job: &Job, now: Moment) -> Option<usize> {
+        self.suspect(job, now)
+            .filter(|place| engines[*place].usable)
+    }
+}
