Place prompts without counting how full a batch is

Change: the cost of an engine is its wait, its reading and its distance. Conclusion: one constant and one figure of each candidate fewer.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -306,8 +306,6 @@
     pub wait: Duration,
     /// Time to read what the engine does not keep.
     pub work: Duration,
-    /// Calls running there, as a share of its slots.
-    pub full: f64,
 }
 
 impl Candidate {
@@ -320,14 +318,10 @@
     fn cost(&self, config: &Config) -> f64 {
         let far = if self.far { config.far } else { Duration::ZERO };
         let reading = self.work.as_secs_f64() * config.reading;
-        self.wait.as_secs_f64() + reading + far.as_secs_f64() + self.full * CROWD
+        self.wait.as_secs_f64() + reading + far.as_secs_f64()
     }
 }
 
-/// Seconds that a full batch costs against an empty one: each running answer slows all the others'
-/// tokens a little.
-const CROWD: f64 = 0.05;
-
 /// Costs this close count as equal, and the prompt's own order of the engines decides, so that nodes
 /// that know nothing of each other send the same beginning to the same place.
 const EQUAL: f64 = 0.01;
--- a/crates/scheduler/src/inner/placing.rs
+++ b/crates/scheduler/src/inner/placing.rs
@@ -46,14 +46,12 @@
             let unread = engine.map_or(Tokens::ZERO, |engine| engine.unread(prompt));
             let work = self.paces.work(prompt.model, unread, total);
             let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
-            let flying = f64::from(seat.limiter.flying());
             engine::Candidate {
                 key: seat.key,
                 usable: self.free(seat, job, now),
                 far: !seat.member.distance.is_zero(),
                 wait,
                 work,
-                full: flying / f64::from(seat.limiter.limit().max(1)),
             }
         };
         self.seats.iter().map(candidate).collect()
