--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -37,8 +37,9 @@
     /// each target's length that the next prompt would wait at the engines. At 3.5 one answer in a hundred fewer was of use, at 5
     /// four; at 1.8 others waited for what it gained.
     pub rise: f64,
-    /// Share of the target that an estimate may take. Of prompts that take over half a second to read,
-    /// half had their first token within 5 in 100 of the target's length of the estimate.
+    /// Share of the target that an estimate may take. For prompts that take over half a second to read it
+    /// errs by 2 in 100 of the target at the median; a greater margin kept long prompts from a model that
+    /// would have been in time.
     pub trust: f64,
 }
 
--- a/crates/policy/src/worth.rs
+++ b/crates/policy/src/worth.rs
@@ -18,14 +18,14 @@
 use crate::number;
 
 /// What a rank is worth against the one above it. Operators rank routes and say no more; the exact
-/// figure matters little: at 0.45 one answer in a hundred fewer was of use to callers, at 1.0 two.
+/// figure matters little: at 0.45 one answer in a hundred fewer was of use to callers.
 const RANK: f64 = 0.6;
 
 /// What the use of a prompt's token costs against that of a generated one, as models' prices are told.
 const PROMPT: f64 = 0.25;
 
 /// Share of the sums that a further request leaves: some two hundred requests are remembered, those of
-/// a few seconds, as the mix of routes moves over minutes.
+/// twenty seconds at ten a second, as the mix of routes moves over minutes.
 const KEPT: f64 = 0.995;
 
 /// The least that is divided by, where nothing was seen.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -43,7 +43,8 @@
 
 /// Share of the longest pause that a route has for on time, after which a stream is taken up elsewhere.
 /// The rest is for the other engine to read the prompt. Without it, a stream whose endpoint fell silent
-/// came late by seconds; of the pauses between events that do go on none in a thousand is as long.
+/// came late by seconds. One that would have gone on loses nothing but its place: it is late in any case
+/// a moment later.
 const QUIET: f64 = 0.8;
 
 /// The shortest silence that counts, whatever a route says: some ten steps of an engine that reads a
