Wait out a pause of a stream that can go on nowhere else

Cause: found on reading the diff. A stream that paused for 0.8 of what its route has for on time was given up, also where the route does not allow another attempt, or none is left: the answer was broken off at a pause after which it would have gone on. Change: such a stream is waited for as long as before. Ruled out: asking only when the stream begins, as attempts and the budget may be used up meanwhile. Before: the new test fails (broken off after the first of three events, 0.6 s apart); after: it passes, 51 of 51 of that crate's tests. Conclusion: the shorter bound holds only where the stream has somewhere to go.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -386,6 +386,10 @@
                     source.permit.served(Tokens(1));
                     return End::Whole;
                 }
+                Err(Fault::Timeout) if source.silence < SILENCE && !self.elsewhere() => {
+                    source.silence = SILENCE;
+                    step = source.next().await;
+                }
                 Err(fault) => {
                     if held.flush(writer).await.is_err() {
                         return End::Gone;
@@ -406,6 +410,12 @@
         }
     }
 
+    /// Whether the stream may go on at another endpoint. One that may not is waited for: a pause is late,
+    /// but an answer that is broken off at it is lost.
+    fn elsewhere(&self) -> bool {
+        self.attempts.again() && self.attempts.affords()
+    }
+
     /// Whether an event is the next one. One that was passed on already is left out.
     fn take(&mut self, event: &Event) -> Result<bool, Fault> {
         let Some(id) = event.id else {
