Tell how much of a log's answer had come when a read is given up, and how long a view lacks a change

Cause: a line on a read that was given up said 'no answer in time' whether nothing had come or all but the last bytes, and one on a configuration in force neither its size nor how long it took to decode. With that the three hypotheses of the incident can't be told apart. Change: relay::progress counts the bytes of an answer as they come; follower lines of reads that fail have bytes, took_ms and silent_ms, an answer of 64 KiB or more has a line of its own, a configuration in force has bytes and decoded_ms. New series: pimento_view_behind_seconds, pimento_log_reads. No bound has changed. Ruled out: a line for each answer, which would be one a second on every VM. Conclusion: bytes and silent_ms tell a silent log (H2) from a long answer (H1), decoded_ms a slow processor (H3).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,6 +10,9 @@
 //! stamp that had come to it before it sent the read. A datagram that was delayed, by the network or
 //! by a VM that was suspended, can therefore never make a view look younger than it is.
 
+mod call;
+mod fold;
+mod pace;
 mod view;
 
 use std::sync::Arc;
@@ -18,13 +21,22 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use compact_str::CompactString;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::error::Elapsed;
 use tokio_util::sync::CancellationToken;
 
+use self::call::Call;
+use self::call::Failure;
+pub use self::call::Tally;
+pub use self::fold::Fold;
+pub use self::fold::Told;
+pub use self::fold::Touch;
+use self::pace::AT_ONCE;
+pub use self::pace::Gait;
+pub use self::pace::Pace;
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
@@ -36,60 +48,6 @@
 use crate::zone::Stamp;
 use crate::zone::Zone;
 
-/// A view that is folded from a topic's records.
-pub trait Fold: Send + 'static {
-    /// Takes a record that is newer than all others seen of its key. Whether the view changed in a
-    /// way that others must hear of soon.
-    fn apply(&mut self, record: &Record, told: Told) -> bool;
-
-    /// The follower lost touch with the log for so long that what it knows may be out of date, or
-    /// is in touch again.
-    fn touch(&mut self, _touch: Touch) {}
-}
-
-/// How a record came to be known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Told {
-    /// When.
-    pub at: Moment,
-    /// Since when reads have been answered without a long break.
-    pub touch: Moment,
-    /// Whether it was there when the topic was first read.
-    pub first: bool,
-}
-
-/// Whether reads are answered.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Touch {
-    /// Not any more.
-    Lost,
-    /// Again, since this moment.
-    Regained(Moment),
-}
-
-/// One way of reading.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Gait {
-    /// How long a read waits for records at the log.
-    pub wait: Duration,
-    /// Pause between reads. On a topic on which many write, a read that waits would be answered for
-    /// each record.
-    pub pause: Duration,
-}
-
-/// How a topic is read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Pace {
-    /// By a VM that reads for itself.
-    pub alone: Gait,
-    /// By a VM that reads for others as well, whose proofs reach them later.
-    pub leading: Gait,
-    /// A VM that others read for reads by itself once its proof is this old.
-    pub trust: Duration,
-    /// How long an answer may take beyond the wait.
-    pub patience: Duration,
-}
-
 /// Who reads for whom among the VMs of a zone.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Lead {
@@ -111,12 +69,6 @@
     pub stamp: Moment,
 }
 
-/// How a VM reads that knows of something new, or that nobody reads for any more.
-const AT_ONCE: Gait = Gait {
-    wait: Duration::ZERO,
-    pause: Duration::ZERO,
-};
-
 /// After this long without an answered read the log counts as out of touch: two reads that were
 /// given up, at the shortest bounds in use.
 const OUT_OF_TOUCH: Duration = Duration::from_millis(1_200);
@@ -233,6 +185,20 @@
         self.lock().next
     }
 
+    /// How the reads so far went.
+    #[must_use]
+    pub fn tally(&self) -> Tally {
+        self.lock().tally
+    }
+
+    /// For how long another VM has known of a change that this view lacks; none while it lacks none
+    /// that anybody told of.
+    #[must_use]
+    pub fn behind(&self) -> Option<Duration> {
+        let since = self.lock().behind?;
+        Some(boot::now().since(since))
+    }
+
     /// What this VM can tell another one; none if it has not heard of it before its last read.
     #[must_use]
     pub fn proof(&self, node: u64) -> Option<Proof> {
@@ -272,7 +238,7 @@
             return;
         }
         let mut inner = self.lock();
-        inner.wanted = inner.wanted.max(proof.changed);
+        inner.want(proof.changed, boot::now());
         if inner.lacks() {
             self.nudge.notify_one();
             return;
@@ -300,21 +266,22 @@
             return false;
         };
         let stamps = self.zone.stamps();
-        let sent = boot::now();
-        let read = self.log.read(self.topic, next, Duration::ZERO);
-        match tokio::time::timeout(self.pace.patience, read).await {
+        let call = Call::new(self.topic);
+        let read = self
+            .log
+            .read(self.topic, next, Duration::ZERO, &call.progress);
+        let read = tokio::time::timeout(self.pace.patience, read).await;
+        match self.count(&call, read) {
             Ok(Ok(batch)) => {
-                self.take(&batch, sent, stamps);
-                self.proven().is_some_and(|proven| proven >= sent)
+                self.take(&batch, call.sent, stamps);
+                self.proven().is_some_and(|proven| proven >= call.sent)
             }
             Ok(Err(error)) => {
-                let topic = self.topic.as_str();
-                log::warn!(topic, error:%; "follower: Not confirmed.");
+                call.failed(error.to_string()).log("Not confirmed");
                 false
             }
-            Err(_) => {
-                let topic = self.topic.as_str();
-                log::warn!(topic; "follower: Not confirmed in time.");
+            Err(failure) => {
+                failure.log("Not confirmed");
                 false
             }
         }
@@ -352,9 +319,8 @@
                         tokio::time::sleep(gait.pause).await;
                     }
                 }
-                Err(reason) => {
-                    let topic = self.topic.as_str();
-                    log::warn!(topic, reason = reason.as_str(); "follower: Not read.");
+                Err(failure) => {
+                    failure.log("Not read");
                     self.stumble(role, gait);
                     let share = rand::random_range(0.5..=1.0);
                     // Word of a change doesn't end the pause: it comes several times a second, also
@@ -399,20 +365,24 @@
     }
 
     /// Reads once; whether the end was reached.
-    async fn read(&self, wait: Duration) -> Result<bool, CompactString> {
+    async fn read(&self, wait: Duration) -> Result<bool, Failure> {
         let stamps = self.zone.stamps();
-        let sent = boot::now();
+        let call = Call::new(self.topic);
         let next = self.next();
         let exchange = async {
             match next {
-                None => self.log.newest(self.topic).await,
-                Some(next) => self.log.read(self.topic, next, wait).await,
+                None => self.log.newest(self.topic, &call.progress).await,
+                Some(next) => {
+                    let read = self.log.read(self.topic, next, wait, &call.progress);
+                    read.await
+                }
             }
         };
         let bound = self.pace.patience + wait;
-        match tokio::time::timeout(bound, exchange).await {
-            Ok(Ok(batch)) => Ok(self.take(&batch, sent, stamps)),
-            Ok(Err(Error::Gone { oldest })) => {
+        let read = tokio::time::timeout(bound, exchange).await;
+        match self.count(&call, read)? {
+            Ok(batch) => Ok(self.take(&batch, call.sent, stamps)),
+            Err(Error::Gone { oldest }) => {
                 log::info!(
                     topic = self.topic.as_str(),
                     oldest = oldest.0;
@@ -421,9 +391,29 @@
                 self.lock().next = None;
                 Ok(false)
             }
-            Ok(Err(error)) => Err(CompactString::from(error.to_string())),
-            Err(_) => Err(CompactString::const_new("no answer in time")),
+            Err(error) => Err(call.failed(error.to_string())),
+        }
+    }
+
+    /// Counts how a read ended. An error is a read that was given up.
+    fn count(
+        &self,
+        call: &Call,
+        read: Result<Result<Batch, Error>, Elapsed>,
+    ) -> Result<Result<Batch, Error>, Failure> {
+        let mut inner = self.lock();
+        let tally = &mut inner.tally;
+        tally.bytes += call.progress.received().bytes;
+        match &read {
+            Ok(Ok(_) | Err(Error::Gone { .. })) => tally.answered += 1,
+            Ok(Err(_)) => tally.failed += 1,
+            Err(_) => tally.given_up += 1,
+        }
+        drop(inner);
+        if let Ok(Ok(_)) = &read {
+            call.answered();
         }
+        read.map_err(|_| call.failed("no answer in time"))
     }
 
     /// Applies what is new; whether the view now holds all up to the end.
@@ -446,7 +436,7 @@
         } else {
             last.unwrap_or(batch.end)
         };
-        inner.next = inner.next.max(Some(reached));
+        inner.reach(reached);
         let whole = inner.next >= Some(batch.end);
         if whole && inner.proven < Some(sent) {
             inner.proven = Some(sent);
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -5,6 +5,7 @@
 use pimento_units::Offset;
 
 use super::Fold;
+use super::Tally;
 use super::Told;
 use crate::recent::Recent;
 use crate::topic::Batch;
@@ -43,6 +44,10 @@
     ahead: Vec<Part>,
     /// The offset up to which another VM knows of changes.
     pub wanted: Offset,
+    /// Since when the view lacks some of them.
+    pub behind: Option<Moment>,
+    /// How the reads so far went.
+    pub tally: Tally,
     /// When the last read that reached the end was sent.
     pub proven: Option<Moment>,
     /// Other VMs' stamps that had come by then.
@@ -62,6 +67,8 @@
             recent: Recent::default(),
             ahead: Vec::new(),
             wanted: Offset::default(),
+            behind: None,
+            tally: Tally::default(),
             proven: None,
             stamps: Vec::new(),
             touch: None,
@@ -100,7 +107,7 @@
             for record in &part.records {
                 changed |= self.apply(record, now);
             }
-            self.next = Some(part.to);
+            self.reach(part.to);
         }
         let next = self.next;
         self.ahead.retain(|part| Some(part.to) > next);
@@ -116,6 +123,22 @@
         Some(self.ahead.remove(place))
     }
 
+    /// Another VM knows of changes up to an offset.
+    pub fn want(&mut self, offset: Offset, now: Moment) {
+        self.wanted = self.wanted.max(offset);
+        if self.lacks() {
+            self.behind.get_or_insert(now);
+        }
+    }
+
+    /// The view now holds all records before an offset.
+    pub fn reach(&mut self, offset: Offset) {
+        self.next = self.next.max(Some(offset));
+        if !self.lacks() {
+            self.behind = None;
+        }
+    }
+
     /// Whether another VM knows of a change that the view does not hold.
     pub fn lacks(&self) -> bool {
         self.next.is_none_or(|next| next < self.wanted)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod node;
 pub mod operators;
 mod pools;
+pub mod progress;
 mod recent;
 pub mod refusal;
 pub mod repeats;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,8 @@
 
 use crate::border::Border;
 use crate::codec::Codec;
+use crate::follow::Fold;
+use crate::follow::Follower;
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::topic::Log;
@@ -58,6 +60,8 @@
     queued: HistogramVec,
     pools: GaugeVec,
     ages: GaugeVec,
+    behind: GaugeVec,
+    reads: GaugeVec,
     rollouts: GaugeVec,
     log_lines: GaugeVec,
 }
@@ -126,6 +130,18 @@
                 "Time since a topic's view was last known to be current",
                 &["topic"],
             ),
+            behind: gauges(
+                r,
+                "pimento_view_behind_seconds",
+                "Time for which a topic's view has lacked a change that another VM knows of",
+                &["topic"],
+            ),
+            reads: gauges(
+                r,
+                "pimento_log_reads",
+                "Reads of a topic since the start by how they ended, and bytes that came",
+                &["topic", "figure"],
+            ),
             rollouts: gauges(
                 r,
                 "pimento_rollout_evidence",
@@ -201,6 +217,26 @@
             .set(value);
     }
 
+    fn follower<F: Fold, L: Log>(&self, topic: &str, follower: &Follower<F, L>) {
+        self.age(topic, follower.age());
+        let behind = follower.behind().unwrap_or_default();
+        self.behind
+            .with_label_values(&[topic])
+            .set(behind.as_secs_f64());
+        let tally = follower.tally();
+        let figures = [
+            ("answered", tally.answered),
+            ("failed", tally.failed),
+            ("given_up", tally.given_up),
+            ("bytes", tally.bytes),
+        ];
+        for (name, count) in figures {
+            self.reads
+                .with_label_values(&[topic, name])
+                .set(figure(count));
+        }
+    }
+
     fn age(&self, topic: &str, age: Option<Duration>) {
         // A view that was never read has no age; an absent series says so.
         if let Some(age) = age {
@@ -225,8 +261,8 @@
         let node = &self.0;
         let metrics = &node.metrics;
         metrics.depths(&node.scheduler);
-        metrics.age("operators", node.operators.age());
-        metrics.age("endpoints", node.directory.age());
+        metrics.follower("operators", &node.operators);
+        metrics.follower("endpoints", &node.directory);
         for (pool, left) in node.repeats.left(node.now()) {
             metrics.pool(&pool, "repeats_left", left);
         }
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -43,6 +43,7 @@
 use crate::follow::Lead;
 use crate::follow::Part;
 use crate::node::Node;
+use crate::progress::Progress;
 use crate::rollouts::Rollouts;
 use crate::rollouts::announcement::Kept;
 use crate::rollouts::announcement::Said;
@@ -177,7 +178,8 @@
     /// Reads where the others are and what they learnt.
     async fn read_words(&self) {
         loop {
-            let newest = self.log.newest(Topic::Fleet);
+            let progress = Progress::default();
+            let newest = self.log.newest(Topic::Fleet, &progress);
             match tokio::time::timeout(CALL, newest).await {
                 Ok(Ok(batch)) => {
                     for (node, word) in batch.records.iter().filter_map(fleet::read) {
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -5,6 +5,7 @@
 use pimento_units::Moment;
 use pimento_units::Offset;
 
+use crate::boot;
 use crate::codec::Codec;
 use crate::codec::Operator;
 use crate::codec::Rollout;
@@ -74,12 +75,15 @@
             log::warn!("operators: {} was dropped, what it said holds.", record.key);
             return false;
         };
+        let begun = boot::now();
         match self.codec.operator(&record.key, value) {
             Ok(Operator::Table(table)) => {
                 log::info!(
                     topic = "operators",
                     offset = record.offset.0,
-                    configuration = table.version();
+                    configuration = table.version(),
+                    bytes = value.len(),
+                    decoded_ms = millis(boot::now().since(begun));
                     "operators: Configuration in force."
                 );
                 self.table = Some(Arc::from(table));
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -35,6 +35,7 @@
 use crate::follow::Told;
 use crate::node::Node;
 use crate::operators::Order;
+use crate::progress::Progress;
 use crate::topic::Error;
 use crate::topic::Log;
 use crate::topic::Record;
@@ -316,7 +317,8 @@
 
     /// What operators were told, each with its offset, and the end of that topic.
     async fn statuses(&self) -> Option<(Vec<(Offset, Status)>, Offset)> {
-        let newest = self.log.newest(Topic::Status);
+        let progress = Progress::default();
+        let newest = self.log.newest(Topic::Status, &progress);
         let batch = match tokio::time::timeout(CALL, newest).await {
             Ok(Ok(batch)) => batch,
             Ok(Err(error)) => {
--- a/crates/relay/src/topic.rs
+++ b/crates/relay/src/topic.rs
@@ -9,6 +9,8 @@
 use pimento_units::Offset;
 use snafu::Snafu;
 
+use crate::progress::Progress;
+
 /// A topic of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Topic {
@@ -88,15 +90,21 @@
 /// The platform's log. Clones share connections.
 pub trait Log: Clone + Send + Sync + 'static {
     /// The newest record of each key. `end` is where the topic ended before the first of them was
-    /// looked up; some may be newer.
-    fn newest(&self, topic: Topic) -> impl Future<Output = Result<Batch, Error>> + Send;
+    /// looked up; some may be newer. `progress` counts what comes of the answers.
+    fn newest(
+        &self,
+        topic: Topic,
+        progress: &Progress,
+    ) -> impl Future<Output = Result<Batch, Error>> + Send;
 
-    /// Reads records from `from` on, waiting up to `wait` if there are none yet.
+    /// Reads records from `from` on, waiting up to `wait` if there are none yet. `progress` counts
+    /// what comes of the answer.
     fn read(
         &self,
         topic: Topic,
         from: Offset,
         wait: Duration,
+        progress: &Progress,
     ) -> impl Future<Output = Result<Batch, Error>> + Send;
 
     /// Appends one record; with `at`, only if the topic ends there. Gives the topic's end.
--- a/crates/relay/tests/all/log.rs
+++ b/crates/relay/tests/all/log.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use pimento_relay::progress::Progress;
 use pimento_relay::topic::Batch;
 use pimento_relay::topic::Error;
 use pimento_relay::topic::Log;
@@ -109,7 +110,7 @@
 }
 
 impl Log for Memory {
-    async fn newest(&self, _: Topic) -> Result<Batch, Error> {
+    async fn newest(&self, _: Topic, _: &Progress) -> Result<Batch, Error> {
         self.answer().await?;
         let state = self.state.lock().unwrap();
         let mut records: Vec<Record> = Vec::new();
@@ -125,7 +126,13 @@
         })
     }
 
-    async fn read(&self, _: Topic, from: Offset, wait: Duration) -> Result<Batch, Error> {
+    async fn read(
+        &self,
+        _: Topic,
+        from: Offset,
+        wait: Duration,
+        _: &Progress,
+    ) -> Result<Batch, Error> {
         self.answer().await?;
         let appended = self.appended.notified();
         let batch = self.from(from)?;
