--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -478,3 +478,37 @@
     fixture.log.set(Mood::Well);
     fixture.until("a", |f| f.keys() == ["a"]).await;
 }
+
+// An answer takes several times as long as a silent log is waited for, and comes steadily all the while.
+// Reads that were given up before its end began anew from its first byte, for ever, and callers were
+// served by a view that no longer changed.
+#[tokio::test]
+async fn an_answer_that_keeps_coming_is_waited_for() {
+    let fixture = Fixture::new();
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    fixture.log.set(Mood::Long(PACE.patience / 4));
+    fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    assert!(fixture.follower.confirm(boot::now()).await);
+    assert_eq!(fixture.follower.tally().given_up, 0);
+}
+
+// An answer begins and then nothing more of it comes: its connection fell silent. The read is given up
+// and made again, and the view changes as soon as the log answers.
+#[tokio::test]
+async fn an_answer_that_stops_coming_is_given_up() {
+    let fixture = Fixture::new();
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    fixture.log.set(Mood::Broken);
+    fixture
+        .until("reads given up", |f| f.follower.tally().given_up > 1)
+        .await;
+    assert!(!fixture.follower.confirm(boot::now()).await);
+    fixture.log.set(Mood::Well);
+    fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+}
--- a/crates/relay/tests/all/log.rs
+++ b/crates/relay/tests/all/log.rs
@@ -14,6 +14,12 @@
 use pimento_units::Offset;
 use tokio::sync::Notify;
 
+/// Pieces of a long answer.
+pub const PIECES: u32 = 10;
+
+/// Bytes of a piece.
+const PIECE: usize = 16 << 10;
+
 /// How calls are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mood {
@@ -22,6 +28,10 @@
     Down,
     /// No call is answered.
     Silent,
+    /// Answers come piece by piece, [`PIECES`] of them, each after this long.
+    Long(Duration),
+    /// Some pieces come, then nothing more.
+    Broken,
 }
 
 #[derive(Debug)]
@@ -79,7 +89,7 @@
         self.state.lock().unwrap().calls
     }
 
-    async fn answer(&self) -> Result<(), Error> {
+    async fn answer(&self, progress: &Progress) -> Result<(), Error> {
         let mood = {
             let mut state = self.state.lock().unwrap();
             state.calls += 1;
@@ -91,6 +101,17 @@
                 reason: "down".into(),
             }),
             Mood::Silent => std::future::pending().await,
+            Mood::Long(pause) => {
+                for _ in 0..PIECES {
+                    tokio::time::sleep(pause).await;
+                    progress.add(PIECE);
+                }
+                Ok(())
+            }
+            Mood::Broken => {
+                progress.add(PIECE);
+                std::future::pending().await
+            }
         }
     }
 
@@ -110,8 +131,8 @@
 }
 
 impl Log for Memory {
-    async fn newest(&self, _: Topic, _: &Progress) -> Result<Batch, Error> {
-        self.answer().await?;
+    async fn newest(&self, _: Topic, progress: &Progress) -> Result<Batch, Error> {
+        self.answer(progress).await?;
         let state = self.state.lock().unwrap();
         let mut records: Vec<Record> = Vec::new();
         for record in &state.records {
@@ -131,9 +152,9 @@
         _: Topic,
         from: Offset,
         wait: Duration,
-        _: &Progress,
+        progress: &Progress,
     ) -> Result<Batch, Error> {
-        self.answer().await?;
+        self.answer(progress).await?;
         let appended = self.appended.notified();
         let batch = self.from(from)?;
         if !batch.records.is_empty() || wait.is_zero() {
@@ -150,7 +171,7 @@
         _: Bytes,
         _: Option<Offset>,
     ) -> Result<Offset, Error> {
-        self.answer().await?;
+        self.answer(&Progress::default()).await?;
         Ok(Offset::default())
     }
 }
