Wait for an answer of the log while it keeps coming, in place of bounding the whole

Callers saw: after operators had added routes by the thousand, VMs with slow links went on with the configuration before it, for good: routes that had moved were run by the old service beyond the bound on changes, and then nearly all requests with a key were refused. Cause: a read was given up 450 ms after its wait however much of its answer had come. On a link of 10 Mbit/s, of which callers take a part, 553 KB take longer; the next read began anew from the first byte, so that no read of that record could ever end. Class: a fixed bound on work that grows with its size, whose retry starts from nothing. Change: progress::wait gives an answer up once nothing came of it for the patience, not once it took so long as a whole. Same cause elsewhere in the relay, same mend: the confirmation of an unknown route, the reading of the VMs' words at the start, the reading of what operators were told. Why it holds: an answer that moves is never begun anew, so that each configuration ends as soon as the link allows; a connection that fell silent is still given up after the same patience. Ruled out: a longer bound, which the next larger configuration is beyond again; a bound by the announced length and a rate, as nobody knows the rate of a link that callers share; that the log was late (the last piece of the reads that were given up was 3 to 13 ms old) and that the processor was (decoding takes 10 to 74 ms).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -25,7 +25,6 @@
 use pimento_units::Offset;
 use tokio::sync::Notify;
 use tokio::sync::watch;
-use tokio::time::error::Elapsed;
 use tokio_util::sync::CancellationToken;
 
 use self::call::Call;
@@ -40,6 +39,7 @@
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
+use crate::progress::Silent;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -270,7 +270,8 @@
         let read = self
             .log
             .read(self.topic, next, Duration::ZERO, &call.progress);
-        let read = tokio::time::timeout(self.pace.patience, read).await;
+        let patience = self.pace.patience;
+        let read = call.progress.wait(read, patience, patience).await;
         match self.count(&call, read) {
             Ok(Ok(batch)) => {
                 self.take(&batch, call.sent, stamps);
@@ -378,9 +379,9 @@
                 }
             }
         };
-        let bound = self.pace.patience + wait;
-        let read = tokio::time::timeout(bound, exchange).await;
-        match self.count(&call, read)? {
+        let patience = self.pace.patience;
+        let read = call.progress.wait(exchange, wait + patience, patience);
+        match self.count(&call, read.await)? {
             Ok(batch) => Ok(self.take(&batch, call.sent, stamps)),
             Err(Error::Gone { oldest }) => {
                 log::info!(
@@ -399,7 +400,7 @@
     fn count(
         &self,
         call: &Call,
-        read: Result<Result<Batch, Error>, Elapsed>,
+        read: Result<Result<Batch, Error>, Silent>,
     ) -> Result<Result<Batch, Error>, Failure> {
         let mut inner = self.lock();
         let tally = &mut inner.tally;
@@ -413,7 +414,7 @@
         if let Ok(Ok(_)) = &read {
             call.answered();
         }
-        read.map_err(|_| call.failed("no answer in time"))
+        read.map_err(|silent| call.failed(silent.to_string()))
     }
 
     /// Applies what is new; whether the view now holds all up to the end.
--- a/crates/relay/src/follow/pace.rs
+++ b/crates/relay/src/follow/pace.rs
@@ -21,7 +21,7 @@
     pub leading: Gait,
     /// A VM that others read for reads by itself once its proof is this old.
     pub trust: Duration,
-    /// How long an answer may take beyond the wait.
+    /// How long an answer may take to begin, beyond the wait, and to go on.
     pub patience: Duration,
 }
 
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -78,7 +78,7 @@
 /// Pause after a failure, so that one that stays doesn't take the whole processor.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// A call of the log takes at most this long.
+/// An answer of the log may take this long to begin, and to go on.
 const CALL: Duration = Duration::from_secs(1);
 
 /// The largest datagram that is taken: one with the largest record that is handed on, and some.
@@ -180,7 +180,7 @@
         loop {
             let progress = Progress::default();
             let newest = self.log.newest(Topic::Fleet, &progress);
-            match tokio::time::timeout(CALL, newest).await {
+            match progress.wait(newest, CALL, CALL).await {
                 Ok(Ok(batch)) => {
                     for (node, word) in batch.records.iter().filter_map(fleet::read) {
                         self.meet_one(node, word);
@@ -188,7 +188,7 @@
                     return;
                 }
                 Ok(Err(error)) => log::warn!("neighbours: Not read: {error}."),
-                Err(_) => log::warn!("neighbours: Not read in time."),
+                Err(error) => log::warn!("neighbours: Not read: {error}."),
             }
             tokio::time::sleep(PAUSE).await;
         }
--- a/crates/relay/src/progress.rs
+++ b/crates/relay/src/progress.rs
@@ -1,8 +1,12 @@
-//! How much of an answer of the log has come, and when its last piece did.
+//! How much of an answer of the log has come, and how long to wait for the rest of it.
 
+use std::future::Future;
+use std::pin::pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use pimento_units::Moment;
+use snafu::Snafu;
 use tokio::sync::watch;
 
 use crate::boot;
@@ -16,6 +20,11 @@
     pub last: Option<Moment>,
 }
 
+/// Nothing came of an answer for too long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Snafu)]
+#[snafu(display("no answer in time"))]
+pub struct Silent;
+
 /// Counts the bytes of one call's answer as they come. Clones share the count.
 #[derive(Debug, Clone, Default)]
 pub struct Progress {
@@ -37,4 +46,34 @@
     pub fn received(&self) -> Received {
         *self.received.borrow()
     }
+
+    /// Waits for `call`, whose answer is counted here, while that keeps coming: its first byte may
+    /// take `first`, and each pause after it `patience`.
+    ///
+    /// A bound on the whole answer fails each time for one that takes longer. It is then asked for
+    /// again from its first byte, for ever: VMs with slow links never get a configuration that has
+    /// grown too large for the bound, and callers are served by the one before it or refused. A
+    /// connection that fell silent shows by its silence as soon as by a bound on the whole.
+    ///
+    /// # Errors
+    ///
+    /// [`Silent`] if nothing came for that long; the call is dropped.
+    pub async fn wait<T>(
+        &self,
+        call: impl Future<Output = T>,
+        first: Duration,
+        patience: Duration,
+    ) -> Result<T, Silent> {
+        let mut call = pin!(call);
+        let mut received = self.received.subscribe();
+        let mut bound = first;
+        loop {
+            tokio::select! {
+                biased;
+                done = &mut call => return Ok(done),
+                _ = received.changed() => bound = patience,
+                () = tokio::time::sleep(bound) => return Err(Silent),
+            }
+        }
+    }
 }
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -69,7 +69,7 @@
     pause: Duration::from_secs(1),
 };
 
-/// A call of the log takes at most this long; the next tick may try again.
+/// An answer of the log may take this long to begin, and to go on; the next tick may try again.
 const CALL: Duration = Duration::from_secs(1);
 
 /// The VMs' words that were not yet taken in, in the order of their arrival.
@@ -319,14 +319,14 @@
     async fn statuses(&self) -> Option<(Vec<(Offset, Status)>, Offset)> {
         let progress = Progress::default();
         let newest = self.log.newest(Topic::Status, &progress);
-        let batch = match tokio::time::timeout(CALL, newest).await {
+        let batch = match progress.wait(newest, CALL, CALL).await {
             Ok(Ok(batch)) => batch,
             Ok(Err(error)) => {
                 log::warn!("rollout: Status not read: {error}.");
                 return None;
             }
-            Err(_) => {
-                log::warn!("rollout: Status not read in time.");
+            Err(error) => {
+                log::warn!("rollout: Status not read: {error}.");
                 return None;
             }
         };
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -480,8 +480,8 @@
 }
 
 // An answer takes several times as long as a silent log is waited for, and comes steadily all the while.
-// Reads that were given up before its end began anew from its first byte, for ever, and callers were
-// served by a view that no longer changed.
+// Under a bound on the whole answer each read was given up before its end and begun anew from its first
+// byte, for ever, and callers were served by a view that no longer changed.
 #[tokio::test]
 async fn an_answer_that_keeps_coming_is_waited_for() {
     let fixture = Fixture::new();
