Refuse requests on a VM that has known of a change past the bound and could not read it

Callers saw: on public routes, answers by the configuration before the one in force for as long as a VM could not read that, six seconds and more in the incident; only keys had a bound on the age of what they are checked against. The age of a view says how long nobody vouched for it; a VM that was told of a change and can't read it knows that its view is wrong, and acted on it all the same. Change: a view knows since when it lacks a change that it was told of; past 0.85 of the bound on changes all requests are refused as not run, with the usual Retry-After, and past 0.6 of it the VM says that it is not ready. Word of records that a later read of the log shows not to exist is dropped: a false datagram would otherwise make a VM refuse until the log holds as many. What the reader kept in a flag of its own is derived from the view. Ruled out: refusing by age alone. A VM that is cut off from the log and its neighbours serves public routes by what it read last, as before; nobody could have told operators that their change is in force there. Conclusion: holds whatever keeps a VM from reading a change that it knows of.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -58,6 +58,9 @@
     path: &str,
 ) -> Result<Grant, Denial> {
     let table = node.table().ok_or(Denial::NoTable)?;
+    if node.current() == Freshness::Stale {
+        return Err(Denial::Stale);
+    }
     let route = table.route(&ask.host, path).ok_or(Denial::Route)?;
     let route = Arc::clone(route);
     if route.public || !table.keyed() {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -291,18 +291,14 @@
     async fn run(self) {
         let mut lead = self.zone.lead.subscribe();
         let mut pause = FIRST_PAUSE;
-        // Word of a change came and no read has succeeded since: without this a VM whose read was
-        // refused would wait for the next word, or until its trust is used up.
-        let mut behind = false;
         loop {
             let role = *lead.borrow_and_update();
-            if role == Lead::Led && self.trusts() && !behind {
+            // A view that lacks a change is read for until it has it: a VM whose read was refused would
+            // otherwise wait for the next word, or until its trust is used up.
+            if role == Lead::Led && self.trusts() && !self.lacks().await {
                 let left = self.age().map(|age| self.pace.trust.saturating_sub(age));
                 tokio::select! {
-                    () = self.nudge.notified() => {
-                        behind = self.lacks().await;
-                        continue;
-                    }
+                    () = self.nudge.notified() => continue,
                     _ = lead.changed() => continue,
                     () = tokio::time::sleep(left.unwrap_or_default()) => continue,
                 }
@@ -315,7 +311,6 @@
             match self.read(gait.wait).await {
                 Ok(whole) => {
                     pause = FIRST_PAUSE;
-                    behind &= !whole;
                     if whole {
                         tokio::time::sleep(gait.pause).await;
                     }
@@ -339,7 +334,7 @@
     /// Whether the view lacks what another VM knows of, and still does after what was handed on beside
     /// that word had time to come.
     async fn lacks(&self) -> bool {
-        if self.lock().next.is_some() {
+        if self.lock().lacks() {
             tokio::time::sleep(LATE).await;
         }
         self.lock().lacks()
@@ -439,6 +434,10 @@
         };
         inner.reach(reached);
         let whole = inner.next >= Some(batch.end);
+        if whole && inner.refute(sent) {
+            let topic = self.topic.as_str();
+            log::warn!(topic; "follower: Another VM told of records that the log does not hold.");
+        }
         if whole && inner.proven < Some(sent) {
             inner.proven = Some(sent);
             inner.stamps = stamps;
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -43,7 +43,9 @@
     /// Parts that came before those that go first, sorted by where they begin.
     ahead: Vec<Part>,
     /// The offset up to which another VM knows of changes.
-    pub wanted: Offset,
+    wanted: Offset,
+    /// When that was heard first.
+    heard: Moment,
     /// Since when the view lacks some of them.
     pub behind: Option<Moment>,
     /// How the reads so far went.
@@ -67,6 +69,7 @@
             recent: Recent::default(),
             ahead: Vec::new(),
             wanted: Offset::default(),
+            heard: Moment::ZERO,
             behind: None,
             tally: Tally::default(),
             proven: None,
@@ -125,7 +128,10 @@
 
     /// Another VM knows of changes up to an offset.
     pub fn want(&mut self, offset: Offset, now: Moment) {
-        self.wanted = self.wanted.max(offset);
+        if offset > self.wanted {
+            self.wanted = offset;
+            self.heard = now;
+        }
         if self.lacks() {
             self.behind.get_or_insert(now);
         }
@@ -139,6 +145,18 @@
         }
     }
 
+    /// The view holds all that the log held at `sent`. Whether another VM had told of more by then:
+    /// records are never lost, so that it was wrong. Its word would keep this VM reading, and make it
+    /// refuse its callers, until the log holds as much.
+    pub fn refute(&mut self, sent: Moment) -> bool {
+        let wrong = self.lacks() && self.heard <= sent;
+        if wrong {
+            self.wanted = self.next.unwrap_or_default();
+            self.behind = None;
+        }
+        wrong
+    }
+
     /// Whether another VM knows of a change that the view does not hold.
     pub fn lacks(&self) -> bool {
         self.next.is_none_or(|next| next < self.wanted)
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -69,7 +69,8 @@
     patience: Duration::from_millis(450),
 };
 
-/// Share of the bound on revoked keys that a configuration may be old and still let keys in. A key
+/// Share of the bound on revoked keys that a configuration may be old and still let keys in, and of the
+/// bound on changes that a known change may be missing from it and it still be acted on. A key
 /// that was revoked since was revoked after the configuration was proven, so that a request which is
 /// sent at any age below the bound came within it; the rest is for clocks of different speed.
 const FRESH: f64 = 0.85;
@@ -145,12 +146,12 @@
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// How old the configuration is, as far as keys go.
+/// Whether the configuration may be acted on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
     /// Young enough.
     Fresh,
-    /// Keys may have been revoked meanwhile.
+    /// Keys may have been revoked, or changes are known that were not read.
     Stale,
 }
 
@@ -220,6 +221,25 @@
         self.within(FRESH)
     }
 
+    /// Whether requests may be handled by the configuration at hand, with a key or without.
+    ///
+    /// A VM that nobody can tell of changes goes on by what it read last. One that was told of a
+    /// change and could not read it knows better: past the bound on changes its callers would be
+    /// answered as the operators no longer want, for as long as its way to the log is broken.
+    #[must_use]
+    pub fn current(&self) -> Freshness {
+        self.caught_up(FRESH)
+    }
+
+    /// Whether no change has been known and not read for longer than a share of the bound on changes.
+    fn caught_up(&self, share: f64) -> Freshness {
+        let bound = self.config.bounds.apply.mul_f64(share);
+        match self.operators.behind() {
+            Some(behind) if behind > bound => Freshness::Stale,
+            _ => Freshness::Fresh,
+        }
+    }
+
     /// Whether the configuration is younger than a share of the bound on revoked keys.
     fn within(&self, share: f64) -> Freshness {
         let Some(revoke) = self.config.bounds.revoke else {
@@ -243,7 +263,9 @@
     pub fn ready(&self) -> bool {
         let read = self.directory.proven().is_some();
         let leaving = self.leaving.is_cancelled();
-        read && !leaving && self.table().is_some() && self.within(READY) == Freshness::Fresh
+        let fresh = [self.within(READY), self.caught_up(READY)];
+        let fresh = fresh.iter().all(|known| *known == Freshness::Fresh);
+        read && !leaving && self.table().is_some() && fresh
     }
 
     /// Whether this VM reads the log by itself, for others or because nobody else's reads can be
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -512,3 +512,48 @@
     fixture.log.put("a", Some("1"));
     fixture.until("a", |f| f.keys() == ["a"]).await;
 }
+
+// A VM is told of records that the log does not hold, by a datagram that is false or of another log. It
+// reads, finds that they are not there, and no longer holds itself for behind. Otherwise it would read the
+// log at each word and refuse its callers, until the log holds as many records.
+#[tokio::test]
+async fn word_of_records_that_do_not_exist_is_dropped() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    fixture.follower.vouch(Proof {
+        changed: Offset(1_000),
+        stamp: boot::now(),
+    });
+    assert!(fixture.follower.behind().is_some());
+    fixture
+        .until("word refuted", |f| f.follower.behind().is_none())
+        .await;
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let calls = fixture.log.calls();
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(fixture.log.calls(), calls);
+}
+
+// A VM knows that it lacks a change, and for how long, until it has read it.
+#[tokio::test]
+async fn a_view_knows_how_long_it_is_behind() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    assert_eq!(fixture.follower.behind(), None);
+    fixture.log.set(Mood::Down);
+    let next = fixture.log.put("a", Some("1"));
+    let told = boot::now();
+    for _ in 0..3 {
+        fixture.follower.vouch(Proof {
+            changed: next,
+            stamp: boot::now(),
+        });
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let behind = fixture.follower.behind().unwrap();
+    assert!(behind >= Duration::from_millis(150), "{behind:?}");
+    assert!(behind <= boot::now().since(told), "{behind:?}");
+    fixture.log.set(Mood::Well);
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    assert_eq!(fixture.follower.behind(), None);
+}
