Let a confirmation wait for an answer that is coming in place of fetching it twice

A caller on a route that the VM doesn't know makes it read the log once more. While a large configuration was coming, that fetched the same records a second time over the same slow link, just when callers ask for what it adds; with reads that are no longer cut short both would run to their end. Change: a confirmation waits for the follower's own read once something of its answer has come, as long as it keeps coming, and then reads. Ruled out: taking the own read's answer for the confirmation, as it was sent before the caller asked and proves less. Conclusion: one large answer at a time on a VM's link.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -13,6 +13,7 @@
 mod call;
 mod fold;
 mod pace;
+mod read;
 mod view;
 
 use std::sync::Arc;
@@ -27,8 +28,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use self::call::Call;
-use self::call::Failure;
 pub use self::call::Tally;
 pub use self::fold::Fold;
 pub use self::fold::Told;
@@ -39,9 +38,7 @@
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
-use crate::progress::Silent;
 use crate::topic::Batch;
-use crate::topic::Error;
 use crate::topic::Log;
 use crate::topic::Record;
 use crate::topic::Topic;
@@ -106,6 +103,8 @@
     nudge: Arc<Notify>,
     changed: Arc<watch::Sender<u64>>,
     confirming: Arc<tokio::sync::Mutex<()>>,
+    /// Told of the end of each own read.
+    ended: Arc<Notify>,
 }
 
 impl<F, L: Clone> Clone for Follower<F, L> {
@@ -120,6 +119,7 @@
             inner: Arc::clone(&self.inner),
             changed: Arc::clone(&self.changed),
             confirming: Arc::clone(&self.confirming),
+            ended: Arc::clone(&self.ended),
         }
     }
 }
@@ -145,6 +145,7 @@
             inner: Arc::new(Mutex::new(inner)),
             changed: Arc::new(watch::Sender::new(0)),
             confirming: Arc::default(),
+            ended: Arc::default(),
         };
         let reader = follower.clone();
         tokio::spawn(async move { token.run_until_cancelled(reader.run()).await });
@@ -255,39 +256,6 @@
         self.changed.subscribe()
     }
 
-    /// Reads once more, now, unless the view is younger than `moment` already. Those who ask at the
-    /// same time share one read. False if it could not be read.
-    pub async fn confirm(&self, moment: Moment) -> bool {
-        let _one = self.confirming.lock().await;
-        if self.proven().is_some_and(|proven| proven >= moment) {
-            return true;
-        }
-        let Some(next) = self.next() else {
-            return false;
-        };
-        let stamps = self.zone.stamps();
-        let call = Call::new(self.topic);
-        let read = self
-            .log
-            .read(self.topic, next, Duration::ZERO, &call.progress);
-        let patience = self.pace.patience;
-        let read = call.progress.wait(read, patience, patience).await;
-        match self.count(&call, read) {
-            Ok(Ok(batch)) => {
-                self.take(&batch, call.sent, stamps);
-                self.proven().is_some_and(|proven| proven >= call.sent)
-            }
-            Ok(Err(error)) => {
-                call.failed(error.to_string()).log("Not confirmed");
-                false
-            }
-            Err(failure) => {
-                failure.log("Not confirmed");
-                false
-            }
-        }
-    }
-
     async fn run(self) {
         let mut lead = self.zone.lead.subscribe();
         let mut pause = FIRST_PAUSE;
@@ -360,58 +328,6 @@
         self.age().is_some_and(|age| age < self.pace.trust)
     }
 
-    /// Reads once; whether the end was reached.
-    async fn read(&self, wait: Duration) -> Result<bool, Failure> {
-        let stamps = self.zone.stamps();
-        let call = Call::new(self.topic);
-        let next = self.next();
-        let exchange = async {
-            match next {
-                None => self.log.newest(self.topic, &call.progress).await,
-                Some(next) => {
-                    let read = self.log.read(self.topic, next, wait, &call.progress);
-                    read.await
-                }
-            }
-        };
-        let patience = self.pace.patience;
-        let read = call.progress.wait(exchange, wait + patience, patience);
-        match self.count(&call, read.await)? {
-            Ok(batch) => Ok(self.take(&batch, call.sent, stamps)),
-            Err(Error::Gone { oldest }) => {
-                log::info!(
-                    topic = self.topic.as_str(),
-                    oldest = oldest.0;
-                    "follower: History is gone, reading the newest of each key."
-                );
-                self.lock().next = None;
-                Ok(false)
-            }
-            Err(error) => Err(call.failed(error.to_string())),
-        }
-    }
-
-    /// Counts how a read ended. An error is a read that was given up.
-    fn count(
-        &self,
-        call: &Call,
-        read: Result<Result<Batch, Error>, Silent>,
-    ) -> Result<Result<Batch, Error>, Failure> {
-        let mut inner = self.lock();
-        let tally = &mut inner.tally;
-        tally.bytes += call.progress.received().bytes;
-        match &read {
-            Ok(Ok(_) | Err(Error::Gone { .. })) => tally.answered += 1,
-            Ok(Err(_)) => tally.failed += 1,
-            Err(_) => tally.given_up += 1,
-        }
-        drop(inner);
-        if let Ok(Ok(_)) = &read {
-            call.answered();
-        }
-        read.map_err(|silent| call.failed(silent.to_string()))
-    }
-
     /// Applies what is new; whether the view now holds all up to the end.
     fn take(&self, batch: &Batch, sent: Moment, stamps: Vec<Stamp>) -> bool {
         let now = boot::now();
--- /dev/null
+++ b/crates/relay/src/follow/read.rs
@@ -0,0 +1,128 @@
+//! The reads of a follower: its own ones, and those that confirm the view for a caller.
+
+use std::time::Duration;
+
+use pimento_units::Moment;
+
+use super::Fold;
+use super::Follower;
+use super::call::Call;
+use super::call::Failure;
+use crate::progress::Silent;
+use crate::topic::Batch;
+use crate::topic::Error;
+use crate::topic::Log;
+
+impl<F: Fold, L: Log> Follower<F, L> {
+    /// Reads once more, now, unless the view is younger than `moment` already. Those who ask at the
+    /// same time share one read. False if it could not be read.
+    pub async fn confirm(&self, moment: Moment) -> bool {
+        let _one = self.confirming.lock().await;
+        self.settled().await;
+        if self.proven().is_some_and(|proven| proven >= moment) {
+            return true;
+        }
+        let Some(next) = self.next() else {
+            return false;
+        };
+        let stamps = self.zone.stamps();
+        let call = Call::new(self.topic);
+        let read = self
+            .log
+            .read(self.topic, next, Duration::ZERO, &call.progress);
+        let patience = self.pace.patience;
+        let read = call.progress.wait(read, patience, patience).await;
+        match self.count(&call, read) {
+            Ok(Ok(batch)) => {
+                self.take(&batch, call.sent, stamps);
+                self.proven().is_some_and(|proven| proven >= call.sent)
+            }
+            Ok(Err(error)) => {
+                call.failed(error.to_string()).log("Not confirmed");
+                false
+            }
+            Err(failure) => {
+                failure.log("Not confirmed");
+                false
+            }
+        }
+    }
+
+    /// Waits until an answer that is coming to this follower's own read is there. A second read would
+    /// ask for the same records, and the two would share the link: a large configuration would take
+    /// twice as long just when callers ask for what it adds.
+    async fn settled(&self) {
+        let ended = self.ended.notified();
+        tokio::pin!(ended);
+        ended.as_mut().enable();
+        let reading = self.lock().reading.clone();
+        let Some(progress) = reading.filter(|progress| progress.received().bytes > 0) else {
+            return;
+        };
+        let patience = self.pace.patience;
+        if progress.wait(ended, patience, patience).await.is_err() {
+            log::debug!("follower: An answer stopped coming, asking anew.");
+        }
+    }
+
+    /// Reads once; whether the end was reached.
+    pub(super) async fn read(&self, wait: Duration) -> Result<bool, Failure> {
+        let stamps = self.zone.stamps();
+        let call = Call::new(self.topic);
+        let next = self.next();
+        let exchange = async {
+            match next {
+                None => self.log.newest(self.topic, &call.progress).await,
+                Some(next) => {
+                    let read = self.log.read(self.topic, next, wait, &call.progress);
+                    read.await
+                }
+            }
+        };
+        let patience = self.pace.patience;
+        let read = call.progress.wait(exchange, wait + patience, patience);
+        self.lock().reading = Some(call.progress.clone());
+        let read = read.await;
+        self.lock().reading = None;
+        let read = self.count(&call, read);
+        let whole = match &read {
+            Ok(Ok(batch)) => self.take(batch, call.sent, stamps),
+            _ => false,
+        };
+        self.ended.notify_waiters();
+        match read? {
+            Ok(_) => Ok(whole),
+            Err(Error::Gone { oldest }) => {
+                log::info!(
+                    topic = self.topic.as_str(),
+                    oldest = oldest.0;
+                    "follower: History is gone, reading the newest of each key."
+                );
+                self.lock().next = None;
+                Ok(false)
+            }
+            Err(error) => Err(call.failed(error.to_string())),
+        }
+    }
+
+    /// Counts how a read ended. An error is a read that was given up.
+    fn count(
+        &self,
+        call: &Call,
+        read: Result<Result<Batch, Error>, Silent>,
+    ) -> Result<Result<Batch, Error>, Failure> {
+        let mut inner = self.lock();
+        let tally = &mut inner.tally;
+        tally.bytes += call.progress.received().bytes;
+        match &read {
+            Ok(Ok(_) | Err(Error::Gone { .. })) => tally.answered += 1,
+            Ok(Err(_)) => tally.failed += 1,
+            Err(_) => tally.given_up += 1,
+        }
+        drop(inner);
+        if let Ok(Ok(_)) = &read {
+            call.answered();
+        }
+        read.map_err(|silent| call.failed(silent.to_string()))
+    }
+}
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -7,6 +7,7 @@
 use super::Fold;
 use super::Tally;
 use super::Told;
+use crate::progress::Progress;
 use crate::recent::Recent;
 use crate::topic::Batch;
 use crate::topic::Record;
@@ -48,6 +49,8 @@
     heard: Moment,
     /// Since when the view lacks some of them.
     pub behind: Option<Moment>,
+    /// What has come of the own read that is under way.
+    pub reading: Option<Progress>,
     /// How the reads so far went.
     pub tally: Tally,
     /// When the last read that reached the end was sent.
@@ -71,6 +74,7 @@
             wanted: Offset::default(),
             heard: Moment::ZERO,
             behind: None,
+            reading: None,
             tally: Tally::default(),
             proven: None,
             stamps: Vec::new(),
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -557,3 +557,22 @@
     fixture.until("a", |f| f.keys() == ["a"]).await;
     assert_eq!(fixture.follower.behind(), None);
 }
+
+// A large answer is coming over a slow link when a caller asks for a route that it may add. The caller's
+// question waits for it: a second read would fetch the same records, and each would take twice as long.
+#[tokio::test]
+async fn a_confirmation_does_not_fetch_what_is_coming() {
+    let fixture = Fixture::new();
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    let pause = PACE.patience / 4;
+    fixture.log.set(Mood::Long(pause));
+    tokio::time::sleep(pause * 2).await;
+    fixture.log.put("a", Some("1"));
+    let follower = fixture.follower.clone();
+    let asked = tokio::spawn(async move { follower.confirm(boot::now()).await });
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    assert_eq!(fixture.log.overlapping(), 0);
+    assert!(asked.await.unwrap());
+}
--- a/crates/relay/tests/all/log.rs
+++ b/crates/relay/tests/all/log.rs
@@ -40,6 +40,10 @@
     first: u64,
     mood: Mood,
     calls: usize,
+    /// Long answers of which something has come.
+    coming: usize,
+    /// Calls that were made meanwhile.
+    overlapping: usize,
 }
 
 /// One topic. Clones share it.
@@ -56,6 +60,8 @@
             first: 0,
             mood: Mood::Well,
             calls: 0,
+            coming: 0,
+            overlapping: 0,
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -89,10 +95,16 @@
         self.state.lock().unwrap().calls
     }
 
+    /// Calls that were made while a long answer was coming.
+    pub fn overlapping(&self) -> usize {
+        self.state.lock().unwrap().overlapping
+    }
+
     async fn answer(&self, progress: &Progress) -> Result<(), Error> {
         let mood = {
             let mut state = self.state.lock().unwrap();
             state.calls += 1;
+            state.overlapping += usize::from(state.coming > 0);
             state.mood
         };
         match mood {
@@ -102,10 +114,12 @@
             }),
             Mood::Silent => std::future::pending().await,
             Mood::Long(pause) => {
-                for _ in 0..PIECES {
+                for piece in 0..PIECES {
                     tokio::time::sleep(pause).await;
                     progress.add(PIECE);
+                    self.state.lock().unwrap().coming += usize::from(piece == 0);
                 }
+                self.state.lock().unwrap().coming -= 1;
                 Ok(())
             }
             Mood::Broken => {
