Cut a long rest short on a VM that learns that it lacks a change

Cause: a VM that another one reads for rests up to 4.8 s after failed reads in a large zone, as the first that is answered vouches for the others. Nobody can vouch for a change that it lacks and that is too large to be handed on: the VM rested on and, past the bound, refused its callers with the log back. Change: the longest rest is a function of role, neighbours and whether the view lacks a change; word of one cuts a longer rest to 1.2 s. Ruled out: reading at each word, which a VM that the log turns away would do several times a second.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -26,6 +26,7 @@
 use pimento_units::Offset;
 use tokio::sync::Notify;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 pub use self::call::Tally;
@@ -34,7 +35,9 @@
 pub use self::fold::Touch;
 use self::pace::AT_ONCE;
 pub use self::pace::Gait;
+pub use self::pace::Lead;
 pub use self::pace::Pace;
+pub use self::pace::longest_pause;
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
@@ -45,18 +48,6 @@
 use crate::zone::Stamp;
 use crate::zone::Zone;
 
-/// Who reads for whom among the VMs of a zone.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub enum Lead {
-    /// Nobody else is there.
-    #[default]
-    Alone,
-    /// This VM reads for the others.
-    Leading,
-    /// Another VM reads for this one.
-    Led,
-}
-
 /// What a VM that reads can tell another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Proof {
@@ -73,20 +64,6 @@
 /// The first pause after a failed read; an answer that was lost is often a single event.
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 
-/// The longest pause after failed reads. It bounds how long a log that is back goes unnoticed, and
-/// the bounds on configuration and on leaving endpoints are two seconds.
-const LONGEST_PAUSE: Duration = Duration::from_millis(400);
-
-/// The same for a VM that another one reads for, which tells it as soon as the log is back. All calls
-/// are paid for, also those that are refused.
-const LED_PAUSE: Duration = Duration::from_millis(1_200);
-
-/// VMs of a zone up to which that pause stands. In larger zones it grows with their number, up to four
-/// times, so that all of them together ask no more often: the first that is answered vouches for the
-/// others. Without it seventy VMs made 190 calls a second of a log that was out.
-const FEW: u32 = 3;
-const MANY: u32 = 4;
-
 /// How long records may come after the word that tells of them: datagrams that were sent together
 /// arrive within some milliseconds.
 const LATE: Duration = Duration::from_millis(25);
@@ -287,10 +264,8 @@
                     failure.log("Not read");
                     self.stumble(role, gait);
                     let share = rand::random_range(0.5..=1.0);
-                    // Word of a change doesn't end the pause: it comes several times a second, also
-                    // while the log turns this VM away and serves the one that reads for it.
                     tokio::select! {
-                        () = tokio::time::sleep(pause.mul_f64(share)) => {}
+                        () = self.rest(role, pause.mul_f64(share)) => {}
                         _ = lead.changed() => {}
                     }
                     pause = (pause * 2).min(self.longest(role));
@@ -308,13 +283,22 @@
         self.lock().lacks()
     }
 
+    /// Pauses after a failed read. Word of a change doesn't end the pause, as it comes several times a
+    /// second, also while the log turns this VM away and serves the one that reads for it. It cuts
+    /// short one that was meant for a view that lacks nothing.
+    async fn rest(&self, role: Lead, pause: Duration) {
+        let end = Instant::now() + pause;
+        tokio::select! {
+            () = tokio::time::sleep_until(end) => return,
+            () = self.nudge.notified() => {}
+        }
+        let sooner = Instant::now() + self.longest(role);
+        tokio::time::sleep_until(end.min(sooner)).await;
+    }
+
     /// The longest pause after failed reads.
     fn longest(&self, role: Lead) -> Duration {
-        if role != Lead::Led {
-            return LONGEST_PAUSE;
-        }
-        let vms = u32::try_from(self.zone.stamps().len()).unwrap_or(u32::MAX);
-        LED_PAUSE * (vms / FEW).clamp(1, MANY)
+        longest_pause(role, self.zone.stamps().len(), self.lock().lacks())
     }
 
     /// Whether this VM reads by itself.
--- a/crates/relay/src/follow/pace.rs
+++ b/crates/relay/src/follow/pace.rs
@@ -30,3 +30,44 @@
     wait: Duration::ZERO,
     pause: Duration::ZERO,
 };
+
+/// Who reads for whom among the VMs of a zone.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Lead {
+    /// Nobody else is there.
+    #[default]
+    Alone,
+    /// This VM reads for the others.
+    Leading,
+    /// Another VM reads for this one.
+    Led,
+}
+
+/// The longest pause after failed reads. It bounds how long a log that is back goes unnoticed, and
+/// the bounds on configuration and on leaving endpoints are two seconds.
+const LONGEST_PAUSE: Duration = Duration::from_millis(400);
+
+/// The same for a VM that another one reads for, which tells it as soon as the log is back. All calls
+/// are paid for, also those that are refused.
+const LED_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// VMs of a zone up to which that pause stands. In larger zones it grows with their number, up to four
+/// times, so that all of them together ask no more often: the first that is answered vouches for the
+/// others.
+const FEW: u32 = 3;
+const MANY: u32 = 4;
+
+/// The longest pause after failed reads of a VM in this role, where it knows of this many others in its
+/// zone. A view that lacks a change is read for sooner: nobody else's read can make up for its own, and
+/// its callers are refused once it has lacked the change for too long.
+#[must_use]
+pub fn longest_pause(role: Lead, others: usize, lacks: bool) -> Duration {
+    if role != Lead::Led {
+        return LONGEST_PAUSE;
+    }
+    if lacks {
+        return LED_PAUSE;
+    }
+    let others = u32::try_from(others).unwrap_or(u32::MAX);
+    LED_PAUSE * (others / FEW).clamp(1, MANY)
+}
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -13,6 +13,7 @@
 use pimento_relay::follow::Proof;
 use pimento_relay::follow::Told;
 use pimento_relay::follow::Touch;
+use pimento_relay::follow::longest_pause;
 use pimento_relay::topic::Record;
 use pimento_relay::topic::Topic;
 use pimento_relay::zone::Stamp;
@@ -576,3 +577,25 @@
     assert_eq!(fixture.log.overlapping(), 0);
     assert!(asked.await.unwrap());
 }
+
+// The log was out for long, and the VMs of a large zone that others read for ask it seldom. When it is
+// back, operators write a configuration too large to be handed on. A VM that is told of it while it rests
+// must read it itself: resting as long as one that lacks nothing, it refused its callers meanwhile.
+#[test]
+fn a_vm_that_lacks_a_change_rests_less() {
+    for others in [0, 5, 16, 400] {
+        let rests = longest_pause(Lead::Led, others, false);
+        let lacks = longest_pause(Lead::Led, others, true);
+        assert!(lacks <= rests, "{others}: {lacks:?}, {rests:?}");
+        assert!(lacks <= Duration::from_millis(1_200), "{lacks:?}");
+    }
+    let large = longest_pause(Lead::Led, 16, false);
+    let small = longest_pause(Lead::Led, 2, false);
+    assert!(
+        large > small,
+        "a large zone asks a log that is out less often"
+    );
+    for role in [Lead::Alone, Lead::Leading] {
+        assert!(longest_pause(role, 16, false) < small);
+    }
+}
