Build the candidates of a prompt once for an estimate, and look for a probe in one place

An estimate, made for each larger model of each first answer, built the candidates of its prompt twice; the endpoint due for a probe was looked for by two methods, and endpoints that failed a job were marked in three places. Change: placing gives the candidates back with its choice; one probe and one untried serve both ways of choosing. No decision changes. Ruled out: one type for both kinds of candidate, which share a key and a flag only.

--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -266,9 +266,12 @@
 
     /// Chooses an endpoint with a free slot and takes it. Endpoints tried before come last.
     pub fn take(&mut self, shared: &Arc<Shared>, job: &Job, now: Moment) -> Option<Permit> {
-        let (chosen, placed) = match &job.prompt {
-            Some(prompt) => self.place(prompt, job, now)?,
-            None => (self.draw(job, now)?, engine::Candidate::default()),
+        let (chosen, work) = match &job.prompt {
+            Some(prompt) => {
+                let placement = self.place(prompt, job, now)?;
+                (placement.chosen, placement.meets().work)
+            }
+            None => (self.draw(job, now)?, Duration::ZERO),
         };
         let seat = &mut self.seats[chosen];
         if !seat.limiter.acquire() {
@@ -278,7 +281,7 @@
         let ticket = job.prompt.as_ref().zip(seat.engine.as_mut());
         let ticket = ticket.map(|(prompt, engine)| {
             self.tickets += 1;
-            engine.begin(self.tickets, prompt, placed.work, now);
+            engine.begin(self.tickets, prompt, work, now);
             self.tickets
         });
         let prompt = ticket.and(job.prompt.clone());
@@ -300,15 +303,20 @@
         let random: u64 = rand::random();
         let choose =
             |seats: &[choice::Candidate]| choice::choose(seats, job.prefix, random, &self.choice);
-        let again = self.candidates(job, now);
-        let mut candidates = again.clone();
-        for (candidate, seat) in candidates.iter_mut().zip(&self.seats) {
-            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        let candidates = self.candidates(job, now);
+        let mut untried = candidates.clone();
+        for (place, candidate) in untried.iter_mut().enumerate() {
+            candidate.usable &= self.untried(place, job);
         }
-        self.probe(&candidates, job, now)
+        self.probe(job, now, |place| untried[place].usable)
+            .or_else(|| choose(&untried))
+            .or_else(|| choose(&self.ejected(&candidates, job, now)))
             .or_else(|| choose(&candidates))
-            .or_else(|| choose(&self.ejected(&again, job, now)))
-            .or_else(|| choose(&again))
+    }
+
+    /// Whether the endpoint at a place has not failed a job yet.
+    fn untried(&self, place: usize, job: &Job) -> bool {
+        !job.tried.contains(&self.seats[place].member.endpoint)
     }
 
     /// Candidates of which only those may be chosen that are out and did not fail this job: for a job
@@ -320,27 +328,22 @@
         now: Moment,
     ) -> Vec<choice::Candidate> {
         let mut ejected = candidates.to_vec();
-        for (candidate, seat) in ejected.iter_mut().zip(&self.seats) {
-            let failed = job.tried.contains(&seat.member.endpoint);
-            candidate.usable = !job.tried.is_empty() && !failed && seat.takes(job, now);
+        for (place, candidate) in ejected.iter_mut().enumerate() {
+            let takes = self.seats[place].takes(job, now);
+            candidate.usable = !job.tried.is_empty() && self.untried(place, job) && takes;
         }
         ejected
     }
 
     /// The endpoint that is due for a probe, if this job may be one: a call that may be sent twice.
     /// By choice alone an endpoint that was out would be tried late, or by many calls at once.
-    fn probe(&self, candidates: &[choice::Candidate], job: &Job, now: Moment) -> Option<usize> {
-        self.suspect(job, now)
-            .filter(|place| candidates[*place].usable)
-    }
-
-    fn suspect(&self, job: &Job, now: Moment) -> Option<usize> {
+    fn probe(&self, job: &Job, now: Moment, usable: impl Fn(usize) -> bool) -> Option<usize> {
         if !job.repeatable || self.health.out() == 0 {
             return None;
         }
         let due = self.health.due(now)?;
         let place = self.seats.iter().position(|s| &s.member.endpoint == due)?;
-        (self.seats[place].limiter.room() > 0).then_some(place)
+        (self.seats[place].limiter.room() > 0 && usable(place)).then_some(place)
     }
 
     fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
--- a/crates/scheduler/src/inner/placing.rs
+++ b/crates/scheduler/src/inner/placing.rs
@@ -18,25 +18,36 @@
 /// tells nobody keeps no more than these.
 const TOLD: usize = 128;
 
+/// Where a prompt goes.
+#[derive(Debug)]
+pub struct Placement {
+    /// The engine's place.
+    pub chosen: usize,
+    /// What the prompt would meet at each engine.
+    engines: Vec<engine::Candidate>,
+}
+
+impl Placement {
+    /// What the prompt meets where it goes.
+    pub fn meets(&self) -> engine::Candidate {
+        self.engines[self.chosen]
+    }
+}
+
 impl Inner {
-    /// The engine for a prompt, and what the prompt meets there.
-    pub(super) fn place(
-        &self,
-        prompt: &Prompt,
-        job: &Job,
-        now: Moment,
-    ) -> Option<(usize, engine::Candidate)> {
+    /// The engine for a prompt.
+    pub(super) fn place(&self, prompt: &Prompt, job: &Job, now: Moment) -> Option<Placement> {
         let prefix = job.prefix.unwrap_or(prompt.model);
-        let mut engines = self.engines(prompt, job, now);
-        let again = engines.clone();
-        for (candidate, seat) in engines.iter_mut().zip(&self.seats) {
-            candidate.usable &= !job.tried.contains(&seat.member.endpoint);
+        let engines = self.engines(prompt, job, now);
+        let mut untried = engines.clone();
+        for (place, candidate) in untried.iter_mut().enumerate() {
+            candidate.usable &= self.untried(place, job);
         }
         let chosen = self
-            .due(&engines, job, now)
-            .or_else(|| engine::choose(&engines, prefix, &self.placing))
-            .or_else(|| engine::choose(&again, prefix, &self.placing))?;
-        Some((chosen, engines[chosen]))
+            .probe(job, now, |place| untried[place].usable)
+            .or_else(|| engine::choose(&untried, prefix, &self.placing))
+            .or_else(|| engine::choose(&engines, prefix, &self.placing))?;
+        Some(Placement { chosen, engines })
     }
 
     fn engines(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
@@ -67,14 +78,18 @@
     /// What a job with a prompt would meet.
     pub fn estimate(&self, job: &Job, now: Moment) -> Option<Estimate> {
         let prompt = job.prompt.as_ref()?;
-        let (place, placed) = self.place(prompt, job, now)?;
-        let engines = self.engines(prompt, job, now);
-        let mut waits: Vec<Duration> = engines
-            .iter()
-            .enumerate()
-            .filter(|(_, e)| e.usable && !e.far)
-            .map(|(at, e)| if at == place { e.first() } else { e.wait })
-            .collect();
+        let placement = self.place(prompt, job, now)?;
+        let placed = placement.meets();
+        let engines = placement.engines.iter().enumerate();
+        let near = engines.filter(|(_, e)| e.usable && !e.far);
+        let wait = |(place, e): (usize, &engine::Candidate)| {
+            if place == placement.chosen {
+                e.first()
+            } else {
+                e.wait
+            }
+        };
+        let mut waits: Vec<Duration> = near.map(wait).collect();
         waits.sort_unstable();
         let half = waits.len().div_ceil(2);
         let sum: Duration = waits.iter().take(half).sum();
@@ -145,9 +160,4 @@
             self.read.push((seat.key, prompt.clone()));
         }
     }
-
-    fn due(&self, engines: &[engine::Candidate], job: &Job, now: Moment) -> Option<usize> {
-        self.suspect(job, now)
-            .filter(|place| engines[*place].usable)
-    }
 }
