Send a prompt that failed to an engine that is out before one that failed it

Cause: found on an earlier reading of the code. A call of a plain service that all others failed goes to an endpoint that is out rather than again to one that has just failed it; a prompt went again to the engine that had failed it. Change: both ways of choosing take the same three steps: endpoints that have not failed the job, then those that are out and have not, then any. Ruled out: nothing weighed beside. Observed: the new test fails before (the failed engine) and passes after.

--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -305,12 +305,14 @@
             |seats: &[choice::Candidate]| choice::choose(seats, job.prefix, random, &self.choice);
         let candidates = self.candidates(job, now);
         let mut untried = candidates.clone();
-        for (place, candidate) in untried.iter_mut().enumerate() {
-            candidate.usable &= self.untried(place, job);
+        let mut ejected = candidates.clone();
+        for place in 0..candidates.len() {
+            untried[place].usable &= self.untried(place, job);
+            ejected[place].usable = self.spare(place, job, now);
         }
         self.probe(job, now, |place| untried[place].usable)
             .or_else(|| choose(&untried))
-            .or_else(|| choose(&self.ejected(&candidates, job, now)))
+            .or_else(|| choose(&ejected))
             .or_else(|| choose(&candidates))
     }
 
@@ -319,20 +321,12 @@
         !job.tried.contains(&self.seats[place].member.endpoint)
     }
 
-    /// Candidates of which only those may be chosen that are out and did not fail this job: for a job
-    /// that all others failed they are the better chance.
-    fn ejected(
-        &self,
-        candidates: &[choice::Candidate],
-        job: &Job,
-        now: Moment,
-    ) -> Vec<choice::Candidate> {
-        let mut ejected = candidates.to_vec();
-        for (place, candidate) in ejected.iter_mut().enumerate() {
-            let takes = self.seats[place].takes(job, now);
-            candidate.usable = !job.tried.is_empty() && self.untried(place, job) && takes;
-        }
-        ejected
+    /// Whether a job that others failed may go to the endpoint at a place although that is out: it did
+    /// not fail this job, and is a better chance than one that did.
+    fn spare(&self, place: usize, job: &Job, now: Moment) -> bool {
+        let seat = &self.seats[place];
+        let free = seat.takes(job, now) && seat.limiter.room() > 0;
+        !job.tried.is_empty() && self.untried(place, job) && free
     }
 
     /// The endpoint that is due for a probe, if this job may be one: a call that may be sent twice.
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -163,6 +163,29 @@
     assert_eq!(permit.unwrap().endpoint().as_str(), "i-1");
 }
 
+// The same for prompts: an engine that is out is a better chance than the one that has just failed this
+// prompt, and that gets it only if there is none.
+#[tokio::test]
+async fn a_prompt_that_failed_goes_to_an_engine_that_is_out_before_it_is_tried_again() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"llm".parse().unwrap());
+    let other = Member {
+        endpoint: "i-2".parse().unwrap(),
+        ..engine(Some(MEMORY))
+    };
+    pool.update(vec![engine(Some(MEMORY)), other]);
+    eject(&pool, "i-1", &["i-2"]).await;
+    for (failed, chosen) in [(&["i-2"][..], "i-1"), (&["i-1", "i-2"], "i-2")] {
+        let job = Job {
+            tried: failed.iter().map(|name| name.parse().unwrap()).collect(),
+            repeatable: false,
+            ..job()
+        };
+        let permit = pool.acquire(job, &CancellationToken::new()).await;
+        assert_eq!(permit.unwrap().endpoint().as_str(), chosen, "{failed:?}");
+    }
+}
+
 // Calls take longer from one to the next, as the whole machine gets busy. The endpoints of other zones have
 // not been called yet, and were taken for as fast as the own zone's one had been a call ago: an order left
 // its zone for a difference that was not there, met one that was cut off a moment before, and its caller
