Wait longer for a log that is known to be busy

The log answers one read after the other; when 67 VMs ask at once for a configuration of megabytes, or start together while it is large, the last one's turn comes after more than the 450 ms that a silent log is waited for. Each VM gave up before its turn and asked anew, and the log went on working for those that had given up, until it refused: a collapse that did not end by itself. Change: a view that lacks something known to be on the log doubles its patience with each read in a row of which nothing came, up to four times. Nothing changes where nothing is known to be missing, so that the return of a log that was out is noticed as soon as before. Ruled out: a longer patience for all reads, for that reason; pauses alone, as the work for nobody is what fills the log.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -38,6 +38,7 @@
 pub use self::pace::Lead;
 pub use self::pace::Pace;
 pub use self::pace::longest_pause;
+pub use self::pace::patience;
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
--- a/crates/relay/src/follow/pace.rs
+++ b/crates/relay/src/follow/pace.rs
@@ -57,6 +57,26 @@
 const FEW: u32 = 3;
 const MANY: u32 = 4;
 
+/// Doublings of the patience with a log that is known to be busy.
+const DOUBLINGS: u32 = 2;
+
+/// How long an answer may take to begin, beyond its wait, and to go on, after so many reads in a row of
+/// which nothing came.
+///
+/// A view that lacks something that is on the log is one of many that ask for it at once, when a large
+/// configuration was written or VMs start together, and the log answers one after the other. Each that
+/// gives up before its turn asks anew, while the log works on for those that gave up: it stays busy with
+/// answers for nobody, and no VM gets its own. With twice the time after each the demand falls below what
+/// the log can do. Where nothing is known to be missing, a longer patience would only let the return of a
+/// log that was out go unnoticed for longer.
+#[must_use]
+pub fn patience(pace: &Pace, lacks: bool, silent: u32) -> Duration {
+    if !lacks {
+        return pace.patience;
+    }
+    pace.patience * (1 << silent.min(DOUBLINGS))
+}
+
 /// The longest pause after failed reads of a VM in this role, where it knows of this many others in its
 /// zone. A view that lacks a change is read for sooner: nobody else's read can make up for its own, and
 /// its callers are refused once it has lacked the change for too long.
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -9,6 +9,7 @@
 use super::Follower;
 use super::call::Call;
 use super::call::Failure;
+use super::pace::patience;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -65,6 +66,12 @@
         }
     }
 
+    /// How long the next answer may take to begin and to go on.
+    fn patience(&self) -> Duration {
+        let inner = self.lock();
+        patience(&self.pace, inner.lacks(), inner.silent)
+    }
+
     /// Reads once; whether the end was reached.
     pub(super) async fn read(&self, wait: Duration) -> Result<bool, Failure> {
         let stamps = self.zone.stamps();
@@ -79,7 +86,7 @@
                 }
             }
         };
-        let patience = self.pace.patience;
+        let patience = self.patience();
         let read = call.progress.wait(exchange, wait + patience, patience);
         self.lock().reading = Some(call.progress.clone());
         let read = read.await;
@@ -119,6 +126,11 @@
             Ok(Err(_)) => tally.failed += 1,
             Err(_) => tally.given_up += 1,
         }
+        inner.silent = match &read {
+            Ok(Ok(_)) => 0,
+            Ok(Err(_)) => inner.silent,
+            Err(_) => inner.silent.saturating_add(1),
+        };
         drop(inner);
         if let Ok(Ok(_)) = &read {
             call.answered();
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -51,6 +51,8 @@
     pub behind: Option<Moment>,
     /// What has come of the own read that is under way.
     pub reading: Option<Progress>,
+    /// Reads in a row of which nothing came in time.
+    pub silent: u32,
     /// How the reads so far went.
     pub tally: Tally,
     /// When the last read that reached the end was sent.
@@ -75,6 +77,7 @@
             heard: Moment::ZERO,
             behind: None,
             reading: None,
+            silent: 0,
             tally: Tally::default(),
             proven: None,
             stamps: Vec::new(),
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -14,6 +14,7 @@
 use pimento_relay::follow::Told;
 use pimento_relay::follow::Touch;
 use pimento_relay::follow::longest_pause;
+use pimento_relay::follow::patience;
 use pimento_relay::topic::Record;
 use pimento_relay::topic::Topic;
 use pimento_relay::zone::Stamp;
@@ -68,7 +69,10 @@
     }
 
     fn with(pace: Pace) -> Self {
-        let log = Memory::new();
+        Self::over(Memory::new(), pace)
+    }
+
+    fn over(log: Memory, pace: Pace) -> Self {
         let zone = Zone::default();
         let token = CancellationToken::new();
         let follower = Follower::start(
@@ -599,3 +603,42 @@
         assert!(longest_pause(role, 16, false) < small);
     }
 }
+
+// A large configuration is written, and the log, which all VMs ask for it at once, begins to answer after
+// several times the time that a silent log is waited for. Each VM gave up before its turn and asked anew,
+// so that the log worked on answers that nobody waited for any more: no VM got the configuration until the
+// end of the day, and all refused their callers.
+#[tokio::test]
+async fn a_log_that_is_busy_with_a_change_is_waited_for_longer() {
+    let fixture = Fixture::new();
+    fixture.led().await;
+    fixture.log.set(Mood::Busy(PACE.patience * 3));
+    let next = fixture.log.put("a", Some("1"));
+    fixture.follower.vouch(Proof {
+        changed: next,
+        stamp: boot::now(),
+    });
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+}
+
+// The same for VMs that start all at once: each has everything to read.
+#[tokio::test]
+async fn a_log_that_is_busy_with_starts_is_waited_for_longer() {
+    let log = Memory::new();
+    log.put("a", Some("1"));
+    log.set(Mood::Busy(PACE.patience * 3));
+    let fixture = Fixture::over(log, PACE);
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+}
+
+// A silent log is not waited for longer where nothing is known to be missing: its return would go unnoticed.
+#[test]
+fn only_a_view_that_lacks_something_waits_longer() {
+    for silent in 0..10 {
+        assert_eq!(patience(&PACE, false, silent), PACE.patience);
+        assert!(patience(&PACE, true, silent) <= patience(&PACE, true, silent + 1));
+        assert!(patience(&PACE, true, silent) <= PACE.patience * 4);
+    }
+    assert_eq!(patience(&PACE, true, 0), PACE.patience);
+    assert_eq!(patience(&PACE, true, 1), PACE.patience * 2);
+}
--- a/crates/relay/tests/all/log.rs
+++ b/crates/relay/tests/all/log.rs
@@ -32,6 +32,8 @@
     Long(Duration),
     /// Some pieces come, then nothing more.
     Broken,
+    /// Nothing comes for this long, then the whole answer at once.
+    Busy(Duration),
 }
 
 #[derive(Debug)]
@@ -122,6 +124,10 @@
                 self.state.lock().unwrap().coming -= 1;
                 Ok(())
             }
+            Mood::Busy(wait) => {
+                tokio::time::sleep(wait).await;
+                Ok(())
+            }
             Mood::Broken => {
                 progress.add(PIECE);
                 std::future::pending().await
