Hand large records on within a zone, packed, so that the log is asked once for each zone

Cause: a record over 8 KB was read from the log by each VM. Change: the VM that reads for a zone keeps the newest large record, and the VMs that lack it ask that VM for it, over a connection to its second internal port (metrics listen on the first); it goes packed, once for all who ask. What fails is read from the log as before. An unpacked passage has a bound. Ruled out: fragments by datagrams, of which one in sixty lost makes a VM read the log; handing on what changed only, which is smaller still, but needs the operators' format outside of the adapter. Conclusion: what a change costs the log no longer grows with the number of VMs; starts in large numbers still do.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -198,6 +198,14 @@
         (inner.recent.since(from), inner.changed)
     }
 
+    /// All records from `from` on that changed the view, with the offset after the last of them; none if
+    /// one is not kept.
+    #[must_use]
+    pub fn all(&self, from: Offset) -> (Option<Vec<Record>>, Offset) {
+        let inner = self.lock();
+        (inner.recent.all(from), inner.changed)
+    }
+
     /// Takes records of another VM. They wait until the view holds all before them; if what lacks does
     /// not come, the next word of that VM makes this one read.
     pub fn hand(&self, part: Part) {
@@ -241,7 +249,8 @@
             let role = *lead.borrow_and_update();
             // A view that lacks a change is read for until it has it: a VM whose read was refused would
             // otherwise wait for the next word, or until its trust is used up.
-            if role == Lead::Led && self.trusts() && !self.lacks().await {
+            if role == Lead::Led && self.trusts() && (!self.lacks().await || self.take_over().await)
+            {
                 let left = self.age().map(|age| self.pace.trust.saturating_sub(age));
                 tokio::select! {
                     () = self.nudge.notified() => continue,
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -10,6 +10,7 @@
 use super::call::Call;
 use super::call::Failure;
 use super::pace::patience;
+use crate::passage;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -72,6 +73,27 @@
         patience(&self.pace, inner.lacks(), inner.silent)
     }
 
+    /// Takes what the view lacks from the VM that reads for this one; whether it lacks nothing more.
+    pub(super) async fn take_over(&self) -> bool {
+        let (Some(reader), Some(next)) = (self.zone.reader(), self.next()) else {
+            return false;
+        };
+        let call = Call::new(self.topic);
+        let fetched = passage::fetch(reader, self.topic, next, &call.progress);
+        let patience = self.pace.patience;
+        let problem = match call.progress.wait(fetched, patience, patience).await {
+            Ok(Ok(part)) => {
+                call.answered();
+                self.hand(part);
+                return !self.lock().lacks();
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(silent) => silent.to_string(),
+        };
+        call.failed(problem).log("Not taken over from a neighbour");
+        false
+    }
+
     /// Reads once; whether the end was reached.
     pub(super) async fn read(&self, wait: Duration) -> Result<bool, Failure> {
         let stamps = self.zone.stamps();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 mod neighbours;
 pub mod node;
 pub mod operators;
+pub mod passage;
 mod pools;
 mod recent;
 pub mod refusal;
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -13,6 +13,7 @@
 mod message;
 mod news;
 mod peers;
+mod records;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,10 +30,8 @@
 use tokio_util::sync::CancellationToken;
 
 use self::message::Message;
-use self::message::Passage;
 use self::message::Proofs;
 use self::message::Read;
-use self::message::Shared;
 use self::news::News;
 use self::peers::Peer;
 use self::peers::Peers;
@@ -44,6 +43,8 @@
 use crate::follow::Lead;
 use crate::follow::Part;
 use crate::node::Node;
+use crate::passage::Passage;
+use crate::passage::Shared;
 use crate::rollouts::Rollouts;
 use crate::rollouts::announcement::Kept;
 use crate::rollouts::announcement::Said;
@@ -139,6 +140,7 @@
             return;
         }
     };
+    tokio::spawn(records::serve(node.clone()));
     let neighbours = Neighbours {
         node,
         log,
@@ -375,10 +377,11 @@
         let able = self.able();
         let mut inner = self.lock();
         inner.peers.sweep(now);
-        let lead = inner.peers.lead(&config.node, &config.zone, able, now);
+        let (lead, reader) = inner.peers.lead(&config.node, &config.zone, able, now);
         let peers = inner.peers.of(&config.zone);
         self.node.repeats.share_among(inner.peers.count() + 1);
         drop(inner);
+        self.zone.read_by(reader);
         self.zone
             .keep(|node| peers.iter().any(|peer| peer.key == node));
         let settle = |known: &mut Lead| {
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -1,7 +1,5 @@
 //! The datagrams between entry VMs.
 
-use bytes::Bytes;
-use compact_str::CompactString;
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
@@ -12,9 +10,9 @@
 use serde::Serialize;
 
 use crate::follow::Proof;
+use crate::passage::Passage;
 use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::Kept;
-use crate::topic::Record;
 
 /// A datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -41,62 +39,6 @@
     pub reads: Vec<Read>,
 }
 
-/// A topic that one VM of a zone reads for the others.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Shared {
-    /// The operators' records.
-    Operators,
-    /// The endpoints' records.
-    Endpoints,
-}
-
-/// All records between two offsets of a topic that changed the teller's view.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Passage {
-    /// The topic.
-    pub topic: Shared,
-    /// Whoever has all records before this one can take them.
-    pub from: Offset,
-    /// The offset up to which these are all.
-    pub to: Offset,
-    /// Offset, key and value of each; no value if the key was dropped.
-    pub records: Vec<(Offset, CompactString, Option<Bytes>)>,
-}
-
-impl Passage {
-    /// Passages of records that come in parts, up to an offset.
-    pub fn list(topic: Shared, from: Offset, parts: Vec<Vec<Record>>, to: Offset) -> Vec<Self> {
-        let count = parts.len();
-        let mut begins = from;
-        let passages = parts.into_iter().enumerate().map(|(place, records)| {
-            let ends = records.last().map_or(begins, |last| last.offset.next());
-            let passage = Self {
-                topic,
-                from: begins,
-                to: if place + 1 == count { to } else { ends },
-                records: records
-                    .into_iter()
-                    .map(|r| (r.offset, r.key, r.value))
-                    .collect(),
-            };
-            begins = passage.to;
-            passage
-        });
-        passages.collect()
-    }
-
-    /// The records.
-    pub fn records(&self) -> Vec<Record> {
-        let records = self.records.iter();
-        let record = |(offset, key, value): &(Offset, CompactString, Option<Bytes>)| Record {
-            offset: *offset,
-            key: key.clone(),
-            value: value.clone(),
-        };
-        records.map(record).collect()
-    }
-}
-
 /// Proofs of the two topics that all VMs read: the offset of the last change, and the stamp.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proofs {
--- a/crates/relay/src/neighbours/news.rs
+++ b/crates/relay/src/neighbours/news.rs
@@ -1,7 +1,7 @@
 //! What there is to tell other VMs, cut into datagrams.
 
-use super::message::Passage;
 use super::message::Read;
+use crate::passage::Passage;
 use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::Kept;
 
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -80,22 +80,33 @@
         near.cloned().collect()
     }
 
-    /// Who reads the log for whom: the first by name of those that live and are able to. If none is,
-    /// the first of all goes on trying, and the others learn from it that the log is back.
-    pub fn lead(&self, own: &id::Node, zone: &id::Zone, able: bool, now: Moment) -> Lead {
+    /// Who reads the log for whom, and where the VM is that reads for this one: the first by name of those
+    /// that live and are able to. If none is, the first of all goes on trying, and the others learn from
+    /// it that the log is back.
+    pub fn lead(
+        &self,
+        own: &id::Node,
+        zone: &id::Zone,
+        able: bool,
+        now: Moment,
+    ) -> (Lead, Option<SocketAddr>) {
         let living = |peer: &&Peer| peer.zone == *zone && now.since(peer.heard) < LIVING;
         let others: Vec<&Peer> = self.peers.iter().filter(living).collect();
-        if others.is_empty() {
-            return Lead::Alone;
-        }
+        let Some(first) = others.first() else {
+            return (Lead::Alone, None);
+        };
         let before = |peer: &&&Peer| peer.node < *own;
-        let ables = || others.iter().filter(|peer| peer.able);
-        let led = match (able, ables().next().is_some()) {
-            (true, _) => ables().any(|peer| before(&peer)),
-            (false, true) => true,
-            (false, false) => others.iter().any(|peer| before(&peer)),
+        let first_able = others.iter().find(|peer| peer.able);
+        let reader = match (able, first_able) {
+            (true, Some(other)) => Some(other).filter(before),
+            (true, None) => None,
+            (false, Some(other)) => Some(other),
+            (false, None) => Some(first).filter(before),
         };
-        if led { Lead::Led } else { Lead::Leading }
+        match reader {
+            Some(reader) => (Lead::Led, Some(reader.address)),
+            None => (Lead::Leading, None),
+        }
     }
 
     /// One VM of each other zone, another one in each turn: one that is down misses a part only, and
--- a/crates/relay/src/recent.rs
+++ b/crates/relay/src/recent.rs
@@ -13,9 +13,8 @@
 /// Records kept: what a hundred endpoints that register within a second write between two datagrams.
 const KEPT: usize = 64;
 
-/// The largest record that is handed on, in bytes. A configuration of a few routes and some dozen
-/// customers is half as large; sent to twenty VMs it takes a tenth of a second of the slowest link,
-/// which has 10 Mbit/s. One with hundreds of routes is read by each VM itself.
+/// The largest record that is handed on by datagrams, in bytes. A configuration of a few routes and some
+/// dozen customers is half as large. Those that lack a larger one ask for it.
 const LARGEST: usize = 8 << 10;
 
 /// Bytes of records that go in one datagram together, with what else it says: more would not fit the
@@ -45,7 +44,8 @@
     /// Takes a record that changed the view.
     pub fn push(&mut self, record: &Record) {
         if size(record) > LARGEST {
-            self.reset(record.offset.next());
+            self.forget_large(&record.key);
+            self.records.push_back(record.clone());
             return;
         }
         if self.records.len() == KEPT
@@ -62,23 +62,45 @@
         });
     }
 
-    /// The records from `from` on, in parts that fit a datagram each; none if one is missing.
+    /// Forgets the large record that is kept, as a newer one comes: one is as much as a small VM can
+    /// hold. Nobody misses it if the newer one has its key, and else all before it is of no use.
+    fn forget_large(&mut self, key: &str) {
+        let Some(place) = self.records.iter().position(|r| size(r) > LARGEST) else {
+            return;
+        };
+        let forgotten = self.records.remove(place);
+        if let Some(other) = forgotten.filter(|forgotten| forgotten.key != key) {
+            self.from = other.offset.next();
+            let from = self.from;
+            self.records.retain(|record| record.offset >= from);
+        }
+    }
+
+    /// The records from `from` on; none if one is missing.
+    #[must_use]
+    pub fn all(&self, from: Offset) -> Option<Vec<Record>> {
+        let records = self.records.iter().filter(|r| r.offset >= from);
+        (from >= self.from).then(|| records.cloned().collect())
+    }
+
+    /// The same in parts that fit a datagram each; none also if one is too large for that.
     #[must_use]
     pub fn since(&self, from: Offset) -> Option<Vec<Vec<Record>>> {
-        if from < self.from {
+        let records = self.all(from)?;
+        if records.iter().any(|record| size(record) > LARGEST) {
             return None;
         }
         let mut parts: Vec<Vec<Record>> = Vec::new();
         let mut filled = TOGETHER;
-        for record in self.records.iter().filter(|r| r.offset >= from) {
-            let own = size(record);
+        for record in records {
+            let own = size(&record);
             if filled + own > TOGETHER {
                 parts.push(Vec::new());
                 filled = 0;
             }
             filled += own;
             if let Some(part) = parts.last_mut() {
-                part.push(record.clone());
+                part.push(record);
             }
         }
         Some(parts)
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -1,5 +1,6 @@
 //! What the VMs of a zone know of each other for reading the log together.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -28,6 +29,8 @@
     pub lead: Arc<watch::Sender<Lead>>,
     /// Told of each read that proves something.
     pub proved: Arc<Notify>,
+    /// Where the VM that reads for this one takes calls.
+    reader: Arc<Mutex<Option<SocketAddr>>>,
 }
 
 impl Zone {
@@ -48,6 +51,17 @@
         stamps.clone()
     }
 
+    /// Notes which VM reads for this one; none if this one reads itself.
+    pub fn read_by(&self, reader: Option<SocketAddr>) {
+        *self.reader.lock().unwrap_or_else(PoisonError::into_inner) = reader;
+    }
+
+    /// Where the VM that reads for this one takes calls.
+    #[must_use]
+    pub fn reader(&self) -> Option<SocketAddr> {
+        *self.reader.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Forgets the stamps of VMs that are gone.
     pub fn keep(&self, live: impl Fn(u64) -> bool) {
         let mut stamps = self.stamps.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -642,3 +642,29 @@
     assert_eq!(patience(&PACE, true, 0), PACE.patience);
     assert_eq!(patience(&PACE, true, 1), PACE.patience * 2);
 }
+
+/// Keys of the records that another VM can have from an offset on.
+fn kept(fixture: &Fixture, from: u64) -> Option<Vec<CompactString>> {
+    let (records, _) = fixture.follower.all(Offset(from));
+    Some(records?.into_iter().map(|record| record.key).collect())
+}
+
+// A record too large for datagrams is kept for those that ask for it. Of two with one key only the newer
+// is, which is all that there is to know; of another key, whoever lacks the older one must read the log.
+#[tokio::test]
+async fn one_large_record_is_kept_for_those_that_lack_it() {
+    let fixture = Fixture::new();
+    fixture.until("read", |f| f.follower.next().is_some()).await;
+    let large: &'static str = Box::leak("x".repeat(9_000).into_boxed_str());
+    for (key, value) in [("a", "1"), ("config", large), ("b", "1"), ("config", large)] {
+        fixture.log.put(key, Some(value));
+    }
+    fixture.until("four", |f| f.keys().len() == 4).await;
+    let all = ["a", "b", "config"].map(CompactString::from);
+    assert_eq!(kept(&fixture, 0).unwrap(), all);
+    assert_eq!(fixture.follower.since(Offset(0)).0, None);
+    fixture.log.put("other", Some(large));
+    fixture.until("five", |f| f.keys().len() == 5).await;
+    assert_eq!(kept(&fixture, 3), None);
+    assert_eq!(kept(&fixture, 4).unwrap(), ["other"]);
+}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -2,4 +2,5 @@
 
 mod follow;
 mod log;
+mod passage;
 mod rollouts;
