Let a confirmation wait for records that a neighbour sends, and name one read an exchange

Cause: found on reading the diff. A confirmation waits for an answer that is coming to the follower's own read, but not for one that comes from the VM that reads for it, and would have fetched the same configuration from the log beside it; and follow::call stood beside relay::call, which is something else. Change: both ways of having an answer note what has come of it; follow::call is follow::exchange. Ruled out: nothing. Observed: tests of relay and adapter pass.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -20,7 +20,7 @@
     pub ready_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
-    /// Where other VMs of the system send datagrams.
+    /// Where other VMs of the system send datagrams, and ask for records.
     pub peer_listen: SocketAddr,
     /// What must hold, with its figures.
     pub bounds: Bounds,
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,7 +10,7 @@
 //! stamp that had come to it before it sent the read. A datagram that was delayed, by the network or
 //! by a VM that was suspended, can therefore never make a view look younger than it is.
 
-mod call;
+mod exchange;
 mod fold;
 mod pace;
 mod read;
@@ -29,7 +29,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-pub use self::call::Tally;
+pub use self::exchange::Tally;
 pub use self::fold::Fold;
 pub use self::fold::Told;
 pub use self::fold::Touch;
--- a/crates/relay/src/follow/call.rs
+++ b/crates/relay/src/follow/exchange.rs
@@ -29,7 +29,7 @@
 
 /// A read under way.
 #[derive(Debug)]
-pub struct Call {
+pub struct Exchange {
     topic: Topic,
     /// When it was sent.
     pub sent: Moment,
@@ -48,7 +48,7 @@
     silent: Duration,
 }
 
-impl Call {
+impl Exchange {
     /// A read that is sent now.
     pub fn new(topic: Topic) -> Self {
         Self {
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -1,5 +1,6 @@
 //! The reads of a follower: its own ones, and those that confirm the view for a caller.
 
+use std::future::Future;
 use std::time::Duration;
 
 use pimento_progress::Silent;
@@ -7,8 +8,8 @@
 
 use super::Fold;
 use super::Follower;
-use super::call::Call;
-use super::call::Failure;
+use super::exchange::Exchange;
+use super::exchange::Failure;
 use super::pace::patience;
 use crate::passage;
 use crate::topic::Batch;
@@ -28,19 +29,18 @@
             return false;
         };
         let stamps = self.zone.stamps();
-        let call = Call::new(self.topic);
-        let read = self
-            .log
-            .read(self.topic, next, Duration::ZERO, &call.progress);
+        let exchange = Exchange::new(self.topic);
+        let progress = &exchange.progress;
         let patience = self.pace.patience;
-        let read = call.progress.wait(read, patience, patience).await;
-        match self.count(&call, read) {
+        let answer = self.log.read(self.topic, next, Duration::ZERO, progress);
+        let answer = progress.wait(answer, patience, patience).await;
+        match self.count(&exchange, answer) {
             Ok(Ok(batch)) => {
-                self.take(&batch, call.sent, stamps);
-                self.proven().is_some_and(|proven| proven >= call.sent)
+                self.take(&batch, exchange.sent, stamps);
+                self.proven().is_some_and(|proven| proven >= exchange.sent)
             }
             Ok(Err(error)) => {
-                call.failed(error.to_string()).log("Not confirmed");
+                exchange.failed(error.to_string()).log("Not confirmed");
                 false
             }
             Err(failure) => {
@@ -73,53 +73,66 @@
         patience(&self.pace, inner.lacks(), inner.silent)
     }
 
+    /// Waits for an answer to this follower itself, whose first bytes may take `first`.
+    async fn wait<T>(
+        &self,
+        exchange: &Exchange,
+        answer: impl Future<Output = T>,
+        first: Duration,
+        patience: Duration,
+    ) -> Result<T, Silent> {
+        self.lock().reading = Some(exchange.progress.clone());
+        let waited = exchange.progress.wait(answer, first, patience).await;
+        self.lock().reading = None;
+        waited
+    }
+
     /// Takes what the view lacks from the VM that reads for this one; whether it lacks nothing more.
     pub(super) async fn take_over(&self) -> bool {
         let (Some(reader), Some(next)) = (self.zone.reader(), self.next()) else {
             return false;
         };
-        let call = Call::new(self.topic);
-        let fetched = passage::fetch(reader, self.topic, next, &call.progress);
+        let exchange = Exchange::new(self.topic);
+        let answer = passage::fetch(reader, self.topic, next, &exchange.progress);
         let patience = self.pace.patience;
-        let problem = match call.progress.wait(fetched, patience, patience).await {
+        let problem = match self.wait(&exchange, answer, patience, patience).await {
             Ok(Ok(part)) => {
-                call.answered();
+                exchange.answered();
                 self.hand(part);
-                return !self.lock().lacks();
+                None
             }
-            Ok(Err(error)) => error.to_string(),
-            Err(silent) => silent.to_string(),
+            Ok(Err(error)) => Some(error.to_string()),
+            Err(silent) => Some(silent.to_string()),
         };
-        call.failed(problem).log("Not taken over from a neighbour");
-        false
+        self.ended.notify_waiters();
+        if let Some(problem) = problem {
+            let failure = exchange.failed(problem);
+            failure.log("Not taken over from a neighbour");
+        }
+        !self.lock().lacks()
     }
 
     /// Reads once; whether the end was reached.
     pub(super) async fn read(&self, wait: Duration) -> Result<bool, Failure> {
         let stamps = self.zone.stamps();
-        let call = Call::new(self.topic);
+        let exchange = Exchange::new(self.topic);
+        let progress = &exchange.progress;
         let next = self.next();
-        let exchange = async {
+        let answer = async {
             match next {
-                None => self.log.newest(self.topic, &call.progress).await,
-                Some(next) => {
-                    let read = self.log.read(self.topic, next, wait, &call.progress);
-                    read.await
-                }
+                None => self.log.newest(self.topic, progress).await,
+                Some(next) => self.log.read(self.topic, next, wait, progress).await,
             }
         };
         let patience = self.patience();
-        let read = call.progress.wait(exchange, wait + patience, patience);
-        self.lock().reading = Some(call.progress.clone());
-        let read = read.await;
-        self.lock().reading = None;
-        let read = self.count(&call, read);
-        let whole = match &read {
-            Ok(Ok(batch)) => self.take(batch, call.sent, stamps),
+        let answer = self.wait(&exchange, answer, wait + patience, patience);
+        let answer = self.count(&exchange, answer.await);
+        let whole = match &answer {
+            Ok(Ok(batch)) => self.take(batch, exchange.sent, stamps),
             _ => false,
         };
         self.ended.notify_waiters();
-        match read? {
+        match answer? {
             Ok(_) => Ok(whole),
             Err(Error::Gone { oldest }) => {
                 log::info!(
@@ -130,33 +143,33 @@
                 self.lock().next = None;
                 Ok(false)
             }
-            Err(error) => Err(call.failed(error.to_string())),
+            Err(error) => Err(exchange.failed(error.to_string())),
         }
     }
 
     /// Counts how a read ended. An error is a read that was given up.
     fn count(
         &self,
-        call: &Call,
-        read: Result<Result<Batch, Error>, Silent>,
+        exchange: &Exchange,
+        answer: Result<Result<Batch, Error>, Silent>,
     ) -> Result<Result<Batch, Error>, Failure> {
         let mut inner = self.lock();
         let tally = &mut inner.tally;
-        tally.bytes += call.progress.received().bytes;
-        match &read {
+        tally.bytes += exchange.progress.received().bytes;
+        match &answer {
             Ok(Ok(_) | Err(Error::Gone { .. })) => tally.answered += 1,
             Ok(Err(_)) => tally.failed += 1,
             Err(_) => tally.given_up += 1,
         }
-        inner.silent = match &read {
+        inner.silent = match &answer {
             Ok(Ok(_)) => 0,
             Ok(Err(_)) => inner.silent,
             Err(_) => inner.silent.saturating_add(1),
         };
         drop(inner);
-        if let Ok(Ok(_)) = &read {
-            call.answered();
+        if let Ok(Ok(_)) = &answer {
+            exchange.answered();
         }
-        read.map_err(|silent| call.failed(silent.to_string()))
+        answer.map_err(|silent| exchange.failed(silent.to_string()))
     }
 }
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -5,7 +5,7 @@
 //! once more, or a VM read the log by itself. What was found are records and what proves them; it is
 //! taken from whoever reaches the internal ports, which the platform keeps to the system's own VMs.
 //! VMs find each other by the topic that they share, read once at the start; who starts later is met
-//! by its first datagram.
+//! by its first datagram. Records too large for datagrams are asked for over a connection.
 //!
 //! Within a zone each VM tells all others. To another zone it tells one VM, which passes it on there,
 //! so that bytes between zones grow with the number of zones and not with that of VMs.
