--- a/crates/coordination/src/weights.rs
+++ b/crates/coordination/src/weights.rs
@@ -42,8 +42,8 @@
 }
 
 impl Remote {
-    /// The store at `address`; an answer may take `timeout` to begin, and as long to go on. Fetching weights takes long, so
-    /// this is set far above the timeouts of the other services.
+    /// The store at `address`; an answer may take `timeout` to begin, and as long to go on. Fetching
+    /// weights takes long, so this is set far above the timeouts of the other services.
     #[must_use]
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
         let client = Client::new(address, timeout);
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -20,6 +20,7 @@
 use hyper::Method;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::http::uri::InvalidUri;
 use pimento_endpoint::Fault;
 use pimento_progress::Progress;
 use pimento_units::Offset;
@@ -111,6 +112,12 @@
         /// What happened.
         fault: Fault,
     },
+    /// What to ask for can't be written as a path.
+    #[snafu(display("{source}"))]
+    Path {
+        /// Why.
+        source: InvalidUri,
+    },
     /// The VM does not have what was asked for.
     #[snafu(display("status {status}"))]
     Missing {
@@ -176,10 +183,10 @@
 ) -> Result<Part, Error> {
     let connection = Connection::open(address, CONNECT).await;
     let connection = connection.map_err(|fault| Error::Call { fault })?;
-    let uri = format!("{PATH}{}/{from}", topic.as_str());
+    let uri = Uri::try_from(format!("{PATH}{}/{from}", topic.as_str()));
     let message = Message {
         method: Method::GET,
-        uri: Uri::try_from(uri).unwrap_or_default(),
+        uri: uri.context(PathSnafu)?,
         headers: HeaderMap::new(),
         body: Bytes::new(),
     };
