Mark endpoints that are out as candidates only when they are needed

Since both ways of choosing take the same three steps, each choice built the candidates of the second step, endpoints that are out, also where the first one found an endpoint, as nearly all do. Change: they are built once the first step found nothing, as before for plain services. Ruled out: one function for both kinds of candidate, which share a flag only. Conclusion: the same choices with a copy less for each.

--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -305,14 +305,19 @@
             |seats: &[choice::Candidate]| choice::choose(seats, job.prefix, random, &self.choice);
         let candidates = self.candidates(job, now);
         let mut untried = candidates.clone();
-        let mut ejected = candidates.clone();
-        for place in 0..candidates.len() {
-            untried[place].usable &= self.untried(place, job);
-            ejected[place].usable = self.spare(place, job, now);
+        for (place, candidate) in untried.iter_mut().enumerate() {
+            candidate.usable &= self.untried(place, job);
         }
+        let ejected = || {
+            let mut ejected = candidates.clone();
+            for (place, candidate) in ejected.iter_mut().enumerate() {
+                candidate.usable = self.spare(place, job, now);
+            }
+            choose(&ejected)
+        };
         self.probe(job, now, |place| untried[place].usable)
             .or_else(|| choose(&untried))
-            .or_else(|| choose(&ejected))
+            .or_else(ejected)
             .or_else(|| choose(&candidates))
     }
 
--- a/crates/scheduler/src/inner/placing.rs
+++ b/crates/scheduler/src/inner/placing.rs
@@ -40,16 +40,21 @@
         let prefix = job.prefix.unwrap_or(prompt.model);
         let engines = self.engines(prompt, job, now);
         let mut untried = engines.clone();
-        let mut ejected = engines.clone();
-        for place in 0..engines.len() {
-            untried[place].usable &= self.untried(place, job);
-            ejected[place].usable = self.spare(place, job, now);
+        for (place, candidate) in untried.iter_mut().enumerate() {
+            candidate.usable &= self.untried(place, job);
         }
         let choose = |engines: &[engine::Candidate]| engine::choose(engines, prefix, &self.placing);
+        let ejected = || {
+            let mut ejected = engines.clone();
+            for (place, candidate) in ejected.iter_mut().enumerate() {
+                candidate.usable = self.spare(place, job, now);
+            }
+            choose(&ejected)
+        };
         let chosen = self
             .probe(job, now, |place| untried[place].usable)
             .or_else(|| choose(&untried))
-            .or_else(|| choose(&ejected))
+            .or_else(ejected)
             .or_else(|| choose(&engines))?;
         Some(Placement { chosen, engines })
     }
