Count calls of the log by topic and reason

Cause: calls of the log are the largest price on large fleets, and no metric told why they were made: pimento_log_reads counts how reads of two topics ended, nothing counts words, status and the VMs' own topic. Ruled out: a line for each call, which is more than all other lines together while the log is out; labels of the log's own paths, which tell no reason.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -42,6 +42,8 @@
 pub use self::view::Part;
 use self::view::View;
 use crate::boot;
+use crate::calls::Calls;
+use crate::calls::Reason;
 use crate::topic::Batch;
 use crate::topic::Log;
 use crate::topic::Record;
@@ -76,6 +78,7 @@
     log: L,
     pace: Pace,
     zone: Zone,
+    calls: Calls,
     began: Moment,
     inner: Arc<Mutex<View<F>>>,
     nudge: Arc<Notify>,
@@ -92,6 +95,7 @@
             log: self.log.clone(),
             pace: self.pace,
             zone: self.zone.clone(),
+            calls: self.calls.clone(),
             began: self.began,
             nudge: Arc::clone(&self.nudge),
             inner: Arc::clone(&self.inner),
@@ -103,12 +107,13 @@
 }
 
 impl<F: Fold, L: Log> Follower<F, L> {
-    /// Follows `topic` until `token`.
+    /// Follows `topic` until `token`. Reads are counted in `calls`.
     pub fn start(
         log: L,
         topic: Topic,
         pace: Pace,
         zone: Zone,
+        calls: Calls,
         fold: F,
         token: CancellationToken,
     ) -> Self {
@@ -118,6 +123,7 @@
             log,
             pace,
             zone,
+            calls,
             began: boot::now(),
             nudge: Arc::default(),
             inner: Arc::new(Mutex::new(inner)),
@@ -263,7 +269,7 @@
                 Lead::Leading => self.pace.leading,
                 Lead::Led => AT_ONCE,
             };
-            match self.read(gait.wait).await {
+            match self.read(gait.wait, self.reason(role)).await {
                 Ok(whole) => {
                     pause = FIRST_PAUSE;
                     if whole {
@@ -284,6 +290,18 @@
         }
     }
 
+    /// Why a VM in this role reads now.
+    fn reason(&self, role: Lead) -> Reason {
+        let inner = self.lock();
+        match role {
+            _ if inner.next.is_none() => Reason::Start,
+            Lead::Leading => Reason::Leading,
+            Lead::Alone => Reason::Alone,
+            Lead::Led if inner.lacks() => Reason::Lacking,
+            Lead::Led => Reason::Unproven,
+        }
+    }
+
     /// Whether the view lacks what another VM knows of, and still does after what was handed on beside
     /// that word had time to come.
     async fn lacks(&self) -> bool {
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -11,6 +11,7 @@
 use super::exchange::Exchange;
 use super::exchange::Failure;
 use super::pace::patience;
+use crate::calls::Reason;
 use crate::passage;
 use crate::topic::Batch;
 use crate::topic::Error;
@@ -32,6 +33,7 @@
         let exchange = Exchange::new(self.topic);
         let progress = &exchange.progress;
         let patience = self.pace.patience;
+        self.calls.count(self.topic, Reason::Confirm);
         let answer = self.log.read(self.topic, next, Duration::ZERO, progress);
         let answer = progress.wait(answer, patience, patience).await;
         match self.count(&exchange, answer) {
@@ -113,7 +115,8 @@
     }
 
     /// Reads once; whether the end was reached.
-    pub(super) async fn read(&self, wait: Duration) -> Result<bool, Failure> {
+    pub(super) async fn read(&self, wait: Duration, reason: Reason) -> Result<bool, Failure> {
+        self.calls.count(self.topic, reason);
         let stamps = self.zone.stamps();
         let exchange = Exchange::new(self.topic);
         let progress = &exchange.progress;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod boot;
 pub mod border;
 pub mod call;
+pub mod calls;
 mod cascade;
 pub mod chain;
 pub mod codec;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -62,6 +62,7 @@
     ages: GaugeVec,
     behind: GaugeVec,
     reads: GaugeVec,
+    calls: GaugeVec,
     rollouts: GaugeVec,
     log_lines: GaugeVec,
 }
@@ -142,6 +143,12 @@
                 "Reads of a topic since the start by how they ended, and bytes that came",
                 &["topic", "figure"],
             ),
+            calls: gauges(
+                r,
+                "pimento_log_calls",
+                "Calls of the log since the start, by topic and why they were made",
+                &["topic", "reason"],
+            ),
             rollouts: gauges(
                 r,
                 "pimento_rollout_evidence",
@@ -263,6 +270,11 @@
         metrics.depths(&node.scheduler);
         metrics.follower("operators", &node.operators);
         metrics.follower("endpoints", &node.directory);
+        for count in node.calls.counts() {
+            let labels = [count.topic.as_str(), count.reason.as_str()];
+            let gauge = metrics.calls.with_label_values(&labels);
+            gauge.set(figure(count.calls));
+        }
         for (pool, left) in node.repeats.left(node.now()) {
             metrics.pool(&pool, "repeats_left", left);
         }
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -37,6 +37,7 @@
 use self::peers::Peers;
 use crate::boot;
 use crate::border::Border;
+use crate::calls::Reason;
 use crate::codec::Codec;
 use crate::fleet;
 use crate::fleet::Word;
@@ -170,8 +171,7 @@
         // What its own former life had learnt is read before this life's word replaces it; those that
         // start at the same time are read after it, when each has said its own.
         self.read_words().await;
-        let own = &self.node.config.node;
-        while !self.node.word().say(own, &self.log).await {
+        while !self.node.say(&self.node.word(), &self.log).await {
             tokio::time::sleep(PAUSE).await;
         }
         self.read_words().await;
@@ -181,6 +181,7 @@
     /// Reads where the others are and what they learnt.
     async fn read_words(&self) {
         loop {
+            self.node.calls.count(Topic::Fleet, Reason::Meet);
             let progress = Progress::default();
             let newest = self.log.newest(Topic::Fleet, &progress);
             match progress.wait(newest, CALL, CALL).await {
@@ -213,7 +214,7 @@
             let word = self.node.word();
             let known = !word.paces.is_empty();
             let alone = *self.zone.lead.borrow() != Lead::Led;
-            if known && alone && word.say(&self.node.config.node, &self.log).await {
+            if known && alone && self.node.say(&word, &self.log).await {
                 return;
             }
         }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -15,6 +15,8 @@
 
 use crate::boot;
 use crate::border::Border;
+use crate::calls::Calls;
+use crate::calls::Reason;
 use crate::cascade;
 use crate::codec::Codec;
 use crate::config::Config;
@@ -96,6 +98,8 @@
     pub repeats: Arc<Repeats>,
     /// What was seen of models' confidences.
     pub(crate) models: Arc<cascade::Book>,
+    /// Calls of the log by why they were made.
+    pub(crate) calls: Calls,
     /// Counters and histograms.
     pub(crate) metrics: Arc<Metrics>,
     rollouts: Arc<Mutex<Rollouts>>,
@@ -119,6 +123,7 @@
             scheduler: self.scheduler.clone(),
             repeats: Arc::clone(&self.repeats),
             models: Arc::clone(&self.models),
+            calls: self.calls.clone(),
             metrics: Arc::clone(&self.metrics),
             rollouts: Arc::clone(&self.rollouts),
             reach: Arc::clone(&self.reach),
@@ -159,11 +164,13 @@
     /// Starts to follow the log.
     pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
         let zone = Zone::default();
+        let calls = Calls::default();
         let operators = Follower::start(
             log.clone(),
             Topic::Operators,
             OPERATORS,
             zone.clone(),
+            calls.clone(),
             Operators::new(platform.clone()),
             token.clone(),
         );
@@ -172,6 +179,7 @@
             Topic::Endpoints,
             ENDPOINTS,
             zone.clone(),
+            calls.clone(),
             Directory::new(platform.clone()),
             token.clone(),
         );
@@ -186,6 +194,7 @@
             scheduler: Scheduler::new(clock),
             repeats: Arc::new(repeats),
             models: Arc::default(),
+            calls,
             metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
             reach: Arc::default(),
@@ -286,6 +295,12 @@
         }
     }
 
+    /// Says a word on the log; whether that is known to have succeeded.
+    pub async fn say(&self, word: &Word, log: &impl Log) -> bool {
+        self.calls.count(Topic::Fleet, Reason::Word);
+        word.say(&self.config.node, log).await
+    }
+
     /// How fast models read.
     fn paces(&self) -> Vec<(u64, f64)> {
         let pools = self.scheduler.pools();
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -24,6 +24,7 @@
 use super::progress::Step;
 use crate::boot;
 use crate::border::Border;
+use crate::calls::Reason;
 use crate::codec::Codec;
 use crate::codec::Stage;
 use crate::codec::Status;
@@ -179,6 +180,7 @@
                 Topic::Fleet,
                 FLEET,
                 Zone::default(),
+                self.node.calls.clone(),
                 Words::default(),
                 token.clone(),
             );
@@ -233,7 +235,7 @@
             rollouts,
             ..self.node.word()
         };
-        if word.say(node, &self.log).await {
+        if self.node.say(&word, &self.log).await {
             self.said = own;
         }
     }
@@ -294,6 +296,7 @@
             },
         };
         let (key, value) = self.node.platform.tell(&status);
+        self.node.calls.count(Topic::Status, Reason::Status);
         let append = self
             .log
             .append(Topic::Status, &key, Bytes::from(value), Some(at));
@@ -317,6 +320,7 @@
 
     /// What operators were told, each with its offset, and the end of that topic.
     async fn statuses(&self) -> Option<(Vec<(Offset, Status)>, Offset)> {
+        self.node.calls.count(Topic::Status, Reason::Status);
         let progress = Progress::default();
         let newest = self.log.newest(Topic::Status, &progress);
         let batch = match progress.wait(newest, CALL, CALL).await {
--- a/crates/relay/src/topic.rs
+++ b/crates/relay/src/topic.rs
@@ -11,7 +11,7 @@
 use snafu::Snafu;
 
 /// A topic of the log.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Topic {
     /// The operators' records: the configuration and orders to roll out.
     Operators,
--- a/crates/relay/tests/all/fixture.rs
+++ b/crates/relay/tests/all/fixture.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use pimento_relay::calls::Calls;
 use pimento_relay::follow::Fold;
 use pimento_relay::follow::Follower;
 use pimento_relay::follow::Gait;
@@ -50,6 +51,7 @@
 
 pub struct Fixture {
     pub log: Memory,
+    pub calls: Calls,
     pub zone: Zone,
     pub follower: Follower<All, Memory>,
     _token: tokio_util::sync::DropGuard,
@@ -67,16 +69,19 @@
     pub fn over(log: Memory, pace: Pace) -> Self {
         let zone = Zone::default();
         let token = CancellationToken::new();
+        let calls = Calls::default();
         let follower = Follower::start(
             log.clone(),
             Topic::Endpoints,
             pace,
             zone.clone(),
+            calls.clone(),
             All::default(),
             token.clone(),
         );
         Self {
             log,
+            calls,
             zone,
             follower,
             _token: token.drop_guard(),
