Let only VMs that hear all zones tell operators that a roll-out is done

Cause: a VM that another one reads the log for hears the words of its own zone alone, by datagrams. Its rule 'all have left the old version' spoke of these, and after three seconds it told operators. Seen in a roll-out of a good version on 195 VMs: all 37 of one zone told at the same moment, 82 reads of the status and 37 appends of which 36 met another one, while VMs of other zones were still waited for by those that hear them. The old endpoints stop at once then, and what other zones still have there is cut. Change: step() is told whose words the VM hears; a VM that hears its zone tells of an end only near the deadline, or of a bad version, and then by rank. Words of a roll-out that has ended go to the log from VMs that read it; the others said them once more each. Ruled out: handing all zones' words on by datagrams, which costs bytes that one topic read by one VM of a zone saves. Test: a_vm_that_hears_its_zone_alone_does_not_tell_that_all_have_left failed first (the step was Tell). Conclusion: the promise that every VM has left holds across zones.

--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -22,6 +22,7 @@
 use self::announcement::Outcome;
 use self::announcement::Said;
 use self::announcement::Sum;
+use self::progress::Hearing;
 use self::progress::Progress;
 use self::progress::Step;
 use crate::config::Exposure;
@@ -366,12 +367,15 @@
         news.flat_map(|rollout| rollout.heard(now)).collect()
     }
 
-    /// What operators are to be told of a roll-out.
-    fn step(&self, pool: &id::Pool, left: bool, now: Moment) -> Step {
+    /// What operators are to be told of a roll-out. `left` tells whether none of this VM's requests is
+    /// at the old version.
+    #[must_use]
+    pub fn step(&self, pool: &id::Pool, left: bool, hearing: Hearing, now: Moment) -> Step {
         let Some(rollout) = self.get(pool) else {
             return Step::Wait;
         };
-        rollout.step(self.phase(rollout, now), left, MARGIN, now)
+        let phase = self.phase(rollout, now);
+        rollout.step(phase, left, hearing, MARGIN, now)
     }
 
     fn end(&mut self, pool: &id::Pool, end: End, now: Moment) {
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -21,6 +21,7 @@
 use super::announcement::End;
 use super::announcement::Said;
 use super::differ;
+use super::progress::Hearing;
 use super::progress::Step;
 use crate::boot;
 use crate::border::Border;
@@ -122,7 +123,9 @@
             self.take_orders().await;
             let running = self.node.rollouts(|r| r.running());
             if running.is_empty() {
-                self.say().await;
+                if self.node.reads() {
+                    self.say().await;
+                }
                 self.rest();
                 if changes.changed().await.is_err() {
                     return;
@@ -247,23 +250,30 @@
         };
         let now = boot::now();
         let left = self.node.left(pool, &order.rollout.target);
-        let step = self.node.rollouts(|r| r.step(pool, left, now));
+        let reads = self.node.reads();
+        let hearing = if reads {
+            Hearing::Everywhere
+        } else {
+            Hearing::Zone
+        };
+        let step = self.node.rollouts(|r| r.step(pool, left, hearing, now));
         let Step::Tell(end) = step else {
             self.due = None;
             return;
         };
         // The others must know before this VM rests.
         let said = self.said.iter().any(|said| said.bad);
-        if end == End::Undone && self.node.reads() && !said {
+        if end == End::Undone && reads && !said {
             return;
         }
         let due = *self.due.get_or_insert(now);
         let own = &self.node.config.node;
         let rank = self.node.rollouts(|r| r.rank(pool, own, now));
-        let patience = if self.node.reads() {
+        let patience = if reads {
             (RANK * rank).min(LONGEST)
         } else {
-            LONGEST * 2
+            // A whole zone would tell the same in one moment.
+            LONGEST * 2 + RANK * rank
         };
         if now.since(due) >= patience && self.tell(&order, end).await {
             self.due = None;
--- a/crates/relay/src/rollouts/progress.rs
+++ b/crates/relay/src/rollouts/progress.rs
@@ -61,6 +61,15 @@
     untold: Vec<u64>,
 }
 
+/// Whose words a VM hears.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Hearing {
+    /// Those of its zone, by datagrams.
+    Zone,
+    /// Those of all VMs, as it reads their topic.
+    Everywhere,
+}
+
 /// What operators are to be told.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -287,12 +296,24 @@
 
     /// What operators are to be told. `left` tells whether none of this VM's requests is at the old
     /// version, `margin` how long before the deadline they are told whoever has not been heard of.
+    ///
+    /// The old endpoints stop at once when operators hear that a roll-out is done. A VM that hears its
+    /// zone alone can't know that the VMs of other zones have left them: their callers' streams would
+    /// be cut.
     #[must_use]
-    pub fn step(&self, phase: Phase, left: bool, margin: Duration, now: Moment) -> Step {
+    pub fn step(
+        &self,
+        phase: Phase,
+        left: bool,
+        hearing: Hearing,
+        margin: Duration,
+        now: Moment,
+    ) -> Step {
         if self.bad.is_some() {
             return Step::Tell(End::Undone);
         }
-        let all = left && self.live(now).all(|peer| peer.said.left);
+        let all =
+            left && hearing == Hearing::Everywhere && self.live(now).all(|peer| peer.said.left);
         let late = self.age(now) + margin >= self.order.rollout.lasts;
         if phase == Phase::Moved && (all || late) {
             return Step::Tell(End::Done);
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -10,6 +10,8 @@
 use pimento_relay::rollouts::announcement::End;
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::announcement::Said;
+use pimento_relay::rollouts::progress::Hearing;
+use pimento_relay::rollouts::progress::Step;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -270,3 +272,17 @@
     vm.see(&pool(), vec![(old(), 4)]);
     assert_eq!(vm.version(&pool(), session, now), Some(old()));
 }
+
+// Guards against streams of other zones cut by a VM that says for them that they have left.
+#[test]
+fn a_vm_that_hears_its_zone_alone_does_not_tell_that_all_have_left() {
+    let mut vm = vm();
+    begin(&mut vm);
+    let now = ordered() + MOVED;
+    assert_eq!(vm.step(&pool(), true, Hearing::Zone, now), Step::Wait);
+    let done = Step::Tell(End::Done);
+    assert_eq!(vm.step(&pool(), true, Hearing::Everywhere, now), done);
+    // Before the deadline somebody must.
+    let late = ordered() + LASTS.saturating_sub(Duration::from_secs(1));
+    assert_eq!(vm.step(&pool(), true, Hearing::Zone, late), done);
+}
