Start with a neighbour's view, and hand the reading of the log over at once

Cause: on 195 VMs calls of the log are the largest price, and most are asked by each VM for what its zone knows. Starts: seven to twelve calls for each VM, 1,252 in the first two seconds and 2,300 after all lose power. VMs that the log turns away: their zone's reader passed for able until its view was 2.6 s old, while the others' trust ended at 1.5 s, so that each of them read by itself, again and again; and each of those said its words of a roll-out. It is found by one read of the VMs' topic and a greeting; a word that is still true is not said again; calls at the start back off. - Datagrams tell how a VM stands. A refused reader hands over within a datagram's way, does not take the reading back until a read is answered, three refused VMs make the next ones wait 0.4 s, and where nobody is able VMs try by turns (neighbours::peers, zone, follow). - A proof counts once its records are there; before, a VM that got both in the other order read the log. - Only VMs whose reads are answered follow and tell roll-outs on the log. - neighbours.rs split by job (meet, tell), behaviour of what moved unchanged.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use pimento_units::id;
 
 /// The settings of one entry VM.
@@ -10,6 +11,10 @@
 pub struct Config {
     /// This VM.
     pub node: id::Node,
+    /// What tells this system from others whose VMs may have had the same addresses.
+    pub deployment: CompactString,
+    /// Whether the whole system starts for the first time.
+    pub first_start: bool,
     /// Its zone.
     pub zone: id::Zone,
     /// All zones with their regions, sorted by zone.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -14,6 +14,7 @@
 mod fold;
 mod pace;
 mod read;
+mod start;
 mod view;
 
 use std::sync::Arc;
@@ -37,6 +38,7 @@
 pub use self::pace::Gait;
 pub use self::pace::Lead;
 pub use self::pace::Pace;
+use self::pace::SUCCESSION;
 pub use self::pace::longest_pause;
 pub use self::pace::patience;
 pub use self::view::Part;
@@ -231,12 +233,11 @@
             return;
         }
         let mut inner = self.lock();
-        inner.want(proof.changed, boot::now());
+        inner.want(proof, boot::now());
+        self.nudge.notify_one();
         if inner.lacks() {
-            self.nudge.notify_one();
             return;
         }
-        inner.proven = inner.proven.max(Some(proof.stamp));
         // The log is back as of now, and not only when this VM next reads it: until then an endpoint
         // that leaves would count as one whose entry the outage had ended.
         self.regain(&mut inner, boot::now());
@@ -251,12 +252,16 @@
     async fn run(self) {
         let mut lead = self.zone.lead.subscribe();
         let mut pause = FIRST_PAUSE;
+        let mut before = Lead::default();
+        self.zone.introduced().await;
         loop {
             let role = *lead.borrow_and_update();
+            let succeeds = role == Lead::Leading && before != role;
+            before = role;
             // A view that lacks a change is read for until it has it: a VM whose read was refused would
             // otherwise wait for the next word, or until its trust is used up.
-            if role == Lead::Led && self.trusts() && (!self.lacks().await || self.take_over().await)
-            {
+            let whole = role == Lead::Led && (!self.lacks().await || self.take_over().await);
+            if whole && self.trusts() {
                 let left = self.age().map(|age| self.pace.trust.saturating_sub(age));
                 tokio::select! {
                     () = self.nudge.notified() => continue,
@@ -264,6 +269,14 @@
                     () = tokio::time::sleep(left.unwrap_or_default()) => continue,
                 }
             }
+            let state = self.zone.state();
+            let blind = state.blind && role == Lead::Led && self.next().is_some();
+            if (blind || state.doubtful && succeeds) && self.hesitate(role, &mut lead).await {
+                continue;
+            }
+            if role == Lead::Led && self.next().is_none() && self.take_snapshot().await {
+                continue;
+            }
             let gait = match role {
                 Lead::Alone => self.pace.alone,
                 Lead::Leading => self.pace.leading,
@@ -272,13 +285,18 @@
             match self.read(gait.wait, self.reason(role)).await {
                 Ok(whole) => {
                     pause = FIRST_PAUSE;
+                    self.zone.answered();
                     if whole {
                         tokio::time::sleep(gait.pause).await;
                     }
                 }
                 Err(failure) => {
                     failure.log("Not read");
+                    self.zone.failed(failure.kind, boot::now());
                     self.stumble(role, gait);
+                    if blind {
+                        continue;
+                    }
                     let share = rand::random_range(0.5..=1.0);
                     tokio::select! {
                         () = self.rest(role, pause.mul_f64(share)) => {}
@@ -290,6 +308,33 @@
         }
     }
 
+    /// Waits before a read that the log would most likely turn away; whether something came up
+    /// meanwhile.
+    ///
+    /// The log turns away one VM of a zone or all of them, and each can know it of itself alone. If all
+    /// tried at once whenever it happens, and went on trying, most of what the log is asked would be in
+    /// vain. So they try one after the other, and the first that is answered vouches for the others. A
+    /// VM that another one reads for takes its turn by chance, if nobody is known whose reads are
+    /// answered.
+    async fn hesitate(&self, role: Lead, lead: &mut watch::Receiver<Lead>) -> bool {
+        let pause = if role == Lead::Led {
+            self.stumble(role, AT_ONCE);
+            let others = u32::try_from(self.zone.stamps().len()).unwrap_or(u32::MAX);
+            let all = SUCCESSION.saturating_mul(others.saturating_add(1));
+            all.mul_f64(rand::random_range(0.0..=1.0))
+        } else {
+            SUCCESSION
+        };
+        tokio::select! {
+            () = tokio::time::sleep(pause) => false,
+            () = self.nudge.notified() => true,
+            _ = lead.changed() => {
+                lead.mark_changed();
+                true
+            }
+        }
+    }
+
     /// Why a VM in this role reads now.
     fn reason(&self, role: Lead) -> Reason {
         let inner = self.lock();
@@ -329,10 +374,11 @@
         longest_pause(role, self.zone.stamps().len(), self.lock().lacks())
     }
 
-    /// Whether this VM reads by itself.
+    /// Whether this VM reads by itself, and its reads are answered.
     #[must_use]
     pub fn reads(&self) -> bool {
-        *self.zone.lead.borrow() != Lead::Led || !self.trusts()
+        let reads = *self.zone.lead.borrow() != Lead::Led || !self.trusts();
+        reads && self.lock().touch.is_some()
     }
 
     /// Whether what another VM proved is young enough.
--- a/crates/relay/src/follow/exchange.rs
+++ b/crates/relay/src/follow/exchange.rs
@@ -5,11 +5,14 @@
 use compact_str::CompactString;
 use pimento_progress::Progress;
 use pimento_progress::Received;
+use pimento_progress::Silent;
 use pimento_units::Moment;
 
 use crate::boot;
 use crate::node::millis;
+use crate::topic::Error;
 use crate::topic::Topic;
+use crate::zone;
 
 /// An answer of this many bytes is told of in a line of its own: usual ones are a tenth of it.
 const LARGE: u64 = 64 << 10;
@@ -42,6 +45,8 @@
 pub struct Failure {
     topic: Topic,
     reason: CompactString,
+    /// How it ended.
+    pub kind: zone::Failure,
     received: Received,
     took: Duration,
     /// How long nothing had come.
@@ -68,13 +73,28 @@
         }
     }
 
+    /// The log answered with an error, or the connection broke.
+    pub fn refused(&self, error: &Error) -> Failure {
+        let kind = match error {
+            Error::Refused { .. } => zone::Failure::Refused,
+            _ => zone::Failure::Unanswered,
+        };
+        self.failed(kind, error.to_string())
+    }
+
+    /// Nothing came in time.
+    pub fn given_up(&self, silent: Silent) -> Failure {
+        self.failed(zone::Failure::Unanswered, silent.to_string())
+    }
+
     /// The read failed.
-    pub fn failed(&self, reason: impl Into<CompactString>) -> Failure {
+    pub fn failed(&self, kind: zone::Failure, reason: impl Into<CompactString>) -> Failure {
         let received = self.progress.received();
         let took = boot::now().since(self.sent);
         Failure {
             topic: self.topic,
             reason: reason.into(),
+            kind,
             received,
             took,
             silent: received.last.map_or(took, |last| last.elapsed()),
--- a/crates/relay/src/follow/pace.rs
+++ b/crates/relay/src/follow/pace.rs
@@ -57,6 +57,10 @@
 const FEW: u32 = 3;
 const MANY: u32 = 4;
 
+/// Time between the VMs of a zone that try whether the log is back, one after the other, when it
+/// turned several of them away.
+pub const SUCCESSION: Duration = Duration::from_millis(400);
+
 /// Doublings of the patience with a log that is known to be busy.
 const DOUBLINGS: u32 = 2;
 
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -16,6 +16,7 @@
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
+use crate::zone;
 
 impl<F: Fold, L: Log> Follower<F, L> {
     /// Reads once more, now, unless the view is younger than `moment` already. Those who ask at the
@@ -42,7 +43,7 @@
                 self.proven().is_some_and(|proven| proven >= exchange.sent)
             }
             Ok(Err(error)) => {
-                exchange.failed(error.to_string()).log("Not confirmed");
+                exchange.refused(&error).log("Not confirmed");
                 false
             }
             Err(failure) => {
@@ -76,7 +77,7 @@
     }
 
     /// Waits for an answer to this follower itself, whose first bytes may take `first`.
-    async fn wait<T>(
+    pub(super) async fn wait<T>(
         &self,
         exchange: &Exchange,
         answer: impl Future<Output = T>,
@@ -108,7 +109,7 @@
         };
         self.ended.notify_waiters();
         if let Some(problem) = problem {
-            let failure = exchange.failed(problem);
+            let failure = exchange.failed(zone::Failure::Unanswered, problem);
             failure.log("Not taken over from a neighbour");
         }
         !self.lock().lacks()
@@ -146,7 +147,7 @@
                 self.lock().next = None;
                 Ok(false)
             }
-            Err(error) => Err(exchange.failed(error.to_string())),
+            Err(error) => Err(exchange.refused(&error)),
         }
     }
 
@@ -173,6 +174,6 @@
         if let Ok(Ok(_)) = &answer {
             exchange.answered();
         }
-        answer.map_err(|silent| exchange.failed(silent.to_string()))
+        answer.map_err(|silent| exchange.given_up(silent))
     }
 }
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -6,9 +6,12 @@
 use pimento_units::Offset;
 
 use super::Fold;
+use super::Proof;
 use super::Tally;
 use super::Told;
+use crate::recent;
 use crate::recent::Recent;
+use crate::snapshot::Snapshot;
 use crate::topic::Batch;
 use crate::topic::Record;
 use crate::zone::Stamp;
@@ -41,12 +44,16 @@
     pub changed: Offset,
     /// The last of those records.
     pub recent: Recent,
+    /// The newest of each key that has a value, sorted by key: what a VM that starts needs.
+    pub newest: Vec<Record>,
     /// Parts that came before those that go first, sorted by where they begin.
     ahead: Vec<Part>,
     /// The offset up to which another VM knows of changes.
     wanted: Offset,
     /// When that was heard first.
     heard: Moment,
+    /// The newest proof whose changes the view may lack yet.
+    promised: Option<Proof>,
     /// Since when the view lacks some of them.
     pub behind: Option<Moment>,
     /// What has come of the own read that is under way.
@@ -72,9 +79,11 @@
             next: None,
             changed: Offset::default(),
             recent: Recent::default(),
+            newest: Vec::new(),
             ahead: Vec::new(),
             wanted: Offset::default(),
             heard: Moment::ZERO,
+            promised: None,
             behind: None,
             reading: None,
             silent: 0,
@@ -102,10 +111,34 @@
         if changed {
             self.changed = self.changed.max(record.offset.next());
             self.recent.push(record);
+            self.keep(record);
         }
         changed
     }
 
+    /// Keeps a record for VMs that start. One that changed nothing says no more than the one before.
+    fn keep(&mut self, record: &Record) {
+        let found = self.newest.binary_search_by(|r| r.key.cmp(&record.key));
+        match (found, record.value.is_some()) {
+            (Ok(place), true) => self.newest[place] = recent::copy(record),
+            (Ok(place), false) => {
+                self.newest.remove(place);
+            }
+            (Err(place), true) => self.newest.insert(place, recent::copy(record)),
+            (Err(_), false) => {}
+        }
+    }
+
+    /// Takes another VM's view whole, which is proven as of a moment of the own clock.
+    pub fn adopt(&mut self, snapshot: &Snapshot, proven: Option<Moment>, now: Moment) {
+        for record in &snapshot.records {
+            self.apply(record, now);
+        }
+        self.recent.reset(snapshot.to);
+        self.reach(snapshot.to);
+        self.proven = self.proven.max(proven);
+    }
+
     /// Takes a part once the view holds all before it; whether the view changed. Datagrams overtake each
     /// other within milliseconds. Without keeping those that came early, each VM of a zone read the log
     /// for itself when some dozen endpoints registered at once.
@@ -133,15 +166,28 @@
         Some(self.ahead.remove(place))
     }
 
-    /// Another VM knows of changes up to an offset.
-    pub fn want(&mut self, offset: Offset, now: Moment) {
-        if offset > self.wanted {
-            self.wanted = offset;
+    /// Another VM knows of changes up to an offset, and that there were none after them as of a moment.
+    pub fn want(&mut self, proof: Proof, now: Moment) {
+        if proof.changed > self.wanted {
+            self.wanted = proof.changed;
             self.heard = now;
         }
+        if self.promised.is_none_or(|known| known.stamp < proof.stamp) {
+            self.promised = Some(proof);
+        }
         if self.lacks() {
             self.behind.get_or_insert(now);
         }
+        self.redeem();
+    }
+
+    /// The view is proven by another VM's word once it holds all that this one knew.
+    fn redeem(&mut self) {
+        let holds = |proof: &Proof| self.next.is_some_and(|next| next >= proof.changed);
+        if let Some(proof) = self.promised.filter(holds) {
+            self.proven = self.proven.max(Some(proof.stamp));
+            self.promised = None;
+        }
     }
 
     /// The view now holds all records before an offset.
@@ -150,6 +196,7 @@
         if !self.lacks() {
             self.behind = None;
         }
+        self.redeem();
     }
 
     /// The view holds all that the log held at `sent`. Whether another VM had told of more by then:
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::peers::Standing;
 use crate::follow::Proof;
 use crate::passage::Passage;
 use crate::rollouts::announcement::Announcement;
@@ -23,8 +24,8 @@
     pub zone: id::Zone,
     /// When it was sent, by the teller's boot-time clock.
     pub stamp: Moment,
-    /// Whether the teller could read the log for others: it stays, and its reads are answered.
-    pub able: bool,
+    /// What the teller says of its reads of the log.
+    pub standing: Standing,
     /// Records that changed the teller's views of the log. They are taken before the proofs.
     pub passages: Vec<Passage>,
     /// What the teller's last reads of the log prove to whom it tells this.
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -1,4 +1,4 @@
-//! The other entry VMs, as far as they were heard of.
+//! The other entry VMs, as far as they were heard of, and who of a zone reads the log for whom.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -6,8 +6,11 @@
 use pimento_policy::choice;
 use pimento_units::Moment;
 use pimento_units::id;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::follow::Lead;
+use crate::zone::State;
 
 /// A VM that said nothing for this long reads for nobody. Three datagrams with nothing new.
 const LIVING: Duration = Duration::from_millis(1_300);
@@ -20,30 +23,82 @@
 /// would think the same of this one.
 const FORGOTTEN: Duration = Duration::from_mins(5);
 
+/// When so many VMs of a zone were turned away by the log, it may be out for all of them.
+const SEVERAL: usize = 3;
+
+/// What a VM says of its reads of the log.
+///
+/// Of two VMs the one with the lesser standing reads for the other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It could read for others: it stays, and as far as it knows its reads are answered.
+    Able,
+    /// It has read nothing yet.
+    Starting,
+    /// What it knows is old, or its reads were not answered a while ago; it has not tried since.
+    Untested,
+    /// Its reads are not answered.
+    Unable,
+    /// It leaves.
+    Leaving,
+}
+
 /// Another VM.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
+    /// The VM.
     pub node: id::Node,
     /// Hash of its name.
     pub key: u64,
+    /// Its zone.
     pub zone: id::Zone,
+    /// Where it takes datagrams and calls.
     pub address: SocketAddr,
-    /// Whether it could read the log for others.
-    pub able: bool,
+    /// What it said last of its reads.
+    pub standing: Standing,
+    /// When it was heard, or heard of.
     heard: Moment,
+    /// When it spoke last; none if it is only known from the log, where VMs stay that are long gone.
+    spoke: Option<Moment>,
 }
 
 impl Peer {
-    pub fn new(node: id::Node, zone: id::Zone, address: SocketAddr, now: Moment) -> Self {
+    /// A VM that another one, or the log, told of.
+    #[must_use]
+    pub fn told_of(node: id::Node, zone: id::Zone, address: SocketAddr, now: Moment) -> Self {
         Self {
             key: choice::key(node.as_str()),
             node,
             zone,
             address,
-            able: false,
+            standing: Standing::Starting,
             heard: now,
+            spoke: None,
         }
     }
+
+    /// The VM, which says of its reads what `standing` tells.
+    #[must_use]
+    pub const fn speaks(mut self, standing: Standing, now: Moment) -> Self {
+        self.standing = standing;
+        self.spoke = Some(now);
+        self
+    }
+
+    fn lives(&self, now: Moment) -> bool {
+        self.spoke.is_some_and(|spoke| now.since(spoke) < LIVING)
+    }
+}
+
+/// Who reads the log in a zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Role {
+    /// What this VM does.
+    pub lead: Lead,
+    /// The VM that reads for this one.
+    pub reader: Option<SocketAddr>,
+    /// How the reads of the zone go.
+    pub state: State,
 }
 
 /// All other VMs, sorted by name.
@@ -53,13 +108,23 @@
 }
 
 impl Peers {
-    /// Takes in a VM that was heard, or heard of.
-    pub fn met(&mut self, peer: Peer) {
+    /// Takes in a VM that was heard, or heard of. Whether that may change who reads the log.
+    pub fn met(&mut self, peer: Peer, now: Moment) -> bool {
         match self.peers.binary_search_by(|p| p.node.cmp(&peer.node)) {
-            Ok(place) => self.peers[place] = peer,
+            Ok(place) => {
+                let known = &self.peers[place];
+                if peer.spoke.is_none() && known.spoke.is_some() {
+                    return false;
+                }
+                let other = known.lives(now) != peer.lives(now) || known.standing != peer.standing;
+                self.peers[place] = peer;
+                other
+            }
             Err(place) => {
                 log::info!("neighbours: {} of {} met.", peer.node, peer.zone);
+                let lives = peer.lives(now);
                 self.peers.insert(place, peer);
+                lives
             }
         }
     }
@@ -70,47 +135,58 @@
     }
 
     /// How many are known.
+    #[must_use]
     pub const fn count(&self) -> usize {
         self.peers.len()
     }
 
     /// The VMs of a zone.
+    #[must_use]
     pub fn of(&self, zone: &id::Zone) -> Vec<Peer> {
         let near = self.peers.iter().filter(|peer| peer.zone == *zone);
         near.cloned().collect()
     }
 
-    /// Who reads the log for whom, and where the VM is that reads for this one: the first by name of those
-    /// that live and are able to. If none is, the first of all goes on trying, and the others learn from
+    /// Who reads the log for whom: the first by name of those that live and are able to. If none is,
+    /// one that did not try lately tries, or the first of all goes on trying, and the others learn from
     /// it that the log is back.
-    pub fn lead(
-        &self,
-        own: &id::Node,
-        zone: &id::Zone,
-        able: bool,
-        now: Moment,
-    ) -> (Lead, Option<SocketAddr>) {
-        let living = |peer: &&Peer| peer.zone == *zone && now.since(peer.heard) < LIVING;
-        let others: Vec<&Peer> = self.peers.iter().filter(living).collect();
-        let Some(first) = others.first() else {
-            return (Lead::Alone, None);
-        };
-        let before = |peer: &&&Peer| peer.node < *own;
-        let first_able = others.iter().find(|peer| peer.able);
-        let reader = match (able, first_able) {
-            (true, Some(other)) => Some(other).filter(before),
-            (true, None) => None,
-            (false, Some(other)) => Some(other),
-            (false, None) => Some(first).filter(before),
+    #[must_use]
+    pub fn role(&self, own: &id::Node, zone: &id::Zone, standing: Standing, now: Moment) -> Role {
+        let living = |peer: &&Peer| peer.zone == *zone && peer.lives(now);
+        let others = self.peers.iter().filter(living);
+        let others: Vec<(Standing, &id::Node, Option<SocketAddr>)> = others
+            .map(|peer| (peer.standing, &peer.node, Some(peer.address)))
+            .collect();
+        if others.is_empty() {
+            return Role {
+                lead: Lead::Alone,
+                reader: None,
+                state: State::default(),
+            };
+        }
+        let unable = |(standing, ..): &&(Standing, &id::Node, Option<SocketAddr>)| {
+            *standing == Standing::Unable
         };
-        match reader {
-            Some(reader) => (Lead::Led, Some(reader.address)),
-            None => (Lead::Leading, None),
+        let all: Vec<_> = others.into_iter().chain([(standing, own, None)]).collect();
+        // A VM that has read something comes before those that have not, then names decide.
+        let reader = all
+            .iter()
+            .min_by_key(|(standing, node, _)| (*standing, *node));
+        let able = reader.is_some_and(|(standing, ..)| *standing == Standing::Able);
+        let address = reader.and_then(|(.., address)| *address);
+        Role {
+            lead: address.map_or(Lead::Leading, |_| Lead::Led),
+            reader: address,
+            state: State {
+                blind: !able,
+                doubtful: all.iter().filter(unable).count() >= SEVERAL,
+            },
         }
     }
 
     /// One VM of each other zone, another one in each turn: one that is down misses a part only, and
     /// each hears of all others in time.
+    #[must_use]
     pub fn far(&self, zone: &id::Zone, now: Moment) -> Vec<SocketAddr> {
         let turn = now.since(Moment::ZERO).as_secs() / TURN.as_secs();
         let mut zones: Vec<&id::Zone> = self.peers.iter().map(|peer| &peer.zone).collect();
--- a/crates/relay/src/neighbours/records.rs
+++ b/crates/relay/src/neighbours/records.rs
@@ -15,13 +15,17 @@
 use pimento_units::Offset;
 use tokio::net::TcpListener;
 
+use crate::boot;
 use crate::border::Border;
 use crate::codec::Codec;
 use crate::node::Node;
 use crate::passage::PATH;
 use crate::passage::Passage;
 use crate::passage::Shared;
+use crate::snapshot;
+use crate::snapshot::Snapshot;
 use crate::topic::Log;
+use crate::topic::Record;
 use crate::topic::Topic;
 
 /// A passage that was packed, for the VMs that ask for it next: those of a zone lack the same.
@@ -66,6 +70,14 @@
     pimento_serve::run(listener, records, Stop::default()).await;
 }
 
+/// The topic whose view a path asks for.
+fn view(path: &str) -> Option<Shared> {
+    let topic = path.strip_prefix(snapshot::PATH)?;
+    [Shared::Operators, Shared::Endpoints]
+        .into_iter()
+        .find(|known| known.topic().as_str() == topic)
+}
+
 /// What a path asks for.
 fn asked(path: &str) -> Option<(Topic, Offset)> {
     let (topic, from) = path.strip_prefix(PATH)?.split_once('/')?;
@@ -76,19 +88,49 @@
 }
 
 impl<P: Border + Codec, L: Log> Records<P, L> {
+    /// The view of a topic, for a VM that asks for it now; none if there is none yet.
+    async fn view(&self, topic: Shared) -> Option<Bytes> {
+        let asked = boot::now();
+        let view = match topic {
+            Shared::Operators => self.node.operators.snapshot(asked).await,
+            Shared::Endpoints => self.node.directory.snapshot(asked).await,
+        };
+        let Snapshot { records, to, age } = view?;
+        let packed = self.pack(topic, Offset::default(), records, to)?;
+        match snapshot::seal(&self.node.config.deployment, age, packed) {
+            Ok(sealed) => Some(sealed),
+            Err(error) => {
+                log::error!("neighbours: A view can't be handed on: {error}.");
+                None
+            }
+        }
+    }
+
     /// The records from an offset on, packed; none if one is missing here.
     fn packed(&self, topic: Topic, from: Offset) -> Option<Bytes> {
-        let (shared, (records, to)) = match topic {
-            Topic::Operators => (Shared::Operators, self.node.operators.all(from)),
-            Topic::Endpoints => (Shared::Endpoints, self.node.directory.all(from)),
-            Topic::Status | Topic::Fleet => return None,
+        let shared = Shared::try_from(topic).ok()?;
+        let (records, to) = match shared {
+            Shared::Operators => self.node.operators.all(from),
+            Shared::Endpoints => self.node.directory.all(from),
         };
+        self.pack(shared, from, records?, to)
+    }
+
+    /// These records, packed.
+    fn pack(
+        &self,
+        shared: Shared,
+        from: Offset,
+        records: Vec<Record>,
+        to: Offset,
+    ) -> Option<Bytes> {
+        let topic = shared.topic();
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         let fits = |packed: &&Packed| (packed.topic, packed.from, packed.to) == (topic, from, to);
         if let Some(packed) = last.as_ref().filter(fits) {
             return Some(packed.bytes.clone());
         }
-        let parts = vec![records?];
+        let parts = vec![records];
         let passage = Passage::list(shared, from, parts, to).pop()?;
         match passage.pack() {
             Ok(bytes) => {
@@ -116,8 +158,11 @@
 
 impl<P: Border + Codec, L: Log> Serve for Records<P, L> {
     async fn serve(&self, request: Request<Incoming>) -> Response<Reply> {
-        let asked = asked(request.uri().path());
-        let packed = asked.and_then(|(topic, from)| self.packed(topic, from));
+        let path = request.uri().path();
+        let packed = match view(path) {
+            Some(topic) => self.view(topic).await,
+            None => asked(path).and_then(|(topic, from)| self.packed(topic, from)),
+        };
         let Some(bytes) = packed else {
             let mut response = Response::new(Reply::whole("not here\n"));
             *response.status_mut() = StatusCode::NOT_FOUND;
--- /dev/null
+++ b/crates/relay/src/neighbours/tell.rs
@@ -0,0 +1,189 @@
+//! What a VM tells the others, and how often.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use pimento_units::Moment;
+
+use super::Neighbours;
+use super::message;
+use super::message::Message;
+use super::message::Proofs;
+use super::message::Read;
+use super::news::News;
+use crate::boot;
+use crate::border::Border;
+use crate::codec::Codec;
+use crate::passage::Passage;
+use crate::passage::Shared;
+use crate::rollouts::Rollouts;
+use crate::topic::Log;
+
+/// Time between datagrams to each VM of the zone, for each VM there: with two neighbours news is
+/// 40 ms old, which is half of the shortest prompt's reading by the largest model; with fifty, a VM
+/// still sends no more than fifty datagrams a second.
+const NEAR: Duration = Duration::from_millis(20);
+
+/// Time between datagrams to other zones, whose bytes cost. What they tell saves reading for tens of
+/// seconds, so that this age matters little.
+const FAR: Duration = Duration::from_millis(300);
+
+/// A VM with nothing new says so this often, so that it counts as living and the VM that reads the
+/// log has a young stamp of it.
+const BEAT: Duration = Duration::from_millis(400);
+
+/// A VM with nothing new for another zone says so this often.
+const SECOND: Duration = Duration::from_secs(1);
+
+impl<P: Border + Codec, L: Log> Neighbours<P, L> {
+    /// Records that the zone was not told of yet, if this VM reads for it.
+    fn passages(&self) -> Vec<Passage> {
+        let told = self.lock().told.take();
+        if !self.leads() {
+            return Vec::new();
+        }
+        let (operators, endpoints) = told.unwrap_or_default();
+        let (changed, operators_end) = self.node.operators.since(operators);
+        let (registered, endpoints_end) = self.node.directory.since(endpoints);
+        self.lock().told = Some((operators_end, endpoints_end));
+        if told.is_none() {
+            return Vec::new();
+        }
+        // Where records are missing, or too large, the others read by themselves.
+        let changed = changed.unwrap_or_default();
+        let registered = registered.unwrap_or_default();
+        let mut passages = Passage::list(Shared::Operators, operators, changed, operators_end);
+        passages.extend(Passage::list(
+            Shared::Endpoints,
+            endpoints,
+            registered,
+            endpoints_end,
+        ));
+        passages
+    }
+
+    /// Tells the zone.
+    pub(super) async fn tell_near(&self) {
+        let mut told = Moment::ZERO;
+        let mut silent = true;
+        let mut operators = self.node.operators.changes();
+        let mut endpoints = self.node.directory.changes();
+        loop {
+            let peers = self.peers();
+            self.settle();
+            let count = u32::try_from(peers.len()).unwrap_or(u32::MAX).max(1);
+            let changed = tokio::select! {
+                () = tokio::time::sleep(NEAR * count) => false,
+                _ = operators.changed() => self.leads(),
+                _ = endpoints.changed() => self.leads(),
+                () = self.zone.proved.notified() => self.leads(),
+                () = self.zone.stopped.notified() => true,
+            };
+            let news = self.news();
+            let now = boot::now();
+            let nothing = news.is_empty() && !changed;
+            if nothing && silent && now.since(told) < BEAT {
+                continue;
+            }
+            silent = nothing;
+            told = now;
+            for peer in &peers {
+                self.send(peer.address, Some(peer.key), &news).await;
+            }
+        }
+    }
+
+    /// What is to be told to the zone.
+    fn news(&self) -> News {
+        let mut news = News {
+            rollouts: self.node.due_announcements(boot::now()),
+            kept: self.node.rollouts(Rollouts::untold),
+            passages: self.passages(),
+            ..News::default()
+        };
+        let mut shared = Vec::new();
+        for (_, pool) in self.node.scheduler.pools() {
+            let read = pool.read();
+            news.reads.extend(read.iter().map(Read::new));
+            shared.extend(read.iter().filter_map(Read::shared));
+            let millis = |wait: Duration| u32::try_from(wait.as_millis()).unwrap_or(u32::MAX);
+            let waits = pool.waits().into_iter();
+            news.waits
+                .extend(waits.map(|(key, wait)| (key, millis(wait))));
+        }
+        let mut inner = self.lock();
+        inner.far.extend(shared);
+        inner.far_kept.extend(&news.kept);
+        news.reads.append(&mut inner.passed);
+        news.kept.append(&mut inner.passed_kept);
+        news
+    }
+
+    /// Tells one VM of each other zone.
+    pub(super) async fn tell_far(&self) {
+        let mut told = Moment::ZERO;
+        loop {
+            tokio::time::sleep(FAR).await;
+            let now = boot::now();
+            let (news, addresses) = {
+                let mut inner = self.lock();
+                let news = News {
+                    reads: std::mem::take(&mut inner.far),
+                    kept: std::mem::take(&mut inner.far_kept),
+                    ..News::default()
+                };
+                (news, inner.peers.far(&self.node.config.zone, now))
+            };
+            if news.is_empty() && now.since(told) < SECOND {
+                continue;
+            }
+            told = now;
+            for address in addresses {
+                self.send(address, None, &news).await;
+            }
+        }
+    }
+
+    /// Sends one VM what there is to tell; `near` is its key if it is of this zone.
+    pub(super) async fn send(&self, address: SocketAddr, near: Option<u64>, news: &News) {
+        for part in news.parts() {
+            // A proof that came before the records that it speaks of would make the other VM read.
+            let proven = near.filter(|_| part.last);
+            let rollouts = if part.first { &news.rollouts[..] } else { &[] };
+            let message = Message {
+                node: self.node.config.node.clone(),
+                zone: self.node.config.zone.clone(),
+                stamp: boot::now(),
+                standing: self.standing(),
+                passages: part.passages.to_vec(),
+                proofs: proven.map(|node| self.proofs(node)).unwrap_or_default(),
+                rollouts: rollouts.to_vec(),
+                waits: news.waits.clone(),
+                kept: part.kept.to_vec(),
+                reads: part.reads.to_vec(),
+            };
+            let bytes = match postcard::to_stdvec(&message) {
+                Ok(bytes) => bytes,
+                Err(error) => return log::error!("neighbours: Not written: {error}."),
+            };
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                log::debug!("neighbours: Nothing sent to {address}: {error}.");
+            }
+        }
+    }
+
+    /// What this VM's last reads prove to another one. Only the VM that reads for the zone tells:
+    /// while endpoints register by the dozen, every read finds something new, and VMs that told each
+    /// other would make each other read without end.
+    fn proofs(&self, node: u64) -> Proofs {
+        if !self.leads() {
+            return Proofs::default();
+        }
+        let operators = self.node.operators.proof(node);
+        let endpoints = self.node.directory.proof(node);
+        Proofs {
+            operators: operators.map(message::written),
+            endpoints: endpoints.map(message::written),
+        }
+    }
+}
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -163,7 +163,7 @@
 impl<P: Border + Codec, L: Log> Node<P, L> {
     /// Starts to follow the log.
     pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
-        let zone = Zone::default();
+        let zone = Zone::starting(&config);
         let calls = Calls::default();
         let operators = Follower::start(
             log.clone(),
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -54,6 +54,29 @@
     Endpoints,
 }
 
+impl Shared {
+    /// The topic on the log.
+    #[must_use]
+    pub const fn topic(self) -> Topic {
+        match self {
+            Self::Operators => Topic::Operators,
+            Self::Endpoints => Topic::Endpoints,
+        }
+    }
+}
+
+impl TryFrom<Topic> for Shared {
+    type Error = Topic;
+
+    fn try_from(topic: Topic) -> Result<Self, Topic> {
+        match topic {
+            Topic::Operators => Ok(Self::Operators),
+            Topic::Endpoints => Ok(Self::Endpoints),
+            Topic::Status | Topic::Fleet => Err(topic),
+        }
+    }
+}
+
 /// All records between two offsets of a topic that changed the teller's view.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Passage {
@@ -124,6 +147,9 @@
         /// What it answered.
         status: StatusCode,
     },
+    /// It answers more than any view takes.
+    #[snafu(display("the answer is too large"))]
+    TooLarge,
     /// What came can't be unpacked.
     #[snafu(display("{source}"))]
     Packed {
@@ -181,9 +207,27 @@
     from: Offset,
     progress: &Progress,
 ) -> Result<Part, Error> {
+    let path = format!("{PATH}{}/{from}", topic.as_str());
+    let passage = Passage::unpack(&get(address, path, progress).await?)?;
+    let Passage {
+        from: begins, to, ..
+    } = passage;
+    if begins != from {
+        return Err(Error::Elsewhere { from: begins });
+    }
+    let records = passage.records();
+    Ok(Part { from, to, records })
+}
+
+/// What another VM answers at a path. `progress` counts what comes of it.
+pub(crate) async fn get(
+    address: SocketAddr,
+    path: String,
+    progress: &Progress,
+) -> Result<Vec<u8>, Error> {
     let connection = Connection::open(address, CONNECT).await;
     let connection = connection.map_err(|fault| Error::Call { fault })?;
-    let uri = Uri::try_from(format!("{PATH}{}/{from}", topic.as_str()));
+    let uri = Uri::try_from(path);
     let message = Message {
         method: Method::GET,
         uri: uri.context(PathSnafu)?,
@@ -203,16 +247,11 @@
         .await
         .map_err(|fault| Error::Call { fault })?
     {
+        if u64::try_from(packed.len() + piece.len()).is_ok_and(|bytes| bytes > LARGEST) {
+            return Err(Error::TooLarge);
+        }
         progress.add(piece.len());
         packed.extend_from_slice(&piece);
     }
-    let passage = Passage::unpack(&packed)?;
-    let Passage {
-        from: begins, to, ..
-    } = passage;
-    if begins != from {
-        return Err(Error::Elsewhere { from: begins });
-    }
-    let records = passage.records();
-    Ok(Part { from, to, records })
+    Ok(packed)
 }
--- a/crates/relay/src/recent.rs
+++ b/crates/relay/src/recent.rs
@@ -34,6 +34,20 @@
     record.key.len() + record.value.as_ref().map_or(0, Bytes::len)
 }
 
+/// A record to be kept. A small one is copied, since its value is a part of a whole answer of the log,
+/// which it would keep as well; a large one is most of its answer.
+#[must_use]
+pub fn copy(record: &Record) -> Record {
+    if size(record) > LARGEST {
+        return record.clone();
+    }
+    Record {
+        offset: record.offset,
+        key: record.key.clone(),
+        value: record.value.as_deref().map(Bytes::copy_from_slice),
+    }
+}
+
 impl Recent {
     /// Forgets all, since records before `from` may be missing.
     pub fn reset(&mut self, from: Offset) {
@@ -45,7 +59,7 @@
     pub fn push(&mut self, record: &Record) {
         if size(record) > LARGEST {
             self.forget_large(&record.key);
-            self.records.push_back(record.clone());
+            self.records.push_back(copy(record));
             return;
         }
         if self.records.len() == KEPT
@@ -53,13 +67,7 @@
         {
             self.from = oldest.offset.next();
         }
-        // A copy, since the value is a part of a whole answer of the log, which it would keep.
-        let value = record.value.as_deref().map(Bytes::copy_from_slice);
-        self.records.push_back(Record {
-            offset: record.offset,
-            key: record.key.clone(),
-            value,
-        });
+        self.records.push_back(copy(record));
     }
 
     /// Forgets the large record that is kept, as a newer one comes: one is as much as a small VM can
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -4,11 +4,14 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 
+use compact_str::CompactString;
 use pimento_units::Moment;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use crate::config::Config;
 use crate::follow::Lead;
 
 /// The newest stamp of another VM: a moment of its own boot-time clock, which means nothing to
@@ -21,9 +24,75 @@
     pub at: Moment,
 }
 
+/// For this long after a read that was not answered the log counts as out for the VM.
+const DISTRUST: Duration = Duration::from_secs(5);
+
+/// Reads in a row without an answer after which the log counts as out for this VM; a single answer
+/// may be lost.
+const LOST: u32 = 2;
+
+/// How a read that gave nothing ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Failure {
+    /// The log said no, or could not be reached.
+    Refused,
+    /// No answer came, or one that can't be read.
+    Unanswered,
+}
+
+/// Whether own reads are answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// As far as is known.
+    Answered,
+    /// Not a while ago, and none was made since.
+    Untested,
+    /// Not now.
+    Out,
+}
+
+/// How the own reads go.
+#[derive(Debug, Default)]
+struct Reads {
+    /// Since the last answer.
+    unanswered: u32,
+    /// When the log last counted as out.
+    out: Option<Moment>,
+}
+
+/// How the reads of a zone go.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct State {
+    /// Nobody is known whose reads are answered.
+    pub blind: bool,
+    /// Several VMs were turned away just now, so that the next one may be as well.
+    pub doubtful: bool,
+}
+
+/// How long a VM that starts anew waits for its neighbours before it reads the log by itself. They are
+/// found by one call of the log, and answer within milliseconds.
+const INTRODUCED: Duration = Duration::from_millis(300);
+
+/// The same when the whole system starts for the first time. All VMs say at once where they are, which the
+/// log takes one after the other, and nobody has callers yet.
+const FIRST_INTRODUCED: Duration = Duration::from_millis(1_500);
+
+/// Whether a VM that starts has met its neighbours.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Introduction {
+    /// Not yet.
+    Pending,
+    /// It has, or there are none.
+    #[default]
+    Done,
+}
+
 /// Stamps of the other VMs, and who reads for whom. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Zone {
+    deployment: CompactString,
+    /// How long the VM waits to meet its neighbours.
+    patience: Duration,
     stamps: Arc<Mutex<Vec<Stamp>>>,
     /// Who reads for whom.
     pub lead: Arc<watch::Sender<Lead>>,
@@ -31,9 +100,51 @@
     pub proved: Arc<Notify>,
     /// Where the VM that reads for this one takes calls.
     reader: Arc<Mutex<Option<SocketAddr>>>,
+    reads: Arc<Mutex<Reads>>,
+    introduced: Arc<watch::Sender<Introduction>>,
+    /// Told when own reads are not answered any more.
+    pub stopped: Arc<Notify>,
+    state: Arc<Mutex<State>>,
 }
 
 impl Zone {
+    /// The zone of a VM that starts and is yet to meet the others.
+    #[must_use]
+    pub fn starting(config: &Config) -> Self {
+        let patience = if config.first_start {
+            FIRST_INTRODUCED
+        } else {
+            INTRODUCED
+        };
+        let zone = Self {
+            deployment: config.deployment.clone(),
+            patience,
+            ..Self::default()
+        };
+        zone.introduced.send_replace(Introduction::Pending);
+        zone
+    }
+
+    /// What tells this system from others.
+    #[must_use]
+    pub fn deployment(&self) -> &str {
+        &self.deployment
+    }
+
+    /// The VM has met its neighbours.
+    pub fn introduce(&self) {
+        self.introduced.send_replace(Introduction::Done);
+    }
+
+    /// Waits until it has, up to a bound.
+    pub async fn introduced(&self) {
+        let mut introduced = self.introduced.subscribe();
+        let done = introduced.wait_for(|state| *state == Introduction::Done);
+        if tokio::time::timeout(self.patience, done).await.is_err() {
+            log::info!("follower: Starts without having met the VMs of its zone.");
+        }
+    }
+
     /// Takes another VM's stamp. Datagrams may overtake each other; a VM that started anew begins
     /// with a lower one only if its machine did, too.
     pub fn heard(&self, stamp: Stamp) {
@@ -62,6 +173,46 @@
         *self.reader.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// An own read was answered.
+    pub fn answered(&self) {
+        *self.reads.lock().unwrap_or_else(PoisonError::into_inner) = Reads::default();
+    }
+
+    /// An own read failed.
+    pub fn failed(&self, failure: Failure, now: Moment) {
+        let mut reads = self.reads.lock().unwrap_or_else(PoisonError::into_inner);
+        reads.unanswered += 1;
+        if failure == Failure::Refused || reads.unanswered >= LOST {
+            let stopped = reads.out.is_none();
+            reads.out = Some(now);
+            if stopped {
+                self.stopped.notify_one();
+            }
+        }
+    }
+
+    /// Whether own reads are answered.
+    #[must_use]
+    pub fn reach(&self, now: Moment) -> Reach {
+        let reads = self.reads.lock().unwrap_or_else(PoisonError::into_inner);
+        match reads.out {
+            None => Reach::Answered,
+            Some(out) if now.since(out) >= DISTRUST => Reach::Untested,
+            Some(_) => Reach::Out,
+        }
+    }
+
+    /// Notes how the reads of the zone go.
+    pub fn set_state(&self, state: State) {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner) = state;
+    }
+
+    /// How the reads of the zone go.
+    #[must_use]
+    pub fn state(&self) -> State {
+        *self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Forgets the stamps of VMs that are gone.
     pub fn keep(&self, live: impl Fn(u64) -> bool) {
         let mut stamps = self.stamps.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -5,4 +5,6 @@
 mod large;
 mod log;
 mod passage;
+mod peers;
 mod rollouts;
+mod snapshot;
--- /dev/null
+++ b/crates/relay/tests/all/snapshot.rs
@@ -0,0 +1,137 @@
+//! Views that a VM which starts takes from another one.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use pimento_relay::boot;
+use pimento_relay::passage::Passage;
+use pimento_relay::passage::Shared;
+use pimento_relay::snapshot;
+use pimento_relay::snapshot::Error;
+use pimento_units::Moment;
+use pimento_units::Offset;
+
+use crate::fixture::Fixture;
+use crate::log::Mood;
+
+const HERE: &str = "10.0.0.1:8223";
+const AGE: Duration = Duration::from_millis(70);
+
+fn passage() -> Passage {
+    Passage {
+        topic: Shared::Operators,
+        from: Offset::default(),
+        to: Offset(9),
+        records: vec![(Offset(3), "config".into(), Some(Bytes::from("routes")))],
+    }
+}
+
+fn sealed(passage: &Passage) -> Bytes {
+    snapshot::seal(HERE, AGE, passage.pack().unwrap()).unwrap()
+}
+
+#[test]
+fn a_snapshot_comes_back_as_it_was_sealed() {
+    let opened = snapshot::open(HERE, Shared::Operators, &sealed(&passage())).unwrap();
+    assert_eq!(opened.records, passage().records());
+    assert_eq!((opened.to, opened.age), (Offset(9), AGE));
+}
+
+// Guards against a VM that starts with a view which was cut off or altered on its way.
+#[test]
+fn a_snapshot_that_was_cut_or_altered_is_refused() {
+    let whole = sealed(&passage());
+    for length in 0..whole.len() {
+        assert!(snapshot::open(HERE, Shared::Operators, &whole[..length]).is_err());
+    }
+    for place in 0..whole.len() {
+        let mut altered = whole.to_vec();
+        altered[place] ^= 1;
+        let opened = snapshot::open(HERE, Shared::Operators, &altered);
+        assert!(matches!(opened, Err(Error::Digest)), "at {place}");
+    }
+}
+
+// Guards against a VM that starts with the routes and keys of another system, whose VM had the address
+// before.
+#[test]
+fn a_snapshot_of_another_deployment_is_refused() {
+    let opened = snapshot::open("10.0.0.2:8223", Shared::Operators, &sealed(&passage()));
+    assert!(matches!(opened, Err(Error::Foreign { .. })));
+}
+
+// Guards against a view that lacks the records before its beginning, or is of another topic.
+#[test]
+fn a_snapshot_of_a_part_or_another_topic_is_refused() {
+    let opened = snapshot::open(HERE, Shared::Endpoints, &sealed(&passage()));
+    assert!(matches!(opened, Err(Error::Elsewhere { .. })));
+    let part = Passage {
+        from: Offset(2),
+        ..passage()
+    };
+    let opened = snapshot::open(HERE, Shared::Operators, &sealed(&part));
+    assert!(matches!(opened, Err(Error::Elsewhere { .. })));
+}
+
+// Guards against a snapshot that fills a small VM's memory.
+#[test]
+fn a_snapshot_that_unpacks_without_end_is_refused() {
+    let mut long = passage();
+    long.records[0].2 = Some(Bytes::from(vec![0; 64 << 20]));
+    assert!(snapshot::open(HERE, Shared::Operators, &sealed(&long)).is_err());
+}
+
+// Guards against a view that seems younger than it is on a VM whose clock began after it was proven.
+#[test]
+fn a_view_older_than_the_clock_is_proven_by_nothing() {
+    let sent = Moment::ZERO + Duration::from_secs(1);
+    assert_eq!(
+        snapshot::proven(sent, AGE),
+        Some(Moment::ZERO + Duration::from_millis(930))
+    );
+    assert_eq!(snapshot::proven(sent, Duration::from_secs(2)), None);
+}
+
+// Guards against the view of a reader that is a second old being taken for one of the moment of asking:
+// the reader reads once more, and once for all that ask together.
+#[tokio::test]
+async fn a_view_is_read_once_more_for_those_that_ask() {
+    let fixture = Fixture::new();
+    fixture.log.put("a", Some("1"));
+    fixture.log.put("b", Some("1"));
+    fixture.log.put("b", None);
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    fixture.led().await;
+    let calls = fixture.log.calls();
+    let asked = boot::now();
+    let (one, other) = tokio::join!(
+        fixture.follower.snapshot(asked),
+        fixture.follower.snapshot(asked)
+    );
+    assert_eq!(fixture.log.calls(), calls + 1);
+    let (one, other) = (one.unwrap(), other.unwrap());
+    assert_eq!(one, other);
+    let keys: Vec<&str> = one.records.iter().map(|r| r.key.as_str()).collect();
+    assert_eq!((keys, one.age), (vec!["a"], Duration::ZERO));
+}
+
+// Guards against an old view being taken for a young one while the log is out, and against asking a log
+// that is out once for each VM that starts.
+#[tokio::test]
+async fn a_view_that_cannot_be_read_again_tells_its_age() {
+    let fixture = Fixture::new();
+    fixture.log.put("a", Some("1"));
+    fixture.until("a", |f| f.keys() == ["a"]).await;
+    fixture.led().await;
+    fixture.log.set(Mood::Down);
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let calls = fixture.log.calls();
+    for _ in 0..5 {
+        let snapshot = fixture.follower.snapshot(boot::now()).await.unwrap();
+        assert!(snapshot.age >= Duration::from_millis(100));
+    }
+    let asked = fixture.log.calls() - calls;
+    assert!(asked <= 2, "{asked} calls");
+}
