Keep enough records to hand on when all endpoints of a service are replaced

Cause: 64 records were kept for the VMs of a zone. When a roll-out ends, as many endpoints as a service has are gone within a second; their records were no longer all there, and each of 195 VMs read the log. Change: 1,024 are kept, some hundred kilobytes at the most. Ruled out: keeping none and handing on the whole view, which is ten times the bytes for each change. Tests: endpoints_that_are_replaced_together_are_handed_on failed first; records_that_are_not_kept_are_not_handed_on plays 2,000 records instead of 100, so that it still has some that are not kept.

--- a/crates/relay/src/recent.rs
+++ b/crates/relay/src/recent.rs
@@ -10,8 +10,8 @@
 
 use crate::topic::Record;
 
-/// Records kept: what a hundred endpoints that register within a second write between two datagrams.
-const KEPT: usize = 64;
+/// Records kept: what all endpoints of a service write when they are replaced together, twice over.
+const KEPT: usize = 1_024;
 
 /// The largest record that is handed on by datagrams, in bytes. A configuration of a few routes and some
 /// dozen customers is half as large. Those that lack a larger one ask for it.
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -308,15 +308,15 @@
     other.until("large", |f| f.keys() == ["large"]).await;
     assert_eq!(other.follower.since(Offset(0)).0, None);
     assert!(other.follower.since(Offset(1)).0.is_some());
-    for _ in 0..100 {
+    for _ in 0..2_000 {
         other.log.put("b", Some("1"));
     }
-    other.until("all", |f| f.keys().len() == 101).await;
+    other.until("all", |f| f.keys().len() == 2_001).await;
     assert_eq!(other.follower.since(Offset(1)).0, None);
-    let (parts, to) = handed(&other, Offset(90));
+    let (parts, to) = handed(&other, Offset(1_990));
     let offsets: Vec<u64> = parts.concat().iter().map(|r| r.offset.0).collect();
-    assert_eq!(offsets, (90..101).collect::<Vec<u64>>());
-    assert_eq!(to, Offset(101));
+    assert_eq!(offsets, (1_990..2_001).collect::<Vec<u64>>());
+    assert_eq!(to, Offset(2_001));
 }
 
 // The log turns this VM away while it serves the VM that reads for it, which tells of a change again
@@ -538,3 +538,28 @@
     });
     assert_eq!(fixture.follower.proven(), Some(stamp));
 }
+
+// Guards against each VM of a zone reading the log when all endpoints of a service are replaced at once.
+#[tokio::test]
+async fn endpoints_that_are_replaced_together_are_handed_on() {
+    let other = Fixture::new();
+    let own = Fixture::new();
+    own.led().await;
+    let from = own.follower.next().unwrap();
+    for place in 0..400 {
+        other.log.put(&format!("old-{place}"), None);
+        other.log.put(&format!("new-{place}"), Some("1"));
+    }
+    other.until("all", |f| f.keys().len() == 800).await;
+    let calls = own.log.calls();
+    let (parts, to) = handed(&other, from);
+    let mut begins = from;
+    for records in parts {
+        let ends = records.last().unwrap().offset.next();
+        own.follower.hand(part(begins, ends, records));
+        begins = ends;
+    }
+    assert_eq!(own.follower.next(), Some(to));
+    assert_eq!(own.keys().len(), 800);
+    assert_eq!(own.log.calls(), calls);
+}
