Read topics of the log as often as the bounds ask for

Cause: how often topics are read was written down for the tightest bounds ever met, two seconds for leaving endpoints; deployments with three and four seconds paid for reads that nothing asked for. Change: paces are derived from the bounds (relay::paces), in the same shares of each as before, up to four seconds; bounds that can't be held are a finding of the settings, and the program doesn't start. Ruled out: longer waits for changes of the configuration: what lets keys in is bounded by revoked keys, which is five seconds everywhere, and those shares are used up.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -6,6 +6,8 @@
 use compact_str::CompactString;
 use pimento_units::id;
 
+use crate::paces::Paces;
+
 /// The settings of one entry VM.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Config {
@@ -29,6 +31,8 @@
     pub peer_listen: SocketAddr,
     /// What must hold, with its figures.
     pub bounds: Bounds,
+    /// How topics of the log are read, so that the bounds hold.
+    pub paces: Paces,
 }
 
 /// What must hold, with its figures.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod neighbours;
 pub mod node;
 pub mod operators;
+pub mod paces;
 pub mod passage;
 mod pools;
 mod recent;
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -23,8 +23,6 @@
 use crate::directory::Directory;
 use crate::fleet::Word;
 use crate::follow::Follower;
-use crate::follow::Gait;
-use crate::follow::Pace;
 use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::operators::Operators;
@@ -37,40 +35,6 @@
 use crate::topic::Topic;
 use crate::zone::Zone;
 
-/// How the operators' topic is read. Changes are rare, so that a read may wait for one. A proof is as
-/// old as the read that proves it, which is up to twice the wait, and must leave room for a read that
-/// gets no answer and one more within three fifths of the bound on revoked keys, three seconds. What
-/// a VM proves to another is older: the stamp waits for a datagram, then for a read to begin and to
-/// end, and holds until the next proof, 2.2 s in all, so that `trust` is not used up by that.
-const OPERATORS: Pace = Pace {
-    alone: Gait {
-        wait: Duration::from_secs(1),
-        pause: Duration::ZERO,
-    },
-    leading: Gait {
-        wait: Duration::from_millis(600),
-        pause: Duration::ZERO,
-    },
-    trust: Duration::from_millis(2_300),
-    patience: Duration::from_millis(450),
-};
-
-/// How the endpoints' topic is read. Each endpoint writes about once a second; a read that waits
-/// would be answered for each. A read that gets no answer and one more must fit within the bound on
-/// leaving endpoints, which is two seconds. For others a stamp is up to 1.4 s old.
-const ENDPOINTS: Pace = Pace {
-    alone: Gait {
-        wait: Duration::ZERO,
-        pause: Duration::from_millis(900),
-    },
-    leading: Gait {
-        wait: Duration::ZERO,
-        pause: Duration::from_millis(500),
-    },
-    trust: Duration::from_millis(1_500),
-    patience: Duration::from_millis(450),
-};
-
 /// Share of the bound on revoked keys that a configuration may be old and still let keys in, and of the
 /// bound on changes that a known change may be missing from it and it still be acted on. A key
 /// that was revoked since was revoked after the configuration was proven, so that a request which is
@@ -165,10 +129,11 @@
     pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
         let zone = Zone::starting(&config);
         let calls = Calls::default();
+        let paces = config.paces;
         let operators = Follower::start(
             log.clone(),
             Topic::Operators,
-            OPERATORS,
+            paces.operators,
             zone.clone(),
             calls.clone(),
             Operators::new(platform.clone()),
@@ -177,7 +142,7 @@
         let directory = Follower::start(
             log.clone(),
             Topic::Endpoints,
-            ENDPOINTS,
+            paces.endpoints,
             zone.clone(),
             calls.clone(),
             Directory::new(platform.clone()),
--- /dev/null
+++ b/crates/relay/tests/all/paces.rs
@@ -0,0 +1,104 @@
+//! How often topics are read, as a function of the bounds that must hold.
+
+use std::time::Duration;
+
+use pimento_relay::config::Bounds;
+use pimento_relay::config::Exposure;
+use pimento_relay::config::Retry;
+use pimento_relay::paces::Error;
+use pimento_relay::paces::Paces;
+
+/// Pause before a read that got no answer is made again.
+const RETRY: Duration = Duration::from_millis(50);
+
+/// How long the network and the log take for an answer beside the waiting.
+const ANSWER: Duration = Duration::from_millis(20);
+
+/// The share of the bound on revoked keys at which a VM calls itself unready.
+const READY: f64 = 0.6;
+
+fn bounds(leaving: u64, apply: u64, revoke: Option<u64>) -> Bounds {
+    Bounds {
+        leaving: Duration::from_millis(leaving),
+        apply: Duration::from_millis(apply),
+        revoke: revoke.map(Duration::from_millis),
+        grace: Duration::from_secs(8),
+        retry: Retry {
+            share: 0.9,
+            extra: 52,
+            window: Duration::from_secs(10),
+        },
+        exposure: Exposure {
+            share: 0.15,
+            slack: 30,
+            rollback: Duration::from_secs(5),
+        },
+        session: Duration::from_secs(5),
+    }
+}
+
+/// Bounds from the shortest that can be held to some that are long.
+fn grid() -> Vec<Bounds> {
+    let mut grid = Vec::new();
+    for leaving in (600..=8_000).step_by(200) {
+        for apply in (1_500..=8_000).step_by(500) {
+            for revoke in [None, Some(3_750), Some(4_000), Some(5_000), Some(12_000)] {
+                grid.push(bounds(leaving, apply, revoke));
+            }
+        }
+    }
+    grid
+}
+
+// Guards against an endpoint that leaves and still gets requests past its bound, since one read got no
+// answer.
+#[test]
+fn a_leaving_endpoint_is_known_in_time_though_a_read_gets_no_answer() {
+    for bounds in grid() {
+        let pace = Paces::try_from(&bounds).unwrap().endpoints;
+        let lost = pace.patience + RETRY + ANSWER;
+        assert!(pace.trust + lost <= bounds.leaving + ANSWER, "{bounds:?}");
+        assert!(pace.alone.pause + lost <= bounds.leaving, "{bounds:?}");
+        assert!(pace.leading.pause + lost <= pace.trust, "{bounds:?}");
+    }
+}
+
+// Guards against a change, or a revoked key, that is not known in time since one read got no answer, and
+// against VMs that call themselves unready for that.
+#[test]
+fn a_change_is_known_in_time_though_a_read_gets_no_answer() {
+    for bounds in grid() {
+        let pace = Paces::try_from(&bounds).unwrap().operators;
+        let lost = pace.patience * 2 + RETRY;
+        assert!(pace.alone.wait + lost <= bounds.apply, "{bounds:?}");
+        if let Some(revoke) = bounds.revoke {
+            let ready = revoke.mul_f64(READY);
+            assert!(pace.trust + pace.patience + RETRY <= ready, "{bounds:?}");
+            assert!(pace.alone.wait * 2 + lost <= ready, "{bounds:?}");
+        }
+    }
+}
+
+// Guards against paying for reads that a longer bound does not ask for.
+#[test]
+fn longer_bounds_are_read_for_less_often() {
+    let short = Paces::try_from(&bounds(2_000, 2_000, Some(5_000))).unwrap();
+    let long = Paces::try_from(&bounds(4_000, 4_000, Some(5_000))).unwrap();
+    assert_eq!(
+        long.endpoints.leading.pause,
+        short.endpoints.leading.pause * 2
+    );
+    let longest = Paces::try_from(&bounds(60_000, 60_000, None)).unwrap();
+    assert_eq!(longest.endpoints, long.endpoints);
+}
+
+// Guards against a system that starts with bounds which it then breaks.
+#[test]
+fn bounds_that_cannot_be_held_are_refused() {
+    let leaving = Paces::try_from(&bounds(500, 2_000, None));
+    assert!(matches!(leaving, Err(Error::Leaving { .. })));
+    let change = Paces::try_from(&bounds(2_000, 900, None));
+    assert!(matches!(change, Err(Error::Change { .. })));
+    let revoke = Paces::try_from(&bounds(2_000, 2_000, Some(2_000)));
+    assert!(matches!(revoke, Err(Error::Change { .. })));
+}
