Send datagrams often enough that VMs of large zones count as living

Cause: the time between datagrams to the VMs of a zone grows with them without end, 20 ms for each. From 65 VMs on it passes the 1.3 s after which a VM counts as gone; below that, stamps get so old that the proofs to others end their trust. Change: at most 0.6 s between datagrams (neighbours::tell::period). Ruled out: counting VMs as living for longer, which makes the succession of a reader slower.

--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -15,7 +15,7 @@
 mod news;
 pub mod peers;
 mod records;
-mod tell;
+pub mod tell;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -13,7 +13,7 @@
 use crate::zone::State;
 
 /// A VM that said nothing for this long reads for nobody. Three datagrams with nothing new.
-const LIVING: Duration = Duration::from_millis(1_300);
+pub const LIVING: Duration = Duration::from_millis(1_300);
 
 /// A VM of another zone gets each datagram for this long, then the next one does.
 const TURN: Duration = Duration::from_secs(2);
--- a/crates/relay/src/neighbours/tell.rs
+++ b/crates/relay/src/neighbours/tell.rs
@@ -20,10 +20,12 @@
 use crate::topic::Log;
 
 /// Time between datagrams to each VM of the zone, for each VM there: with two neighbours news is
-/// 40 ms old, which is half of the shortest prompt's reading by the largest model; with fifty, a VM
-/// still sends no more than fifty datagrams a second.
+/// 40 ms old, which is half of the shortest prompt's reading by the largest model.
 const NEAR: Duration = Duration::from_millis(20);
 
+/// The longest time between them: a VM that missed one must still count as living when the next comes.
+const LONGEST: Duration = Duration::from_millis(600);
+
 /// Time between datagrams to other zones, whose bytes cost. What they tell saves reading for tens of
 /// seconds, so that this age matters little.
 const FAR: Duration = Duration::from_millis(300);
@@ -35,6 +37,16 @@
 /// A VM with nothing new for another zone says so this often.
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Time between datagrams to each of so many VMs of the zone.
+///
+/// It grows with them, so that a VM sends no more than fifty datagrams a second, as long as they still
+/// take each other for living. Past that they would all read the log, each for itself.
+#[must_use]
+pub fn period(others: usize) -> Duration {
+    let others = u32::try_from(others).unwrap_or(u32::MAX).max(1);
+    NEAR.saturating_mul(others).min(LONGEST)
+}
+
 impl<P: Border + Codec, L: Log> Neighbours<P, L> {
     /// Records that the zone was not told of yet, if this VM reads for it.
     fn passages(&self) -> Vec<Passage> {
@@ -71,9 +83,8 @@
         loop {
             let peers = self.peers();
             self.settle();
-            let count = u32::try_from(peers.len()).unwrap_or(u32::MAX).max(1);
             let changed = tokio::select! {
-                () = tokio::time::sleep(NEAR * count) => false,
+                () = tokio::time::sleep(period(peers.len())) => false,
                 _ = operators.changed() => self.leads(),
                 _ = endpoints.changed() => self.leads(),
                 () = self.zone.proved.notified() => self.leads(),
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod follow;
 mod large;
 mod log;
+mod model;
 mod paces;
 mod passage;
 mod peers;
--- a/crates/relay/tests/all/peers.rs
+++ b/crates/relay/tests/all/peers.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use pimento_relay::follow::Lead;
+use pimento_relay::neighbours::peers::LIVING;
 use pimento_relay::neighbours::peers::Peer;
 use pimento_relay::neighbours::peers::Peers;
 use pimento_relay::neighbours::peers::Role;
 use pimento_relay::neighbours::peers::Standing;
+use pimento_relay::neighbours::tell::period;
 use pimento_units::Moment;
 use pimento_units::id;
 
@@ -123,3 +125,13 @@
     assert_eq!(role(&others, "b", Standing::Able).lead, Lead::Leading);
     assert_eq!(role(&others, "d", Standing::Able).reader, Some(address(2)));
 }
+
+// Guards against VMs of a large zone that take each other for gone between two datagrams, and all read
+// the log.
+#[test]
+fn vms_of_a_zone_of_any_size_count_as_living() {
+    for others in 0..1_000 {
+        assert!(period(others) * 2 < LIVING, "{others} others");
+    }
+    assert_eq!(period(2), period(1) * 2);
+}
