Look up what became of an old order only where there is a version to choose

Change: an order that was there at the start is left until endpoints of several versions of its service may be used; then the status is read. The controller looks again when the list of endpoints changes, and every two seconds when the status could not be read; before, such an order was taken up at the operators' next change only. Ruled out: taking the end from a neighbour, which after a start of all VMs nobody knows.

--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -129,6 +129,13 @@
         self.find(pool).ok().map(|place| &mut self.newest[place])
     }
 
+    /// Whether endpoints of several versions of a service may be used, so that there is one to choose.
+    #[must_use]
+    pub fn mixed(&self, pool: &id::Pool) -> bool {
+        let present = self.present(pool);
+        present.is_some_and(|present| present.versions.len() > 1)
+    }
+
     /// Whether an order was taken.
     #[must_use]
     pub fn knows(&self, order: &Order) -> bool {
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -38,6 +38,7 @@
 use crate::follow::Told;
 use crate::node::Node;
 use crate::operators::Order;
+use crate::pools;
 use crate::topic::Error;
 use crate::topic::Log;
 use crate::topic::Record;
@@ -87,6 +88,17 @@
     }
 }
 
+/// What orders wait for that were not taken yet.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pending {
+    /// None waits.
+    Nothing,
+    /// That there are several versions to choose from.
+    Choice,
+    /// That the status can be read.
+    Status,
+}
+
 /// State of the controller between ticks.
 struct Controller<P, L> {
     node: Node<P, L>,
@@ -119,15 +131,21 @@
 impl<P: Border + Codec, L: Log> Controller<P, L> {
     async fn run(mut self) {
         let mut changes = self.node.operators.changes();
+        let mut endpoints = self.node.directory.changes();
         loop {
-            self.take_orders().await;
+            let pending = self.take_orders().await;
             let running = self.node.rollouts(|r| r.running());
             if running.is_empty() {
                 if self.node.reads() {
                     self.say().await;
                 }
                 self.rest();
-                if changes.changed().await.is_err() {
+                let woken = tokio::select! {
+                    woken = changes.changed() => woken,
+                    woken = endpoints.changed(), if pending == Pending::Choice => woken,
+                    () = tokio::time::sleep(SAY), if pending == Pending::Status => Ok(()),
+                };
+                if woken.is_err() {
                     return;
                 }
                 continue;
@@ -149,23 +167,36 @@
         }
     }
 
-    /// Takes orders that are new here. One that was given before this process began may be carried
-    /// through already, which only the status tells.
-    async fn take_orders(&mut self) {
+    /// Takes orders that are new here; what those wait for that were left for later.
+    ///
+    /// One that was given before this process began may be carried through already, which only the
+    /// status tells. As long as there is one version only it makes no difference: VMs that start
+    /// together would all ask the log for nothing.
+    async fn take_orders(&mut self) -> Pending {
         let orders: Vec<Order> = self.node.operators.view(|view| view.orders().to_vec());
         let known = |order: &Order| self.node.rollouts(|r| r.knows(order));
         let new: Vec<Order> = orders.into_iter().filter(|order| !known(order)).collect();
         let now = boot::now();
+        if new.iter().any(|order| order.first) {
+            // The pools may not have seen yet which versions there are.
+            pools::refresh(&self.node);
+        }
+        let mut pending = Pending::Nothing;
         for order in new {
+            let pool = &order.rollout.pool;
+            if order.first && !self.node.rollouts(|r| r.mixed(pool)) {
+                pending = Pending::Choice;
+                continue;
+            }
             let ended = if order.first {
                 let Some((statuses, _)) = self.statuses().await else {
-                    return;
+                    return Pending::Status;
                 };
                 ended(&statuses, &order, Offset::default())
             } else {
                 if self.node.reads() {
                     let Some((_, end)) = self.statuses().await else {
-                        return;
+                        return Pending::Status;
                     };
                     self.since.push((order.offset, end));
                 }
@@ -173,6 +204,7 @@
             };
             self.node.rollouts(|r| r.order(order, ended, now));
         }
+        pending
     }
 
     fn follow(&mut self) {
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -286,3 +286,14 @@
     let late = ordered() + LASTS.saturating_sub(Duration::from_secs(1));
     assert_eq!(vm.step(&pool(), true, Hearing::Zone, late), done);
 }
+
+// Guards against VMs that start together and all ask what became of an order that leaves them no choice.
+#[test]
+fn an_order_matters_once_there_are_several_versions() {
+    let mut vm = vm();
+    assert!(!vm.mixed(&pool()));
+    vm.see(&pool(), vec![(old(), 4), (new(), 1)]);
+    assert!(vm.mixed(&pool()));
+    vm.see(&pool(), vec![(new(), 4)]);
+    assert!(!vm.mixed(&pool()));
+}
