Break off no stream at a pause that may not be sent again

Cause: a stream that is silent for longer than its route's pause is taken up elsewhere, if the budget and the route allow it. Whether the request itself may still be sent was looked at only after the call had been given up: with its key revoked meanwhile it was refused there, and the caller got half an answer. Change: before a silent call is given up, its key, route and service are checked as before each send; if they no longer allow it, the stream is waited for where it is. Ruled out: sending it again under the key of before, which a revoked key must not do; longer pauses, which keep streams of dead endpoints waiting. Test: a_pause_ends_no_stream_whose_key_was_revoked_meanwhile failed first (one event of four). Conclusion: an admitted stream ends by itself, or by its caller.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -228,12 +228,12 @@
         self.count()
     }
 
-    /// Whether the endpoint may still be sent the request.
+    /// Whether the request may still be sent.
     ///
     /// # Errors
     ///
     /// A [`Refusal`] if its key, its route or its service no longer allow it.
-    fn check(&self, permit: &Permit) -> Result<bool, Refusal> {
+    pub fn allowed(&self) -> Result<(), Refusal> {
         let request = self.request;
         let grant = admit::still(self.node, &request.ask, request.path());
         let grant = grant.map_err(|refusal| self.refuse(refusal))?;
@@ -242,6 +242,16 @@
             let refusal = Refusal::new(Cause::NoEndpoint).after(AGAIN);
             return Err(self.refuse(refusal));
         }
+        Ok(())
+    }
+
+    /// Whether the endpoint may still be sent the request.
+    ///
+    /// # Errors
+    ///
+    /// As [`allowed`](Self::allowed).
+    fn check(&self, permit: &Permit) -> Result<bool, Refusal> {
+        self.allowed()?;
         Ok(self.node.usable(permit.endpoint()))
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -413,7 +413,7 @@
     /// Whether the stream may go on at another endpoint. One that may not is waited for: a pause is late,
     /// but an answer that is broken off at it is lost.
     fn elsewhere(&self) -> bool {
-        self.attempts.again() && self.attempts.affords()
+        self.attempts.again() && self.attempts.affords() && self.attempts.allowed().is_ok()
     }
 
     /// Whether an event is the next one. One that was passed on already is left out.
