Take a refusal of the log as meant where another VM reads

Change: a VM that another one reads for pauses 1.2 s at least after a read that was refused; after one without an answer it still asks again at once, since an answer may be lost once. Ruled out: waiting for a turn as soon as several are refused, which broke DRAIN; a longer trust, which the bound does not allow. Test: a_vm_that_another_one_reads_for_takes_a_refusal_as_meant failed first (two calls in half a second).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -36,6 +36,7 @@
 pub use self::fold::Touch;
 use self::pace::AT_ONCE;
 pub use self::pace::Gait;
+use self::pace::LED_PAUSE;
 pub use self::pace::Lead;
 pub use self::pace::Pace;
 use self::pace::SUCCESSION;
@@ -50,6 +51,7 @@
 use crate::topic::Log;
 use crate::topic::Record;
 use crate::topic::Topic;
+use crate::zone;
 use crate::zone::Stamp;
 use crate::zone::Zone;
 
@@ -297,6 +299,10 @@
                     if blind {
                         continue;
                     }
+                    if role == Lead::Led && failure.kind == zone::Failure::Refused {
+                        // An answer may be lost once; a refusal is meant.
+                        pause = pause.max(LED_PAUSE);
+                    }
                     let share = rand::random_range(0.5..=1.0);
                     tokio::select! {
                         () = self.rest(role, pause.mul_f64(share)) => {}
--- a/crates/relay/src/follow/pace.rs
+++ b/crates/relay/src/follow/pace.rs
@@ -49,7 +49,7 @@
 
 /// The same for a VM that another one reads for, which tells it as soon as the log is back. All calls
 /// are paid for, also those that are refused.
-const LED_PAUSE: Duration = Duration::from_millis(1_200);
+pub const LED_PAUSE: Duration = Duration::from_millis(1_200);
 
 /// VMs of a zone up to which that pause stands. In larger zones it grows with their number, up to four
 /// times, so that all of them together ask no more often: the first that is answered vouches for the
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -563,3 +563,24 @@
     assert_eq!(own.keys().len(), 800);
     assert_eq!(own.log.calls(), calls);
 }
+
+// Guards against a log that is out being asked over and over by each VM whose trust has just run out.
+#[tokio::test]
+async fn a_vm_that_another_one_reads_for_takes_a_refusal_as_meant() {
+    let pace = Pace {
+        trust: Duration::from_millis(50),
+        ..PACE
+    };
+    let fixture = Fixture::with(pace);
+    fixture
+        .until("a proof", |f| f.follower.proven().is_some())
+        .await;
+    fixture.log.set(Mood::Down);
+    tokio::time::sleep(QUICK.wait * 2).await;
+    fixture.zone.lead.send_replace(Lead::Led);
+    tokio::time::sleep(QUICK.wait * 2).await;
+    let calls = fixture.log.calls();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let asked = fixture.log.calls() - calls;
+    assert!(asked <= 1, "{asked} calls");
+}
