Look at the engines that a datagram names, and find seats in one pass

Cause: each datagram of a VM of the zone looked at every engine, to note that it takes no time for that VM; each change of the list of endpoints looked for every endpoint among all others. Change: a VM remembers which engines another one named, and looks at these and at those named now; the seats of a pool, both lists being sorted, are found in one pass; keys that vanished with the log's history by a search. Ruled out: telling waits less often, which makes prompts meet each other.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -235,9 +235,13 @@
         self.remove(ticket, now);
     }
 
-    /// A peer says how long the engine takes for its calls.
+    /// A peer says how long the engine takes for its calls; one that takes no time has none there.
     pub fn hear(&mut self, node: u64, wait: Duration, now: Moment) {
         self.peers.retain(|peer| now.since(peer.at) < FORGOTTEN);
+        if wait.is_zero() {
+            self.peers.retain(|peer| peer.node != node);
+            return;
+        }
         let peer = Peer {
             node,
             wait,
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -219,12 +219,12 @@
     /// Drops the keys that a reading of the newest records no longer has.
     pub fn drop_missing(&mut self, batch: &Batch, now: Moment) -> bool {
         let before = batch.end;
+        let mut there: Vec<&CompactString> = batch.records.iter().map(|r| &r.key).collect();
+        there.sort_unstable();
         let gone: Vec<CompactString> = self
             .seen
             .iter()
-            .filter(|(key, offset)| {
-                *offset < before && !batch.records.iter().any(|record| record.key == *key)
-            })
+            .filter(|(key, offset)| *offset < before && there.binary_search(&key).is_err())
             .map(|(key, _)| key.clone())
             .collect();
         let mut changed = false;
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -52,6 +52,8 @@
     placing: engine::Config,
     paces: engine::Paces,
     tickets: engine::Ticket,
+    /// Engines that each other VM named when it was last heard, sorted by VM.
+    named: Vec<(u64, Vec<u64>)>,
     /// Prompts that engines read since they were last told to other VMs.
     read: Vec<(u64, Prompt)>,
     turn: usize,
@@ -67,6 +69,7 @@
             placing: engine::Config::default(),
             paces: engine::Paces::default(),
             tickets: 0,
+            named: Vec::new(),
             read: Vec::new(),
             turn: 0,
         }
@@ -79,13 +82,15 @@
         // One that is leaving serves nobody, and must not count as one that is left.
         let usable = members.iter().filter(|member| member.usable);
         self.health.retain(usable.map(|m| m.endpoint.clone()));
-        let mut former = std::mem::take(&mut self.seats);
+        // Both are sorted, so that one pass over them finds each endpoint's seat.
+        let former = std::mem::take(&mut self.seats);
+        let mut former = former.into_iter().peekable();
         for member in members {
-            let known = former
-                .iter()
-                .position(|s| s.member.endpoint == member.endpoint);
-            let seat = match known {
-                Some(place) => refresh(former.swap_remove(place), member),
+            let before = |seat: &Seat| seat.member.endpoint < member.endpoint;
+            while former.next_if(before).is_some() {}
+            let same = |seat: &Seat| seat.member.endpoint == member.endpoint;
+            let seat = match former.next_if(same) {
+                Some(known) => refresh(known, member),
                 None => seat(member),
             };
             self.seats.push(seat);
--- a/crates/scheduler/src/inner/placing.rs
+++ b/crates/scheduler/src/inner/placing.rs
@@ -131,13 +131,23 @@
         self.paces.seed(paces.iter().copied());
     }
 
+    /// Another VM says how long engines take for its calls; all that it does not name take none. Of
+    /// thousands of engines it names a few, so that only these and those it named before are looked at.
     pub fn hear(&mut self, node: u64, waits: &[(u64, Duration)], now: Moment) {
-        for seat in &mut self.seats {
-            let Some(engine) = seat.engine.as_mut() else {
-                continue;
-            };
-            let said = waits.iter().find(|(key, _)| *key == seat.key);
-            engine.hear(node, said.map_or(Duration::ZERO, |(_, wait)| *wait), now);
+        let known = self.named.binary_search_by_key(&node, |(node, _)| *node);
+        let before = known.map_or_else(|_| Vec::new(), |place| self.named[place].1.clone());
+        let named: Vec<u64> = waits.iter().map(|(key, _)| *key).collect();
+        let dropped = before.iter().filter(|key| !named.contains(key));
+        let dropped = dropped.map(|key| (*key, Duration::ZERO));
+        for (key, wait) in waits.iter().copied().chain(dropped) {
+            let seat = self.seats.iter_mut().find(|seat| seat.key == key);
+            if let Some(engine) = seat.and_then(|seat| seat.engine.as_mut()) {
+                engine.hear(node, wait, now);
+            }
+        }
+        match known {
+            Ok(place) => self.named[place].1 = named,
+            Err(place) => self.named.insert(place, (node, named)),
         }
     }
 
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -239,3 +239,44 @@
     }
     panic!("200 calls at once, and all at one endpoint");
 }
+
+// Guards against an engine that seems busy with the calls of another VM for as long as these would have
+// taken, though that VM no longer names it.
+#[tokio::test]
+async fn an_engine_that_another_vm_no_longer_names_takes_no_time_for_it() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"llm".parse().unwrap());
+    pool.update(vec![engine(Some(MEMORY))]);
+    let key = pimento_policy::choice::key("i-1");
+    let wait = || pool.estimate(&job()).unwrap().wait;
+    let busy = Duration::from_secs(20);
+    pool.hear(1, &[(key, busy)]);
+    pool.hear(2, &[(key, busy)]);
+    assert!(wait() > busy, "{:?}", wait());
+    pool.hear(1, &[]);
+    assert!(wait() <= busy && !wait().is_zero(), "{:?}", wait());
+    pool.hear(2, &[]);
+    assert_eq!(wait(), Duration::ZERO);
+}
+
+// Guards against endpoints that lose what is known of them when others come and go around them.
+#[tokio::test]
+async fn an_engine_keeps_what_is_known_of_it_when_others_come_and_go() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"llm".parse().unwrap());
+    let member = |name: &str| Member {
+        endpoint: name.parse().unwrap(),
+        ..engine(Some(MEMORY))
+    };
+    pool.update(vec![member("i-5"), member("i-3"), member("i-1")]);
+    let key = pimento_policy::choice::key("i-3");
+    let busy = Duration::from_secs(20);
+    pool.hear(1, &[(key, busy)]);
+    for others in [["i-0", "i-4"], ["i-2", "i-9"], ["i-1", "i-5"]] {
+        let mut members: Vec<Member> = others.map(member).into();
+        members.push(member("i-3"));
+        pool.update(members);
+    }
+    pool.update(vec![member("i-3")]);
+    assert!(pool.estimate(&job()).unwrap().wait > Duration::from_secs(10));
+}
