Let the first VM of a zone by name read the log at once when it starts

Cause: VMs that all start at once wait 60 ms for one that has read the log already; when all have lost their power there is none. Change: the first by name of those that the log names reads without waiting, as it will read for the others in any case; they hear of it when it has. Ruled out: a shorter wait for all, which single restarts would pay for with readings of their own.

--- a/crates/relay/src/neighbours/meet.rs
+++ b/crates/relay/src/neighbours/meet.rs
@@ -67,16 +67,20 @@
     /// Lets the VMs of the zone know that this one starts, and settles which of them it asks for what it
     /// lacks: one that has read the log already answers at once.
     async fn introduce(&self) {
-        for peer in self.peers() {
+        let peers = self.peers();
+        for peer in &peers {
             let nothing = News::default();
             self.send(peer.address, Some(peer.key), &nothing).await;
         }
+        // The first by name reads for the others in any case, and they wait for it.
+        let own = &self.node.config.node;
+        let first = peers.first().is_none_or(|peer| *own < peer.node);
         let able = async {
             while !self.is_led_by_able() {
                 self.heard.notified().await;
             }
         };
-        if tokio::time::timeout(GREETING, able).await.is_err() {
+        if !first && tokio::time::timeout(GREETING, able).await.is_err() {
             log::info!("neighbours: No VM of the zone has read the log yet.");
         }
         self.settle();
