Split the tests of following a topic by what the log does

Change: tests of a zone that the log turns away stand in tests/all/turns.rs with one set-up; bounds are made in the fixture.

--- a/crates/relay/tests/all/fixture.rs
+++ b/crates/relay/tests/all/fixture.rs
@@ -4,6 +4,9 @@
 
 use compact_str::CompactString;
 use pimento_relay::calls::Calls;
+use pimento_relay::config::Bounds;
+use pimento_relay::config::Exposure;
+use pimento_relay::config::Retry;
 use pimento_relay::follow::Fold;
 use pimento_relay::follow::Follower;
 use pimento_relay::follow::Gait;
@@ -49,6 +52,27 @@
     }
 }
 
+/// Bounds with these milliseconds for leaving endpoints, changes and revoked keys.
+pub fn bounds(leaving: u64, apply: u64, revoke: Option<u64>) -> Bounds {
+    Bounds {
+        leaving: Duration::from_millis(leaving),
+        apply: Duration::from_millis(apply),
+        revoke: revoke.map(Duration::from_millis),
+        grace: Duration::from_secs(8),
+        retry: Retry {
+            share: 0.9,
+            extra: 52,
+            window: Duration::from_secs(10),
+        },
+        exposure: Exposure {
+            share: 0.15,
+            slack: 30,
+            rollback: Duration::from_secs(5),
+        },
+        session: Duration::from_secs(5),
+    }
+}
+
 pub struct Fixture {
     pub log: Memory,
     pub calls: Calls,
--- a/crates/relay/tests/all/follow.rs
+++ b/crates/relay/tests/all/follow.rs
@@ -9,11 +9,7 @@
 use pimento_relay::follow::Part;
 use pimento_relay::follow::Proof;
 use pimento_relay::topic::Record;
-use pimento_relay::zone::Failure;
-use pimento_relay::zone::Reach;
 use pimento_relay::zone::Stamp;
-use pimento_relay::zone::State;
-use pimento_relay::zone::Zone;
 use pimento_units::Moment;
 use pimento_units::Offset;
 
@@ -386,77 +382,6 @@
     fixture.until("a", |f| f.keys() == ["a"]).await;
 }
 
-// Guards against all VMs of a zone asking a log that is out: each asked at once when its trust was used
-// up, and again after short pauses.
-#[tokio::test]
-async fn a_vm_of_a_zone_that_is_turned_away_waits_for_its_turn() {
-    let pace = Pace {
-        trust: Duration::from_millis(50),
-        ..PACE
-    };
-    let fixture = Fixture::with(pace);
-    let next = fixture.log.put("a", Some("1"));
-    fixture.until("a", |f| f.keys() == ["a"]).await;
-    for node in 0..60 {
-        let at = Moment::ZERO;
-        fixture.zone.heard(Stamp { node, at });
-    }
-    fixture.zone.set_state(State {
-        blind: true,
-        doubtful: true,
-    });
-    fixture.zone.lead.send_replace(Lead::Led);
-    fixture.log.set(Mood::Down);
-    let calls = fixture.log.calls();
-    tokio::time::sleep(Duration::from_secs(2)).await;
-    // Sixty VMs that take turns: this one asks once in a dozen seconds.
-    let asked = fixture.log.calls() - calls;
-    assert!(asked <= 3, "{asked} calls");
-    // The one that goes on trying tells that the log is back, which ends the waiting.
-    fixture.log.set(Mood::Well);
-    let stamp = boot::now();
-    fixture.follower.vouch(Proof {
-        changed: next,
-        stamp,
-    });
-    assert_eq!(fixture.follower.proven(), Some(stamp));
-}
-
-// Guards against a zone whose VMs succeed each other at a log that is out as fast as it says no.
-#[tokio::test]
-async fn a_successor_hesitates_when_several_were_turned_away() {
-    let fixture = Fixture::new();
-    fixture.led().await;
-    fixture.zone.set_state(State {
-        blind: false,
-        doubtful: true,
-    });
-    let calls = fixture.log.calls();
-    fixture.zone.lead.send_replace(Lead::Leading);
-    tokio::time::sleep(Duration::from_millis(150)).await;
-    assert_eq!(fixture.log.calls(), calls);
-    fixture
-        .until("it reads all the same", |f| f.log.calls() > calls)
-        .await;
-}
-
-// Guards against a single lost answer moving the reading of the log from VM to VM.
-#[test]
-fn one_lost_answer_is_no_outage_and_a_refusal_is() {
-    let now = boot::now();
-    let zone = Zone::default();
-    zone.failed(Failure::Unanswered, now);
-    assert_eq!(zone.reach(now), Reach::Answered);
-    zone.failed(Failure::Unanswered, now);
-    assert_eq!(zone.reach(now), Reach::Out);
-    zone.answered();
-    assert_eq!(zone.reach(now), Reach::Answered);
-    zone.failed(Failure::Refused, now);
-    assert_eq!(zone.reach(now), Reach::Out);
-    // It stays in doubt until a read is answered.
-    assert_eq!(zone.reach(now + PATIENCE), Reach::Untested);
-}
-
 #[tokio::test]
 async fn calls_are_counted_by_reason() {
     let fixture = Fixture::new();
@@ -479,41 +404,6 @@
     assert_eq!(calls(Reason::Unproven), 0);
 }
 
-// Guards against leaving endpoints that get requests past the bound: a VM that waited for its turn at a
-// log that turned others away did not hear that its reader knew more.
-#[tokio::test]
-async fn word_of_a_change_ends_the_waiting_for_a_turn() {
-    let pace = Pace {
-        trust: Duration::from_millis(50),
-        ..PACE
-    };
-    let fixture = Fixture::with(pace);
-    fixture
-        .until("a proof", |f| f.follower.proven().is_some())
-        .await;
-    for node in 0..60 {
-        let at = Moment::ZERO;
-        fixture.zone.heard(Stamp { node, at });
-    }
-    let state = State {
-        blind: true,
-        doubtful: true,
-    };
-    fixture.zone.set_state(state);
-    fixture.zone.lead.send_replace(Lead::Led);
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    let next = fixture.log.put("a", Some("1"));
-    fixture.zone.set_state(State::default());
-    fixture.follower.vouch(Proof {
-        changed: next,
-        stamp: boot::now(),
-    });
-    let begun = tokio::time::Instant::now();
-    fixture.until("a", |f| f.keys() == ["a"]).await;
-    // Its turn would come in twenty seconds at the latest, in ten on average.
-    assert!(begun.elapsed() < Duration::from_secs(1));
-}
-
 // Guards against a VM that reads the log for what it has just been handed: the proof that came before the
 // records counts once they are there.
 #[tokio::test]
@@ -563,24 +453,3 @@
     assert_eq!(own.keys().len(), 800);
     assert_eq!(own.log.calls(), calls);
 }
-
-// Guards against a log that is out being asked over and over by each VM whose trust has just run out.
-#[tokio::test]
-async fn a_vm_that_another_one_reads_for_takes_a_refusal_as_meant() {
-    let pace = Pace {
-        trust: Duration::from_millis(50),
-        ..PACE
-    };
-    let fixture = Fixture::with(pace);
-    fixture
-        .until("a proof", |f| f.follower.proven().is_some())
-        .await;
-    fixture.log.set(Mood::Down);
-    tokio::time::sleep(QUICK.wait * 2).await;
-    fixture.zone.lead.send_replace(Lead::Led);
-    tokio::time::sleep(QUICK.wait * 2).await;
-    let calls = fixture.log.calls();
-    tokio::time::sleep(Duration::from_millis(500)).await;
-    let asked = fixture.log.calls() - calls;
-    assert!(asked <= 1, "{asked} calls");
-}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -10,3 +10,4 @@
 mod peers;
 mod rollouts;
 mod snapshot;
+mod turns;
--- a/crates/relay/tests/all/model.rs
+++ b/crates/relay/tests/all/model.rs
@@ -7,9 +7,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use pimento_relay::config::Bounds;
-use pimento_relay::config::Exposure;
-use pimento_relay::config::Retry;
 use pimento_relay::follow::Lead;
 use pimento_relay::follow::Pace;
 use pimento_relay::neighbours::peers::Peer;
@@ -23,6 +20,8 @@
 use pimento_units::Moment;
 use pimento_units::id;
 
+use crate::fixture::bounds;
+
 const STEP: Duration = Duration::from_millis(20);
 
 /// How long an answer of the log takes, and how long a read without one is waited for.
@@ -100,26 +99,6 @@
     mutant: Mutant,
 }
 
-fn bounds(leaving: Duration) -> Bounds {
-    Bounds {
-        leaving,
-        apply: leaving,
-        revoke: Some(Duration::from_secs(5)),
-        grace: Duration::from_secs(8),
-        retry: Retry {
-            share: 0.9,
-            extra: 52,
-            window: Duration::from_secs(10),
-        },
-        exposure: Exposure {
-            share: 0.15,
-            slack: 30,
-            rollback: Duration::from_secs(5),
-        },
-        session: Duration::from_secs(5),
-    }
-}
-
 fn zone() -> id::Zone {
     "a".parse().unwrap()
 }
@@ -136,6 +115,7 @@
 impl Model {
     fn new(count: usize, bound: Duration, mutant: Mutant) -> Self {
         let start = Moment::ZERO + Duration::from_secs(100);
+        let millis = u64::try_from(bound.as_millis()).unwrap();
         let vm = |place| Vm {
             name: name(place),
             peers: Peers::default(),
@@ -155,7 +135,9 @@
         };
         Self {
             now: start,
-            pace: Paces::try_from(&bounds(bound)).unwrap().endpoints,
+            pace: Paces::try_from(&bounds(millis, millis, Some(5_000)))
+                .unwrap()
+                .endpoints,
             bound,
             vms: (0..count).map(vm).collect(),
             words: Vec::new(),
--- a/crates/relay/tests/all/paces.rs
+++ b/crates/relay/tests/all/paces.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use pimento_relay::config::Bounds;
-use pimento_relay::config::Exposure;
-use pimento_relay::config::Retry;
 use pimento_relay::paces::Error;
 use pimento_relay::paces::Paces;
 
+use crate::fixture::bounds;
+
 /// Pause before a read that got no answer is made again.
 const RETRY: Duration = Duration::from_millis(50);
 
@@ -17,26 +17,6 @@
 /// The share of the bound on revoked keys at which a VM calls itself unready.
 const READY: f64 = 0.6;
 
-fn bounds(leaving: u64, apply: u64, revoke: Option<u64>) -> Bounds {
-    Bounds {
-        leaving: Duration::from_millis(leaving),
-        apply: Duration::from_millis(apply),
-        revoke: revoke.map(Duration::from_millis),
-        grace: Duration::from_secs(8),
-        retry: Retry {
-            share: 0.9,
-            extra: 52,
-            window: Duration::from_secs(10),
-        },
-        exposure: Exposure {
-            share: 0.15,
-            slack: 30,
-            rollback: Duration::from_secs(5),
-        },
-        session: Duration::from_secs(5),
-    }
-}
-
 /// Bounds from the shortest that can be held to some that are long.
 fn grid() -> Vec<Bounds> {
     let mut grid = Vec::new();
