--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -300,7 +300,7 @@
                         continue;
                     }
                     if role == Lead::Led && failure.kind == zone::Failure::Refused {
-                        // An answer may be lost once; a refusal is meant.
+                        // A lost answer is often a single event, a refusal is not.
                         pause = pause.max(LED_PAUSE);
                     }
                     let share = rand::random_range(0.5..=1.0);
--- a/crates/relay/src/paces.rs
+++ b/crates/relay/src/paces.rs
@@ -27,12 +27,12 @@
 /// Pause before a read that got no answer is made again.
 const RETRY: Duration = Duration::from_millis(50);
 
-/// What part of the bound on revoked keys a VM may need to know of a change: half of it is for proofs
-/// that come from other VMs, which are older.
+/// What part of the bound on revoked keys a VM may take to know of a change: the rest is for proofs that
+/// come from other VMs, which are older, and for calling itself unready before it must refuse.
 const REVOKED: f64 = 0.4;
 
 /// Parts of the bound on leaving endpoints: how old a proof may be, and the pauses between reads for the
-/// zone and alone. Three proofs in a row may be lost before one is too old.
+/// zone and alone. A proof may be lost before the last one is too old.
 const LEAVING_TRUST: f64 = 0.75;
 const LEAVING_LEADING: f64 = 0.25;
 const LEAVING_ALONE: f64 = 0.45;
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -43,11 +43,11 @@
 /// Whether own reads are answered.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
-    /// As far as is known.
+    /// They are, or none was made yet.
     Answered,
-    /// Not a while ago, and none was made since.
+    /// The last ones were not, some time ago; none was made since.
     Untested,
-    /// Not now.
+    /// The last ones were not, just now.
     Out,
 }
 
