Drop what a neighbour's view lacks when it takes the place of an own one

Taking it applied what the view holds and left what it lacks: endpoints whose ends were in the forgotten history stayed in use. Reading the newest of each key from the log did drop them; the same steps stood twice, once without this one. Change: both ways go through View::replace; records that follow through View::extend. Ruled out: dropping in adopt alone, which keeps the steps twice. Test: a_view_that_takes_anothers_place_drops_what_that_lacks failed first (the endpoint that was gone was still there). Conclusion: a view that is replaced is replaced whole, whoever it comes from.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -43,7 +43,7 @@
 pub use self::pace::longest_pause;
 pub use self::pace::patience;
 pub use self::view::Part;
-use self::view::View;
+pub use self::view::View;
 use crate::boot;
 use crate::calls::Calls;
 use crate::calls::Reason;
@@ -396,23 +396,12 @@
     fn take(&self, batch: &Batch, sent: Moment, stamps: Vec<Stamp>) -> bool {
         let now = boot::now();
         let mut inner = self.lock();
-        let mut changed = false;
-        let snapshot = inner.next.is_none();
         self.regain(&mut inner, now);
-        for record in &batch.records {
-            changed |= inner.apply(record, now);
-        }
-        if snapshot {
-            changed |= inner.drop_missing(batch, now);
-            inner.recent.reset(batch.end);
-        }
-        let last = batch.records.last().map(|record| record.offset.next());
-        let reached = if snapshot {
-            batch.end
+        let changed = if inner.next.is_none() {
+            inner.replace(&batch.records, batch.end, now)
         } else {
-            last.unwrap_or(batch.end)
+            inner.extend(batch, now)
         };
-        inner.reach(reached);
         let whole = inner.next >= Some(batch.end);
         if whole && inner.refute(sent) {
             let topic = self.topic.as_str();
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -131,14 +131,33 @@
 
     /// Takes another VM's view whole, which is proven as of a moment of the own clock.
     pub fn adopt(&mut self, snapshot: &Snapshot, proven: Option<Moment>, now: Moment) {
-        for record in &snapshot.records {
-            self.apply(record, now);
-        }
-        self.recent.reset(snapshot.to);
-        self.reach(snapshot.to);
+        self.replace(&snapshot.records, snapshot.to, now);
         self.proven = self.proven.max(proven);
     }
 
+    /// Takes the records that follow those which the view holds; whether it changed.
+    pub fn extend(&mut self, batch: &Batch, now: Moment) -> bool {
+        let mut changed = false;
+        for record in &batch.records {
+            changed |= self.apply(record, now);
+        }
+        let last = batch.records.last().map(|record| record.offset.next());
+        self.reach(last.unwrap_or(batch.end));
+        changed
+    }
+
+    /// Takes the newest of all keys, up to an offset, in place of what the view holds; whether it changed.
+    pub fn replace(&mut self, newest: &[Record], end: Offset, now: Moment) -> bool {
+        let mut changed = false;
+        for record in newest {
+            changed |= self.apply(record, now);
+        }
+        changed |= self.drop_missing(newest, end, now);
+        self.recent.reset(end);
+        self.reach(end);
+        changed
+    }
+
     /// Takes a part once the view holds all before it; whether the view changed. Datagrams overtake each
     /// other within milliseconds. Without keeping those that came early, each VM of a zone read the log
     /// for itself when some dozen endpoints registered at once.
@@ -217,9 +236,8 @@
     }
 
     /// Drops the keys that a reading of the newest records no longer has.
-    pub fn drop_missing(&mut self, batch: &Batch, now: Moment) -> bool {
-        let before = batch.end;
-        let mut there: Vec<&CompactString> = batch.records.iter().map(|r| &r.key).collect();
+    fn drop_missing(&mut self, newest: &[Record], before: Offset, now: Moment) -> bool {
+        let mut there: Vec<&CompactString> = newest.iter().map(|r| &r.key).collect();
         there.sort_unstable();
         let gone: Vec<CompactString> = self
             .seen
--- a/crates/relay/tests/all/snapshot.rs
+++ b/crates/relay/tests/all/snapshot.rs
@@ -4,13 +4,17 @@
 
 use bytes::Bytes;
 use pimento_relay::boot;
+use pimento_relay::follow::View;
 use pimento_relay::passage::Passage;
 use pimento_relay::passage::Shared;
 use pimento_relay::snapshot;
 use pimento_relay::snapshot::Error;
+use pimento_relay::snapshot::Snapshot;
+use pimento_relay::topic::Record;
 use pimento_units::Moment;
 use pimento_units::Offset;
 
+use crate::fixture::All;
 use crate::fixture::Fixture;
 use crate::log::Mood;
 
@@ -117,6 +121,33 @@
     assert_eq!((keys, one.age), (vec!["a"], Duration::ZERO));
 }
 
+// Guards against endpoints that stay in use though they are gone: their ends were in history that the log
+// forgot, and a neighbour's view, which lacks them, took its place.
+#[test]
+fn a_view_that_takes_anothers_place_drops_what_that_lacks() {
+    let mut view = View::new(All::default());
+    let record = |offset, key: &str| Record {
+        offset: Offset(offset),
+        key: key.into(),
+        value: Some(Bytes::from("1")),
+    };
+    let now = boot::now();
+    for record in [record(0, "gone"), record(1, "stays")] {
+        view.apply(&record, now);
+    }
+    view.next = None;
+    let snapshot = Snapshot {
+        records: vec![record(1, "stays"), record(7, "new")],
+        to: Offset(9),
+        age: Duration::ZERO,
+    };
+    view.adopt(&snapshot, Some(now), now);
+    let keys: Vec<&str> = view.newest.iter().map(|r| r.key.as_str()).collect();
+    assert_eq!(keys, ["new", "stays"]);
+    assert_eq!(view.next, Some(Offset(9)));
+    assert_eq!(view.proven, Some(now));
+}
+
 // Guards against an old view being taken for a young one while the log is out, and against asking a log
 // that is out once for each VM that starts.
 #[tokio::test]
