Find the role, topics by name and an own word in one place each

Change: Neighbours::role, Shared::named, settings compared directly, one end of Recent::push, the row of a VM taken out and put back only if it names engines. Ruled out: one value for lead, reader and state of a zone, which is a larger step; counting the versions in the directory, which would move a test. Observed: tests of relay, scheduler and adapter pass, none changed; no decision is another. Conclusion: less code for the same.

--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -36,6 +36,7 @@
 use self::news::News;
 use self::peers::Peer;
 use self::peers::Peers;
+use self::peers::Role;
 use self::peers::Standing;
 use crate::boot;
 use crate::border::Border;
@@ -148,12 +149,16 @@
 
     /// Whether another VM reads the log for this one, and has read it.
     fn is_led_by_able(&self) -> bool {
+        let role = self.role();
+        !role.state.blind && role.lead == Lead::Led
+    }
+
+    /// Who reads the log for whom, by what is known now.
+    fn role(&self) -> Role {
         let config = &self.node.config;
-        let now = boot::now();
         let standing = self.standing();
         let peers = &self.lock().peers;
-        let role = peers.role(&config.node, &config.zone, standing, now);
-        !role.state.blind && role.lead == Lead::Led
+        peers.role(&config.node, &config.zone, standing, boot::now())
     }
 
     async fn listen(&self) {
@@ -178,12 +183,15 @@
     /// Takes a datagram, and answers that of a VM which starts if this one reads the log: the other one
     /// waits to know whom it can ask.
     async fn answer(&self, message: Message, from: SocketAddr) {
-        let starts = message.standing == Standing::Starting;
         let near = message.zone == self.node.config.zone;
-        let teller = choice::key(message.node.as_str());
+        let starts = near && message.standing == Standing::Starting;
+        let teller = starts.then(|| choice::key(message.node.as_str()));
         self.take(message, from);
         let reads = *self.zone.lead.borrow() != Lead::Led;
-        if starts && near && reads && self.standing() == Standing::Able {
+        if let Some(teller) = teller
+            && reads
+            && self.standing() == Standing::Able
+        {
             self.send(from, Some(teller), &News::default()).await;
         }
     }
@@ -287,12 +295,7 @@
 
     /// Settles who reads the log for whom.
     fn settle(&self) {
-        let config = &self.node.config;
-        let standing = self.standing();
-        let inner = self.lock();
-        let peers = &inner.peers;
-        let role = peers.role(&config.node, &config.zone, standing, boot::now());
-        drop(inner);
+        let role = self.role();
         self.zone.read_by(role.reader);
         self.zone.set_state(role.state);
         let lead = role.lead;
--- a/crates/relay/src/neighbours/meet.rs
+++ b/crates/relay/src/neighbours/meet.rs
@@ -112,9 +112,9 @@
 
     /// Whether a word is this VM's own and still true. What a former life said of roll-outs is not.
     fn is_own(&self, node: &id::Node, word: &Word) -> bool {
-        let own = self.node.word();
-        let place = (&word.zone, word.address) == (&own.zone, own.address);
-        *node == self.node.config.node && place && word.rollouts.is_empty()
+        let config = &self.node.config;
+        let place = word.zone == config.zone && word.address == config.peer_listen;
+        *node == config.node && place && word.rollouts.is_empty()
     }
 
     fn meet_one(&self, node: id::Node, word: Word) {
--- a/crates/relay/src/neighbours/records.rs
+++ b/crates/relay/src/neighbours/records.rs
@@ -26,12 +26,11 @@
 use crate::snapshot::Snapshot;
 use crate::topic::Log;
 use crate::topic::Record;
-use crate::topic::Topic;
 
 /// A passage that was packed, for the VMs that ask for it next: those of a zone lack the same.
 #[derive(Debug, Clone)]
 struct Packed {
-    topic: Topic,
+    topic: Shared,
     from: Offset,
     to: Offset,
     bytes: Bytes,
@@ -72,19 +71,13 @@
 
 /// The topic whose view a path asks for.
 fn view(path: &str) -> Option<Shared> {
-    let topic = path.strip_prefix(snapshot::PATH)?;
-    [Shared::Operators, Shared::Endpoints]
-        .into_iter()
-        .find(|known| known.topic().as_str() == topic)
+    Shared::named(path.strip_prefix(snapshot::PATH)?)
 }
 
 /// What a path asks for.
-fn asked(path: &str) -> Option<(Topic, Offset)> {
+fn asked(path: &str) -> Option<(Shared, Offset)> {
     let (topic, from) = path.strip_prefix(PATH)?.split_once('/')?;
-    let topic = [Topic::Operators, Topic::Endpoints]
-        .into_iter()
-        .find(|known| known.as_str() == topic)?;
-    Some((topic, Offset(from.parse().ok()?)))
+    Some((Shared::named(topic)?, Offset(from.parse().ok()?)))
 }
 
 impl<P: Border + Codec, L: Log> Records<P, L> {
@@ -107,35 +100,27 @@
     }
 
     /// The records from an offset on, packed; none if one is missing here.
-    fn packed(&self, topic: Topic, from: Offset) -> Option<Bytes> {
-        let shared = Shared::try_from(topic).ok()?;
-        let (records, to) = match shared {
+    fn packed(&self, topic: Shared, from: Offset) -> Option<Bytes> {
+        let (records, to) = match topic {
             Shared::Operators => self.node.operators.all(from),
             Shared::Endpoints => self.node.directory.all(from),
         };
-        self.pack(shared, from, records?, to)
+        self.pack(topic, from, records?, to)
     }
 
     /// These records, packed.
-    fn pack(
-        &self,
-        shared: Shared,
-        from: Offset,
-        records: Vec<Record>,
-        to: Offset,
-    ) -> Option<Bytes> {
-        let topic = shared.topic();
+    fn pack(&self, topic: Shared, from: Offset, records: Vec<Record>, to: Offset) -> Option<Bytes> {
         let mut last = self.last.lock().unwrap_or_else(PoisonError::into_inner);
         let fits = |packed: &&Packed| (packed.topic, packed.from, packed.to) == (topic, from, to);
         if let Some(packed) = last.as_ref().filter(fits) {
             return Some(packed.bytes.clone());
         }
         let parts = vec![records];
-        let passage = Passage::list(shared, from, parts, to).pop()?;
+        let passage = Passage::list(topic, from, parts, to).pop()?;
         match passage.pack() {
             Ok(bytes) => {
                 log::info!(
-                    topic = topic.as_str(),
+                    topic = topic.topic().as_str(),
                     from = from.0,
                     bytes = bytes.len();
                     "neighbours: Records packed for the zone."
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -55,6 +55,14 @@
 }
 
 impl Shared {
+    /// The topic of this name; none if it is not read for others.
+    #[must_use]
+    pub fn named(name: &str) -> Option<Self> {
+        let all = [Self::Operators, Self::Endpoints];
+        all.into_iter()
+            .find(|shared| shared.topic().as_str() == name)
+    }
+
     /// The topic on the log.
     #[must_use]
     pub const fn topic(self) -> Topic {
--- a/crates/relay/src/recent.rs
+++ b/crates/relay/src/recent.rs
@@ -59,10 +59,7 @@
     pub fn push(&mut self, record: &Record) {
         if size(record) > LARGEST {
             self.forget_large(&record.key);
-            self.records.push_back(copy(record));
-            return;
-        }
-        if self.records.len() == KEPT
+        } else if self.records.len() == KEPT
             && let Some(oldest) = self.records.pop_front()
         {
             self.from = oldest.offset.next();
--- a/crates/scheduler/src/inner/placing.rs
+++ b/crates/scheduler/src/inner/placing.rs
@@ -134,9 +134,9 @@
     /// Another VM says how long engines take for its calls; all that it does not name take none. Of
     /// thousands of engines it names a few, so that only these and those it named before are looked at.
     pub fn hear(&mut self, node: u64, waits: &[(u64, Duration)], now: Moment) {
-        let known = self.named.binary_search_by_key(&node, |(node, _)| *node);
-        let before = known.map_or_else(|_| Vec::new(), |place| self.named[place].1.clone());
         let named: Vec<u64> = waits.iter().map(|(key, _)| *key).collect();
+        let known = self.named.binary_search_by_key(&node, |(node, _)| *node);
+        let before = known.map_or_else(|_| Vec::new(), |place| self.named.remove(place).1);
         let dropped = before.iter().filter(|key| !named.contains(key));
         let dropped = dropped.map(|key| (*key, Duration::ZERO));
         for (key, wait) in waits.iter().copied().chain(dropped) {
@@ -145,9 +145,9 @@
                 engine.hear(node, wait, now);
             }
         }
-        match known {
-            Ok(place) => self.named[place].1 = named,
-            Err(place) => self.named.insert(place, (node, named)),
+        if !named.is_empty() {
+            let (Ok(place) | Err(place)) = known;
+            self.named.insert(place, (node, named));
         }
     }
 
