Name requests by what they share with their callers' later tries, and tell whether an endpoint ended

Cause: no log line told which requests are the same, and none whether an endpoint was still there after a connection to it had broken. The three hypotheses on requests under which every engine ends can't be told apart without both. Change: a digest of customer, host, method, path and body (BLAKE3, its parts counted, 16 bytes) in 'attempt: Sent.', and a line 'poison: A run broke off.' that says how the endpoint's end is known: nobody listens at its address, or its entry is gone or of a later start, within 6 s; neither if it is still there. A stream that ends in order but within an event counts as an answer that makes no sense and not as a broken connection, as its endpoint is still there. Ruled out: the id of the request, which is new with each try; the digest of 64 bits that plain calls have in the other chain, which takes no care of where parts end.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -23,6 +23,7 @@
 use crate::call::Connection;
 use crate::codec::Codec;
 use crate::node::Node;
+use crate::poison;
 use crate::pools;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
@@ -310,6 +311,9 @@
         self.tell(&permit, fault, "attempt: No answer that can be used.");
         self.node.metrics.attempt(&self.request.pool, "broken");
         self.state.tried.push(permit.endpoint().clone());
+        if matches!(fault, Fault::Cut { .. }) {
+            poison::broke(self.node, self.request.digest, permit.endpoint());
+        }
         permit.failed(fault);
         if self.again() {
             return Ok(());
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -50,6 +50,7 @@
         let now = self.node.now();
         log::info!(
             request = request.ask.id.as_str(),
+            digest:% = request.digest,
             route = request.grant.route.name.as_str(),
             endpoint = permit.endpoint().as_str(),
             zone = permit.zone().as_str(),
--- a/crates/relay/src/chain.rs
+++ b/crates/relay/src/chain.rs
@@ -156,6 +156,7 @@
     let timeout = grant.route.timeout;
     let wait = ask.wait.map_or(timeout, |wait| wait.min(timeout));
     let kind = grant.route.kind;
+    let digest = work::digest(&ask, &head, &body, &grant);
     let request = Work {
         ask,
         head,
@@ -165,6 +166,7 @@
         began,
         deadline: began + wait,
         random,
+        digest,
     };
     node.repeats.arrived(&request.pool, began);
     match kind {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod operators;
 pub mod paces;
 pub mod passage;
+pub mod poison;
 mod pools;
 mod recent;
 pub mod refusal;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -102,7 +102,7 @@
                     reason: error.to_string().into(),
                 })?,
                 None if self.splitter.torn() => {
-                    return Err(Fault::Cut {
+                    return Err(Fault::Nonsense {
                         reason: "the stream ended within an event".into(),
                     });
                 }
@@ -234,7 +234,7 @@
             }))))
         }
         Ok(Step::End) => {
-            let fault = Fault::Cut {
+            let fault = Fault::Nonsense {
                 reason: "the stream has no event".into(),
             };
             attempts.broken(source.permit, &fault).map(|()| None)
--- a/crates/relay/src/work.rs
+++ b/crates/relay/src/work.rs
@@ -7,6 +7,7 @@
 use pimento_policy::choice;
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
+use pimento_units::Digest;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -33,6 +34,8 @@
     pub deadline: Moment,
     /// Bits that are the same for each attempt of this request.
     pub random: u64,
+    /// What it shares with its caller's later tries, which have ids of their own; see [`digest`].
+    pub digest: Digest,
 }
 
 impl Work {
@@ -82,3 +85,14 @@
 pub fn random(ask: &Ask) -> u64 {
     choice::key(&ask.id)
 }
+
+/// The digest of a request's customer, host, method, path and body. Nobody can make another customer's
+/// request look like one of their own, as the customer's name is known by the key.
+#[must_use]
+pub fn digest(ask: &Ask, head: &request::Parts, body: &[u8], grant: &Grant) -> Digest {
+    let customer = grant.customer.as_ref();
+    let customer = customer.map_or("", |customer| customer.name.as_str());
+    let path = head.uri.path_and_query().map_or("", |path| path.as_str());
+    let texts = [customer, &ask.host, head.method.as_str(), path];
+    Digest::of(texts.into_iter().map(str::as_bytes).chain([body]))
+}
