Send a request no more under which three endpoints have ended

Callers saw: engines that ended one after the other, 41 under one prompt in a minute and a half, and a fifth of all prompts unanswered while it lasted. Cause: the attempts of a request began from nothing with each request, and no VM remembered under which request an endpoint had ended. A caller that comes again is a new request, mostly at another VM. Class: state that must outlive a request and a VM, and was kept by neither. Change: policy::poison counts the ends of endpoints by what ran there, by digest; the third end without a whole answer in between bars a request for 10 minutes, then twice as long. relay::poison tells an end (connection broken in mid-answer, and nobody there right after it or the entry gone) to all VMs by datagrams; bars are records on a topic of the log, followed like the others. Attempts asks before each wait and each send, whoever sends: first tries, retries, larger models, resumed streams. Callers get 503 with the bar's rest as Retry-After, or 502 if this try ran. Ruled out: see docs/design/on-platform.md (the log for each end; what began last; a trial apart). Mutants: without clearing the popular request's test fails (99 refused); with any broken connection as an end a_broken_connection_is_no_end_of_an_engine fails.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod hedge;
 pub mod limit;
 mod number;
+pub mod poison;
 pub mod queue;
 pub mod reach;
 pub mod retry;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -23,6 +23,7 @@
 use crate::call::Connection;
 use crate::codec::Codec;
 use crate::node::Node;
+use crate::node::millis;
 use crate::poison;
 use crate::pools;
 use crate::refusal::Cause;
@@ -130,6 +131,7 @@
     /// A [`Refusal`] once no further attempt may be made.
     pub async fn open(&mut self, variant: &Variant) -> Result<Opened, Refusal> {
         loop {
+            self.unbarred()?;
             let permit = self.slot(variant).await?;
             let asked = self.node.now();
             let bound = self.node.reach(|reach| reach.bound());
@@ -229,12 +231,28 @@
         self.count()
     }
 
+    /// Whether endpoints may be asked to run the request at all.
+    fn unbarred(&self) -> Result<(), Refusal> {
+        let request = self.request;
+        let Some(left) = poison::barred(self.node, request.digest) else {
+            return Ok(());
+        };
+        log::info!(
+            request = request.ask.id.as_str(),
+            digest:% = request.digest,
+            left_ms = millis(left);
+            "attempt: Not sent, endpoints ended under it."
+        );
+        Err(self.refuse(Refusal::new(Cause::Poison).after(left)))
+    }
+
     /// Whether the request may still be sent.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] if its key, its route or its service no longer allow it.
+    /// A [`Refusal`] if its key, its route or its service no longer allow it, or endpoints end under it.
     pub fn allowed(&self) -> Result<(), Refusal> {
+        self.unbarred()?;
         let request = self.request;
         let grant = admit::still(self.node, &request.ask, request.path());
         let grant = grant.map_err(|refusal| self.refuse(refusal))?;
@@ -325,6 +343,11 @@
         Err(self.refuse(Refusal::new(cause)))
     }
 
+    /// The answer was whole, whatever it says: its endpoint was still there at its end.
+    pub fn whole(&self) {
+        poison::answered(self.node, self.request.digest);
+    }
+
     /// Reads the head of an answer, and whether it is one to this request.
     fn read(&self, call: Call) -> Result<(Call, Reply), Fault> {
         let reply = self.node.platform.reply(&call.head);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -64,6 +64,7 @@
     reads: GaugeVec,
     calls: GaugeVec,
     rollouts: GaugeVec,
+    poison: GaugeVec,
     log_lines: GaugeVec,
 }
 
@@ -155,6 +156,7 @@
                 "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
                 &["pool", "outcome"],
             ),
+            poison: poison(r),
             log_lines: gauges(
                 r,
                 "pimento_log_lines_left_out",
@@ -167,6 +169,11 @@
     }
 }
 
+fn poison(registry: &Registry) -> GaugeVec {
+    let what = "Requests under which endpoints ended: suspects, and those that are sent no more";
+    gauges(registry, "pimento_poison_requests", what, &["state"])
+}
+
 impl Metrics {
     /// Counts the head of an answer on its way to a caller.
     pub fn began(&self, route: &CompactString, took: Duration) {
@@ -287,6 +294,13 @@
                 gauge.set(f64::from(count));
             }
         }
+        metrics.follower("poison", &node.bars);
+        let (suspect, barred) = node.poison.counts();
+        for (state, count) in [("suspect", suspect), ("barred", barred)] {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            let gauge = metrics.poison.with_label_values(&[state]);
+            gauge.set(figure(count));
+        }
         let left_out = pimento_logs::left_out();
         let reasons = [("budget", left_out.budget), ("unread", left_out.unread)];
         for (reason, count) in reasons {
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -25,7 +25,6 @@
 use std::time::Duration;
 
 use pimento_policy::choice;
-use pimento_units::Offset;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -73,9 +72,9 @@
     /// The same of sessions that keep a version.
     far_kept: Vec<Kept>,
     passed_kept: Vec<Kept>,
-    /// Up to which offsets the zone was told of the operators' and the endpoints' records; none
-    /// while this VM does not read for it.
-    told: Option<(Offset, Offset)>,
+    /// Up to which offsets the zone was told of the records of each topic; none while this VM does not
+    /// read for it.
+    told: Option<tell::Ends>,
 }
 
 struct Neighbours<P, L> {
@@ -221,6 +220,10 @@
         if near {
             self.heard.notify_one();
         }
+        let writes = self.node.reads();
+        for word in &message.poison {
+            self.node.poison.hear(*word, !near, writes, now);
+        }
         for kept in &message.kept {
             self.node.rollouts(|r| r.keep(*kept));
         }
@@ -263,6 +266,7 @@
         match topic {
             Shared::Operators => self.node.operators.hand(part),
             Shared::Endpoints => self.node.directory.hand(part),
+            Shared::Poison => self.node.bars.hand(part),
         }
     }
 
@@ -279,6 +283,9 @@
         if let Some(proof) = proofs.endpoints {
             self.node.directory.vouch(message::read(proof));
         }
+        if let Some(proof) = proofs.poison {
+            self.node.bars.vouch(message::read(proof));
+        }
     }
 
     /// The VMs of the zone.
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -12,6 +12,7 @@
 use super::peers::Standing;
 use crate::follow::Proof;
 use crate::passage::Passage;
+use crate::poison::Word;
 use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::Kept;
 
@@ -32,6 +33,8 @@
     pub proofs: Proofs,
     /// What the teller says of roll-outs, if that is due.
     pub rollouts: Vec<Announcement>,
+    /// Requests under which endpoints ended.
+    pub poison: Vec<Word>,
     /// Sessions that keep the old version in a roll-out.
     pub kept: Vec<Kept>,
     /// Milliseconds that engines take for the teller's prompts, by their keys; all others take none.
@@ -40,13 +43,15 @@
     pub reads: Vec<Read>,
 }
 
-/// Proofs of the two topics that all VMs read: the offset of the last change, and the stamp.
+/// Proofs of the topics that all VMs read: the offset of the last change, and the stamp.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proofs {
     /// Of the operators' records.
     pub operators: Option<(Offset, Moment)>,
     /// Of the endpoints' records.
     pub endpoints: Option<(Offset, Moment)>,
+    /// Of the requests under which endpoints ended.
+    pub poison: Option<(Offset, Moment)>,
 }
 
 /// A proof as it is written.
--- a/crates/relay/src/neighbours/news.rs
+++ b/crates/relay/src/neighbours/news.rs
@@ -2,6 +2,7 @@
 
 use super::message::Read;
 use crate::passage::Passage;
+use crate::poison::Word;
 use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::Kept;
 
@@ -11,6 +12,9 @@
 /// Sessions told in one datagram, for the same reason.
 const KEPT: usize = 24;
 
+/// Words of requests under which endpoints ended told in one datagram, likewise.
+const WORDS: usize = 16;
+
 /// What there is to tell.
 #[derive(Default)]
 pub struct News {
@@ -22,6 +26,8 @@
     pub rollouts: Vec<Announcement>,
     /// Sessions that keep a version.
     pub kept: Vec<Kept>,
+    /// Requests under which endpoints ended.
+    pub poison: Vec<Word>,
     /// Records of the log.
     pub passages: Vec<Passage>,
 }
@@ -31,20 +37,23 @@
     pub const fn is_empty(&self) -> bool {
         let prompts = self.reads.is_empty() && self.waits.is_empty();
         let versions = self.rollouts.is_empty() && self.kept.is_empty();
-        prompts && versions && self.passages.is_empty()
+        prompts && versions && self.poison.is_empty() && self.passages.is_empty()
     }
 
     /// The news in parts that fit a datagram each.
     pub fn parts(&self) -> Vec<Part<'_>> {
         let mut reads = self.reads.chunks(READS);
         let mut kept = self.kept.chunks(KEPT);
+        let mut poison = self.poison.chunks(WORDS);
         let mut passages = self.passages.chunks(1);
-        let count = reads.len().max(kept.len()).max(passages.len()).max(1);
+        let counts = [reads.len(), kept.len(), poison.len(), passages.len(), 1];
+        let count = counts.into_iter().max().unwrap_or(1);
         let part = |place| Part {
             first: place == 0,
             last: place + 1 == count,
             reads: reads.next().unwrap_or_default(),
             kept: kept.next().unwrap_or_default(),
+            poison: poison.next().unwrap_or_default(),
             passages: passages.next().unwrap_or_default(),
         };
         (0..count).map(part).collect()
@@ -61,6 +70,8 @@
     pub reads: &'a [Read],
     /// Sessions that keep a version.
     pub kept: &'a [Kept],
+    /// Requests under which endpoints ended.
+    pub poison: &'a [Word],
     /// Records of the log.
     pub passages: &'a [Passage],
 }
--- a/crates/relay/src/neighbours/tell.rs
+++ b/crates/relay/src/neighbours/tell.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pimento_units::Moment;
+use pimento_units::Offset;
 
 use super::Neighbours;
 use super::message;
@@ -47,6 +48,14 @@
     NEAR.saturating_mul(others).min(LONGEST)
 }
 
+/// Up to which offsets a zone was told of the records of each topic.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Ends {
+    operators: Offset,
+    endpoints: Offset,
+    poison: Offset,
+}
+
 impl<P: Border + Codec, L: Log> Neighbours<P, L> {
     /// Records that the zone was not told of yet, if this VM reads for it.
     fn passages(&self) -> Vec<Passage> {
@@ -54,23 +63,30 @@
         if !self.leads() {
             return Vec::new();
         }
-        let (operators, endpoints) = told.unwrap_or_default();
-        let (changed, operators_end) = self.node.operators.since(operators);
-        let (registered, endpoints_end) = self.node.directory.since(endpoints);
-        self.lock().told = Some((operators_end, endpoints_end));
+        let from = told.unwrap_or_default();
+        let (changed, operators) = self.node.operators.since(from.operators);
+        let (registered, endpoints) = self.node.directory.since(from.endpoints);
+        let (barred, poison) = self.node.bars.since(from.poison);
+        self.lock().told = Some(Ends {
+            operators,
+            endpoints,
+            poison,
+        });
         if told.is_none() {
             return Vec::new();
         }
         // Where records are missing, or too large, the others read by themselves.
-        let changed = changed.unwrap_or_default();
-        let registered = registered.unwrap_or_default();
-        let mut passages = Passage::list(Shared::Operators, operators, changed, operators_end);
-        passages.extend(Passage::list(
+        let list = |topic, from, parts: Option<_>, to| {
+            Passage::list(topic, from, parts.unwrap_or_default(), to)
+        };
+        let mut passages = list(Shared::Operators, from.operators, changed, operators);
+        passages.extend(list(
             Shared::Endpoints,
-            endpoints,
+            from.endpoints,
             registered,
-            endpoints_end,
+            endpoints,
         ));
+        passages.extend(list(Shared::Poison, from.poison, barred, poison));
         passages
     }
 
@@ -80,6 +96,7 @@
         let mut silent = true;
         let mut operators = self.node.operators.changes();
         let mut endpoints = self.node.directory.changes();
+        let mut bars = self.node.bars.changes();
         loop {
             let peers = self.peers();
             self.settle();
@@ -87,6 +104,8 @@
                 () = tokio::time::sleep(period(peers.len())) => false,
                 _ = operators.changed() => self.leads(),
                 _ = endpoints.changed() => self.leads(),
+                _ = bars.changed() => self.leads(),
+                () = self.node.poison.told.notified() => false,
                 () = self.zone.proved.notified() => self.leads(),
                 () = self.zone.stopped.notified() => true,
             };
@@ -109,6 +128,7 @@
         let mut news = News {
             rollouts: self.node.due_announcements(boot::now()),
             kept: self.node.rollouts(Rollouts::untold),
+            poison: self.node.poison.near(boot::now()),
             passages: self.passages(),
             ..News::default()
         };
@@ -141,6 +161,7 @@
                 let news = News {
                     reads: std::mem::take(&mut inner.far),
                     kept: std::mem::take(&mut inner.far_kept),
+                    poison: self.node.poison.far(now),
                     ..News::default()
                 };
                 (news, inner.peers.far(&self.node.config.zone, now))
@@ -171,6 +192,7 @@
                 rollouts: rollouts.to_vec(),
                 waits: news.waits.clone(),
                 kept: part.kept.to_vec(),
+                poison: part.poison.to_vec(),
                 reads: part.reads.to_vec(),
             };
             let bytes = match postcard::to_stdvec(&message) {
@@ -192,9 +214,11 @@
         }
         let operators = self.node.operators.proof(node);
         let endpoints = self.node.directory.proof(node);
+        let poison = self.node.bars.proof(node);
         Proofs {
             operators: operators.map(message::written),
             endpoints: endpoints.map(message::written),
+            poison: poison.map(message::written),
         }
     }
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -26,6 +26,9 @@
 use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::operators::Operators;
+use crate::poison;
+use crate::poison::Bars;
+use crate::poison::Poison;
 use crate::pools;
 use crate::repeats::Repeats;
 use crate::rollouts::Rollouts;
@@ -56,6 +59,10 @@
     pub operators: Follower<Operators<P>, L>,
     /// The endpoints' records.
     pub directory: Follower<Directory<P>, L>,
+    /// Requests under which endpoints ended, as this VM and others saw it.
+    pub poison: Arc<Poison>,
+    /// The same as it is on the log.
+    pub bars: Follower<Bars, L>,
     /// Slots at endpoints.
     pub scheduler: Scheduler,
     /// The budget of repeats.
@@ -84,6 +91,8 @@
             platform: self.platform.clone(),
             operators: self.operators.clone(),
             directory: self.directory.clone(),
+            poison: Arc::clone(&self.poison),
+            bars: self.bars.clone(),
             scheduler: self.scheduler.clone(),
             repeats: Arc::clone(&self.repeats),
             models: Arc::clone(&self.models),
@@ -148,6 +157,15 @@
             Directory::new(platform.clone()),
             token.clone(),
         );
+        let bars = Follower::start(
+            log.clone(),
+            Topic::Poison,
+            paces.poison,
+            zone.clone(),
+            calls.clone(),
+            Bars::default(),
+            token.clone(),
+        );
         let clock = Clock::default();
         let repeats = Repeats::new(config.bounds.retry);
         let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session);
@@ -156,6 +174,8 @@
             platform,
             operators,
             directory,
+            poison: Arc::default(),
+            bars,
             scheduler: Scheduler::new(clock),
             repeats: Arc::new(repeats),
             models: Arc::default(),
@@ -168,6 +188,7 @@
             tasks: TaskTracker::new(),
         };
         pools::start(&node, token.clone());
+        poison::start(&node, log.clone(), token.clone());
         controller::start(&node, log.clone(), token.clone());
         neighbours::start(&node, log, zone, token.clone());
         node
--- a/crates/relay/src/paces.rs
+++ b/crates/relay/src/paces.rs
@@ -44,6 +44,19 @@
 const CHANGE_ALONE: f64 = 0.5;
 const CHANGE_PATIENCE: f64 = 0.225;
 
+/// How the topic of requests under which endpoints ended is read. VMs tell each other of them besides, so
+/// that a read that fell silent may go unnoticed for some seconds.
+const POISON_WAIT: Gait = Gait {
+    wait: Duration::from_secs(5),
+    pause: Duration::ZERO,
+};
+const POISON: Pace = Pace {
+    alone: POISON_WAIT,
+    leading: POISON_WAIT,
+    trust: Duration::from_secs(20),
+    patience: PATIENCE,
+};
+
 /// How the topics that all VMs read are read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Paces {
@@ -52,6 +65,9 @@
     /// The endpoints' topic. Each endpoint writes about once a second; a read that waits would be
     /// answered for each.
     pub endpoints: Pace,
+    /// The topic of requests under which endpoints ended. Records are rare and come at once to a read
+    /// that waits.
+    pub poison: Pace,
 }
 
 /// A bound that can't be held.
@@ -82,6 +98,7 @@
         Ok(Self {
             operators: operators(bounds)?,
             endpoints: endpoints(bounds)?,
+            poison: POISON,
         })
     }
 }
--- a/crates/relay/src/passage.rs
+++ b/crates/relay/src/passage.rs
@@ -52,13 +52,15 @@
     Operators,
     /// The endpoints' records.
     Endpoints,
+    /// Requests under which endpoints ended.
+    Poison,
 }
 
 impl Shared {
     /// The topic of this name; none if it is not read for others.
     #[must_use]
     pub fn named(name: &str) -> Option<Self> {
-        let all = [Self::Operators, Self::Endpoints];
+        let all = [Self::Operators, Self::Endpoints, Self::Poison];
         all.into_iter()
             .find(|shared| shared.topic().as_str() == name)
     }
@@ -69,6 +71,7 @@
         match self {
             Self::Operators => Topic::Operators,
             Self::Endpoints => Topic::Endpoints,
+            Self::Poison => Topic::Poison,
         }
     }
 }
@@ -80,6 +83,7 @@
         match topic {
             Topic::Operators => Ok(Self::Operators),
             Topic::Endpoints => Ok(Self::Endpoints),
+            Topic::Poison => Ok(Self::Poison),
             Topic::Status | Topic::Fleet => Err(topic),
         }
     }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -48,6 +48,8 @@
     Timeout,
     /// The endpoints failed.
     Failed,
+    /// Endpoints ended under the request.
+    Poison,
 }
 
 impl Cause {
@@ -69,6 +71,7 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
+            Self::Poison => "poison",
         }
     }
 
@@ -80,9 +83,12 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
-            Self::NotReady | Self::Stale | Self::Overloaded | Self::NoEndpoint | Self::Expired => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NotReady
+            | Self::Stale
+            | Self::Overloaded
+            | Self::NoEndpoint
+            | Self::Expired
+            | Self::Poison => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Failed => StatusCode::BAD_GATEWAY,
         }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -209,6 +209,7 @@
         return match read.unwrap_or(Err(Fault::Timeout)) {
             Ok(bytes) => {
                 attempts.judged(&permit, head.status.is_server_error());
+                attempts.whole();
                 // Its prompt is kept there, so that the next attempt would go to it first.
                 attempts.leave(permit.endpoint());
                 permit.failed(&Fault::Failed {
@@ -382,6 +383,7 @@
                     if held.flush(writer).await.is_err() {
                         return End::Gone;
                     }
+                    self.attempts.whole();
                     self.attempts.note(&source.permit);
                     source.permit.served(Tokens(1));
                     return End::Whole;
--- a/crates/relay/src/topic.rs
+++ b/crates/relay/src/topic.rs
@@ -21,6 +21,8 @@
     Status,
     /// What entry VMs tell each other.
     Fleet,
+    /// Requests under which endpoints ended.
+    Poison,
 }
 
 impl Topic {
@@ -32,6 +34,7 @@
             Self::Endpoints => "endpoints",
             Self::Status => "status",
             Self::Fleet => "fleet",
+            Self::Poison => "poison",
         }
     }
 }
--- a/crates/relay/src/whole.rs
+++ b/crates/relay/src/whole.rs
@@ -21,6 +21,7 @@
 use crate::codec::Codec;
 use crate::node::Node;
 use crate::node::millis;
+use crate::poison;
 use crate::refusal::Refusal;
 use crate::topic::Log;
 use crate::work::Work;
@@ -63,6 +64,7 @@
             Ok(Read::Whole(bytes)) => {
                 let failed = head.status.is_server_error();
                 attempts.judged(&permit, failed);
+                attempts.whole();
                 attempts.note(&permit);
                 attempts.leave(permit.endpoint());
                 // A failure comes fast: counted as an answer it would make the others look slow.
@@ -84,14 +86,21 @@
             Ok(Read::Long(begun, rest)) => {
                 let (writer, reply) = Reply::stream();
                 let left = request.left(node.now());
+                let (shared, digest) = (node.clone(), request.digest);
                 node.tasks.spawn(async move {
                     let passed = tokio::time::timeout(left, pass(&writer, begun, rest)).await;
                     match passed.unwrap_or(Err(Fault::Timeout)) {
                         Ok(()) => {
+                            poison::answered(&shared, digest);
                             permit.served(WORK);
                             let _ = writer.end().await;
                         }
-                        Err(fault) => permit.failed(&fault),
+                        Err(fault) => {
+                            if matches!(fault, Fault::Cut { .. }) {
+                                poison::broke(&shared, digest, permit.endpoint());
+                            }
+                            permit.failed(&fault);
+                        }
                     }
                 });
                 return Ok(Response::from_parts(head, reply));
