Hold nothing against an endpoint that has started again under its name

Cause: ejection is kept by an endpoint's name. One that ended under a request and is back under the same name was still out for what its former life had failed, up to 30 s with each further end; refusals in a row lasted as well. Change: a list in which an endpoint has another life than before takes it back in use with nothing held against it. The first chain says its endpoints' incarnations, where it said none. Ruled out: to hold ends under a request against nobody at all: until it is back, the endpoint is rightly out. Observed: an_endpoint_that_starts_again_under_its_name_gets_calls fails before (1 ejected) and passes after. Conclusion: holds for both chains.

--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -197,7 +197,7 @@
             versions,
             report,
             memory: None,
-            life: 0,
+            life: endpoint.incarnation(),
         }
     }
 
--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -191,6 +191,15 @@
         self.readmit();
     }
 
+    /// An endpoint has started again: what its former life did says nothing of it.
+    pub fn renew(&mut self, endpoint: &id::Endpoint) {
+        if let Some(place) = self.find(endpoint) {
+            let member = &mut self.members[place];
+            self.out -= usize::from(member.out());
+            *member = Member::new(endpoint.clone());
+        }
+    }
+
     /// Takes endpoints back in use while more are out than may be, since others left: the one whose
     /// time ends first goes first. Held to its time, the last endpoint of a pool left all calls
     /// waiting for seconds though it was well.
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -90,7 +90,12 @@
             while former.next_if(before).is_some() {}
             let same = |seat: &Seat| seat.member.endpoint == member.endpoint;
             let seat = match former.next_if(same) {
-                Some(known) => refresh(known, member),
+                Some(known) => {
+                    if known.member.life != member.life {
+                        self.health.renew(&member.endpoint);
+                    }
+                    refresh(known, member)
+                }
                 None => seat(member),
             };
             self.seats.push(seat);
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -141,9 +141,15 @@
 pub(crate) fn refresh(mut seat: Seat, member: Member) -> Seat {
     // A VM that starts may read the list of endpoints before the configuration that says how much
     // memory they have. Without prompts an engine would look idle and each prompt read for ever.
-    if seat.member.life != member.life || seat.member.memory != member.memory {
+    let again = seat.member.life != member.life;
+    if again || seat.member.memory != member.memory {
         seat.engine = member.memory.map(Engine::new);
     }
+    if again {
+        seat.refusals = 0;
+        seat.closed = Moment::ZERO;
+        seat.back = Moment::ZERO;
+    }
     if let Some((report, at)) = member.report
         && seat.member.report.is_none_or(|(_, seen)| seen < at)
     {
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -280,3 +280,29 @@
     pool.update(vec![member("i-3")]);
     assert!(pool.estimate(&job()).unwrap().wait > Duration::from_secs(10));
 }
+
+/// Guards against an endpoint that is held for sick for what its former life did under the same name.
+#[tokio::test]
+async fn an_endpoint_that_starts_again_under_its_name_gets_calls() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"desk".parse().unwrap());
+    let both = vec![desk(1, true), desk(2, true)];
+    pool.update(both.clone());
+    eject(&pool, "i-1", &["i-2"]).await;
+    // A list that says nothing new takes nothing back.
+    pool.update(both);
+    assert_eq!(pool.depth().ejected, 1);
+    let again = Member {
+        life: 2,
+        ..desk(1, true)
+    };
+    pool.update(vec![again, desk(2, true)]);
+    assert_eq!(pool.depth().ejected, 0);
+    let gone = CancellationToken::new();
+    let job = Job {
+        tried: vec!["i-2".parse().unwrap()],
+        ..call()
+    };
+    let permit = pool.acquire(job, &gone).await.unwrap();
+    assert_eq!(permit.endpoint().as_str(), "i-1");
+}
