Keep runs that broke off, and the look at their endpoint's address, where both chains can use them

Cause: the first chain needs both as well; they stood in the relay. Change: policy::poison::breaks::Breaks holds what ran at endpoints that are looked at; endpoint::gone asks whether anybody listens. No other behaviour. Ruled out: one module with sockets and decisions for both chains: their lists of endpoints differ.

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -11,6 +11,8 @@
 //! **Grounds:** poison messages of queues, which are put aside after so many deliveries that were not
 //! acknowledged.
 
+pub mod breaks;
+
 use std::time::Duration;
 
 use pimento_units::Digest;
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -19,6 +19,8 @@
 use pimento_policy::poison::Crash;
 use pimento_policy::poison::Table;
 use pimento_policy::poison::Verdict;
+use pimento_policy::poison::breaks::Breaks;
+use pimento_policy::poison::breaks::Step;
 use pimento_units::Digest;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -36,9 +38,6 @@
 use crate::node::millis;
 use crate::topic::Log;
 
-/// Ends of endpoints that are remembered, for runs whose connections break a little later.
-const ENDS: usize = 64;
-
 /// A VM that knows better than what it hears waits up to this long before it says so.
 const CONTRADICTS: Duration = Duration::from_millis(300);
 
@@ -70,10 +69,7 @@
     /// What the VMs of the zone and of other zones are to be told.
     near: Outbox,
     far: Outbox,
-    /// Endpoints whose connections broke, and what ran there, until it is known whether they ended.
-    broken: Vec<(Crash, Vec<Digest>)>,
-    /// The last ends that were seen.
-    ended: Vec<Crash>,
+    breaks: Breaks,
     /// Changes that are to be written to the log.
     unsaid: Vec<(Digest, Change)>,
 }
@@ -208,8 +204,7 @@
     own.max(node.bars.view(|bars| bars.barred(digest, now)))
 }
 
-/// The connection to an endpoint ended in the middle of a request. Whatever else ran there breaks off in
-/// the same moment, and one look tells for all whether the endpoint ended.
+/// The connection to an endpoint ended in the middle of a request.
 pub fn broke<P: Border + Codec, L: Log>(
     node: &Node<P, L>,
     digest: Digest,
@@ -224,37 +219,22 @@
         endpoint: choice::key(endpoint.as_str()),
         life: member.entry.born,
     };
-    let mut state = node.poison.lock();
-    if state.ended.contains(&crash) {
-        drop(state);
-        node.poison.crashed(crash, &[digest], boot::now());
-        return;
-    }
-    if let Some((_, digests)) = state.broken.iter_mut().find(|(known, _)| *known == crash) {
-        digests.push(digest);
-        return;
+    let step = node.poison.lock().breaks.broke(digest, crash);
+    match step {
+        Step::Count => node.poison.crashed(crash, &[digest], boot::now()),
+        Step::Look => {
+            let node = node.clone();
+            // Bounded in time, and of no use to a VM that ends.
+            tokio::spawn(async move { watch(&node, &member.entry, crash).await });
+        }
+        Step::Wait => {}
     }
-    state.broken.push((crash, vec![digest]));
-    drop(state);
-    let node = node.clone();
-    // Bounded in time, and of no use to a VM that ends.
-    tokio::spawn(async move { watch(&node, &member.entry, crash).await });
 }
 
 /// Waits until it is known whether an endpoint ended, and counts that for all that ran there.
 async fn watch<P: Border + Codec, L: Log>(node: &Node<P, L>, entry: &Entry, crash: Crash) {
     let proof = ended::look(node, entry).await;
-    let mut state = node.poison.lock();
-    let place = state.broken.iter().position(|(known, _)| *known == crash);
-    let digests = place.map(|place| state.broken.swap_remove(place).1);
-    let digests = digests.unwrap_or_default();
-    if proof.is_some() {
-        if state.ended.len() >= ENDS {
-            state.ended.remove(0);
-        }
-        state.ended.push(crash);
-    }
-    drop(state);
+    let digests = node.poison.lock().breaks.looked(crash, proof.is_some());
     log::info!(
         endpoint = entry.id.as_str(),
         proof = proof.map(ended::Proof::as_str),
--- a/crates/relay/src/poison/ended.rs
+++ b/crates/relay/src/poison/ended.rs
@@ -3,10 +3,9 @@
 //! A connection breaks for many reasons: a reset on the way, an answer that an endpoint cut short, a
 //! limit on connections. Only an endpoint that is not there any more has ended.
 
-use std::io::ErrorKind;
 use std::time::Duration;
 
-use tokio::net::TcpStream;
+use pimento_endpoint::gone;
 
 use crate::border::Border;
 use crate::codec::Codec;
@@ -39,10 +38,7 @@
 /// Waits until an endpoint is known to have ended; none if it is still there.
 pub async fn look<P: Border + Codec, L: Log>(node: &Node<P, L>, entry: &Entry) -> Option<Proof> {
     let bound = node.reach(|reach| reach.bound());
-    let connecting = tokio::time::timeout(bound, TcpStream::connect(entry.address));
-    if let Ok(Err(error)) = connecting.await
-        && error.kind() == ErrorKind::ConnectionRefused
-    {
+    if gone::is_refused(entry.address, bound).await {
         return Some(Proof::Refused);
     }
     let mut changes = node.directory.changes();
