Tests that fail: the first chain sends requests on under which endpoints end

Cause: looked for elsewhere, the same is missing in the first chain: its attempts begin from nothing with each request. Change: stand-ins learn to end under a call whose body holds a mark (fault 'crash'), with all connections, and to be back at the same address as another incarnation; rules may ask for a text in the body. Three VMs before six engines and two desks. Two tests fail and are listed; that a popular prompt and a lost answer are no grounds holds trivially as yet.

--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod faults;
 mod leaving;
 mod model;
+mod poison;
 mod rating;
 mod refusals;
 mod registry;
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -54,6 +54,7 @@
 
 #[derive(Debug)]
 struct State {
+    incarnation: u64,
     settings: Settings,
     versions: Vec<id::Version>,
     stats: Stats,
@@ -69,7 +70,6 @@
 #[derive(Debug, Clone)]
 pub struct Engine {
     name: id::Endpoint,
-    incarnation: u64,
     state: Shared<State>,
     batch: Batch,
     token: CancellationToken,
@@ -82,6 +82,7 @@
 /// If the address can't be bound.
 pub async fn start(config: Config, token: CancellationToken) -> io::Result<Running<Engine>> {
     let state = State {
+        incarnation: config.incarnation,
         settings: config.settings,
         versions: config.versions,
         stats: Stats::default(),
@@ -94,7 +95,6 @@
     };
     let site = Engine {
         name: config.name,
-        incarnation: config.incarnation,
         state: Shared::new(state),
         batch: Batch::default(),
         token: token.clone(),
@@ -174,7 +174,7 @@
         let (running, waiting) = self.batch.load();
         self.state.with(|state| Load {
             endpoint: self.name.clone(),
-            incarnation: self.incarnation,
+            incarnation: state.incarnation,
             running,
             waiting,
             batch: state.settings.batch,
@@ -292,7 +292,8 @@
     }
 
     fn signed(&self, answer: Answer) -> Answer {
-        server::with(answer, header::INCARNATION, &self.incarnation.to_string())
+        let incarnation = self.state.with(|state| state.incarnation);
+        server::with(answer, header::INCARNATION, &incarnation.to_string())
     }
 
     fn find(&self, id: &str) -> Option<Attempt> {
@@ -363,4 +364,15 @@
     fn set(&self, settings: Settings) {
         self.change(|current| *current = settings);
     }
+
+    fn begin_again(&self) {
+        let lost = self.state.with(|state| {
+            state.incarnation += 1;
+            state.cache = Cache::default();
+            state.reports.clear();
+            std::mem::take(&mut state.recent)
+        });
+        lost.iter().for_each(|attempt| attempt.token.cancel());
+        self.report();
+    }
 }
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
-use hyper::Method;
 use pimento_units::Share;
 use pimento_units::share::PARTS;
 use pimento_wire::border::Run;
@@ -15,6 +14,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::server::Call;
 use crate::shared::Shared;
 
 /// Rules with the seed that draws their shares.
@@ -43,6 +43,9 @@
     /// Only calls whose path begins with this.
     #[serde(default)]
     pub path: CompactString,
+    /// Only calls whose body holds this.
+    #[serde(default, skip_serializing_if = "CompactString::is_empty")]
+    pub body: CompactString,
     /// Matching calls that pass before the rule begins to act.
     #[serde(default)]
     pub after: u64,
@@ -90,6 +93,12 @@
     Hang,
     /// No effect; the connection is closed.
     Drop,
+    /// The stand-in ends under the call, with all its connections, and is back at its address after a
+    /// while as another life of itself.
+    Crash {
+        /// Milliseconds until it is back.
+        back_ms: u64,
+    },
     /// The effect takes place, then the connection is closed without an answer.
     LoseAnswer,
     /// The effect takes place, the answer comes later.
@@ -134,6 +143,7 @@
         Self {
             method: None,
             path: CompactString::default(),
+            body: CompactString::default(),
             after: 0,
             calls: None,
             share: Share::ONE,
@@ -151,6 +161,13 @@
         self
     }
 
+    /// Only calls whose body holds `text`.
+    #[must_use]
+    pub fn holding(mut self, text: &str) -> Self {
+        self.body = text.into();
+        self
+    }
+
     /// Only the next `calls` calls.
     #[must_use]
     pub fn times(mut self, calls: u64) -> Self {
@@ -172,9 +189,12 @@
         self
     }
 
-    fn matches(&self, method: &Method, path: &str) -> bool {
-        let method = self.method.as_deref().is_none_or(|m| m == method.as_str());
-        method && path.starts_with(self.path.as_str())
+    fn matches(&self, call: &Call) -> bool {
+        let method = self.method.as_deref();
+        let method = method.is_none_or(|method| method == call.method.as_str());
+        let text = self.body.as_bytes();
+        let body = text.is_empty() || call.body.windows(text.len()).any(|part| part == text);
+        method && call.path.starts_with(self.path.as_str()) && body
     }
 
     fn strikes(&mut self, seed: u64) -> bool {
@@ -224,13 +244,13 @@
 
     /// What happens to the next call.
     #[must_use]
-    pub fn draw(&self, method: &Method, path: &str) -> Plan {
+    pub fn draw(&self, call: &Call) -> Plan {
         let mut plan = Plan::default();
         self.0.with(|table| {
             let mut struck = false;
             for (place, rule) in (0..).zip(&mut table.rules) {
                 let seed = table.seed.rotate_left(17) ^ place;
-                if rule.matches(method, path) && rule.strikes(seed) {
+                if rule.matches(call) && rule.strikes(seed) {
                     plan.add(&rule.action);
                     struck = true;
                 }
@@ -274,6 +294,11 @@
     Hang,
     /// The connection is closed.
     Drop,
+    /// The stand-in ends, and is back after this time.
+    Crash {
+        /// How long it is gone.
+        back: Duration,
+    },
 }
 
 /// What happens to the events of one stream.
@@ -308,6 +333,10 @@
             }
             Action::Hang => self.instead = Some(Instead::Hang),
             Action::Drop => self.instead = Some(Instead::Drop),
+            Action::Crash { back_ms } => {
+                let back = Duration::from_millis(*back_ms);
+                self.instead = Some(Instead::Crash { back });
+            }
             Action::LoseAnswer => self.lose = true,
             Action::Late { ms } => self.late += Duration::from_millis(*ms),
             Action::Garbage => self.garbage = true,
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -20,6 +20,7 @@
 use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio_util::sync::CancellationToken;
 
@@ -46,6 +47,9 @@
 
     /// Replaces the settings.
     fn set(&self, settings: Self::Settings);
+
+    /// Begins another life, which knows nothing of what ran in the one before.
+    fn begin_again(&self) {}
 }
 
 /// An answer.
@@ -102,6 +106,8 @@
     pub faults: Faults,
     /// The stand-in itself, to be read and changed without HTTP.
     pub site: S,
+    /// Told how long the stand-in is to be gone.
+    crash: watch::Sender<Duration>,
 }
 
 /// Starts a server for `site`.
@@ -121,11 +127,36 @@
         address: listener.local_addr()?,
         faults: Faults::default(),
         site,
+        crash: watch::Sender::new(Duration::ZERO),
     };
-    tokio::spawn(accept(listener, running.clone(), token));
+    tokio::spawn(live(listener, running.clone(), token));
     Ok(running)
 }
 
+/// One life after the other, until the token is cancelled.
+async fn live<S: Site>(listener: TcpListener, running: Running<S>, token: CancellationToken) {
+    let address = running.address;
+    let mut listener = listener;
+    loop {
+        let mut crash = running.crash.subscribe();
+        let ends = token.clone();
+        tokio::select! {
+            () = accept(listener, running.clone(), ends) => return,
+            _ = crash.changed() => {}
+        }
+        let back = *crash.borrow();
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(back) => {}
+        }
+        running.site.begin_again();
+        listener = match TcpListener::bind(address).await {
+            Ok(listener) => listener,
+            Err(error) => return log::error!("standin: Not back at {address}: {error}."),
+        };
+    }
+}
+
 async fn accept<S: Site>(listener: TcpListener, running: Running<S>, token: CancellationToken) {
     let mut connections = JoinSet::new();
     loop {
@@ -180,11 +211,11 @@
     if let Some(answer) = steer(running, &call) {
         return Ok(answer);
     }
-    let plan = running.faults.draw(&call.method, &call.path);
-    carry(&running.site, call, plan).await
+    let plan = running.faults.draw(&call);
+    carry(running, call, plan).await
 }
 
-async fn carry<S: Site>(site: &S, call: Call, plan: Plan) -> io::Result<Answer> {
+async fn carry<S: Site>(running: &Running<S>, call: Call, plan: Plan) -> io::Result<Answer> {
     tokio::time::sleep(plan.delay).await;
     match plan.instead {
         Some(Instead::Refuse {
@@ -204,9 +235,13 @@
         }
         Some(Instead::Hang) => return std::future::pending().await,
         Some(Instead::Drop) => return Err(io::Error::other("dropped by the fault table")),
+        Some(Instead::Crash { back }) => {
+            running.crash.send_replace(back);
+            return std::future::pending().await;
+        }
         None => {}
     }
-    let answer = site.answer(call).await;
+    let answer = running.site.answer(call).await;
     tokio::time::sleep(plan.late).await;
     if plan.lose {
         return Err(io::Error::other("answer lost by the fault table"));
