Say in a line what limit an endpoint names in its answers

Cause: an answer's head was read for id, signature, refusal and confidence; nothing told that an endpoint named a limit. Change: the head's limit is read into policy::throttle::Limit (a finite number, not negative) and told in 'attempt: The endpoint names a limit.'; what is no number gives a warning. Nothing is decided by it. Ruled out: a default for what can't be read: it says nothing. Observed: tests of policy and adapter pass.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -23,4 +23,5 @@
 pub mod rollout;
 pub mod session;
 pub mod shift;
+pub mod throttle;
 pub mod worth;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -290,7 +290,7 @@
         let left = self.request.left(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(message)).await;
         let fault = match sent {
-            Ok(Ok(call)) => match self.read(call) {
+            Ok(Ok(call)) => match self.read(permit.endpoint(), call) {
                 Ok((call, reply)) => {
                     return Ok(Some(Opened {
                         permit,
@@ -349,9 +349,12 @@
     }
 
     /// Reads the head of an answer, and whether it is one to this request.
-    fn read(&self, call: Call) -> Result<(Call, Reply), Fault> {
+    fn read(&self, endpoint: &id::Endpoint, call: Call) -> Result<(Call, Reply), Fault> {
         let reply = self.node.platform.reply(&call.head);
         let status = call.head.status;
+        if !reply.misdirected {
+            self.named(endpoint, &reply.limit);
+        }
         if reply.refused || reply.misdirected {
             return Err(Fault::Refused {
                 status: status.as_u16(),
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -12,6 +12,7 @@
 use super::Variant;
 use crate::boot;
 use crate::border::Border;
+use crate::border::Named;
 use crate::border::Order;
 use crate::call::Message;
 use crate::cascade;
@@ -43,6 +44,21 @@
         );
     }
 
+    /// Tells of a limit that an endpoint names.
+    pub(super) fn named(&self, endpoint: &id::Endpoint, limit: &Named) {
+        let request = self.request.ask.id.as_str();
+        let endpoint = endpoint.as_str();
+        match limit {
+            Named::Nothing => {}
+            Named::Limit(limit) => {
+                log::info!(request, endpoint, limit:%; "attempt: The endpoint names a limit.");
+            }
+            Named::Unreadable(error) => {
+                log::warn!(request, endpoint, error:%; "attempt: The endpoint names no limit.");
+            }
+        }
+    }
+
     /// Tells where the request goes, and by what.
     pub(super) fn sent(&self, permit: &Permit, variant: &Variant) {
         let request = self.request;
--- a/crates/relay/src/border.rs
+++ b/crates/relay/src/border.rs
@@ -9,6 +9,7 @@
 use hyper::HeaderMap;
 use hyper::http::request;
 use hyper::http::response;
+use pimento_policy::throttle;
 use pimento_units::Tokens;
 use pimento_units::id;
 use snafu::Snafu;
@@ -84,7 +85,7 @@
 }
 
 /// What the head of an endpoint's answer says beside its status.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Reply {
     /// The id of the request that it answers.
     pub id: Option<CompactString>,
@@ -96,6 +97,20 @@
     pub misdirected: bool,
     /// The model's opinion of its answer, from 0 to 100.
     pub confidence: Option<u8>,
+    /// Requests a second that the endpoint takes from all VMs together, as it says.
+    pub limit: Named,
+}
+
+/// What an answer says of its endpoint's limit.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum Named {
+    /// Nothing: there is none.
+    #[default]
+    Nothing,
+    /// This one.
+    Limit(throttle::Limit),
+    /// Something that is no limit.
+    Unreadable(throttle::Error),
 }
 
 /// How heads are read and written.
