Keep the limits that endpoints name, all VMs together

Cause: the limit was not read, and each VM decided by itself what it sends; a limit that each VM keeps by itself is broken by all of them together. Class: a quantity that is kept together, decided alone. Change: policy::throttle gives a limit to a few owners among the VMs of the endpoint's zone, by rendezvous hashing over those that are heard, each with a token bucket that begins empty. scheduler::limited holds what an endpoint said last; an endpoint without a request to give is no candidate, its slots count for what its part can start, a call whose turn would come too late or never here is refused at once, and waiting calls are looked at when a part has earned one. VMs of a zone tell each other. The end of a limit is believed only from an answer to a call that was sent after it. Ruled out: a bucket for the whole limit at each VM; a part for each VM that is saved up (39 VMs that were idle send 39); parts for all zones; turns by the clock. The same cause elsewhere: repeats, exposure and spend are granted downwards. Mutants: a full bucket at the start, or all VMs as owners, fail these tests.

--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -1,12 +1,25 @@
 //! Requests a second that an endpoint takes from all VMs together.
+//!
+//! **Load:** an endpoint in need names a limit, and many VMs send to it. **Without it:** each VM sends what
+//! it would have sent, or keeps the limit by itself, so that all of them together break it, the more VMs
+//! the more so; buckets that begin full do so in the first second. **How:** of the VMs that may send there
+//! a few own a part each, as many as the limit has requests in a second; the others send nothing. A part
+//! is earned over time, beginning with nothing.
+//!
+//! **Grounds:** a token bucket for each part, and rendezvous hashing (Thaler and Ravishankar, 1998) for
+//! whose it is, so that VMs which know the same others need not talk about it.
 
 use std::fmt;
 use std::num::ParseFloatError;
 use std::str::FromStr;
+use std::time::Duration;
 
+use pimento_units::Moment;
 use snafu::ResultExt;
 use snafu::Snafu;
 
+use crate::number;
+
 /// Requests a second that an endpoint takes. Not negative, and finite.
 #[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
 pub struct Limit(f64);
@@ -61,3 +74,112 @@
         self.0.fmt(f)
     }
 }
+
+/// How long an owner of a part waits for its next request at most: there are no more owners than the limit
+/// has requests in this time, and one.
+const TURN: Duration = Duration::from_secs(1);
+
+/// Part of the limit that is given out. A request that was sent may arrive later than the next one.
+const USED: f64 = 0.9;
+
+/// The lowest rate that is kept to, in requests a second: somebody has to ask whether the limit holds on.
+const LEAST: f64 = 0.1;
+
+/// Time for which an owner may save up, if that is more than one request.
+const SAVED: Duration = Duration::from_millis(250);
+
+/// This VM's part of an endpoint's limit, in requests a second; 0 if others have it all.
+///
+/// `sharers` are all VMs that may send there, each by a hash of its name; none if this one is alone. A limit below
+/// one request for each of them is not split among all, or the first second would bring as many requests as
+/// there are VMs: it has a few owners, found by rendezvous hashing, so that all who know the same sharers
+/// find the same ones, and most keep their part when one leaves.
+#[must_use]
+pub fn part(limit: Limit, endpoint: u64, own: u64, sharers: &[u64]) -> f64 {
+    let rate = (limit.0 * USED).max(LEAST);
+    if sharers.is_empty() {
+        return rate;
+    }
+    if !sharers.contains(&own) {
+        return 0.0;
+    }
+    let most = number::small(limit.0 * TURN.as_secs_f64()).saturating_add(1);
+    let count = u32::try_from(sharers.len()).unwrap_or(u32::MAX);
+    let owners = most.min(count);
+    let weight = |vm: u64| number::mix(endpoint, vm);
+    let heavier = sharers.iter().filter(|vm| weight(**vm) > weight(own));
+    let rank = u32::try_from(heavier.count()).unwrap_or(u32::MAX);
+    if rank < owners {
+        rate / f64::from(owners)
+    } else {
+        0.0
+    }
+}
+
+/// What this VM may send to an endpoint with a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Throttle {
+    /// Requests a second.
+    part: f64,
+    /// Requests that may be sent now.
+    saved: f64,
+    /// As of when.
+    at: Moment,
+}
+
+impl Throttle {
+    /// Begins with nothing saved up: VMs hear of a limit together, and would send at once together.
+    #[must_use]
+    pub const fn new(part: f64, now: Moment) -> Self {
+        Self {
+            part,
+            saved: 0.0,
+            at: now,
+        }
+    }
+
+    /// The part is another one from now on.
+    pub fn set(&mut self, part: f64, now: Moment) {
+        self.saved = self.saved(now).min(most(part));
+        self.part = part;
+        self.at = now;
+    }
+
+    /// Requests a second.
+    #[must_use]
+    pub const fn part(&self) -> f64 {
+        self.part
+    }
+
+    fn saved(&self, now: Moment) -> f64 {
+        let earned = now.since(self.at).as_secs_f64() * self.part;
+        (self.saved + earned).min(most(self.part).max(self.saved))
+    }
+
+    /// Whether a request may be sent now.
+    #[must_use]
+    pub fn is_open(&self, now: Moment) -> bool {
+        self.part > 0.0 && self.saved(now) >= 1.0
+    }
+
+    /// A request is sent.
+    pub fn take(&mut self, now: Moment) {
+        self.saved = self.saved(now) - 1.0;
+        self.at = now;
+    }
+
+    /// How long until the request with this number, counted from 1, may be sent; none if none ever may.
+    #[must_use]
+    pub fn wait(&self, number: u32, now: Moment) -> Option<Duration> {
+        if self.part <= 0.0 {
+            return None;
+        }
+        let missing = (f64::from(number) - self.saved(now)).max(0.0);
+        Some(number::seconds(missing / self.part))
+    }
+}
+
+/// The most requests that are saved up.
+fn most(part: f64) -> f64 {
+    (part * SAVED.as_secs_f64()).max(1.0)
+}
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -3,6 +3,7 @@
 
 use pimento_endpoint::Fault;
 use pimento_policy::admission;
+use pimento_policy::throttle::Limit;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
 use pimento_units::Tokens;
@@ -44,18 +45,25 @@
         );
     }
 
-    /// Tells of a limit that an endpoint names.
+    /// Takes the limit that an endpoint names.
     pub(super) fn named(&self, endpoint: &id::Endpoint, limit: &Named) {
         let request = self.request.ask.id.as_str();
-        let endpoint = endpoint.as_str();
-        match limit {
-            Named::Nothing => {}
-            Named::Limit(limit) => {
-                log::info!(request, endpoint, limit:%; "attempt: The endpoint names a limit.");
-            }
+        let limit = match limit {
+            Named::Nothing => None,
+            Named::Limit(limit) => Some(*limit),
+            // What was known holds on.
             Named::Unreadable(error) => {
+                let endpoint = endpoint.as_str();
                 log::warn!(request, endpoint, error:%; "attempt: The endpoint names no limit.");
+                return;
             }
+        };
+        let pool = self.node.scheduler.pool(&self.request.pool);
+        if pool.named(endpoint, limit, self.state.began) {
+            let limit = limit.map(Limit::per_second);
+            let endpoint = endpoint.as_str();
+            log::info!(request, endpoint, limit; "attempt: The endpoint names another limit.");
+            self.node.limited.notify_one();
         }
     }
 
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -10,6 +10,7 @@
 //! Within a zone each VM tells all others. To another zone it tells one VM, which passes it on there,
 //! so that bytes between zones grow with the number of zones and not with that of VMs.
 
+mod limit;
 mod meet;
 mod message;
 mod news;
@@ -25,6 +26,7 @@
 use std::time::Duration;
 
 use pimento_policy::choice;
+use pimento_scheduler::limited;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -246,9 +248,13 @@
             .iter()
             .map(|(engine, millis)| (*engine, Duration::from_millis(u64::from(*millis))))
             .collect();
+        let limits: Vec<limited::Word> = message.limits.iter().filter_map(limit::read).collect();
         for (_, pool) in self.node.scheduler.pools() {
             if near {
                 pool.hear(teller, &waits);
+                for word in &limits {
+                    pool.hear_limit(*word);
+                }
             }
             for read in &message.reads {
                 pool.learn(read.engine, &read.prompt());
@@ -292,9 +298,12 @@
     fn peers(&self) -> Vec<Peer> {
         let mut inner = self.lock();
         inner.peers.sweep(boot::now());
-        let peers = inner.peers.of(&self.node.config.zone);
+        let config = &self.node.config;
+        let peers = inner.peers.of(&config.zone);
         self.node.repeats.share_among(inner.peers.count() + 1);
+        let sharers = inner.peers.sharers(&config.node, &config.zone, boot::now());
         drop(inner);
+        self.node.scheduler.share(&sharers);
         self.zone
             .keep(|node| peers.iter().any(|peer| peer.key == node));
         peers
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::limit::Told;
 use super::peers::Standing;
 use crate::follow::Proof;
 use crate::passage::Passage;
@@ -41,6 +42,8 @@
     pub waits: Vec<(u64, u32)>,
     /// Prompts that engines read since the last datagram.
     pub reads: Vec<Read>,
+    /// Limits that endpoints named to the teller.
+    pub limits: Vec<Told>,
 }
 
 /// Proofs of the topics that all VMs read: the offset of the last change, and the stamp.
--- a/crates/relay/src/neighbours/news.rs
+++ b/crates/relay/src/neighbours/news.rs
@@ -1,5 +1,6 @@
 //! What there is to tell other VMs, cut into datagrams.
 
+use super::limit::Told;
 use super::message::Read;
 use crate::passage::Passage;
 use crate::poison::Word;
@@ -22,6 +23,8 @@
     pub reads: Vec<Read>,
     /// Milliseconds that engines take, by their keys.
     pub waits: Vec<(u64, u32)>,
+    /// Limits that endpoints named.
+    pub limits: Vec<Told>,
     /// What this VM says of roll-outs.
     pub rollouts: Vec<Announcement>,
     /// Sessions that keep a version.
@@ -33,7 +36,7 @@
 }
 
 impl News {
-    /// Whether there is nothing.
+    /// Whether there is nothing. Limits go along with what there is, and at once when they change.
     pub const fn is_empty(&self) -> bool {
         let prompts = self.reads.is_empty() && self.waits.is_empty();
         let versions = self.rollouts.is_empty() && self.kept.is_empty();
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pimento_policy::choice;
+use pimento_scheduler::Sharers;
 use pimento_units::Moment;
 use pimento_units::id;
 use serde::Deserialize;
@@ -140,6 +141,27 @@
         self.peers.len()
     }
 
+    /// Who shares what endpoints take. In the own zone a VM that is not heard any more gives its part to
+    /// the others; one that hears nobody, though others are known, may be the one that is cut off, and
+    /// takes nobody's. Other zones are heard too seldom to tell.
+    #[must_use]
+    pub fn sharers(&self, own: &id::Node, zone: &id::Zone, now: Moment) -> Sharers {
+        let near = |peer: &&Peer| peer.zone == *zone;
+        let alone = !self.peers.iter().filter(near).any(|peer| peer.lives(now));
+        let shares = |peer: &&Peer| {
+            let stays = peer.standing != Standing::Leaving;
+            stays && (peer.zone != *zone || alone || peer.lives(now))
+        };
+        let mut zones = vec![(zone.clone(), vec![choice::key(own.as_str())])];
+        for peer in self.peers.iter().filter(shares) {
+            match zones.iter_mut().find(|(known, _)| *known == peer.zone) {
+                Some((_, vms)) => vms.push(peer.key),
+                None => zones.push((peer.zone.clone(), vec![peer.key])),
+            }
+        }
+        Sharers::new(choice::key(own.as_str()), zones)
+    }
+
     /// The VMs of a zone.
     #[must_use]
     pub fn of(&self, zone: &id::Zone) -> Vec<Peer> {
--- a/crates/relay/src/neighbours/tell.rs
+++ b/crates/relay/src/neighbours/tell.rs
@@ -7,6 +7,7 @@
 use pimento_units::Offset;
 
 use super::Neighbours;
+use super::limit;
 use super::message;
 use super::message::Message;
 use super::message::Proofs;
@@ -106,6 +107,7 @@
                 _ = endpoints.changed() => self.leads(),
                 _ = bars.changed() => self.leads(),
                 () = self.node.poison.told.notified() => false,
+                () = self.node.limited.notified() => true,
                 () = self.zone.proved.notified() => self.leads(),
                 () = self.zone.stopped.notified() => true,
             };
@@ -141,6 +143,7 @@
             let waits = pool.waits().into_iter();
             news.waits
                 .extend(waits.map(|(key, wait)| (key, millis(wait))));
+            news.limits.extend(pool.limits().iter().map(limit::written));
         }
         let mut inner = self.lock();
         inner.far.extend(shared);
@@ -191,6 +194,7 @@
                 proofs: proven.map(|node| self.proofs(node)).unwrap_or_default(),
                 rollouts: rollouts.to_vec(),
                 waits: news.waits.clone(),
+                limits: news.limits.clone(),
                 kept: part.kept.to_vec(),
                 poison: part.poison.to_vec(),
                 reads: part.reads.to_vec(),
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,6 +10,7 @@
 use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
 use pimento_units::id;
+use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -65,6 +66,8 @@
     pub bars: Follower<Bars, L>,
     /// Slots at endpoints.
     pub scheduler: Scheduler,
+    /// Told when an endpoint names another limit than before.
+    pub limited: Arc<Notify>,
     /// The budget of repeats.
     pub repeats: Arc<Repeats>,
     /// What was seen of models' confidences.
@@ -94,6 +97,7 @@
             poison: Arc::clone(&self.poison),
             bars: self.bars.clone(),
             scheduler: self.scheduler.clone(),
+            limited: Arc::clone(&self.limited),
             repeats: Arc::clone(&self.repeats),
             models: Arc::clone(&self.models),
             calls: self.calls.clone(),
@@ -177,6 +181,7 @@
             poison: Arc::default(),
             bars,
             scheduler: Scheduler::new(clock),
+            limited: Arc::default(),
             repeats: Arc::new(repeats),
             models: Arc::default(),
             calls,
--- a/crates/relay/tests/all/peers.rs
+++ b/crates/relay/tests/all/peers.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pimento_policy::choice;
 use pimento_relay::follow::Lead;
 use pimento_relay::neighbours::peers::LIVING;
 use pimento_relay::neighbours::peers::Peer;
@@ -10,6 +11,7 @@
 use pimento_relay::neighbours::peers::Role;
 use pimento_relay::neighbours::peers::Standing;
 use pimento_relay::neighbours::tell::period;
+use pimento_scheduler::Sharers;
 use pimento_units::Moment;
 use pimento_units::id;
 
@@ -135,3 +137,26 @@
     }
     assert_eq!(period(2), period(1) * 2);
 }
+
+fn sharers(peers: &Peers, own: &str, at: Moment) -> Sharers {
+    peers.sharers(&node(own), &zone(), at)
+}
+
+fn of(names: &[&str]) -> Sharers {
+    let keys = names.iter().map(|name| choice::key(name));
+    Sharers::new(choice::key("b"), vec![(zone(), keys.collect())])
+}
+
+/// Guards against a VM that hears nobody and takes what endpoints take for itself, and against one that
+/// keeps a part for VMs that are gone.
+#[test]
+fn what_endpoints_take_is_shared_with_the_vms_that_are_heard() {
+    let peers = spoken(&[("a", Standing::Able), ("c", Standing::Leaving)]);
+    assert_eq!(sharers(&peers, "b", now()), of(&["a", "b"]));
+    let mut peers = spoken(&[("a", Standing::Able), ("c", Standing::Able)]);
+    assert_eq!(sharers(&peers, "b", now()), of(&["a", "b", "c"]));
+    let later = now() + LIVING;
+    assert_eq!(sharers(&peers, "b", later), of(&["a", "b", "c"]));
+    peers.met(told_of("c", 2).speaks(Standing::Able, later), later);
+    assert_eq!(sharers(&peers, "b", later), of(&["b", "c"]));
+}
--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -1,6 +1,7 @@
 //! The state of one pool under its lock.
 
 mod placing;
+mod throttled;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -30,6 +31,7 @@
 use crate::seat::ordinary;
 use crate::seat::refresh;
 use crate::seat::seat;
+use crate::sharers::Sharers;
 
 /// Jobs for one version, with their own drain rate: versions differ in speed, and a job of one
 /// must not wait behind jobs of another whose endpoints are full.
@@ -57,6 +59,10 @@
     /// Prompts that engines read since they were last told to other VMs.
     read: Vec<(u64, Prompt)>,
     turn: usize,
+    /// The VMs that share what endpoints take.
+    sharers: Sharers,
+    /// When waiting jobs are next looked at for an endpoint that may then get one more.
+    rouse: Option<Moment>,
 }
 
 impl Default for Inner {
@@ -72,6 +78,8 @@
             named: Vec::new(),
             read: Vec::new(),
             turn: 0,
+            sharers: Sharers::default(),
+            rouse: None,
         }
     }
 }
@@ -123,10 +131,8 @@
         let (mut slots, mut free, mut any) = (0, 0, false);
         for seat in seats {
             any = true;
-            slots += seat.limiter.limit();
-            if now >= seat.closed {
-                free += seat.limiter.room();
-            }
+            slots += seat.slots();
+            free += seat.free(now);
         }
         if !any {
             return None;
@@ -195,7 +201,7 @@
             .seats
             .iter()
             .filter(|s| s.member.usable && s.member.holds(version));
-        seats.map(|s| s.limiter.limit()).sum()
+        seats.map(Seat::slots).sum()
     }
 
     fn station(&mut self, version: Option<&id::Version>) -> &mut Station {
@@ -227,6 +233,7 @@
                 idle += 1;
             }
         }
+        self.rouse(shared, now);
     }
 
     /// Gives one slot to one job of a version; false if there is no slot or no job.
@@ -266,11 +273,7 @@
     fn open(&self, version: Option<&id::Version>, now: Moment) -> bool {
         self.seats.iter().any(|seat| {
             let out = self.health.state(&seat.member.endpoint, now) == eject::State::Out;
-            seat.member.usable
-                && seat.member.holds(version)
-                && !out
-                && now >= seat.closed
-                && seat.limiter.room() > 0
+            seat.is_open(now) && seat.member.holds(version) && !out && seat.limiter.room() > 0
         })
     }
 
@@ -287,6 +290,9 @@
         if !seat.limiter.acquire() {
             return None;
         }
+        if let Some(limited) = &mut seat.limited {
+            limited.take(now);
+        }
         self.health.sent(&seat.member.endpoint, now);
         let ticket = job.prompt.as_ref().zip(seat.engine.as_mut());
         let ticket = ticket.map(|(prompt, engine)| {
@@ -470,8 +476,9 @@
         Depth {
             waiting: self.stations.iter().map(|s| s.queue.len()).sum(),
             flying: self.seats.iter().map(|s| s.limiter.flying()).sum(),
-            slots: usable.clone().map(|s| s.limiter.limit()).sum(),
+            slots: usable.clone().map(Seat::slots).sum(),
             ejected: self.health.out(),
+            limited: usable.clone().filter(|s| s.throttle().is_some()).count(),
             usable: usable.count(),
         }
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,10 +7,12 @@
 
 pub mod clock;
 mod inner;
+pub mod limited;
 pub mod permit;
 mod pool;
 pub mod refused;
 mod seat;
+pub mod sharers;
 
 pub use clock::Clock;
 pub use permit::Permit;
@@ -21,3 +23,4 @@
 pub use pool::Scheduler;
 pub use refused::Refused;
 pub use seat::Member;
+pub use sharers::Sharers;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -10,6 +10,7 @@
 use pimento_policy::admission;
 use pimento_policy::engine::Prompt;
 use pimento_policy::queue;
+use pimento_policy::throttle::Limit;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -18,9 +19,11 @@
 
 use crate::clock::Clock;
 use crate::inner::Inner;
+use crate::limited;
 use crate::permit::Permit;
 use crate::refused::Refused;
 use crate::seat::Member;
+use crate::sharers::Sharers;
 
 /// Work that wants a slot.
 #[derive(Debug, Clone)]
@@ -129,6 +132,9 @@
         if let Some(after) = inner.hopeless(&waiter.job, now) {
             return Err(Refused::Overloaded { after });
         }
+        if let Some(after) = inner.throttled(&waiter.job, now) {
+            return Err(Refused::Overloaded { after });
+        }
         let verdict = inner.decide(&waiter.job, demand, now, rand::random());
         let start_by = match verdict {
             admission::Verdict::Admit { start_by } => start_by,
@@ -197,6 +203,27 @@
         self.shared.lock().learn(engine, prompt, now);
     }
 
+    /// An endpoint named a limit, or none, in its answer to a call that was sent at `asked`. Whether that
+    /// is news.
+    #[must_use]
+    pub fn named(&self, endpoint: &id::Endpoint, limit: Option<Limit>, asked: Moment) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.lock().named(endpoint, limit, asked, now)
+    }
+
+    /// What other VMs are to be told of limits.
+    #[must_use]
+    pub fn limits(&self) -> Vec<limited::Word> {
+        let now = self.shared.clock.now();
+        self.shared.lock().limits(now)
+    }
+
+    /// Another VM says what an endpoint named.
+    pub fn hear_limit(&self, word: limited::Word) {
+        let now = self.shared.clock.now();
+        self.shared.lock().hear_limit(word, now);
+    }
+
     /// How fast models read, in seconds for a token by the models' hashes; none before enough is
     /// known to be told to others.
     #[must_use]
@@ -244,12 +271,14 @@
     pub ejected: usize,
     /// Endpoints usable.
     pub usable: usize,
+    /// Of these, endpoints that named a limit.
+    pub limited: usize,
 }
 
 impl Depth {
     /// The figures with their names in metrics.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 5] {
+    pub fn figures(&self) -> [(&'static str, u64); 6] {
         let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
         [
             ("waiting", count(self.waiting)),
@@ -257,6 +286,7 @@
             ("slots", u64::from(self.slots)),
             ("usable", count(self.usable)),
             ("ejected", count(self.ejected)),
+            ("limited", count(self.limited)),
         ]
     }
 }
@@ -290,6 +320,8 @@
     pools: Arc<RwLock<Vec<(id::Pool, Pool)>>>,
     /// How fast models read, as other VMs learnt, for pools to come.
     paces: Arc<RwLock<Vec<(u64, f64)>>>,
+    /// The VMs that share what endpoints take.
+    sharers: Arc<RwLock<Sharers>>,
 }
 
 impl Scheduler {
@@ -300,6 +332,7 @@
             clock,
             pools: Arc::default(),
             paces: Arc::default(),
+            sharers: Arc::default(),
         }
     }
 
@@ -320,6 +353,8 @@
                 let pool = Pool::new(self.clock);
                 let paces = self.paces.read().unwrap_or_else(PoisonError::into_inner);
                 pool.shared.lock().seed(&paces);
+                let sharers = self.sharers.read().unwrap_or_else(PoisonError::into_inner);
+                pool.shared.lock().share(sharers.clone(), self.clock.now());
                 pools.insert(place, (name.clone(), pool.clone()));
                 pool
             }
@@ -335,6 +370,21 @@
         known.extend_from_slice(paces);
     }
 
+    /// These VMs share what endpoints take from now on.
+    pub fn share(&self, sharers: &Sharers) {
+        {
+            let mut known = self.sharers.write().unwrap_or_else(PoisonError::into_inner);
+            if *known == *sharers {
+                return;
+            }
+            *known = sharers.clone();
+        }
+        let now = self.clock.now();
+        for (_, pool) in self.pools() {
+            pool.shared.lock().share(sharers.clone(), now);
+        }
+    }
+
     /// All pools, sorted by name.
     #[must_use]
     pub fn pools(&self) -> Vec<(id::Pool, Pool)> {
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -6,10 +6,12 @@
 use pimento_policy::choice;
 use pimento_policy::engine::Engine;
 use pimento_policy::limit;
+use pimento_policy::throttle::Throttle;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use crate::limited::Limited;
 use crate::pool::Job;
 
 /// A call of ordinary size, for comparing endpoints by how long one takes.
@@ -66,14 +68,58 @@
     pub(crate) back: Moment,
     /// What is known of its prompts, for an engine.
     pub(crate) engine: Option<Engine>,
+    /// The limit that it named for all VMs together.
+    pub(crate) limited: Option<Limited>,
 }
 
 impl Seat {
     /// Whether the endpoint says that it takes calls such as this one.
     pub(crate) fn takes(&self, job: &Job, now: Moment) -> bool {
-        let member = &self.member;
-        member.usable && member.holds(job.version.as_ref()) && now >= self.closed
+        self.is_open(now) && self.member.holds(job.version.as_ref())
     }
+
+    /// Whether the endpoint says that it takes calls from this VM.
+    pub(crate) fn is_open(&self, now: Moment) -> bool {
+        let allowed = self.throttle().is_none_or(|throttle| throttle.is_open(now));
+        self.member.usable && now >= self.closed && allowed
+    }
+
+    /// What this VM may send to an endpoint that named a limit.
+    pub(crate) fn throttle(&self) -> Option<Throttle> {
+        self.limited.as_ref()?.throttle()
+    }
+
+    /// Calls at once that it can be counted on for.
+    pub(crate) fn slots(&self) -> u32 {
+        let limit = self.limiter.limit();
+        match self.throttle() {
+            None => limit,
+            Some(throttle) => {
+                let calls = throttle.part() * FIRST_RUN.as_secs_f64();
+                limit.min(rounded_up(calls))
+            }
+        }
+    }
+
+    /// The same now.
+    pub(crate) fn free(&self, now: Moment) -> u32 {
+        let room = self.limiter.room();
+        match self.throttle() {
+            _ if !self.is_open(now) => 0,
+            None => room,
+            Some(_) => room.min(1),
+        }
+    }
+}
+
+/// A small number of calls.
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a float to integer cast saturates"
+)]
+fn rounded_up(calls: f64) -> u32 {
+    calls.ceil() as u32
 }
 
 /// How long an endpoint that refused a call gets none from this node: several round trips, in which
@@ -93,6 +139,7 @@
         closed: Moment::ZERO,
         back: Moment::ZERO,
         engine: member.memory.map(Engine::new),
+        limited: None,
         member,
     }
 }
@@ -149,6 +196,7 @@
         seat.refusals = 0;
         seat.closed = Moment::ZERO;
         seat.back = Moment::ZERO;
+        seat.limited = None;
     }
     if let Some((report, at)) = member.report
         && seat.member.report.is_none_or(|(_, seen)| seen < at)
--- /dev/null
+++ b/crates/scheduler/tests/limited.rs
@@ -0,0 +1,162 @@
+//! Endpoints that name limits for all VMs together.
+
+use std::time::Duration;
+
+use pimento_policy::limit;
+use pimento_policy::throttle::Limit;
+use pimento_scheduler::Clock;
+use pimento_scheduler::Job;
+use pimento_scheduler::Member;
+use pimento_scheduler::Pool;
+use pimento_scheduler::Refused;
+use pimento_scheduler::Scheduler;
+use pimento_scheduler::Sharers;
+use pimento_scheduler::limited::Word;
+use pimento_units::Moment;
+use pimento_units::Tokens;
+use tokio_util::sync::CancellationToken;
+
+/// This VM and another one of the endpoints' zone.
+const OWN: u64 = 1;
+const OTHER: u64 = 2;
+
+fn desk(life: u64) -> Member {
+    let report = limit::Report {
+        running: 0,
+        waiting: 0,
+        batch: 6,
+    };
+    Member {
+        endpoint: "i-1".parse().unwrap(),
+        zone: "a".parse().unwrap(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        usable: true,
+        distance: Duration::ZERO,
+        versions: None,
+        report: Some((report, Moment::ZERO)),
+        memory: None,
+        life,
+    }
+}
+
+fn call(clock: Clock, wait: Duration) -> Job {
+    Job {
+        customer: "garage".parse().unwrap(),
+        weight: 1,
+        priority: 1,
+        tokens: Tokens(1),
+        deadline: clock.now() + wait,
+        version: None,
+        prefix: None,
+        prompt: None,
+        tried: Vec::new(),
+        returning: false,
+        repeatable: true,
+    }
+}
+
+/// A pool of one endpoint, shared with these VMs.
+fn pool(vms: &[u64]) -> (Clock, Scheduler, Pool) {
+    let clock = Clock::default();
+    let scheduler = Scheduler::new(clock);
+    let zone = "a".parse().unwrap();
+    scheduler.share(&Sharers::new(OWN, vec![(zone, vms.to_vec())]));
+    let pool = scheduler.pool(&"desk".parse().unwrap());
+    pool.update(vec![desk(1)]);
+    (clock, scheduler, pool)
+}
+
+fn name(clock: Clock, pool: &Pool, limit: Option<f64>, sent: Moment) -> bool {
+    let limit = limit.map(|limit| Limit::try_from(limit).unwrap());
+    let endpoint = "i-1".parse().unwrap();
+    assert!(clock.now() >= sent);
+    pool.named(&endpoint, limit, sent)
+}
+
+fn limited(pool: &Pool) -> usize {
+    pool.depth().limited
+}
+
+/// Guards against an answer that was under way when the endpoint named its limit, and ends it.
+#[tokio::test]
+async fn an_answer_to_an_older_call_ends_no_limit() {
+    let (clock, _scheduler, pool) = pool(&[OWN]);
+    let before = clock.now();
+    assert!(name(clock, &pool, Some(2.0), before));
+    assert!(!name(clock, &pool, Some(2.0), before));
+    assert!(!name(clock, &pool, None, before));
+    assert_eq!(limited(&pool), 1);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    assert!(name(clock, &pool, None, clock.now()));
+    assert_eq!(limited(&pool), 0);
+}
+
+/// Guards against a limit that is held against the next life of an endpoint under the same name.
+#[tokio::test]
+async fn an_endpoint_that_starts_again_has_no_limit() {
+    let (clock, _scheduler, pool) = pool(&[OWN]);
+    name(clock, &pool, Some(2.0), clock.now());
+    pool.update(vec![desk(1)]);
+    assert_eq!(limited(&pool), 1);
+    pool.update(vec![desk(2)]);
+    assert_eq!(limited(&pool), 0);
+}
+
+/// Guards against old word of a neighbour that takes the place of newer word, and against word that is
+/// passed on and on.
+#[tokio::test]
+async fn the_newest_word_of_a_limit_holds() {
+    let (clock, _scheduler, pool) = pool(&[OWN]);
+    tokio::time::sleep(Duration::from_millis(20)).await;
+    name(clock, &pool, Some(2.0), clock.now());
+    let told = pool.limits();
+    assert_eq!(told.len(), 1);
+    let old = Word {
+        limit: None,
+        age: Duration::from_millis(15),
+        ..told[0]
+    };
+    pool.hear_limit(old);
+    assert_eq!(limited(&pool), 1);
+    tokio::time::sleep(Duration::from_millis(5)).await;
+    let newer = Word {
+        age: Duration::ZERO,
+        limit: Some(Limit::try_from(3.0).unwrap()),
+        ..told[0]
+    };
+    pool.hear_limit(newer);
+    assert_eq!(limited(&pool), 1);
+    assert_eq!(pool.limits(), []);
+}
+
+/// Guards against a call that waits for its turn, and gets none since nothing else happens in the pool.
+#[tokio::test]
+async fn a_waiting_call_gets_its_turn() {
+    let (clock, _scheduler, pool) = pool(&[OWN]);
+    name(clock, &pool, Some(10.0), clock.now());
+    let gone = CancellationToken::new();
+    for _ in 0..3 {
+        let job = call(clock, Duration::from_secs(10));
+        let permit = pool.acquire(job, &gone).await.unwrap();
+        permit.served(Tokens(1));
+    }
+}
+
+/// Guards against a call that is held at a VM that may not send it.
+#[tokio::test]
+async fn a_call_is_refused_at_once_where_other_vms_have_the_limit() {
+    let (clock, scheduler, pool) = pool(&[OTHER]);
+    name(clock, &pool, Some(0.5), clock.now());
+    let gone = CancellationToken::new();
+    let job = || call(clock, Duration::from_secs(10));
+    let refused = pool.acquire(job(), &gone).await.unwrap_err();
+    let Refused::Overloaded { after } = refused else {
+        panic!("{refused:?}");
+    };
+    assert!((0.5..=30.0).contains(&after.as_secs_f64()), "{after:?}");
+    // Its part comes to this one when the other leaves.
+    let zone = "a".parse().unwrap();
+    scheduler.share(&Sharers::new(OWN, vec![(zone, vec![OWN])]));
+    let permit = pool.acquire(job(), &gone).await.unwrap();
+    permit.served(Tokens(1));
+}
