Honour no bar on the log of a request that was just answered, and take it off

Cause: found on reading the change. A bar is written by the VM that sees the third end; one that sees a whole answer in the same moment knows of no bar yet and takes none off. It would then stand on the log for ten minutes, at all VMs but by none of their own counts. Change: a VM that knows of a whole answer in the last 30 s, its own or one it was told of, sends the request whatever the log says, and the VM that reads the log for its zone takes such a bar off within a second. Ruled out: to wait with the bar: it is there to be quick. Observed: a_bar_on_the_log_of_what_was_just_answered_is_taken_off fails before (503 poison) and passes after. Conclusion: an answer that comes beside the third end clears at all VMs.

--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -200,8 +200,13 @@
 /// How long a request is still barred; none if it may be sent.
 pub fn barred<P: Border + Codec, L: Log>(node: &Node<P, L>, digest: Digest) -> Option<Duration> {
     let now = boot::now();
-    let own = node.poison.lock().table.barred(digest, now);
-    own.max(node.bars.view(|bars| bars.barred(digest, now)))
+    let table = &node.poison.lock().table;
+    // The VM that wrote the bar may not have heard of the answer.
+    if table.clears(digest, now) {
+        return None;
+    }
+    let on_log = node.bars.view(|bars| bars.barred(digest, now));
+    table.barred(digest, now).max(on_log)
 }
 
 /// The connection to an endpoint ended in the middle of a request.
--- a/crates/relay/src/poison/bars.rs
+++ b/crates/relay/src/poison/bars.rs
@@ -44,11 +44,13 @@
         self.find(digest).is_ok()
     }
 
-    /// The bars that have run out and are still on the log.
+    /// The bars that are on the log for nothing: those that have run out, and of requests that are
+    /// cleared.
     #[must_use]
-    pub fn lapsed(&self, now: Moment) -> Vec<Digest> {
-        let lapsed = self.bars.iter().filter(|bar| bar.until <= now);
-        lapsed.map(|bar| bar.digest).collect()
+    pub fn needless(&self, cleared: impl Fn(Digest) -> bool, now: Moment) -> Vec<Digest> {
+        let needless = |bar: &&Bar| bar.until <= now || cleared(bar.digest);
+        let bars = self.bars.iter().filter(needless);
+        bars.map(|bar| bar.digest).collect()
     }
 }
 
--- a/crates/relay/src/poison/keep.rs
+++ b/crates/relay/src/poison/keep.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// Ends the bars that have run out. The VM that reads the log for its zone takes them off it.
+/// Ends the bars that have run out. The VM that reads the log for its zone takes off it what is needless.
 fn lapse<P: Border + Codec, L: Log>(node: &Node<P, L>) {
     let now = boot::now();
     let mut state = node.poison.lock();
@@ -53,7 +53,8 @@
         log::info!(digest:%; "poison: The bar has run out.");
     }
     if node.reads() {
-        for digest in node.bars.view(|bars| bars.lapsed(now)) {
+        let cleared = |digest| state.table.clears(digest, now);
+        for digest in node.bars.view(|bars| bars.needless(cleared, now)) {
             state.say(digest, Change::Drop);
         }
     }
