Refuse at once what only an endpoint that is out, or one with a limit of others, could take

Cause: found on reading the change. Where one endpoint is out and other VMs have the limit of the rest, a call waited for its whole time and was then told that this was up: the look for calls that nobody will take knew of ejections and of refusals, but not of limits. Change: an endpoint with a limit counts from when this VM may send it the next call; 30 s if it has no part. Ruled out: to count it as unusable: its part may come to this VM when another leaves. Observed: a_call_does_not_wait_for_an_endpoint_that_is_out_beside_one_with_a_limit fails before (Late after 3 s) and passes after; all tests of the workspace pass. Conclusion: no call waits for what can't come.

--- a/crates/scheduler/src/inner.rs
+++ b/crates/scheduler/src/inner.rs
@@ -446,7 +446,10 @@
             .seats
             .iter()
             .filter(|s| s.member.usable && s.member.holds(version));
-        let back = |seat: &Seat| seat.back.max(self.health.back(&seat.member.endpoint));
+        let back = |seat: &Seat| {
+            let out = self.health.back(&seat.member.endpoint);
+            seat.back.max(out).max(seat.turn(now))
+        };
         let earliest = seats.map(back).min()?;
         let after = earliest.since(now);
         (after > last).then_some(after)
--- a/crates/scheduler/src/inner/throttled.rs
+++ b/crates/scheduler/src/inner/throttled.rs
@@ -13,15 +13,15 @@
 use crate::limited::Word;
 use crate::pool::Job;
 use crate::pool::Shared;
+use crate::seat::NEVER;
 use crate::seat::Seat;
 use crate::sharers::Sharers;
 
 /// Share of a job's time that waiting for its turn and running may take, as at the gate.
 const HEADROOM: f64 = 0.5;
 
-/// The shortest and the longest time after which a job comes back that this VM can't send.
+/// The shortest time after which a job comes back that this VM can't send.
 const SOONEST: Duration = Duration::from_millis(500);
-const LATEST: Duration = Duration::from_secs(30);
 
 impl Inner {
     /// An endpoint named a limit, or none, in its answer to a call that was sent at `asked`. Whether that
@@ -92,14 +92,14 @@
             all += seat.limited?.limit()?.per_second();
         }
         if part <= 0.0 {
-            return Some(seconds(1.0 / all).clamp(SOONEST, LATEST));
+            return Some(seconds(1.0 / all).clamp(SOONEST, NEVER));
         }
         let ahead = self.waiting(version) + 1;
         let missing = f64::from(ahead.saturating_sub(ready));
         let wait = seconds(missing / part);
         let whole = job.deadline.since(now).mul_f64(HEADROOM);
         let slack = whole.saturating_sub(self.run(version, job.tokens));
-        (wait > slack).then(|| wait.clamp(SOONEST, LATEST))
+        (wait > slack).then(|| wait.clamp(SOONEST, NEVER))
     }
 
     /// Jobs that wait for a version.
@@ -150,5 +150,5 @@
 }
 
 fn seconds(seconds: f64) -> Duration {
-    Duration::try_from_secs_f64(seconds).unwrap_or(LATEST)
+    Duration::try_from_secs_f64(seconds).unwrap_or(NEVER)
 }
--- a/crates/scheduler/src/seat.rs
+++ b/crates/scheduler/src/seat.rs
@@ -72,6 +72,9 @@
     pub(crate) limited: Option<Limited>,
 }
 
+/// When to come back to an endpoint that this VM may send nothing.
+pub(crate) const NEVER: Duration = Duration::from_secs(30);
+
 impl Seat {
     /// Whether the endpoint says that it takes calls such as this one.
     pub(crate) fn takes(&self, job: &Job, now: Moment) -> bool {
@@ -89,6 +92,13 @@
         self.limited.as_ref()?.throttle()
     }
 
+    /// When this VM may send it the next call.
+    pub(crate) fn turn(&self, now: Moment) -> Moment {
+        self.throttle().map_or(Moment::ZERO, |throttle| {
+            now + throttle.wait(1, now).unwrap_or(NEVER)
+        })
+    }
+
     /// Calls at once that it can be counted on for.
     pub(crate) fn slots(&self) -> u32 {
         let limit = self.limiter.limit();
--- a/crates/scheduler/tests/limited.rs
+++ b/crates/scheduler/tests/limited.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pimento_endpoint::Fault;
 use pimento_policy::limit;
 use pimento_policy::throttle::Limit;
 use pimento_scheduler::Clock;
@@ -160,3 +161,32 @@
     let permit = pool.acquire(job(), &gone).await.unwrap();
     permit.served(Tokens(1));
 }
+
+/// Guards against a call that waits for its whole time where one endpoint is out, and other VMs have the
+/// limit of the other.
+#[tokio::test]
+async fn a_call_does_not_wait_for_an_endpoint_that_is_out_beside_one_with_a_limit() {
+    let (clock, _scheduler, pool) = pool(&[OTHER]);
+    let second = Member {
+        endpoint: "i-2".parse().unwrap(),
+        ..desk(1)
+    };
+    pool.update(vec![desk(1), second]);
+    let gone = CancellationToken::new();
+    for _ in 0..3 {
+        let mut job = call(clock, Duration::from_secs(3));
+        job.tried = vec!["i-1".parse().unwrap()];
+        let permit = pool.acquire(job, &gone).await.unwrap();
+        permit.failed(&Fault::Failed { status: 500 });
+    }
+    name(clock, &pool, Some(1.0), clock.now());
+    let began = clock.now();
+    let refused = pool
+        .acquire(call(clock, Duration::from_secs(3)), &gone)
+        .await;
+    assert!(
+        matches!(refused, Err(Refused::Overloaded { .. })),
+        "{refused:?}"
+    );
+    assert!(clock.now().since(began) < Duration::from_secs(1));
+}
