--- a/crates/scheduler/tests/limited.rs
+++ b/crates/scheduler/tests/limited.rs
@@ -1,9 +1,10 @@
 //! Endpoints that name limits for all VMs together.
 
+mod common;
+
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
-use pimento_policy::limit;
 use pimento_policy::throttle::Limit;
 use pimento_scheduler::Clock;
 use pimento_scheduler::Job;
@@ -17,27 +18,14 @@
 use pimento_units::Tokens;
 use tokio_util::sync::CancellationToken;
 
+use self::common::member;
+
 /// This VM and another one of the endpoints' zone.
 const OWN: u64 = 1;
 const OTHER: u64 = 2;
 
 fn desk(life: u64) -> Member {
-    let report = limit::Report {
-        running: 0,
-        waiting: 0,
-        batch: 6,
-    };
-    Member {
-        endpoint: "i-1".parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        usable: true,
-        distance: Duration::ZERO,
-        versions: None,
-        report: Some((report, Moment::ZERO)),
-        memory: None,
-        life,
-    }
+    Member { life, ..member(6) }
 }
 
 fn call(clock: Clock, wait: Duration) -> Job {
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -1,11 +1,12 @@
 //! What a pool knows of its endpoints as their list changes.
 
+mod common;
+
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
-use pimento_policy::limit;
 use pimento_scheduler::Clock;
 use pimento_scheduler::Job;
 use pimento_scheduler::Member;
@@ -16,24 +17,15 @@
 use pimento_units::Tokens;
 use tokio_util::sync::CancellationToken;
 
+use self::common::member;
+
 const MEMORY: Tokens = Tokens(600_000);
 
 fn engine(memory: Option<Tokens>) -> Member {
-    let report = limit::Report {
-        running: 0,
-        waiting: 0,
-        batch: 64,
-    };
     Member {
-        endpoint: "i-1".parse().unwrap(),
-        zone: "a".parse().unwrap(),
-        address: "127.0.0.1:9".parse().unwrap(),
-        usable: true,
-        distance: Duration::ZERO,
         versions: Some(vec!["v1".parse().unwrap()]),
-        report: Some((report, Moment::ZERO)),
         memory,
-        life: 1,
+        ..member(64)
     }
 }
 
