--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -17,6 +17,7 @@
 use pimento_policy::retry;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
+use pimento_scheduler::Requirement;
 use pimento_serve::ReplyBody;
 use pimento_units::Money;
 use pimento_units::Tokens;
@@ -169,7 +170,7 @@
             priority: PRIORITY,
             tokens: CALL_TOKENS,
             deadline: call.identity.deadline,
-            version: None,
+            requirement: Requirement::default(),
             prefix: None,
             prompt: None,
             tried: trace.tried.clone(),
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -16,6 +16,7 @@
 use pimento_policy::retry;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
+use pimento_scheduler::Requirement;
 use pimento_units::Tokens;
 use pimento_units::id;
 use uuid::Uuid;
@@ -139,7 +140,7 @@
             priority: request.class.priority,
             tokens: self.expected_tokens(context),
             deadline: request.identity.deadline,
-            version: Some(context.version.clone()),
+            requirement: Requirement::version(Some(context.version.clone())),
             prefix: first_message.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
             prompt: None,
             tried: context.trace.tried.clone(),
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -141,7 +141,7 @@
     fn from(no_slot: NoSlot) -> Self {
         let (code, after) = match no_slot {
             NoSlot::NoEndpoint { after } => (Code::NoEndpoint, Some(after)),
-            NoSlot::Overloaded { after } | NoSlot::Expired { after } => {
+            NoSlot::Overloaded { after } | NoSlot::Expired { after } | NoSlot::Cold { after } => {
                 (Code::Overloaded, Some(after))
             }
             NoSlot::CallerGone => (Code::CallerGone, None),
--- a/crates/entry/src/registry/poll.rs
+++ b/crates/entry/src/registry/poll.rs
@@ -210,6 +210,7 @@
             report,
             kv_capacity: None,
             incarnation: endpoint.incarnation(),
+            cold: None,
         }
     }
 
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -10,6 +10,7 @@
 use pimento_scheduler::Job;
 use pimento_scheduler::Member;
 use pimento_scheduler::Pool;
+use pimento_scheduler::Requirement;
 use pimento_scheduler::Scheduler;
 use pimento_units::Tokens;
 use pimento_wire::api::Run;
@@ -31,6 +32,7 @@
         report: None,
         kv_capacity: None,
         incarnation: 0,
+        cold: None,
     }
 }
 
@@ -59,7 +61,7 @@
             priority: 0,
             tokens: Tokens(50),
             deadline: self.clock.now() + TIMEOUT,
-            version: Some(name(SMALL)),
+            requirement: Requirement::version(Some(name(SMALL))),
             prefix: None,
             prompt: None,
             tried: Vec::new(),
@@ -125,7 +127,7 @@
 async fn a_job_is_refused_at_once_if_no_endpoint_serves_its_version() {
     let fixture = Fixture::new(&["a"]);
     let mut job = fixture.job();
-    job.version = Some(name("unknown@1"));
+    job.requirement = Requirement::version(Some(name("unknown@1")));
     let refusal = fixture.pool.acquire(job, &fixture.token).await.unwrap_err();
     let refusal = Refusal::from(refusal);
     assert_eq!(refusal.code, Code::NoEndpoint);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod budget;
 pub mod cascade;
 pub mod choice;
+pub mod cold;
 pub mod confidence;
 pub mod connect;
 pub mod eject;
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -23,7 +23,7 @@
 use crate::number;
 
 /// Requests per second that an endpoint accepts; finite and not negative.
-#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd)]
 pub struct RateLimit(f64);
 
 /// Why a value is not a limit.
@@ -104,22 +104,38 @@
     if participants.is_empty() {
         return rate;
     }
-    if !participants.contains(&own) {
-        return 0.0;
-    }
     let max_owners = number::floor_u32(limit.0 * OWNER_INTERVAL.as_secs_f64()).saturating_add(1);
     let count = u32::try_from(participants.len()).unwrap_or(u32::MAX);
     let owners = max_owners.min(count);
+    match rank(endpoint, own, participants) {
+        Some(rank) if rank < owners => rate / f64::from(owners),
+        _ => 0.0,
+    }
+}
+
+/// Returns this VM's place among the VMs that may send to an endpoint, from 0; `None` if it is not one of
+/// them.
+pub(crate) fn rank(endpoint: u64, own: u64, participants: &[u64]) -> Option<u32> {
+    if !participants.contains(&own) {
+        return None;
+    }
     let weight = |vm: u64| number::mix(endpoint, vm);
     let heavier = participants.iter().filter(|vm| weight(**vm) > weight(own));
-    let rank = u32::try_from(heavier.count()).unwrap_or(u32::MAX);
-    if rank < owners {
-        rate / f64::from(owners)
-    } else {
-        0.0
-    }
+    Some(u32::try_from(heavier.count()).unwrap_or(u32::MAX))
 }
 
+/// Returns the rate at which a [`Throttle`] lets no more than `calls` pass in any one second.
+pub(crate) fn rate_within(calls: u32) -> f64 {
+    let calls = f64::from(calls);
+    let with_full_bucket = calls / (1.0 + BURST_WINDOW.as_secs_f64());
+    let with_one_saved = calls - 1.0;
+    with_full_bucket.min(with_one_saved).max(SINGLE_CALL_RATE)
+}
+
+/// Calls per second of a VM that may make one call in any one second. With less than one, the bucket never
+/// holds two calls for the same second.
+const SINGLE_CALL_RATE: f64 = 0.9;
+
 /// Token bucket for the requests that this VM may send to an endpoint with a limit.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Throttle {
--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -13,6 +13,7 @@
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
 use crate::headers::RequestInfo;
+use crate::home;
 use crate::node::Freshness;
 use crate::node::Node;
 use crate::refusal::Cause;
@@ -133,6 +134,14 @@
 }
 
 impl Grant {
+    /// The zones in which the request may run, of all `zones` with their regions; none if it may run in any.
+    #[must_use]
+    pub fn allowed_zones(&self, zones: &[(id::Zone, String)]) -> Option<Vec<id::Zone>> {
+        let customer = self.customer.as_ref();
+        let customer = customer.map_or(&[][..], |customer| &customer.home_regions);
+        home::allowed_zones(zones, &self.route.home_regions, customer)
+    }
+
     /// The service for the request. `random` must be the same for all attempts of one request.
     #[must_use]
     pub fn pick_service(&self, random: u64) -> Option<id::Pool> {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::admit;
+use crate::admit::Grant;
 use crate::admitted::AdmittedRequest;
 use crate::codec::Codec;
 use crate::connection::Connection;
@@ -192,6 +193,10 @@
                     pools::refresh(self.node);
                     continue;
                 }
+                Err(NoSlot::NoEndpoint { after }) => {
+                    let cause = self.no_endpoint_cause();
+                    return Err(self.qualify(Refusal::new(cause).with_retry_after(after)));
+                }
                 Err(refused) => return Err(self.qualify(refused.into())),
             };
             if self.node.usable(permit.endpoint()) && !self.version_is_bad(&permit) {
@@ -201,6 +206,30 @@
         }
     }
 
+    /// Why no endpoint can take the request, although the view of the endpoints is up to date.
+    fn no_endpoint_cause(&self) -> Cause {
+        let request = self.request;
+        let zones = request.grant.allowed_zones(&self.node.config.zones);
+        let allowed = |zone: &id::Zone| {
+            let zones = zones.as_ref();
+            zones.is_none_or(|zones| zones.binary_search(zone).is_ok())
+        };
+        let registered = self.node.usable_zones(&request.pool);
+        if !registered.is_empty() && !registered.iter().any(allowed) {
+            return Cause::NotHome;
+        }
+        let evacuated = self.node.operators.view(|view| {
+            let evacuations = view.evacuations();
+            let mut zones = registered.iter().filter(|zone| allowed(zone));
+            zones.any(|zone| evacuations.contains(zone))
+        });
+        if evacuated {
+            Cause::Evacuated
+        } else {
+            Cause::NoEndpoint
+        }
+    }
+
     /// Avoids an endpoint that the pool offered although it accepts no new work, and updates the pool.
     /// The task that updates the pool runs only once this one waits. Without the update, the request would
     /// get the same leaving endpoint again until it is refused, although others are free.
@@ -265,7 +294,7 @@
     ///
     /// A [`Refusal`] if its key, its route or its service no longer allow it, or if it is blocked because
     /// endpoints crashed while they ran it.
-    pub fn check_allowed(&self) -> Result<(), Refusal> {
+    pub fn check_allowed(&self) -> Result<Grant, Refusal> {
         self.check_not_blocked()?;
         let request = self.request;
         let grant = admit::recheck(self.node, &request.info, request.path());
@@ -275,17 +304,21 @@
             let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
             return Err(self.qualify(refusal));
         }
-        Ok(())
+        Ok(grant)
     }
 
-    /// Whether the request may still be sent to the permit's endpoint.
+    /// Whether the request may still be sent to the permit's endpoint. An endpoint that became cold after
+    /// the permit was given may not get it, or calls beyond its bound would reach it, one from each VM.
     ///
     /// # Errors
     ///
     /// As [`check_allowed`](Self::check_allowed).
     fn may_send_to(&self, permit: &Permit) -> Result<bool, Refusal> {
-        self.check_allowed()?;
-        Ok(self.node.usable(permit.endpoint()))
+        let grant = self.check_allowed()?;
+        let zones = grant.allowed_zones(&self.node.config.zones);
+        let at_home = zones.is_none_or(|zones| zones.binary_search(permit.zone()).is_ok());
+        let paced = permit.is_cold() || !self.node.is_cold(permit.endpoint());
+        Ok(at_home && paced && self.node.usable(permit.endpoint()))
     }
 
     /// Sends the request. Returns none if the attempt failed and another one may be made.
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -5,6 +5,7 @@
 use pimento_policy::throttle::RateLimit;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
+use pimento_scheduler::Requirement;
 use pimento_units::Tokens;
 use pimento_units::id;
 
@@ -182,7 +183,10 @@
             priority: request.grant.route.priority,
             tokens,
             deadline: request.deadline,
-            version: self.choose_version(),
+            requirement: Requirement {
+                version: self.choose_version(),
+                zones: request.grant.allowed_zones(&self.node.config.zones),
+            },
             prefix: request.prefix(),
             prompt: overrides.model.as_ref().and_then(|m| request.prompt(m)),
             tried: self.state.tried.clone(),
--- a/crates/relay/src/codec.rs
+++ b/crates/relay/src/codec.rs
@@ -35,6 +35,8 @@
     Table(Box<Table>),
     /// An order to roll out a version.
     Rollout(Order),
+    /// An order to send nothing to a zone's endpoints, until the record is removed.
+    Evacuation(id::Zone),
     /// A record that this version of the program does not use.
     Other,
 }
@@ -74,6 +76,9 @@
         value: &[u8],
     ) -> Result<OperatorRecord, InvalidRecord>;
 
+    /// The zone whose evacuation a key stands for; none if it is the key of something else.
+    fn evacuated_zone(&self, key: &str) -> Option<id::Zone>;
+
     /// Decodes the record by which an endpoint registers itself.
     ///
     /// # Errors
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -54,6 +54,20 @@
     pub exposure: Exposure,
     /// A session ends after this time without a request.
     pub session_timeout: Duration,
+    /// Time after which the endpoints of an evacuated zone get no new work; none if zones are not evacuated.
+    pub evacuation: Option<Duration>,
+    /// Limit on the calls to an endpoint that is cold.
+    pub cold_start: ColdStart,
+}
+
+/// Limit on the calls that an endpoint may get in any one second while it is cold, beyond the rate that its
+/// service names.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdStart {
+    /// Factor by which the rate may be exceeded.
+    pub overshoot: f64,
+    /// Calls beyond that.
+    pub slack: u32,
 }
 
 /// The retry budget of all VMs together, counted in a sliding window.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -15,6 +15,7 @@
 use crate::follow::Connectivity;
 use crate::follow::Fold;
 use crate::follow::RecordContext;
+use crate::node::millis;
 use crate::registration::Registration;
 use crate::topic::Record;
 
@@ -22,6 +23,10 @@
 /// within about two seconds of it.
 pub const RENEWAL: Duration = Duration::from_millis(2_200);
 
+/// Records of one cold start reach a VM more or less late, so that they tell ends that differ by up to this
+/// time.
+const COLD_END_TOLERANCE: Duration = Duration::from_millis(300);
+
 /// An endpoint and the state of its registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -29,6 +34,8 @@
     pub registration: Registration,
     /// If the registration expired during an outage of the log, the end of the time for its renewal.
     pub grace_end: Option<Moment>,
+    /// When it stops being cold; none if it was not cold when it last wrote.
+    pub cold_end: Option<Moment>,
 }
 
 /// The registered endpoints, built up from their records.
@@ -94,12 +101,12 @@
     }
 
     /// Stores a registration. Returns false if it only shows that the endpoint is still alive.
-    fn store(&mut self, registration: Registration, offset: Offset) -> bool {
+    fn store(&mut self, registration: Registration, offset: Offset, received: Moment) -> bool {
+        // Counted from now, since it is not known when the record was written. Until then the endpoint is
+        // taken for cold longer than it is.
+        let cold_end = (!registration.cold.is_zero()).then(|| received + registration.cold);
         let known = self.member(&registration.id);
-        let same = known.is_some_and(|member| {
-            member.grace_end.is_none() && member.registration == registration
-        });
-        if same {
+        if known.is_some_and(|member| member.is_unchanged(&registration, cold_end)) {
             return false;
         }
         if known.is_none_or(|member| member.registration.leaving != registration.leaving) {
@@ -109,19 +116,20 @@
                 endpoint = registration.id.as_str(),
                 pool = registration.pool.as_str(),
                 version = registration.version.as_str(),
-                leaving = registration.leaving;
+                leaving = registration.leaving,
+                cold_ms = millis(registration.cold);
                 "directory: Endpoint is new, or its state changed."
             );
         }
-        self.insert(registration);
+        self.insert(Member {
+            registration,
+            grace_end: None,
+            cold_end,
+        });
         true
     }
 
-    fn insert(&mut self, registration: Registration) {
-        let member = Member {
-            registration,
-            grace_end: None,
-        };
+    fn insert(&mut self, member: Member) {
         let find = |known: &Member| known.registration.id.cmp(&member.registration.id);
         match self.members.binary_search_by(find) {
             Ok(place) => self.members[place] = member,
@@ -151,6 +159,25 @@
 }
 
 impl Member {
+    /// Whether a registration says nothing new of it.
+    fn is_unchanged(&self, registration: &Registration, cold_end: Option<Moment>) -> bool {
+        let same_cold_end = match (self.cold_end, cold_end) {
+            (Some(known), Some(end)) => end <= known + COLD_END_TOLERANCE,
+            (known, end) => known == end,
+        };
+        let known = Registration {
+            cold: registration.cold,
+            ..self.registration.clone()
+        };
+        self.grace_end.is_none() && same_cold_end && known == *registration
+    }
+
+    /// How much longer it is cold; zero if it is not.
+    #[must_use]
+    pub fn cold_remaining(&self, now: Moment) -> Duration {
+        self.cold_end.map_or(Duration::ZERO, |end| end.since(now))
+    }
+
     /// Whether new work may be sent to it.
     #[must_use]
     pub fn is_usable(&self, now: Moment) -> bool {
@@ -172,7 +199,7 @@
             return true;
         };
         match self.codec.decode_registration(&record.key, value) {
-            Ok(registration) => self.store(registration, record.offset),
+            Ok(registration) => self.store(registration, record.offset, context.received),
             Err(error) => {
                 // Without a valid registration the endpoint can't be used. If it is alive it writes again soon.
                 log::warn!(
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -85,6 +85,7 @@
     #[must_use]
     pub const fn with_datagram(mut self, status: ReaderStatus, now: Moment) -> Self {
         self.status = status;
+        self.last_seen = now;
         self.last_datagram = Some(now);
         self
     }
@@ -149,8 +150,8 @@
 
     /// The VMs that share the limits of endpoints. The share of a VM of this zone that sends no datagrams
     /// any more goes to the others. A VM that receives none at all, though others are known, may itself
-    /// be cut off, and takes over no share. Datagrams from other zones are too rare to tell which VMs
-    /// there are alive.
+    /// be cut off, and takes over no share. Nor does one that has just started, from VMs whose first
+    /// datagrams it still expects. Datagrams from other zones are too rare to tell which VMs there are alive.
     #[must_use]
     pub fn limit_participants(&self, own: &id::Node, zone: &id::Zone, now: Moment) -> Participants {
         let local = |peer: &&Peer| peer.zone == *zone;
@@ -161,7 +162,8 @@
             .any(|peer| peer.is_alive(now));
         let shares = |peer: &&Peer| {
             let stays = peer.status != ReaderStatus::Leaving;
-            stays && (peer.zone != *zone || alone || peer.is_alive(now))
+            let heard_of = now.since(peer.last_seen) < LIVENESS_TIMEOUT;
+            stays && (peer.zone != *zone || alone || heard_of)
         };
         let mut zones = vec![(zone.clone(), vec![choice::hash(own.as_str())])];
         for peer in self.peers.iter().filter(shares) {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -5,8 +5,10 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use pimento_policy::cold;
 use pimento_policy::connect::ConnectTimeout;
 use pimento_scheduler::Clock;
+use pimento_scheduler::ColdStart;
 use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -20,6 +22,7 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::config::Config;
+use crate::directory;
 use crate::directory::Directory;
 use crate::fleet::VmRecord;
 use crate::follow::Follower;
@@ -256,7 +259,63 @@
     #[must_use]
     pub fn usable(&self, endpoint: &id::Endpoint) -> bool {
         let now = boot::now();
-        self.directory.view(|view| view.is_usable(endpoint, now))
+        let zone = self.directory.view(|view| {
+            let member = view.member(endpoint)?;
+            member
+                .is_usable(now)
+                .then(|| member.registration.zone.clone())
+        });
+        zone.is_some_and(|zone| {
+            !self
+                .operators
+                .view(|view| view.evacuations().contains(&zone))
+        })
+    }
+
+    /// Whether an endpoint is cold now.
+    #[must_use]
+    pub fn is_cold(&self, endpoint: &id::Endpoint) -> bool {
+        let now = boot::now();
+        let member = self.directory.view(|view| view.member(endpoint).cloned());
+        member.is_some_and(|member| self.cold_start(&member, now).is_some())
+    }
+
+    /// The cold start of an endpoint; none if it is not cold.
+    #[must_use]
+    pub(crate) fn cold_start(&self, member: &directory::Member, now: Moment) -> Option<ColdStart> {
+        let registration = &member.registration;
+        let table = self.table();
+        let service = table.as_ref().and_then(|t| t.service(&registration.pool));
+        let rate = service.and_then(|service| service.cold_rate);
+        let assumed = self.operators.view(|view| {
+            let evacuations = view.evacuations();
+            evacuations.cold_remaining(&registration.zone, now)
+        });
+        let assumed = rate.map_or(Duration::ZERO, |_| assumed);
+        let remaining = member.cold_remaining(now).max(assumed);
+        if remaining.is_zero() {
+            return None;
+        }
+        let limits = self.config.bounds.cold_start;
+        Some(ColdStart {
+            remaining,
+            bound: cold::Bound::new(rate.unwrap_or_default(), limits.overshoot, limits.slack),
+        })
+    }
+
+    /// The zones with endpoints of a pool that would be usable if their zones were not evacuated.
+    pub(crate) fn usable_zones(&self, pool: &id::Pool) -> Vec<id::Zone> {
+        let now = boot::now();
+        let of_pool = |member: &&directory::Member| {
+            member.registration.pool == *pool && member.is_usable(now)
+        };
+        let mut zones: Vec<id::Zone> = self.directory.view(|view| {
+            let members = view.members().iter().filter(of_pool);
+            members.map(|m| m.registration.zone.clone()).collect()
+        });
+        zones.sort();
+        zones.dedup();
+        zones
     }
 
     /// Whether the VM is ready to receive requests.
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -9,6 +9,7 @@
 use crate::codec::Codec;
 use crate::codec::OperatorRecord;
 use crate::codec::Order;
+use crate::evacuation::Evacuations;
 use crate::follow::Fold;
 use crate::follow::RecordContext;
 use crate::node::millis;
@@ -35,19 +36,48 @@
     table: Option<Arc<Table>>,
     /// The newest order for each service, sorted by service.
     orders: Vec<ReadOrder>,
+    evacuations: Evacuations,
 }
 
 impl<C: Codec> Operators<C> {
     /// Creates an empty view.
     #[must_use]
-    pub const fn new(codec: C) -> Self {
+    pub fn new(codec: C) -> Self {
         Self {
             codec,
             table: None,
             orders: Vec::new(),
+            evacuations: Evacuations::default(),
         }
     }
 
+    /// The evacuated zones.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Applies the removal of a record. Only that of an evacuation has an effect.
+    fn remove(&mut self, record: &Record, context: RecordContext) -> bool {
+        let Some(zone) = self.codec.evacuated_zone(&record.key) else {
+            log::warn!(
+                "operators: Record {} was deleted, its last value stays in force.",
+                record.key
+            );
+            return false;
+        };
+        let ended = self.evacuations.end(&zone, context.received);
+        if ended {
+            log::info!(
+                topic = "operators",
+                offset = record.offset.0,
+                zone = zone.as_str();
+                "operators: The zone's evacuation has ended."
+            );
+        }
+        ended
+    }
+
     /// The configuration in force; none before the first one was read.
     #[must_use]
     pub fn table(&self) -> Option<Arc<Table>> {
@@ -72,11 +102,7 @@
 impl<C: Codec> Fold for Operators<C> {
     fn apply(&mut self, record: &Record, context: RecordContext) -> bool {
         let Some(value) = &record.value else {
-            log::warn!(
-                "operators: Record {} was deleted, its last value stays in force.",
-                record.key
-            );
-            return false;
+            return self.remove(record, context);
         };
         let started = boot::now();
         match self.codec.decode_operator_record(&record.key, value) {
@@ -107,6 +133,15 @@
                     initial: context.initial,
                 });
             }
+            Ok(OperatorRecord::Evacuation(zone)) => {
+                log::info!(
+                    topic = "operators",
+                    offset = record.offset.0,
+                    zone = zone.as_str();
+                    "operators: The zone is evacuated."
+                );
+                self.evacuations.begin(zone);
+            }
             Ok(OperatorRecord::Other) => {}
             Err(error) => log::warn!(
                 "operators: Ignoring record {} at offset {}: {error}.",
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -5,7 +5,6 @@
 use pimento_policy::limit;
 use pimento_scheduler::Member;
 use pimento_units::Moment;
-use pimento_units::Tokens;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
 
@@ -52,16 +51,16 @@
         let service = table.as_ref()?.service(pool)?;
         service.engine.as_ref().map(|engine| engine.kv_capacity)
     };
-    let mut members: Vec<(id::Pool, Member)> = node.directory.view(|view| {
-        let members = view.members().iter();
-        members
-            .map(|m| {
-                let pool = m.registration.pool.clone();
-                let member = member(m, zone, kv_capacity(&pool), now);
-                (pool, member)
-            })
-            .collect()
-    });
+    let evacuations = node.operators.view(|view| view.evacuations().clone());
+    let listed = node.directory.view(|view| view.members().to_vec());
+    let list = |listed: directory::Member| {
+        let mut member = member(&listed, zone, now);
+        member.usable &= !evacuations.contains(&member.zone);
+        member.kv_capacity = kv_capacity(&listed.registration.pool);
+        member.cold = node.cold_start(&listed, now);
+        (listed.registration.pool, member)
+    };
+    let mut members: Vec<(id::Pool, Member)> = listed.into_iter().map(list).collect();
     members.sort_by(|one, other| one.0.cmp(&other.0));
     let mut pools: Vec<id::Pool> = members.iter().map(|(pool, _)| pool.clone()).collect();
     pools.extend(node.scheduler.pools().into_iter().map(|(name, _)| name));
@@ -89,12 +88,7 @@
     versions
 }
 
-fn member(
-    member: &directory::Member,
-    zone: &id::Zone,
-    kv_capacity: Option<Tokens>,
-    now: Moment,
-) -> Member {
+fn member(member: &directory::Member, zone: &id::Zone, now: Moment) -> Member {
     let registration = &member.registration;
     let local = registration.zone == *zone;
     let report = limit::Report {
@@ -114,7 +108,8 @@
         },
         versions: Some(vec![registration.version.clone()]),
         report: Some((report, Moment::ZERO)),
-        kv_capacity,
+        kv_capacity: None,
         incarnation: registration.started_unix_ms,
+        cold: None,
     }
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -43,6 +43,12 @@
     Overloaded,
     /// No endpoint can accept the request.
     NoEndpoint,
+    /// All endpoints that could accept the request are in evacuated zones.
+    Evacuated,
+    /// All endpoints that could accept the request have just started and take few calls.
+    Cold,
+    /// No endpoint is in the regions in which the request may run.
+    NotHome,
     /// The deadline passed before the request was sent.
     Expired,
     /// The deadline passed while an endpoint processed the request.
@@ -69,6 +75,9 @@
             Self::Stale => "stale",
             Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
+            Self::Evacuated => "evacuated",
+            Self::Cold => "cold",
+            Self::NotHome => "not_home",
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
@@ -88,6 +97,9 @@
             | Self::Stale
             | Self::Overloaded
             | Self::NoEndpoint
+            | Self::Evacuated
+            | Self::Cold
+            | Self::NotHome
             | Self::Expired
             | Self::Poison => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
@@ -196,6 +208,7 @@
         match no_slot {
             NoSlot::NoEndpoint { after } => Self::new(Cause::NoEndpoint).with_retry_after(after),
             NoSlot::Overloaded { after } => Self::new(Cause::Overloaded).with_retry_after(after),
+            NoSlot::Cold { after } => Self::new(Cause::Cold).with_retry_after(after),
             NoSlot::Expired { after } => Self::new(Cause::Expired).with_retry_after(after),
             NoSlot::CallerGone => Self::new(Cause::Expired),
         }
--- a/crates/relay/src/registration.rs
+++ b/crates/relay/src/registration.rs
@@ -1,6 +1,7 @@
 //! The record by which an endpoint registers itself.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use pimento_units::id;
 
@@ -21,6 +22,8 @@
     pub slots: u32,
     /// Whether it is leaving and accepts no new work.
     pub leaving: bool,
+    /// How much longer it stays cold, as of when it wrote the record.
+    pub cold: Duration,
     /// Start time by the endpoint's clock, in milliseconds since the Unix epoch.
     pub started_unix_ms: u64,
 }
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use pimento_policy::throttle::RateLimit;
 use pimento_units::Tokens;
 use pimento_units::id;
 use snafu::Snafu;
@@ -51,6 +52,8 @@
     pub targets: Vec<Target>,
     /// Models to choose from, smallest first; empty if requests run on the model that the caller names, if any.
     pub models: Vec<id::Version>,
+    /// Regions in which its requests may run; empty if all.
+    pub home_regions: Vec<CompactString>,
 }
 
 /// A service that a route sends to.
@@ -131,6 +134,9 @@
     pub connections: u32,
     /// Engine properties; none for a plain service.
     pub engine: Option<Engine>,
+    /// Calls per second that one of its endpoints takes from all VMs together while it is cold; none if its
+    /// endpoints start warm.
+    pub cold_rate: Option<RateLimit>,
 }
 
 /// A customer.
@@ -140,6 +146,8 @@
     pub name: id::Customer,
     /// Its priority; lower goes first. Requests are queued by their route's priority, not by this one.
     pub priority: u8,
+    /// Regions in which its requests may run; empty if all.
+    pub home_regions: Vec<CompactString>,
 }
 
 /// Limits on callers' requests and connections.
--- a/crates/relay/src/timings.rs
+++ b/crates/relay/src/timings.rs
@@ -30,6 +30,10 @@
 /// other VMs, which are older, and for reporting itself unready before it must refuse callers.
 const REVOKE_SHARE: f64 = 0.4;
 
+/// Share of the bound on evacuations within which a VM must know of one. The rest is for proofs from other
+/// VMs, and for what was sent before.
+const EVACUATION_SHARE: f64 = 0.5;
+
 /// Shares of the bound on leaving endpoints: the highest age of a proof, and the pauses between the reads of
 /// the reader and of a VM that is alone. One proof may be lost before the last one is too old.
 const LEAVING_PROOF_AGE: f64 = 0.75;
@@ -104,9 +108,11 @@
 
 fn operators(bounds: &Bounds) -> Result<ReadTiming, Error> {
     let revoke = bounds.revoke.map(|revoke| revoke.mul_f64(REVOKE_SHARE));
-    let bound = bounds
-        .config_apply
-        .min(revoke.unwrap_or(bounds.config_apply));
+    let evacuation = bounds.evacuation.map(|time| time.mul_f64(EVACUATION_SHARE));
+    let bound = [revoke, evacuation]
+        .into_iter()
+        .flatten()
+        .fold(bounds.config_apply, Duration::min);
     if bound < MIN_CHANGE_BOUND {
         return Err(Error::Change { bound });
     }
--- a/crates/relay/tests/all/fixture.rs
+++ b/crates/relay/tests/all/fixture.rs
@@ -5,6 +5,7 @@
 use compact_str::CompactString;
 use pimento_relay::calls::LogCalls;
 use pimento_relay::config::Bounds;
+use pimento_relay::config::ColdStart;
 use pimento_relay::config::Exposure;
 use pimento_relay::config::RetryBudget;
 use pimento_relay::follow::Connectivity;
@@ -70,6 +71,11 @@
             rollback: Duration::from_secs(5),
         },
         session_timeout: Duration::from_secs(5),
+        evacuation: None,
+        cold_start: ColdStart {
+            overshoot: 1.0,
+            slack: 0,
+        },
     }
 }
 
--- a/crates/relay/tests/all/peers.rs
+++ b/crates/relay/tests/all/peers.rs
@@ -227,3 +227,24 @@
         participants_of(&["b", "c"])
     );
 }
+
+// Guards against VMs that have just started, each of which has heard few others yet and takes over the
+// shares of the rest: all of them together would send a cold endpoint far more than it takes.
+#[test]
+fn a_vm_that_just_started_leaves_their_share_to_vms_that_it_will_hear() {
+    let mut peers = alive(&[("a", ReaderStatus::Eligible)]);
+    peers.update(discovered("c", 2), now());
+    assert_eq!(
+        participants(&peers, "b", now()),
+        participants_of(&["a", "b", "c"])
+    );
+    let later = now() + LIVENESS_TIMEOUT;
+    peers.update(
+        discovered("a", 1).with_datagram(ReaderStatus::Eligible, later),
+        later,
+    );
+    assert_eq!(
+        participants(&peers, "b", later),
+        participants_of(&["a", "b"])
+    );
+}
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -11,7 +11,10 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use crate::cold_start::ColdStart;
+use crate::cold_start::ColdState;
 use crate::endpoint_limit::EndpointLimit;
+use crate::participants::Participants;
 use crate::pool::Job;
 
 /// Size of a typical call, for comparing endpoints by their run times.
@@ -43,6 +46,8 @@
     pub kv_capacity: Option<Tokens>,
     /// Distinguishes successive endpoints of the same name, which share no state.
     pub incarnation: u64,
+    /// Its cold start, if it is cold.
+    pub cold: Option<ColdStart>,
 }
 
 impl Member {
@@ -74,6 +79,8 @@
     pub(crate) engine: Option<Engine>,
     /// The limit in requests per second that it named for all VMs together.
     pub(crate) rate_limit: Option<EndpointLimit>,
+    /// Its cold start, or the last one.
+    pub(crate) cold: Option<ColdState>,
 }
 
 /// Time after which to retry at an endpoint if this VM has no share of its limit.
@@ -82,14 +89,12 @@
 impl EndpointState {
     /// Returns whether the endpoint accepts the job from this VM now.
     pub(crate) fn accepts(&self, job: &Job, now: Moment) -> bool {
-        self.accepts_calls(now) && self.member.holds(job.version.as_ref())
+        self.accepts_calls(now) && job.requirement.is_met_by(&self.member)
     }
 
     /// Returns whether the endpoint accepts calls from this VM now.
     pub(crate) fn accepts_calls(&self, now: Moment) -> bool {
-        let allowed = self
-            .throttle()
-            .is_none_or(|throttle| throttle.can_send(now));
+        let allowed = self.throttles(now).all(|throttle| throttle.can_send(now));
         self.member.usable && now >= self.closed_until && allowed
     }
 
@@ -98,17 +103,49 @@
         self.rate_limit.as_ref()?.throttle()
     }
 
+    /// Returns the cold start, unless it has ended.
+    pub(crate) fn cold(&self, now: Moment) -> Option<&ColdState> {
+        self.cold.as_ref().filter(|cold| cold.is_cold(now))
+    }
+
+    /// Returns the token buckets that this VM's calls take from now.
+    fn throttles(&self, now: Moment) -> impl Iterator<Item = Throttle> {
+        let cold = self.cold(now).map(ColdState::throttle);
+        self.throttle().into_iter().chain(cold)
+    }
+
+    /// Returns the token bucket that allows the fewest calls, if there is any.
+    pub(crate) fn tightest_throttle(&self, now: Moment) -> Option<Throttle> {
+        let by_rate = |one: &Throttle, other: &Throttle| one.rate().total_cmp(&other.rate());
+        self.throttles(now).min_by(by_rate)
+    }
+
+    /// Counts a call that is sent.
+    pub(crate) fn consume(&mut self, now: Moment) {
+        if let Some(limit) = &mut self.rate_limit {
+            limit.consume(now);
+        }
+        if let Some(cold) = &mut self.cold {
+            cold.consume(now);
+        }
+    }
+
     /// Returns when this VM may send the next call.
     pub(crate) fn next_allowed(&self, now: Moment) -> Moment {
-        self.throttle().map_or(Moment::ZERO, |throttle| {
-            now + throttle.wait(now).unwrap_or(NO_SHARE_RETRY_AFTER)
-        })
+        let limited = self.throttle().map_or(Duration::ZERO, |throttle| {
+            throttle.wait(now).unwrap_or(NO_SHARE_RETRY_AFTER)
+        });
+        let cold = self.cold(now).map_or(Duration::ZERO, |cold| {
+            let wait = cold.throttle().wait(now);
+            wait.unwrap_or(Duration::MAX).min(cold.remaining(now))
+        });
+        now + limited.max(cold)
     }
 
     /// Returns the number of concurrent calls that the endpoint contributes to the pool's capacity.
-    pub(crate) fn slots(&self) -> u32 {
+    pub(crate) fn slots(&self, now: Moment) -> u32 {
         let limit = self.limiter.limit();
-        match self.throttle() {
+        match self.tightest_throttle(now) {
             None => limit,
             Some(throttle) => {
                 let calls = throttle.rate() * INITIAL_RUN_TIME.as_secs_f64();
@@ -120,7 +157,7 @@
     /// Returns the number of calls that may be sent now.
     pub(crate) fn free(&self, now: Moment) -> u32 {
         let free = self.limiter.free();
-        match self.throttle() {
+        match self.tightest_throttle(now) {
             _ if !self.accepts_calls(now) => 0,
             None => free,
             Some(_) => free.min(1),
@@ -145,10 +182,18 @@
 /// Maximum number of doublings: 0.8 s is short compared with the answers that fill an engine.
 pub(crate) const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
-pub(crate) fn initial_state(member: Member) -> EndpointState {
+/// Returns the state of an endpoint that is new in the list.
+pub(crate) fn initial_state(
+    member: Member,
+    participants: &Participants,
+    now: Moment,
+) -> EndpointState {
     let inputs = LimiterInputs::of(&member);
+    let name_hash = choice::hash(member.endpoint.as_str());
+    let share = |bound| participants.cold_share(bound, &member.zone, name_hash);
     EndpointState {
-        name_hash: choice::hash(member.endpoint.as_str()),
+        name_hash,
+        cold: ColdState::update(None, member.cold, share, now),
         limiter: limiter(inputs),
         inputs,
         consecutive_refusals: 0,
@@ -201,7 +246,12 @@
 }
 
 /// Updates the state of an endpoint, and passes a new load report to its limiter.
-pub(crate) fn refresh(mut state: EndpointState, member: Member) -> EndpointState {
+pub(crate) fn refresh(
+    mut state: EndpointState,
+    member: Member,
+    participants: &Participants,
+    now: Moment,
+) -> EndpointState {
     // A starting VM may read the list of endpoints before the configuration that sets their memory. If the
     // engine were not created then, it would look idle for ever, and each prompt as if its prefill took no
     // time.
@@ -225,6 +275,8 @@
         state.inputs = fresh;
         state.limiter = limiter(fresh);
     }
+    let share = |bound| participants.cold_share(bound, &member.zone, state.name_hash);
+    state.cold = ColdState::update(state.cold, member.cold, share, now);
     state.member = member;
     state
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 //! and the relay share it.
 
 pub mod clock;
+pub mod cold_start;
 pub mod endpoint_limit;
 mod endpoint_state;
 pub mod no_slot;
@@ -13,8 +14,10 @@
 pub mod permit;
 mod pool;
 mod pool_state;
+pub mod requirement;
 
 pub use clock::Clock;
+pub use cold_start::ColdStart;
 pub use endpoint_state::Member;
 pub use no_slot::NoSlot;
 pub use participants::Participants;
@@ -24,3 +27,4 @@
 pub use pool::Pool;
 pub use pool::PoolMetrics;
 pub use pool::Scheduler;
+pub use requirement::Requirement;
--- a/crates/scheduler/src/no_slot.rs
+++ b/crates/scheduler/src/no_slot.rs
@@ -20,6 +20,13 @@
         /// Time after which it may be retried.
         after: Duration,
     },
+    /// All endpoints that could take the job have just started, and this VM may send them no further call
+    /// in time.
+    #[snafu(display("the endpoints have just started"))]
+    Cold {
+        /// Time after which one of them takes another call.
+        after: Duration,
+    },
     /// The job waited until its latest start had passed.
     #[snafu(display("the work could not start in time"))]
     Expired {
--- a/crates/scheduler/src/participants.rs
+++ b/crates/scheduler/src/participants.rs
@@ -1,12 +1,13 @@
-//! The VMs that share the limits of endpoints.
+//! The VMs that share the limits and the cold starts of endpoints.
 
 use pimento_policy::choice;
+use pimento_policy::cold;
 use pimento_policy::throttle;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::id;
 
-/// The VMs of all zones, each by a hash of its name. The VMs of an endpoint's own zone share its limit:
-/// they send most of its calls, and learn of each other within a second.
+/// The VMs of all zones, each by a hash of its name. The VMs of an endpoint's own zone share its limit, and
+/// its calls while it is cold: they send most of its calls, and learn of each other within a second.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Participants {
     /// Hash of this VM's name.
@@ -43,4 +44,9 @@
     pub(crate) fn share(&self, limit: RateLimit, zone: &id::Zone, endpoint: u64) -> f64 {
         throttle::share(limit, endpoint, self.own, self.of(zone, endpoint))
     }
+
+    /// Returns this VM's share of the calls to a cold endpoint, in calls per second.
+    pub(crate) fn cold_share(&self, bound: cold::Bound, zone: &id::Zone, endpoint: u64) -> f64 {
+        cold::share(bound, endpoint, self.own, self.of(zone, endpoint))
+    }
 }
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -14,6 +14,7 @@
 use pimento_units::id;
 
 use crate::pool::Shared;
+use crate::requirement::Requirement;
 
 /// A slot that a pool has given to a job.
 #[derive(Debug, Clone)]
@@ -21,7 +22,9 @@
     pub endpoint: id::Endpoint,
     pub zone: id::Zone,
     pub address: SocketAddr,
-    pub version: Option<id::Version>,
+    pub requirement: Requirement,
+    /// Whether the endpoint was cold, so that the call counted against its bound.
+    pub cold: bool,
     pub dispatch: Option<queue::Dispatch>,
     pub since: Moment,
     /// Identifies the call at its engine, if it has a prompt.
@@ -73,7 +76,19 @@
     /// Returns the version that the job required.
     #[must_use]
     pub const fn version(&self) -> Option<&id::Version> {
-        self.slot.version.as_ref()
+        self.slot.requirement.version.as_ref()
+    }
+
+    /// Returns whether the endpoint was known to be cold when the permit was given.
+    #[must_use]
+    pub const fn is_cold(&self) -> bool {
+        self.slot.cold
+    }
+
+    /// Returns whether the job may run in the endpoint's zone.
+    #[must_use]
+    pub const fn requirement(&self) -> &Requirement {
+        &self.slot.requirement
     }
 
     /// Returns the endpoint's address.
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -24,6 +24,7 @@
 use crate::participants::Participants;
 use crate::permit::Permit;
 use crate::pool_state::PoolState;
+use crate::requirement::Requirement;
 
 /// A job that needs a slot.
 #[derive(Debug, Clone)]
@@ -38,8 +39,8 @@
     pub tokens: Tokens,
     /// When the complete answer is due.
     pub deadline: Moment,
-    /// The version that the endpoint must hold; `None` if any will do.
-    pub version: Option<id::Version>,
+    /// What its endpoint must hold, and where it may be.
+    pub requirement: Requirement,
     /// Hash of the prompt's shared prefix, for cache affinity.
     pub prefix: Option<u64>,
     /// The prompt, for placement by prefix caches and pending prefill.
@@ -93,7 +94,7 @@
     pub fn update(&self, members: Vec<Member>) {
         let now = self.shared.clock.now();
         let mut state = self.shared.lock();
-        state.update(members);
+        state.update(members, now);
         state.dispatch_waiting(&self.shared, now);
     }
 
@@ -104,12 +105,12 @@
     /// [`NoSlot`], at once if the job can't start in time, else when its latest start has passed.
     pub async fn acquire(&self, job: Job, cancel: &CancellationToken) -> Result<Permit, NoSlot> {
         let (permit_sender, granted) = oneshot::channel();
-        let version = job.version.clone();
+        let requirement = job.requirement.clone();
         let expired = job.clone();
         let (ticket, start_by) = self.enqueue(PendingJob { job, permit_sender })?;
         let _guard = CancelOnDrop {
             pool: self,
-            version: &version,
+            requirement: &requirement,
             ticket,
         };
         let deadline = self.shared.clock.instant(start_by);
@@ -129,10 +130,10 @@
         let now = self.shared.clock.now();
         let mut state = self.shared.lock();
         let demand = state.demand(&pending.job, now).ok_or_else(no_endpoint)?;
-        if let Some(after) = state.unavailable_for(&pending.job, now) {
-            return Err(NoSlot::Overloaded { after });
+        if let Some(no_slot) = state.throttled_for(&pending.job, now) {
+            return Err(no_slot);
         }
-        if let Some(after) = state.throttled_for(&pending.job, now) {
+        if let Some(after) = state.unavailable_for(&pending.job, now) {
             return Err(NoSlot::Overloaded { after });
         }
         let verdict = state.decide(&pending.job, demand, now, rand::random());
@@ -171,13 +172,15 @@
     /// Returns the expected run time of work of `tokens` on a version.
     #[must_use]
     pub fn expected_run_time(&self, version: Option<&id::Version>, tokens: Tokens) -> Duration {
-        self.shared.lock().expected_run_time(version, tokens)
+        let requirement = Requirement::version(version.cloned());
+        self.shared.lock().expected_run_time(&requirement, tokens)
     }
 
     /// Returns whether any usable endpoint holds the version.
     #[must_use]
     pub fn holds(&self, version: Option<&id::Version>) -> bool {
-        self.shared.lock().holds(version)
+        let requirement = Requirement::version(version.cloned());
+        self.shared.lock().has_usable(&requirement)
     }
 
     /// Returns the prompts that engines prefilled since the last call, each with its engine's key, to
@@ -250,7 +253,8 @@
     /// Returns the pool's metrics.
     #[must_use]
     pub fn metrics(&self) -> PoolMetrics {
-        self.shared.lock().metrics()
+        let now = self.shared.clock.now();
+        self.shared.lock().metrics(now)
     }
 }
 
@@ -283,12 +287,14 @@
     pub usable: usize,
     /// Usable endpoints that named a limit.
     pub limited: usize,
+    /// Usable endpoints that are cold.
+    pub cold: usize,
 }
 
 impl PoolMetrics {
     /// Returns the values with their names in metrics.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 6] {
+    pub fn figures(&self) -> [(&'static str, u64); 7] {
         let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
         [
             ("waiting", count(self.waiting)),
@@ -297,6 +303,7 @@
             ("usable", count(self.usable)),
             ("ejected", count(self.ejected)),
             ("limited", count(self.limited)),
+            ("cold", count(self.cold)),
         ]
     }
 }
@@ -305,14 +312,14 @@
 /// a job that is gone.
 struct CancelOnDrop<'a> {
     pool: &'a Pool,
-    version: &'a Option<id::Version>,
+    requirement: &'a Requirement,
     ticket: queue::Ticket,
 }
 
 impl Drop for CancelOnDrop<'_> {
     fn drop(&mut self) {
         let shared = &self.pool.shared;
-        shared.lock().cancel(self.version.as_ref(), self.ticket);
+        shared.lock().cancel(self.requirement, self.ticket);
     }
 }
 
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -32,12 +32,13 @@
 use crate::pool::PendingJob;
 use crate::pool::PoolMetrics;
 use crate::pool::Shared;
+use crate::requirement::Requirement;
 
-/// Jobs for one version, with their own drain rate. Versions differ in speed, and a job for one version
-/// must not wait behind jobs for another one whose endpoints are full.
+/// Jobs with one requirement, with their own drain rate. Versions differ in speed, and a job for one version
+/// or region must not wait behind jobs for another one whose endpoints are full.
 #[derive(Debug)]
-struct VersionQueue {
-    version: Option<id::Version>,
+struct RequirementQueue {
+    requirement: Requirement,
     gate: admission::Gate,
     queue: queue::Queue,
     /// Sorted by ticket.
@@ -48,7 +49,7 @@
 #[derive(Debug)]
 pub(crate) struct PoolState {
     endpoints: Vec<EndpointState>,
-    queues: Vec<VersionQueue>,
+    queues: Vec<RequirementQueue>,
     health: eject::Health,
     choice: choice::Config,
     engine_choice: engine::Config,
@@ -86,7 +87,7 @@
 }
 
 impl PoolState {
-    pub fn update(&mut self, mut members: Vec<Member>) {
+    pub fn update(&mut self, mut members: Vec<Member>, now: Moment) {
         members.sort_by(|one, other| one.endpoint.cmp(&other.endpoint));
         // Ejection must not count an endpoint that is leaving among those that remain.
         let usable = members.iter().filter(|member| member.usable);
@@ -104,9 +105,9 @@
                     if known.member.incarnation != member.incarnation {
                         self.health.reset(&member.endpoint);
                     }
-                    refresh(known, member)
+                    refresh(known, member, &self.participants, now)
                 }
-                None => initial_state(member),
+                None => initial_state(member, &self.participants, now),
             };
             self.endpoints.push(state);
         }
@@ -118,34 +119,33 @@
         self.endpoints.binary_search_by(find).ok()
     }
 
-    pub fn holds(&self, version: Option<&id::Version>) -> bool {
-        self.endpoints
-            .iter()
-            .any(|s| s.member.usable && s.member.holds(version))
+    pub fn has_usable(&self, requirement: &Requirement) -> bool {
+        self.usable(requirement).next().is_some()
+    }
+
+    /// The usable endpoints that meet a requirement.
+    fn usable(&self, requirement: &Requirement) -> impl Iterator<Item = &EndpointState> {
+        let meets = |s: &&EndpointState| s.member.usable && requirement.is_met_by(&s.member);
+        self.endpoints.iter().filter(meets)
     }
 
-    pub fn expected_run_time(&self, version: Option<&id::Version>, tokens: Tokens) -> Duration {
-        let entry = self.queues.iter().find(|s| s.version.as_ref() == version);
+    pub fn expected_run_time(&self, requirement: &Requirement, tokens: Tokens) -> Duration {
+        let entry = self.queues.iter().find(|s| s.requirement == *requirement);
         entry.map_or(INITIAL_RUN_TIME, |s| s.gate.run_time(tokens))
     }
 
     /// Returns the input of the admission gate, or `None` if no usable endpoint holds the version.
     pub fn demand(&mut self, job: &Job, now: Moment) -> Option<admission::Demand> {
-        let version = job.version.as_ref();
-        let states = self
-            .endpoints
-            .iter()
-            .filter(|s| s.member.usable && s.member.holds(version));
         let (mut slots, mut free, mut any) = (0, 0, false);
-        for state in states {
+        for state in self.usable(&job.requirement) {
             any = true;
-            slots += state.slots();
+            slots += state.slots(now);
             free += state.free(now);
         }
         if !any {
             return None;
         }
-        let entry = self.version_queue(version);
+        let entry = self.queue_of(&job.requirement);
         let ahead = entry
             .queue
             .work_ahead(&job.customer, job.weight, job.priority, job.tokens);
@@ -165,7 +165,7 @@
         now: Moment,
         random: u64,
     ) -> admission::Verdict {
-        let entry = self.version_queue(job.version.as_ref());
+        let entry = self.queue_of(&job.requirement);
         if job.previously_refused {
             return entry.gate.decide_returning(demand, now, random);
         }
@@ -173,7 +173,7 @@
     }
 
     pub fn enqueue(&mut self, pending: PendingJob, start_by: Moment) -> queue::Ticket {
-        let entry = self.version_queue(pending.job.version.as_ref());
+        let entry = self.queue_of(&pending.job.requirement);
         let ticket = entry.queue.enqueue(queue::Job {
             customer: pending.job.customer.clone(),
             weight: pending.job.weight,
@@ -186,8 +186,8 @@
         ticket
     }
 
-    pub fn cancel(&mut self, version: Option<&id::Version>, ticket: queue::Ticket) {
-        let entry = self.version_queue(version);
+    pub fn cancel(&mut self, requirement: &Requirement, ticket: queue::Ticket) {
+        let entry = self.queue_of(requirement);
         entry.queue.cancel(ticket);
         if let Ok(index) = entry.pending.binary_search_by_key(&ticket, |(t, _)| *t) {
             entry.pending.remove(index);
@@ -200,25 +200,22 @@
         let Some(demand) = self.demand(job, now) else {
             return INITIAL_RUN_TIME;
         };
-        let entry = self.version_queue(job.version.as_ref());
+        let entry = self.queue_of(&job.requirement);
         entry.gate.retry_after(demand, now, random)
     }
 
-    fn slots(&self, version: Option<&id::Version>) -> u32 {
-        let states = self
-            .endpoints
-            .iter()
-            .filter(|s| s.member.usable && s.member.holds(version));
-        states.map(EndpointState::slots).sum()
+    fn slots(&self, requirement: &Requirement, now: Moment) -> u32 {
+        let states = self.usable(requirement);
+        states.map(|state| state.slots(now)).sum()
     }
 
-    fn version_queue(&mut self, version: Option<&id::Version>) -> &mut VersionQueue {
+    fn queue_of(&mut self, requirement: &Requirement) -> &mut RequirementQueue {
         let index = self
             .queues
-            .binary_search_by(|s| s.version.as_ref().cmp(&version));
+            .binary_search_by(|s| s.requirement.cmp(requirement));
         let index = index.unwrap_or_else(|index| {
-            let entry = VersionQueue {
-                version: version.cloned(),
+            let entry = RequirementQueue {
+                requirement: requirement.clone(),
                 gate: admission::Gate::new(admission::Config::default()),
                 queue: queue::Queue::new(queue::Config::default()),
                 pending: Vec::new(),
@@ -246,11 +243,14 @@
 
     /// Gives one slot to one job of a version. Returns false if there is no slot or no job.
     fn dispatch_one(&mut self, shared: &Arc<Shared>, index: usize, now: Moment) -> bool {
-        let version = self.queues[index].version.clone();
-        if self.queues[index].queue.is_empty() || !self.any_accepts(version.as_ref(), now) {
+        if self.queues[index].queue.is_empty() {
+            return false;
+        }
+        let requirement = self.queues[index].requirement.clone();
+        if !self.any_accepts(&requirement, now) {
             return false;
         }
-        let slots = self.slots(version.as_ref());
+        let slots = self.slots(&requirement, now);
         let entry = &mut self.queues[index];
         let Some(dispatch) = entry.queue.next(now, slots) else {
             return false;
@@ -278,13 +278,10 @@
         true
     }
 
-    fn any_accepts(&self, version: Option<&id::Version>, now: Moment) -> bool {
-        self.endpoints.iter().any(|state| {
+    fn any_accepts(&self, requirement: &Requirement, now: Moment) -> bool {
+        self.usable(requirement).any(|state| {
             let ejected = self.health.state(&state.member.endpoint, now) == eject::State::Ejected;
-            state.accepts_calls(now)
-                && state.member.holds(version)
-                && !ejected
-                && state.limiter.free() > 0
+            state.accepts_calls(now) && !ejected && state.limiter.free() > 0
         })
     }
 
@@ -302,9 +299,8 @@
         if !state.limiter.acquire() {
             return None;
         }
-        if let Some(limit) = &mut state.rate_limit {
-            limit.consume(now);
-        }
+        let cold = state.cold(now).is_some();
+        state.consume(now);
         self.health.record_sent(&state.member.endpoint, now);
         let call = job.prompt.as_ref().zip(state.engine.as_mut());
         let call = call.map(|(prompt, engine)| {
@@ -317,7 +313,8 @@
             endpoint: state.member.endpoint.clone(),
             zone: state.member.zone.clone(),
             address: state.member.address,
-            version: job.version.clone(),
+            requirement: job.requirement.clone(),
+            cold,
             dispatch: None,
             since: now,
             call,
@@ -343,7 +340,15 @@
             }
             choose(&ejected)
         };
+        let warm = || {
+            let mut warm = untried.clone();
+            for (index, candidate) in warm.iter_mut().enumerate() {
+                candidate.usable &= self.is_warm(index, now);
+            }
+            choose(&warm)
+        };
         self.probe(job, now, |index| untried[index].usable)
+            .or_else(warm)
             .or_else(|| choose(&untried))
             .or_else(ejected)
             .or_else(|| choose(&candidates))
@@ -354,6 +359,12 @@
         !job.tried.contains(&self.endpoints[index].member.endpoint)
     }
 
+    /// Returns whether the endpoint at `index` is not cold. A cold one is empty and idle, and looks like the
+    /// best choice to all VMs at once; it gets work only if no other can take it.
+    fn is_warm(&self, index: usize, now: Moment) -> bool {
+        self.endpoints[index].cold(now).is_none()
+    }
+
     /// Returns whether a job that other endpoints failed may go to the endpoint at `index`, whether that is
     /// ejected or not. An ejected endpoint that has not failed this job is a better choice than one that has.
     fn is_fallback(&self, index: usize, job: &Job, now: Moment) -> bool {
@@ -442,7 +453,7 @@
             }
         }
         self.health.record(&slot.endpoint, health, now);
-        let entry = self.version_queue(slot.version.as_ref());
+        let entry = self.queue_of(&slot.requirement);
         if let Some(dispatch) = &slot.dispatch {
             entry.queue.release(dispatch);
         }
@@ -456,15 +467,9 @@
     /// before. Returns `None` if an endpoint may accept the job. Refusing such a job at once is better than
     /// trying the endpoints until its time is up.
     pub fn unavailable_for(&self, job: &Job, now: Moment) -> Option<Duration> {
-        let version = job.version.as_ref();
-        let slack = job
-            .deadline
-            .since(now)
-            .saturating_sub(self.expected_run_time(version, job.tokens));
-        let states = self
-            .endpoints
-            .iter()
-            .filter(|s| s.member.usable && s.member.holds(version));
+        let run_time = self.expected_run_time(&job.requirement, job.tokens);
+        let slack = job.deadline.since(now).saturating_sub(run_time);
+        let states = self.usable(&job.requirement);
         let retry_at = |state: &EndpointState| {
             let ejected_until = self.health.ejected_until(&state.member.endpoint);
             state
@@ -499,14 +504,15 @@
         others.map(|state| state.limiter.in_flight()).sum()
     }
 
-    pub fn metrics(&self) -> PoolMetrics {
+    pub fn metrics(&self, now: Moment) -> PoolMetrics {
         let usable = self.endpoints.iter().filter(|s| s.member.usable);
         PoolMetrics {
             waiting: self.queues.iter().map(|s| s.queue.len()).sum(),
             in_flight: self.endpoints.iter().map(|s| s.limiter.in_flight()).sum(),
-            slots: usable.clone().map(EndpointState::slots).sum(),
+            slots: usable.clone().map(|state| state.slots(now)).sum(),
             ejected: self.health.ejected(),
             limited: usable.clone().filter(|s| s.throttle().is_some()).count(),
+            cold: usable.clone().filter(|s| s.cold(now).is_some()).count(),
             usable: usable.count(),
         }
     }
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -1,4 +1,4 @@
-//! Endpoints that name a limit for all VMs together.
+//! Endpoints that name a limit for all VMs together, and endpoints that are cold.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -14,9 +14,11 @@
 use crate::endpoint_limit::Source;
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_state::NO_SHARE_RETRY_AFTER;
+use crate::no_slot::NoSlot;
 use crate::participants::Participants;
 use crate::pool::Job;
 use crate::pool::Shared;
+use crate::requirement::Requirement;
 
 /// Share of a job's remaining time that its wait and its run may take, as at the admission gate.
 const USABLE_SHARE: f64 = 0.5;
@@ -96,51 +98,66 @@
             if let Some(limited) = &mut state.rate_limit {
                 limited.set_share(|limit| self.participants.share(limit, zone, key), now);
             }
+            if let Some(cold) = &mut state.cold {
+                cold.set_share(|bound| self.participants.cold_share(bound, zone, key), now);
+            }
         }
     }
 
-    /// Returns `None` if the job may wait for the rate limits of the endpoints, else the time after which to
-    /// retry. It must be refused at once if all usable endpoints have limits, and its turn would come too late
-    /// or this VM has no share of the limits.
-    pub fn throttled_for(&self, job: &Job, now: Moment) -> Option<Duration> {
-        let version = job.version.as_ref();
-        let usable = |s: &&EndpointState| s.member.usable && s.member.holds(version);
+    /// Returns `None` if the job may wait for the rate limits and cold starts of the endpoints, else why it
+    /// gets no slot. It must be refused at once if all usable endpoints have a limit or are cold, and its turn
+    /// would come too late or this VM has no share.
+    pub fn throttled_for(&self, job: &Job, now: Moment) -> Option<NoSlot> {
         let (mut share, mut ready, mut total) = (0.0, 0, 0.0);
-        for state in self.endpoints.iter().filter(usable) {
-            let throttle = state.throttle()?;
+        let mut warm_after: Option<Duration> = None;
+        for state in self.usable(&job.requirement) {
+            let throttle = state.tightest_throttle(now)?;
             share += throttle.rate();
-            ready += u32::from(throttle.can_send(now));
-            total += state.rate_limit?.limit()?.per_second();
+            ready += u32::from(state.accepts_calls(now));
+            if let Some(cold) = state.cold(now) {
+                let remaining = cold.remaining(now);
+                warm_after = Some(warm_after.map_or(remaining, |known| known.min(remaining)));
+                total += f64::from(cold.bound().calls());
+            } else {
+                total += state.rate_limit?.limit()?.per_second();
+            }
         }
-        if share <= 0.0 {
-            return Some(seconds(1.0 / total).clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER));
+        if share <= 0.0 && warm_after.is_none() {
+            let after = seconds(1.0 / total).clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER);
+            return Some(NoSlot::Overloaded { after });
         }
-        let ahead = self.waiting_jobs(version) + 1;
+        let ahead = self.waiting_jobs(&job.requirement) + 1;
         let missing = f64::from(ahead.saturating_sub(ready));
-        let wait = seconds(missing / share);
+        let by_rate = seconds(missing / share);
+        let wait = warm_after.map_or(by_rate, |warm| by_rate.min(warm));
         let budget = job.deadline.since(now).mul_f64(USABLE_SHARE);
-        let slack = budget.saturating_sub(self.expected_run_time(version, job.tokens));
-        (wait > slack).then(|| wait.clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER))
+        let run_time = self.expected_run_time(&job.requirement, job.tokens);
+        if wait <= budget.saturating_sub(run_time) {
+            return None;
+        }
+        let after = wait.clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER);
+        Some(match warm_after {
+            Some(_) => NoSlot::Cold { after },
+            None => NoSlot::Overloaded { after },
+        })
     }
 
-    /// Returns the number of jobs that wait for a version.
-    fn waiting_jobs(&self, version: Option<&id::Version>) -> u32 {
-        let entry = self.queues.iter().find(|s| s.version.as_ref() == version);
+    /// Returns the number of jobs that wait with a requirement.
+    fn waiting_jobs(&self, requirement: &Requirement) -> u32 {
+        let entry = self.queues.iter().find(|s| s.requirement == *requirement);
         let waiting = entry.map_or(0, |entry| entry.queue.len());
         u32::try_from(waiting).unwrap_or(u32::MAX - 1)
     }
 
-    /// Schedules the next dispatch for when an endpoint with a limit accepts another call. Without it
+    /// Schedules the next dispatch for when an endpoint with a limit, or a cold one, accepts another call. Without it
     /// nothing might trigger one, since there may be no call in flight that could end before.
     pub(super) fn schedule_wake(&mut self, shared: &Arc<Shared>, now: Moment) {
         if self.queues.iter().all(|entry| entry.queue.is_empty()) {
             return;
         }
         let closed = self.endpoints.iter().filter_map(|state| {
-            let throttle = state
-                .throttle()
-                .filter(|throttle| !throttle.can_send(now))?;
-            throttle.wait(now)
+            let wait = state.next_allowed(now).since(now);
+            (!wait.is_zero()).then_some(wait)
         });
         let Some(wait) = closed.min() else { return };
         let at = now + wait.max(MIN_WAKE_INTERVAL);
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -50,6 +50,13 @@
         }
         let choose =
             |engines: &[engine::Candidate]| engine::choose(engines, prefix, &self.engine_choice);
+        let warm = || {
+            let mut warm = untried.clone();
+            for (index, candidate) in warm.iter_mut().enumerate() {
+                candidate.usable &= self.is_warm(index, now);
+            }
+            choose(&warm)
+        };
         let ejected = || {
             let mut ejected = candidates.clone();
             for (index, candidate) in ejected.iter_mut().enumerate() {
@@ -59,6 +66,7 @@
         };
         let chosen = self
             .probe(job, now, |index| untried[index].usable)
+            .or_else(warm)
             .or_else(|| choose(&untried))
             .or_else(ejected)
             .or_else(|| choose(&candidates))?;
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -23,5 +23,6 @@
         report: Some((report, Moment::ZERO)),
         kv_capacity: None,
         incarnation: 1,
+        cold: None,
     }
 }
--- a/crates/scheduler/tests/endpoint_limit.rs
+++ b/crates/scheduler/tests/endpoint_limit.rs
@@ -12,6 +12,7 @@
 use pimento_scheduler::NoSlot;
 use pimento_scheduler::Participants;
 use pimento_scheduler::Pool;
+use pimento_scheduler::Requirement;
 use pimento_scheduler::Scheduler;
 use pimento_scheduler::endpoint_limit::Report;
 use pimento_units::Moment;
@@ -38,7 +39,7 @@
         priority: 1,
         tokens: Tokens(1),
         deadline: clock.now() + wait,
-        version: None,
+        requirement: Requirement::default(),
         prefix: None,
         prompt: None,
         tried: Vec::new(),
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -12,6 +12,7 @@
 use pimento_scheduler::Member;
 use pimento_scheduler::NoSlot;
 use pimento_scheduler::Pool;
+use pimento_scheduler::Requirement;
 use pimento_scheduler::Scheduler;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -40,7 +41,7 @@
         priority: 1,
         tokens: Tokens(20_000),
         deadline: Moment::ZERO + Duration::from_mins(1),
-        version: None,
+        requirement: Requirement::default(),
         prefix: Some(1),
         prompt: Some(Prompt {
             model: 7,
@@ -132,7 +133,7 @@
     pool.update(vec![plain_member(1, true), other]);
     eject(&pool, "i-1", &["i-2"]).await;
     let job = Job {
-        version: Some("v1".parse().unwrap()),
+        requirement: Requirement::version(Some("v1".parse().unwrap())),
         deadline: Moment::ZERO + Duration::from_secs(3),
         ..call()
     };
