Refuse calls to overloaded plain endpoints early, by their delay

Cause: a plain endpoint has six slots and a queue of 24, and 79 VMs send to it.

Change: each VM estimates how long calls take from its own answers and refusals, and from 0.3 of the usual target on refuses a growing share at once, and, under load, calls that can no longer be in time (policy::shed). A plain endpoint that refused is tried again after 20 ms instead of 50 to 800 ms.

pool_state.rs falls apart by job: waiting jobs have a file of their own.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -173,6 +173,7 @@
             requirement: Requirement::default(),
             prefix: None,
             prompt: None,
+            aim: None,
             tried: trace.tried.clone(),
             previously_refused: call.identity.is_retry,
             repeatable: call.repeatable,
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -143,6 +143,7 @@
             requirement: Requirement::version(Some(context.version.clone())),
             prefix: first_message.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
             prompt: None,
+            aim: None,
             tried: context.trace.tried.clone(),
             previously_refused: request.identity.is_retry,
             repeatable: true,
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -64,6 +64,7 @@
             requirement: Requirement::version(Some(name(SMALL))),
             prefix: None,
             prompt: None,
+            aim: None,
             tried: Vec::new(),
             previously_refused: false,
             repeatable: true,
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod retry;
 pub mod rollout;
 pub mod session;
+pub mod shed;
 pub mod shift;
 pub mod throttle;
 pub mod value;
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -2,6 +2,7 @@
 
 use pimento_endpoint::Fault;
 use pimento_policy::admission;
+use pimento_policy::shed::Aim;
 use pimento_policy::throttle::RateLimit;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
@@ -167,6 +168,16 @@
         self.node.rollouts(|r| r.version(pool, session, now))
     }
 
+    /// When the caller wants the response.
+    fn aim(&self) -> Aim {
+        let target = self.request.grant.route.latency_target;
+        let elapsed = self.node.now().since(self.request.began);
+        Aim {
+            target,
+            left: target.saturating_sub(elapsed),
+        }
+    }
+
     pub(super) fn job(&self, overrides: &Overrides) -> Job {
         let request = self.request;
         let customer = request.grant.customer.as_ref();
@@ -189,6 +200,7 @@
             },
             prefix: request.prefix(),
             prompt: overrides.model.as_ref().and_then(|m| request.prompt(m)),
+            aim: Some(self.aim()),
             tried: self.state.tried.clone(),
             previously_refused: false,
             repeatable: request.grant.route.repeatable(),
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -6,6 +6,7 @@
 use pimento_policy::choice;
 use pimento_policy::engine::Engine;
 use pimento_policy::limit;
+use pimento_policy::shed;
 use pimento_policy::throttle::Throttle;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -81,6 +82,8 @@
     pub(crate) rate_limit: Option<EndpointLimit>,
     /// Its cold start, or the last one.
     pub(crate) cold: Option<ColdState>,
+    /// How long calls take, at a plain endpoint.
+    pub(crate) delay: shed::Delay,
 }
 
 /// Time after which to retry at an endpoint if this VM has no share of its limit.
@@ -179,6 +182,9 @@
 /// which calls of other nodes end. It doubles with each further refusal.
 pub(crate) const REFUSAL_BACKOFF: Duration = Duration::from_millis(50);
 
+/// The same for a plain endpoint, whose queue has room again after a few milliseconds.
+pub(crate) const PLAIN_REFUSAL_BACKOFF: Duration = Duration::from_millis(20);
+
 /// Maximum number of doublings: 0.8 s is short compared with the answers that fill an engine.
 pub(crate) const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
@@ -201,6 +207,7 @@
         retry_at: Moment::ZERO,
         engine: member.kv_capacity.map(Engine::new),
         rate_limit: None,
+        delay: shed::Delay::default(),
         member,
     }
 }
@@ -264,6 +271,7 @@
         state.closed_until = Moment::ZERO;
         state.retry_at = Moment::ZERO;
         state.rate_limit = None;
+        state.delay = shed::Delay::default();
     }
     if let Some((report, at)) = member.report
         && state.member.report.is_none_or(|(_, seen)| seen < at)
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -10,6 +10,7 @@
 use pimento_policy::admission;
 use pimento_policy::engine::Prompt;
 use pimento_policy::queue;
+use pimento_policy::shed::Aim;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -45,6 +46,8 @@
     pub prefix: Option<u64>,
     /// The prompt, for placement by prefix caches and pending prefill.
     pub prompt: Option<Prompt>,
+    /// When the caller wants the answer, for a call to a plain endpoint; `None` if by the deadline.
+    pub aim: Option<Aim>,
     /// Endpoints that failed this request before.
     pub tried: Vec<id::Endpoint>,
     /// Whether the caller retries a request that was refused before.
@@ -136,6 +139,9 @@
         if let Some(after) = state.unavailable_for(&pending.job, now) {
             return Err(NoSlot::Overloaded { after });
         }
+        if let Some(after) = state.shed(&pending.job, now, rand::random()) {
+            return Err(NoSlot::Overloaded { after });
+        }
         let verdict = state.decide(&pending.job, demand, now, rand::random());
         let start_by = match verdict {
             admission::Verdict::Admit { start_by } => start_by,
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -2,25 +2,27 @@
 
 mod limits;
 mod placement;
+mod waiting;
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use pimento_policy::admission;
 use pimento_policy::choice;
 use pimento_policy::eject;
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
 use pimento_policy::limit;
-use pimento_policy::queue;
+use pimento_policy::shed;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use self::waiting::RequirementQueue;
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_state::INITIAL_RUN_TIME;
 use crate::endpoint_state::MAX_BACKOFF_DOUBLINGS;
 use crate::endpoint_state::Member;
+use crate::endpoint_state::PLAIN_REFUSAL_BACKOFF;
 use crate::endpoint_state::REFUSAL_BACKOFF;
 use crate::endpoint_state::initial_state;
 use crate::endpoint_state::refresh;
@@ -29,21 +31,13 @@
 use crate::permit::Permit;
 use crate::permit::Slot;
 use crate::pool::Job;
-use crate::pool::PendingJob;
 use crate::pool::PoolMetrics;
 use crate::pool::Shared;
 use crate::requirement::Requirement;
 
-/// Jobs with one requirement, with their own drain rate. Versions differ in speed, and a job for one version
-/// or region must not wait behind jobs for another one whose endpoints are full.
-#[derive(Debug)]
-struct RequirementQueue {
-    requirement: Requirement,
-    gate: admission::Gate,
-    queue: queue::Queue,
-    /// Sorted by ticket.
-    pending: Vec<(queue::Ticket, PendingJob)>,
-}
+/// A call that an endpoint refused counts as one that took this many times as long: it waited for nothing,
+/// and would have to wait again.
+const REFUSED_DELAY_FACTOR: u32 = 2;
 
 /// The state of one pool.
 #[derive(Debug)]
@@ -63,6 +57,8 @@
     last_queue: usize,
     /// The VMs that share the limits of endpoints.
     participants: Participants,
+    /// The usual target of calls to plain endpoints.
+    usual_target: shed::UsualTarget,
     /// When dispatch is next tried because an endpoint with a limit accepts another call.
     wake_at: Option<Moment>,
 }
@@ -81,6 +77,7 @@
             prefilled: Vec::new(),
             last_queue: 0,
             participants: Participants::default(),
+            usual_target: shed::UsualTarget::default(),
             wake_at: None,
         }
     }
@@ -134,98 +131,11 @@
         entry.map_or(INITIAL_RUN_TIME, |s| s.gate.run_time(tokens))
     }
 
-    /// Returns the input of the admission gate, or `None` if no usable endpoint holds the version.
-    pub fn demand(&mut self, job: &Job, now: Moment) -> Option<admission::Demand> {
-        let (mut slots, mut free, mut any) = (0, 0, false);
-        for state in self.usable(&job.requirement) {
-            any = true;
-            slots += state.slots(now);
-            free += state.free(now);
-        }
-        if !any {
-            return None;
-        }
-        let entry = self.queue_of(&job.requirement);
-        let ahead = entry
-            .queue
-            .work_ahead(&job.customer, job.weight, job.priority, job.tokens);
-        Some(admission::Demand {
-            ahead,
-            slots,
-            free,
-            run_time: entry.gate.run_time(job.tokens),
-            deadline: job.deadline,
-        })
-    }
-
-    pub fn decide(
-        &mut self,
-        job: &Job,
-        demand: admission::Demand,
-        now: Moment,
-        random: u64,
-    ) -> admission::Verdict {
-        let entry = self.queue_of(&job.requirement);
-        if job.previously_refused {
-            return entry.gate.decide_returning(demand, now, random);
-        }
-        entry.gate.decide(demand, now, random)
-    }
-
-    pub fn enqueue(&mut self, pending: PendingJob, start_by: Moment) -> queue::Ticket {
-        let entry = self.queue_of(&pending.job.requirement);
-        let ticket = entry.queue.enqueue(queue::Job {
-            customer: pending.job.customer.clone(),
-            weight: pending.job.weight,
-            priority: pending.job.priority,
-            tokens: pending.job.tokens,
-            start_by,
-        });
-        let index = entry.pending.partition_point(|(t, _)| *t < ticket);
-        entry.pending.insert(index, (ticket, pending));
-        ticket
-    }
-
-    pub fn cancel(&mut self, requirement: &Requirement, ticket: queue::Ticket) {
-        let entry = self.queue_of(requirement);
-        entry.queue.cancel(ticket);
-        if let Ok(index) = entry.pending.binary_search_by_key(&ticket, |(t, _)| *t) {
-            entry.pending.remove(index);
-        }
-    }
-
-    /// Returns when the caller of a job that expired may retry: once the work ahead of it has drained, and
-    /// spaced out from other callers.
-    pub fn retry_after(&mut self, job: &Job, now: Moment, random: u64) -> Duration {
-        let Some(demand) = self.demand(job, now) else {
-            return INITIAL_RUN_TIME;
-        };
-        let entry = self.queue_of(&job.requirement);
-        entry.gate.retry_after(demand, now, random)
-    }
-
     fn slots(&self, requirement: &Requirement, now: Moment) -> u32 {
         let states = self.usable(requirement);
         states.map(|state| state.slots(now)).sum()
     }
 
-    fn queue_of(&mut self, requirement: &Requirement) -> &mut RequirementQueue {
-        let index = self
-            .queues
-            .binary_search_by(|s| s.requirement.cmp(requirement));
-        let index = index.unwrap_or_else(|index| {
-            let entry = RequirementQueue {
-                requirement: requirement.clone(),
-                gate: admission::Gate::new(admission::Config::default()),
-                queue: queue::Queue::new(queue::Config::default()),
-                pending: Vec::new(),
-            };
-            self.queues.insert(index, entry);
-            index
-        });
-        &mut self.queues[index]
-    }
-
     /// Gives free slots to waiting jobs. Versions take turns, since an endpoint may hold several.
     pub fn dispatch_waiting(&mut self, shared: &Arc<Shared>, now: Moment) {
         let count = self.queues.len();
@@ -446,6 +356,12 @@
                 engine.record_end(call, now);
             }
             state.limiter.release(outcome);
+            let took = now.since(slot.since);
+            match outcome {
+                limit::Outcome::Served { .. } => state.delay.record(took, now),
+                limit::Outcome::Overload => state.delay.record(took * REFUSED_DELAY_FACTOR, now),
+                limit::Outcome::Unknown => {}
+            }
             if matches!(outcome, limit::Outcome::Served { .. }) {
                 state.consecutive_refusals = 0;
                 state.closed_until = Moment::ZERO;
@@ -462,26 +378,6 @@
         }
     }
 
-    /// Returns the time after which to retry if every usable endpoint is unavailable beyond the job's latest
-    /// start: it is ejected, its last refusal names a later time, or its rate limit allows this VM no call
-    /// before. Returns `None` if an endpoint may accept the job. Refusing such a job at once is better than
-    /// trying the endpoints until its time is up.
-    pub fn unavailable_for(&self, job: &Job, now: Moment) -> Option<Duration> {
-        let run_time = self.expected_run_time(&job.requirement, job.tokens);
-        let slack = job.deadline.since(now).saturating_sub(run_time);
-        let states = self.usable(&job.requirement);
-        let retry_at = |state: &EndpointState| {
-            let ejected_until = self.health.ejected_until(&state.member.endpoint);
-            state
-                .retry_at
-                .max(ejected_until)
-                .max(state.next_allowed(now))
-        };
-        let earliest = states.map(retry_at).min()?;
-        let after = earliest.since(now);
-        (after > slack).then_some(after)
-    }
-
     /// Sends no calls for a while to an endpoint that refused one, and returns for how long. `after` is the
     /// time that the endpoint named itself: a full engine names a second or so, and is often free sooner.
     pub fn back_off(&mut self, endpoint: &id::Endpoint, after: Duration, now: Moment) -> Duration {
@@ -489,7 +385,11 @@
             return Duration::ZERO;
         };
         let state = &mut self.endpoints[index];
-        let span = REFUSAL_BACKOFF * (1 << state.consecutive_refusals.min(MAX_BACKOFF_DOUBLINGS));
+        let span = if state.engine.is_some() {
+            REFUSAL_BACKOFF * (1 << state.consecutive_refusals.min(MAX_BACKOFF_DOUBLINGS))
+        } else {
+            PLAIN_REFUSAL_BACKOFF
+        };
         state.consecutive_refusals = state.consecutive_refusals.saturating_add(1);
         state.closed_until = now + span;
         state.retry_at = now + after;
--- a/crates/scheduler/tests/cold_start.rs
+++ b/crates/scheduler/tests/cold_start.rs
@@ -48,6 +48,7 @@
         requirement: Requirement::default(),
         prefix: None,
         prompt: None,
+        aim: None,
         tried: Vec::new(),
         previously_refused: false,
         repeatable: true,
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -47,6 +47,7 @@
             model: 7,
             parts: vec![part(1, 13_000), part(2, 7_000)],
         }),
+        aim: None,
         tried: Vec::new(),
         previously_refused: false,
         repeatable: true,
@@ -84,6 +85,7 @@
         tokens: Tokens(1),
         prefix: None,
         prompt: None,
+        aim: None,
         repeatable: false,
         ..job()
     }
