Say that a request did not run when the retry budget is used up before it ran

Cause: a request that an endpoint had refused without running it, with no retry left in the budget, got 502, which promises nothing. Callers of requests that may run once could not come back. A route whose services all weigh nothing picked its first service, took a slot and a connection there, and was refused at the check before the send.

Change: 503 with a time to come back if the request did not run; a route without any weight refuses before it takes a slot.

Observed: the budget's test fails on the code before (502 for 503). The route's test passes on both; it keeps what callers see.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -158,7 +158,7 @@
                 continue;
             }
             if self.state.sent > 0 && !self.consume_retry() {
-                return Err(self.qualify(Refusal::new(Cause::Failed)));
+                return Err(self.no_retry_left());
             }
             if let Some(opened) = self.send(permit, connection, overrides).await? {
                 return Ok(opened);
@@ -166,6 +166,16 @@
         }
     }
 
+    /// The refusal if the retry budget is exhausted. Callers of requests that may run only once come back
+    /// only if they are told that it did not run.
+    const fn no_retry_left(&self) -> Refusal {
+        if self.may_have_run() {
+            Refusal::new(Cause::Failed).with_unknown_outcome()
+        } else {
+            Refusal::new(Cause::Overloaded).with_retry_after(NO_ENDPOINT_RETRY_AFTER)
+        }
+    }
+
     /// Consumes a retry from the budget. Returns false if it is exhausted.
     fn consume_retry(&self) -> bool {
         let now = self.node.now();
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -152,7 +152,7 @@
     let random = admitted::random(&info);
     let pool = grant
         .pick_service(random)
-        .ok_or_else(|| Refusal::new(Cause::UnknownRoute))?;
+        .ok_or_else(|| Refusal::new(Cause::NoEndpoint))?;
     let limit = grant.route.timeout;
     let timeout = info.timeout.map_or(limit, |caller| caller.min(limit));
     let kind = grant.route.kind;
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -76,13 +76,11 @@
         }
     }
 
-    /// The service for a request. `random` must be the same for all attempts of one request.
+    /// The service for a request; none if the weights of all services are zero. `random` must be the same for
+    /// all attempts of one request.
     #[must_use]
     pub fn pick_service(&self, random: u64) -> Option<&id::Pool> {
         let total: u64 = self.targets.iter().map(|t| u64::from(t.weight)).sum();
-        if total == 0 {
-            return self.targets.first().map(|target| &target.pool);
-        }
         let wide = u128::from(random) * u128::from(total);
         let mut offset = u64::try_from(wide >> 64).unwrap_or(0);
         for target in &self.targets {
