--- a/crates/scheduler/tests/cold_start.rs
+++ b/crates/scheduler/tests/cold_start.rs
@@ -14,11 +14,11 @@
 use pimento_scheduler::Participants;
 use pimento_scheduler::Permit;
 use pimento_scheduler::Pool;
-use pimento_scheduler::Requirement;
 use pimento_scheduler::Scheduler;
 use pimento_units::Tokens;
 use tokio_util::sync::CancellationToken;
 
+use self::common::call;
 use self::common::member;
 
 /// This VM, and another VM of the endpoints' zone.
@@ -38,23 +38,6 @@
     }
 }
 
-fn call(clock: Clock, wait: Duration) -> Job {
-    Job {
-        customer: "customer".parse().unwrap(),
-        weight: 1,
-        priority: 1,
-        tokens: Tokens(1),
-        deadline: clock.now() + wait,
-        requirement: Requirement::default(),
-        prefix: None,
-        prompt: None,
-        aim: None,
-        tried: Vec::new(),
-        previously_refused: false,
-        repeatable: true,
-    }
-}
-
 /// A pool whose endpoints in zone `a` these VMs share.
 fn pool(vms: &[u64], members: Vec<Member>) -> (Clock, Scheduler, Pool) {
     let clock = Clock::default();
--- a/crates/scheduler/tests/endpoint_limit.rs
+++ b/crates/scheduler/tests/endpoint_limit.rs
@@ -7,18 +7,17 @@
 use pimento_endpoint::Fault;
 use pimento_policy::throttle::RateLimit;
 use pimento_scheduler::Clock;
-use pimento_scheduler::Job;
 use pimento_scheduler::Member;
 use pimento_scheduler::NoSlot;
 use pimento_scheduler::Participants;
 use pimento_scheduler::Pool;
-use pimento_scheduler::Requirement;
 use pimento_scheduler::Scheduler;
 use pimento_scheduler::endpoint_limit::Report;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use tokio_util::sync::CancellationToken;
 
+use self::common::call;
 use self::common::member;
 
 /// This VM, and another VM of the endpoints' zone.
@@ -32,23 +31,6 @@
     }
 }
 
-fn call(clock: Clock, wait: Duration) -> Job {
-    Job {
-        customer: "customer".parse().unwrap(),
-        weight: 1,
-        priority: 1,
-        tokens: Tokens(1),
-        deadline: clock.now() + wait,
-        requirement: Requirement::default(),
-        prefix: None,
-        prompt: None,
-        aim: None,
-        tried: Vec::new(),
-        previously_refused: false,
-        repeatable: true,
-    }
-}
-
 /// A pool of one endpoint whose limit these VMs share.
 fn pool(vms: &[u64]) -> (Clock, Scheduler, Pool) {
     let clock = Clock::default();
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -36,21 +36,13 @@
         tokens: Tokens(tokens),
     };
     Job {
-        customer: "customer".parse().unwrap(),
-        weight: 1,
-        priority: 1,
         tokens: Tokens(20_000),
-        deadline: Moment::ZERO + Duration::from_mins(1),
-        requirement: Requirement::default(),
         prefix: Some(1),
         prompt: Some(Prompt {
             model: 7,
             parts: vec![part(1, 13_000), part(2, 7_000)],
         }),
-        aim: None,
-        tried: Vec::new(),
-        previously_refused: false,
-        repeatable: true,
+        ..common::call(Clock::default(), Duration::from_mins(1))
     }
 }
 
@@ -85,7 +77,6 @@
         tokens: Tokens(1),
         prefix: None,
         prompt: None,
-        aim: None,
         repeatable: false,
         ..job()
     }
