--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -12,6 +12,7 @@
 use pimento_scheduler::Estimate;
 use pimento_scheduler::NoSlot;
 use pimento_scheduler::Permit;
+use pimento_scheduler::Requirement;
 use pimento_units::Moment;
 use pimento_units::id;
 use tokio_util::sync::CancellationToken;
@@ -216,14 +217,19 @@
         }
     }
 
+    /// The zones in which the request may run by its grant, as a requirement of any version.
+    pub(super) fn home_requirement(&self, grant: &Grant) -> Requirement {
+        Requirement {
+            version: None,
+            zones: grant.allowed_zones(&self.node.config.zones),
+        }
+    }
+
     /// Why no endpoint can take the request, although the view of the endpoints is up to date.
     fn no_endpoint_cause(&self) -> Cause {
         let request = self.request;
-        let zones = request.grant.allowed_zones(&self.node.config.zones);
-        let allowed = |zone: &id::Zone| {
-            let zones = zones.as_ref();
-            zones.is_none_or(|zones| zones.binary_search(zone).is_ok())
-        };
+        let homes = self.home_requirement(&request.grant);
+        let allowed = |zone: &id::Zone| homes.allows_zone(zone);
         let registered = self.node.usable_zones(&request.pool);
         if !registered.is_empty() && !registered.iter().any(allowed) {
             return Cause::NotHome;
@@ -325,8 +331,7 @@
     /// As [`check_allowed`](Self::check_allowed).
     fn may_send_to(&self, permit: &Permit) -> Result<bool, Refusal> {
         let grant = self.check_allowed()?;
-        let zones = grant.allowed_zones(&self.node.config.zones);
-        let at_home = zones.is_none_or(|zones| zones.binary_search(permit.zone()).is_ok());
+        let at_home = self.home_requirement(&grant).allows_zone(permit.zone());
         let paced = permit.is_cold() || !self.node.is_cold(permit.endpoint());
         Ok(at_home && paced && self.node.usable(permit.endpoint()))
     }
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -196,7 +196,7 @@
             deadline: request.deadline,
             requirement: Requirement {
                 version: self.choose_version(),
-                zones: request.grant.allowed_zones(&self.node.config.zones),
+                ..self.home_requirement(&request.grant)
             },
             prefix: request.prefix(),
             prompt: overrides.model.as_ref().and_then(|m| request.prompt(m)),
--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -54,12 +54,6 @@
         self.zones.binary_search(zone).is_ok()
     }
 
-    /// The evacuated zones, sorted.
-    #[must_use]
-    pub fn zones(&self) -> &[id::Zone] {
-        &self.zones
-    }
-
     /// How much longer the endpoints of a zone count as cold; zero if they don't.
     #[must_use]
     pub fn cold_remaining(&self, zone: &id::Zone, now: Moment) -> Duration {
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -85,12 +85,6 @@
         self.slot.cold
     }
 
-    /// Returns whether the job may run in the endpoint's zone.
-    #[must_use]
-    pub const fn requirement(&self) -> &Requirement {
-        &self.slot.requirement
-    }
-
     /// Returns the endpoint's address.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
