Let ejected endpoints serve requests that may go nowhere else by their home regions

The pool's figures at the refusal: one of two endpoints ejected, for six seconds, nothing waiting. No error came before, so it was ejected for its time, against that of the endpoint in the other region; and it was the only one where those requests may run. Ejection bounds the share of a pool, not of a region.

Change: where a job's zones leave only ejected endpoints, they take it. Jobs that may go anywhere are treated as before.

Ruled out: a floor under the slowness that ejects, which keeps the fault for errors.

--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -189,12 +189,25 @@
     }
 
     fn any_accepts(&self, requirement: &Requirement, now: Moment) -> bool {
+        let last_resort = self.is_last_resort(requirement, now);
         self.usable(requirement).any(|state| {
-            let ejected = self.health.state(&state.member.endpoint, now) == eject::State::Ejected;
-            state.accepts_calls(now) && !ejected && state.limiter.free() > 0
+            let healthy = last_resort || !self.is_ejected(state, now);
+            state.accepts_calls(now) && healthy && state.limiter.free() > 0
         })
     }
 
+    fn is_ejected(&self, state: &EndpointState, now: Moment) -> bool {
+        self.health.state(&state.member.endpoint, now) == eject::State::Ejected
+    }
+
+    /// Returns whether ejected endpoints take jobs with this requirement, because no others may. The share of
+    /// the pool that may be ejected says nothing of those zones: callers who must stay in a region would be
+    /// refused for seconds because its only endpoint is slower than those of other regions.
+    fn is_last_resort(&self, requirement: &Requirement, now: Moment) -> bool {
+        let mut usable = self.usable(requirement);
+        requirement.zones.is_some() && usable.all(|state| self.is_ejected(state, now))
+    }
+
     /// Chooses an endpoint with a free slot and acquires it. Endpoints that failed the job before are a
     /// last resort.
     pub fn try_acquire(&mut self, shared: &Arc<Shared>, job: &Job, now: Moment) -> Option<Permit> {
@@ -299,8 +312,9 @@
 
     fn candidates(&self, job: &Job, now: Moment) -> Vec<choice::Candidate> {
         let baseline = self.baseline();
+        let last_resort = self.is_last_resort(&job.requirement, now);
         let candidate = |state: &EndpointState| {
-            let healthy = self.health.state(&state.member.endpoint, now) != eject::State::Ejected;
+            let healthy = last_resort || !self.is_ejected(state, now);
             let own = state.limiter.in_flight();
             let (others, report_age) =
                 state
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use pimento_policy::eject;
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
@@ -75,6 +74,7 @@
 
     fn engine_candidates(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
         let total = prompt.tokens();
+        let last_resort = self.is_last_resort(&job.requirement, now);
         let candidate = |state: &EndpointState| {
             let engine = state.engine.as_ref();
             let prefill_tokens =
@@ -85,7 +85,8 @@
             let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
             engine::Candidate {
                 name_hash: state.name_hash,
-                usable: self.is_free(state, job, now),
+                usable: (last_resort || !self.is_ejected(state, now))
+                    && Self::is_free(state, job, now),
                 remote: !state.member.extra_delay.is_zero(),
                 wait,
                 prefill_time,
@@ -94,11 +95,9 @@
         self.endpoints.iter().map(candidate).collect()
     }
 
-    /// Returns whether a call may be sent to an endpoint now.
-    fn is_free(&self, state: &EndpointState, job: &Job, now: Moment) -> bool {
-        state.accepts(job, now)
-            && state.limiter.free() > 0
-            && self.health.state(&state.member.endpoint, now) != eject::State::Ejected
+    /// Returns whether a call may be sent to an endpoint now, ejected or not.
+    fn is_free(state: &EndpointState, job: &Job, now: Moment) -> bool {
+        state.accepts(job, now) && state.limiter.free() > 0
     }
 
     /// Estimates the wait and the prefill time of a job with a prompt.
--- a/crates/scheduler/src/pool_state/waiting.rs
+++ b/crates/scheduler/src/pool_state/waiting.rs
@@ -131,8 +131,13 @@
         let run_time = self.expected_run_time(&job.requirement, job.tokens);
         let slack = job.deadline.since(now).saturating_sub(run_time);
         let states = self.usable(&job.requirement);
+        let last_resort = self.is_last_resort(&job.requirement, now);
         let retry_at = |state: &EndpointState| {
-            let ejected_until = self.health.ejected_until(&state.member.endpoint);
+            let ejected_until = if last_resort {
+                Moment::ZERO
+            } else {
+                self.health.ejected_until(&state.member.endpoint)
+            };
             state
                 .retry_at
                 .max(ejected_until)
--- a/crates/scheduler/tests/cold_start.rs
+++ b/crates/scheduler/tests/cold_start.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use pimento_endpoint::Fault;
 use pimento_policy::cold::Bound;
 use pimento_policy::throttle::RateLimit;
 use pimento_scheduler::Clock;
@@ -159,6 +160,26 @@
     );
 }
 
+/// Guards against callers that must stay in a region and are refused for seconds, because its only endpoint
+/// is ejected while those of other regions are well.
+#[tokio::test]
+async fn the_only_endpoint_of_a_region_serves_it_although_it_is_ejected() {
+    let members = vec![endpoint("i-1", "a", None), endpoint("i-2", "b", None)];
+    let (clock, _scheduler, pool) = pool(&[OWN], members);
+    let at_home = || {
+        let mut job = call(clock, Duration::from_secs(3));
+        job.requirement.zones = Some(vec!["b".parse().unwrap()]);
+        job
+    };
+    for _ in 0..3 {
+        let permit = acquire(&pool, at_home()).await.unwrap();
+        permit.failed(&Fault::Failed { status: 500 });
+    }
+    assert_eq!(pool.metrics().ejected, 1);
+    let permit = acquire(&pool, at_home()).await.unwrap();
+    assert_eq!(permit.endpoint().as_str(), "i-2");
+}
+
 /// Guards against a queued call that is sent to a zone which was evacuated while it waited.
 #[tokio::test]
 async fn a_waiting_call_is_placed_anew_when_its_endpoint_may_get_nothing_more() {
