--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -9,7 +9,6 @@
 
 use pimento_units::id;
 
-use crate::boot;
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
 use crate::headers::RequestInfo;
@@ -23,11 +22,9 @@
 use crate::table::Table;
 use crate::topic::Log;
 
-/// Maximum age of a configuration by which an unknown route or key is denied without a call of the log, as
-/// a share of the bound on configuration changes. A younger configuration has every route and key that was
-/// added longer ago than the bound. The rest of the bound covers the time until the caller gets the
-/// response. Without this limit, each request with an unknown key, such as a revoked one, would cause a call
-/// of the log.
+/// Maximum age of a configuration by which an unknown route or key is denied, as a share of the bound on
+/// configuration changes. A younger configuration has every route and key that was added longer ago than the
+/// bound. The rest of the bound covers the time until the caller gets the response.
 const DENIAL_MAX_AGE: f64 = 0.8;
 
 /// Retry delay for callers of a VM without a current configuration. By then the load balancer sends the
@@ -85,30 +82,28 @@
     })
 }
 
-/// Admits a request. An unknown route or key may have been added a moment ago, so the log is read again
-/// before the caller is told that it does not exist.
+/// Admits a request. An unknown route or key may have been added since the configuration was current. The
+/// caller is told that it does not exist only by a configuration that is young enough, and is sent to another
+/// VM by an older one. The log is not read for it: VMs that lost touch would all read it for their callers.
 ///
 /// # Errors
 ///
 /// A [`Refusal`].
-pub async fn admit<P: HeaderCodec + Codec, L: Log>(
+pub fn admit<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
     info: &RequestInfo,
     path: &str,
 ) -> Result<Grant, Refusal> {
-    let denial = match check(node, info, path) {
-        Ok(grant) => return Ok(grant),
-        Err(denial) => denial,
-    };
-    if matches!(denial, Denial::Route | Denial::Key) {
-        let now = boot::now();
+    check(node, info, path).map_err(|denial| {
         let bound = node.config.bounds.config_apply.mul_f64(DENIAL_MAX_AGE);
         let young = node.operators.age().is_some_and(|age| age <= bound);
-        if !young && !node.operators.confirm(now).await {
-            return Err(Refusal::new(Cause::Stale).with_retry_after(OTHER_VM_RETRY_AFTER));
-        }
-    }
-    check(node, info, path).map_err(refusal)
+        let unknown = matches!(denial, Denial::Route | Denial::Key);
+        refusal(if unknown && !young {
+            Denial::Stale
+        } else {
+            denial
+        })
+    })
 }
 
 /// Checks an admitted request again, without a call of the log.
--- a/crates/relay/src/bundle.rs
+++ b/crates/relay/src/bundle.rs
@@ -85,7 +85,7 @@
             Topic::Operators => Ok(Self::Operators),
             Topic::Endpoints => Ok(Self::Endpoints),
             Topic::Poison => Ok(Self::Poison),
-            Topic::Status | Topic::Fleet => Err(topic),
+            Topic::Status | Topic::Fleet | Topic::Vms(_) => Err(topic),
         }
     }
 }
--- a/crates/relay/src/calls.rs
+++ b/crates/relay/src/calls.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::PoisonError;
 
+use crate::topic::Partition;
 use crate::topic::Topic;
 
 /// Why the log is called.
@@ -20,9 +21,6 @@
     Lacking,
     /// The VM is served by a reader, whose last proof is too old.
     Unproven,
-    /// A view is read once more on request: a caller uses something that it does not have, or another VM
-    /// starts from it.
-    Confirm,
     /// The VM looks for the other VMs.
     Discovery,
     /// The VM writes something for the other VMs.
@@ -41,7 +39,6 @@
             Self::Alone => "alone",
             Self::Lacking => "lacking",
             Self::Unproven => "unproven",
-            Self::Confirm => "confirm",
             Self::Discovery => "meet",
             Self::Announcement => "word",
             Self::Status => "status",
@@ -70,6 +67,11 @@
 impl LogCalls {
     /// Counts a call.
     pub fn count(&self, topic: Topic, reason: Reason) {
+        // Metrics show the partitions of a topic together.
+        let topic = match topic {
+            Topic::Vms(_) => Topic::Vms(Partition::default()),
+            topic => topic,
+        };
         let mut counts = self.counts.lock().unwrap_or_else(PoisonError::into_inner);
         let find = |known: &Count| (known.topic, known.reason).cmp(&(topic, reason));
         match counts.binary_search_by(find) {
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -6,7 +6,9 @@
 use compact_str::CompactString;
 use pimento_units::id;
 
+use crate::capacity::Capacity;
 use crate::timings::Timings;
+use crate::topic::Partition;
 
 /// The settings of one entry VM.
 #[derive(Debug, Clone, PartialEq)]
@@ -22,6 +24,8 @@
     pub zone: id::Zone,
     /// All zones with their regions, sorted by zone.
     pub zones: Vec<(id::Zone, String)>,
+    /// What this VM can do for others.
+    pub capacity: Capacity,
     /// Address that callers connect to.
     pub listen: SocketAddr,
     /// Address of the readiness check for the load balancer.
@@ -36,6 +40,17 @@
     pub timings: Timings,
 }
 
+impl Config {
+    /// The partition of the VMs' topic that holds the records of a zone's VMs; the first one for a zone that is
+    /// not configured.
+    #[must_use]
+    pub fn partition(&self, zone: &id::Zone) -> Partition {
+        let place = self.zones.binary_search_by(|(known, _)| known.cmp(zone));
+        let place = place.ok().and_then(|place| u32::try_from(place).ok());
+        Partition(place.unwrap_or_default())
+    }
+}
+
 /// Guarantees that an entry VM must keep, with their limits.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bounds {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -23,6 +23,10 @@
 /// within about two seconds of it.
 pub const RENEWAL: Duration = Duration::from_millis(2_200);
 
+/// Single endpoints are logged up to this many. Thousands that register or leave together would cost each VM
+/// more than it has for its requests; the metrics count them.
+const MAX_LOGGED: usize = 1_000;
+
 /// Records of one cold start reach a VM more or less late, so that they tell ends that differ by up to this
 /// time.
 const COLD_END_TOLERANCE: Duration = Duration::from_millis(300);
@@ -101,7 +105,13 @@
     }
 
     /// Stores a registration. Returns false if it only shows that the endpoint is still alive.
-    fn store(&mut self, registration: Registration, offset: Offset, received: Moment) -> bool {
+    fn store(
+        &mut self,
+        registration: Registration,
+        offset: Offset,
+        context: RecordContext,
+    ) -> bool {
+        let received = context.received;
         // Counted from now, since it is not known when the record was written. Until then the endpoint is
         // taken for cold longer than it is.
         let cold_end = (!registration.cold.is_zero()).then(|| received + registration.cold);
@@ -109,7 +119,8 @@
         if known.is_some_and(|member| member.is_unchanged(&registration, cold_end)) {
             return false;
         }
-        if known.is_none_or(|member| member.registration.leaving != registration.leaving) {
+        let changed = known.is_none_or(|m| m.registration.leaving != registration.leaving);
+        if changed && !context.initial && self.members.len() < MAX_LOGGED {
             log::info!(
                 topic = "endpoints",
                 offset = offset.0,
@@ -151,7 +162,9 @@
                 self.members[place].grace_end = Some(end);
             }
             _ => {
-                log::info!(endpoint = id.as_str(); "directory: Endpoint removed.");
+                if self.members.len() < MAX_LOGGED {
+                    log::info!(endpoint = id.as_str(); "directory: Endpoint removed.");
+                }
                 self.members.remove(place);
             }
         }
@@ -199,7 +212,7 @@
             return true;
         };
         match self.codec.decode_registration(&record.key, value) {
-            Ok(registration) => self.store(registration, record.offset, context.received),
+            Ok(registration) => self.store(registration, record.offset, context),
             Err(error) => {
                 // Without a valid registration the endpoint can't be used. If it is alive it writes again soon.
                 log::warn!(
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -32,8 +32,8 @@
 }
 
 impl VmRecord {
-    /// Writes the record to the log. Returns whether that is known to have succeeded.
-    pub async fn publish(&self, node: &id::Node, log: &impl Log) -> bool {
+    /// Writes the record to a topic of the log. Returns whether that is known to have succeeded.
+    pub async fn publish(&self, node: &id::Node, topic: Topic, log: &impl Log) -> bool {
         let value = match postcard::to_stdvec(self) {
             Ok(value) => value,
             Err(error) => {
@@ -41,7 +41,7 @@
                 return false;
             }
         };
-        let append = log.append(Topic::Fleet, node.as_str(), value.into(), None);
+        let append = log.append(topic, node.as_str(), value.into(), None);
         match tokio::time::timeout(CALL_TIMEOUT, append).await {
             Ok(Ok(_)) => true,
             Ok(Err(error)) => {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -15,6 +15,10 @@
 //! 4. If B has all changes before that offset, its view is current as of t, by B's own clock. Otherwise B
 //!    first gets the changes that it lacks.
 //!
+//! In a zone that is divided into groups, A serves the leaders of the groups, and each leader L its group. L
+//! keeps when each stamp of B arrived. A proof says that L's view was current as of a moment of L's clock, so
+//! that it covers every stamp of B that had arrived by then, and L proves B's view by the last of them.
+//!
 //! A datagram that was delayed, by the network or by a suspended VM, makes a view look older than it is,
 //! never younger.
 
@@ -23,6 +27,7 @@
 mod read;
 mod start;
 mod timing;
+mod turns;
 mod view;
 
 use std::sync::Arc;
@@ -33,6 +38,8 @@
 
 use pimento_units::Moment;
 use pimento_units::Offset;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -42,12 +49,12 @@
 pub use self::fold::Connectivity;
 pub use self::fold::Fold;
 pub use self::fold::RecordContext;
+use self::start::FirstView;
 use self::timing::AT_ONCE;
 pub use self::timing::Polling;
 pub use self::timing::ReadRole;
 pub use self::timing::ReadTiming;
 use self::timing::SERVED_BACKOFF;
-use self::timing::TURN;
 pub use self::timing::answer_timeout;
 pub use self::timing::max_backoff;
 pub use self::view::RecordRange;
@@ -60,15 +67,16 @@
 use crate::topic::Record;
 use crate::topic::Topic;
 use crate::zone;
-use crate::zone::Stamp;
 use crate::zone::ZoneReading;
 
 /// What a VM that reads the log proves to another VM: a view that holds everything before `change_end` was
 /// up to date at `stamp`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proof {
     /// The offset after the last record that changed the sender's view.
     pub change_end: Offset,
+    /// The offset up to which the sender has read the topic. No record between the two changed its view.
+    pub read_end: Offset,
     /// The last stamp of the receiving VM that had reached the sender before it sent the read.
     pub stamp: Moment,
 }
@@ -98,10 +106,6 @@
     wake: Arc<Notify>,
     /// Number of changes of the view.
     change_count: Arc<watch::Sender<u64>>,
-    /// Held during a confirming read, so that callers share it.
-    confirming: Arc<tokio::sync::Mutex<()>>,
-    /// Notified at the end of each read of the follower's own task.
-    read_ended: Arc<Notify>,
 }
 
 impl<F, L: Clone> Clone for Follower<F, L> {
@@ -116,8 +120,6 @@
             wake: Arc::clone(&self.wake),
             inner: Arc::clone(&self.inner),
             change_count: Arc::clone(&self.change_count),
-            confirming: Arc::clone(&self.confirming),
-            read_ended: Arc::clone(&self.read_ended),
         }
     }
 }
@@ -144,8 +146,6 @@
             wake: Arc::default(),
             inner: Arc::new(Mutex::new(inner)),
             change_count: Arc::new(watch::Sender::new(0)),
-            confirming: Arc::default(),
-            read_ended: Arc::default(),
         };
         let task = follower.clone();
         tokio::spawn(async move { token.run_until_cancelled(task.run()).await });
@@ -206,10 +206,11 @@
     #[must_use]
     pub fn proof(&self, node: u64) -> Option<Proof> {
         let inner = self.lock();
-        let found = inner.stamps.iter().find(|stamp| stamp.node == node)?;
+        let found = inner.stamps.binary_search_by_key(&node, |stamp| stamp.node);
         Some(Proof {
             change_end: inner.change_end,
-            stamp: found.at,
+            read_end: inner.next?,
+            stamp: inner.stamps[found.ok()?].at,
         })
     }
 
@@ -233,7 +234,13 @@
     /// Receives records from another VM. They are buffered until the view holds everything before them. If
     /// the records in between do not arrive, that VM's next proof makes this one read.
     pub fn receive(&self, range: RecordRange) {
-        let changed = self.lock().receive(range, boot::now());
+        let changed = {
+            let mut inner = self.lock();
+            let before = inner.proven_at;
+            let changed = inner.receive(range, boot::now());
+            self.pass_on_proof(&mut inner, before);
+            changed
+        };
         if changed {
             self.change_count.send_modify(|count| *count += 1);
         }
@@ -249,14 +256,28 @@
             return;
         }
         let mut inner = self.lock();
+        let before = inner.proven_at;
         inner.receive_proof(proof, boot::now());
+        self.pass_on_proof(&mut inner, before);
         self.wake.notify_one();
-        if inner.lacks_changes() {
+        // An old proof, passed on by a VM that gets none itself, says nothing of the log now.
+        let now = boot::now();
+        let old = now.since(proof.stamp) > DISCONNECTED_AFTER + self.timing.max_proof_age;
+        if old || inner.lacks_changes() {
             return;
         }
         // The log is reachable as of now, not only once this VM reads it again. Until then the registration
         // of an endpoint that leaves would seem to have expired because of the outage.
-        self.mark_connected(&mut inner, boot::now());
+        self.mark_connected(&mut inner, now);
+    }
+
+    /// Updates what this VM can prove to others once its own view is proven as of a later moment than
+    /// `before`.
+    fn pass_on_proof(&self, inner: &mut View<F>, before: Option<Moment>) {
+        if let Some(proven) = inner.proven_at.filter(|proven| Some(*proven) > before) {
+            inner.stamps = self.zone.stamps_at(proven);
+            self.zone.proved.notify_one();
+        }
     }
 
     /// A channel that is notified of each change of the view.
@@ -270,6 +291,10 @@
         let mut backoff = INITIAL_BACKOFF;
         let mut before = ReadRole::default();
         self.zone.wait_for_discovery().await;
+        let mut first_view = FirstView {
+            settled: Instant::now() + self.zone.settle_time(),
+            give_up: None,
+        };
         loop {
             let role = *role_changes.borrow_and_update();
             let took_over = role == ReadRole::Reader && before != role;
@@ -277,7 +302,7 @@
             // A view that lacks a change is read until it has the change. Otherwise a VM whose read was
             // refused would wait for the next proof, or until its last proof is too old.
             let served_all_changes = role == ReadRole::Served
-                && (!self.lacks_changes().await || self.fetch_from_reader().await);
+                && (!self.lacks_changes().await || self.fetch_missing().await);
             if served_all_changes && self.has_recent_proof() {
                 let left = self
                     .age()
@@ -289,16 +314,20 @@
                 }
             }
             let state = self.zone.log_state();
-            let take_turns = state.no_eligible_reader
-                && role == ReadRole::Served
-                && self.next_offset().is_some();
+            let started = self.next_offset().is_some();
+            // In a divided zone a late proof or change says little about the log, and as many VMs would read it
+            // as wait for the same leader. The next proof ends the wait, and with it what is missing is fetched
+            // again.
+            let take_turns =
+                (state.no_eligible_reader || state.grouped) && role == ReadRole::Served && started;
             let wait_first = take_turns || state.outage_suspected && took_over;
             if wait_first && self.wait_for_turn(role, &mut role_changes).await {
                 continue;
             }
-            if role == ReadRole::Served
-                && self.next_offset().is_none()
-                && self.fetch_snapshot().await
+            if !started
+                && self
+                    .wait_for_first_view(role, &mut role_changes, &mut first_view)
+                    .await
             {
                 continue;
             }
@@ -312,7 +341,9 @@
                     backoff = INITIAL_BACKOFF;
                     self.zone.read_answered();
                     if complete {
-                        tokio::time::sleep(polling.pause).await;
+                        // What an answer took to arrive, a whole topic over a small link, has aged the view.
+                        let age = self.age().unwrap_or_default();
+                        tokio::time::sleep(polling.pause.saturating_sub(age)).await;
                     }
                 }
                 Err(failure) => {
@@ -337,36 +368,6 @@
         }
     }
 
-    /// Waits before a read that the log would most likely refuse. Returns true if a proof arrived or the
-    /// role changed meanwhile, so that the read may no longer be needed.
-    ///
-    /// The log may refuse one VM of a zone or all of them, and a VM learns this only for itself. If all VMs
-    /// retried at once, most calls would be in vain. They try one after the other instead, and the first
-    /// that is answered proves the views of the others. While no VM of the zone is known to get answers, a
-    /// VM that is served takes its turn after a random time.
-    async fn wait_for_turn(
-        &self,
-        role: ReadRole,
-        role_changes: &mut watch::Receiver<ReadRole>,
-    ) -> bool {
-        let pause = if role == ReadRole::Served {
-            self.check_disconnected(role, AT_ONCE);
-            let others = u32::try_from(self.zone.stamps().len()).unwrap_or(u32::MAX);
-            let all = TURN.saturating_mul(others.saturating_add(1));
-            all.mul_f64(rand::random_range(0.0..=1.0))
-        } else {
-            TURN
-        };
-        tokio::select! {
-            () = tokio::time::sleep(pause) => false,
-            () = self.wake.notified() => true,
-            _ = role_changes.changed() => {
-                role_changes.mark_changed();
-                true
-            }
-        }
-    }
-
     /// The reason under which a read in this role is counted.
     fn reason(&self, role: ReadRole) -> Reason {
         let inner = self.lock();
@@ -388,24 +389,6 @@
         self.lock().lacks_changes()
     }
 
-    /// Waits after a failed read. A proof does not end the wait: proofs arrive several times a second, also
-    /// while the log refuses this VM and serves its reader. It only shortens the wait to the limit for a
-    /// view that lacks changes.
-    async fn back_off(&self, role: ReadRole, backoff: Duration) {
-        let end = Instant::now() + backoff;
-        tokio::select! {
-            () = tokio::time::sleep_until(end) => return,
-            () = self.wake.notified() => {}
-        }
-        let sooner = Instant::now() + self.max_backoff(role);
-        tokio::time::sleep_until(end.min(sooner)).await;
-    }
-
-    /// The longest wait after failed reads.
-    fn max_backoff(&self, role: ReadRole) -> Duration {
-        max_backoff(role, self.zone.stamps().len(), self.lock().lacks_changes())
-    }
-
     /// Whether this VM reads the topic itself and is answered, in whatever role: a served VM does so while
     /// its last proof is too old.
     #[must_use]
@@ -422,7 +405,7 @@
 
     /// Applies the answer of a read that was sent at `sent`. Returns whether the view now holds everything
     /// up to the end of the topic.
-    fn apply(&self, batch: &Batch, sent: Moment, stamps: Vec<Stamp>) -> bool {
+    fn apply(&self, batch: &Batch, sent: Moment) -> bool {
         let now = boot::now();
         let mut inner = self.lock();
         self.mark_connected(&mut inner, now);
@@ -436,11 +419,11 @@
             let topic = self.topic.as_str();
             log::warn!(topic; "follower: Another VM announced records that the log does not hold.");
         }
-        if complete && inner.proven_at < Some(sent) {
-            inner.proven_at = Some(sent);
-            inner.stamps = stamps;
-            self.zone.proved.notify_one();
+        let before = inner.proven_at;
+        if complete {
+            inner.proven_at = before.max(Some(sent));
         }
+        self.pass_on_proof(&mut inner, before);
         drop(inner);
         if changed {
             self.change_count.send_modify(|count| *count += 1);
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -1,10 +1,12 @@
-//! The reads of a follower: those of its own task, and those that confirm the view for a caller.
+//! The reads of a follower, of the log and of other VMs.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::StatusCode;
 use pimento_progress::TimedOut;
-use pimento_units::Moment;
+use rand::seq::IndexedRandom;
 
 use super::Fold;
 use super::Follower;
@@ -19,60 +21,6 @@
 use crate::zone;
 
 impl<F: Fold, L: Log> Follower<F, L> {
-    /// Reads the log now, unless the view is already proven as of `moment` or later. Concurrent callers
-    /// share one read. Returns false if the log could not be read.
-    pub async fn confirm(&self, moment: Moment) -> bool {
-        let _confirming = self.confirming.lock().await;
-        self.wait_for_running_read().await;
-        if self.proven_at().is_some_and(|proven| proven >= moment) {
-            return true;
-        }
-        let Some(next) = self.next_offset() else {
-            return false;
-        };
-        let stamps = self.zone.stamps();
-        let exchange = Exchange::new(self.topic);
-        let progress = &exchange.progress;
-        let timeout = self.timing.timeout;
-        self.calls.count(self.topic, Reason::Confirm);
-        let answer = self.log.read(self.topic, next, Duration::ZERO, progress);
-        let answer = progress.wait(answer, timeout, timeout).await;
-        match self.count(&exchange, answer) {
-            Ok(Ok(batch)) => {
-                self.apply(&batch, exchange.sent, stamps);
-                self.proven_at()
-                    .is_some_and(|proven| proven >= exchange.sent)
-            }
-            Ok(Err(error)) => {
-                exchange
-                    .failed_with(&error)
-                    .log("Could not confirm the view");
-                false
-            }
-            Err(failure) => {
-                failure.log("Could not confirm the view");
-                false
-            }
-        }
-    }
-
-    /// Waits for the follower's own read to end if its answer has begun to arrive. A second read would ask
-    /// for the same records and share the link with the first, so that a large configuration would take
-    /// twice as long just when callers ask for what it adds.
-    async fn wait_for_running_read(&self) {
-        let ended = self.read_ended.notified();
-        tokio::pin!(ended);
-        ended.as_mut().enable();
-        let running = self.lock().running_read.clone();
-        let Some(progress) = running.filter(|progress| progress.received().bytes > 0) else {
-            return;
-        };
-        let timeout = self.timing.timeout;
-        if progress.wait(ended, timeout, timeout).await.is_err() {
-            log::debug!("follower: An answer stopped arriving, reading again.");
-        }
-    }
-
     /// The longest time without data before the next answer begins, beyond its wait, and within it.
     fn answer_timeout(&self) -> Duration {
         let inner = self.lock();
@@ -94,14 +42,29 @@
         waited
     }
 
-    /// Fetches the records that the view lacks from this VM's reader. Returns whether the
-    /// view lacks no announced change afterwards.
-    pub(super) async fn fetch_from_reader(&self) -> bool {
-        let (Some(reader), Some(next)) = (self.zone.reader_address(), self.next_offset()) else {
+    /// Fetches the records that the view lacks from this VM's reader or, if that fails, from another VM that
+    /// serves views. Returns whether the view lacks no announced change afterwards.
+    pub(super) async fn fetch_missing(&self) -> bool {
+        let reader = self.zone.reader_address();
+        let others = self.zone.sources.borrow().clone();
+        let others: Vec<SocketAddr> = others.into_iter().filter(|o| Some(*o) != reader).collect();
+        let other = others.choose(&mut rand::rng()).copied();
+        for source in reader.into_iter().chain(other) {
+            if self.fetch_from(source).await {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Fetches the records that the view lacks from the VM at `source`. Returns whether the view lacks no
+    /// announced change afterwards.
+    async fn fetch_from(&self, source: SocketAddr) -> bool {
+        let Some(next) = self.next_offset() else {
             return false;
         };
         let exchange = Exchange::new(self.topic);
-        let answer = bundle::fetch(reader, self.topic, next, &exchange.progress);
+        let answer = bundle::fetch(source, self.topic, next, &exchange.progress);
         let timeout = self.timing.timeout;
         let problem = match self.wait(&exchange, answer, timeout, timeout).await {
             Ok(Ok(range)) => {
@@ -109,10 +72,13 @@
                 self.receive(range);
                 None
             }
+            // It holds fewer records than this VM lacks.
+            Ok(Err(bundle::Error::Status { status })) if status == StatusCode::NOT_FOUND => {
+                return self.fetch_snapshot(source).await && !self.lock().lacks_changes();
+            }
             Ok(Err(error)) => Some(error.to_string()),
             Err(silent) => Some(silent.to_string()),
         };
-        self.read_ended.notify_waiters();
         if let Some(problem) = problem {
             let failure = exchange.failed(zone::Failure::Unanswered, problem);
             failure.log("Could not fetch records from a neighbour");
@@ -123,7 +89,6 @@
     /// Reads once. Returns whether the view holds everything up to the end of the topic.
     pub(super) async fn read(&self, wait: Duration, reason: Reason) -> Result<bool, Failure> {
         self.calls.count(self.topic, reason);
-        let stamps = self.zone.stamps();
         let exchange = Exchange::new(self.topic);
         let progress = &exchange.progress;
         let next = self.next_offset();
@@ -137,10 +102,9 @@
         let answer = self.wait(&exchange, answer, wait + timeout, timeout);
         let answer = self.count(&exchange, answer.await);
         let complete = match &answer {
-            Ok(Ok(batch)) => self.apply(batch, exchange.sent, stamps),
+            Ok(Ok(batch)) => self.apply(batch, exchange.sent),
             _ => false,
         };
-        self.read_ended.notify_waiters();
         match answer? {
             Ok(_) => Ok(complete),
             Err(Error::Gone { oldest }) => {
--- a/crates/relay/src/follow/start.rs
+++ b/crates/relay/src/follow/start.rs
@@ -1,12 +1,18 @@
 //! Starting with the view of another VM instead of reading the whole topic.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use pimento_units::Moment;
+use rand::seq::IndexedRandom;
+use tokio::sync::watch;
+use tokio::time::Instant;
 
 use super::Fold;
 use super::Follower;
 use super::exchange::Exchange;
+use super::timing::ReadRole;
+use super::timing::TURN;
 use crate::boot;
 use crate::bundle::SharedTopic;
 use crate::node::millis;
@@ -15,23 +21,86 @@
 use crate::topic::Log;
 use crate::zone;
 
-/// How long a VM that is asked for its view waits for its own first read.
-const FIRST_READ: Duration = Duration::from_millis(400);
+/// How long a VM that starts waits for others to serve it a view before it reads the log itself.
+const PATIENCE: Duration = Duration::from_secs(4);
+
+/// The longest pause between two attempts to get a view from another VM.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// The longest gap in an answer with a view. A VM that serves several others at once has a small part of its
+/// link and its processor for each.
+const STALL: Duration = Duration::from_millis(900);
+
+/// The waits of a VM that has no view yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FirstView {
+    /// Until when a VM that must read the log lets others get in touch first.
+    pub settled: Instant,
+    /// When a VM that nobody serves reads the log itself; none before it waits.
+    pub give_up: Option<Instant>,
+}
 
 impl<F: Fold, L: Log> Follower<F, L> {
-    /// Fetches and adopts the view of this VM's reader. Returns false if the log must be read
-    /// instead.
-    pub(super) async fn fetch_snapshot(&self) -> bool {
-        let reader = self.zone.reader_address();
-        let (Some(reader), Ok(topic)) = (reader, SharedTopic::try_from(self.topic)) else {
+    /// Lets other VMs provide the first view. Returns true if the caller is to look at its role and view
+    /// again, and false if this VM must read the log.
+    ///
+    /// A whole topic is large, and VMs that start together outnumber what the log answers. So a VM reads it
+    /// only if it is the reader, or if nobody serves it. Even then the VMs of a zone take turns, so that
+    /// together they ask no more often than a few VMs would.
+    pub(super) async fn wait_for_first_view(
+        &self,
+        role: ReadRole,
+        role_changes: &mut watch::Receiver<ReadRole>,
+        first: &mut FirstView,
+    ) -> bool {
+        if role != ReadRole::Served {
+            let wait = Instant::now() < first.settled;
+            if wait {
+                tokio::select! {
+                    () = tokio::time::sleep_until(first.settled) => {}
+                    _ = role_changes.changed() => role_changes.mark_changed(),
+                }
+            }
+            return wait;
+        }
+        let give_up = *first.give_up.get_or_insert_with(|| {
+            let vms = u32::try_from(self.zone.vms()).unwrap_or(u32::MAX);
+            let turns = TURN.saturating_mul(vms);
+            Instant::now() + PATIENCE + turns.mul_f64(rand::random_range(0.0..=1.0))
+        });
+        if Instant::now() >= give_up {
+            first.give_up = None;
+            return false;
+        }
+        let mut sources = self.zone.sources.subscribe();
+        let source = sources
+            .borrow_and_update()
+            .choose(&mut rand::rng())
+            .copied();
+        let Some(source) = source else {
+            tokio::select! {
+                () = tokio::time::sleep_until(give_up) => {}
+                _ = sources.changed() => {}
+                _ = role_changes.changed() => role_changes.mark_changed(),
+            }
+            return true;
+        };
+        if !self.fetch_snapshot(source).await {
+            tokio::time::sleep(RETRY.mul_f64(rand::random_range(0.25..=1.0))).await;
+        }
+        true
+    }
+
+    /// Fetches and adopts the view of the VM at `source`. Returns whether that succeeded.
+    pub(super) async fn fetch_snapshot(&self, source: SocketAddr) -> bool {
+        let Ok(topic) = SharedTopic::try_from(self.topic) else {
             return false;
         };
         let exchange = Exchange::new(self.topic);
         let progress = &exchange.progress;
-        let answer = snapshot::fetch(reader, self.zone.deployment(), topic, progress);
-        let timeout = self.timing.timeout;
-        let answer = self.wait(&exchange, answer, FIRST_READ + timeout, timeout);
-        let problem = match answer.await {
+        let answer = snapshot::fetch(source, self.zone.deployment(), topic, progress);
+        let answer = self.wait(&exchange, answer, STALL, STALL).await;
+        let problem = match answer {
             Ok(Ok(snapshot)) => {
                 exchange.answered();
                 self.adopt(&snapshot, exchange.sent);
@@ -58,39 +127,16 @@
         self.change_count.send_modify(|count| *count += 1);
     }
 
-    /// The view for a VM that asked for it at `asked`; none if nothing was read yet. The log is read once
-    /// more before, unless it is unreachable.
-    pub async fn snapshot(&self, asked: Moment) -> Option<Snapshot> {
-        self.wait_for_first_read().await;
-        let unreachable = self.zone.reachability(boot::now()) == zone::Reachability::Unreachable;
-        if !unreachable && !self.confirm(asked).await {
-            self.zone
-                .read_failed(zone::Failure::Unanswered, boot::now());
-        }
+    /// The view for another VM, and when it was proven; none if nothing was read yet.
+    #[must_use]
+    pub fn snapshot(&self) -> Option<(Snapshot, Moment)> {
         let inner = self.lock();
-        let age = asked.since(inner.proven_at?);
+        let proven = inner.proven_at?;
         let mut records = inner.newest.clone();
         let to = inner.next?;
         drop(inner);
         records.sort_by_key(|record| record.offset);
-        Some(Snapshot { records, to, age })
-    }
-
-    /// Waits up to [`FIRST_READ`] until there is a view.
-    async fn wait_for_first_read(&self) {
-        let read = async {
-            loop {
-                let ended = self.read_ended.notified();
-                tokio::pin!(ended);
-                ended.as_mut().enable();
-                if self.proven_at().is_some() {
-                    return;
-                }
-                ended.await;
-            }
-        };
-        if tokio::time::timeout(FIRST_READ, read).await.is_err() {
-            log::debug!("follower: A VM asked for the view before the first read.");
-        }
+        let age = boot::now().since(proven);
+        Some((Snapshot { records, to, age }, proven))
     }
 }
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -65,7 +65,7 @@
     /// The latest moment at which the view is known to have held the whole topic: when the last complete
     /// read was sent, or what another VM's proof or snapshot says.
     pub proven_at: Option<Moment>,
-    /// Other VMs' stamps that had arrived before the last complete read was sent.
+    /// Other VMs' last stamps that had arrived by `proven_at`, sorted by VM.
     pub stamps: Vec<Stamp>,
     /// Since when the log has been reachable, directly or through another VM; none while it is not.
     pub connected_since: Option<Moment>,
@@ -112,8 +112,8 @@
         let changed = self.fold.apply(record, context);
         if changed {
             self.change_end = self.change_end.max(record.offset.next());
-            self.recent.push(record);
             self.update_newest(record);
+            self.recent.push(record, self.newest.len());
         }
         changed
     }
@@ -212,6 +212,8 @@
         let holds = |proof: &Proof| self.next.is_some_and(|next| next >= proof.change_end);
         if let Some(proof) = self.pending_proof.filter(holds) {
             self.proven_at = self.proven_at.max(Some(proof.stamp));
+            // Without this a VM that takes over as the reader would read all renewals since the last change.
+            self.next = self.next.max(Some(proof.read_end));
             self.pending_proof = None;
         }
     }
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -143,7 +143,7 @@
     info: RequestInfo,
     began: Moment,
 ) -> Result<Response<ReplyBody>, Refusal> {
-    let grant = admit::admit(node, &info, head.uri.path()).await?;
+    let grant = admit::admit(node, &info, head.uri.path())?;
     let limits = *grant.table.limits();
     if head_bytes(&head) > limits.head_bytes {
         return Err(Refusal::new(Cause::LargeHead));
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod buffered;
 pub mod bundle;
 pub mod calls;
+pub mod capacity;
 mod cascade;
 pub mod codec;
 pub mod config;
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -12,16 +12,22 @@
 //! The peers are all other VMs that this one knows, in any zone. The topic in which they are recorded is the
 //! fleet's.
 //!
-//! Within a zone each VM sends to all others. In each other zone it sends to one VM, which forwards
-//! within that zone, so that traffic between zones grows with the number of zones and not of VMs.
+//! A large zone is divided into [`groups`]. Within a group each VM sends to all others, and the leaders of the
+//! groups send to each other. To each other group and zone a VM sends only what is worth knowing there, to
+//! one VM, which forwards it within its own group. So what a VM sends grows with the number of groups and zones
+//! and not of VMs.
 
 pub mod broadcast;
 mod discovery;
+pub mod groups;
 mod limit;
 mod message;
 pub mod peers;
+mod receive;
 mod records;
+mod relayed;
 mod update;
+pub mod zones;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -30,33 +36,29 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use pimento_policy::choice;
-use pimento_scheduler::endpoint_limit;
+use pimento_units::Moment;
+use pimento_units::id;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use self::message::Message;
+use self::groups::Level;
 use self::message::Prefill;
-use self::message::Proofs;
 use self::peers::Assignment;
+use self::peers::Candidate;
 use self::peers::Peer;
 use self::peers::Peers;
 use self::peers::ReaderStatus;
-use self::update::Update;
+use self::relayed::Relayed;
+use self::zones::Zones;
 use crate::boot;
-use crate::bundle::Bundle;
-use crate::bundle::SharedTopic;
 use crate::codec::Codec;
 use crate::follow::ReadRole;
-use crate::follow::RecordRange;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
-use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
 use crate::topic::Log;
 use crate::zone::Reachability;
-use crate::zone::Stamp;
 use crate::zone::ZoneReading;
 
 /// A VM whose view of the log is older than this does not read for others. The reads of other VMs prove a
@@ -66,34 +68,48 @@
 /// Delay after a failure, so that one that persists doesn't use up the processor.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
-/// The largest datagram that is received, in bytes: one with the largest record that is forwarded by
-/// datagrams, and some.
-const MAX_DATAGRAM: usize = 10 << 10;
-
 #[derive(Debug, Default)]
 struct Inner {
     peers: Peers,
-    /// Prefixes to send to other zones.
+    /// The other zones.
+    zones: Zones,
+    /// The largest number of VMs of this zone that a VM of it has named.
+    named_vms: usize,
+    /// Prefixes to send to other groups and zones.
     remote_prefills: Vec<Prefill>,
-    /// Prefixes received from other zones, to forward within this one.
+    /// Prefixes received from other groups and zones, to forward within the group.
     forwarded_prefills: Vec<Prefill>,
-    /// Pinned sessions to send to other zones.
+    /// Pinned sessions to send to other groups and zones.
     remote_sessions: Vec<PinnedSession>,
-    /// Pinned sessions received from other zones, to forward within this one.
+    /// Pinned sessions received from other groups and zones, to forward within the group.
     forwarded_sessions: Vec<PinnedSession>,
-    /// The offsets up to which records were forwarded to the zone; none while this VM does not read
-    /// the log for it.
+    /// What this VM passes on to the leaders of other groups while it leads its own.
+    to_leaders: Relayed,
+    /// What it passes on from them to its group.
+    to_group: Relayed,
+    /// The leader of the group; none if it is this VM.
+    leader: Option<(id::Node, SocketAddr)>,
+    /// When this VM last looked for leaders of other groups.
+    probed_at: Moment,
+    /// The offsets up to which records were forwarded to others; none while this VM serves none.
     forwarded: Option<broadcast::ForwardedOffsets>,
 }
 
+impl Inner {
+    /// The VMs of this VM's zone, including this one, as far as they are known.
+    fn zone_vms(&self, zone: &id::Zone) -> usize {
+        (self.peers.count_in(zone) + 1).max(self.named_vms)
+    }
+}
+
 struct Neighbours<P, L> {
     node: Node<P, L>,
     log: L,
     zone: ZoneReading,
     socket: Arc<UdpSocket>,
     inner: Arc<Mutex<Inner>>,
-    /// Notified of each datagram from a VM of the zone.
-    zone_datagram: Arc<Notify>,
+    /// Changed by each datagram from a VM of the zone.
+    zone_datagram: Arc<watch::Sender<u64>>,
 }
 
 impl<P: Clone, L: Clone> Clone for Neighbours<P, L> {
@@ -126,6 +142,8 @@
         Ok(socket) => Arc::new(socket),
         Err(error) => {
             log::error!("neighbours: Can't listen at {address} for datagrams: {error}.");
+            // The VM reads the log for itself.
+            zone.finish_discovery();
             return;
         }
     };
@@ -136,7 +154,7 @@
         zone,
         socket,
         inner: Arc::default(),
-        zone_datagram: Arc::default(),
+        zone_datagram: Arc::new(watch::Sender::new(0)),
     };
     let discovery = neighbours.clone();
     let listener = neighbours.clone();
@@ -155,184 +173,63 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether this VM is served by a reader that has read the log already.
-    fn has_eligible_reader(&self) -> bool {
-        let assignment = self.assignment();
-        !assignment.state.no_eligible_reader && assignment.read_role == ReadRole::Served
+    /// Whether another VM can serve its views to this one.
+    fn has_source(&self) -> bool {
+        !self.assignment().sources.is_empty()
     }
 
     /// This VM's part in reading the log for the zone, by what is known now.
     fn assignment(&self) -> Assignment {
         let config = &self.node.config;
-        let status = self.reader_status();
-        let peers = &self.lock().peers;
-        peers.assignment(&config.node, &config.zone, status, boot::now())
-    }
-
-    async fn listen(&self) {
-        let mut buffer = vec![0; MAX_DATAGRAM];
-        loop {
-            let received = self.socket.recv_from(&mut buffer).await;
-            let (length, from) = match received {
-                Ok(received) => received,
-                Err(error) => {
-                    log::debug!("neighbours: A datagram can't be received: {error}.");
-                    tokio::time::sleep(RETRY_DELAY).await;
-                    continue;
-                }
-            };
-            match postcard::from_bytes::<Message>(&buffer[..length]) {
-                Ok(message) => self.handle(message, from).await,
-                Err(error) => {
-                    log::warn!(
-                        "neighbours: Ignoring a datagram from {from}, which can't be decoded: {error}."
-                    );
-                }
-            }
-        }
-    }
-
-    /// Merges a datagram. If it comes from a VM that starts, and this one reads the log, it is answered
-    /// at once: the other VM waits to learn from whom it can get the records.
-    async fn handle(&self, message: Message, from: SocketAddr) {
-        let local = message.zone == self.node.config.zone;
-        let starts = local && message.reader_status == ReaderStatus::Starting;
-        let sender = starts.then(|| choice::hash(message.node.as_str()));
-        self.merge(message, from);
-        let reads = *self.zone.read_role.borrow() != ReadRole::Served;
-        if let Some(sender) = sender
-            && reads
-            && self.reader_status() == ReaderStatus::Eligible
-        {
-            self.send(from, Some(sender), &Update::default()).await;
-        }
-    }
-
-    fn merge(&self, message: Message, from: SocketAddr) {
-        let config = &self.node.config;
-        if message.node == config.node {
-            return;
-        }
-        let local = message.zone == config.zone;
-        let now = boot::now();
-        let peer = Peer::discovered(message.node.clone(), message.zone, from, now);
-        let peer = peer.with_datagram(message.reader_status, now);
-        let sender = peer.key;
-        let changed = {
-            let mut inner = self.lock();
-            let changed = inner.peers.update(peer, now);
-            if !local {
-                let prefills = message.prefills.iter().cloned();
-                inner.forwarded_prefills.extend(prefills);
-                inner.forwarded_sessions.extend(&message.pinned_sessions);
-            }
-            changed
+        let own = Candidate {
+            node: config.node.clone(),
+            status: self.reader_status(),
+            capacity: config.capacity,
         };
-        if changed && local {
-            self.update_role();
-        }
-        if local {
-            self.zone_datagram.notify_one();
-        }
-        for report in &message.poison {
-            let writes = self.node.reads_log();
-            self.node.poison.receive(*report, !local, writes, now);
-        }
-        for pinned in &message.pinned_sessions {
-            self.node.rollouts(|r| r.pin_session(*pinned));
-        }
-        if local {
-            self.zone.record_stamp(Stamp {
-                node: sender,
-                at: message.stamp,
-            });
-            for bundle in &message.bundles {
-                self.apply_bundle(bundle);
-            }
-            self.apply_proofs(message.proofs);
-            for announcement in message.rollouts {
-                let received = NodeAnnouncement {
-                    node: message.node.clone(),
-                    announcement,
-                };
-                self.node.rollouts(|r| r.receive(&received, now));
-            }
-        }
-        let waits: Vec<(u64, Duration)> = message
-            .waits
-            .iter()
-            .map(|(engine, millis)| (*engine, Duration::from_millis(u64::from(*millis))))
-            .collect();
-        let limits: Vec<endpoint_limit::Report> =
-            message.limits.iter().filter_map(limit::decode).collect();
-        for (_, pool) in self.node.scheduler.pools() {
-            if local {
-                pool.merge_waits(sender, &waits);
-                for limit in &limits {
-                    pool.merge_limit(*limit);
-                }
-            }
-            for prefill in &message.prefills {
-                pool.merge_prefilled(prefill.engine, &prefill.prompt());
-            }
-        }
-    }
-
-    /// Applies records that another VM read from the log.
-    fn apply_bundle(&self, bundle: &Bundle) {
-        let Bundle {
-            topic, from, to, ..
-        } = *bundle;
-        let records = bundle.records();
-        let range = RecordRange { from, to, records };
-        match topic {
-            SharedTopic::Operators => self.node.operators.receive(range),
-            SharedTopic::Endpoints => self.node.directory.receive(range),
-            SharedTopic::Poison => self.node.blocklist.receive(range),
-        }
+        let peers = &self.lock().peers;
+        peers.assignment(&own, &config.zone, boot::now())
     }
 
-    /// Whether this VM is the reader of its zone, by its role alone. A VM that is alone is not, although it
-    /// reads the log: see [`Node::reads_log`].
+    /// Whether this VM reads the log for other VMs.
     fn is_zone_reader(&self) -> bool {
         *self.zone.read_role.borrow() == ReadRole::Reader
     }
 
-    /// Applies what the reads of another VM prove to this one.
-    fn apply_proofs(&self, proofs: Proofs) {
-        if let Some(proof) = proofs.operators {
-            self.node
-                .operators
-                .receive_proof(message::decode_proof(proof));
-        }
-        if let Some(proof) = proofs.endpoints {
-            self.node
-                .directory
-                .receive_proof(message::decode_proof(proof));
-        }
-        if let Some(proof) = proofs.poison {
-            self.node
-                .blocklist
-                .receive_proof(message::decode_proof(proof));
+    /// Whether this VM serves its group: as the reader, or because it leads the group and passes on what it
+    /// gets. A VM that is alone does not, although it reads the log: see [`Node::reads_log`].
+    fn serves_group(&self) -> bool {
+        match *self.zone.read_role.borrow() {
+            ReadRole::Reader => true,
+            ReadRole::Served => self.lock().leader.is_none(),
+            ReadRole::Alone => false,
         }
     }
 
-    /// The other VMs of the zone. Forgets VMs that are gone, and passes on who is left to what is shared
+    /// The other VMs of the group. Forgets VMs that are gone, and passes on who is left to what is shared
     /// among VMs.
     fn refresh_peers(&self) -> Vec<Peer> {
-        let mut inner = self.lock();
-        inner.peers.remove_expired(boot::now());
         let config = &self.node.config;
-        let peers = inner.peers.in_zone(&config.zone);
-        self.node.retry_budgets.set_vms(inner.peers.count() + 1);
+        let now = boot::now();
+        let mut inner = self.lock();
+        inner.peers.remove_expired(now);
+        let vms = inner.zone_vms(&config.zone);
+        inner.peers.raise_level(Level::for_vms(vms));
+        let group = inner.peers.group(&config.node, &config.zone);
+        let leaders = inner.peers.leaders(&config.node, &config.zone, now);
+        let zones = config.zones.iter().map(|(zone, _)| zone);
+        let all = inner.zones.total(zones, &config.zone, vms);
         let participants = inner
             .peers
-            .limit_participants(&config.node, &config.zone, boot::now());
+            .limit_participants(&config.node, &config.zone, now);
         drop(inner);
+        self.node.retry_budgets.set_vms(all);
         self.node.scheduler.set_participants(&participants);
+        self.zone.set_vms(vms);
+        let mut served: Vec<u64> = group.iter().chain(&leaders).map(|peer| peer.key).collect();
+        served.sort_unstable();
         self.zone
-            .retain_stamps(|node| peers.iter().any(|peer| peer.key == node));
-        peers
+            .retain_stamps(|node| served.binary_search(&node).is_ok());
+        group
     }
 
     /// Updates who reads the log for whom.
@@ -340,6 +237,8 @@
         let assignment = self.assignment();
         self.zone.set_reader_address(assignment.reader);
         self.zone.set_log_state(assignment.state);
+        self.zone.set_sources(assignment.sources);
+        self.lock().leader = assignment.leader;
         let role = assignment.read_role;
         let update = |known: &mut ReadRole| {
             let changed = *known != role;
@@ -362,7 +261,8 @@
             Reachability::Unreachable => ReaderStatus::Unreachable,
             Reachability::Reachable if ages.iter().any(Option::is_none) => ReaderStatus::Starting,
             Reachability::Reachable if ages.iter().all(young) => ReaderStatus::Eligible,
-            Reachability::Reachable | Reachability::Suspect => ReaderStatus::Untested,
+            Reachability::Reachable => ReaderStatus::Behind,
+            Reachability::Suspect => ReaderStatus::Untested,
         }
     }
 }
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -8,10 +8,12 @@
 
 use super::Neighbours;
 use super::limit;
-use super::message;
 use super::message::Message;
+use super::message::Position;
 use super::message::Prefill;
 use super::message::Proofs;
+use super::message::ZoneSummary;
+use super::peers::PROBE_INTERVAL;
 use super::update::Update;
 use crate::boot;
 use crate::bundle::Bundle;
@@ -19,9 +21,10 @@
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
 use crate::rollouts::Rollouts;
+use crate::rollouts::announcement::NodeAnnouncement;
 use crate::topic::Log;
 
-/// Time between datagrams to each VM of the zone, per VM there. With two other VMs an update is up to
+/// Time between datagrams to each VM of the group, per VM there. With two other VMs an update is up to
 /// 40 ms old, which is half the prefill time of the shortest prompt on the largest model.
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(20);
 
@@ -33,18 +36,27 @@
 /// prefill work for tens of seconds, so that this age matters little.
 const REMOTE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time between datagrams to the zone if there is nothing to send. They keep the VM counted as alive,
+/// The most datagrams with records of one topic in an update. Thousands of endpoints that register together
+/// would fill a small VM's link for as many seconds as it sends to others; packed they take a tenth.
+const MAX_BUNDLES: usize = 16;
+
+/// How often a VM that serves others tells them what it knows of the zones.
+const ZONES_INTERVAL: Duration = Duration::from_secs(2);
+
+/// The most leaders of other groups that a leader names to its group.
+const MAX_NAMED_LEADERS: usize = 8;
+
+/// Time between datagrams to the group if there is nothing to send. They keep the VM counted as alive,
 /// and give the reader a young stamp of it.
 const ZONE_HEARTBEAT: Duration = Duration::from_millis(400);
 
 /// Time between datagrams to other zones if there is nothing to send.
 const REMOTE_HEARTBEAT: Duration = Duration::from_secs(1);
 
-/// Time between datagrams to each VM of the zone, if there are `others` of them.
+/// Time between datagrams to each VM of the group, if there are `others` of them.
 ///
-/// It grows with their number, so that a VM sends no more than fifty datagrams per second, but only up to
-/// a bound within which VMs still take each other for alive. Beyond that bound they would all read the
-/// log, each for itself.
+/// It grows with their number, but only up to a bound within which VMs still take each other for alive. Beyond
+/// that bound they would all read the log, each for itself. A larger zone is divided into groups instead.
 #[must_use]
 pub fn zone_interval(others: usize) -> Duration {
     let others = u32::try_from(others).unwrap_or(u32::MAX).max(1);
@@ -53,7 +65,18 @@
         .min(MAX_ZONE_INTERVAL)
 }
 
-/// The offsets up to which the records of each topic were forwarded to the zone.
+/// The VMs for which a datagram is meant.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// A VM of the group, which is served by its leader.
+    Group,
+    /// The leader of another group of the zone, which is served by the zone's reader.
+    Leaders,
+    /// A VM of another group or zone that is not served.
+    Remote,
+}
+
+/// The offsets up to which the records of each topic were forwarded to others.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ForwardedOffsets {
     operators: Offset,
@@ -62,10 +85,10 @@
 }
 
 impl<P: HeaderCodec + Codec, L: Log> Neighbours<P, L> {
-    /// Records to forward to the zone; empty unless this VM is its reader.
+    /// Records to forward; empty unless this VM serves others.
     fn take_bundles(&self) -> Vec<Bundle> {
         let forwarded = self.lock().forwarded.take();
-        if !self.is_zone_reader() {
+        if !self.serves_group() {
             return Vec::new();
         }
         let from = forwarded.unwrap_or_default();
@@ -80,8 +103,9 @@
         if forwarded.is_none() {
             return Vec::new();
         }
-        // If records are missing here or too large, the others read the log by themselves.
-        let list = |topic, from, chunks: Option<_>, to| {
+        // If records are missing here, too large or too many, the others fetch them once they get a proof.
+        let list = |topic, from, chunks: Option<Vec<_>>, to| {
+            let chunks = chunks.filter(|chunks| chunks.len() <= MAX_BUNDLES);
             Bundle::from_chunks(topic, from, chunks.unwrap_or_default(), to)
         };
         let mut bundles = list(
@@ -105,9 +129,10 @@
         bundles
     }
 
-    /// Sends updates to all VMs of the zone.
+    /// Sends updates to all VMs of the group and, while this VM leads it, to the leaders of the others.
     pub(super) async fn broadcast_to_zone(&self) {
         let mut last_sent = Moment::ZERO;
+        let mut zones_sent = Moment::ZERO;
         let mut idle = true;
         let mut operators = self.node.operators.changes();
         let mut endpoints = self.node.directory.changes();
@@ -115,17 +140,18 @@
         loop {
             let peers = self.refresh_peers();
             self.update_role();
+            let serves = self.serves_group();
             let changed = tokio::select! {
                 () = tokio::time::sleep(zone_interval(peers.len())) => false,
-                _ = operators.changed() => self.is_zone_reader(),
-                _ = endpoints.changed() => self.is_zone_reader(),
-                _ = blocklist.changed() => self.is_zone_reader(),
+                _ = operators.changed() => serves,
+                _ = endpoints.changed() => serves,
+                _ = blocklist.changed() => serves,
                 () = self.node.poison.reports_due.notified() => false,
                 () = self.node.limit_changed.notified() => true,
-                () = self.zone.proved.notified() => self.is_zone_reader(),
+                () = self.zone.proved.notified(), if serves => true,
                 () = self.zone.unreachable.notified() => true,
             };
-            let update = self.collect_update();
+            let mut update = self.collect_update();
             let now = boot::now();
             let nothing = update.is_empty() && !changed;
             if nothing && idle && now.since(last_sent) < ZONE_HEARTBEAT {
@@ -133,16 +159,92 @@
             }
             idle = nothing;
             last_sent = now;
+            let zones_due = now.since(zones_sent) >= ZONES_INTERVAL;
+            if zones_due && self.serves_group() {
+                update.zones = self.zone_summaries();
+                zones_sent = now;
+            }
+            self.send_to_leaders(&mut update).await;
             for peer in &peers {
-                self.send(peer.address, Some(peer.key), &update).await;
+                self.send(peer.address, Some(peer.key), Audience::Group, &update)
+                    .await;
             }
         }
     }
 
-    /// Collects what is to be sent to the zone. What other zones need to know as well is queued for them.
+    /// Sends the leaders of the other groups what they need of an update for the group, and looks for leaders
+    /// that are unknown. Adds to the update what the group gets from them.
+    async fn send_to_leaders(&self, update: &mut Update) {
+        let config = &self.node.config;
+        let now = boot::now();
+        let (leaders, probed, (announcements, limits)) = {
+            let mut inner = self.lock();
+            if inner.leader.is_some() || !inner.peers.level().is_divided() {
+                return;
+            }
+            let leaders = inner.peers.leaders(&config.node, &config.zone, now);
+            let probe = now.since(inner.probed_at) >= PROBE_INTERVAL;
+            let probed = if probe {
+                inner.probed_at = now;
+                inner.peers.probe_targets(&config.node, &config.zone, now)
+            } else {
+                Vec::new()
+            };
+            (leaders, probed, inner.to_leaders.take())
+        };
+        let mut for_leaders = Update {
+            rollouts: update.rollouts.clone(),
+            limits: update.limits.clone(),
+            zones: update.zones.clone(),
+            ..Update::default()
+        };
+        if self.is_zone_reader() {
+            for_leaders.bundles.clone_from(&update.bundles);
+        }
+        for_leaders.rollouts.extend(announcements);
+        for_leaders.limits.extend(limits);
+        for peer in &leaders {
+            self.send(
+                peer.address,
+                Some(peer.key),
+                Audience::Leaders,
+                &for_leaders,
+            )
+            .await;
+        }
+        for peer in &probed {
+            let nothing = Update::default();
+            self.send(peer.address, Some(peer.key), Audience::Leaders, &nothing)
+                .await;
+        }
+        let (announcements, limits) = self.lock().to_group.take();
+        update.rollouts.extend(announcements);
+        update.limits.extend(limits);
+    }
+
+    /// What this VM knows of the other zones, and the leaders of its own zone's other groups.
+    pub(super) fn zone_summaries(&self) -> Vec<ZoneSummary> {
+        let config = &self.node.config;
+        let inner = self.lock();
+        let mut zones = inner.zones.known().to_vec();
+        let leaders = inner.peers.leaders(&config.node, &config.zone, boot::now());
+        if !leaders.is_empty() {
+            let contacts = leaders.iter().take(MAX_NAMED_LEADERS);
+            zones.push(ZoneSummary {
+                zone: config.zone.clone(),
+                vms: u32::try_from(inner.zone_vms(&config.zone)).unwrap_or(u32::MAX),
+                contacts: contacts
+                    .map(|leader| (leader.node.clone(), leader.address))
+                    .collect(),
+            });
+        }
+        zones
+    }
+
+    /// Collects what is to be sent to the group. What others need to know as well is queued for them.
     fn collect_update(&self) -> Update {
         let mut update = Update {
-            rollouts: self.node.due_announcements(boot::now()),
+            rollouts: self.due_announcements(),
             pinned_sessions: self.node.rollouts(Rollouts::take_pending_sessions),
             poison: self.node.poison.take_zone_reports(boot::now()),
             bundles: self.take_bundles(),
@@ -170,13 +272,24 @@
         update
     }
 
-    /// Sends updates to one VM of each other zone.
+    /// The announcements of this VM about roll-outs that are due.
+    fn due_announcements(&self) -> Vec<NodeAnnouncement> {
+        let due = self.node.due_announcements(boot::now()).into_iter();
+        let node = &self.node.config.node;
+        due.map(|announcement| NodeAnnouncement {
+            node: node.clone(),
+            announcement,
+        })
+        .collect()
+    }
+
+    /// Sends updates to one VM of each other zone and of each other group of this one.
     pub(super) async fn broadcast_to_remote_zones(&self) {
         let mut last_sent = Moment::ZERO;
         loop {
             tokio::time::sleep(REMOTE_INTERVAL).await;
             let now = boot::now();
-            let (update, addresses) = {
+            let (update, targets, leads) = {
                 let mut inner = self.lock();
                 let update = Update {
                     prefills: std::mem::take(&mut inner.remote_prefills),
@@ -184,39 +297,53 @@
                     poison: self.node.poison.take_remote_reports(now),
                     ..Update::default()
                 };
-                let zone = &self.node.config.zone;
-                (update, inner.peers.remote_targets(zone, now))
+                let config = &self.node.config;
+                let targets = inner.peers.remote_targets(&config.node, &config.zone, now);
+                (update, targets, inner.leader.is_none())
             };
-            if update.is_empty() && now.since(last_sent) < REMOTE_HEARTBEAT {
+            let divided = !targets.groups.is_empty();
+            let heartbeat = now.since(last_sent) >= REMOTE_HEARTBEAT && (leads || !divided);
+            if update.is_empty() && !heartbeat {
                 continue;
             }
             last_sent = now;
-            for address in addresses {
-                self.send(address, None, &update).await;
+            for address in targets.zones {
+                self.send(address, None, Audience::Remote, &update).await;
+            }
+            for address in targets.groups.into_iter().filter(|_| !update.is_empty()) {
+                self.send(address, None, Audience::Remote, &update).await;
             }
         }
     }
 
     /// Sends an update to one VM. `zone_key` is its key if it is of this zone.
-    pub(super) async fn send(&self, address: SocketAddr, zone_key: Option<u64>, update: &Update) {
+    pub(super) async fn send(
+        &self,
+        address: SocketAddr,
+        zone_key: Option<u64>,
+        audience: Audience,
+        update: &Update,
+    ) {
+        let position = self.position();
+        let waits = update.reported_waits();
         for part in update.split() {
             // A proof that came before the records that it covers would make the other VM read the log.
             let proven = zone_key.filter(|_| part.last);
-            let (rollouts, limits) = if part.first {
-                (&update.rollouts[..], &update.limits[..])
-            } else {
-                (&[][..], &[][..])
-            };
+            let zones = if part.first { &update.zones[..] } else { &[] };
             let message = Message {
                 node: self.node.config.node.clone(),
                 zone: self.node.config.zone.clone(),
                 stamp: boot::now(),
                 reader_status: self.reader_status(),
+                position: position.clone(),
+                zones: zones.to_vec(),
                 bundles: part.bundles.to_vec(),
-                proofs: proven.map(|node| self.proofs(node)).unwrap_or_default(),
-                rollouts: rollouts.to_vec(),
-                waits: update.waits.clone(),
-                limits: limits.to_vec(),
+                proofs: proven
+                    .map(|node| self.proofs(node, audience))
+                    .unwrap_or_default(),
+                rollouts: part.rollouts.to_vec(),
+                waits: waits.clone(),
+                limits: part.limits.to_vec(),
                 pinned_sessions: part.pinned_sessions.to_vec(),
                 poison: part.poison.to_vec(),
                 prefills: part.prefills.to_vec(),
@@ -233,20 +360,34 @@
         }
     }
 
-    /// What this VM's last reads prove to another one; nothing unless this VM is the reader of the
-    /// zone. While endpoints register by the dozen, every read finds something new, and VMs that all sent
-    /// each other proofs would make each other read without end.
-    fn proofs(&self, node: u64) -> Proofs {
-        if !self.is_zone_reader() {
+    /// This VM's part in its zone.
+    fn position(&self) -> Position {
+        let config = &self.node.config;
+        let inner = self.lock();
+        Position {
+            level: inner.peers.level(),
+            capacity: config.capacity,
+            leader: inner.leader.clone(),
+            vms: u32::try_from(inner.zone_vms(&config.zone)).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// What this VM's view proves to another one: the reader's to all, and a leader's to its group. While
+    /// endpoints register by the dozen, every read finds something new, and VMs that all sent each other proofs
+    /// would make each other read without end.
+    fn proofs(&self, node: u64, audience: Audience) -> Proofs {
+        let serves = match audience {
+            Audience::Group => self.serves_group(),
+            Audience::Leaders => self.is_zone_reader(),
+            Audience::Remote => false,
+        };
+        if !serves {
             return Proofs::default();
         }
-        let operators = self.node.operators.proof(node);
-        let endpoints = self.node.directory.proof(node);
-        let poison = self.node.blocklist.proof(node);
         Proofs {
-            operators: operators.map(message::encode_proof),
-            endpoints: endpoints.map(message::encode_proof),
-            poison: poison.map(message::encode_proof),
+            operators: self.node.operators.proof(node),
+            endpoints: self.node.directory.proof(node),
+            poison: self.node.blocklist.proof(node),
         }
     }
 }
--- a/crates/relay/src/neighbours/discovery.rs
+++ b/crates/relay/src/neighbours/discovery.rs
@@ -1,14 +1,21 @@
 //! How a VM discovers the others: by the topic that they share, read once at the start.
+//!
+//! The topic has a partition for each zone. A VM writes to that of its own zone and reads it, so that a start
+//! takes two calls of the log however many VMs there are.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use pimento_progress::Progress;
 use pimento_units::id;
+use rand::seq::IndexedRandom;
 
 use super::Neighbours;
 use super::RETRY_DELAY;
+use super::broadcast::Audience;
 use super::peers::Peer;
 use super::update::Update;
+use super::zones::MAX_CONTACTS;
 use crate::boot;
 use crate::calls::Reason;
 use crate::codec::Codec;
@@ -28,93 +35,178 @@
 /// How long a VM that starts waits for an answer to its first datagram from a VM that has read the log.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_millis(60);
 
-/// The longest delay between calls that fail. The other VMs send datagrams meanwhile.
-const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_600);
+/// The longest delay between calls that fail. The other VMs send datagrams meanwhile. After an outage all VMs
+/// of all zones may call at once, and the first of each group that is answered tells the others.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(6_400);
 
-/// Waits after a call that failed; returns the next delay.
+/// Attempts to write this VM's record before it reads those of the others all the same.
+const MAX_ATTEMPTS: u32 = 3;
+
+/// Waits up to `delay` after a call that failed, anywhere within it so that VMs which failed together do not
+/// call together again. Returns the next delay.
 async fn back_off(delay: Duration) -> Duration {
-    tokio::time::sleep(delay.mul_f64(rand::random_range(0.5..=1.0))).await;
+    tokio::time::sleep(delay.mul_f64(rand::random_range(0.1..=1.0))).await;
     (delay * 2).min(MAX_RETRY_DELAY)
 }
 
 impl<P: HeaderCodec + Codec, L: Log> Neighbours<P, L> {
-    /// Discovers the other VMs by the log, and joins those of the zone by datagrams.
+    /// Discovers the other VMs of the zone by the log, and joins them by datagrams. A VM of the zone that knows
+    /// this one may get in touch first.
     ///
     /// Of two VMs that start together, the one whose record comes later must find the other's record. So a
     /// VM reads the records of the others once its own is there. A VM that restarts finds the record of its
     /// last incarnation, with the prefill speeds learnt by then, and writes none if that is still true.
     pub(super) async fn discover(&self) {
-        if self.node.config.first_start {
-            self.publish().await;
-        }
-        let known = self.read_fleet().await;
-        self.join().await;
-        if !known {
-            self.publish().await;
-            self.read_fleet().await;
-        }
-        self.publish_prefill_speeds().await;
+        let by_log = async {
+            let mut written = self.node.config.first_start && self.publish(MAX_ATTEMPTS).await;
+            written |= self.read_zone().await;
+            self.join().await;
+            if !written {
+                self.publish(u32::MAX).await;
+                self.read_zone().await;
+            }
+        };
+        let by_datagram = async {
+            self.wait_for_source().await;
+            self.finish_discovery();
+        };
+        tokio::join!(by_log, by_datagram);
+        tokio::join!(self.publish_prefill_speeds(), self.discover_zones());
     }
 
-    /// Writes this VM's record to the log.
-    async fn publish(&self) {
+    fn finish_discovery(&self) {
+        self.update_role();
+        self.zone.finish_discovery();
+    }
+
+    /// Writes this VM's record to the log. Returns false if none of `attempts` is known to have succeeded.
+    async fn publish(&self, attempts: u32) -> bool {
         let mut delay = RETRY_DELAY;
-        while !self.node.publish(&self.node.vm_record(), &self.log).await {
+        for _ in 0..attempts {
+            if self.node.announce(&self.log).await {
+                return true;
+            }
             delay = back_off(delay).await;
         }
+        false
     }
 
-    /// Tells the VMs of the zone that this one starts, and finds out from which of them it gets what it
+    /// Waits until another VM can serve its views to this one.
+    async fn wait_for_source(&self) {
+        let mut datagrams = self.zone_datagram.subscribe();
+        while !self.has_source() {
+            if datagrams.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Tells the VMs of the group that this one starts, and finds out from which of them it gets what it
     /// lacks: one that has read the log already answers at once.
     async fn join(&self) {
         let peers = self.refresh_peers();
         for peer in &peers {
             let nothing = Update::default();
-            self.send(peer.address, Some(peer.key), &nothing).await;
+            self.send(peer.address, Some(peer.key), Audience::Group, &nothing)
+                .await;
         }
         // The first VM by name does not wait: it becomes the reader, for which the others wait.
         let own = &self.node.config.node;
         let first = peers.first().is_none_or(|peer| *own < peer.node);
-        let eligible = async {
-            while !self.has_eligible_reader() {
-                self.zone_datagram.notified().await;
-            }
-        };
         if !first
-            && tokio::time::timeout(HANDSHAKE_TIMEOUT, eligible)
+            && tokio::time::timeout(HANDSHAKE_TIMEOUT, self.wait_for_source())
                 .await
                 .is_err()
         {
-            log::info!("neighbours: No VM of the zone is known to have read the log.");
+            log::info!("neighbours: No VM of the group is known to have read the log.");
         }
-        self.update_role();
-        self.zone.finish_discovery();
+        self.finish_discovery();
     }
 
-    /// Reads the other VMs' addresses and the prefill speeds that they learnt. Returns true if this VM's
-    /// own record is there and still true.
-    async fn read_fleet(&self) -> bool {
+    /// Reads the records of the zone's VMs: their addresses, and the prefill speeds that they learnt. Returns
+    /// true if this VM's own record is there and still true.
+    async fn read_zone(&self) -> bool {
         let mut delay = RETRY_DELAY;
+        let zone = &self.node.config.zone;
         loop {
-            self.node.calls.count(Topic::Fleet, Reason::Discovery);
-            let progress = Progress::default();
-            let newest = self.log.newest(Topic::Fleet, &progress);
-            match progress.wait(newest, CALL_TIMEOUT, CALL_TIMEOUT).await {
-                Ok(Ok(batch)) => {
-                    let mut known = false;
-                    for (node, record) in batch.records.iter().filter_map(fleet::decode) {
-                        known |= self.is_own(&node, &record);
-                        self.add_record(node, record);
-                    }
-                    return known;
+            if let Some(records) = self.read_vms(zone).await {
+                let mut known = false;
+                for (node, record) in records {
+                    known |= self.is_own(&node, &record);
+                    self.add_record(node, record);
                 }
-                Ok(Err(error)) => log::warn!("neighbours: The VMs' topic can't be read: {error}."),
-                Err(error) => log::warn!("neighbours: The VMs' topic can't be read: {error}."),
+                return known;
             }
             delay = back_off(delay).await;
         }
     }
 
+    /// Reads the records of a zone's VMs; none if the log gave no answer.
+    async fn read_vms(&self, zone: &id::Zone) -> Option<Vec<(id::Node, VmRecord)>> {
+        let topic = Topic::Vms(self.node.config.partition(zone));
+        self.node.calls.count(topic, Reason::Discovery);
+        let progress = Progress::default();
+        let newest = self.log.newest(topic, &progress);
+        let problem = match progress.wait(newest, CALL_TIMEOUT, CALL_TIMEOUT).await {
+            Ok(Ok(batch)) => {
+                let records = batch.records.iter().filter_map(fleet::decode);
+                // Zones may share a partition.
+                return Some(records.filter(|(_, record)| record.zone == *zone).collect());
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(error) => error.to_string(),
+        };
+        log::warn!("neighbours: The records of the VMs of {zone} can't be read: {problem}.");
+        None
+    }
+
+    /// Finds VMs of the other zones while this VM reads the log for its own one. The others learn of them from
+    /// its datagrams.
+    async fn discover_zones(&self) {
+        let mut roles = self.zone.read_role.subscribe();
+        let mut delay = RETRY_DELAY;
+        loop {
+            if roles
+                .wait_for(|role| *role != ReadRole::Served)
+                .await
+                .is_err()
+            {
+                return;
+            }
+            let Some(zone) = self.unknown_zone() else {
+                return;
+            };
+            match self.read_vms(&zone).await {
+                Some(records) => self.add_zone(&zone, &records),
+                None => delay = back_off(delay).await,
+            }
+        }
+    }
+
+    /// A zone about which nothing is known.
+    fn unknown_zone(&self) -> Option<id::Zone> {
+        let config = &self.node.config;
+        let inner = self.lock();
+        let known = |zone: &id::Zone| inner.zones.known().iter().any(|k| k.zone == *zone);
+        let zones = config.zones.iter().map(|(zone, _)| zone);
+        let mut unknown = zones.filter(|zone| **zone != config.zone && !known(zone));
+        unknown.next().cloned()
+    }
+
+    /// Adds another zone by the records of its VMs.
+    fn add_zone(&self, zone: &id::Zone, records: &[(id::Node, VmRecord)]) {
+        let chosen = records.sample(&mut rand::rng(), MAX_CONTACTS);
+        let contacts: Vec<(id::Node, SocketAddr)> = chosen
+            .map(|(node, record)| (node.clone(), record.address))
+            .collect();
+        let vms = u32::try_from(records.len()).unwrap_or(u32::MAX);
+        let mut inner = self.lock();
+        inner.zones.merge(zone, vms, &contacts);
+        for (node, address) in &contacts {
+            inner.peers.add_contact(node, zone, *address, boot::now());
+        }
+    }
+
     /// Whether a record is this VM's own and still true. One with announcements about roll-outs is not:
     /// they are an earlier incarnation's.
     fn is_own(&self, node: &id::Node, record: &VmRecord) -> bool {
@@ -142,7 +234,7 @@
             let record = self.node.vm_record();
             let known = !record.seconds_per_token.is_empty();
             let alone = *self.zone.read_role.borrow() != ReadRole::Served;
-            if known && alone && self.node.publish(&record, &self.log).await {
+            if known && alone && self.node.announce(&self.log).await {
                 return;
             }
         }
--- a/crates/relay/src/neighbours/limit.rs
+++ b/crates/relay/src/neighbours/limit.rs
@@ -18,6 +18,13 @@
     age_ms: u32,
 }
 
+impl LimitMessage {
+    /// The endpoint's key.
+    pub const fn endpoint(&self) -> u64 {
+        self.endpoint
+    }
+}
+
 /// Encodes a limit for a datagram.
 pub fn encode(report: &endpoint_limit::Report) -> LimitMessage {
     LimitMessage {
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -1,20 +1,23 @@
 //! The datagrams between entry VMs.
 
+use std::net::SocketAddr;
+
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
-use pimento_units::Offset;
 use pimento_units::Tokens;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
 
+use super::groups::Level;
 use super::limit::LimitMessage;
 use super::peers::ReaderStatus;
 use crate::bundle::Bundle;
+use crate::capacity::Capacity;
 use crate::follow::Proof;
 use crate::poison::Report;
-use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
 
 /// A datagram. It is written without names: the order and types of its fields are the format.
@@ -28,12 +31,16 @@
     pub stamp: Moment,
     /// Whether the sender can read the log.
     pub reader_status: ReaderStatus,
+    /// The sender's part in its zone.
+    pub position: Position,
+    /// What the sender knows of the zones, if it is due.
+    pub zones: Vec<ZoneSummary>,
     /// Records that changed the sender's views of the log. The receiver applies them before the proofs.
     pub bundles: Vec<Bundle>,
     /// What the sender's last reads of the log prove to the receiver.
     pub proofs: Proofs,
-    /// The sender's announcements about roll-outs, if they are due.
-    pub rollouts: Vec<Announcement>,
+    /// Announcements about roll-outs that are due: the sender's own, and those that it passes on.
+    pub rollouts: Vec<NodeAnnouncement>,
     /// Reports of requests that crash endpoints.
     pub poison: Vec<Report>,
     /// Sessions that stay on the old version during a roll-out's trial.
@@ -43,29 +50,43 @@
     pub waits: Vec<(u64, u32)>,
     /// Prompts that engines prefilled since the last datagram.
     pub prefills: Vec<Prefill>,
-    /// Limits that endpoints named to the sender.
+    /// Limits that endpoints named to the sender, and those that it passes on.
     pub limits: Vec<LimitMessage>,
 }
 
-/// Proofs of the topics that all VMs read: the offset after the last change, and the receiver's stamp.
+/// The part of a VM in its zone.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Position {
+    /// How finely the zone is divided into groups.
+    pub level: Level,
+    /// What the VM can do for others.
+    pub capacity: Capacity,
+    /// The leader of the VM's group and where it receives datagrams; none if the VM leads its group.
+    pub leader: Option<(id::Node, SocketAddr)>,
+    /// The number of VMs of the zone, including the sender, as far as they are known.
+    pub vms: u32,
+}
+
+/// What VMs know of a zone other than their own.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneSummary {
+    /// The zone.
+    pub zone: id::Zone,
+    /// The number of its VMs.
+    pub vms: u32,
+    /// Some of its VMs, and where they receive datagrams.
+    pub contacts: Vec<(id::Node, SocketAddr)>,
+}
+
+/// Proofs of the topics that all VMs read.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Proofs {
     /// Of the operators' records.
-    pub operators: Option<(Offset, Moment)>,
+    pub operators: Option<Proof>,
     /// Of the endpoints' records.
-    pub endpoints: Option<(Offset, Moment)>,
+    pub endpoints: Option<Proof>,
     /// Of the blocked requests.
-    pub poison: Option<(Offset, Moment)>,
-}
-
-/// Encodes a proof for a datagram.
-pub const fn encode_proof(proof: Proof) -> (Offset, Moment) {
-    (proof.change_end, proof.stamp)
-}
-
-/// Decodes a proof.
-pub const fn decode_proof((change_end, stamp): (Offset, Moment)) -> Proof {
-    Proof { change_end, stamp }
+    pub poison: Option<Proof>,
 }
 
 /// A prompt that an engine prefilled.
--- /dev/null
+++ b/crates/relay/src/neighbours/relayed.rs
@@ -0,0 +1,44 @@
+//! What the leader of a group passes on between its group and the leaders of the others.
+
+use super::limit::LimitMessage;
+use crate::rollouts::announcement::NodeAnnouncement;
+
+/// The most limits of endpoints that wait to be passed on. They are repeated, so that later ones follow.
+const MAX_LIMITS: usize = 256;
+
+/// What waits to be passed on: the newest of each kind.
+#[derive(Debug, Default)]
+pub struct Relayed {
+    announcements: Vec<NodeAnnouncement>,
+    limits: Vec<LimitMessage>,
+}
+
+impl Relayed {
+    /// Adds an announcement about a roll-out, in place of an earlier one of the same VM.
+    pub fn add_announcement(&mut self, announcement: NodeAnnouncement) {
+        let same = |known: &NodeAnnouncement| {
+            known.node == announcement.node
+                && known.announcement.pool == announcement.announcement.pool
+        };
+        match self.announcements.iter_mut().find(|known| same(known)) {
+            Some(known) => *known = announcement,
+            None => self.announcements.push(announcement),
+        }
+    }
+
+    /// Adds an endpoint's limit, in place of an earlier one of the same endpoint.
+    pub fn add_limit(&mut self, limit: LimitMessage) {
+        let same = |known: &LimitMessage| known.endpoint() == limit.endpoint();
+        match self.limits.iter().position(same) {
+            Some(place) => self.limits[place] = limit,
+            None if self.limits.len() < MAX_LIMITS => self.limits.push(limit),
+            None => {}
+        }
+    }
+
+    /// Takes all of it.
+    pub fn take(&mut self) -> (Vec<NodeAnnouncement>, Vec<LimitMessage>) {
+        let announcements = std::mem::take(&mut self.announcements);
+        (announcements, std::mem::take(&mut self.limits))
+    }
+}
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -1,10 +1,13 @@
 //! What a VM sends to others at one time, split into datagrams.
 
+use std::cmp::Reverse;
+
 use super::limit::LimitMessage;
 use super::message::Prefill;
+use super::message::ZoneSummary;
 use crate::bundle::Bundle;
 use crate::poison::Report;
-use crate::rollouts::announcement::Announcement;
+use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
 
 /// Prompts in one datagram. With more it would not fit the smallest path MTU in common use.
@@ -16,6 +19,16 @@
 /// Reports of requests that crash endpoints in one datagram, for the same reason.
 const MAX_REPORTS: usize = 16;
 
+/// Announcements about roll-outs in one datagram, for the same reason.
+const MAX_ANNOUNCEMENTS: usize = 3;
+
+/// Limits of endpoints in one datagram, for the same reason.
+const MAX_LIMITS: usize = 32;
+
+/// Engines in a report of waits, which goes in every datagram. A VM has more of them only while it is
+/// overloaded; the longest waits are reported then.
+const MAX_WAITS: usize = 48;
+
 /// What there is to send.
 #[derive(Default)]
 pub struct Update {
@@ -25,12 +38,14 @@
     pub waits: Vec<(u64, u32)>,
     /// Limits that endpoints named.
     pub limits: Vec<LimitMessage>,
-    /// This VM's announcements about roll-outs.
-    pub rollouts: Vec<Announcement>,
+    /// Announcements about roll-outs.
+    pub rollouts: Vec<NodeAnnouncement>,
     /// Sessions that stay on the old version during a roll-out's trial.
     pub pinned_sessions: Vec<PinnedSession>,
     /// Reports of requests that crash endpoints.
     pub poison: Vec<Report>,
+    /// What this VM knows of the zones.
+    pub zones: Vec<ZoneSummary>,
     /// Records of the log.
     pub bundles: Vec<Bundle>,
 }
@@ -44,16 +59,30 @@
         prompts && versions && self.poison.is_empty() && self.bundles.is_empty()
     }
 
+    /// The waits that are reported: the longest ones if there are many.
+    pub fn reported_waits(&self) -> Vec<(u64, u32)> {
+        let mut waits = self.waits.clone();
+        if waits.len() > MAX_WAITS {
+            waits.sort_unstable_by_key(|(_, wait)| Reverse(*wait));
+            waits.truncate(MAX_WAITS);
+        }
+        waits
+    }
+
     /// The update in parts that each fit a datagram; at least one.
     pub fn split(&self) -> Vec<UpdatePart<'_>> {
         let mut prefills = self.prefills.chunks(MAX_PREFILLS);
         let mut pinned_sessions = self.pinned_sessions.chunks(MAX_SESSIONS);
         let mut poison = self.poison.chunks(MAX_REPORTS);
+        let mut rollouts = self.rollouts.chunks(MAX_ANNOUNCEMENTS);
+        let mut limits = self.limits.chunks(MAX_LIMITS);
         let mut bundles = self.bundles.chunks(1);
         let counts = [
             prefills.len(),
             pinned_sessions.len(),
             poison.len(),
+            rollouts.len(),
+            limits.len(),
             bundles.len(),
             1,
         ];
@@ -64,14 +93,15 @@
             prefills: prefills.next().unwrap_or_default(),
             pinned_sessions: pinned_sessions.next().unwrap_or_default(),
             poison: poison.next().unwrap_or_default(),
+            rollouts: rollouts.next().unwrap_or_default(),
+            limits: limits.next().unwrap_or_default(),
             bundles: bundles.next().unwrap_or_default(),
         };
         (0..count).map(part).collect()
     }
 }
 
-/// The part of an update that goes in one datagram. Waits go in every datagram, announcements and limits
-/// in the first.
+/// The part of an update that goes in one datagram, beside the waits, which go in every one.
 pub struct UpdatePart<'a> {
     /// Whether it is the first of the update.
     pub first: bool,
@@ -83,6 +113,10 @@
     pub pinned_sessions: &'a [PinnedSession],
     /// Reports of requests that crash endpoints.
     pub poison: &'a [Report],
+    /// Announcements about roll-outs.
+    pub rollouts: &'a [NodeAnnouncement],
+    /// Limits that endpoints named.
+    pub limits: &'a [LimitMessage],
     /// Records of the log.
     pub bundles: &'a [Bundle],
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -349,10 +349,19 @@
         }
     }
 
-    /// Appends this VM's record to the log. Returns whether the append is known to have succeeded.
+    /// Appends this VM's record to the topic of the whole fleet. Returns whether the append is known to have succeeded.
     pub async fn publish(&self, record: &VmRecord, log: &impl Log) -> bool {
         self.calls.count(Topic::Fleet, Reason::Announcement);
-        record.publish(&self.config.node, log).await
+        record.publish(&self.config.node, Topic::Fleet, log).await
+    }
+
+    /// Appends this VM's record, without roll-outs, to the topic by which the VMs of its zone discover each
+    /// other. Returns whether the append is known to have succeeded.
+    pub async fn announce(&self, log: &impl Log) -> bool {
+        let topic = Topic::Vms(self.config.partition(&self.config.zone));
+        self.calls.count(topic, Reason::Announcement);
+        let record = self.vm_record();
+        record.publish(&self.config.node, topic, log).await
     }
 
     /// Prefill time of each model, in seconds per token, by the hash of its name.
--- a/crates/relay/src/recent.rs
+++ b/crates/relay/src/recent.rs
@@ -10,9 +10,10 @@
 
 use crate::topic::Record;
 
-/// The most records in the cache: twice as many as the endpoints of a service write when they are all
-/// replaced together.
-const MAX_RECORDS: usize = 1_024;
+/// The records that are cached at least. A view with more keys than half of them caches two for each key, as
+/// many as the endpoints of a service write when they are all replaced together.
+const MIN_RECORDS: usize = 1_024;
+const RECORDS_PER_KEY: usize = 2;
 
 /// The largest record that is sent in datagrams, in bytes. A configuration of a few routes and some dozen
 /// customers is half as large. VMs that lack a larger record request it over a connection.
@@ -56,11 +57,12 @@
         self.records.clear();
     }
 
-    /// Adds a record that changed the view.
-    pub fn push(&mut self, record: &Record) {
+    /// Adds a record that changed a view of `keys` keys.
+    pub fn push(&mut self, record: &Record, keys: usize) {
+        let most = MIN_RECORDS.max(keys.saturating_mul(RECORDS_PER_KEY));
         if size(record) > MAX_DATAGRAM_RECORD {
             self.evict_large(&record.key);
-        } else if self.records.len() == MAX_RECORDS
+        } else if self.records.len() >= most
             && let Some(oldest) = self.records.pop_front()
         {
             self.from = oldest.offset.next();
--- a/crates/relay/src/topic.rs
+++ b/crates/relay/src/topic.rs
@@ -23,8 +23,15 @@
     Fleet,
     /// Requests during which endpoints crashed.
     Poison,
+    /// The addresses of the entry VMs, one partition for each zone.
+    Vms(Partition),
 }
 
+/// A partition of a topic. Partitions are independent of each other: the log appends to each of them on its
+/// own, and a read returns the records of one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Partition(pub u32);
+
 impl Topic {
     /// The name in log lines and metrics.
     #[must_use]
@@ -35,6 +42,7 @@
             Self::Status => "status",
             Self::Fleet => "fleet",
             Self::Poison => "poison",
+            Self::Vms(_) => "vms",
         }
     }
 }
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -1,10 +1,14 @@
 //! State that the VMs of a zone share to read the log together: which VM reads for the others, and whether
 //! the log answers.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -25,6 +29,46 @@
     pub at: Moment,
 }
 
+/// The stamps of one other VM that arrived last.
+#[derive(Debug, Clone)]
+struct Arrivals {
+    /// Hash of the VM's name.
+    node: u64,
+    /// When each stamp arrived, by this VM's clock, and the stamp; oldest first.
+    stamps: VecDeque<(Moment, Moment)>,
+}
+
+/// Stamps that are kept of each VM, and the shortest time between them. Together they reach back further than
+/// the highest age of a proof: a VM that is served itself learns only then which stamps its view covers.
+const MAX_STAMPS: usize = 32;
+const STAMP_SPACING: Duration = Duration::from_millis(100);
+
+impl Arrivals {
+    /// Adds a stamp that arrived at `now`. Stamps that follow each other closely replace the last one.
+    fn push(&mut self, at: Moment, now: Moment) {
+        let mut before = self.stamps.iter().rev();
+        let last = before.next();
+        let close = |(arrived, _): &(Moment, Moment)| now.since(*arrived) < STAMP_SPACING;
+        if last.is_some() && before.next().is_some_and(close) {
+            self.stamps.pop_back();
+        }
+        if self.stamps.len() == MAX_STAMPS {
+            self.stamps.pop_front();
+        }
+        self.stamps.push_back((now, at));
+    }
+
+    /// The last stamp that had arrived by `moment`.
+    fn at(&self, moment: Moment) -> Option<Stamp> {
+        let mut newest_first = self.stamps.iter().rev();
+        let (_, at) = newest_first.find(|(arrived, _)| *arrived <= moment)?;
+        Some(Stamp {
+            node: self.node,
+            at: *at,
+        })
+    }
+}
+
 /// Time after a failed read for which the log counts as unreachable.
 const UNREACHABLE_FOR: Duration = Duration::from_secs(5);
 
@@ -67,15 +111,19 @@
     pub no_eligible_reader: bool,
     /// The log refused several VMs just now, so that it may refuse the next one as well.
     pub outage_suspected: bool,
+    /// The zone is divided into groups, so that a proof passes through the group's leader and a late one
+    /// says little about the log.
+    pub grouped: bool,
 }
 
-/// How long a VM that starts waits for its neighbours before it reads the log itself. One call of the log
-/// finds them, and they answer within milliseconds.
-const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time per known VM of the zone for which a VM that starts lets the others get in touch before it reads a
+/// whole topic, with its bounds. VMs that start together write their addresses one after the other, at about
+/// this pace; without the wait the first ones would all take themselves for the only one.
+const SETTLE_PER_VM: Duration = Duration::from_millis(3);
+const MAX_SETTLE: Duration = Duration::from_secs(1);
 
-/// The same when the whole system starts for the first time. All VMs then announce their addresses at once,
-/// which the log records one after the other, and there are no callers yet.
-const FIRST_DISCOVERY_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same when the whole system starts for the first time and there are no callers yet.
+const FIRST_SETTLE: Duration = Duration::from_secs(1);
 
 /// Whether a VM that starts has discovered its neighbours.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
@@ -92,8 +140,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct ZoneReading {
     deployment: CompactString,
-    discovery_timeout: Duration,
-    stamps: Arc<Mutex<Vec<Stamp>>>,
+    /// The shortest time for which the VM lets others get in touch when it starts.
+    min_settle: Duration,
+    /// The VMs of the zone, including this one, as far as they are known.
+    vms: Arc<AtomicUsize>,
+    arrivals: Arc<Mutex<Vec<Arrivals>>>,
+    /// The VMs that can serve a whole view to this one.
+    pub sources: Arc<watch::Sender<Vec<SocketAddr>>>,
     /// Whether this VM reads for others, or another one for it.
     pub read_role: Arc<watch::Sender<ReadRole>>,
     /// Notified of each read of this VM that proved its view as of a later moment.
@@ -111,14 +164,14 @@
     /// The state of a VM that starts and has not discovered the others yet.
     #[must_use]
     pub fn starting(config: &Config) -> Self {
-        let discovery_timeout = if config.first_start {
-            FIRST_DISCOVERY_TIMEOUT
+        let min_settle = if config.first_start {
+            FIRST_SETTLE
         } else {
-            DISCOVERY_TIMEOUT
+            Duration::ZERO
         };
         let zone = Self {
             deployment: config.deployment.clone(),
-            discovery_timeout,
+            min_settle,
             ..Self::default()
         };
         zone.discovery.send_replace(Discovery::Pending);
@@ -136,33 +189,75 @@
         self.discovery.send_replace(Discovery::Done);
     }
 
-    /// Waits until the VM has discovered its neighbours, up to a timeout.
+    /// Waits until the VM has discovered its neighbours, by the log or because one of them got in touch.
     pub async fn wait_for_discovery(&self) {
         let mut discovery = self.discovery.subscribe();
-        let done = discovery.wait_for(|state| *state == Discovery::Done);
-        if tokio::time::timeout(self.discovery_timeout, done)
-            .await
-            .is_err()
-        {
-            log::info!("follower: Starting before the other VMs of the zone were discovered.");
+        let done = discovery.wait_for(|state| *state == Discovery::Done).await;
+        if done.is_err() {
+            log::debug!("follower: Discovery ended without a result.");
         }
     }
 
+    /// How long a VM that has discovered the others lets them get in touch before it reads a whole topic.
+    #[must_use]
+    pub fn settle_time(&self) -> Duration {
+        let vms = u32::try_from(self.vms()).unwrap_or(u32::MAX);
+        let others = vms.saturating_sub(1);
+        self.min_settle
+            .max(SETTLE_PER_VM.saturating_mul(others).min(MAX_SETTLE))
+    }
+
+    /// The number of VMs of the zone, including this one, as far as they are known.
+    #[must_use]
+    pub fn vms(&self) -> usize {
+        self.vms.load(Ordering::Relaxed)
+    }
+
+    /// Sets the number of VMs of the zone.
+    pub fn set_vms(&self, vms: usize) {
+        self.vms.store(vms, Ordering::Relaxed);
+    }
+
+    /// Sets the VMs that can serve a whole view to this one.
+    pub fn set_sources(&self, sources: Vec<SocketAddr>) {
+        self.sources.send_if_modified(|known| {
+            let changed = *known != sources;
+            *known = sources;
+            changed
+        });
+    }
+
     /// Records another VM's stamp in place of its last one. It may be lower, because datagrams overtake each
     /// other and because the clock begins again when the other machine restarts.
-    pub fn record_stamp(&self, stamp: Stamp) {
-        let mut stamps = self.stamps.lock().unwrap_or_else(PoisonError::into_inner);
-        match stamps.iter_mut().find(|known| known.node == stamp.node) {
-            Some(known) => *known = stamp,
-            None => stamps.push(stamp),
-        }
+    pub fn record_stamp(&self, stamp: Stamp, now: Moment) {
+        let mut all = self.lock_arrivals();
+        let place = all.binary_search_by_key(&stamp.node, |known| known.node);
+        let place = place.unwrap_or_else(|place| {
+            let arrivals = Arrivals {
+                node: stamp.node,
+                stamps: VecDeque::new(),
+            };
+            all.insert(place, arrivals);
+            place
+        });
+        all[place].push(stamp.at, now);
+    }
+
+    fn lock_arrivals(&self) -> MutexGuard<'_, Vec<Arrivals>> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The last stamp of each other VM that had arrived by `moment`, sorted by VM.
+    #[must_use]
+    pub fn stamps_at(&self, moment: Moment) -> Vec<Stamp> {
+        let all = self.lock_arrivals();
+        all.iter().filter_map(|known| known.at(moment)).collect()
     }
 
-    /// The last stamp of each other VM.
+    /// The number of other VMs whose stamps are known.
     #[must_use]
-    pub fn stamps(&self) -> Vec<Stamp> {
-        let stamps = self.stamps.lock().unwrap_or_else(PoisonError::into_inner);
-        stamps.clone()
+    pub fn stamped(&self) -> usize {
+        self.lock_arrivals().len()
     }
 
     /// Sets the address of this VM's reader; none if this VM reads itself.
@@ -230,7 +325,6 @@
 
     /// Keeps the stamps of the VMs for which `live` is true.
     pub fn retain_stamps(&self, live: impl Fn(u64) -> bool) {
-        let mut stamps = self.stamps.lock().unwrap_or_else(PoisonError::into_inner);
-        stamps.retain(|stamp| live(stamp.node));
+        self.lock_arrivals().retain(|known| live(known.node));
     }
 }
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod bundle;
 mod fixture;
 mod follow;
+mod groups;
 mod large;
 mod log;
 mod model;
