Update pools after a pause, and find the endpoints that other VMs name by hash

Cause: with 10,000 endpoints an update of the pools visits, copies and sorts all of them, and one followed each datagram with records; a prefill or wait that another VM reports was looked for among all endpoints one by one; a choice searched the state of ejection by name for each candidate.

Change: an update pauses for 50 µs for each endpoint that it visited, which keeps its share of the processor the same at any number (an endpoint that leaves is checked for before each attempt, as before); members are grouped by pool once instead of copied twice; a sorted index by hash; the state of ejection is asked for only while something is ejected.

Ruled out: updates of single endpoints, since versions, evacuations and cold starts change many at once.

Tests: the scheduler's and relay's tests are unchanged and pass (`an_engine_keeps_its_state_when_others_join_and_leave` finds engines by hash after a change of the list).

--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -18,6 +18,11 @@
 /// Additional delay to another zone. Links between zones take three to six milliseconds one way.
 const REMOTE_ZONE_DELAY: Duration = Duration::from_millis(10);
 
+/// Pause after an update of the pools, for each endpoint. An update visits all endpoints; without the pause a VM
+/// that learns of thousands of them in hundreds of datagrams would do nothing else. An endpoint that leaves
+/// gets no work meanwhile: [`Node::usable`] is asked before each attempt.
+const PAUSE_PER_ENDPOINT: Duration = Duration::from_micros(50);
+
 /// Starts the task that keeps the pools up to date.
 pub fn start<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>, token: CancellationToken) {
     let node = node.clone();
@@ -28,7 +33,8 @@
     let mut endpoints = node.directory.changes();
     let mut operators = node.operators.changes();
     loop {
-        refresh(&node);
+        let endpoints_visited = refresh(&node);
+        tokio::time::sleep(pause_after(endpoints_visited)).await;
         let expiry = node.directory.view(directory::Directory::next_expiry);
         let now = boot::now();
         let wait = expiry.map_or(Duration::from_hours(1), |at| at.since(now));
@@ -42,8 +48,14 @@
     }
 }
 
-/// Updates the scheduler's pools to the current endpoints and services.
-pub(crate) fn refresh<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) {
+/// How long the next update waits after one that visited this many endpoints.
+fn pause_after(endpoints: usize) -> Duration {
+    let endpoints = u32::try_from(endpoints).unwrap_or(u32::MAX);
+    PAUSE_PER_ENDPOINT.saturating_mul(endpoints)
+}
+
+/// Updates the scheduler's pools to the current endpoints and services. Returns the number of endpoints.
+pub(crate) fn refresh<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) -> usize {
     let now = boot::now();
     let zone = &node.config.zone;
     let table = node.table();
@@ -53,26 +65,28 @@
     };
     let evacuations = node.operators.view(|view| view.evacuations().clone());
     let listed = node.directory.view(|view| view.members().to_vec());
-    let list = |listed: directory::Member| {
+    let count = listed.len();
+    let known = node.scheduler.pools().into_iter();
+    let mut pools: Vec<(id::Pool, Vec<Member>)> =
+        known.map(|(name, _)| (name, Vec::new())).collect();
+    pools.sort_by(|one, other| one.0.cmp(&other.0));
+    for listed in listed {
+        let pool = &listed.registration.pool;
         let mut member = member(&listed, zone, now);
         member.usable &= !evacuations.contains(&member.zone);
-        member.kv_capacity = kv_capacity(&listed.registration.pool);
+        member.kv_capacity = kv_capacity(pool);
         member.cold = node.cold_start(&listed, now);
-        (listed.registration.pool, member)
-    };
-    let mut members: Vec<(id::Pool, Member)> = listed.into_iter().map(list).collect();
-    members.sort_by(|one, other| one.0.cmp(&other.0));
-    let mut pools: Vec<id::Pool> = members.iter().map(|(pool, _)| pool.clone()).collect();
-    pools.extend(node.scheduler.pools().into_iter().map(|(name, _)| name));
-    pools.sort();
-    pools.dedup();
-    for pool in pools {
-        let of_pool = members.iter().filter(|(name, _)| *name == pool);
-        let list: Vec<Member> = of_pool.map(|(_, member)| member.clone()).collect();
-        let versions = versions(&list);
+        match pools.binary_search_by(|(name, _)| name.cmp(pool)) {
+            Ok(place) => pools[place].1.push(member),
+            Err(place) => pools.insert(place, (pool.clone(), vec![member])),
+        }
+    }
+    for (pool, members) in pools {
+        let versions = versions(&members);
         node.rollouts(|rollouts| rollouts.update_versions(&pool, versions));
-        node.scheduler.pool(&pool).update(list);
+        node.scheduler.pool(&pool).update(members);
     }
+    count
 }
 
 /// The versions of the usable endpoints, sorted, with the number of endpoints of each.
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct PoolState {
     endpoints: Vec<EndpointState>,
+    /// The hash of each endpoint's name and its place in `endpoints`, sorted. Other VMs name endpoints by it.
+    by_hash: Vec<(u64, usize)>,
     queues: Vec<RequirementQueue>,
     health: eject::Health,
     choice: choice::Config,
@@ -67,6 +69,7 @@
     fn default() -> Self {
         Self {
             endpoints: Vec::new(),
+            by_hash: Vec::new(),
             queues: Vec::new(),
             health: eject::Health::new(eject::Config::default()),
             choice: choice::Config::default(),
@@ -108,6 +111,15 @@
             };
             self.endpoints.push(state);
         }
+        let hashes = self.endpoints.iter().enumerate();
+        self.by_hash = hashes.map(|(index, s)| (s.name_hash, index)).collect();
+        self.by_hash.sort_unstable();
+    }
+
+    /// The place of the endpoint whose name has this hash.
+    fn place_of(&self, hash: u64) -> Option<usize> {
+        let found = self.by_hash.binary_search_by_key(&hash, |(hash, _)| *hash);
+        Some(self.by_hash[found.ok()?].1)
     }
 
     /// Returns the index of an endpoint's state. The states are sorted by endpoint.
@@ -197,7 +209,9 @@
     }
 
     fn is_ejected(&self, state: &EndpointState, now: Moment) -> bool {
-        self.health.state(&state.member.endpoint, now) == eject::State::Ejected
+        // A search by name for each of thousands of endpoints would take longer than the rest of a choice.
+        self.health.ejected() > 0
+            && self.health.state(&state.member.endpoint, now) == eject::State::Ejected
     }
 
     /// Returns whether ejected endpoints take jobs with this requirement, because no others may. The share of
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -61,14 +61,11 @@
 
     /// Merges another VM's report of an endpoint's limit.
     pub fn merge_limit(&mut self, report: Report, now: Moment) {
-        let Some(state) = self
-            .endpoints
-            .iter_mut()
-            .find(|s| s.name_hash == report.endpoint)
-        else {
+        let observed = now.before(report.age);
+        let Some(index) = self.place_of(report.endpoint) else {
             return;
         };
-        let observed = now.before(report.age);
+        let state = &mut self.endpoints[index];
         if state
             .rate_limit
             .is_some_and(|limited| limited.observed() >= observed)
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -161,10 +161,7 @@
         let dropped = before.iter().filter(|key| !named.contains(key));
         let dropped = dropped.map(|key| (*key, Duration::ZERO));
         for (key, wait) in waits.iter().copied().chain(dropped) {
-            let state = self
-                .endpoints
-                .iter_mut()
-                .find(|state| state.name_hash == key);
+            let state = self.place_of(key).map(|place| &mut self.endpoints[place]);
             if let Some(engine) = state.and_then(|state| state.engine.as_mut()) {
                 engine.record_peer_wait(node, wait, now);
             }
@@ -176,13 +173,10 @@
     }
 
     pub fn merge_prefilled(&mut self, key: u64, prompt: &Prompt, now: Moment) {
-        let Some(state) = self
-            .endpoints
-            .iter_mut()
-            .find(|state| state.name_hash == key)
-        else {
+        let Some(place) = self.place_of(key) else {
             return;
         };
+        let state = &mut self.endpoints[place];
         let Some(engine) = state.engine.as_mut() else {
             return;
         };
