Let each VM of a small zone know the VMs of the others, and end discovery by either way

Cause: since the VMs' topic has partitions, VMs heard of other zones only by what their reader named, four VMs of each. Besides, a VM that no other could serve, such as the reader, waited for a source for ever after its discovery, and never looked for the other zones at all.

Change: each VM of a zone that is not divided reads the other zones' partitions a second after its own; in a divided zone only the reader does, and names some VMs. The wait for a source ends with the discovery.

Open: in a divided zone a session that stays is still told to one VM of each other group and zone.

--- a/crates/relay/src/neighbours/discovery.rs
+++ b/crates/relay/src/neighbours/discovery.rs
@@ -39,6 +39,10 @@
 /// of all zones may call at once, and the first of each group that is answered tells the others.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(6_400);
 
+/// How long a VM that has discovered its own zone waits before it looks for the other zones. By then it knows
+/// whether its zone is so large that it is divided.
+const ZONES_DELAY: Duration = Duration::from_secs(1);
+
 /// Attempts to write this VM's record before it reads those of the others all the same.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -67,8 +71,10 @@
             }
         };
         let by_datagram = async {
-            self.wait_for_source().await;
-            self.finish_discovery();
+            tokio::select! {
+                () = self.wait_for_source() => self.finish_discovery(),
+                () = self.zone.wait_for_discovery() => {}
+            }
         };
         tokio::join!(by_log, by_datagram);
         tokio::join!(self.publish_prefill_speeds(), self.discover_zones());
@@ -160,47 +166,56 @@
         None
     }
 
-    /// Finds VMs of the other zones while this VM reads the log for its own one. The others learn of them from
-    /// its datagrams.
+    /// Finds the VMs of the other zones.
+    ///
+    /// Each VM of a small zone knows all of them, so that what it sends to another zone reaches a VM there even
+    /// if some have been replaced. In a divided zone only the reader calls the log for it, and names some of
+    /// them to the others.
     async fn discover_zones(&self) {
-        let mut roles = self.zone.read_role.subscribe();
-        let mut delay = RETRY_DELAY;
-        loop {
-            if roles
-                .wait_for(|role| *role != ReadRole::Served)
-                .await
-                .is_err()
-            {
-                return;
-            }
-            let Some(zone) = self.unknown_zone() else {
-                return;
-            };
-            match self.read_vms(&zone).await {
-                Some(records) => self.add_zone(&zone, &records),
-                None => delay = back_off(delay).await,
+        tokio::time::sleep(self.zone.settle_time().max(ZONES_DELAY)).await;
+        let config = &self.node.config;
+        let zones = config.zones.iter().map(|(zone, _)| zone);
+        for zone in zones.filter(|zone| **zone != config.zone) {
+            let mut delay = RETRY_DELAY;
+            while self.must_read(zone).await {
+                match self.read_vms(zone).await {
+                    Some(records) => {
+                        self.add_zone(zone, &records);
+                        break;
+                    }
+                    None => delay = back_off(delay).await,
+                }
             }
         }
     }
 
-    /// A zone about which nothing is known.
-    fn unknown_zone(&self) -> Option<id::Zone> {
-        let config = &self.node.config;
-        let inner = self.lock();
-        let known = |zone: &id::Zone| inner.zones.known().iter().any(|k| k.zone == *zone);
-        let zones = config.zones.iter().map(|(zone, _)| zone);
-        let mut unknown = zones.filter(|zone| **zone != config.zone && !known(zone));
-        unknown.next().cloned()
+    /// Whether this VM is to read the records of another zone's VMs. In a divided zone it waits until it is the
+    /// reader, and does so only if nothing is known of that zone then.
+    async fn must_read(&self, zone: &id::Zone) -> bool {
+        if !self.lock().peers.level().is_divided() {
+            return true;
+        }
+        let mut roles = self.zone.read_role.subscribe();
+        let reads = roles
+            .wait_for(|role| *role != ReadRole::Served)
+            .await
+            .is_ok();
+        reads && !self.lock().zones.known().iter().any(|k| k.zone == *zone)
     }
 
-    /// Adds another zone by the records of its VMs.
+    /// Adds another zone by the records of its VMs: all of them, or some if this VM's zone is divided.
     fn add_zone(&self, zone: &id::Zone, records: &[(id::Node, VmRecord)]) {
-        let chosen = records.sample(&mut rand::rng(), MAX_CONTACTS);
+        let mut inner = self.lock();
+        let most = if inner.peers.level().is_divided() {
+            MAX_CONTACTS
+        } else {
+            records.len()
+        };
+        let chosen = records.sample(&mut rand::rng(), most);
         let contacts: Vec<(id::Node, SocketAddr)> = chosen
             .map(|(node, record)| (node.clone(), record.address))
             .collect();
         let vms = u32::try_from(records.len()).unwrap_or(u32::MAX);
-        let mut inner = self.lock();
         inner.zones.merge(zone, vms, &contacts);
         for (node, address) in &contacts {
             inner.peers.add_contact(node, zone, *address, boot::now());
