Let the first call of the priority test last until the others are accepted

The first call took 60 ms (three tokens of 20 ms); on the busy machine more than that passed between the acceptance of "late" and that of "soon", so that the engine was free and rightly took the only call that waited.

Change: the first call takes three seconds. What is asserted is the same.

--- a/crates/standin/tests/all/engine.rs
+++ b/crates/standin/tests/all/engine.rs
@@ -169,12 +169,14 @@
     })
     .await;
     let (sender, mut ended) = tokio::sync::mpsc::unbounded_channel();
-    for (started, (name, priority)) in (1..).zip([("first", "5"), ("late", "9"), ("soon", "1")]) {
+    // The first call takes seconds, so that the others are accepted before it ends also on a busy machine.
+    let calls = [("first", "5", 150), ("late", "9", 3), ("soon", "1", 3)];
+    for (started, (name, priority, tokens)) in (1..).zip(calls) {
         let (engine, sender) = (engine.clone(), sender.clone());
         let spawned = engine.clone();
         tokio::spawn(async move {
             let headers = [("attempt-id", name), ("priority", priority)];
-            let body = chat("hi", false, 3);
+            let body = chat("hi", false, tokens);
             let path = "/v1/chat/completions";
             call(&spawned, Method::POST, path, &headers, body)
                 .await
