Let a VM that starts take a view from one to which the log is unreachable

Cause: seen once in the checks beside other load: `a_vm_starts_while_the_log_is_out` timed out. Only VMs that can read the log, or have a view that is old, were asked for views. One whose read is refused ranks after a VM that starts, which then was the reader itself, asked nobody and called the log. The test passed only while the first VM had not been refused yet.

Change: datagrams say whether a VM has views. A VM without one asks any VM of its group, and a leader those of other groups as well, that has views, whatever its own role is; only if that fails does its role count.

Observed: the relay's and the platform's tests pass (93 and 84), with a new one of the choice (`a_vm_to_which_the_log_is_unreachable_still_serves_its_views`).

--- a/crates/relay/src/follow/start.rs
+++ b/crates/relay/src/follow/start.rs
@@ -53,6 +53,18 @@
         role_changes: &mut watch::Receiver<ReadRole>,
         first: &mut FirstView,
     ) -> bool {
+        // Whatever its role: the best VM that starts is the reader while the log refuses all VMs that have a view.
+        let mut sources = self.zone.sources.subscribe();
+        let source = sources
+            .borrow_and_update()
+            .choose(&mut rand::rng())
+            .copied();
+        if let Some(source) = source {
+            if self.fetch_snapshot(source).await {
+                return true;
+            }
+            tokio::time::sleep(RETRY.mul_f64(rand::random_range(0.25..=1.0))).await;
+        }
         if role != ReadRole::Served {
             let wait = Instant::now() < first.settled;
             if wait {
@@ -72,21 +84,12 @@
             first.give_up = None;
             return false;
         }
-        let mut sources = self.zone.sources.subscribe();
-        let source = sources
-            .borrow_and_update()
-            .choose(&mut rand::rng())
-            .copied();
-        let Some(source) = source else {
+        if source.is_none() {
             tokio::select! {
                 () = tokio::time::sleep_until(give_up) => {}
                 _ = sources.changed() => {}
                 _ = role_changes.changed() => role_changes.mark_changed(),
             }
-            return true;
-        };
-        if !self.fetch_snapshot(source).await {
-            tokio::time::sleep(RETRY.mul_f64(rand::random_range(0.25..=1.0))).await;
         }
         true
     }
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -363,8 +363,11 @@
     /// This VM's part in its zone.
     fn position(&self) -> Position {
         let config = &self.node.config;
+        let node = &self.node;
+        let proofs = [node.operators.proven_at(), node.directory.proven_at()];
         let inner = self.lock();
         Position {
+            has_views: proofs.iter().all(Option::is_some),
             level: inner.peers.level(),
             capacity: config.capacity,
             leader: inner.leader.clone(),
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -61,6 +61,8 @@
     pub level: Level,
     /// What the VM can do for others.
     pub capacity: Capacity,
+    /// Whether the VM has views of all topics, however old.
+    pub has_views: bool,
     /// The leader of the VM's group and where it receives datagrams; none if the VM leads its group.
     pub leader: Option<(id::Node, SocketAddr)>,
     /// The number of VMs of the zone, including the sender, as far as they are known.
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -96,6 +96,8 @@
     pub capacity: Capacity,
     /// Whether it leads its group, or was named as the leader by another VM.
     pub leads: bool,
+    /// Whether it has views of all topics, however old.
+    pub has_views: bool,
     /// When it was discovered or last sent a datagram.
     last_seen: Moment,
     /// When its last datagram was received; none if it is known from the log only, where the records of
@@ -115,6 +117,7 @@
             status: ReaderStatus::Starting,
             capacity: Capacity::default(),
             leads: false,
+            has_views: false,
             last_seen: now,
             last_datagram: None,
         }
@@ -124,6 +127,7 @@
     #[must_use]
     pub const fn with_datagram(mut self, status: ReaderStatus, now: Moment) -> Self {
         self.status = status;
+        self.has_views = matches!(status, ReaderStatus::Eligible | ReaderStatus::Behind);
         self.last_seen = now;
         self.last_datagram = Some(now);
         self
@@ -137,6 +141,14 @@
         self
     }
 
+    /// The same VM, which has views of all topics or does not. One to which the log is unreachable may still
+    /// serve its views to a VM that starts.
+    #[must_use]
+    pub const fn with_views(mut self, has_views: bool) -> Self {
+        self.has_views = has_views;
+        self
+    }
+
     fn rank(&self) -> (ReaderStatus, Reverse<Capacity>, &id::Node) {
         (self.status, Reverse(self.capacity), &self.node)
     }
@@ -199,8 +211,15 @@
                 if peer.last_datagram.is_none() && known.last_datagram.is_some() {
                     return false;
                 }
-                let part =
-                    |peer: &Peer| (peer.is_alive(now), peer.status, peer.leads, peer.capacity);
+                let part = |peer: &Peer| {
+                    (
+                        peer.is_alive(now),
+                        peer.status,
+                        peer.leads,
+                        peer.has_views,
+                        peer.capacity,
+                    )
+                };
                 let changed = part(known) != part(&peer);
                 self.peers[place] = peer;
                 changed
@@ -385,15 +404,15 @@
         let status = reader.map_or(own.status, |peer| peer.status);
         let unreachable = |status: ReaderStatus| status == ReaderStatus::Unreachable;
         let refused = heard.iter().filter(|peer| unreachable(peer.status)).count();
-        let serving = if leads { &leaders } else { &group };
-        let has_view = |peer: &&&Peer| peer.status <= ReaderStatus::Behind;
+        // A group's other VMs leave the leaders to the one that leads it.
+        let serving = if leads { &heard } else { &group };
         Assignment {
             read_role: reader.map_or(ReadRole::Reader, |_| ReadRole::Served),
             reader: reader.map(|peer| peer.address),
             leader: leader.map(|peer| (peer.node.clone(), peer.address)),
             sources: serving
                 .iter()
-                .filter(has_view)
+                .filter(|peer| peer.has_views)
                 .map(|peer| peer.address)
                 .collect(),
             state: LogState {
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -96,7 +96,8 @@
         let position = &message.position;
         let peer = Peer::discovered(message.node.clone(), message.zone.clone(), from, now)
             .with_datagram(message.reader_status, now)
-            .with_position(position.capacity, position.leader.is_none());
+            .with_position(position.capacity, position.leader.is_none())
+            .with_views(position.has_views);
         let mut inner = self.lock();
         if local {
             inner.peers.raise_level(position.level);
--- a/crates/relay/tests/all/peers.rs
+++ b/crates/relay/tests/all/peers.rs
@@ -336,3 +336,19 @@
     zones.merge(&names[1], 3, &[]);
     assert_eq!(zones.total(&names, &names[0], 200), 550);
 }
+
+// Guards against a VM that can't start while the log is out although a VM of its zone has all that it needs.
+#[test]
+fn a_vm_to_which_the_log_is_unreachable_still_serves_its_views() {
+    let mut others = Peers::default();
+    let failing = discovered("b", 1).with_datagram(ReaderStatus::Unreachable, now());
+    others.update(failing.clone(), now());
+    assert!(
+        role(&others, "a", ReaderStatus::Starting)
+            .sources
+            .is_empty()
+    );
+    assert!(others.update(failing.with_views(true), now()));
+    let starting = role(&others, "a", ReaderStatus::Starting);
+    assert_eq!(starting.sources, [address(1)]);
+}
