--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -9,7 +9,7 @@
 //! changes. The reader can't tell a served VM how old its view is by the reader's own clock, because their
 //! clocks can't be compared. A served VM B and its reader A proceed as follows:
 //!
-//! 1. B sends its time t, a [`Stamp`], to A with its datagrams.
+//! 1. B sends its time t, a [`Stamp`](crate::zone::Stamp), to A with its datagrams.
 //! 2. A sends a read after it has received t, and reads the topic to its end.
 //! 3. A's next datagram holds a [`Proof`]: the offset after the last change, and t.
 //! 4. If B has all changes before that offset, its view is current as of t, by B's own clock. Otherwise B
