Tell whether a VM's own links to endpoints are down, and how many VMs reach them

Cause: when all connects of a VM fail, its lines and metrics are the same whether the endpoints are down or its own links are, so that the hypotheses of docs/incidents/endpoints-out-of-reach.md can't be told apart.

Change: connects to endpoints go through relay::links, which counts them by how they ended and keeps what policy::reach knows: links are suspect after connects to two endpoints failed with none made between. VMs tell each other when they last connected to an endpoint, in a part that follows the message of a datagram; VMs without it ignore the part, and its absence is read as no report. A line tells each change of the links with the number of VMs that reach endpoints, and gauges give both. Requests are handled as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 mod number;
 pub mod poison;
 pub mod queue;
+pub mod reach;
 pub mod retry;
 pub mod rollout;
 pub mod session;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -141,14 +141,9 @@
         loop {
             self.check_not_blocked()?;
             let permit = self.acquire_slot(overrides).await?;
-            let started = self.node.now();
-            let timeout = self.node.connect_times(|times| times.current());
-            let connection = match Connection::open(permit.address(), timeout).await {
-                Ok(connection) => {
-                    let took = self.node.now().since(started);
-                    self.node.connect_times(|times| times.record(took));
-                    connection
-                }
+            let links = &self.node.links;
+            let connection = match links.connect(permit.endpoint(), permit.address()).await {
+                Ok(connection) => connection,
                 Err(fault) => {
                     self.endpoint_declined(permit, &fault)?;
                     continue;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod handler;
 pub mod headers;
 pub mod home;
+pub mod links;
 mod metrics;
 pub mod neighbours;
 pub mod node;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -65,6 +65,8 @@
     calls: GaugeVec,
     rollouts: GaugeVec,
     poison: GaugeVec,
+    connects: GaugeVec,
+    links: GaugeVec,
     log_lines: GaugeVec,
 }
 
@@ -157,6 +159,8 @@
                 &["pool", "outcome"],
             ),
             poison: poison(r),
+            connects: connects(r),
+            links: links(r),
             log_lines: gauge_vec(
                 r,
                 "pimento_log_lines_left_out",
@@ -174,6 +178,16 @@
     gauge_vec(registry, "pimento_poison_requests", what, &["state"])
 }
 
+fn connects(registry: &Registry) -> GaugeVec {
+    let what = "Connects to endpoints since the start, by how they ended";
+    gauge_vec(registry, "pimento_endpoint_connects", what, &["result"])
+}
+
+fn links(registry: &Registry) -> GaugeVec {
+    let what = "Whether this VM's own links to endpoints are suspect or down, and VMs that reach endpoints";
+    gauge_vec(registry, "pimento_links", what, &["figure"])
+}
+
 impl Metrics {
     /// Records the time until a response's head was sent to the caller.
     pub fn observe_first_byte(&self, route: &CompactString, took: Duration) {
@@ -305,6 +319,14 @@
             let gauge = metrics.poison.with_label_values(&[state]);
             gauge.set(to_f64(count));
         }
+        for (result, count) in node.links.counts() {
+            let gauge = metrics.connects.with_label_values(&[result]);
+            gauge.set(to_f64(count));
+        }
+        for (figure, count) in node.links.figures() {
+            let gauge = metrics.links.with_label_values(&[figure]);
+            gauge.set(to_f64(count));
+        }
         let dropped = pimento_logs::dropped();
         let reasons = [
             ("budget", dropped.over_budget),
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -8,6 +8,8 @@
 
 use super::Neighbours;
 use super::limit;
+use super::message;
+use super::message::Extension;
 use super::message::Message;
 use super::message::Position;
 use super::message::Prefill;
@@ -148,6 +150,7 @@
                 _ = blocklist.changed() => serves,
                 () = self.node.poison.reports_due.notified() => false,
                 () = self.node.limit_changed.notified() => true,
+                () = self.node.links.changed.notified() => true,
                 () = self.zone.proved.notified(), if serves => true,
                 () = self.zone.unreachable.notified() => true,
             };
@@ -348,7 +351,10 @@
                 poison: part.poison.to_vec(),
                 prefills: part.prefills.to_vec(),
             };
-            let bytes = match postcard::to_stdvec(&message) {
+            let extension = Extension {
+                links: Some(self.node.links.report()),
+            };
+            let bytes = match message::encode(&message, &extension) {
                 Ok(bytes) => bytes,
                 Err(error) => {
                     return log::error!("neighbours: A datagram can't be encoded: {error}.");
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -16,6 +16,7 @@
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
 use crate::follow::Proof;
+use crate::links;
 use crate::poison::Report;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
@@ -54,6 +55,13 @@
     pub limits: Vec<LimitMessage>,
 }
 
+/// What follows a [`Message`] in its datagram. VMs that run an older version ignore it, and send none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Extension {
+    /// The sender's own links to endpoints; none from a VM that does not report them.
+    pub links: Option<links::Report>,
+}
+
 /// The part of a VM in its zone.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Position {
@@ -102,6 +110,29 @@
     pub parts: Vec<(u64, u32)>,
 }
 
+/// Encodes a datagram.
+///
+/// # Errors
+///
+/// If it can't be encoded.
+pub fn encode(message: &Message, extension: &Extension) -> postcard::Result<Vec<u8>> {
+    let bytes = postcard::to_stdvec(message)?;
+    postcard::to_extend(extension, bytes)
+}
+
+/// Decodes a datagram. The extension is empty if the sender runs an older version.
+///
+/// # Errors
+///
+/// If it can't be decoded.
+pub fn decode(bytes: &[u8]) -> postcard::Result<(Message, Extension)> {
+    let (message, rest) = postcard::take_from_bytes(bytes)?;
+    if rest.is_empty() {
+        return Ok((message, Extension::default()));
+    }
+    Ok((message, postcard::from_bytes(rest)?))
+}
+
 impl Prefill {
     /// A prompt that was sent to an engine.
     pub fn new((engine, prompt): &(u64, Prompt)) -> Self {
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -18,12 +18,16 @@
 use super::groups::Level;
 use crate::capacity::Capacity;
 use crate::follow::ReadRole;
+use crate::links;
 use crate::zone::LogState;
 
 /// A VM that sent no datagram for this long does not read for others. It is the time of three heartbeats,
 /// and some.
 pub const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1_300);
 
+/// Time after its last connect to an endpoint for which a VM counts as reaching endpoints.
+const REACH_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// How often a leader looks for the leader of another group, and how many VMs of that group it then asks.
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 const PROBES: usize = 3;
@@ -79,6 +83,15 @@
     }
 }
 
+/// Another VM's own links to endpoints, by its last report.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PeerLinks {
+    /// Whether it reaches no endpoint while other VMs do.
+    pub down: bool,
+    /// When it last connected to an endpoint, by this VM's clock.
+    pub connected_at: Option<Moment>,
+}
+
 /// Another VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
@@ -98,6 +111,8 @@
     pub leads: bool,
     /// Whether it has views of all topics, however old.
     pub has_views: bool,
+    /// Its own links to endpoints; none if it does not report them.
+    pub links: Option<PeerLinks>,
     /// When it was discovered or last sent a datagram.
     last_seen: Moment,
     /// When its last datagram was received; none if it is known from the log only, where the records of
@@ -118,6 +133,7 @@
             capacity: Capacity::default(),
             leads: false,
             has_views: false,
+            links: None,
             last_seen: now,
             last_datagram: None,
         }
@@ -149,6 +165,24 @@
         self
     }
 
+    /// The same VM with a report of its links.
+    #[must_use]
+    pub fn with_links(mut self, report: Option<links::Report>, now: Moment) -> Self {
+        let age = |millis: u32| Duration::from_millis(u64::from(millis));
+        self.links = report.map(|report| PeerLinks {
+            down: report.down,
+            connected_at: report.connected_ms.map(|millis| now.before(age(millis))),
+        });
+        self
+    }
+
+    /// Whether it connected to an endpoint not long ago.
+    #[must_use]
+    pub fn reaches_endpoints(&self, now: Moment) -> bool {
+        let connected_at = self.links.and_then(|links| links.connected_at);
+        connected_at.is_some_and(|at| now.since(at) < REACH_TIMEOUT)
+    }
+
     fn rank(&self) -> (ReaderStatus, Reverse<Capacity>, &id::Node) {
         (self.status, Reverse(self.capacity), &self.node)
     }
@@ -245,6 +279,13 @@
         self.peers.iter().filter(|peer| peer.zone == *zone).count()
     }
 
+    /// The number of VMs that are alive and reach endpoints.
+    #[must_use]
+    pub fn reaching(&self, now: Moment) -> usize {
+        let reaches = |peer: &&Peer| peer.is_alive(now) && peer.reaches_endpoints(now);
+        self.peers.iter().filter(reaches).count()
+    }
+
     /// Whether a VM sent a datagram not long ago.
     #[must_use]
     pub fn is_alive(&self, node: &id::Node, now: Moment) -> bool {
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -11,6 +11,8 @@
 use super::RETRY_DELAY;
 use super::broadcast::Audience;
 use super::limit;
+use super::message;
+use super::message::Extension;
 use super::message::Message;
 use super::message::Proofs;
 use super::message::ZoneSummary;
@@ -43,8 +45,8 @@
                     continue;
                 }
             };
-            match postcard::from_bytes::<Message>(&buffer[..length]) {
-                Ok(message) => self.handle(message, from).await,
+            match message::decode(&buffer[..length]) {
+                Ok((message, extension)) => self.handle(message, extension, from).await,
                 Err(error) => {
                     log::warn!(
                         "neighbours: Ignoring a datagram from {from}, which can't be decoded: {error}."
@@ -56,7 +58,7 @@
 
     /// Merges a datagram, and answers it at once if its sender waits to learn of this VM: one that starts, or
     /// the leader of another group that looks for the leader of this one.
-    async fn handle(&self, message: Message, from: SocketAddr) {
+    async fn handle(&self, message: Message, extension: Extension, from: SocketAddr) {
         let local = message.zone == self.node.config.zone;
         let starts = message.reader_status == ReaderStatus::Starting;
         let sender = choice::hash(message.node.as_str());
@@ -68,7 +70,7 @@
             let other = level.group(sender) != level.group_of(&self.node.config.node);
             (met, other, inner.leader.is_none())
         };
-        self.merge(&message, from);
+        self.merge(&message, extension, from);
         let serves = self.serves_group() && self.reader_status() == ReaderStatus::Eligible;
         let answers = if other_group {
             searches && (!leads || !met)
@@ -90,14 +92,21 @@
     }
 
     /// Records who sent a datagram. Returns whether the sender is of this VM's group and of its zone.
-    fn merge_sender(&self, message: &Message, from: SocketAddr, now: Moment) -> (bool, bool) {
+    fn merge_sender(
+        &self,
+        message: &Message,
+        extension: Extension,
+        from: SocketAddr,
+        now: Moment,
+    ) -> (bool, bool) {
         let config = &self.node.config;
         let local = message.zone == config.zone;
         let position = &message.position;
         let peer = Peer::discovered(message.node.clone(), message.zone.clone(), from, now)
             .with_datagram(message.reader_status, now)
             .with_position(position.capacity, position.leader.is_none())
-            .with_views(position.has_views);
+            .with_views(position.has_views)
+            .with_links(extension.links, now);
         let mut inner = self.lock();
         if local {
             inner.peers.raise_level(position.level);
@@ -142,14 +151,14 @@
         (group, local)
     }
 
-    fn merge(&self, message: &Message, from: SocketAddr) {
+    fn merge(&self, message: &Message, extension: Extension, from: SocketAddr) {
         let config = &self.node.config;
         if message.node == config.node {
             return;
         }
         let now = boot::now();
         let sender = choice::hash(message.node.as_str());
-        let (group, local) = self.merge_sender(message, from, now);
+        let (group, local) = self.merge_sender(message, extension, from, now);
         if !group {
             let mut inner = self.lock();
             let prefills = message.prefills.iter().cloned();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use pimento_policy::cold;
-use pimento_policy::connect::ConnectTimeout;
 use pimento_scheduler::Clock;
 use pimento_scheduler::ColdStart;
 use pimento_scheduler::Scheduler;
@@ -27,6 +26,7 @@
 use crate::fleet::VmRecord;
 use crate::follow::Follower;
 use crate::headers::HeaderCodec;
+use crate::links::Links;
 use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::operators::Operators;
@@ -80,8 +80,8 @@
     /// The metrics.
     pub(crate) metrics: Arc<Metrics>,
     rollouts: Arc<Mutex<Rollouts>>,
-    /// Statistics of the time that connecting to an endpoint takes.
-    connect_times: Arc<Mutex<ConnectTimeout>>,
+    /// Connects to endpoints.
+    pub links: Arc<Links>,
     /// The process's clocks.
     pub clock: Clock,
     /// Cancelled when the VM starts to shut down.
@@ -106,7 +106,7 @@
             calls: self.calls.clone(),
             metrics: Arc::clone(&self.metrics),
             rollouts: Arc::clone(&self.rollouts),
-            connect_times: Arc::clone(&self.connect_times),
+            links: Arc::clone(&self.links),
             clock: self.clock,
             leaving: self.leaving.clone(),
             response_tasks: self.response_tasks.clone(),
@@ -190,7 +190,7 @@
             calls,
             metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
-            connect_times: Arc::default(),
+            links: Arc::new(Links::new(clock)),
             clock,
             leaving: CancellationToken::new(),
             response_tasks: TaskTracker::new(),
@@ -379,15 +379,6 @@
         act(&mut rollouts)
     }
 
-    /// Reads or updates the statistics of connect times. `act` runs under a lock and must be short.
-    pub fn connect_times<T>(&self, act: impl FnOnce(&mut ConnectTimeout) -> T) -> T {
-        let mut times = self
-            .connect_times
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        act(&mut times)
-    }
-
     /// The current time by the clock that deadlines use.
     #[must_use]
     pub fn now(&self) -> Moment {
--- a/crates/relay/src/poison/crash_check.rs
+++ b/crates/relay/src/poison/crash_check.rs
@@ -41,7 +41,7 @@
     node: &Node<P, L>,
     registration: &Registration,
 ) -> Option<CrashEvidence> {
-    let bound = node.connect_times(|times| times.current());
+    let bound = node.links.connect_timeout();
     if probe::is_refused(registration.address, bound).await {
         return Some(CrashEvidence::Refused);
     }
