Reach endpoints through another VM while this VM's own links are down

Cause: a VM reaches endpoints by its own links only, and takes lost links for endpoints that are down.

Change: policy::reach takes the links for suspect once connects to two endpoints (or three connects) failed with none made between, and for down once another VM reaches one of them. relay::links then opens a tunnel (crate tunnel) at a VM that says it reaches endpoints: that VM connects and copies bytes, so that slots, limits, retries, versions and what has run are decided and counted where the request is. Requests that wait for a connect follow as soon as one got through. One connect in the background each half second finds the links again. VMs report their links after the message of a datagram, where older ones ignore it.

Why it is enough: only another VM's connect tells lost links from endpoints that are down, and it does so within one connect timeout of the second failure, well inside the window after a cut.

Ruled out: readiness (open connections stay, and a zone with most VMs cut off is put back into rotation whole); a refusal with Retry-After (a failed first attempt each); handing on requests (admission, budgets and 'not run' across a hop). docs/design/on-platform.md weighs them for one VM, a zone and all but one.

--- a/crates/policy/src/reach.rs
+++ b/crates/policy/src/reach.rs
@@ -154,7 +154,7 @@
         }
     }
 
-    /// Records that another VM reached an endpoint that this one did not.
+    /// Records that another VM reached an endpoint that this one had failed to reach.
     pub fn record_relayed(&mut self, endpoint: &id::Endpoint, now: Moment) {
         let first_trial = now + TRIAL_INTERVAL;
         if self.links == Links::Suspect {
@@ -173,18 +173,7 @@
         }
     }
 
-    /// Records that another VM did not reach an endpoint either, which is down then and says nothing of
-    /// the links.
-    pub fn record_endpoint_down(&mut self, endpoint: &id::Endpoint) {
-        self.failed.retain(|failed| failed != endpoint);
-        if self.links == Links::Suspect {
-            self.links = Links::Up;
-            self.failures = 0;
-        }
-        self.forget(endpoint);
-    }
-
-    /// Discards the state of an endpoint that is gone.
+    /// Discards the state of an endpoint that other VMs don't reach either.
     pub fn forget(&mut self, endpoint: &id::Endpoint) {
         if let Ok(place) = self.find(endpoint) {
             self.detours.remove(place);
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -25,6 +25,7 @@
 use crate::connection::EndpointResponse;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
+use crate::links::Target;
 use crate::node::Node;
 use crate::node::millis;
 use crate::poison;
@@ -142,7 +143,13 @@
             self.check_not_blocked()?;
             let permit = self.acquire_slot(overrides).await?;
             let links = &self.node.links;
-            let connection = match links.connect(permit.endpoint(), permit.address()).await {
+            let target = Target {
+                endpoint: permit.endpoint(),
+                zone: permit.zone(),
+                address: permit.address(),
+                lifetime: self.request.left(self.node.now()),
+            };
+            let connection = match links.connect(target).await {
                 Ok(connection) => connection,
                 Err(fault) => {
                     self.endpoint_declined(permit, &fault)?;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -34,6 +34,8 @@
     pub metrics_listen: SocketAddr,
     /// Address to which other VMs send datagrams and requests for records.
     pub peer_listen: SocketAddr,
+    /// Address at which other VMs are connected to endpoints, at the same port on all VMs.
+    pub tunnel_listen: SocketAddr,
     /// Guarantees that this VM must keep.
     pub bounds: Bounds,
     /// Polling intervals of the log's topics, derived from the bounds.
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -26,6 +26,8 @@
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use pimento_endpoint::Fault;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
@@ -95,7 +97,7 @@
 }
 
 impl Connection {
-    /// Connects to an endpoint, waiting at most for `timeout`.
+    /// Connects to another VM, waiting at most for `timeout`.
     ///
     /// # Errors
     ///
@@ -110,6 +112,18 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("call: Can't disable Nagle's algorithm: {error}.");
         }
+        Self::over(stream, address).await
+    }
+
+    /// Prepares an open connection to `address` for a request.
+    ///
+    /// # Errors
+    ///
+    /// [`Fault::Unreachable`]: nothing was sent.
+    pub async fn over(
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        address: SocketAddr,
+    ) -> Result<Self, Fault> {
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .handshake(TokioIo::new(stream));
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -1,29 +1,70 @@
-//! Connects to endpoints, and tracks whether this VM's own links reach them.
+//! Connects to endpoints: by this VM's own links, or through another VM while those are down.
+//!
+//! Which of the two is decided by [`pimento_policy::reach`]. A request whose connect fails while the
+//! links are suspect is not lost for it: the same endpoint is tried through another VM. As soon as
+//! one request has been connected that way, all others that still wait for this VM's own links
+//! follow it.
 
+pub mod gate;
+pub mod helpers;
+
+use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use compact_str::CompactString;
 use pimento_endpoint::Fault;
 use pimento_policy::connect::ConnectTimeout;
 use pimento_policy::reach;
 use pimento_policy::reach::Reach;
+use pimento_policy::reach::Route;
 use pimento_scheduler::Clock;
+use pimento_tunnel::Tunnel;
+use pimento_tunnel::client;
+use pimento_tunnel::message::Reply;
+use pimento_tunnel::message::Request;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 
+use self::helpers::Helper;
+use self::helpers::Helpers;
 use crate::connection::Connection;
 use crate::node::millis;
 
+/// VMs that are asked for one request. Most that can't help are known before.
+const MAX_HELPERS: usize = 3;
+
+/// Time that another VM has for its own connect, beside the time for the connection to it.
+const HELPER_SLACK: Duration = Duration::from_millis(100);
+
+/// An endpoint to connect to.
+#[derive(Debug, Clone, Copy)]
+pub struct Target<'a> {
+    /// The endpoint.
+    pub endpoint: &'a id::Endpoint,
+    /// Its zone.
+    pub zone: &'a id::Zone,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Time after which the connection is not needed any more.
+    pub lifetime: Duration,
+}
+
 /// Connects to endpoints since the start.
 #[derive(Debug, Clone, Copy, Default)]
 struct Counts {
     connected: u64,
     failed: u64,
+    relayed: u64,
+    not_relayed: u64,
 }
 
 #[derive(Debug, Default)]
@@ -31,8 +72,7 @@
     reach: Reach,
     times: ConnectTimeout,
     counts: Counts,
-    /// VMs that are known to reach endpoints.
-    reaching_vms: usize,
+    helpers: Helpers,
 }
 
 /// What a VM tells others of its own links to endpoints.
@@ -47,19 +87,23 @@
 /// The links to endpoints.
 #[derive(Debug)]
 pub struct Links {
+    zone: id::Zone,
     clock: Clock,
     state: Mutex<State>,
+    known: watch::Sender<reach::Links>,
     /// Notified when the state of this VM's own links changes.
     pub changed: Notify,
 }
 
 impl Links {
-    /// Links of which nothing is known yet.
+    /// The links of a VM in this zone, of which nothing is known yet.
     #[must_use]
-    pub fn new(clock: Clock) -> Self {
+    pub fn new(zone: id::Zone, clock: Clock) -> Self {
         Self {
+            zone,
             clock,
             state: Mutex::default(),
+            known: watch::Sender::default(),
             changed: Notify::new(),
         }
     }
@@ -74,21 +118,94 @@
         self.lock().times.current()
     }
 
+    /// Whether this VM reaches no endpoint while other VMs do.
+    #[must_use]
+    pub fn is_down(&self) -> bool {
+        *self.known.borrow() == reach::Links::Down
+    }
+
+    /// Whether connects fail so often that the links may be down.
+    #[must_use]
+    pub fn are_suspect(&self) -> bool {
+        *self.known.borrow() != reach::Links::Up
+    }
+
     /// Connects to an endpoint.
     ///
     /// # Errors
     ///
     /// [`Fault::Unreachable`]: nothing was sent.
-    pub async fn connect(
+    pub async fn connect(self: &Arc<Self>, target: Target<'_>) -> Result<Connection, Fault> {
+        let route = self.lock().reach.route(target.endpoint, self.clock.now());
+        match route {
+            Route::Direct => self.connect_or_relay(target).await,
+            Route::Relay { trial } => {
+                if trial {
+                    self.spawn_trial(target);
+                }
+                match self.open_tunnel(target).await {
+                    Ok(tunnel) => Connection::over(tunnel, target.address).await,
+                    Err(Declined::ByEndpoint(reply)) => Err(unreachable(&reply.as_str())),
+                    Err(Declined::NoHelper) => self.connect_by_own_links(target).await,
+                }
+            }
+        }
+    }
+
+    /// Connects by this VM's own links, and through another VM if they fail and are not just the
+    /// endpoint's fault.
+    async fn connect_or_relay(&self, target: Target<'_>) -> Result<Connection, Fault> {
+        let fault = tokio::select! {
+            biased;
+            connected = self.connect_by_own_links(target) => match connected {
+                Ok(connection) => return Ok(connection),
+                Err(fault) => fault,
+            },
+            () = self.went_down() => unreachable(&"the links to endpoints are down"),
+        };
+        if !self.are_suspect() {
+            return Err(fault);
+        }
+        let Ok(tunnel) = self.open_tunnel(target).await else {
+            return Err(fault);
+        };
+        let now = self.clock.now();
+        self.update(|state| state.reach.record_relayed(target.endpoint, now));
+        Connection::over(tunnel, target.address).await
+    }
+
+    /// Waits until another VM has reached an endpoint that this one does not reach.
+    async fn went_down(&self) {
+        let mut known = self.known.subscribe();
+        let is_down = |links: &reach::Links| *links == reach::Links::Down;
+        if known.wait_for(is_down).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    async fn connect_by_own_links(&self, target: Target<'_>) -> Result<Connection, Fault> {
+        let stream = self.connect_directly(target.endpoint, target.address).await;
+        let stream = stream.map_err(|error| unreachable(&error))?;
+        Connection::over(stream, target.address).await
+    }
+
+    /// Connects by this VM's own links, and records how that ended.
+    ///
+    /// # Errors
+    ///
+    /// The error of the connect, of kind `TimedOut` if there was no response.
+    pub async fn connect_directly(
         &self,
         endpoint: &id::Endpoint,
         address: SocketAddr,
-    ) -> Result<Connection, Fault> {
+    ) -> io::Result<TcpStream> {
         let started = self.clock.now();
-        let opened = Connection::open(address, self.connect_timeout()).await;
+        let connecting = TcpStream::connect(address);
+        let connected = tokio::time::timeout(self.connect_timeout(), connecting).await;
+        let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let now = self.clock.now();
         self.update(|state| {
-            if opened.is_ok() {
+            if connected.is_ok() {
                 state.counts.connected += 1;
                 state.times.record(now.since(started));
                 state.reach.record_connected(endpoint, now);
@@ -97,29 +214,86 @@
                 state.reach.record_failed(endpoint);
             }
         });
-        opened
+        let stream = connected?;
+        if let Err(error) = stream.set_nodelay(true) {
+            log::debug!("links: Can't disable Nagle's algorithm: {error}.");
+        }
+        Ok(stream)
+    }
+
+    /// Tries this VM's own link to an endpoint in the background, without a request that would wait for it.
+    fn spawn_trial(self: &Arc<Self>, target: Target<'_>) {
+        let links = Arc::clone(self);
+        let (endpoint, address) = (target.endpoint.clone(), target.address);
+        tokio::spawn(async move {
+            if let Err(error) = links.connect_directly(&endpoint, address).await {
+                let endpoint = endpoint.as_str();
+                log::debug!(endpoint; "links: The endpoint is still out of reach: {error}.");
+            }
+        });
+    }
+
+    /// Opens a tunnel to an endpoint at another VM.
+    async fn open_tunnel(&self, target: Target<'_>) -> Result<Tunnel, Declined> {
+        let request = Request {
+            endpoint: target.endpoint.clone(),
+            lifetime: target.lifetime,
+        };
+        let timeout = self.connect_timeout() * 2 + HELPER_SLACK;
+        for _ in 0..MAX_HELPERS {
+            let (zone, now) = (target.zone, self.clock.now());
+            let random = rand::random();
+            let helper = self
+                .lock()
+                .helpers
+                .choose(&self.zone, zone, random, now)
+                .ok_or(Declined::NoHelper)?;
+            let error = match client::open(helper, &request, timeout).await {
+                Ok(tunnel) => {
+                    self.lock().counts.relayed += 1;
+                    return Ok(tunnel);
+                }
+                Err(error) => error,
+            };
+            let endpoint = target.endpoint.as_str();
+            log::info!(endpoint, helper:%, error:%; "links: No connection through another VM.");
+            let mut state = self.lock();
+            state.counts.not_relayed += 1;
+            if let client::Error::Declined {
+                reply: reply @ (Reply::Refused | Reply::TimedOut),
+            } = error
+            {
+                state.reach.forget(target.endpoint);
+                return Err(Declined::ByEndpoint(reply));
+            }
+            state.helpers.record_failed(helper, self.clock.now());
+        }
+        Err(Declined::NoHelper)
     }
 
     /// Changes the state, and tells others if that changed what is known of this VM's own links.
     fn update(&self, act: impl FnOnce(&mut State)) {
-        let (before, after, reaching_vms, connected_at) = {
+        let (links, reaching_vms, connected_at) = {
             let mut state = self.lock();
-            let before = state.reach.links();
             act(&mut state);
-            let connected_at = state.reach.connected_at();
+            let reach = &state.reach;
             (
-                before,
-                state.reach.links(),
-                state.reaching_vms,
-                connected_at,
+                reach.links(),
+                state.helpers.reaching(),
+                reach.connected_at(),
             )
         };
-        if before == after {
+        let changed = self.known.send_if_modified(|known| {
+            let changed = *known != links;
+            *known = links;
+            changed
+        });
+        if !changed {
             return;
         }
         let now = self.clock.now();
         log::info!(
-            links = after.as_str(),
+            links = links.as_str(),
             reaching_vms,
             connected_ms = connected_at.map(|at| millis(now.since(at)));
             "links: State of this VM's own links to endpoints changed."
@@ -127,9 +301,9 @@
         self.changed.notify_one();
     }
 
-    /// Sets the number of other VMs that reach endpoints.
-    pub fn set_reaching_vms(&self, vms: usize) {
-        self.lock().reaching_vms = vms;
+    /// Sets the VMs through which endpoints may be reached.
+    pub fn set_helpers(&self, helpers: Vec<Helper>) {
+        self.lock().helpers.set(helpers);
     }
 
     /// The report to other VMs.
@@ -146,23 +320,41 @@
 
     /// Connects since the start, by how they ended.
     #[must_use]
-    pub fn counts(&self) -> [(&'static str, u64); 2] {
+    pub fn counts(&self) -> [(&'static str, u64); 4] {
         let counts = self.lock().counts;
-        [("connected", counts.connected), ("failed", counts.failed)]
+        [
+            ("connected", counts.connected),
+            ("failed", counts.failed),
+            ("relayed", counts.relayed),
+            ("not_relayed", counts.not_relayed),
+        ]
     }
 
     /// Figures for metrics.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 3] {
+    pub fn figures(&self) -> [(&'static str, u64); 4] {
         let state = self.lock();
         let is = |links| u64::from(state.reach.links() == links);
+        let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
         [
             ("suspect", is(reach::Links::Suspect)),
             ("down", is(reach::Links::Down)),
-            (
-                "reaching_vms",
-                u64::try_from(state.reaching_vms).unwrap_or(u64::MAX),
-            ),
+            ("detours", count(state.reach.detours())),
+            ("reaching_vms", count(state.helpers.reaching())),
         ]
     }
 }
+
+/// Why no other VM connected to an endpoint.
+enum Declined {
+    /// One that reaches endpoints did not reach this one.
+    ByEndpoint(Reply),
+    /// None was able to.
+    NoHelper,
+}
+
+fn unreachable(error: &impl ToString) -> Fault {
+    Fault::Unreachable {
+        reason: CompactString::from(error.to_string()),
+    }
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -184,7 +184,8 @@
 }
 
 fn links(registry: &Registry) -> GaugeVec {
-    let what = "Whether this VM's own links to endpoints are suspect or down, and VMs that reach endpoints";
+    let what = "Whether this VM's own links to endpoints are suspect or down, endpoints reached through other VMs, \
+                and VMs that reach endpoints";
     gauge_vec(registry, "pimento_links", what, &["figure"])
 }
 
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -221,9 +221,9 @@
         let participants = inner
             .peers
             .limit_participants(&config.node, &config.zone, now);
-        let reaching = inner.peers.reaching(now);
+        let helpers = inner.peers.helpers(config.tunnel_listen.port(), now);
         drop(inner);
-        self.node.links.set_reaching_vms(reaching);
+        self.node.links.set_helpers(helpers);
         self.node.retry_budgets.set_vms(all);
         self.node.scheduler.set_participants(&participants);
         self.zone.set_vms(vms);
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -19,6 +19,8 @@
 use crate::capacity::Capacity;
 use crate::follow::ReadRole;
 use crate::links;
+use crate::links::helpers::Helper;
+use crate::links::helpers::Standing;
 use crate::zone::LogState;
 
 /// A VM that sent no datagram for this long does not read for others. It is the time of three heartbeats,
@@ -279,11 +281,26 @@
         self.peers.iter().filter(|peer| peer.zone == *zone).count()
     }
 
-    /// The number of VMs that are alive and reach endpoints.
+    /// The VMs through which this one may reach endpoints, at this port: those that are not known to have
+    /// lost their links or to be leaving. Of large other zones only some VMs are known, few of which are heard.
     #[must_use]
-    pub fn reaching(&self, now: Moment) -> usize {
-        let reaches = |peer: &&Peer| peer.is_alive(now) && peer.reaches_endpoints(now);
-        self.peers.iter().filter(reaches).count()
+    pub fn helpers(&self, port: u16, now: Moment) -> Vec<Helper> {
+        let helps = |peer: &&Peer| {
+            let stays = peer.status != ReaderStatus::Leaving;
+            stays && peer.links.is_none_or(|links| !links.down)
+        };
+        let standing = |peer: &Peer| match peer.links {
+            Some(_) if peer.is_alive(now) && peer.reaches_endpoints(now) => Standing::Reaches,
+            Some(_) => Standing::Reported,
+            None => Standing::Unknown,
+        };
+        let peers = self.peers.iter().filter(helps);
+        let helpers = peers.map(|peer| Helper {
+            address: SocketAddr::new(peer.address.ip(), port),
+            zone: peer.zone.clone(),
+            standing: standing(peer),
+        });
+        helpers.collect()
     }
 
     /// Whether a VM sent a datagram not long ago.
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -1,5 +1,6 @@
 //! The state of an entry VM that its requests share.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
@@ -27,6 +28,7 @@
 use crate::follow::Follower;
 use crate::headers::HeaderCodec;
 use crate::links::Links;
+use crate::links::gate;
 use crate::metrics::Metrics;
 use crate::neighbours;
 use crate::operators::Operators;
@@ -114,6 +116,14 @@
     }
 }
 
+impl<P: HeaderCodec + Codec, L: Log> gate::Endpoints for Node<P, L> {
+    fn usable_address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
+        let member = self.directory.view(|view| view.member(endpoint).cloned())?;
+        let usable = !self.leaving.is_cancelled() && self.usable(endpoint);
+        usable.then_some(member.registration.address)
+    }
+}
+
 /// Version and ages of the data that decisions are based on, for log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ViewInfo {
@@ -174,6 +184,7 @@
             token.clone(),
         );
         let clock = Clock::default();
+        let links = Arc::new(Links::new(config.zone.clone(), clock));
         let retry_budgets = RetryBudgets::new(config.bounds.retry_budget);
         let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session_timeout);
         let node = Self {
@@ -190,7 +201,7 @@
             calls,
             metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
-            links: Arc::new(Links::new(clock)),
+            links,
             clock,
             leaving: CancellationToken::new(),
             response_tasks: TaskTracker::new(),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,7 @@
 //! accepts no more, closes idle connections, completes the requests in flight and exits.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Request;
@@ -23,6 +24,7 @@
 use crate::config::Config;
 use crate::handler::RequestHandler;
 use crate::headers::HeaderCodec;
+use crate::links::gate::RelayGate;
 use crate::metrics::MetricsService;
 use crate::node::Node;
 use crate::topic::Log;
@@ -84,6 +86,7 @@
             MetricsService(node.clone()),
             Stop::default(),
         ));
+        tokio::spawn(serve_tunnels(node.clone()));
         let service = RequestHandler(node.clone());
         let serving = tokio::spawn(pimento_serve::run(callers, service, stop.clone()));
         Ok(Self {
@@ -122,6 +125,23 @@
     }
 }
 
+/// Connects other VMs to endpoints. If the address can't be bound, they turn to others.
+async fn serve_tunnels<P: HeaderCodec + Codec, L: Log>(node: Node<P, L>) {
+    let address = node.config.tunnel_listen;
+    let listener = match TcpListener::bind(address).await {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("server: Can't listen at {address} for tunnels: {error}.");
+            return;
+        }
+    };
+    let tunnels = node.response_tasks.clone();
+    let gate = RelayGate::new(Arc::clone(&node.links), node);
+    pimento_tunnel::Server::new(gate, tunnels)
+        .run(listener)
+        .await;
+}
+
 async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
     let listener = TcpListener::bind(address).await;
     listener.context(Snafu { address })
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -4,6 +4,7 @@
 mod fixture;
 mod follow;
 mod groups;
+mod helpers;
 mod large;
 mod log;
 mod model;
