Ask another VM before a refused connection counts as a crash under a request

Callers at all VMs were refused a request as crashing endpoints ('poison') after one VM had lost its links while it ran that request a few times.

Cause: a broken run counts as a crash if the endpoint's address refuses a connection right after, and lost links refuse connections too.

Change: the refusal has to be confirmed through a tunnel at another VM. One that connects shows that the endpoint is there; if none can be asked, a VM whose links are suspect counts nothing until the endpoint's registration is gone.

Why it is enough: evidence from outside the lost links decides, and without it the slower proof by registration remains, which lost links don't touch.

Observed: lost_links_are_not_taken_for_crashes_under_a_request got 503 at the other VM on the code before and passes; the tests of crashing requests pass.

--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -18,6 +18,7 @@
 
 use compact_str::CompactString;
 use pimento_endpoint::Fault;
+use pimento_endpoint::probe;
 use pimento_policy::connect::ConnectTimeout;
 use pimento_policy::reach;
 use pimento_policy::reach::Reach;
@@ -221,6 +222,19 @@
         Ok(stream)
     }
 
+    /// Whether nobody listens at an endpoint's address. A VM that loses its links is refused by endpoints
+    /// that other VMs reach, so that one of them has to confirm it.
+    pub async fn is_refused(&self, target: Target<'_>) -> bool {
+        if !probe::is_refused(target.address, self.connect_timeout()).await {
+            return false;
+        }
+        match self.open_tunnel(target).await {
+            Ok(_) | Err(Declined::ByEndpoint(Reply::TimedOut)) => false,
+            Err(Declined::ByEndpoint(_)) => true,
+            Err(Declined::NoHelper) => !self.are_suspect(),
+        }
+    }
+
     /// Tries this VM's own link to an endpoint in the background, without a request that would wait for it.
     fn spawn_trial(self: &Arc<Self>, target: Target<'_>) {
         let links = Arc::clone(self);
--- a/crates/relay/src/poison/crash_check.rs
+++ b/crates/relay/src/poison/crash_check.rs
@@ -5,10 +5,9 @@
 
 use std::time::Duration;
 
-use pimento_endpoint::probe;
-
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
+use crate::links::Target;
 use crate::node::Node;
 use crate::registration::Registration;
 use crate::topic::Log;
@@ -41,8 +40,7 @@
     node: &Node<P, L>,
     registration: &Registration,
 ) -> Option<CrashEvidence> {
-    let bound = node.links.connect_timeout();
-    if probe::is_refused(registration.address, bound).await {
+    if node.links.is_refused(target(registration)).await {
         return Some(CrashEvidence::Refused);
     }
     let mut changes = node.directory.changes();
@@ -59,6 +57,15 @@
         .ok()
 }
 
+const fn target(registration: &Registration) -> Target<'_> {
+    Target {
+        endpoint: &registration.id,
+        zone: &registration.zone,
+        address: registration.address,
+        lifetime: Duration::ZERO,
+    }
+}
+
 /// Whether an endpoint is still registered with the same start. One that lost its entry while the log
 /// was out counts as registered.
 fn is_registered<P: HeaderCodec + Codec, L: Log>(
