Hold nothing against endpoints that fails while this VM's links are down

After a VM had lost its links, endpoints got no calls from it for seconds more: they had been ejected for connects and calls that failed on the way, and a version in roll-out was charged with their timeouts.

Cause: each failed connect and each call without a response counts as the endpoint's, whatever the state of the links.

Change: a failed connect says whether it may be the endpoint's (links::Failure). While links are suspect or down, what fails without another VM's word releases its slot without an outcome, and a timeout is no evidence in a roll-out. When links go down, endpoints that were ejected before that was known are readmitted.

Why it is enough: endpoints that are really down are refused by the VM that connects for this one, which counts as before; sick ones are ejected again after three errors.

Evidence in roll-outs has no test of its own.

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -213,6 +213,14 @@
         }
     }
 
+    /// Readmits all endpoints and discards their errors, because what failed says nothing of them.
+    pub fn readmit_all(&mut self) {
+        for member in &mut self.members {
+            member.readmit();
+        }
+        self.ejected = 0;
+    }
+
     /// Readmits endpoints while more are ejected than the bound allows because others left, the one
     /// whose ejection ends first before the others. Otherwise the last endpoint of a pool, though
     /// healthy, would leave all calls waiting for seconds.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -25,6 +25,7 @@
 use crate::connection::EndpointResponse;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
+use crate::links::Failure;
 use crate::links::Target;
 use crate::node::Node;
 use crate::node::millis;
@@ -151,8 +152,8 @@
             };
             let connection = match links.connect(target).await {
                 Ok(connection) => connection,
-                Err(fault) => {
-                    self.endpoint_declined(permit, &fault)?;
+                Err(failure) => {
+                    self.not_connected(permit, &failure)?;
                     continue;
                 }
             };
@@ -291,6 +292,20 @@
         self.count_declined()
     }
 
+    /// Records that no connection to an endpoint was made.
+    fn not_connected(&mut self, permit: Permit, failure: &Failure) -> Result<(), Refusal> {
+        if failure.blames_endpoint {
+            return self.endpoint_declined(permit, &failure.fault);
+        }
+        let message = "attempt: The endpoint is out of reach.";
+        self.log_failure(&permit, &failure.fault, message);
+        let attempts = &self.node.metrics;
+        attempts.count_attempt(&self.request.pool, "out_of_reach");
+        self.state.tried.push(permit.endpoint().clone());
+        permit.lost();
+        self.count_declined()
+    }
+
     /// Refuses the request if it is blocked because endpoints crashed while they ran it.
     fn check_not_blocked(&self) -> Result<(), Refusal> {
         let request = self.request;
@@ -367,7 +382,7 @@
             Ok(Err(fault)) => fault,
             Err(_) => Fault::Timeout,
         };
-        if matches!(fault, Fault::Timeout) {
+        if matches!(fault, Fault::Timeout) && !self.node.links.are_suspect() {
             // Counts as an answer that begins only now, so that the evidence includes the time waited.
             self.record_evidence(&permit, self.outcome_now());
         }
@@ -397,7 +412,11 @@
             .count_attempt(&self.request.pool, "broken");
         self.state.tried.push(permit.endpoint().clone());
         poison::record_failure(self.node, self.request.digest, permit.endpoint(), fault);
-        permit.failed(fault);
+        if self.node.links.are_suspect() {
+            permit.lost();
+        } else {
+            permit.failed(fault);
+        }
         if self.may_retry() {
             return Ok(());
         }
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -131,12 +131,17 @@
         *self.known.borrow() != reach::Links::Up
     }
 
+    /// The state of this VM's own links, for waiting until it changes.
+    pub fn watch(&self) -> watch::Receiver<reach::Links> {
+        self.known.subscribe()
+    }
+
     /// Connects to an endpoint.
     ///
     /// # Errors
     ///
-    /// [`Fault::Unreachable`]: nothing was sent.
-    pub async fn connect(self: &Arc<Self>, target: Target<'_>) -> Result<Connection, Fault> {
+    /// [`Failure`]: nothing was sent.
+    pub async fn connect(self: &Arc<Self>, target: Target<'_>) -> Result<Connection, Failure> {
         let route = self.lock().reach.route(target.endpoint, self.clock.now());
         match route {
             Route::Direct => self.connect_or_relay(target).await,
@@ -144,18 +149,21 @@
                 if trial {
                     self.spawn_trial(target);
                 }
-                match self.open_tunnel(target).await {
+                let connected = match self.open_tunnel(target).await {
                     Ok(tunnel) => Connection::over(tunnel, target.address).await,
-                    Err(Declined::ByEndpoint(reply)) => Err(unreachable(&reply.as_str())),
+                    Err(Declined::ByEndpoint(reply)) => {
+                        return Err(Failure::of_endpoint(unreachable(&reply.as_str())));
+                    }
                     Err(Declined::NoHelper) => self.connect_by_own_links(target).await,
-                }
+                };
+                connected.map_err(Failure::of_links)
             }
         }
     }
 
     /// Connects by this VM's own links, and through another VM if they fail and are not just the
     /// endpoint's fault.
-    async fn connect_or_relay(&self, target: Target<'_>) -> Result<Connection, Fault> {
+    async fn connect_or_relay(&self, target: Target<'_>) -> Result<Connection, Failure> {
         let fault = tokio::select! {
             biased;
             connected = self.connect_by_own_links(target) => match connected {
@@ -165,14 +173,17 @@
             () = self.went_down() => unreachable(&"the links to endpoints are down"),
         };
         if !self.are_suspect() {
-            return Err(fault);
+            return Err(Failure::of_endpoint(fault));
         }
-        let Ok(tunnel) = self.open_tunnel(target).await else {
-            return Err(fault);
+        let tunnel = match self.open_tunnel(target).await {
+            Ok(tunnel) => tunnel,
+            Err(Declined::ByEndpoint(_)) => return Err(Failure::of_endpoint(fault)),
+            Err(Declined::NoHelper) => return Err(Failure::of_links(fault)),
         };
         let now = self.clock.now();
         self.update(|state| state.reach.record_relayed(target.endpoint, now));
-        Connection::over(tunnel, target.address).await
+        let connection = Connection::over(tunnel, target.address).await;
+        connection.map_err(Failure::of_links)
     }
 
     /// Waits until another VM has reached an endpoint that this one does not reach.
@@ -359,6 +370,31 @@
     }
 }
 
+/// Why an endpoint was not connected. Nothing was sent.
+#[derive(Debug)]
+pub struct Failure {
+    /// The fault, a [`Fault::Unreachable`].
+    pub fault: Fault,
+    /// Whether it may be the endpoint's and not that of the links.
+    pub blames_endpoint: bool,
+}
+
+impl Failure {
+    const fn of_endpoint(fault: Fault) -> Self {
+        Self {
+            fault,
+            blames_endpoint: true,
+        }
+    }
+
+    const fn of_links(fault: Fault) -> Self {
+        Self {
+            fault,
+            blames_endpoint: false,
+        }
+    }
+}
+
 /// Why no other VM connected to an endpoint.
 enum Declined {
     /// One that reaches endpoints did not reach this one.
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use pimento_policy::limit;
+use pimento_policy::reach::Links;
 use pimento_scheduler::Member;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -32,6 +33,7 @@
 async fn run<P: HeaderCodec + Codec, L: Log>(node: Node<P, L>) {
     let mut endpoints = node.directory.changes();
     let mut operators = node.operators.changes();
+    let mut links = node.links.watch();
     loop {
         let endpoints_visited = refresh(&node);
         tokio::time::sleep(pause_after(endpoints_visited)).await;
@@ -41,6 +43,12 @@
         tokio::select! {
             _ = endpoints.changed() => {}
             _ = operators.changed() => {}
+            Ok(()) = links.changed() => {
+                // What failed while the links were lost says nothing of the endpoints.
+                if *links.borrow_and_update() == Links::Down {
+                    node.scheduler.readmit_all();
+                }
+            }
             () = tokio::time::sleep(wait) => {
                 node.directory.modify(|view| view.remove_expired(boot::now()));
             }
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -135,6 +135,12 @@
         self.release(limit, health, now);
     }
 
+    /// Releases the slot after a fault that says nothing of the endpoint, such as a lost link to it.
+    pub fn lost(mut self) {
+        let now = self.shared.clock.now();
+        self.release(limit::Outcome::Unknown, eject::Outcome::Unknown, now);
+    }
+
     /// Sends no calls for a while to an endpoint that refused one, and then dispatches waiting jobs again.
     fn back_off(&self, after: Duration, now: Moment) {
         let endpoint = &self.slot.endpoint;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -424,6 +424,16 @@
         }
     }
 
+    /// Readmits all ejected endpoints of all pools, because what failed says nothing of them.
+    pub fn readmit_all(&self) {
+        for (_, pool) in self.pools() {
+            let now = self.clock.now();
+            let mut state = pool.shared.lock();
+            state.readmit_all();
+            state.dispatch_waiting(&pool.shared, now);
+        }
+    }
+
     /// Returns all pools, sorted by name.
     #[must_use]
     pub fn pools(&self) -> Vec<(id::Pool, Pool)> {
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -116,6 +116,11 @@
         self.by_hash.sort_unstable();
     }
 
+    /// Readmits all ejected endpoints.
+    pub fn readmit_all(&mut self) {
+        self.health.readmit_all();
+    }
+
     /// The place of the endpoint whose name has this hash.
     fn place_of(&self, hash: u64) -> Option<usize> {
         let found = self.by_hash.binary_search_by_key(&hash, |(hash, _)| *hash);
