Keep brittle endpoints from falling over, all VMs together

Cause: the header was not read.

Change: what an endpoint names is read from all its answers and told to the zone as named limits are, in the part after the datagram's message. The VMs of the endpoint's zone divide its slots (policy::brittle); a VM that is turned away tells the others at once, and all stop for 250 ms and use three quarters of their parts, which grow again by a quarter of the named number a second for all together. Where there are more than two VMs for each slot they share a rate instead.

Why it is enough: requests within the slots are not turned away, and an endpoint with less room shows it with one rejection, after which nobody sends until all have heard.

Ruled out: bounding what is sent (starves engines), bounding rejections by each VM alone (grows with the VMs), owners alone at any size.

Seen in the model on the way, and mended there: buckets and parts of all VMs that fill at the same moment bring as many requests as there are VMs (7 falls); each VM has a phase of its own, and buckets begin anew after a pause.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -11,6 +11,7 @@
 //! execution of a request at an endpoint, which the entry VM can't always observe.
 
 pub mod admission;
+pub mod brittle;
 pub mod budget;
 pub mod cascade;
 pub mod choice;
--- a/crates/policy/src/throttle.rs
+++ b/crates/policy/src/throttle.rs
@@ -159,6 +159,14 @@
         }
     }
 
+    /// Allows the first request after this part of the time between two, from 0 to 1. Buckets of several VMs
+    /// that were created together would otherwise fill at the same moment.
+    #[must_use]
+    pub const fn with_phase(mut self, phase: f64) -> Self {
+        self.available = 1.0 - phase;
+        self
+    }
+
     /// Changes the rate, and removes what exceeds the new capacity.
     pub fn set_rate(&mut self, rate: f64, now: Moment) {
         self.available = self.available(now).min(burst(rate));
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -287,11 +287,21 @@
         self.node
             .metrics
             .count_attempt(&self.request.pool, "not_run");
-        self.state.tried.push(permit.endpoint().clone());
+        let endpoint = permit.endpoint().clone();
         permit.failed(fault);
+        if self.is_brittle(&endpoint) {
+            // All VMs stop sending there for a moment.
+            self.node.limit_changed.notify_one();
+        }
+        self.state.tried.push(endpoint);
         self.count_declined()
     }
 
+    fn is_brittle(&self, endpoint: &id::Endpoint) -> bool {
+        let pool = self.node.scheduler.pool(&self.request.pool);
+        pool.is_brittle(endpoint)
+    }
+
     /// Records that no connection to an endpoint was made.
     fn not_connected(&mut self, permit: Permit, failure: &Failure) -> Result<(), Refusal> {
         if failure.blames_endpoint {
@@ -442,7 +452,7 @@
         let info = self.node.platform.parse_response(&response.head);
         let status = response.head.status;
         if !info.misdirected {
-            self.apply_limit(endpoint, &info.limit);
+            self.apply_limits(endpoint, &info);
         }
         if info.refused || info.misdirected {
             return Err(Fault::Refused {
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -102,6 +102,9 @@
     pub confidence: Option<u8>,
     /// Rate limit that the endpoint announces for the requests of all VMs together.
     pub limit: AnnouncedLimit,
+    /// The requests of all VMs together that the endpoint may turn away in a second, if it falls over when
+    /// there are more.
+    pub max_rejections: AnnouncedLimit,
 }
 
 /// The rate limit that a response announces for its endpoint.
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -8,6 +8,7 @@
 
 use super::Neighbours;
 use super::limit;
+use super::limit::Limit;
 use super::message;
 use super::message::Extension;
 use super::message::Message;
@@ -265,7 +266,7 @@
                 .extend(waits.map(|(key, wait)| (key, millis(wait))));
             update
                 .limits
-                .extend(pool.limit_reports().iter().map(limit::encode));
+                .extend(pool.limit_reports().iter().map(Limit::from));
         }
         let mut inner = self.lock();
         inner.remote_prefills.extend(shared);
@@ -346,13 +347,14 @@
                     .unwrap_or_default(),
                 rollouts: part.rollouts.to_vec(),
                 waits: waits.clone(),
-                limits: part.limits.to_vec(),
+                limits: limit::requests(part.limits),
                 pinned_sessions: part.pinned_sessions.to_vec(),
                 poison: part.poison.to_vec(),
                 prefills: part.prefills.to_vec(),
             };
             let extension = Extension {
                 links: Some(self.node.links.report()),
+                max_rejections: limit::rejections(part.limits),
             };
             let bytes = match message::encode(&message, &extension) {
                 Ok(bytes) => bytes,
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -12,6 +12,7 @@
 
 use super::groups::Level;
 use super::limit::LimitMessage;
+use super::limit::RejectionMessage;
 use super::peers::ReaderStatus;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
@@ -56,10 +57,12 @@
 }
 
 /// What follows a [`Message`] in its datagram. VMs that run an older version ignore it, and send none.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Extension {
     /// The sender's own links to endpoints; none from a VM that does not report them.
     pub links: Option<links::Report>,
+    /// Numbers of requests that endpoints may turn away, sent like [`Message::limits`].
+    pub max_rejections: Vec<RejectionMessage>,
 }
 
 /// The part of a VM in its zone.
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -11,6 +11,7 @@
 use super::RETRY_DELAY;
 use super::broadcast::Audience;
 use super::limit;
+use super::limit::Limit;
 use super::message;
 use super::message::Extension;
 use super::message::Message;
@@ -46,7 +47,7 @@
                 }
             };
             match message::decode(&buffer[..length]) {
-                Ok((message, extension)) => self.handle(message, extension, from).await,
+                Ok((message, extension)) => self.handle(message, &extension, from).await,
                 Err(error) => {
                     log::warn!(
                         "neighbours: Ignoring a datagram from {from}, which can't be decoded: {error}."
@@ -58,7 +59,7 @@
 
     /// Merges a datagram, and answers it at once if its sender waits to learn of this VM: one that starts, or
     /// the leader of another group that looks for the leader of this one.
-    async fn handle(&self, message: Message, extension: Extension, from: SocketAddr) {
+    async fn handle(&self, message: Message, extension: &Extension, from: SocketAddr) {
         let local = message.zone == self.node.config.zone;
         let starts = message.reader_status == ReaderStatus::Starting;
         let sender = choice::hash(message.node.as_str());
@@ -95,7 +96,7 @@
     fn merge_sender(
         &self,
         message: &Message,
-        extension: Extension,
+        extension: &Extension,
         from: SocketAddr,
         now: Moment,
     ) -> (bool, bool) {
@@ -151,7 +152,7 @@
         (group, local)
     }
 
-    fn merge(&self, message: &Message, extension: Extension, from: SocketAddr) {
+    fn merge(&self, message: &Message, extension: &Extension, from: SocketAddr) {
         let config = &self.node.config;
         if message.node == config.node {
             return;
@@ -175,6 +176,7 @@
         for pinned in &message.pinned_sessions {
             self.node.rollouts(|r| r.pin_session(*pinned));
         }
+        let limits = limit::joined(&message.limits, &extension.max_rejections);
         if local {
             let stamp = Stamp {
                 node: sender,
@@ -185,22 +187,22 @@
                 self.apply_bundle(bundle);
             }
             self.apply_proofs(message.proofs);
-            self.merge_relayed(message, group, now);
+            self.merge_relayed(message, &limits, group, now);
         }
         let waits: Vec<(u64, Duration)> = message
             .waits
             .iter()
             .map(|(engine, millis)| (*engine, Duration::from_millis(u64::from(*millis))))
             .collect();
-        let limits: Vec<endpoint_limit::Report> =
-            message.limits.iter().filter_map(limit::decode).collect();
+        let reports: Vec<endpoint_limit::Report> =
+            limits.iter().filter_map(Limit::decode).collect();
         for (_, pool) in self.node.scheduler.pools() {
             if group {
                 pool.merge_waits(sender, &waits);
             }
             if local {
-                for limit in &limits {
-                    pool.merge_limit(*limit);
+                for report in &reports {
+                    pool.merge_limit(*report);
                 }
             }
             for prefill in &message.prefills {
@@ -226,7 +228,7 @@
     /// Merges announcements about roll-outs, and queues them and limits for those who get them from this VM
     /// while it leads its group: what its group says for the other leaders, and what they say themselves for
     /// its group.
-    fn merge_relayed(&self, message: &Message, group: bool, now: Moment) {
+    fn merge_relayed(&self, message: &Message, limits: &[Limit], group: bool, now: Moment) {
         let own = &self.node.config.node;
         for received in message.rollouts.iter().filter(|r| r.node != *own) {
             self.node.rollouts(|r| r.receive(received, now));
@@ -242,10 +244,9 @@
         };
         let by_sender = message.rollouts.iter().filter(|r| r.node == message.node);
         by_sender.for_each(|announced| queue.add_announcement(announced.clone()));
-        message
-            .limits
-            .iter()
-            .for_each(|limit| queue.add_limit(*limit));
+        for limit in limits {
+            queue.add_limit(*limit);
+        }
     }
 
     /// Applies what the reads of another VM prove to this one.
--- a/crates/relay/src/neighbours/relayed.rs
+++ b/crates/relay/src/neighbours/relayed.rs
@@ -1,6 +1,6 @@
 //! What the leader of a group passes on between its group and the leaders of the others.
 
-use super::limit::LimitMessage;
+use super::limit::Limit;
 use crate::rollouts::announcement::NodeAnnouncement;
 
 /// The most limits of endpoints that wait to be passed on. They are repeated, so that later ones follow.
@@ -10,7 +10,7 @@
 #[derive(Debug, Default)]
 pub struct Relayed {
     announcements: Vec<NodeAnnouncement>,
-    limits: Vec<LimitMessage>,
+    limits: Vec<Limit>,
 }
 
 impl Relayed {
@@ -26,10 +26,9 @@
         }
     }
 
-    /// Adds an endpoint's limit, in place of an earlier one of the same endpoint.
-    pub fn add_limit(&mut self, limit: LimitMessage) {
-        let same = |known: &LimitMessage| known.endpoint() == limit.endpoint();
-        match self.limits.iter().position(same) {
+    /// Adds an endpoint's limit, in place of an earlier one of the same endpoint and kind.
+    pub fn add_limit(&mut self, limit: Limit) {
+        match self.limits.iter().position(|known| limit.replaces(known)) {
             Some(place) => self.limits[place] = limit,
             None if self.limits.len() < MAX_LIMITS => self.limits.push(limit),
             None => {}
@@ -37,7 +36,7 @@
     }
 
     /// Takes all of it.
-    pub fn take(&mut self) -> (Vec<NodeAnnouncement>, Vec<LimitMessage>) {
+    pub fn take(&mut self) -> (Vec<NodeAnnouncement>, Vec<Limit>) {
         let announcements = std::mem::take(&mut self.announcements);
         (announcements, std::mem::take(&mut self.limits))
     }
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -2,7 +2,7 @@
 
 use std::cmp::Reverse;
 
-use super::limit::LimitMessage;
+use super::limit::Limit;
 use super::message::Prefill;
 use super::message::ZoneSummary;
 use crate::bundle::Bundle;
@@ -37,7 +37,7 @@
     /// The time that engines still need for this VM's prompts, in milliseconds by engine key.
     pub waits: Vec<(u64, u32)>,
     /// Limits that endpoints named.
-    pub limits: Vec<LimitMessage>,
+    pub limits: Vec<Limit>,
     /// Announcements about roll-outs.
     pub rollouts: Vec<NodeAnnouncement>,
     /// Sessions that stay on the old version during a roll-out's trial.
@@ -116,7 +116,7 @@
     /// Announcements about roll-outs.
     pub rollouts: &'a [NodeAnnouncement],
     /// Limits that endpoints named.
-    pub limits: &'a [LimitMessage],
+    pub limits: &'a [Limit],
     /// Records of the log.
     pub bundles: &'a [Bundle],
 }
--- a/crates/scheduler/src/endpoint_limit.rs
+++ b/crates/scheduler/src/endpoint_limit.rs
@@ -9,15 +9,40 @@
 /// Time for which the removal of a limit is reported to other VMs.
 const REMOVAL_REPORT_PERIOD: Duration = Duration::from_secs(3);
 
+/// What an endpoint limits for all VMs together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// The requests that it accepts in a second.
+    Requests,
+    /// The requests that it may turn away in a second before it falls over.
+    Rejections,
+}
+
+impl Kind {
+    /// The name in logs.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Requests => "requests",
+            Self::Rejections => "rejections",
+        }
+    }
+}
+
 /// A report of an endpoint's limit to other VMs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Report {
     /// Hash of the endpoint's name.
     pub endpoint: u64,
+    /// What is limited.
+    pub kind: Kind,
     /// The limit; `None` if the endpoint no longer has one.
     pub limit: Option<RateLimit>,
     /// Time since the endpoint's answer.
     pub age: Duration,
+    /// Time since the endpoint turned away a request of the VM that reports; `None` if that is long ago, or
+    /// says nothing of this kind of limit.
+    pub rejected: Option<Duration>,
 }
 
 /// How this VM knows an endpoint's limit.
@@ -73,6 +98,12 @@
         self.observation.observed
     }
 
+    /// Returns whether a new observation replaces this one. Answers of one endpoint may overtake each other,
+    /// so that one without a limit removes a known one only if its call was sent after that was observed.
+    pub fn is_replaced_by(&self, limit: Option<RateLimit>, sent: Moment) -> bool {
+        limit.is_some() || (self.limit().is_some() && self.observed() < sent)
+    }
+
     /// Sets this VM's share of the limit, after the VMs that share it have changed.
     pub fn set_share(&mut self, share: impl Fn(RateLimit) -> f64, now: Moment) {
         if let Some((limit, throttle)) = self.observation.limit.zip(self.throttle.as_mut()) {
@@ -90,6 +121,14 @@
         self.throttle
     }
 
+    /// Begins anew with this VM's share at `at`, and allows the first request after a part of the time between
+    /// two, from 0 to 1.
+    pub fn restart(&mut self, phase: f64, at: Moment) {
+        if let Some(throttle) = &mut self.throttle {
+            *throttle = Throttle::new(throttle.rate(), at).with_phase(phase);
+        }
+    }
+
     /// Counts a request that is sent.
     pub fn consume(&mut self, now: Moment) {
         if let Some(throttle) = &mut self.throttle {
@@ -99,7 +138,7 @@
 
     /// Returns the report for other VMs. There is none for a limit that another VM reported, nor for a
     /// removal after [`REMOVAL_REPORT_PERIOD`].
-    pub fn report(&self, endpoint: u64, now: Moment) -> Option<Report> {
+    pub fn report(&self, endpoint: u64, kind: Kind, now: Moment) -> Option<Report> {
         let Observation {
             limit,
             source,
@@ -109,8 +148,10 @@
         let fresh = limit.is_some() || age < REMOVAL_REPORT_PERIOD;
         (source == Source::Local && fresh).then_some(Report {
             endpoint,
+            kind,
             limit,
             age,
+            rejected: None,
         })
     }
 }
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -12,9 +12,11 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use crate::brittle::BrittleState;
 use crate::cold_start::ColdStart;
 use crate::cold_start::ColdState;
 use crate::endpoint_limit::EndpointLimit;
+use crate::endpoint_limit::Kind;
 use crate::participants::Participants;
 use crate::pool::Job;
 
@@ -80,6 +82,8 @@
     pub(crate) engine: Option<Engine>,
     /// The limit in requests per second that it named for all VMs together.
     pub(crate) rate_limit: Option<EndpointLimit>,
+    /// How brittle it says that it is.
+    pub(crate) brittle: Option<BrittleState>,
     /// Its cold start, or the last one.
     pub(crate) cold: Option<ColdState>,
     /// How long calls take, at a plain endpoint.
@@ -98,7 +102,32 @@
     /// Returns whether the endpoint accepts calls from this VM now.
     pub(crate) fn accepts_calls(&self, now: Moment) -> bool {
         let allowed = self.throttles(now).all(|throttle| throttle.can_send(now));
-        self.member.usable && now >= self.closed_until && allowed
+        let room = self.room(now);
+        let room = room.is_none_or(|room| self.limiter.in_flight() < room);
+        self.member.usable && now >= self.closed_until && allowed && room
+    }
+
+    /// Returns what is known of a limit of the endpoint.
+    pub(crate) fn limit_of(&self, kind: Kind) -> Option<EndpointLimit> {
+        match kind {
+            Kind::Requests => self.rate_limit,
+            Kind::Rejections => self.brittle.map(|brittle| brittle.announced),
+        }
+    }
+
+    /// Returns how brittle the endpoint is, if it is.
+    pub(crate) fn brittle(&self, now: Moment) -> Option<&BrittleState> {
+        self.brittle.as_ref().filter(|known| known.is_brittle(now))
+    }
+
+    /// Returns the number of calls that this VM may have in flight, where the endpoint is brittle.
+    fn room(&self, now: Moment) -> Option<u32> {
+        self.brittle(now).map(|brittle| brittle.room(now))
+    }
+
+    /// Returns the number of calls that the endpoint runs at the same time.
+    pub(crate) fn batch(&self) -> u32 {
+        self.member.report.map_or(0, |(report, _)| report.batch)
     }
 
     /// Returns the token bucket of an endpoint that named a limit.
@@ -114,7 +143,8 @@
     /// Returns the token buckets that this VM's calls take from now.
     fn throttles(&self, now: Moment) -> impl Iterator<Item = Throttle> {
         let cold = self.cold(now).map(ColdState::throttle);
-        self.throttle().into_iter().chain(cold)
+        let brittle = self.brittle(now).and_then(BrittleState::rate);
+        self.throttle().into_iter().chain(cold).chain(brittle)
     }
 
     /// Returns the token bucket that allows the fewest calls, if there is any.
@@ -131,6 +161,9 @@
         if let Some(cold) = &mut self.cold {
             cold.consume(now);
         }
+        if let Some(brittle) = &mut self.brittle {
+            brittle.consume(now);
+        }
     }
 
     /// Returns when this VM may send the next call.
@@ -142,12 +175,16 @@
             let wait = cold.throttle().wait(now);
             wait.unwrap_or(Duration::MAX).min(cold.remaining(now))
         });
-        now + limited.max(cold)
+        let brittle = self.brittle(now).map_or(Duration::ZERO, |brittle| {
+            brittle.wait(now).unwrap_or(NO_SHARE_RETRY_AFTER)
+        });
+        now + limited.max(cold).max(brittle)
     }
 
     /// Returns the number of concurrent calls that the endpoint contributes to the pool's capacity.
     pub(crate) fn slots(&self, now: Moment) -> u32 {
-        let limit = self.limiter.limit();
+        let room = self.room(now).unwrap_or(u32::MAX);
+        let limit = self.limiter.limit().min(room);
         match self.tightest_throttle(now) {
             None => limit,
             Some(throttle) => {
@@ -159,7 +196,9 @@
 
     /// Returns the number of calls that may be sent now.
     pub(crate) fn free(&self, now: Moment) -> u32 {
-        let free = self.limiter.free();
+        let room = self.room(now).unwrap_or(u32::MAX);
+        let room = room.saturating_sub(self.limiter.in_flight());
+        let free = self.limiter.free().min(room);
         match self.tightest_throttle(now) {
             _ if !self.accepts_calls(now) => 0,
             None => free,
@@ -207,6 +246,7 @@
         retry_at: Moment::ZERO,
         engine: member.kv_capacity.map(Engine::new),
         rate_limit: None,
+        brittle: None,
         delay: shed::Delay::default(),
         member,
     }
@@ -271,6 +311,7 @@
         state.closed_until = Moment::ZERO;
         state.retry_at = Moment::ZERO;
         state.rate_limit = None;
+        state.brittle = None;
         state.delay = shed::Delay::default();
     }
     if let Some((report, at)) = member.report
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -5,6 +5,7 @@
 //! crate supplies the time, random bits and a lock that is never held across an await. The filter chain
 //! and the relay share it.
 
+mod brittle;
 pub mod clock;
 pub mod cold_start;
 pub mod endpoint_limit;
--- a/crates/scheduler/src/participants.rs
+++ b/crates/scheduler/src/participants.rs
@@ -1,5 +1,6 @@
 //! The VMs that share the limits and the cold starts of endpoints.
 
+use pimento_policy::brittle;
 use pimento_policy::choice;
 use pimento_policy::cold;
 use pimento_policy::throttle;
@@ -45,6 +46,24 @@
         throttle::share(limit, endpoint, self.own, self.of(zone, endpoint))
     }
 
+    /// Returns this VM's share of a brittle endpoint. VMs of zones other than these, which have endpoints of
+    /// the service, share all endpoints, or they could serve nobody.
+    pub(crate) fn brittle_share(
+        &self,
+        capacity: brittle::Capacity,
+        zone: &id::Zone,
+        endpoint: u64,
+        with_endpoints: &[id::Zone],
+    ) -> brittle::Share {
+        let mut vms = self.of(zone, endpoint).to_vec();
+        for (other, others) in &self.zones {
+            if other != zone && with_endpoints.binary_search(other).is_err() {
+                vms.extend(others);
+            }
+        }
+        brittle::Share::new(capacity, endpoint, self.own, &vms)
+    }
+
     /// Returns this VM's share of the calls to a cold endpoint, in calls per second.
     pub(crate) fn cold_share(&self, bound: cold::Bound, zone: &id::Zone, endpoint: u64) -> f64 {
         cold::share(bound, endpoint, self.own, self.of(zone, endpoint))
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -223,11 +223,20 @@
     pub fn record_limit(
         &self,
         endpoint: &id::Endpoint,
+        kind: endpoint_limit::Kind,
         limit: Option<RateLimit>,
         sent: Moment,
     ) -> bool {
         let now = self.shared.clock.now();
-        self.shared.lock().record_limit(endpoint, limit, sent, now)
+        let mut state = self.shared.lock();
+        state.record_limit(endpoint, kind, limit, sent, now)
+    }
+
+    /// Returns whether an endpoint says that it falls over when it turns many requests away.
+    #[must_use]
+    pub fn is_brittle(&self, endpoint: &id::Endpoint) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.lock().is_brittle(endpoint, now)
     }
 
     /// Returns the reports of endpoints' limits for other VMs.
@@ -293,6 +302,8 @@
     pub usable: usize,
     /// Usable endpoints that named a limit.
     pub limited: usize,
+    /// Usable endpoints that say that they are brittle.
+    pub brittle: usize,
     /// Usable endpoints that are cold.
     pub cold: usize,
 }
@@ -300,7 +311,7 @@
 impl PoolMetrics {
     /// Returns the values with their names in metrics.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 7] {
+    pub fn figures(&self) -> [(&'static str, u64); 8] {
         let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
         [
             ("waiting", count(self.waiting)),
@@ -309,6 +320,7 @@
             ("usable", count(self.usable)),
             ("ejected", count(self.ejected)),
             ("limited", count(self.limited)),
+            ("brittle", count(self.brittle)),
             ("cold", count(self.cold)),
         ]
     }
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -18,6 +18,7 @@
 use pimento_units::id;
 
 use self::waiting::RequirementQueue;
+use crate::brittle::HoldTime;
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_state::INITIAL_RUN_TIME;
 use crate::endpoint_state::MAX_BACKOFF_DOUBLINGS;
@@ -61,6 +62,10 @@
     participants: Participants,
     /// The usual target of calls to plain endpoints.
     usual_target: shed::UsualTarget,
+    /// Zones with usable endpoints, sorted.
+    zones: Vec<id::Zone>,
+    /// How long calls take a slot.
+    hold_time: HoldTime,
     /// When dispatch is next tried because an endpoint with a limit accepts another call.
     wake_at: Option<Moment>,
 }
@@ -81,6 +86,8 @@
             last_queue: 0,
             participants: Participants::default(),
             usual_target: shed::UsualTarget::default(),
+            zones: Vec::new(),
+            hold_time: HoldTime::default(),
             wake_at: None,
         }
     }
@@ -114,6 +121,11 @@
         let hashes = self.endpoints.iter().enumerate();
         self.by_hash = hashes.map(|(index, s)| (s.name_hash, index)).collect();
         self.by_hash.sort_unstable();
+        let usable = self.endpoints.iter().filter(|state| state.member.usable);
+        let mut zones: Vec<id::Zone> = usable.map(|state| state.member.zone.clone()).collect();
+        zones.sort_unstable();
+        zones.dedup();
+        self.zones = zones;
     }
 
     /// Readmits all ejected endpoints.
@@ -408,6 +420,7 @@
         }
         if let limit::Outcome::Served { tokens, took } = outcome {
             entry.gate.record(tokens, took, now);
+            self.hold_time.record(took);
         }
     }
 
@@ -424,11 +437,19 @@
             PLAIN_REFUSAL_BACKOFF
         };
         state.consecutive_refusals = state.consecutive_refusals.saturating_add(1);
+        if let Some(brittle) = &mut state.brittle {
+            brittle.record_rejection(state.limiter.in_flight(), now);
+        }
         state.closed_until = now + span;
         state.retry_at = now + after;
         span
     }
 
+    pub fn is_brittle(&self, endpoint: &id::Endpoint, now: Moment) -> bool {
+        let index = self.index_of(endpoint);
+        index.is_some_and(|index| self.endpoints[index].brittle(now).is_some())
+    }
+
     pub fn in_flight_without(&self, version: &id::Version) -> u32 {
         let others = self
             .endpoints
@@ -445,6 +466,7 @@
             slots: usable.clone().map(|state| state.slots(now)).sum(),
             ejected: self.health.ejected(),
             limited: usable.clone().filter(|s| s.throttle().is_some()).count(),
+            brittle: usable.clone().filter(|s| s.brittle(now).is_some()).count(),
             cold: usable.clone().filter(|s| s.cold(now).is_some()).count(),
             usable: usable.count(),
         }
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -8,7 +8,11 @@
 use pimento_units::id;
 
 use super::PoolState;
+use crate::brittle::BrittleState;
+use crate::brittle::HoldTime;
+use crate::brittle::REJECTION_REPORT_PERIOD;
 use crate::endpoint_limit::EndpointLimit;
+use crate::endpoint_limit::Kind;
 use crate::endpoint_limit::Observation;
 use crate::endpoint_limit::Report;
 use crate::endpoint_limit::Source;
@@ -29,12 +33,10 @@
 impl PoolState {
     /// Records the limit, or its absence, in an endpoint's answer to a call that was sent at `sent`.
     /// Returns whether the limit changed.
-    ///
-    /// An answer without a limit removes a known one only if its call was sent after that limit had been
-    /// observed, since answers of one endpoint may overtake each other.
     pub fn record_limit(
         &mut self,
         endpoint: &id::Endpoint,
+        kind: Kind,
         limit: Option<RateLimit>,
         sent: Moment,
         now: Moment,
@@ -43,11 +45,8 @@
             return false;
         };
         let state = &mut self.endpoints[index];
-        let known = state.rate_limit.and_then(|limited| limited.limit());
-        let predates_call = state
-            .rate_limit
-            .is_some_and(|limited| limited.observed() < sent);
-        if limit.is_none() && (known.is_none() || !predates_call) {
+        let known = state.limit_of(kind);
+        if !known.map_or(limit.is_some(), |known| known.is_replaced_by(limit, sent)) {
             return false;
         }
         let observation = Observation {
@@ -55,8 +54,13 @@
             source: Source::Local,
             observed: now,
         };
-        set_limit(state, &self.participants, observation, now);
-        known != limit
+        let sharing = Sharing {
+            participants: &self.participants,
+            zones: &self.zones,
+            hold_time: self.hold_time,
+        };
+        set_limit(state, kind, sharing, observation, now);
+        known.and_then(|known| known.limit()) != limit
     }
 
     /// Merges another VM's report of an endpoint's limit.
@@ -66,10 +70,12 @@
             return;
         };
         let state = &mut self.endpoints[index];
-        if state
-            .rate_limit
-            .is_some_and(|limited| limited.observed() >= observed)
-        {
+        let recent = report.rejected.filter(|age| *age < REJECTION_REPORT_PERIOD);
+        if let Some((age, brittle)) = recent.zip(state.brittle.as_mut()) {
+            brittle.record_peer_rejection(now.before(age), now);
+        }
+        let known = state.limit_of(report.kind);
+        if known.is_some_and(|known| known.observed() >= observed) {
             return;
         }
         let observation = Observation {
@@ -77,14 +83,25 @@
             source: Source::Peer,
             observed,
         };
-        set_limit(state, &self.participants, observation, now);
+        let sharing = Sharing {
+            participants: &self.participants,
+            zones: &self.zones,
+            hold_time: self.hold_time,
+        };
+        set_limit(state, report.kind, sharing, observation, now);
     }
 
     /// Returns the reports for other VMs.
     pub fn limit_reports(&self, now: Moment) -> Vec<Report> {
-        let states = self.endpoints.iter();
-        let reports = states.filter_map(|state| state.rate_limit?.report(state.name_hash, now));
-        reports.collect()
+        let reports = |state: &EndpointState| {
+            let key = state.name_hash;
+            let limited = state.rate_limit.as_ref();
+            let requests = limited.and_then(|limit| limit.report(key, Kind::Requests, now));
+            let brittle = state.brittle.as_ref();
+            let rejections = brittle.and_then(|brittle| brittle.report(key, now));
+            [requests, rejections].into_iter().flatten()
+        };
+        self.endpoints.iter().flat_map(reports).collect()
     }
 
     /// Sets the VMs that share the limits of endpoints from now on.
@@ -92,6 +109,15 @@
         self.participants = participants;
         for state in &mut self.endpoints {
             let (zone, key) = (&state.member.zone, state.name_hash);
+            let (slots, hold_time) = (state.batch(), self.hold_time);
+            if let Some(brittle) = &mut state.brittle {
+                let share = |limit| {
+                    let capacity = hold_time.capacity(slots, limit);
+                    let participants = &self.participants;
+                    participants.brittle_share(capacity, zone, key, &self.zones)
+                };
+                brittle.set_share(share, now);
+            }
             if let Some(limited) = &mut state.rate_limit {
                 limited.set_share(|limit| self.participants.share(limit, zone, key), now);
             }
@@ -116,7 +142,11 @@
                 warm_after = Some(warm_after.map_or(remaining, |known| known.min(remaining)));
                 total += f64::from(cold.bound().calls());
             } else {
-                total += state.rate_limit?.limit()?.per_second();
+                let kinds = [Kind::Requests, Kind::Rejections];
+                let limits = kinds
+                    .into_iter()
+                    .filter_map(|kind| state.limit_of(kind)?.limit());
+                total += limits.map(RateLimit::per_second).reduce(f64::min)?;
             }
         }
         if share <= 0.0 && warm_after.is_none() {
@@ -174,15 +204,43 @@
 /// Minimum time until a scheduled dispatch.
 const MIN_WAKE_INTERVAL: Duration = Duration::from_millis(10);
 
+/// What a VM's share of an endpoint follows from.
+#[derive(Clone, Copy)]
+struct Sharing<'a> {
+    participants: &'a Participants,
+    /// Zones with usable endpoints, sorted.
+    zones: &'a [id::Zone],
+    hold_time: HoldTime,
+}
+
 fn set_limit(
     state: &mut EndpointState,
-    participants: &Participants,
+    kind: Kind,
+    sharing: Sharing<'_>,
     observation: Observation,
     now: Moment,
 ) {
-    let (zone, key, before) = (&state.member.zone, state.name_hash, state.throttle());
-    let share = |limit| participants.share(limit, zone, key);
-    state.rate_limit = Some(EndpointLimit::new(observation, before, share, now));
+    let Sharing {
+        participants,
+        zones,
+        hold_time,
+    } = sharing;
+    match kind {
+        Kind::Requests => {
+            let (zone, key, before) = (&state.member.zone, state.name_hash, state.throttle());
+            let share = |limit| participants.share(limit, zone, key);
+            state.rate_limit = Some(EndpointLimit::new(observation, before, share, now));
+        }
+        Kind::Rejections => {
+            let (zone, key, slots) = (&state.member.zone, state.name_hash, state.batch());
+            let share = |limit| {
+                let capacity = hold_time.capacity(slots, limit);
+                participants.brittle_share(capacity, zone, key, zones)
+            };
+            let brittle = BrittleState::new(observation, state.brittle, share, now);
+            state.brittle = Some(brittle);
+        }
+    }
 }
 
 fn seconds(seconds: f64) -> Duration {
--- a/crates/scheduler/tests/endpoint_limit.rs
+++ b/crates/scheduler/tests/endpoint_limit.rs
@@ -12,6 +12,7 @@
 use pimento_scheduler::Participants;
 use pimento_scheduler::Pool;
 use pimento_scheduler::Scheduler;
+use pimento_scheduler::endpoint_limit::Kind;
 use pimento_scheduler::endpoint_limit::Report;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -46,7 +47,7 @@
     let limit = limit.map(|limit| RateLimit::try_from(limit).unwrap());
     let endpoint = "i-1".parse().unwrap();
     assert!(clock.now() >= sent);
-    pool.record_limit(&endpoint, limit, sent)
+    pool.record_limit(&endpoint, Kind::Requests, limit, sent)
 }
 
 fn limited(pool: &Pool) -> usize {
