Hold a brittle endpoint's fall against no request

A request that ran at three brittle endpoints while they fell over was refused by all VMs for ten minutes ('poison').

Cause: a broken run at an endpoint that is gone counts as a crash under the request, and an endpoint that falls over for what it turned away ends whatever it runs.

Change: broken runs at endpoints that say that they are brittle count no crash.

Why it is enough: the endpoint itself has said why it ends; one that is not brittle counts as before.

Observed: a_brittle_replica_that_falls_over_is_no_crash_under_a_request gets 503 poison without this change and passes with it.

--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -244,6 +244,14 @@
     let Some(member) = known.filter(|member| !member.registration.leaving) else {
         return;
     };
+    // One that falls over when it turns many requests away does so whatever it runs.
+    if node
+        .scheduler
+        .pool(&member.registration.pool)
+        .is_brittle(endpoint)
+    {
+        return;
+    }
     let crash = Crash {
         endpoint: choice::hash(endpoint.as_str()),
         incarnation: Some(member.registration.started_unix_ms),
