Count what an endpoint misses within a second of silence as one error

A sound endpoint that is silent for about a second got no calls for six: all connects and calls that missed that second failed together, and three errors eject.

Cause: each call without an answer in time counts as an error of its own.

Change: calls and connects without a response count once in 1.2 s (policy::eject::Outcome::Silent); refused and broken ones count each, as before. links::Failure says which of the three a failed connect was.

Why it is enough: a silence of a second or so counts as one error, or two at its edges; an endpoint that stays silent is ejected with the third, after 2.4 s.

Observed: a_second_of_silence_ejects_nothing was ejected by the third outcome when each counted (Outcome::Failed in its place).

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -56,6 +56,9 @@
     }
 }
 
+/// How long a sound endpoint may be silent, and a little.
+pub const SILENCE: Duration = Duration::from_millis(1_200);
+
 /// How often the pool's median is updated. It moves with the load of the whole pool, over seconds.
 /// Sorting hundreds of endpoints at each answer would cost more than all other decisions.
 pub const MEDIAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -78,8 +81,11 @@
     /// Answered, in a time that does not show the endpoint's speed, because answers differ in model
     /// and length.
     AnsweredUntimed,
-    /// Failed, broke off, or gave no answer for too long.
+    /// Failed or broke off.
     Failed,
+    /// Gave no answer for too long. Of those within [`SILENCE`] of each other one counts: all calls of an
+    /// endpoint that is silent for a moment fail together.
+    Silent,
     /// Unrelated to health, such as a refusal for overload or a caller that disconnected.
     Unknown,
 }
@@ -102,6 +108,8 @@
     seconds_per_token: f64,
     samples: u32,
     errors: u32,
+    /// When the last silence that counted as an error was seen.
+    silent_at: Option<Moment>,
     /// Ejections so far, less one for each return after successful probes. It determines how long
     /// the next ejection lasts.
     ejections: u32,
@@ -132,6 +140,7 @@
             seconds_per_token: 0.0,
             samples: 0,
             errors: 0,
+            silent_at: None,
             ejections: 0,
             ejected_until: None,
             probe_sent: None,
@@ -162,6 +171,14 @@
         self.errors = 0;
     }
 
+    fn record_silence(&mut self, now: Moment) {
+        let same = |at: Moment| now.since(at) < SILENCE;
+        if !self.silent_at.is_some_and(same) {
+            self.silent_at = Some(now);
+            self.errors = self.errors.saturating_add(1);
+        }
+    }
+
     fn record_time(&mut self, seconds_per_token: f64, weight: f64) {
         self.errors = 0;
         self.samples = self.samples.saturating_add(1);
@@ -294,6 +311,7 @@
             Outcome::Served { seconds_per_token } => member.record_time(seconds_per_token, weight),
             Outcome::AnsweredUntimed => member.errors = 0,
             Outcome::Failed => member.errors = member.errors.saturating_add(1),
+            Outcome::Silent => member.record_silence(now),
             Outcome::Unknown => return,
         }
         if member.is_ejected() {
@@ -410,7 +428,7 @@
         let healthy = match outcome {
             Outcome::Served { seconds_per_token } => !self.is_slow(place, seconds_per_token),
             Outcome::AnsweredUntimed => true,
-            Outcome::Failed | Outcome::Unknown => false,
+            Outcome::Failed | Outcome::Silent | Outcome::Unknown => false,
         };
         if !healthy {
             self.eject(place, now);
--- a/crates/policy/tests/eject.rs
+++ b/crates/policy/tests/eject.rs
@@ -151,3 +151,27 @@
     let states = [0, 1, 2].map(|number| pool.state(&endpoint(number), now));
     assert_eq!(states, [State::Ejected, State::Active, State::Active]);
 }
+
+/// Guards against a sound endpoint that is ejected because all of its calls miss the same second.
+#[test]
+fn a_second_of_silence_ejects_nothing() {
+    let mut pool = pool(3);
+    let begin = Moment::from_millis(1_000);
+    for millis in [0, 10, 500, 900, 1_100] {
+        let now = begin + Duration::from_millis(millis);
+        pool.record(&endpoint(0), Outcome::Silent, now);
+        assert_eq!(pool.state(&endpoint(0), now), State::Active);
+    }
+}
+
+#[test]
+fn an_endpoint_that_stays_silent_is_ejected() {
+    let mut pool = pool(3);
+    let begin = Moment::from_millis(1_000);
+    for millis in [0, 1_300, 2_600] {
+        let now = begin + Duration::from_millis(millis);
+        pool.record(&endpoint(0), Outcome::Silent, now);
+    }
+    let now = begin + Duration::from_millis(2_600);
+    assert_eq!(pool.state(&endpoint(0), now), State::Ejected);
+}
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -25,6 +25,7 @@
 use crate::connection::EndpointResponse;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
+use crate::links::Blame;
 use crate::links::Failure;
 use crate::links::Target;
 use crate::node::Node;
@@ -304,15 +305,18 @@
 
     /// Records that no connection to an endpoint was made.
     fn not_connected(&mut self, permit: Permit, failure: &Failure) -> Result<(), Refusal> {
-        if failure.blames_endpoint {
+        if failure.blame == Blame::Endpoint {
             return self.endpoint_declined(permit, &failure.fault);
         }
         let message = "attempt: The endpoint is out of reach.";
         self.log_failure(&permit, &failure.fault, message);
-        let attempts = &self.node.metrics;
-        attempts.count_attempt(&self.request.pool, "out_of_reach");
+        let metrics = &self.node.metrics;
+        metrics.count_attempt(&self.request.pool, "out_of_reach");
         self.state.tried.push(permit.endpoint().clone());
-        permit.lost();
+        match failure.blame {
+            Blame::Silence => permit.unanswered(),
+            Blame::Endpoint | Blame::Links => permit.lost(),
+        }
         self.count_declined()
     }
 
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -31,6 +31,8 @@
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -149,14 +151,13 @@
                 if trial {
                     self.spawn_trial(target);
                 }
-                let connected = match self.open_tunnel(target).await {
-                    Ok(tunnel) => Connection::over(tunnel, target.address).await,
+                match self.open_tunnel(target).await {
+                    Ok(tunnel) => over(tunnel, target).await,
                     Err(Declined::ByEndpoint(reply)) => {
-                        return Err(Failure::of_endpoint(unreachable(&reply.as_str())));
+                        Err(Failure::new(&reply.as_str(), reply.into()))
                     }
-                    Err(Declined::NoHelper) => self.connect_by_own_links(target).await,
-                };
-                connected.map_err(Failure::of_links)
+                    Err(Declined::NoHelper) => self.connect_by_lost_links(target).await,
+                }
             }
         }
     }
@@ -164,26 +165,41 @@
     /// Connects by this VM's own links, and through another VM if they fail and are not just the
     /// endpoint's fault.
     async fn connect_or_relay(&self, target: Target<'_>) -> Result<Connection, Failure> {
-        let fault = tokio::select! {
+        let failure = tokio::select! {
             biased;
-            connected = self.connect_by_own_links(target) => match connected {
-                Ok(connection) => return Ok(connection),
-                Err(fault) => fault,
+            connected = self.connect_directly(target.endpoint, target.address) => match connected {
+                Ok(stream) => return over(stream, target).await,
+                Err(error) => Failure::new(&error, Blame::from(&error)),
             },
-            () = self.went_down() => unreachable(&"the links to endpoints are down"),
+            () = self.went_down() => Failure::new(&"the links to endpoints are down", Blame::Links),
         };
         if !self.are_suspect() {
-            return Err(Failure::of_endpoint(fault));
+            return Err(failure);
         }
         let tunnel = match self.open_tunnel(target).await {
             Ok(tunnel) => tunnel,
-            Err(Declined::ByEndpoint(_)) => return Err(Failure::of_endpoint(fault)),
-            Err(Declined::NoHelper) => return Err(Failure::of_links(fault)),
+            Err(Declined::ByEndpoint(reply)) => {
+                return Err(Failure::new(&reply.as_str(), reply.into()));
+            }
+            Err(Declined::NoHelper) => {
+                return Err(Failure {
+                    blame: Blame::Links,
+                    ..failure
+                });
+            }
         };
         let now = self.clock.now();
         self.update(|state| state.reach.record_relayed(target.endpoint, now));
-        let connection = Connection::over(tunnel, target.address).await;
-        connection.map_err(Failure::of_links)
+        over(tunnel, target).await
+    }
+
+    /// Connects by links that are known to be lost, as no other VM is able to help.
+    async fn connect_by_lost_links(&self, target: Target<'_>) -> Result<Connection, Failure> {
+        let connected = self.connect_directly(target.endpoint, target.address).await;
+        match connected {
+            Ok(stream) => over(stream, target).await,
+            Err(error) => Err(Failure::new(&error, Blame::Links)),
+        }
     }
 
     /// Waits until another VM has reached an endpoint that this one does not reach.
@@ -195,12 +211,6 @@
         }
     }
 
-    async fn connect_by_own_links(&self, target: Target<'_>) -> Result<Connection, Fault> {
-        let stream = self.connect_directly(target.endpoint, target.address).await;
-        let stream = stream.map_err(|error| unreachable(&error))?;
-        Connection::over(stream, target.address).await
-    }
-
     /// Connects by this VM's own links, and records how that ended.
     ///
     /// # Errors
@@ -370,27 +380,49 @@
     }
 }
 
+/// What a failed connect says of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blame {
+    /// The endpoint refused it.
+    Endpoint,
+    /// The endpoint did not respond, and may just be silent for a moment.
+    Silence,
+    /// This VM's links may be lost.
+    Links,
+}
+
 /// Why an endpoint was not connected. Nothing was sent.
 #[derive(Debug)]
 pub struct Failure {
     /// The fault, a [`Fault::Unreachable`].
     pub fault: Fault,
-    /// Whether it may be the endpoint's and not that of the links.
-    pub blames_endpoint: bool,
+    /// What it says of.
+    pub blame: Blame,
 }
 
 impl Failure {
-    const fn of_endpoint(fault: Fault) -> Self {
+    fn new(error: &impl ToString, blame: Blame) -> Self {
         Self {
-            fault,
-            blames_endpoint: true,
+            fault: unreachable(error),
+            blame,
         }
     }
+}
 
-    const fn of_links(fault: Fault) -> Self {
-        Self {
-            fault,
-            blames_endpoint: false,
+impl From<&io::Error> for Blame {
+    fn from(error: &io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::TimedOut => Self::Silence,
+            _ => Self::Endpoint,
+        }
+    }
+}
+
+impl From<Reply> for Blame {
+    fn from(reply: Reply) -> Self {
+        match reply {
+            Reply::TimedOut => Self::Silence,
+            _ => Self::Endpoint,
         }
     }
 }
@@ -403,6 +435,18 @@
     NoHelper,
 }
 
+/// Prepares an open connection for a request.
+async fn over(
+    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+    target: Target<'_>,
+) -> Result<Connection, Failure> {
+    let connection = Connection::over(stream, target.address).await;
+    connection.map_err(|fault| Failure {
+        fault,
+        blame: Blame::Links,
+    })
+}
+
 fn unreachable(error: &impl ToString) -> Fault {
     Fault::Unreachable {
         reason: CompactString::from(error.to_string()),
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -121,7 +121,7 @@
         let now = self.shared.clock.now();
         let (limit, health) = match fault {
             Fault::Refused { .. } => (limit::Outcome::Overload, eject::Outcome::Unknown),
-            Fault::Timeout => (limit::Outcome::Overload, eject::Outcome::Failed),
+            Fault::Timeout => (limit::Outcome::Overload, eject::Outcome::Silent),
             Fault::Cancelled => (limit::Outcome::Unknown, eject::Outcome::Unknown),
             Fault::Unreachable { .. }
             | Fault::Failed { .. }
@@ -135,6 +135,12 @@
         self.release(limit, health, now);
     }
 
+    /// Releases the slot after a connect to which the endpoint did not respond.
+    pub fn unanswered(mut self) {
+        let now = self.shared.clock.now();
+        self.release(limit::Outcome::Unknown, eject::Outcome::Silent, now);
+    }
+
     /// Releases the slot after a fault that says nothing of the endpoint, such as a lost link to it.
     pub fn lost(mut self) {
         let now = self.shared.clock.now();
