Send nothing more to an endpoint that says that it leaves

Endpoints that had said in their answers that they leave went on getting requests, 2.1 to 12.8 s later in the record, from VMs that had passed such answers on; streams there broke and callers got 504 (DRAIN).

Cause: what an endpoint says of itself was not read. That it leaves was known by its registration alone, and the log was out of reach or listed it as ready. Class: what endpoints announce in their answers is not read, or taken as a hint (see docs/incidents/leaving-and-resting-endpoints.md for all headers).

Change: relay::departures remembers for ten minutes which life of which endpoint said that it leaves. VMs tell each other for two seconds, as well the VMs through which they reached endpoints. A 421 is another endpoint's and says nothing.

Why it is enough: permits given before are checked again right before the send; what an endpoint said stays until it has left.

Ruled out: writing the departure into the view of the log (a record that is read late would undo it); leaving it to each VM (each would learn by a request of a caller).

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -4,6 +4,7 @@
 //! Only this module tracks whether the request may have run. It alone decides whether a refusal may
 //! promise that the request did not run, and whether the request may be sent again.
 
+mod announced;
 mod detail;
 
 use std::time::Duration;
@@ -23,6 +24,7 @@
 use crate::codec::Codec;
 use crate::connection::Connection;
 use crate::connection::EndpointResponse;
+use crate::headers::Declined;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
 use crate::links::Blame;
@@ -292,7 +294,7 @@
         permit.failed(fault);
         if self.is_brittle(&endpoint) {
             // All VMs stop sending there for a moment.
-            self.node.limit_changed.notify_one();
+            self.node.announced.notify_one();
         }
         self.state.tried.push(endpoint);
         self.count_declined()
@@ -383,7 +385,7 @@
         let left = self.request.left(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(outgoing)).await;
         let fault = match sent {
-            Ok(Ok(response)) => match self.check_response(permit.endpoint(), response) {
+            Ok(Ok(response)) => match self.check_response(&permit, response) {
                 Ok((response, info)) => {
                     return Ok(Some(Opened {
                         permit,
@@ -450,15 +452,15 @@
     /// Parses the head of a response and checks that it is an endpoint's response to this request.
     fn check_response(
         &self,
-        endpoint: &id::Endpoint,
+        permit: &Permit,
         response: EndpointResponse,
     ) -> Result<(EndpointResponse, ResponseInfo), Fault> {
         let info = self.node.platform.parse_response(&response.head);
         let status = response.head.status;
-        if !info.misdirected {
-            self.apply_limits(endpoint, &info);
+        if info.declined != Some(Declined::Misdirected) {
+            self.apply_announcements(permit, &info);
         }
-        if info.refused || info.misdirected {
+        if info.declined.is_some() {
             return Err(Fault::Refused {
                 status: status.as_u16(),
                 retry_after: None,
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -3,11 +3,9 @@
 use pimento_endpoint::Fault;
 use pimento_policy::admission;
 use pimento_policy::shed::Aim;
-use pimento_policy::throttle::RateLimit;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
 use pimento_scheduler::Requirement;
-use pimento_scheduler::endpoint_limit::Kind;
 use pimento_units::Tokens;
 use pimento_units::id;
 
@@ -17,10 +15,8 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::connection::OutgoingRequest;
-use crate::headers::AnnouncedLimit;
 use crate::headers::AttemptInfo;
 use crate::headers::HeaderCodec;
-use crate::headers::ResponseInfo;
 use crate::node::millis;
 use crate::rollouts::FinishedRequest;
 use crate::rollouts::announcement::Outcome;
@@ -48,34 +44,6 @@
         );
     }
 
-    /// Applies the limits that an endpoint announces in its response.
-    pub(super) fn apply_limits(&self, endpoint: &id::Endpoint, info: &ResponseInfo) {
-        self.apply_limit(endpoint, Kind::Requests, &info.limit);
-        self.apply_limit(endpoint, Kind::Rejections, &info.max_rejections);
-    }
-
-    fn apply_limit(&self, endpoint: &id::Endpoint, kind: Kind, limit: &AnnouncedLimit) {
-        let request = self.request.info.id.as_str();
-        let of = kind.as_str();
-        let limit = match limit {
-            AnnouncedLimit::Absent => None,
-            AnnouncedLimit::Limit(limit) => Some(*limit),
-            // The previous limit stays in force.
-            AnnouncedLimit::Invalid(error) => {
-                let endpoint = endpoint.as_str();
-                log::warn!(request, endpoint, of, error:%; "attempt: The endpoint announced an invalid limit.");
-                return;
-            }
-        };
-        let pool = self.node.scheduler.pool(&self.request.pool);
-        if pool.record_limit(endpoint, kind, limit, self.state.last_sent) {
-            let limit = limit.map(RateLimit::per_second);
-            let endpoint = endpoint.as_str();
-            log::info!(request, endpoint, of, limit; "attempt: The endpoint announced a new limit.");
-            self.node.limit_changed.notify_one();
-        }
-    }
-
     /// Logs to which endpoint the request is sent, and the data that this is based on.
     pub(super) fn log_sent(&self, permit: &Permit, overrides: &Overrides) {
         let request = self.request;
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -94,10 +94,10 @@
     pub id: Option<CompactString>,
     /// Whether the response carries an endpoint's signature.
     pub signed: bool,
-    /// Whether the endpoint declares that it did not run the request.
-    pub refused: bool,
-    /// Whether another endpoint has taken over the address. It did not run the request.
-    pub misdirected: bool,
+    /// Why the request did not run, if the response declares that.
+    pub declined: Option<Declined>,
+    /// Whether the endpoint says that it leaves and takes no new work.
+    pub leaving: bool,
     /// The model's confidence in its answer, from 0 to 100.
     pub confidence: Option<u8>,
     /// Rate limit that the endpoint announces for the requests of all VMs together.
@@ -107,6 +107,15 @@
     pub max_rejections: AnnouncedLimit,
 }
 
+/// Why an endpoint did not run a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Declined {
+    /// It refused the request.
+    Refused,
+    /// Another endpoint has taken over the address.
+    Misdirected,
+}
+
 /// The rate limit that a response announces for its endpoint.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum AnnouncedLimit {
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -285,7 +285,9 @@
                 .ok_or(Declined::NoHelper)?;
             let error = match client::open(helper, &request, timeout).await {
                 Ok(tunnel) => {
-                    self.lock().counts.relayed += 1;
+                    let mut state = self.lock();
+                    state.counts.relayed += 1;
+                    state.helpers.record_used(helper, self.clock.now());
                     return Ok(tunnel);
                 }
                 Err(error) => error,
@@ -341,6 +343,12 @@
         self.lock().helpers.set(helpers);
     }
 
+    /// The VMs through which endpoints were reached not long ago.
+    #[must_use]
+    pub fn recent_helpers(&self) -> Vec<SocketAddr> {
+        self.lock().helpers.recent(self.clock.now())
+    }
+
     /// The report to other VMs.
     #[must_use]
     pub fn report(&self) -> Report {
--- a/crates/relay/src/links/helpers.rs
+++ b/crates/relay/src/links/helpers.rs
@@ -9,6 +9,9 @@
 /// Time for which a VM that could not help is not asked again.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 
+/// Time for which a VM that helped is told what endpoints announced. Most responses have begun by then.
+const USE_MEMORY: Duration = Duration::from_secs(5);
+
 /// What is known of another VM's own links. The variants are in order of preference.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -34,24 +37,23 @@
 /// The VMs that may help.
 #[derive(Debug, Default)]
 pub struct Helpers {
-    helpers: Vec<Helper>,
+    all: Vec<Helper>,
     /// VMs that could not help, and until when they are not asked.
     failed: Vec<(SocketAddr, Moment)>,
+    /// VMs that helped, and when last.
+    used: Vec<(SocketAddr, Moment)>,
 }
 
 impl Helpers {
     /// Replaces the VMs that may help.
     pub fn set(&mut self, helpers: Vec<Helper>) {
-        self.helpers = helpers;
+        self.all = helpers;
     }
 
     /// The number of VMs that are known to reach endpoints.
     #[must_use]
     pub fn reaching(&self) -> usize {
-        let reaching = self
-            .helpers
-            .iter()
-            .filter(|h| h.standing == Standing::Reaches);
+        let reaching = self.all.iter().filter(|h| h.standing == Standing::Reaches);
         reaching.count()
     }
 
@@ -61,6 +63,21 @@
         self.failed.push((address, now + FAILURE_PAUSE));
     }
 
+    /// Records that a VM helped.
+    pub fn record_used(&mut self, address: SocketAddr, now: Moment) {
+        self.used
+            .retain(|(known, at)| *known != address && now.since(*at) < USE_MEMORY);
+        self.used.push((address, now));
+    }
+
+    /// The VMs that helped not long ago.
+    #[must_use]
+    pub fn recent(&self, now: Moment) -> Vec<SocketAddr> {
+        let recent = self.used.iter();
+        let recent = recent.filter(|(_, at)| now.since(*at) < USE_MEMORY);
+        recent.map(|(address, _)| *address).collect()
+    }
+
     /// The VM to ask for an endpoint in `zone`; `None` if there is none. Traffic between zones has a price,
     /// so that VMs of the own zone come first. Among equal ones `random` spreads the load.
     #[must_use]
@@ -83,7 +100,7 @@
             };
             (helper.standing, distance)
         };
-        let usable = || self.helpers.iter().filter(|helper| !failed(helper));
+        let usable = || self.all.iter().filter(|helper| !failed(helper));
         let best = usable().map(rank).min()?;
         let equal: Vec<&Helper> = usable().filter(|helper| rank(helper) == best).collect();
         let count = u64::try_from(equal.len()).unwrap_or(u64::MAX);
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -150,7 +150,7 @@
                 _ = endpoints.changed() => serves,
                 _ = blocklist.changed() => serves,
                 () = self.node.poison.reports_due.notified() => false,
-                () = self.node.limit_changed.notified() => true,
+                () = self.node.announced.notified() => true,
                 () = self.node.links.changed.notified() => true,
                 () = self.zone.proved.notified(), if serves => true,
                 () = self.zone.unreachable.notified() => true,
@@ -173,6 +173,19 @@
                 self.send(peer.address, Some(peer.key), Audience::Group, &update)
                     .await;
             }
+            if changed {
+                self.send_to_helpers().await;
+            }
+        }
+    }
+
+    /// Tells the VMs through which this one reached endpoints what those announced: it reached them.
+    async fn send_to_helpers(&self) {
+        let port = self.node.config.peer_listen.port();
+        for helper in self.node.links.recent_helpers() {
+            let address = SocketAddr::new(helper.ip(), port);
+            let nothing = Update::default();
+            self.send(address, None, Audience::Remote, &nothing).await;
         }
     }
 
@@ -355,6 +368,7 @@
             let extension = Extension {
                 links: Some(self.node.links.report()),
                 max_rejections: limit::rejections(part.limits),
+                departures: self.node.departures.to_tell(boot::now()),
             };
             let bytes = match message::encode(&message, &extension) {
                 Ok(bytes) => bytes,
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -16,6 +16,7 @@
 use super::peers::ReaderStatus;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
+use crate::departures::Departure;
 use crate::follow::Proof;
 use crate::links;
 use crate::poison::Report;
@@ -63,6 +64,8 @@
     pub links: Option<links::Report>,
     /// Numbers of requests that endpoints may turn away, sent like [`Message::limits`].
     pub max_rejections: Vec<RejectionMessage>,
+    /// Endpoints that said not long ago that they leave.
+    pub departures: Vec<Departure>,
 }
 
 /// The part of a VM in its zone.
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -24,8 +24,10 @@
 use crate::bundle::Bundle;
 use crate::bundle::SharedTopic;
 use crate::codec::Codec;
+use crate::departures::Departure;
 use crate::follow::RecordRange;
 use crate::headers::HeaderCodec;
+use crate::pools;
 use crate::topic::Log;
 use crate::zone::Stamp;
 
@@ -176,6 +178,7 @@
         for pinned in &message.pinned_sessions {
             self.node.rollouts(|r| r.pin_session(*pinned));
         }
+        self.merge_departures(&extension.departures, now);
         let limits = limit::joined(&message.limits, &extension.max_rejections);
         if local {
             let stamp = Stamp {
@@ -211,6 +214,17 @@
         }
     }
 
+    /// Records endpoints that leave, which this VM then tells others as well.
+    fn merge_departures(&self, departures: &[Departure], now: Moment) {
+        let mut any = false;
+        for departure in departures {
+            any |= self.node.departures.record(*departure, now);
+        }
+        if any {
+            pools::refresh(&self.node);
+        }
+    }
+
     /// Applies records that another VM read from the log.
     fn apply_bundle(&self, bundle: &Bundle) {
         let Bundle {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -22,6 +22,8 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::config::Config;
+use crate::departures::Departure;
+use crate::departures::Departures;
 use crate::directory;
 use crate::directory::Directory;
 use crate::fleet::VmRecord;
@@ -71,8 +73,10 @@
     pub blocklist: Follower<Blocklist, L>,
     /// Schedules requests on endpoints' slots.
     pub scheduler: Scheduler,
-    /// Notified when an endpoint announces a different rate limit.
-    pub limit_changed: Arc<Notify>,
+    /// Endpoints that said that they leave.
+    pub departures: Arc<Departures>,
+    /// Notified when an endpoint announces something that other VMs should know at once.
+    pub announced: Arc<Notify>,
     /// The retry budgets.
     pub retry_budgets: Arc<RetryBudgets>,
     /// Statistics for choosing models.
@@ -102,7 +106,8 @@
             poison: Arc::clone(&self.poison),
             blocklist: self.blocklist.clone(),
             scheduler: self.scheduler.clone(),
-            limit_changed: Arc::clone(&self.limit_changed),
+            departures: Arc::clone(&self.departures),
+            announced: Arc::clone(&self.announced),
             retry_budgets: Arc::clone(&self.retry_budgets),
             cascade: Arc::clone(&self.cascade),
             calls: self.calls.clone(),
@@ -195,7 +200,8 @@
             poison: Arc::default(),
             blocklist,
             scheduler: Scheduler::new(clock),
-            limit_changed: Arc::default(),
+            departures: Arc::default(),
+            announced: Arc::default(),
             retry_budgets: Arc::new(retry_budgets),
             cascade: Arc::default(),
             calls,
@@ -266,14 +272,20 @@
         }
     }
 
+    /// Whether an endpoint accepts new work, by its registration and by what it said itself.
+    pub(crate) fn accepts_work(&self, member: &directory::Member, now: Moment) -> bool {
+        let registration = &member.registration;
+        let departure = Departure::new(&registration.id, registration.started_unix_ms);
+        member.is_usable(now) && !self.departures.contains(departure, now)
+    }
+
     /// Whether an endpoint may get new requests now.
     #[must_use]
     pub fn usable(&self, endpoint: &id::Endpoint) -> bool {
         let now = boot::now();
         let zone = self.directory.view(|view| {
             let member = view.member(endpoint)?;
-            member
-                .is_usable(now)
+            self.accepts_work(member, now)
                 .then(|| member.registration.zone.clone())
         });
         zone.is_some_and(|zone| {
@@ -318,7 +330,7 @@
     pub(crate) fn usable_zones(&self, pool: &id::Pool) -> Vec<id::Zone> {
         let now = boot::now();
         let of_pool = |member: &&directory::Member| {
-            member.registration.pool == *pool && member.is_usable(now)
+            member.registration.pool == *pool && self.accepts_work(member, now)
         };
         let mut zones: Vec<id::Zone> = self.directory.view(|view| {
             let members = view.members().iter().filter(of_pool);
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -80,8 +80,8 @@
     pools.sort_by(|one, other| one.0.cmp(&other.0));
     for listed in listed {
         let pool = &listed.registration.pool;
-        let mut member = member(&listed, zone, now);
-        member.usable &= !evacuations.contains(&member.zone);
+        let mut member = member(&listed, zone);
+        member.usable = node.accepts_work(&listed, now) && !evacuations.contains(&member.zone);
         member.kv_capacity = kv_capacity(pool);
         member.cold = node.cold_start(&listed, now);
         match pools.binary_search_by(|(name, _)| name.cmp(pool)) {
@@ -110,7 +110,8 @@
     versions
 }
 
-fn member(member: &directory::Member, zone: &id::Zone, now: Moment) -> Member {
+/// The endpoint as a member of its pool, which is not usable yet.
+fn member(member: &directory::Member, zone: &id::Zone) -> Member {
     let registration = &member.registration;
     let local = registration.zone == *zone;
     let report = limit::Report {
@@ -122,7 +123,7 @@
         endpoint: registration.id.clone(),
         zone: registration.zone.clone(),
         address: registration.address,
-        usable: member.is_usable(now),
+        usable: false,
         extra_delay: if local {
             Duration::ZERO
         } else {
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -22,6 +22,7 @@
     pub endpoint: id::Endpoint,
     pub zone: id::Zone,
     pub address: SocketAddr,
+    pub incarnation: u64,
     pub requirement: Requirement,
     /// Whether the endpoint was cold, so that the call counted against its bound.
     pub cold: bool,
@@ -85,6 +86,12 @@
         self.slot.cold
     }
 
+    /// Returns the endpoint's incarnation, as in its [`Member`](crate::Member).
+    #[must_use]
+    pub const fn incarnation(&self) -> u64 {
+        self.slot.incarnation
+    }
+
     /// Returns the endpoint's address.
     #[must_use]
     pub const fn address(&self) -> SocketAddr {
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -267,6 +267,7 @@
             endpoint: state.member.endpoint.clone(),
             zone: state.member.zone.clone(),
             address: state.member.address,
+            incarnation: state.member.incarnation,
             requirement: job.requirement.clone(),
             cold,
             dispatch: None,
