Take no time of a call for an endpoint's speed while links are lost

Change: a call whose connection was made while links are suspect or down is not timed: neither its endpoint's speed nor its concurrency limit learn from it.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -145,7 +145,7 @@
     pub async fn open(&mut self, overrides: &Overrides) -> Result<Opened, Refusal> {
         loop {
             self.check_not_blocked()?;
-            let permit = self.acquire_slot(overrides).await?;
+            let mut permit = self.acquire_slot(overrides).await?;
             let links = &self.node.links;
             let target = Target {
                 endpoint: permit.endpoint(),
@@ -160,6 +160,9 @@
                     continue;
                 }
             };
+            if self.node.links.are_suspect() {
+                permit.set_untimed();
+            }
             if !self.may_send_to(&permit)? {
                 self.skip_unusable(permit.endpoint())?;
                 continue;
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -28,6 +28,8 @@
     pub cold: bool,
     pub dispatch: Option<queue::Dispatch>,
     pub since: Moment,
+    /// Whether the time of the call shows the endpoint's speed.
+    pub timed: bool,
     /// Identifies the call at its engine, if it has a prompt.
     pub call: Option<engine::CallId>,
     /// The prompt, if the call is at an engine.
@@ -98,6 +100,12 @@
         self.slot.address
     }
 
+    /// Records that the call takes a detour or waited for lost links, so that its time says nothing of the
+    /// endpoint.
+    pub const fn set_untimed(&mut self) {
+        self.slot.timed = false;
+    }
+
     /// Records that the first token has arrived: the prompt is prefilled.
     pub fn record_first_token(&mut self) {
         let now = self.shared.clock.now();
@@ -112,10 +120,14 @@
         let took = now.since(self.slot.since);
         #[expect(clippy::cast_precision_loss, reason = "token counts are small")]
         let seconds_per_token = took.as_secs_f64() / tokens.0.max(1) as f64;
-        let outcome = limit::Outcome::Served { tokens, took };
+        let outcome = if self.slot.timed {
+            limit::Outcome::Served { tokens, took }
+        } else {
+            limit::Outcome::Unknown
+        };
         // The duration of an engine's answer depends on its model and length, and says nothing about its
         // health.
-        let health = if self.slot.call.is_some() {
+        let health = if self.slot.call.is_some() || !self.slot.timed {
             eject::Outcome::AnsweredUntimed
         } else {
             eject::Outcome::Served { seconds_per_token }
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -272,6 +272,7 @@
             cold,
             dispatch: None,
             since: now,
+            timed: true,
             call,
             prompt,
         };
