Send nothing to an endpoint for as long as it asks for rest

An endpoint that had turned a VM away with 503 and Retry-After got four and seven requests from it in the three seconds that it had asked for; each was turned away and used up a retry (BUDGET).

Cause: the time that a response names was dropped when its head was read, and the scheduler's backoff after a refusal lasts 20 to 800 ms. Class: as for endpoints that leave, what endpoints announce in their answers is not read or is taken as a hint.

Its end is spread over up to a second. If all endpoints of a service rest for longer than the caller wants to wait, it is refused at once with the time that is left. A VM through which the endpoint was reached is told, as that one was turned away. A refusal without a time is handled as before.

Why it is enough: one place, Attempts::may_send_to, decides right before each send, whatever gave the permit.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod poison;
 pub mod queue;
 pub mod reach;
+pub mod rest;
 pub mod retry;
 pub mod rollout;
 pub mod session;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -369,7 +369,9 @@
         let grant = self.check_allowed()?;
         let at_home = self.home_requirement(&grant).allows_zone(permit.zone());
         let paced = permit.is_cold() || !self.node.is_cold(permit.endpoint());
-        Ok(at_home && paced && self.node.usable(permit.endpoint()))
+        let pool = self.node.scheduler.pool(&self.request.pool);
+        let rests = pool.is_resting(permit.endpoint());
+        Ok(at_home && paced && !rests && self.node.usable(permit.endpoint()))
     }
 
     /// Sends the request. Returns none if the attempt failed and another one may be made.
--- a/crates/relay/src/attempts/announced.rs
+++ b/crates/relay/src/attempts/announced.rs
@@ -10,6 +10,7 @@
 use crate::codec::Codec;
 use crate::departures::Departure;
 use crate::headers::AnnouncedLimit;
+use crate::headers::AnnouncedRest;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
 use crate::pools;
@@ -21,6 +22,7 @@
         let endpoint = permit.endpoint();
         self.apply_limit(endpoint, Kind::Requests, &info.limit);
         self.apply_limit(endpoint, Kind::Rejections, &info.max_rejections);
+        self.apply_rest(endpoint, &info.rest);
         if info.leaving {
             self.apply_departure(permit);
         }
@@ -48,6 +50,28 @@
         }
     }
 
+    /// Sends nothing for some time to an endpoint that asks for rest.
+    fn apply_rest(&self, endpoint: &id::Endpoint, rest: &AnnouncedRest) {
+        let request = self.request.info.id.as_str();
+        match rest {
+            AnnouncedRest::Absent => {}
+            AnnouncedRest::Rest(rest) => {
+                let pool = self.node.scheduler.pool(&self.request.pool);
+                pool.record_rest(endpoint, *rest);
+                let endpoint = endpoint.as_str();
+                log::info!(request, endpoint, rest_s:% = rest; "attempt: The endpoint asked for rest.");
+                if self.node.links.are_suspect() {
+                    // It was another VM that the endpoint turned away.
+                    self.node.announced.notify_one();
+                }
+            }
+            AnnouncedRest::Invalid(error) => {
+                let endpoint = endpoint.as_str();
+                log::warn!(request, endpoint, error:%; "attempt: The endpoint asked for an invalid time of rest.");
+            }
+        }
+    }
+
     /// Sends nothing more to an endpoint that leaves, whatever the log lists.
     fn apply_departure(&self, permit: &Permit) {
         let departure = Departure::new(permit.endpoint(), permit.incarnation());
--- a/crates/relay/src/headers.rs
+++ b/crates/relay/src/headers.rs
@@ -10,6 +10,7 @@
 use hyper::HeaderMap;
 use hyper::http::request;
 use hyper::http::response;
+use pimento_policy::rest;
 use pimento_policy::throttle;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -96,6 +97,8 @@
     pub signed: bool,
     /// Why the request did not run, if the response declares that.
     pub declined: Option<Declined>,
+    /// How long the endpoint wants no requests from this VM, if it refused the request.
+    pub rest: AnnouncedRest,
     /// Whether the endpoint says that it leaves and takes no new work.
     pub leaving: bool,
     /// The model's confidence in its answer, from 0 to 100.
@@ -116,6 +119,18 @@
     Misdirected,
 }
 
+/// The time for which a response asks for no requests.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum AnnouncedRest {
+    /// It asks for none.
+    #[default]
+    Absent,
+    /// This time.
+    Rest(rest::Rest),
+    /// The value is not a valid time.
+    Invalid(rest::Error),
+}
+
 /// The rate limit that a response announces for its endpoint.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub enum AnnouncedLimit {
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -15,6 +15,7 @@
 use super::message::Position;
 use super::message::Prefill;
 use super::message::Proofs;
+use super::message::RestMessage;
 use super::message::ZoneSummary;
 use super::peers::PROBE_INTERVAL;
 use super::update::Update;
@@ -46,6 +47,9 @@
 /// How often a VM that serves others tells them what it knows of the zones.
 const ZONES_INTERVAL: Duration = Duration::from_secs(2);
 
+/// Endpoints that rest in one datagram.
+const MAX_RESTS: usize = 32;
+
 /// The most leaders of other groups that a leader names to its group.
 const MAX_NAMED_LEADERS: usize = 8;
 
@@ -182,10 +186,15 @@
     /// Tells the VMs through which this one reached endpoints what those announced: it reached them.
     async fn send_to_helpers(&self) {
         let port = self.node.config.peer_listen.port();
+        let rests = self.node.scheduler.pools().into_iter();
+        let rests = rests.flat_map(|(_, pool)| pool.rests());
+        let update = Update {
+            rests: rests.map(RestMessage::from).take(MAX_RESTS).collect(),
+            ..Update::default()
+        };
         for helper in self.node.links.recent_helpers() {
             let address = SocketAddr::new(helper.ip(), port);
-            let nothing = Update::default();
-            self.send(address, None, Audience::Remote, &nothing).await;
+            self.send(address, None, Audience::Remote, &update).await;
         }
     }
 
@@ -369,6 +378,7 @@
                 links: Some(self.node.links.report()),
                 max_rejections: limit::rejections(part.limits),
                 departures: self.node.departures.to_tell(boot::now()),
+                rests: update.rests.clone(),
             };
             let bytes = match message::encode(&message, &extension) {
                 Ok(bytes) => bytes,
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -1,9 +1,11 @@
 //! The datagrams between entry VMs.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
+use pimento_scheduler::RestReport;
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
@@ -66,6 +68,36 @@
     pub max_rejections: Vec<RejectionMessage>,
     /// Endpoints that said not long ago that they leave.
     pub departures: Vec<Departure>,
+    /// Endpoints that turned away what the sender sent them through the receiver.
+    pub rests: Vec<RestMessage>,
+}
+
+/// An endpoint that wants no requests for some time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestMessage {
+    endpoint: u64,
+    incarnation: u64,
+    remaining_ms: u32,
+}
+
+impl From<RestReport> for RestMessage {
+    fn from(report: RestReport) -> Self {
+        Self {
+            endpoint: report.endpoint,
+            incarnation: report.incarnation,
+            remaining_ms: u32::try_from(report.remaining.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<RestMessage> for RestReport {
+    fn from(message: RestMessage) -> Self {
+        Self {
+            endpoint: message.endpoint,
+            incarnation: message.incarnation,
+            remaining: Duration::from_millis(u64::from(message.remaining_ms)),
+        }
+    }
 }
 
 /// The part of a VM in its zone.
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -208,6 +208,9 @@
                     pool.merge_limit(*report);
                 }
             }
+            for rest in &extension.rests {
+                pool.merge_rest((*rest).into());
+            }
             for prefill in &message.prefills {
                 pool.merge_prefilled(prefill.engine, &prefill.prompt());
             }
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -4,6 +4,7 @@
 
 use super::limit::Limit;
 use super::message::Prefill;
+use super::message::RestMessage;
 use super::message::ZoneSummary;
 use crate::bundle::Bundle;
 use crate::poison::Report;
@@ -48,6 +49,8 @@
     pub zones: Vec<ZoneSummary>,
     /// Records of the log.
     pub bundles: Vec<Bundle>,
+    /// Endpoints that rest, for the VM through which they were reached.
+    pub rests: Vec<RestMessage>,
 }
 
 impl Update {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -124,8 +124,9 @@
 impl<P: HeaderCodec + Codec, L: Log> gate::Endpoints for Node<P, L> {
     fn usable_address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
         let member = self.directory.view(|view| view.member(endpoint).cloned())?;
-        let usable = !self.leaving.is_cancelled() && self.usable(endpoint);
-        usable.then_some(member.registration.address)
+        let pool = self.scheduler.pool(&member.registration.pool);
+        let open = !self.leaving.is_cancelled() && !pool.is_resting(endpoint);
+        (open && self.usable(endpoint)).then_some(member.registration.address)
     }
 }
 
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -78,6 +78,8 @@
     pub(crate) closed_until: Moment,
     /// When it accepts calls again according to its last refusal.
     pub(crate) retry_at: Moment,
+    /// Until when it wants no calls from this VM, as it said itself.
+    pub(crate) resting_until: Moment,
     /// Prefill queue and prefix cache, for an engine.
     pub(crate) engine: Option<Engine>,
     /// The limit in requests per second that it named for all VMs together.
@@ -104,7 +106,8 @@
         let allowed = self.throttles(now).all(|throttle| throttle.can_send(now));
         let room = self.room(now);
         let room = room.is_none_or(|room| self.limiter.in_flight() < room);
-        self.member.usable && now >= self.closed_until && allowed && room
+        let open = now >= self.closed_until.max(self.resting_until);
+        self.member.usable && open && allowed && room
     }
 
     /// Returns what is known of a limit of the endpoint.
@@ -178,7 +181,7 @@
         let brittle = self.brittle(now).map_or(Duration::ZERO, |brittle| {
             brittle.wait(now).unwrap_or(NO_SHARE_RETRY_AFTER)
         });
-        now + limited.max(cold).max(brittle)
+        (now + limited.max(cold).max(brittle)).max(self.resting_until)
     }
 
     /// Returns the number of concurrent calls that the endpoint contributes to the pool's capacity.
@@ -244,6 +247,7 @@
         consecutive_refusals: 0,
         closed_until: Moment::ZERO,
         retry_at: Moment::ZERO,
+        resting_until: Moment::ZERO,
         engine: member.kv_capacity.map(Engine::new),
         rate_limit: None,
         brittle: None,
@@ -310,6 +314,7 @@
         state.consecutive_refusals = 0;
         state.closed_until = Moment::ZERO;
         state.retry_at = Moment::ZERO;
+        state.resting_until = Moment::ZERO;
         state.rate_limit = None;
         state.brittle = None;
         state.delay = shed::Delay::default();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -28,4 +28,5 @@
 pub use pool::Pool;
 pub use pool::PoolMetrics;
 pub use pool::Scheduler;
+pub use pool_state::rest::Report as RestReport;
 pub use requirement::Requirement;
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -10,6 +10,7 @@
 use pimento_policy::admission;
 use pimento_policy::engine::Prompt;
 use pimento_policy::queue;
+use pimento_policy::rest::Rest;
 use pimento_policy::shed::Aim;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::Moment;
@@ -25,6 +26,7 @@
 use crate::participants::Participants;
 use crate::permit::Permit;
 use crate::pool_state::PoolState;
+use crate::pool_state::rest;
 use crate::requirement::Requirement;
 
 /// A job that needs a slot.
@@ -239,6 +241,34 @@
         self.shared.lock().is_brittle(endpoint, now)
     }
 
+    /// Records that an endpoint which turned a request away wants none from this VM for some time.
+    pub fn record_rest(&self, endpoint: &id::Endpoint, rest: Rest) {
+        let now = self.shared.clock.now();
+        let spread = rand::random_range(0.0..1.0);
+        let mut state = self.shared.lock();
+        state.record_rest(endpoint, rest, spread, now);
+    }
+
+    /// Returns whether an endpoint wants no requests from this VM at present.
+    #[must_use]
+    pub fn is_resting(&self, endpoint: &id::Endpoint) -> bool {
+        let now = self.shared.clock.now();
+        self.shared.lock().is_resting(endpoint, now)
+    }
+
+    /// Returns the endpoints that want no requests at present, to report to the VMs that connected this one.
+    #[must_use]
+    pub fn rests(&self) -> Vec<rest::Report> {
+        let now = self.shared.clock.now();
+        self.shared.lock().rests(now)
+    }
+
+    /// Merges the report of a VM that reached an endpoint through this one.
+    pub fn merge_rest(&self, report: rest::Report) {
+        let now = self.shared.clock.now();
+        self.shared.lock().merge_rest(report, now);
+    }
+
     /// Returns the reports of endpoints' limits for other VMs.
     #[must_use]
     pub fn limit_reports(&self) -> Vec<endpoint_limit::Report> {
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod placement;
+pub(crate) mod rest;
 mod waiting;
 
 use std::sync::Arc;
--- a/crates/scheduler/src/pool_state/waiting.rs
+++ b/crates/scheduler/src/pool_state/waiting.rs
@@ -128,6 +128,9 @@
     /// before. Returns `None` if an endpoint may accept the job. Refusing such a job at once is better than
     /// trying the endpoints until its time is up.
     pub fn unavailable_for(&self, job: &Job, now: Moment) -> Option<Duration> {
+        if let Some(after) = self.all_rest_for(job, now) {
+            return Some(after);
+        }
         let run_time = self.expected_run_time(&job.requirement, job.tokens);
         let slack = job.deadline.since(now).saturating_sub(run_time);
         let states = self.usable(&job.requirement);
