--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -5,18 +5,17 @@
 //! promise that the request did not run, and whether the request may be sent again.
 
 mod announced;
+mod connect;
 mod detail;
+mod slot;
 
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
 use pimento_scheduler::Estimate;
-use pimento_scheduler::NoSlot;
 use pimento_scheduler::Permit;
-use pimento_scheduler::Requirement;
 use pimento_units::Moment;
 use pimento_units::id;
-use tokio_util::sync::CancellationToken;
 
 use crate::admit;
 use crate::admit::Grant;
@@ -27,9 +26,6 @@
 use crate::headers::Declined;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
-use crate::links::Blame;
-use crate::links::Failure;
-use crate::links::Target;
 use crate::node::Node;
 use crate::node::millis;
 use crate::poison;
@@ -146,23 +142,13 @@
         loop {
             self.check_not_blocked()?;
             let mut permit = self.acquire_slot(overrides).await?;
-            let links = &self.node.links;
-            let target = Target {
-                endpoint: permit.endpoint(),
-                zone: permit.zone(),
-                address: permit.address(),
-                lifetime: self.request.left(self.node.now()),
-            };
-            let connection = match links.connect(target).await {
+            let connection = match self.connect(&mut permit).await {
                 Ok(connection) => connection,
                 Err(failure) => {
                     self.not_connected(permit, &failure)?;
                     continue;
                 }
             };
-            if self.node.links.are_suspect() {
-                permit.set_untimed();
-            }
             if !self.may_send_to(&permit)? {
                 self.skip_unusable(permit.endpoint())?;
                 continue;
@@ -192,69 +178,6 @@
         self.node.retry_budgets.try_acquire(&self.request.pool, now)
     }
 
-    /// Waits for a slot at an endpoint that is still usable.
-    async fn acquire_slot(&mut self, overrides: &Overrides) -> Result<Permit, Refusal> {
-        let mut refreshed = false;
-        loop {
-            let pool = self.node.scheduler.pool(&self.request.pool);
-            // Dropping this future removes the job from the queue, so the token is never cancelled.
-            let never = CancellationToken::new();
-            let started = self.node.now();
-            let permit = pool.acquire(self.job(overrides), &never).await;
-            let waited = self.node.now().since(started);
-            let route = &self.request.grant.route.name;
-            self.node.metrics.observe_queue_wait(route, waited);
-            let permit = match permit {
-                Ok(permit) => permit,
-                // A suitable endpoint may have registered since the pool was last updated. One refresh is
-                // enough, since no other task runs between the refresh and the next try.
-                Err(NoSlot::NoEndpoint { .. }) if !refreshed => {
-                    refreshed = true;
-                    pools::refresh(self.node);
-                    continue;
-                }
-                Err(NoSlot::NoEndpoint { after }) => {
-                    let cause = self.no_endpoint_cause();
-                    return Err(self.qualify(Refusal::new(cause).with_retry_after(after)));
-                }
-                Err(refused) => return Err(self.qualify(refused.into())),
-            };
-            if self.node.usable(permit.endpoint()) && !self.version_is_bad(&permit) {
-                return Ok(permit);
-            }
-            self.skip_unusable(permit.endpoint())?;
-        }
-    }
-
-    /// The zones in which the request may run by its grant, as a requirement of any version.
-    pub(super) fn home_requirement(&self, grant: &Grant) -> Requirement {
-        Requirement {
-            version: None,
-            zones: grant.allowed_zones(&self.node.config.zones),
-        }
-    }
-
-    /// Why no endpoint can take the request, although the view of the endpoints is up to date.
-    fn no_endpoint_cause(&self) -> Cause {
-        let request = self.request;
-        let homes = self.home_requirement(&request.grant);
-        let allowed = |zone: &id::Zone| homes.allows_zone(zone);
-        let registered = self.node.usable_zones(&request.pool);
-        if !registered.is_empty() && !registered.iter().any(allowed) {
-            return Cause::NotHome;
-        }
-        let evacuated = self.node.operators.view(|view| {
-            let evacuations = view.evacuations();
-            let mut zones = registered.iter().filter(|zone| allowed(zone));
-            zones.any(|zone| evacuations.contains(zone))
-        });
-        if evacuated {
-            Cause::Evacuated
-        } else {
-            Cause::NoEndpoint
-        }
-    }
-
     /// Avoids an endpoint that the pool offered although it accepts no new work, and updates the pool.
     /// The task that updates the pool runs only once this one waits. Without the update, the request would
     /// get the same leaving endpoint again until it is refused, although others are free.
@@ -264,15 +187,6 @@
         self.count_declined()
     }
 
-    /// Whether the endpoint's version was found to be bad while the job waited.
-    fn version_is_bad(&self, permit: &Permit) -> bool {
-        let Some(version) = permit.version() else {
-            return false;
-        };
-        self.node
-            .rollouts(|r| r.is_bad(&self.request.pool, version))
-    }
-
     /// Counts an endpoint that did not run the request.
     fn count_declined(&mut self) -> Result<(), Refusal> {
         self.state.declined += 1;
@@ -308,23 +222,6 @@
         pool.is_brittle(endpoint)
     }
 
-    /// Records that no connection to an endpoint was made.
-    fn not_connected(&mut self, permit: Permit, failure: &Failure) -> Result<(), Refusal> {
-        if failure.blame == Blame::Endpoint {
-            return self.endpoint_declined(permit, &failure.fault);
-        }
-        let message = "attempt: The endpoint is out of reach.";
-        self.log_failure(&permit, &failure.fault, message);
-        let metrics = &self.node.metrics;
-        metrics.count_attempt(&self.request.pool, "out_of_reach");
-        self.state.tried.push(permit.endpoint().clone());
-        match failure.blame {
-            Blame::Silence => permit.unanswered(),
-            Blame::Endpoint | Blame::Links => permit.lost(),
-        }
-        self.count_declined()
-    }
-
     /// Refuses the request if it is blocked because endpoints crashed while they ran it.
     fn check_not_blocked(&self) -> Result<(), Refusal> {
         let request = self.request;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -5,8 +5,10 @@
 //! one request has been connected that way, all others that still wait for this VM's own links
 //! follow it.
 
+pub mod failure;
 pub mod gate;
 pub mod helpers;
+mod tunnels;
 
 use std::io;
 use std::net::SocketAddr;
@@ -16,18 +18,11 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use compact_str::CompactString;
-use pimento_endpoint::Fault;
-use pimento_endpoint::probe;
 use pimento_policy::connect::ConnectTimeout;
 use pimento_policy::reach;
 use pimento_policy::reach::Reach;
 use pimento_policy::reach::Route;
 use pimento_scheduler::Clock;
-use pimento_tunnel::Tunnel;
-use pimento_tunnel::client;
-use pimento_tunnel::message::Reply;
-use pimento_tunnel::message::Request;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
@@ -37,17 +32,14 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
+use self::failure::Blame;
+use self::failure::Failure;
 use self::helpers::Helper;
 use self::helpers::Helpers;
+use self::tunnels::Declined;
 use crate::connection::Connection;
 use crate::node::millis;
 
-/// VMs that are asked for one request. Most that can't help are known before.
-const MAX_HELPERS: usize = 3;
-
-/// Time that another VM has for its own connect, beside the time for the connection to it.
-const HELPER_SLACK: Duration = Duration::from_millis(100);
-
 /// An endpoint to connect to.
 #[derive(Debug, Clone, Copy)]
 pub struct Target<'a> {
@@ -243,19 +235,6 @@
         Ok(stream)
     }
 
-    /// Whether nobody listens at an endpoint's address. A VM that loses its links is refused by endpoints
-    /// that other VMs reach, so that one of them has to confirm it.
-    pub async fn is_refused(&self, target: Target<'_>) -> bool {
-        if !probe::is_refused(target.address, self.connect_timeout()).await {
-            return false;
-        }
-        match self.open_tunnel(target).await {
-            Ok(_) | Err(Declined::ByEndpoint(Reply::TimedOut)) => false,
-            Err(Declined::ByEndpoint(_)) => true,
-            Err(Declined::NoHelper) => !self.are_suspect(),
-        }
-    }
-
     /// Tries this VM's own link to an endpoint in the background, without a request that would wait for it.
     fn spawn_trial(self: &Arc<Self>, target: Target<'_>) {
         let links = Arc::clone(self);
@@ -268,46 +247,6 @@
         });
     }
 
-    /// Opens a tunnel to an endpoint at another VM.
-    async fn open_tunnel(&self, target: Target<'_>) -> Result<Tunnel, Declined> {
-        let request = Request {
-            endpoint: target.endpoint.clone(),
-            lifetime: target.lifetime,
-        };
-        let timeout = self.connect_timeout() * 2 + HELPER_SLACK;
-        for _ in 0..MAX_HELPERS {
-            let (zone, now) = (target.zone, self.clock.now());
-            let random = rand::random();
-            let helper = self
-                .lock()
-                .helpers
-                .choose(&self.zone, zone, random, now)
-                .ok_or(Declined::NoHelper)?;
-            let error = match client::open(helper, &request, timeout).await {
-                Ok(tunnel) => {
-                    let mut state = self.lock();
-                    state.counts.relayed += 1;
-                    state.helpers.record_used(helper, self.clock.now());
-                    return Ok(tunnel);
-                }
-                Err(error) => error,
-            };
-            let endpoint = target.endpoint.as_str();
-            log::info!(endpoint, helper:%, error:%; "links: No connection through another VM.");
-            let mut state = self.lock();
-            state.counts.not_relayed += 1;
-            if let client::Error::Declined {
-                reply: reply @ (Reply::Refused | Reply::TimedOut),
-            } = error
-            {
-                state.reach.forget(target.endpoint);
-                return Err(Declined::ByEndpoint(reply));
-            }
-            state.helpers.record_failed(helper, self.clock.now());
-        }
-        Err(Declined::NoHelper)
-    }
-
     /// Changes the state, and tells others if that changed what is known of this VM's own links.
     fn update(&self, act: impl FnOnce(&mut State)) {
         let (links, reaching_vms, connected_at) = {
@@ -388,61 +327,6 @@
     }
 }
 
-/// What a failed connect says of.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Blame {
-    /// The endpoint refused it.
-    Endpoint,
-    /// The endpoint did not respond, and may just be silent for a moment.
-    Silence,
-    /// This VM's links may be lost.
-    Links,
-}
-
-/// Why an endpoint was not connected. Nothing was sent.
-#[derive(Debug)]
-pub struct Failure {
-    /// The fault, a [`Fault::Unreachable`].
-    pub fault: Fault,
-    /// What it says of.
-    pub blame: Blame,
-}
-
-impl Failure {
-    fn new(error: &impl ToString, blame: Blame) -> Self {
-        Self {
-            fault: unreachable(error),
-            blame,
-        }
-    }
-}
-
-impl From<&io::Error> for Blame {
-    fn from(error: &io::Error) -> Self {
-        match error.kind() {
-            io::ErrorKind::TimedOut => Self::Silence,
-            _ => Self::Endpoint,
-        }
-    }
-}
-
-impl From<Reply> for Blame {
-    fn from(reply: Reply) -> Self {
-        match reply {
-            Reply::TimedOut => Self::Silence,
-            _ => Self::Endpoint,
-        }
-    }
-}
-
-/// Why no other VM connected to an endpoint.
-enum Declined {
-    /// One that reaches endpoints did not reach this one.
-    ByEndpoint(Reply),
-    /// None was able to.
-    NoHelper,
-}
-
 /// Prepares an open connection for a request.
 async fn over(
     stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
@@ -454,9 +338,3 @@
         blame: Blame::Links,
     })
 }
-
-fn unreachable(error: &impl ToString) -> Fault {
-    Fault::Unreachable {
-        reason: CompactString::from(error.to_string()),
-    }
-}
