--- a/crates/relay/src/neighbours/discovery.rs
+++ b/crates/relay/src/neighbours/discovery.rs
@@ -13,7 +13,7 @@
 use super::Neighbours;
 use super::RETRY_DELAY;
 use super::broadcast::Audience;
-use super::peers::Peer;
+use super::peer::Peer;
 use super::update::Update;
 use super::zones::MAX_CONTACTS;
 use crate::boot;
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -15,7 +15,7 @@
 use super::groups::Level;
 use super::limit::LimitMessage;
 use super::limit::RejectionMessage;
-use super::peers::ReaderStatus;
+use super::peer::ReaderStatus;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
 use crate::departures::Departure;
--- a/crates/relay/tests/all/helpers.rs
+++ b/crates/relay/tests/all/helpers.rs
@@ -6,9 +6,9 @@
 use pimento_relay::links;
 use pimento_relay::links::helpers::Helpers;
 use pimento_relay::neighbours::groups::Level;
-use pimento_relay::neighbours::peers::Peer;
+use pimento_relay::neighbours::peer::Peer;
+use pimento_relay::neighbours::peer::ReaderStatus;
 use pimento_relay::neighbours::peers::Peers;
-use pimento_relay::neighbours::peers::ReaderStatus;
 use pimento_units::Moment;
 use pimento_units::id;
 
