Take a failed connect for the endpoint's fault where no other VM is known

A VM without neighbours would have held nothing against endpoints that are down: with nobody to ask, its links stay suspect until a connect succeeds, and what fails meanwhile was nobody's fault. Such a VM goes on as before links were tracked: refused and silent endpoints are ejected, and refused ones count as crashed.

--- a/crates/policy/src/brittle.rs
+++ b/crates/policy/src/brittle.rs
@@ -170,16 +170,14 @@
     /// one included.
     pub fn record_rejection(&mut self, in_flight: u32, now: Moment) {
         let running = f64::from(in_flight.saturating_sub(1));
-        let used = self.used(now);
-        let paused = !self.pause(now).is_zero();
-        self.shrink(
-            if paused {
-                used.min(running)
-            } else {
-                used.min(running) * DECREASE
-            },
-            now,
-        );
+        let fits = self.used(now).min(running);
+        // All VMs have made their parts smaller already if nothing is sent at present.
+        let factor = if self.pause(now).is_zero() {
+            DECREASE
+        } else {
+            1.0
+        };
+        self.shrink(fits * factor, now);
     }
 
     /// Records that the endpoint turned a request of another VM away at `at`. Returns false if nothing was
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -125,6 +125,11 @@
         *self.known.borrow() != reach::Links::Up
     }
 
+    /// Whether no other VM is known that might help.
+    fn is_alone(&self) -> bool {
+        self.lock().helpers.is_empty()
+    }
+
     /// The state of this VM's own links, for waiting until it changes.
     pub fn watch(&self) -> watch::Receiver<reach::Links> {
         self.known.subscribe()
@@ -173,6 +178,8 @@
             Err(Declined::ByEndpoint(reply)) => {
                 return Err(Failure::new(&reply.as_str(), reply.into()));
             }
+            // Without any other VM, the links can't be told from the endpoint.
+            Err(Declined::NoHelper) if self.is_alone() => return Err(failure),
             Err(Declined::NoHelper) => {
                 return Err(Failure {
                     blame: Blame::Links,
--- a/crates/relay/src/links/helpers.rs
+++ b/crates/relay/src/links/helpers.rs
@@ -50,6 +50,12 @@
         self.all = helpers;
     }
 
+    /// Whether there are none.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.all.is_empty()
+    }
+
     /// The number of VMs that are known to reach endpoints.
     #[must_use]
     pub fn reaching(&self) -> usize {
--- a/crates/relay/src/links/tunnels.rs
+++ b/crates/relay/src/links/tunnels.rs
@@ -35,7 +35,7 @@
         match self.open_tunnel(target).await {
             Ok(_) | Err(Declined::ByEndpoint(Reply::TimedOut)) => false,
             Err(Declined::ByEndpoint(_)) => true,
-            Err(Declined::NoHelper) => !self.are_suspect(),
+            Err(Declined::NoHelper) => self.is_alone() || !self.are_suspect(),
         }
     }
 
