Bound the departures that a datagram carries

When hundreds of endpoints say within two seconds that they leave, every datagram between VMs would carry all of them, grow beyond what a VM receives (10 kB), and be dropped with all that it tells.

Change: the 32 latest are told; the others are told by what the VMs hear themselves and by the log. Endpoints that rest are looked up only if another VM helped not long ago.

Observed: many_departures_fit_a_datagram passes; it was not run without the bound.

--- a/crates/relay/src/departures.rs
+++ b/crates/relay/src/departures.rs
@@ -3,6 +3,7 @@
 //! What an endpoint says itself goes before what the log lists: its registration may be late, or the log
 //! out of reach. A departure belongs to one life of an endpoint, so that its next one is used at once.
 
+use std::cmp::Reverse;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
@@ -25,6 +26,9 @@
 /// second.
 const TELLING: Duration = Duration::from_secs(2);
 
+/// The most departures that are told at a time: they go in every datagram.
+const MAX_TOLD: usize = 32;
+
 /// One life of an endpoint that leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Departure {
@@ -89,13 +93,16 @@
         found.is_ok_and(|place| now.since(known[place].since) < MEMORY)
     }
 
-    /// The departures to tell other VMs now.
+    /// The departures to tell other VMs now: the latest if there are many.
     #[must_use]
     pub fn to_tell(&self, now: Moment) -> Vec<Departure> {
         let known = self.lock();
         let recent = known
             .iter()
             .filter(|known| now.since(known.since) < TELLING);
-        recent.map(|known| known.departure).collect()
+        let mut recent: Vec<Known> = recent.copied().collect();
+        recent.sort_unstable_by_key(|known| Reverse(known.since));
+        recent.truncate(MAX_TOLD);
+        recent.iter().map(|known| known.departure).collect()
     }
 }
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -185,14 +185,18 @@
 
     /// Tells the VMs through which this one reached endpoints what those announced: it reached them.
     async fn send_to_helpers(&self) {
-        let port = self.node.config.peer_listen.port();
+        let helpers = self.node.links.recent_helpers();
+        if helpers.is_empty() {
+            return;
+        }
         let rests = self.node.scheduler.pools().into_iter();
         let rests = rests.flat_map(|(_, pool)| pool.rests());
         let update = Update {
             rests: rests.map(RestMessage::from).take(MAX_RESTS).collect(),
             ..Update::default()
         };
-        for helper in self.node.links.recent_helpers() {
+        let port = self.node.config.peer_listen.port();
+        for helper in helpers {
             let address = SocketAddr::new(helper.ip(), port);
             self.send(address, None, Audience::Remote, &update).await;
         }
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the relay's modules through its public interface.
 
 mod bundle;
+mod departures;
 mod fixture;
 mod follow;
 mod groups;
