Let an ejected endpoint serve while all others rest

Callers got 503 'overloaded' for as long as the other endpoints of a service rested, although one that did not rest was free: it had been ejected, for instance for being slower than the others once were.

Cause: ejection counts an endpoint that rests among those that remain.

Change: ejected endpoints are a last resort where some endpoints rest and all others are ejected, as they are where a request must stay in a region.

Why it is enough: the one decision that placing, waiting and refusing ask, is_last_resort, knows of rests now.

--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -233,11 +233,14 @@
     }
 
     /// Returns whether ejected endpoints take jobs with this requirement, because no others may. The share of
-    /// the pool that may be ejected says nothing of those zones: callers who must stay in a region would be
-    /// refused for seconds because its only endpoint is slower than those of other regions.
+    /// the pool that may be ejected says nothing of zones, nor of endpoints that rest: callers who must stay
+    /// in a region, or who come while all others rest, would be refused for seconds because the only endpoint
+    /// left is slower than those.
     fn is_last_resort(&self, requirement: &Requirement, now: Moment) -> bool {
-        let mut usable = self.usable(requirement);
-        requirement.zones.is_some() && usable.all(|state| self.is_ejected(state, now))
+        let rests = |state: &&EndpointState| now < state.resting_until;
+        let some_rest = self.usable(requirement).any(|state| rests(&state));
+        let mut awake = self.usable(requirement).filter(|state| !rests(state));
+        (requirement.zones.is_some() || some_rest) && awake.all(|s| self.is_ejected(s, now))
     }
 
     /// Chooses an endpoint with a free slot and acquires it. Endpoints that failed the job before are a
