Let one function compute a VM's share of a brittle endpoint

The share of a brittle endpoint was computed in two places from the same four values, and a struct carried those to a function beside the pool. set_limit and brittle_share are methods of the pool's state now, and both callers use them. The test of the model names its engine once.

Behaviour is as before.

--- a/crates/policy/tests/brittle.rs
+++ b/crates/policy/tests/brittle.rs
@@ -25,6 +25,12 @@
 /// VMs of a zone up to which all of them send to each other.
 const MAX_GROUP: u64 = 48;
 
+const ENGINE: Capacity = Capacity {
+    slots: 64,
+    max_rejections: 8.0,
+    hold_time: Duration::from_millis(1_500),
+};
+
 struct Vm {
     share: Share,
     room: Room,
@@ -170,14 +176,9 @@
         max_rejections: 5.0,
         hold_time: Duration::from_millis(60),
     };
-    let engine = Capacity {
-        slots: 64,
-        max_rejections: 8.0,
-        hold_time: Duration::from_millis(1_500),
-    };
     for vms in ZONES {
         check(plain, vms, 1.0, 0.2);
-        check(engine, vms, 1.0, 0.2);
+        check(ENGINE, vms, 1.0, 0.2);
     }
 }
 
@@ -185,13 +186,8 @@
 /// are taken.
 #[test]
 fn an_endpoint_with_less_room_than_slots_does_not_fall_over() {
-    let engine = Capacity {
-        slots: 64,
-        max_rejections: 8.0,
-        hold_time: Duration::from_millis(1_500),
-    };
     for vms in ZONES {
-        check(engine, vms, 0.5, 0.1);
+        check(ENGINE, vms, 0.5, 0.1);
     }
 }
 
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pimento_policy::brittle::Share;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::Moment;
 use pimento_units::id;
 
 use super::PoolState;
 use crate::brittle::BrittleState;
-use crate::brittle::HoldTime;
 use crate::brittle::REJECTION_REPORT_PERIOD;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_limit::Kind;
@@ -44,8 +44,7 @@
         let Some(index) = self.index_of(endpoint) else {
             return false;
         };
-        let state = &mut self.endpoints[index];
-        let known = state.limit_of(kind);
+        let known = self.endpoints[index].limit_of(kind);
         if !known.map_or(limit.is_some(), |known| known.is_replaced_by(limit, sent)) {
             return false;
         }
@@ -54,12 +53,7 @@
             source: Source::Local,
             observed: now,
         };
-        let sharing = Sharing {
-            participants: &self.participants,
-            zones: &self.zones,
-            hold_time: self.hold_time,
-        };
-        set_limit(state, kind, sharing, observation, now);
+        self.set_limit(index, kind, observation, now);
         known.and_then(|known| known.limit()) != limit
     }
 
@@ -83,12 +77,7 @@
             source: Source::Peer,
             observed,
         };
-        let sharing = Sharing {
-            participants: &self.participants,
-            zones: &self.zones,
-            hold_time: self.hold_time,
-        };
-        set_limit(state, report.kind, sharing, observation, now);
+        self.set_limit(index, report.kind, observation, now);
     }
 
     /// Returns the reports for other VMs.
@@ -109,15 +98,6 @@
         self.participants = participants;
         for state in &mut self.endpoints {
             let (zone, key) = (&state.member.zone, state.name_hash);
-            let (slots, hold_time) = (state.batch(), self.hold_time);
-            if let Some(brittle) = &mut state.brittle {
-                let share = |limit| {
-                    let capacity = hold_time.capacity(slots, limit);
-                    let participants = &self.participants;
-                    participants.brittle_share(capacity, zone, key, &self.zones)
-                };
-                brittle.set_share(share, now);
-            }
             if let Some(limited) = &mut state.rate_limit {
                 limited.set_share(|limit| self.participants.share(limit, zone, key), now);
             }
@@ -125,6 +105,39 @@
                 cold.set_share(|bound| self.participants.cold_share(bound, zone, key), now);
             }
         }
+        for index in 0..self.endpoints.len() {
+            let state = &self.endpoints[index];
+            if let Some(mut brittle) = state.brittle {
+                brittle.set_share(|limit| self.brittle_share(state, limit), now);
+                self.endpoints[index].brittle = Some(brittle);
+            }
+        }
+    }
+
+    /// Sets what is known of a limit of the endpoint at `index`.
+    fn set_limit(&mut self, index: usize, kind: Kind, observation: Observation, now: Moment) {
+        let state = &self.endpoints[index];
+        match kind {
+            Kind::Requests => {
+                let (zone, key) = (&state.member.zone, state.name_hash);
+                let share = |limit| self.participants.share(limit, zone, key);
+                let limited = EndpointLimit::new(observation, state.throttle(), share, now);
+                self.endpoints[index].rate_limit = Some(limited);
+            }
+            Kind::Rejections => {
+                let share = |limit| self.brittle_share(state, limit);
+                let brittle = BrittleState::new(observation, state.brittle, share, now);
+                self.endpoints[index].brittle = Some(brittle);
+            }
+        }
+    }
+
+    /// Returns this VM's share of an endpoint that may turn away so many requests.
+    fn brittle_share(&self, state: &EndpointState, limit: RateLimit) -> Share {
+        let capacity = self.hold_time.capacity(state.batch(), limit);
+        let (zone, key) = (&state.member.zone, state.name_hash);
+        self.participants
+            .brittle_share(capacity, zone, key, &self.zones)
     }
 
     /// Returns `None` if the job may wait for the rate limits and cold starts of the endpoints, else why it
@@ -204,45 +217,6 @@
 /// Minimum time until a scheduled dispatch.
 const MIN_WAKE_INTERVAL: Duration = Duration::from_millis(10);
 
-/// What a VM's share of an endpoint follows from.
-#[derive(Clone, Copy)]
-struct Sharing<'a> {
-    participants: &'a Participants,
-    /// Zones with usable endpoints, sorted.
-    zones: &'a [id::Zone],
-    hold_time: HoldTime,
-}
-
-fn set_limit(
-    state: &mut EndpointState,
-    kind: Kind,
-    sharing: Sharing<'_>,
-    observation: Observation,
-    now: Moment,
-) {
-    let Sharing {
-        participants,
-        zones,
-        hold_time,
-    } = sharing;
-    match kind {
-        Kind::Requests => {
-            let (zone, key, before) = (&state.member.zone, state.name_hash, state.throttle());
-            let share = |limit| participants.share(limit, zone, key);
-            state.rate_limit = Some(EndpointLimit::new(observation, before, share, now));
-        }
-        Kind::Rejections => {
-            let (zone, key, slots) = (&state.member.zone, state.name_hash, state.batch());
-            let share = |limit| {
-                let capacity = hold_time.capacity(slots, limit);
-                participants.brittle_share(capacity, zone, key, zones)
-            };
-            let brittle = BrittleState::new(observation, state.brittle, share, now);
-            state.brittle = Some(brittle);
-        }
-    }
-}
-
 fn seconds(seconds: f64) -> Duration {
     Duration::try_from_secs_f64(seconds).unwrap_or(NO_SHARE_RETRY_AFTER)
 }
