Log the prompt parts of an attempt that failed

Lines could not tell whether engines that ended one after the other had run prompts with a part in common: a prompt's parts stood in none of them. With the fault, which says whether the answer had begun, the parts tell what ran and what waited at an engine when it ended.

--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -32,10 +32,14 @@
     /// Logs a failed attempt.
     pub(super) fn log_failure(&self, permit: &Permit, fault: &Fault, message: &str) {
         let now = self.node.now();
+        let parts = self.request.info.prompt_parts.iter();
+        let parts: Vec<String> = parts.map(|part| format!("{:x}", part.hash)).collect();
+        let parts = parts.join(",");
         log::info!(
             request = self.request.info.id.as_str(),
             endpoint = permit.endpoint().as_str(),
             fault:%,
+            parts = parts.as_str(),
             attempt = self.state.sent,
             runs = self.state.runs,
             since_ms = millis(now.since(self.request.began)),
