Send no prompt with a part under which engines keep ending

Callers saw: prompts that shared one part and were different in all else ended each engine that began to answer them; 65 engines in a wave, 29 sent on more than three seconds after the fifth end, and up to half of the sound prompts unserved beside them.

Cause: a crash was held against the digest of a whole request, and each request came once. What was counted were bystanders that came again.

Change: runs that ended with their engine are compared by their prompts' parts (policy::poison::parts). Who ran what comes together by engine and start, from all VMs by datagrams. The part that explains most crashes is blocked, and what it explains counts against no other part or request; a crash counts only if the part was tried again after the one before; a complete answer excuses from what came before it began, and from nothing later; a leading part is blocked only for what no other part explains. Blocks go on the log for VMs that start later. Older VMs ignore the new end of the datagrams and the new keys on the log.

Ruled out: the digest of caller and parts (no two are alike); a clearing that reaches ahead, as that of requests does (it blinds the table for a part that turns bad); the first part alone or caller and key, which sound prompts share.

--- a/crates/entry/src/poison.rs
+++ b/crates/entry/src/poison.rs
@@ -38,7 +38,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     table: Table,
-    broken_runs: BrokenRuns,
+    broken_runs: BrokenRuns<Digest>,
     /// Number of peers' reports read so far.
     reports_read: u64,
 }
@@ -166,7 +166,7 @@
         let crash = crash_of(&endpoint);
         let action = self.poison.lock().broken_runs.record(digest, crash);
         match action {
-            Action::Count => self.record_crashes(crash, &[digest]),
+            Action::Count(digest) => self.record_crashes(crash, &[digest]),
             Action::Wait => {}
             Action::Probe => {
                 let Some(node) = self.to_arc() else { return };
--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -15,6 +15,7 @@
 //! deliveries.
 
 pub mod broken_runs;
+pub mod parts;
 
 use std::fmt;
 use std::time::Duration;
@@ -267,6 +268,25 @@
         Verdict::Blocked
     }
 
+    /// Counts a crash against no request any more, as its cause is known. Returns the requests that are
+    /// no longer blocked.
+    pub fn excuse(&mut self, crash: Crash) -> Vec<Digest> {
+        let threshold = self.config.block_threshold;
+        let mut released = Vec::new();
+        for suspect in &mut self.suspects {
+            let before = suspect.crashes.len();
+            suspect.crashes.retain(|(known, _)| *known != crash);
+            let excused = suspect.crashes.len() < before;
+            if excused && suspect.crashes.len() < threshold && suspect.blocked_until.is_some() {
+                suspect.blocked_until = None;
+                suspect.blocks -= 1;
+                released.push(suspect.digest);
+            }
+        }
+        self.suspects.retain(|suspect| !suspect.crashes.is_empty());
+        released
+    }
+
     /// Returns the index of a suspect, which is inserted if it is not known yet.
     fn suspect_index_or_insert(&mut self, digest: Digest) -> usize {
         if let Ok(index) = self.suspect_index(digest) {
--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -13,6 +13,7 @@
 use pimento_units::id;
 
 use crate::admit::Grant;
+use crate::headers::PromptPart;
 use crate::headers::RequestInfo;
 
 /// An admitted request.
@@ -51,12 +52,17 @@
         self.deadline.since(now)
     }
 
-    /// Hash of the last prompt part that other requests can share. The part after it is specific to
-    /// this request.
+    /// The prompt's parts that other requests can share, in order. The part after them is specific to
+    /// this request or its session.
+    pub fn shared_parts(&self) -> impl DoubleEndedIterator<Item = &PromptPart> {
+        let (_, shared) = self.info.prompt_parts.split_last().unzip();
+        shared.unwrap_or_default().iter()
+    }
+
+    /// Hash of the last prompt part that other requests can share.
     #[must_use]
     pub fn prefix(&self) -> Option<u64> {
-        let (_, shared) = self.info.prompt_parts.split_last()?;
-        shared.last().map(|part| part.hash)
+        self.shared_parts().next_back().map(|part| part.hash)
     }
 
     /// The prompt as input of a model; none if its parts are unknown.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -11,7 +11,10 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
 use pimento_endpoint::Fault;
+use pimento_policy::poison::parts;
+use pimento_policy::poison::parts::Suspect;
 use pimento_scheduler::Estimate;
 use pimento_scheduler::Permit;
 use pimento_units::Moment;
@@ -20,6 +23,7 @@
 use crate::admit;
 use crate::admit::Grant;
 use crate::admitted::AdmittedRequest;
+use crate::boot;
 use crate::codec::Codec;
 use crate::connection::Connection;
 use crate::connection::EndpointResponse;
@@ -38,6 +42,9 @@
 /// trip, and if so many decline, the pool is full or the list of endpoints is out of date.
 const MAX_DECLINED: usize = 5;
 
+/// Parts of a prompt that are compared when endpoints crash, at most.
+const MAX_REPORTED_PARTS: usize = 32;
+
 /// An endpoint's response whose head was received and belongs to the request.
 #[derive(Debug)]
 pub struct Opened {
@@ -71,6 +78,10 @@
     declined: usize,
     /// When the request was last sent.
     last_sent: Moment,
+    /// When it was last sent or, once the answer has begun, when that began, on the clock of [`boot::now`].
+    run_since: Moment,
+    /// Whether the answer to the last send has begun.
+    answer_begun: bool,
 }
 
 /// The attempts of one request.
@@ -225,7 +236,7 @@
     /// Refuses the request if it is blocked because endpoints crashed while they ran it.
     fn check_not_blocked(&self) -> Result<(), Refusal> {
         let request = self.request;
-        let Some(left) = poison::block_remaining(self.node, request.digest) else {
+        let Some(left) = poison::block_remaining(self.node, request) else {
             return Ok(());
         };
         log::info!(
@@ -282,6 +293,8 @@
         self.state.sent += 1;
         self.state.runs += 1;
         self.state.last_sent = self.node.now();
+        self.state.run_since = boot::now();
+        self.state.answer_begun = false;
         self.record_session_version(&permit);
         self.log_sent(&permit, overrides);
         let left = self.request.left(self.node.now());
@@ -289,6 +302,8 @@
         let fault = match sent {
             Ok(Ok(response)) => match self.check_response(&permit, response) {
                 Ok((response, info)) => {
+                    self.state.run_since = boot::now();
+                    self.state.answer_begun = true;
                     return Ok(Some(Opened {
                         permit,
                         response,
@@ -329,7 +344,7 @@
             .metrics
             .count_attempt(&self.request.pool, "broken");
         self.state.tried.push(permit.endpoint().clone());
-        poison::record_failure(self.node, self.request.digest, permit.endpoint(), fault);
+        poison::record_failure(self.node, self.run(), permit.endpoint(), fault);
         if self.node.links.are_suspect() {
             permit.lost();
         } else {
@@ -347,8 +362,25 @@
 
     /// Records that a complete response was received. Whatever its status, the endpoint did not crash on the
     /// request.
-    pub fn response_complete(&self) {
-        poison::record_answer(self.node, self.request.digest);
+    pub fn response_complete(&self, status: StatusCode) {
+        poison::record_answer(self.node, &self.run(), status.is_success());
+    }
+
+    /// The last run of the request, which ends now.
+    #[must_use]
+    pub fn run(&self) -> poison::Run {
+        let parts = self.request.shared_parts().take(MAX_REPORTED_PARTS);
+        let parts = parts.enumerate().map(|(place, part)| Suspect {
+            id: parts::Id(part.hash),
+            leads: place == 0,
+            begun: self.state.answer_begun,
+            since: self.state.run_since,
+        });
+        poison::Run {
+            digest: self.request.digest,
+            parts: parts.collect(),
+            ended: boot::now(),
+        }
     }
 
     /// Parses the head of a response and checks that it is an endpoint's response to this request.
--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -66,7 +66,7 @@
             Ok(Buffered::Complete(bytes)) => {
                 let failed = head.status.is_server_error();
                 attempts.record_result(&permit, failed);
-                attempts.response_complete();
+                attempts.response_complete(head.status);
                 attempts.record_session_version(&permit);
                 attempts.avoid(permit.endpoint());
                 // A server error comes fast. Counted as served, it would make other endpoints look slow.
@@ -88,17 +88,17 @@
             Ok(Buffered::Partial(start, rest)) => {
                 let (writer, reply) = ReplyBody::stream();
                 let left = request.left(node.now());
-                let (shared, digest) = (node.clone(), request.digest);
+                let (shared, run, status) = (node.clone(), attempts.run(), head.status);
                 node.response_tasks.spawn(async move {
                     let forwarded = tokio::time::timeout(left, forward(&writer, start, rest)).await;
                     match forwarded.unwrap_or(Err(Fault::Timeout)) {
                         Ok(()) => {
-                            poison::record_answer(&shared, digest);
+                            poison::record_answer(&shared, &run, status.is_success());
                             permit.served(PLAIN_CALL_WORK);
                             let _ = writer.end().await;
                         }
                         Err(fault) => {
-                            poison::record_failure(&shared, digest, permit.endpoint(), &fault);
+                            poison::record_failure(&shared, run, permit.endpoint(), &fault);
                             permit.failed(&fault);
                         }
                     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -315,7 +315,8 @@
         }
         metrics.set_topic_figures("poison", &node.blocklist);
         let (suspect, blocked) = node.poison.counts();
-        for (state, count) in [("suspect", suspect), ("barred", blocked)] {
+        let parts = node.poison.blocked_parts();
+        for (state, count) in [("suspect", suspect), ("barred", blocked), ("parts", parts)] {
             let count = u64::try_from(count).unwrap_or(u64::MAX);
             let gauge = metrics.poison.with_label_values(&[state]);
             gauge.set(to_f64(count));
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -9,13 +9,14 @@
 use super::Neighbours;
 use super::limit;
 use super::limit::Limit;
-use super::message;
+use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
 use super::message::Position;
 use super::message::Prefill;
 use super::message::Proofs;
 use super::message::RestMessage;
+use super::message::Supplement;
 use super::message::ZoneSummary;
 use super::peers::PROBE_INTERVAL;
 use super::update::Update;
@@ -277,6 +278,7 @@
             rollouts: self.due_announcements(),
             pinned_sessions: self.node.rollouts(Rollouts::take_pending_sessions),
             poison: self.node.poison.take_zone_reports(boot::now()),
+            poison_parts: self.node.poison.take_zone_parts(boot::now()),
             bundles: self.take_bundles(),
             ..Update::default()
         };
@@ -325,6 +327,7 @@
                     prefills: std::mem::take(&mut inner.remote_prefills),
                     pinned_sessions: std::mem::take(&mut inner.remote_sessions),
                     poison: self.node.poison.take_remote_reports(now),
+                    poison_parts: self.node.poison.take_remote_parts(now),
                     ..Update::default()
                 };
                 let config = &self.node.config;
@@ -384,7 +387,15 @@
                 departures: self.node.departures.to_tell(boot::now()),
                 rests: update.rests.clone(),
             };
-            let bytes = match message::encode(&message, &extension) {
+            let supplement = Supplement {
+                poison_parts: part.poison_parts.to_vec(),
+            };
+            let datagram = Datagram {
+                message,
+                extension,
+                supplement,
+            };
+            let bytes = match datagram.encode() {
                 Ok(bytes) => bytes,
                 Err(error) => {
                     return log::error!("neighbours: A datagram can't be encoded: {error}.");
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -11,6 +11,7 @@
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::groups::Level;
 use super::limit::LimitMessage;
@@ -21,6 +22,7 @@
 use crate::departures::Departure;
 use crate::follow::Proof;
 use crate::links;
+use crate::poison::PartMessage;
 use crate::poison::Report;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
@@ -72,6 +74,24 @@
     pub rests: Vec<RestMessage>,
 }
 
+/// What follows an [`Extension`] in its datagram, with the same rule for older versions.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Supplement {
+    /// Reports of prompt parts that crash endpoints.
+    pub poison_parts: Vec<PartMessage>,
+}
+
+/// A decoded datagram.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Datagram {
+    /// What all versions send.
+    pub message: Message,
+    /// What versions with extensions send.
+    pub extension: Extension,
+    /// What versions with supplements send.
+    pub supplement: Supplement,
+}
+
 /// An endpoint that wants no requests for some time.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RestMessage {
@@ -148,27 +168,41 @@
     pub parts: Vec<(u64, u32)>,
 }
 
-/// Encodes a datagram.
-///
-/// # Errors
-///
-/// If it can't be encoded.
-pub fn encode(message: &Message, extension: &Extension) -> postcard::Result<Vec<u8>> {
-    let bytes = postcard::to_stdvec(message)?;
-    postcard::to_extend(extension, bytes)
+impl Datagram {
+    /// Encodes the datagram.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let bytes = postcard::to_stdvec(&self.message)?;
+        let bytes = postcard::to_extend(&self.extension, bytes)?;
+        postcard::to_extend(&self.supplement, bytes)
+    }
+
+    /// Decodes a datagram. What the sender's version does not send is empty.
+    ///
+    /// # Errors
+    ///
+    /// If it can't be decoded.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (message, rest) = postcard::take_from_bytes(bytes)?;
+        let (extension, rest) = take_if_any(rest)?;
+        let (supplement, _) = take_if_any(rest)?;
+        Ok(Self {
+            message,
+            extension,
+            supplement,
+        })
+    }
 }
 
-/// Decodes a datagram. The extension is empty if the sender runs an older version.
-///
-/// # Errors
-///
-/// If it can't be decoded.
-pub fn decode(bytes: &[u8]) -> postcard::Result<(Message, Extension)> {
-    let (message, rest) = postcard::take_from_bytes(bytes)?;
-    if rest.is_empty() {
-        return Ok((message, Extension::default()));
+/// Decodes a value unless no bytes are left.
+fn take_if_any<T: Default + DeserializeOwned>(bytes: &[u8]) -> postcard::Result<(T, &[u8])> {
+    if bytes.is_empty() {
+        return Ok((T::default(), bytes));
     }
-    Ok((message, postcard::from_bytes(rest)?))
+    postcard::take_from_bytes(bytes)
 }
 
 impl Prefill {
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -12,7 +12,7 @@
 use super::broadcast::Audience;
 use super::limit;
 use super::limit::Limit;
-use super::message;
+use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
 use super::message::Proofs;
@@ -48,8 +48,8 @@
                     continue;
                 }
             };
-            match message::decode(&buffer[..length]) {
-                Ok((message, extension)) => self.handle(message, &extension, from).await,
+            match Datagram::decode(&buffer[..length]) {
+                Ok(datagram) => self.handle(&datagram, from).await,
                 Err(error) => {
                     log::warn!(
                         "neighbours: Ignoring a datagram from {from}, which can't be decoded: {error}."
@@ -61,7 +61,8 @@
 
     /// Merges a datagram, and answers it at once if its sender waits to learn of this VM: one that starts, or
     /// the leader of another group that looks for the leader of this one.
-    async fn handle(&self, message: Message, extension: &Extension, from: SocketAddr) {
+    async fn handle(&self, datagram: &Datagram, from: SocketAddr) {
+        let message = &datagram.message;
         let local = message.zone == self.node.config.zone;
         let starts = message.reader_status == ReaderStatus::Starting;
         let sender = choice::hash(message.node.as_str());
@@ -73,7 +74,7 @@
             let other = level.group(sender) != level.group_of(&self.node.config.node);
             (met, other, inner.leader.is_none())
         };
-        self.merge(&message, extension, from);
+        self.merge(datagram, from);
         let serves = self.serves_group() && self.reader_status() == ReaderStatus::Eligible;
         let answers = if other_group {
             searches && (!leads || !met)
@@ -154,7 +155,12 @@
         (group, local)
     }
 
-    fn merge(&self, message: &Message, extension: &Extension, from: SocketAddr) {
+    fn merge(&self, datagram: &Datagram, from: SocketAddr) {
+        let Datagram {
+            message,
+            extension,
+            supplement,
+        } = datagram;
         let config = &self.node.config;
         if message.node == config.node {
             return;
@@ -175,6 +181,9 @@
             let writes = self.node.reads_log();
             self.node.poison.receive(*report, !group, writes, now);
         }
+        for report in &supplement.poison_parts {
+            self.node.poison.receive_part(*report, !group, now);
+        }
         for pinned in &message.pinned_sessions {
             self.node.rollouts(|r| r.pin_session(*pinned));
         }
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -7,6 +7,7 @@
 use super::message::RestMessage;
 use super::message::ZoneSummary;
 use crate::bundle::Bundle;
+use crate::poison::PartMessage;
 use crate::poison::Report;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
@@ -17,7 +18,7 @@
 /// Sessions in one datagram, for the same reason.
 const MAX_SESSIONS: usize = 24;
 
-/// Reports of requests that crash endpoints in one datagram, for the same reason.
+/// Reports of requests, and of prompt parts, that crash endpoints in one datagram, for the same reason.
 const MAX_REPORTS: usize = 16;
 
 /// Announcements about roll-outs in one datagram, for the same reason.
@@ -45,6 +46,8 @@
     pub pinned_sessions: Vec<PinnedSession>,
     /// Reports of requests that crash endpoints.
     pub poison: Vec<Report>,
+    /// Reports of prompt parts that crash endpoints.
+    pub poison_parts: Vec<PartMessage>,
     /// What this VM knows of the zones.
     pub zones: Vec<ZoneSummary>,
     /// Records of the log.
@@ -59,7 +62,8 @@
     pub const fn is_empty(&self) -> bool {
         let prompts = self.prefills.is_empty() && self.waits.is_empty();
         let versions = self.rollouts.is_empty() && self.pinned_sessions.is_empty();
-        prompts && versions && self.poison.is_empty() && self.bundles.is_empty()
+        let poison = self.poison.is_empty() && self.poison_parts.is_empty();
+        prompts && versions && poison && self.bundles.is_empty()
     }
 
     /// The waits that are reported: the longest ones if there are many.
@@ -77,6 +81,7 @@
         let mut prefills = self.prefills.chunks(MAX_PREFILLS);
         let mut pinned_sessions = self.pinned_sessions.chunks(MAX_SESSIONS);
         let mut poison = self.poison.chunks(MAX_REPORTS);
+        let mut poison_parts = self.poison_parts.chunks(MAX_REPORTS);
         let mut rollouts = self.rollouts.chunks(MAX_ANNOUNCEMENTS);
         let mut limits = self.limits.chunks(MAX_LIMITS);
         let mut bundles = self.bundles.chunks(1);
@@ -84,6 +89,7 @@
             prefills.len(),
             pinned_sessions.len(),
             poison.len(),
+            poison_parts.len(),
             rollouts.len(),
             limits.len(),
             bundles.len(),
@@ -96,6 +102,7 @@
             prefills: prefills.next().unwrap_or_default(),
             pinned_sessions: pinned_sessions.next().unwrap_or_default(),
             poison: poison.next().unwrap_or_default(),
+            poison_parts: poison_parts.next().unwrap_or_default(),
             rollouts: rollouts.next().unwrap_or_default(),
             limits: limits.next().unwrap_or_default(),
             bundles: bundles.next().unwrap_or_default(),
@@ -116,6 +123,8 @@
     pub pinned_sessions: &'a [PinnedSession],
     /// Reports of requests that crash endpoints.
     pub poison: &'a [Report],
+    /// Reports of prompt parts that crash endpoints.
+    pub poison_parts: &'a [PartMessage],
     /// Announcements about roll-outs.
     pub rollouts: &'a [NodeAnnouncement],
     /// Limits that endpoints named.
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -4,9 +4,15 @@
 //! and every VM counts the reports by itself with [`pimento_policy::poison`]. A request that gets
 //! blocked is also written to the log, for VMs that start later or missed the datagrams: [`Blocklist`]
 //! is folded from those records. No check of a request waits for another process.
+//!
+//! The same goes for prompt parts that crash endpoints whatever else a prompt holds, by
+//! [`pimento_policy::poison::parts`].
 
 mod blocklist;
 mod crash_check;
+mod outbox;
+mod part_report;
+mod prompt_parts;
 mod report;
 mod writer;
 
@@ -22,15 +28,21 @@
 use pimento_policy::poison::Verdict;
 use pimento_policy::poison::broken_runs::Action;
 use pimento_policy::poison::broken_runs::BrokenRuns;
+use pimento_policy::poison::parts;
+use pimento_policy::poison::parts::Suspect;
 use pimento_units::Digest;
 use pimento_units::Moment;
 use pimento_units::id;
 use tokio::sync::Notify;
 
 pub use self::blocklist::Blocklist;
-use self::report::Outbox;
+use self::blocklist::Subject;
+use self::outbox::Outboxes;
+pub use self::part_report::PartMessage;
+use self::prompt_parts::PromptParts;
 pub use self::report::Report;
 pub use self::writer::start;
+use crate::admitted::AdmittedRequest;
 use crate::boot;
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
@@ -49,12 +61,23 @@
 /// A change to the blocklist on the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Change {
-    /// Blocks the request for this long.
+    /// Blocks the subject for this long.
     Block(Duration),
-    /// Removes the request.
+    /// Removes the subject.
     Unblock,
 }
 
+/// One execution of a request at an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// The request.
+    pub digest: Digest,
+    /// The parts of its prompt that other prompts may have.
+    pub parts: Vec<Suspect>,
+    /// When its connection broke or its answer was complete.
+    pub ended: Moment,
+}
+
 /// What this VM knows of requests that crash endpoints.
 #[derive(Debug, Default)]
 pub struct Poison {
@@ -68,13 +91,11 @@
 #[derive(Debug, Default)]
 struct State {
     table: Table,
-    /// Reports to send to the VMs of this zone.
-    zone_outbox: Outbox,
-    /// Reports to send to other zones.
-    remote_outbox: Outbox,
-    broken_runs: BrokenRuns,
+    outboxes: Outboxes<Report>,
+    parts: PromptParts,
+    broken_runs: BrokenRuns<Run>,
     /// Changes to write to the log.
-    pending_writes: Vec<(Digest, Change)>,
+    pending_writes: Vec<(Subject, Change)>,
 }
 
 impl State {
@@ -86,25 +107,33 @@
             // All VMs that know the answer receive the crash report at the same moment. With a random
             // delay one of them answers first, and the others cancel theirs.
             let delay = Duration::ZERO..MAX_CLEARED_DELAY;
-            self.broadcast(Report::Answered { digest }, now + rand::random_range(delay));
+            let at = now + rand::random_range(delay);
+            self.outboxes.broadcast(Report::Answered { digest }, at);
         }
         log::debug!(digest:%, verdict:?; "poison: Counted a crash of an endpoint that ran the request.");
         verdict
     }
 
-    /// Schedules a report to all other VMs.
-    fn broadcast(&mut self, report: Report, at: Moment) {
-        self.zone_outbox.push(report, at);
-        self.remote_outbox.push(report, at);
+    /// Blocks and releases prompt parts. Crashes that a blocked part explains count against no request.
+    fn evaluate_parts(&mut self, now: Moment) {
+        let Some(changes) = self.parts.evaluate(now) else {
+            return;
+        };
+        for crash in changes.explained {
+            for digest in self.table.excuse(crash) {
+                log::info!(digest:%; "poison: Request released, a prompt part explains the crashes.");
+                self.schedule_write(Subject::Request(digest), Change::Unblock);
+            }
+        }
     }
 
-    fn schedule_write(&mut self, digest: Digest, change: Change) {
-        self.pending_writes.retain(|(known, _)| *known != digest);
+    fn schedule_write(&mut self, subject: Subject, change: Change) {
+        self.pending_writes.retain(|(known, _)| *known != subject);
         if self.pending_writes.len() >= MAX_PENDING_WRITES {
-            log::warn!(digest:%; "poison: Too many changes wait to be written; this one is dropped.");
+            log::warn!(subject:%; "poison: Too many changes wait to be written; this one is dropped.");
             return;
         }
-        self.pending_writes.push((digest, change));
+        self.pending_writes.push((subject, change));
     }
 }
 
@@ -114,13 +143,19 @@
     }
 
     /// Counts a crash that this VM saw, for each request that ran there, and reports it to the others.
-    fn record_crash(&self, crash: Crash, digests: &[Digest], now: Moment) {
+    fn record_crash(&self, crash: Crash, runs: &[Run], now: Moment) {
         let mut state = self.lock();
-        for digest in digests {
+        let suspects = parts::merge(runs.iter().flat_map(|run| &run.parts));
+        if let Some(at) = runs.iter().map(|run| run.ended).min() {
+            state.parts.record_crash(crash, at, &suspects, now);
+        }
+        for Run { digest, .. } in runs {
             let verdict = state.count_crash(*digest, crash, now);
             log::info!(digest:%, verdict:?; "poison: An endpoint crashed while it ran a request of this VM.");
             if matches!(verdict, Verdict::Suspected(_) | Verdict::Blocked) {
-                state.broadcast(Report::crashed(*digest, crash), now);
+                state
+                    .outboxes
+                    .broadcast(Report::crashed(*digest, crash), now);
             }
             if verdict == Verdict::Blocked {
                 self.schedule_block(&mut state, *digest, now);
@@ -136,7 +171,7 @@
             return;
         };
         log::warn!(digest:%, lasts_ms = millis(duration); "poison: Request blocked.");
-        state.schedule_write(digest, Change::Block(duration));
+        state.schedule_write(Subject::Request(digest), Change::Block(duration));
         self.writes_due.notify_one();
     }
 
@@ -145,7 +180,7 @@
     pub fn receive(&self, report: Report, remote: bool, writes: bool, now: Moment) {
         let mut state = self.lock();
         if remote {
-            state.zone_outbox.forward(report, now);
+            state.outboxes.forward(report, now);
             self.reports_due.notify_one();
         }
         match report {
@@ -170,20 +205,39 @@
             }
             Report::Answered { digest } => {
                 state.table.merge_answer(digest, now);
-                state.zone_outbox.cancel(report);
-                state.remote_outbox.cancel(report);
+                state.outboxes.cancel(|known| *known == report);
             }
         }
     }
 
+    /// Takes in another VM's report of a prompt part, like [`receive`](Self::receive).
+    pub fn receive_part(&self, message: PartMessage, remote: bool, now: Moment) {
+        self.lock().parts.receive(message.decode(now), remote, now);
+        if remote {
+            self.reports_due.notify_one();
+        }
+    }
+
     /// The reports to send to the zone now.
     pub fn take_zone_reports(&self, now: Moment) -> Vec<Report> {
-        self.lock().zone_outbox.take_due(now)
+        self.lock().outboxes.take_zone(now)
     }
 
     /// The reports to send to other zones now.
     pub fn take_remote_reports(&self, now: Moment) -> Vec<Report> {
-        self.lock().remote_outbox.take_due(now)
+        self.lock().outboxes.take_remote(now)
+    }
+
+    /// The reports of prompt parts to send to the zone now.
+    pub fn take_zone_parts(&self, now: Moment) -> Vec<PartMessage> {
+        let due = self.lock().parts.outboxes.take_zone(now);
+        due.iter().map(|report| report.encode(now)).collect()
+    }
+
+    /// The reports of prompt parts to send to other zones now.
+    pub fn take_remote_parts(&self, now: Moment) -> Vec<PartMessage> {
+        let due = self.lock().parts.outboxes.take_remote(now);
+        due.iter().map(|report| report.encode(now)).collect()
     }
 
     /// The numbers of suspects that are not blocked and of blocked requests.
@@ -191,48 +245,70 @@
     pub fn counts(&self) -> (usize, usize) {
         self.lock().table.counts()
     }
+
+    /// The number of blocked prompt parts.
+    #[must_use]
+    pub fn blocked_parts(&self) -> usize {
+        self.lock().parts.table.blocked_count()
+    }
 }
 
 /// Records that a request got a complete answer. This clears a suspect and removes its block from the
-/// log.
-pub fn record_answer<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>, digest: Digest) {
+/// log. If the answer is a `success`, it also shows that the prompt's parts are sound.
+pub fn record_answer<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>, run: &Run, success: bool) {
     let now = boot::now();
     let poison = &node.poison;
+    let digest = run.digest;
     let mut state = poison.lock();
     if state.table.record_answer(digest, now) {
         log::info!(digest:%; "poison: Request cleared by a complete answer.");
-        state.broadcast(Report::Answered { digest }, now);
+        state.outboxes.broadcast(Report::Answered { digest }, now);
         poison.reports_due.notify_one();
     }
+    let subject = Subject::Request(digest);
     if node
         .blocklist
-        .view(|list| list.remaining(digest, now))
+        .view(|list| list.remaining(subject, now))
         .is_some()
     {
-        state.schedule_write(digest, Change::Unblock);
+        state.schedule_write(subject, Change::Unblock);
         poison.writes_due.notify_one();
     }
+    for part in run.parts.iter().filter(|_| success) {
+        if state.parts.record_sound(part.id, part.since, now) {
+            poison.reports_due.notify_one();
+        }
+    }
 }
 
-/// How long a request is still blocked; none if it may be sent.
+/// How long a request is still blocked, by itself or by a part of its prompt; none if it may be sent.
 pub fn block_remaining<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
-    digest: Digest,
+    request: &AdmittedRequest,
 ) -> Option<Duration> {
     let now = boot::now();
-    let table = &node.poison.lock().table;
+    let state = &mut *node.poison.lock();
+    state.evaluate_parts(now);
+    let on_log = |subject| node.blocklist.view(|list| list.remaining(subject, now));
+    let digest = request.digest;
     // The VM that wrote the block may have missed the report of the answer.
-    if table.is_cleared(digest, now) {
-        return None;
-    }
-    let on_log = node.blocklist.view(|list| list.remaining(digest, now));
-    table.blocked_for(digest, now).max(on_log)
+    let by_itself = (!state.table.is_cleared(digest, now)).then(|| {
+        let on_log = on_log(Subject::Request(digest));
+        state.table.blocked_for(digest, now).max(on_log)
+    });
+    let parts = &state.parts.table;
+    let by_part = request.shared_parts().map(|part| {
+        let id = parts::Id(part.hash);
+        let on_log = on_log(Subject::Part(id)).filter(|_| !parts.is_acquitted(id));
+        parts.blocked_for(id, now).max(on_log)
+    });
+    by_part.max().flatten().max(by_itself.flatten())
 }
 
 /// Records that a run failed at an endpoint. If its connection broke, the endpoint may have crashed.
 pub fn record_failure<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
-    digest: Digest,
+    run: Run,
     endpoint: &id::Endpoint,
     fault: &Fault,
 ) {
@@ -256,9 +332,9 @@
         endpoint: choice::hash(endpoint.as_str()),
         incarnation: Some(member.registration.started_unix_ms),
     };
-    let step = node.poison.lock().broken_runs.record(digest, crash);
+    let step = node.poison.lock().broken_runs.record(run, crash);
     match step {
-        Action::Count => node.poison.record_crash(crash, &[digest], boot::now()),
+        Action::Count(run) => node.poison.record_crash(crash, &[run], boot::now()),
         Action::Probe => {
             let node = node.clone();
             // The task is bounded in time, and may be dropped when the VM stops.
@@ -276,7 +352,7 @@
     crash: Crash,
 ) {
     let evidence = crash_check::wait_for_crash(node, registration).await;
-    let digests = node
+    let runs = node
         .poison
         .lock()
         .broken_runs
@@ -284,10 +360,10 @@
     log::info!(
         endpoint = registration.id.as_str(),
         proof = evidence.map(crash_check::CrashEvidence::as_str),
-        runs = digests.len();
+        runs = runs.len();
         "poison: Connections of running requests broke."
     );
     if evidence.is_some() {
-        node.poison.record_crash(crash, &digests, boot::now());
+        node.poison.record_crash(crash, &runs, boot::now());
     }
 }
--- a/crates/relay/src/poison/writer.rs
+++ b/crates/relay/src/poison/writer.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use pimento_units::Digest;
 use tokio_util::sync::CancellationToken;
 
 use super::Change;
 use super::blocklist;
+use super::blocklist::Subject;
 use crate::boot;
 use crate::calls::Reason;
 use crate::codec::Codec;
@@ -37,8 +37,8 @@
             () = node.poison.writes_due.notified() => {}
             () = tokio::time::sleep(EXPIRY_INTERVAL) => expire_blocks(&node),
         }
-        while let Some((digest, change)) = next_write(&node) {
-            if !write(&node, &log, digest, change).await {
+        while let Some((subject, change)) = next_write(&node) {
+            if !write(&node, &log, subject, change).await {
                 tokio::time::sleep(RETRY_DELAY).await;
             }
         }
@@ -49,32 +49,46 @@
 /// the log.
 fn expire_blocks<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) {
     let now = boot::now();
-    let mut state = node.poison.lock();
+    let state = &mut *node.poison.lock();
+    state.evaluate_parts(now);
     for digest in state.table.expire_blocks(now) {
         log::info!(digest:%; "poison: Block expired.");
     }
-    if node.reads_log() {
-        let cleared = |digest| state.table.is_cleared(digest, now);
-        for digest in node.blocklist.view(|list| list.obsolete(cleared, now)) {
-            state.schedule_write(digest, Change::Unblock);
-        }
+    if !node.reads_log() {
+        return;
+    }
+    let cleared = |subject| match subject {
+        Subject::Request(digest) => state.table.is_cleared(digest, now),
+        Subject::Part(id) => state.parts.table.is_acquitted(id),
+    };
+    let obsolete = node.blocklist.view(|list| list.obsolete(cleared, now));
+    let blocked = state.parts.table.blocked(now);
+    let blocked = blocked.map(|(id, left)| (Subject::Part(id), left));
+    let missing = blocked.filter(|(subject, _)| !node.blocklist.view(|l| l.contains(*subject)));
+    let missing: Vec<(Subject, Duration)> = missing.collect();
+    for subject in obsolete {
+        state.schedule_write(subject, Change::Unblock);
+    }
+    for (subject, left) in missing {
+        state.schedule_write(subject, Change::Block(left));
     }
 }
 
 /// The next change to write. Drops changes that the log holds already, and blocks that are no longer
 /// in force.
-fn next_write<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) -> Option<(Digest, Change)> {
+fn next_write<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) -> Option<(Subject, Change)> {
     let now = boot::now();
     let state = &mut *node.poison.lock();
-    let table = &state.table;
+    let blocked_for = |subject: &Subject| match subject {
+        Subject::Request(digest) => state.table.blocked_for(*digest, now),
+        Subject::Part(id) => state.parts.table.blocked_for(*id, now),
+    };
     node.blocklist.view(|blocklist| {
         state
             .pending_writes
-            .retain(|(digest, change)| match change {
-                Change::Block(_) => {
-                    !blocklist.contains(*digest) && table.blocked_for(*digest, now).is_some()
-                }
-                Change::Unblock => blocklist.contains(*digest),
+            .retain(|(subject, change)| match change {
+                Change::Block(_) => !blocklist.contains(*subject) && blocked_for(subject).is_some(),
+                Change::Unblock => blocklist.contains(*subject),
             });
     });
     state.pending_writes.first().copied()
@@ -85,14 +99,14 @@
 async fn write<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
     log: &L,
-    digest: Digest,
+    subject: Subject,
     change: Change,
 ) -> bool {
     let done = || {
         let mut state = node.poison.lock();
         state
             .pending_writes
-            .retain(|known| *known != (digest, change));
+            .retain(|known| *known != (subject, change));
         true
     };
     let value = match change {
@@ -107,13 +121,13 @@
         }
     };
     node.calls.count(Topic::Poison, Reason::Announcement);
-    let key = digest.to_string();
+    let key = subject.to_string();
     let append = log.append(Topic::Poison, &key, value, None);
     let problem = match tokio::time::timeout(CALL_TIMEOUT, append).await {
         Ok(Ok(_)) => return done(),
         Ok(Err(error)) => error.to_string(),
         Err(_) => "no answer in time".into(),
     };
-    log::warn!(digest:%, problem:%; "poison: The change may not be on the log.");
+    log::warn!(subject:%, problem:%; "poison: The change may not be on the log.");
     false
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -218,7 +218,7 @@
         return match read.unwrap_or(Err(Fault::Timeout)) {
             Ok(bytes) => {
                 attempts.record_result(&permit, head.status.is_server_error());
-                attempts.response_complete();
+                attempts.response_complete(head.status);
                 // The endpoint has the prompt in its cache, so the scheduler would prefer it for the next
                 // attempt.
                 attempts.avoid(permit.endpoint());
@@ -402,7 +402,7 @@
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
-                    self.attempts.response_complete();
+                    self.attempts.response_complete(StatusCode::OK);
                     self.attempts.record_session_version(&source.permit);
                     source.permit.served(Tokens(1));
                     return StreamEnd::Complete;
