Take an answer's end for its end only while its endpoint is there

Callers saw: half an answer as whole, with status 200, where an endpoint ended that sends neither length nor chunks; streams that ended as whole between two events; and engines' ends within an event that counted against no prompt part, so that a part went on ending engines.

Cause: the end of a connection was taken for the end of an answer. A process that ends closes its connections like one that is done. What ended inside an event was an invalid answer rather than a broken one.

Change: a response without length or transfer coding is complete only if its endpoint still accepts a connection afterwards, asked directly and, if refused, through another VM; else it is broken off like any other. A stream that ends inside an event is broken off. Tunnels mark the end of an answer by a frame of their own already. stream.rs is split by job: the source of events, and events that are sent together.

Ruled out: the last event's content (engines' events have no end mark); waiting for the registration to go (seconds for each such answer).

Tests failed before, four of five in unframed.rs, and a_part_whose_answers_end_with_their_connection_is_sent_no_more (222 of 284 engines ended still, with parts compared): 36 end now, none is sent late. Left: an endpoint whose listener outlives its connections by a moment, and callers of HTTP/1.0, to whom a broken stream ends alike.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -59,7 +59,15 @@
         } = opened;
         let (mut head, body) = (response.head, response.body);
         let left = request.left(node.now());
-        let read = tokio::time::timeout(left, read(body)).await;
+        let ends_with_connection = body.ends_with_connection();
+        let read = async {
+            let read = read(body).await?;
+            if ends_with_connection && matches!(read, Buffered::Complete(_)) {
+                node.links.check_end(&permit).await?;
+            }
+            Ok(read)
+        };
+        let read = tokio::time::timeout(left, read).await;
         let read = read.unwrap_or(Err(Fault::Timeout));
         node.platform.strip_connection_headers(&mut head.headers);
         match read {
@@ -90,7 +98,14 @@
                 let left = request.left(node.now());
                 let (shared, run, status) = (node.clone(), attempts.run(), head.status);
                 node.response_tasks.spawn(async move {
-                    let forwarded = tokio::time::timeout(left, forward(&writer, start, rest)).await;
+                    let forwarding = async {
+                        forward(&writer, start, rest).await?;
+                        if ends_with_connection {
+                            shared.links.check_end(&permit).await?;
+                        }
+                        Ok(())
+                    };
+                    let forwarded = tokio::time::timeout(left, forwarding).await;
                     match forwarded.unwrap_or(Err(Fault::Timeout)) {
                         Ok(()) => {
                             poison::record_answer(&shared, &run, status.is_success());
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -23,6 +23,7 @@
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
+use hyper::header::TRANSFER_ENCODING;
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use pimento_endpoint::Fault;
@@ -60,6 +61,7 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
+    ends_with_connection: bool,
     _sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
 }
@@ -71,6 +73,12 @@
         self.incoming.size_hint().lower()
     }
 
+    /// Whether nothing but the end of the connection shows the end of the body.
+    #[must_use]
+    pub const fn ends_with_connection(&self) -> bool {
+        self.ends_with_connection
+    }
+
     /// The next chunk; none at the regular end of the body.
     ///
     /// # Errors
@@ -168,6 +176,8 @@
         })?;
         let (head, body) = response.into_parts();
         let body = ResponseBody {
+            ends_with_connection: body.size_hint().exact().is_none()
+                && !head.headers.contains_key(TRANSFER_ENCODING),
             incoming: body,
             _sender: self.sender,
             _driver: self.driver,
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -5,6 +5,7 @@
 //! one request has been connected that way, all others that still wait for this VM's own links
 //! follow it.
 
+mod end;
 pub mod failure;
 pub mod gate;
 pub mod helpers;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -6,20 +6,25 @@
 //! resumes after the last forwarded event. A stream that can't be completed is aborted, so that the caller
 //! never takes it for complete.
 
-use std::time::Duration;
+mod batch;
+mod source;
+
+use std::sync::Arc;
 
-use bytes::BytesMut;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::response;
 use pimento_endpoint::Fault;
-use pimento_scheduler::Permit;
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
 use pimento_serve::body::Disconnected;
 use pimento_units::Tokens;
 use tokio::time::Instant;
 
+use self::batch::Batch;
+use self::source::DEFAULT_EVENT_TIMEOUT;
+use self::source::Item;
+use self::source::Source;
 use crate::admitted::AdmittedRequest;
 use crate::attempts::Attempts;
 use crate::attempts::Opened;
@@ -28,96 +33,16 @@
 use crate::codec::Codec;
 use crate::connection::ResponseBody;
 use crate::events::Event;
-use crate::events::Splitter;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
 use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
-use crate::table::Route;
 use crate::topic::Log;
 
-/// Time without an event after which another endpoint resumes a stream, if the route sets no target for the
-/// time between events. An engine that prefills long prompts between the tokens of other requests, or
-/// preempts requests, may pause for over a second; callers disconnect after eight.
-const DEFAULT_EVENT_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// Share of a route's target for the time between events after which another endpoint resumes a stream. The
-/// rest of the target is for the other engine's prefill. Without this timeout, a stream whose endpoint
-/// stalls would be late by seconds. A stream that would have continued on its own loses little by the move,
-/// since it would have missed the target a moment later anyway.
-const EVENT_TIMEOUT_SHARE: f64 = 0.8;
-
-/// Minimum event timeout, regardless of the route: some ten steps of an engine that prefills a chunk of a
-/// long prompt in each step.
-const MIN_EVENT_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
 const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
 
-/// A stream from one endpoint.
-#[derive(Debug)]
-struct Source {
-    permit: Permit,
-    body: ResponseBody,
-    splitter: Splitter,
-    /// Timeout for the next event.
-    event_timeout: Duration,
-}
-
-/// The next item of a source.
-enum Item {
-    Event(Event),
-    End,
-}
-
-impl Source {
-    fn new(permit: Permit, body: ResponseBody, route: &Route) -> Self {
-        let timeout = route
-            .max_event_gap
-            .map(|gap| gap.mul_f64(EVENT_TIMEOUT_SHARE));
-        Self {
-            permit,
-            body,
-            splitter: Splitter::default(),
-            event_timeout: timeout.map_or(DEFAULT_EVENT_TIMEOUT, |timeout| {
-                timeout.clamp(MIN_EVENT_TIMEOUT, DEFAULT_EVENT_TIMEOUT)
-            }),
-        }
-    }
-
-    /// The next complete event, or the regular end.
-    async fn next(&mut self) -> Result<Item, Fault> {
-        self.next_within(self.event_timeout).await
-    }
-
-    /// The first complete event, or the regular end. The first event takes longer than later ones, since it
-    /// waits for the prefill.
-    async fn first(&mut self, left: Duration) -> Result<Item, Fault> {
-        self.next_within(left.min(DEFAULT_EVENT_TIMEOUT)).await
-    }
-
-    async fn next_within(&mut self, timeout: Duration) -> Result<Item, Fault> {
-        loop {
-            if let Some(event) = self.splitter.next_event() {
-                return Ok(Item::Event(event));
-            }
-            let data = tokio::time::timeout(timeout, self.body.next()).await;
-            match data.unwrap_or(Err(Fault::Timeout))? {
-                Some(data) => self.splitter.push(&data).map_err(|error| Fault::Invalid {
-                    reason: error.to_string().into(),
-                })?,
-                None if self.splitter.has_partial_event() => {
-                    return Err(Fault::Invalid {
-                        reason: "the stream ended within an event".into(),
-                    });
-                }
-                None => return Ok(Item::End),
-            }
-        }
-    }
-}
-
 /// A stream whose first event was received.
 struct StartedStream {
     head: response::Parts,
@@ -232,7 +157,8 @@
             Err(fault) => attempts.attempt_failed(permit, &fault).map(|()| None),
         };
     }
-    let mut source = Source::new(permit, body, &request.grant.route);
+    let links = Arc::clone(&node.links);
+    let mut source = Source::new(permit, body, &request.grant.route, links);
     match source.first(left).await {
         Ok(Item::Event(event)) => {
             source.permit.record_first_token();
@@ -271,47 +197,11 @@
     Ok(bytes)
 }
 
-/// Maximum time for which an event is buffered to be sent together with the following ones. An engine
-/// generates one every ten to twenty milliseconds. Callers read three at once just as well, and fewer
-/// packets mean fewer losses, each of which delays all later events until the retransmission.
-const MAX_BATCH_DELAY: Duration = Duration::from_millis(40);
-
-/// Buffer of events that are sent together.
-#[derive(Debug, Default)]
-struct EventBatch {
-    bytes: BytesMut,
-    /// When the events must be sent.
-    due: Option<Instant>,
-    first_pushed: bool,
-}
-
-impl EventBatch {
-    fn push(&mut self, event: &Event, now: Instant) {
-        self.bytes.extend_from_slice(&event.bytes);
-        // The caller waits for the first event, so it is sent at once.
-        let delay = if self.first_pushed {
-            MAX_BATCH_DELAY
-        } else {
-            Duration::ZERO
-        };
-        self.first_pushed = true;
-        self.due.get_or_insert(now + delay);
-    }
-
-    async fn flush(&mut self, writer: &Writer) -> Result<(), Disconnected> {
-        self.due = None;
-        if self.bytes.is_empty() {
-            return Ok(());
-        }
-        writer.send(self.bytes.split().freeze()).await
-    }
-}
-
 /// Waits for the next item of a source and sends buffered events when they are due.
 async fn next(
     source: &mut Source,
     writer: &Writer,
-    batch: &mut EventBatch,
+    batch: &mut Batch,
 ) -> Result<Result<Item, Fault>, Disconnected> {
     while let Some(due) = batch.due {
         match tokio::time::timeout_at(due, source.next()).await {
@@ -383,7 +273,7 @@
 
     async fn forward(&mut self, writer: &Writer, source: Source, first: Event) -> StreamEnd {
         let mut source = source;
-        let mut batch = EventBatch::default();
+        let mut batch = Batch::default();
         let mut item = Ok(Item::Event(first));
         loop {
             match item {
@@ -478,6 +368,7 @@
                     permit,
                     response.body,
                     &self.request.grant.route,
+                    Arc::clone(&self.node.links),
                 ));
             }
             let fault = Fault::Failed {
