Lend shares of endpoints' limits to the VM that the callers come to

Cause: what endpoints take from all VMs together, limits that they name and calls while they are cold, is divided evenly, as if callers were.

Change: a VM tells its group what it wants beyond its shares, by the calls that arrive, and a neighbour whose callers leave its shares unused lends a part of them for 1.5 s (policy::loan). The lender gives the part up for 2.5 s, before it tells the borrower, so that the sum stays within the limit whatever is lost or late. Nothing is lent while own calls wait. What a call may wait for by loans alone is bounded, and waiting calls are refused when a loan ends without which they are too late.

Left: VMs lend within their group only, and slots of brittle endpoints not at all.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod engine;
 pub mod hedge;
 pub mod limit;
+pub mod loan;
 mod number;
 pub mod poison;
 pub mod queue;
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -21,6 +21,7 @@
 mod discovery;
 pub mod groups;
 mod limit;
+mod loan;
 mod message;
 pub mod peer;
 pub mod peers;
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -9,6 +9,7 @@
 use super::Neighbours;
 use super::limit;
 use super::limit::Limit;
+use super::loan;
 use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
@@ -280,6 +281,7 @@
             poison: self.node.poison.take_zone_reports(boot::now()),
             poison_parts: self.node.poison.take_zone_parts(boot::now()),
             bundles: self.take_bundles(),
+            wants: loan::wants(&self.node.scheduler),
             ..Update::default()
         };
         let mut shared = Vec::new();
@@ -387,8 +389,13 @@
                 departures: self.node.departures.to_tell(boot::now()),
                 rests: update.rests.clone(),
             };
+            let borrower = zone_key.filter(|_| part.first && audience == Audience::Group);
             let supplement = Supplement {
                 poison_parts: part.poison_parts.to_vec(),
+                wants: update.wants.clone(),
+                loans: borrower
+                    .map(|vm| loan::lend(&self.node.scheduler, vm))
+                    .unwrap_or_default(),
             };
             let datagram = Datagram {
                 message,
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -16,6 +16,8 @@
 use super::groups::Level;
 use super::limit::LimitMessage;
 use super::limit::RejectionMessage;
+use super::loan::Loan;
+use super::loan::Want;
 use super::peer::ReaderStatus;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
@@ -79,6 +81,10 @@
 pub struct Supplement {
     /// Reports of prompt parts that crash endpoints.
     pub poison_parts: Vec<PartMessage>,
+    /// What the sender wants of what endpoints take from all VMs together.
+    pub wants: Vec<Want>,
+    /// What the sender lends to the receiver.
+    pub loans: Vec<Loan>,
 }
 
 /// A decoded datagram.
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -12,6 +12,7 @@
 use super::broadcast::Audience;
 use super::limit;
 use super::limit::Limit;
+use super::loan;
 use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
@@ -181,6 +182,10 @@
             let writes = self.node.reads_log();
             self.node.poison.receive(*report, !group, writes, now);
         }
+        if group {
+            let scheduler = &self.node.scheduler;
+            loan::merge(scheduler, sender, &supplement.wants, &supplement.loans);
+        }
         for report in &supplement.poison_parts {
             self.node.poison.receive_part(*report, !group, now);
         }
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -3,6 +3,7 @@
 use std::cmp::Reverse;
 
 use super::limit::Limit;
+use super::loan::Want;
 use super::message::Prefill;
 use super::message::RestMessage;
 use super::message::ZoneSummary;
@@ -52,6 +53,8 @@
     pub zones: Vec<ZoneSummary>,
     /// Records of the log.
     pub bundles: Vec<Bundle>,
+    /// What this VM wants of what endpoints take from all VMs together.
+    pub wants: Vec<Want>,
     /// Endpoints that rest, for the VM through which they were reached.
     pub rests: Vec<RestMessage>,
 }
@@ -63,7 +66,7 @@
         let prompts = self.prefills.is_empty() && self.waits.is_empty();
         let versions = self.rollouts.is_empty() && self.pinned_sessions.is_empty();
         let poison = self.poison.is_empty() && self.poison_parts.is_empty();
-        prompts && versions && poison && self.bundles.is_empty()
+        prompts && versions && poison && self.bundles.is_empty() && self.wants.is_empty()
     }
 
     /// The waits that are reported: the longest ones if there are many.
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -17,8 +17,8 @@
 use crate::cold_start::ColdState;
 use crate::endpoint_limit::EndpointLimit;
 use crate::endpoint_limit::Kind;
-use crate::participants::Participants;
 use crate::pool::Job;
+use crate::sharing::Sharing;
 
 /// Size of a typical call, for comparing endpoints by their run times.
 const TYPICAL_CALL: Tokens = Tokens(500);
@@ -231,14 +231,10 @@
 pub(crate) const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
 /// Returns the state of an endpoint that is new in the list.
-pub(crate) fn initial_state(
-    member: Member,
-    participants: &Participants,
-    now: Moment,
-) -> EndpointState {
+pub(crate) fn initial_state(member: Member, sharing: &Sharing, now: Moment) -> EndpointState {
     let inputs = LimiterInputs::of(&member);
     let name_hash = choice::hash(member.endpoint.as_str());
-    let share = |bound| participants.cold_share(bound, &member.zone, name_hash);
+    let share = |bound| sharing.cold_rate(bound, &member.zone, name_hash, now);
     EndpointState {
         name_hash,
         cold: ColdState::update(None, member.cold, share, now),
@@ -300,7 +296,7 @@
 pub(crate) fn refresh(
     mut state: EndpointState,
     member: Member,
-    participants: &Participants,
+    sharing: &Sharing,
     now: Moment,
 ) -> EndpointState {
     // A starting VM may read the list of endpoints before the configuration that sets their memory. If the
@@ -329,7 +325,7 @@
         state.inputs = fresh;
         state.limiter = limiter(fresh);
     }
-    let share = |bound| participants.cold_share(bound, &member.zone, state.name_hash);
+    let share = |bound| sharing.cold_rate(bound, &member.zone, state.name_hash, now);
     state.cold = ColdState::update(state.cold, member.cold, share, now);
     state.member = member;
     state
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod pool_state;
 pub mod requirement;
+mod sharing;
 
 pub use clock::Clock;
 pub use cold_start::ColdStart;
--- a/crates/scheduler/src/participants.rs
+++ b/crates/scheduler/src/participants.rs
@@ -41,9 +41,14 @@
         other.map_or(&[], |(_, vms)| vms)
     }
 
-    /// Returns this VM's share of an endpoint's limit, in requests per second.
-    pub(crate) fn share(&self, limit: RateLimit, zone: &id::Zone, endpoint: u64) -> f64 {
-        throttle::share(limit, endpoint, self.own, self.of(zone, endpoint))
+    /// Returns the hash of this VM's name.
+    pub(crate) const fn own(&self) -> u64 {
+        self.own
+    }
+
+    /// Returns a VM's share of an endpoint's limit, in requests per second.
+    pub(crate) fn share(&self, vm: u64, limit: RateLimit, zone: &id::Zone, endpoint: u64) -> f64 {
+        throttle::share(limit, endpoint, vm, self.of(zone, endpoint))
     }
 
     /// Returns this VM's share of a brittle endpoint. VMs of zones other than these, which have endpoints of
@@ -64,8 +69,14 @@
         brittle::Share::new(capacity, endpoint, self.own, &vms)
     }
 
-    /// Returns this VM's share of the calls to a cold endpoint, in calls per second.
-    pub(crate) fn cold_share(&self, bound: cold::Bound, zone: &id::Zone, endpoint: u64) -> f64 {
-        cold::share(bound, endpoint, self.own, self.of(zone, endpoint))
+    /// Returns a VM's share of the calls to a cold endpoint, in calls per second.
+    pub(crate) fn cold_share(
+        &self,
+        vm: u64,
+        bound: cold::Bound,
+        zone: &id::Zone,
+        endpoint: u64,
+    ) -> f64 {
+        cold::share(bound, endpoint, vm, self.of(zone, endpoint))
     }
 }
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -1,5 +1,7 @@
 //! Pools of endpoints, and the jobs that wait for their slots.
 
+mod loans;
+
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -16,6 +18,7 @@
 use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
@@ -75,6 +78,8 @@
 pub(crate) struct Shared {
     pub(crate) clock: Clock,
     state: Mutex<PoolState>,
+    /// Notified when this VM may use less of what endpoints take than before.
+    pub(crate) shares_shrank: Notify,
 }
 
 impl Shared {
@@ -89,6 +94,7 @@
         let shared = Shared {
             clock,
             state: Mutex::new(PoolState::default()),
+            shares_shrank: Notify::new(),
         };
         Self {
             shared: Arc::new(shared),
@@ -127,15 +133,35 @@
                 Err(_) => Err(no_endpoint()),
             },
             () = cancel.cancelled() => Err(NoSlot::CallerGone),
+            no_slot = self.throttled(&expired) => Err(no_slot),
             () = tokio::time::sleep_until(deadline) => Err(self.expired(&expired)),
         }
     }
 
+    /// Waits until a waiting job can't start in time any more, because this VM may use less of what endpoints
+    /// take.
+    async fn throttled(&self, job: &Job) -> NoSlot {
+        loop {
+            self.shared.shares_shrank.notified().await;
+            let now = self.shared.clock.now();
+            let state = self.shared.lock();
+            let place = state.waiting_jobs(&job.requirement);
+            if let Some(no_slot) = state.throttled_for(job, place, now) {
+                return no_slot;
+            }
+        }
+    }
+
     fn enqueue(&self, pending: PendingJob) -> Result<(queue::Ticket, Moment), NoSlot> {
         let now = self.shared.clock.now();
         let mut state = self.shared.lock();
         let demand = state.demand(&pending.job, now).ok_or_else(no_endpoint)?;
-        if let Some(no_slot) = state.throttled_for(&pending.job, now) {
+        state.record_arrival(now);
+        if state.expire_loans(now) {
+            self.shared.shares_shrank.notify_waiters();
+        }
+        let place = state.waiting_jobs(&pending.job.requirement) + 1;
+        if let Some(no_slot) = state.throttled_for(&pending.job, place, now) {
             return Err(no_slot);
         }
         if let Some(after) = state.unavailable_for(&pending.job, now) {
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -1,6 +1,7 @@
 //! The state of one pool, behind its lock.
 
 mod limits;
+mod loans;
 mod placement;
 pub(crate) mod rest;
 mod waiting;
@@ -13,6 +14,7 @@
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
 use pimento_policy::limit;
+use pimento_policy::loan::Meter;
 use pimento_policy::shed;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -29,13 +31,13 @@
 use crate::endpoint_state::initial_state;
 use crate::endpoint_state::refresh;
 use crate::endpoint_state::typical_run_time;
-use crate::participants::Participants;
 use crate::permit::Permit;
 use crate::permit::Slot;
 use crate::pool::Job;
 use crate::pool::PoolMetrics;
 use crate::pool::Shared;
 use crate::requirement::Requirement;
+use crate::sharing::Sharing;
 
 /// A call that an endpoint refused counts as one that took this many times as long: it waited for nothing,
 /// and would have to wait again.
@@ -59,8 +61,10 @@
     prefilled: Vec<(u64, Prompt)>,
     /// Index of the version whose queue was last tried for a dispatch.
     last_queue: usize,
-    /// The VMs that share the limits of endpoints.
-    participants: Participants,
+    /// What this VM may use of what endpoints take from all VMs together.
+    sharing: Sharing,
+    /// How often calls arrive.
+    arrivals: Meter,
     /// The usual target of calls to plain endpoints.
     usual_target: shed::UsualTarget,
     /// Zones with usable endpoints, sorted.
@@ -85,7 +89,8 @@
             peer_engines: Vec::new(),
             prefilled: Vec::new(),
             last_queue: 0,
-            participants: Participants::default(),
+            sharing: Sharing::default(),
+            arrivals: Meter::default(),
             usual_target: shed::UsualTarget::default(),
             zones: Vec::new(),
             hold_time: HoldTime::default(),
@@ -113,9 +118,9 @@
                     if known.member.incarnation != member.incarnation {
                         self.health.reset(&member.endpoint);
                     }
-                    refresh(known, member, &self.participants, now)
+                    refresh(known, member, &self.sharing, now)
                 }
-                None => initial_state(member, &self.participants, now),
+                None => initial_state(member, &self.sharing, now),
             };
             self.endpoints.push(state);
         }
@@ -168,6 +173,9 @@
 
     /// Gives free slots to waiting jobs. Versions take turns, since an endpoint may hold several.
     pub fn dispatch_waiting(&mut self, shared: &Arc<Shared>, now: Moment) {
+        if self.expire_loans(now) {
+            shared.shares_shrank.notify_waiters();
+        }
         let count = self.queues.len();
         let mut idle = 0;
         while count > 0 && idle < count {
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use pimento_policy::brittle::Share;
+use pimento_policy::loan;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -19,7 +20,6 @@
 use crate::endpoint_state::EndpointState;
 use crate::endpoint_state::NO_SHARE_RETRY_AFTER;
 use crate::no_slot::NoSlot;
-use crate::participants::Participants;
 use crate::pool::Job;
 use crate::pool::Shared;
 use crate::requirement::Requirement;
@@ -93,34 +93,13 @@
         self.endpoints.iter().flat_map(reports).collect()
     }
 
-    /// Sets the VMs that share the limits of endpoints from now on.
-    pub fn set_participants(&mut self, participants: Participants, now: Moment) {
-        self.participants = participants;
-        for state in &mut self.endpoints {
-            let (zone, key) = (&state.member.zone, state.name_hash);
-            if let Some(limited) = &mut state.rate_limit {
-                limited.set_share(|limit| self.participants.share(limit, zone, key), now);
-            }
-            if let Some(cold) = &mut state.cold {
-                cold.set_share(|bound| self.participants.cold_share(bound, zone, key), now);
-            }
-        }
-        for index in 0..self.endpoints.len() {
-            let state = &self.endpoints[index];
-            if let Some(mut brittle) = state.brittle {
-                brittle.set_share(|limit| self.brittle_share(state, limit), now);
-                self.endpoints[index].brittle = Some(brittle);
-            }
-        }
-    }
-
     /// Sets what is known of a limit of the endpoint at `index`.
     fn set_limit(&mut self, index: usize, kind: Kind, observation: Observation, now: Moment) {
         let state = &self.endpoints[index];
         match kind {
             Kind::Requests => {
                 let (zone, key) = (&state.member.zone, state.name_hash);
-                let share = |limit| self.participants.share(limit, zone, key);
+                let share = |limit| self.sharing.rate(limit, zone, key, now);
                 let limited = EndpointLimit::new(observation, state.throttle(), share, now);
                 self.endpoints[index].rate_limit = Some(limited);
             }
@@ -133,23 +112,24 @@
     }
 
     /// Returns this VM's share of an endpoint that may turn away so many requests.
-    fn brittle_share(&self, state: &EndpointState, limit: RateLimit) -> Share {
+    pub(super) fn brittle_share(&self, state: &EndpointState, limit: RateLimit) -> Share {
         let capacity = self.hold_time.capacity(state.batch(), limit);
         let (zone, key) = (&state.member.zone, state.name_hash);
-        self.participants
-            .brittle_share(capacity, zone, key, &self.zones)
+        self.sharing.brittle_share(capacity, zone, key, &self.zones)
     }
 
     /// Returns `None` if the job may wait for the rate limits and cold starts of the endpoints, else why it
     /// gets no slot. It must be refused at once if all usable endpoints have a limit or are cold, and its turn
-    /// would come too late or this VM has no share.
-    pub fn throttled_for(&self, job: &Job, now: Moment) -> Option<NoSlot> {
+    /// would come too late or this VM has no share. `place` is the job's place in its queue, from 1.
+    pub fn throttled_for(&self, job: &Job, place: u32, now: Moment) -> Option<NoSlot> {
         let (mut share, mut ready, mut total) = (0.0, 0, 0.0);
+        let mut next = Duration::MAX;
         let mut warm_after: Option<Duration> = None;
         for state in self.usable(&job.requirement) {
             let throttle = state.tightest_throttle(now)?;
             share += throttle.rate();
             ready += u32::from(state.accepts_calls(now));
+            next = next.min(state.next_allowed(now).since(now));
             if let Some(cold) = state.cold(now) {
                 let remaining = cold.remaining(now);
                 warm_after = Some(warm_after.map_or(remaining, |known| known.min(remaining)));
@@ -166,13 +146,14 @@
             let after = seconds(1.0 / total).clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER);
             return Some(NoSlot::Overloaded { after });
         }
-        let ahead = self.waiting_jobs(&job.requirement) + 1;
-        let missing = f64::from(ahead.saturating_sub(ready));
+        let missing = f64::from(place.saturating_sub(ready));
         let by_rate = seconds(missing / share);
         let wait = warm_after.map_or(by_rate, |warm| by_rate.min(warm));
         let budget = job.deadline.since(now).mul_f64(USABLE_SHARE);
         let run_time = self.expected_run_time(&job.requirement, job.tokens);
-        if wait <= budget.saturating_sub(run_time) {
+        let budget = budget.saturating_sub(run_time);
+        let reliable = || self.is_in_time_without_loans(by_rate, share, budget, now);
+        if wait <= budget && (wait.max(next) <= loan::MAX_WAIT || reliable()) {
             return None;
         }
         let after = wait.clamp(MIN_RETRY_AFTER, NO_SHARE_RETRY_AFTER);
@@ -183,7 +164,7 @@
     }
 
     /// Returns the number of jobs that wait with a requirement.
-    fn waiting_jobs(&self, requirement: &Requirement) -> u32 {
+    pub fn waiting_jobs(&self, requirement: &Requirement) -> u32 {
         let entry = self.queues.iter().find(|s| s.requirement == *requirement);
         let waiting = entry.map_or(0, |entry| entry.queue.len());
         u32::try_from(waiting).unwrap_or(u32::MAX - 1)
