Order records of the log by its era and their offset

Callers saw: requests with revoked keys let in 2.1 and 2.3 s after the configuration without them was confirmed (24 or older for 28, 54 for 59).

Cause: the log came back from a copy some seconds old and gave offsets out again. All that orders or names by an offset took it for granted that this never happens: a view held everything before offset 7 and skipped three configurations at 4, 5 and 6; the neighbours' views, which start at 7 as well, were adopted again and again while reads from 7 got 410.

Evidence: the first configuration in force after the return is the one at offset 7, at all VMs, four records after the copy's end.

Change: an offset outside of the adapter is a position, the log's era before the offset in it, so that what comes later is always higher; VMs tell each other positions. A response of an earlier era is stale. A view of an earlier era is read anew by those that read the log, and is adopted from nobody who has not. What was known does not go back: configurations by their versions, orders and evacuations that were replaced or ended, endpoints that left; what the copy lacks stays for three seconds, unless it is written again. An order that is written again is the same under a new offset; reports of ended roll-outs and blocks that the log lost are written again. A VM that is alone in its zone and starts in a later era asks VMs of other zones for their views.

Ruled out: resetting all views (revoked keys would be let in again until the operators write); comparing by the end of the topic (it may have grown past the last read before the next one).

--- a/crates/policy/src/poison.rs
+++ b/crates/policy/src/poison.rs
@@ -311,6 +311,15 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Returns the blocked requests with the rest of their blocks, sorted by digest.
+    pub fn blocked(&self, now: Moment) -> impl Iterator<Item = (Digest, Duration)> {
+        let blocked = self.suspects.iter().filter_map(move |suspect| {
+            let left = suspect.blocked_until?.since(now);
+            (!left.is_zero()).then_some((suspect.digest, left))
+        });
+        blocked.filter(move |(digest, _)| !self.is_cleared(*digest, now))
+    }
+
     /// Removes the blocks that have expired and returns their requests. One more crash blocks such a
     /// request again.
     pub fn expire_blocks(&mut self, now: Moment) -> Vec<Digest> {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -5,6 +5,7 @@
 //! expired still gets work, because it is most likely alive. One whose registration is missing after that
 //! is removed.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use pimento_units::Moment;
@@ -31,6 +32,9 @@
 /// time.
 const COLD_END_TOLERANCE: Duration = Duration::from_millis(300);
 
+/// Endpoints that are gone, of which so many are remembered.
+const MAX_DEPARTED: usize = 4_096;
+
 /// An endpoint and the state of its registration.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Member {
@@ -48,6 +52,8 @@
     codec: C,
     /// Sorted by id.
     members: Vec<Member>,
+    /// Endpoints whose registrations were removed, the latest last, with the times when they started.
+    departed: VecDeque<(id::Endpoint, u64)>,
     /// When the log was last reachable again after an outage; none if there was no outage.
     restored: Option<Moment>,
     /// Whether the log is unreachable.
@@ -61,6 +67,7 @@
         Self {
             codec,
             members: Vec::new(),
+            departed: VecDeque::new(),
             restored: None,
             lost: false,
         }
@@ -111,6 +118,9 @@
         offset: Offset,
         context: RecordContext,
     ) -> bool {
+        if context.restored && self.is_older(&registration) {
+            return false;
+        }
         let received = context.received;
         // Counted from now, since it is not known when the record was written. Until then the endpoint is
         // taken for cold longer than it is.
@@ -140,6 +150,27 @@
         true
     }
 
+    /// Whether a registration in the copy from which the log came back is older than what is known. Endpoints
+    /// write theirs again soon; until then one that left must not get work.
+    fn is_older(&self, registration: &Registration) -> bool {
+        let Some(known) = self.member(&registration.id) else {
+            let departed = (registration.id.clone(), registration.started_unix_ms);
+            return self.departed.contains(&departed);
+        };
+        let known = &known.registration;
+        let leaves = registration.leaving && !known.leaving;
+        let same_start = registration.started_unix_ms == known.started_unix_ms;
+        registration.started_unix_ms < known.started_unix_ms || same_start && !leaves
+    }
+
+    fn record_departure(&mut self, registration: Registration) {
+        if self.departed.len() >= MAX_DEPARTED {
+            self.departed.pop_front();
+        }
+        let departed = (registration.id, registration.started_unix_ms);
+        self.departed.push_back(departed);
+    }
+
     fn insert(&mut self, member: Member) {
         let find = |known: &Member| known.registration.id.cmp(&member.registration.id);
         match self.members.binary_search_by(find) {
@@ -165,7 +196,8 @@
                 if self.members.len() < MAX_LOGGED {
                     log::info!(endpoint = id.as_str(); "directory: Endpoint removed.");
                 }
-                self.members.remove(place);
+                let member = self.members.remove(place);
+                self.record_departure(member.registration);
             }
         }
     }
--- a/crates/relay/src/evacuation.rs
+++ b/crates/relay/src/evacuation.rs
@@ -48,6 +48,13 @@
         true
     }
 
+    /// Whether an evacuation of a zone is known to have ended.
+    #[must_use]
+    pub fn has_ended(&self, zone: &id::Zone) -> bool {
+        let found = self.ended.binary_search_by(|(known, _)| known.cmp(zone));
+        found.is_ok() && !self.contains(zone)
+    }
+
     /// Whether a zone is evacuated.
     #[must_use]
     pub fn contains(&self, zone: &id::Zone) -> bool {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -62,6 +62,7 @@
 use crate::boot;
 use crate::calls::LogCalls;
 use crate::calls::Reason;
+use crate::position::Era;
 use crate::topic::Batch;
 use crate::topic::Log;
 use crate::topic::Record;
@@ -187,6 +188,12 @@
         self.lock().next
     }
 
+    /// The era of the view's records.
+    #[must_use]
+    pub fn era(&self) -> Era {
+        self.lock().era
+    }
+
     /// Outcomes of the reads so far.
     #[must_use]
     pub fn read_counts(&self) -> ReadCounts {
@@ -294,8 +301,10 @@
         let mut first_view = FirstView {
             settled: Instant::now() + self.zone.settle_time(),
             give_up: None,
+            remote_tries: 0,
         };
         loop {
+            self.expire_retained();
             let role = *role_changes.borrow_and_update();
             let took_over = role == ReadRole::Reader && before != role;
             before = role;
@@ -315,6 +324,8 @@
             }
             let state = self.zone.log_state();
             let started = self.next_offset().is_some();
+            // After a restoration of the log the VMs that read it are the first to know its contents.
+            let must_read = role != ReadRole::Served && self.lock().is_out_of_era();
             // In a divided zone a late proof or change says little about the log, and as many VMs would read it
             // as wait for the same leader. The next proof ends the wait, and with it what is missing is fetched
             // again.
@@ -325,6 +336,7 @@
                 continue;
             }
             if !started
+                && !must_read
                 && self
                     .wait_for_first_view(role, &mut role_changes, &mut first_view)
                     .await
@@ -368,6 +380,14 @@
         }
     }
 
+    /// Removes what the log has lacked for too long since it was restored.
+    fn expire_retained(&self) {
+        let changed = self.lock().expire_retained(boot::now());
+        if changed {
+            self.change_count.send_modify(|count| *count += 1);
+        }
+    }
+
     /// The reason under which a read in this role is counted.
     fn reason(&self, role: ReadRole) -> Reason {
         let inner = self.lock();
--- a/crates/relay/src/follow/fold.rs
+++ b/crates/relay/src/follow/fold.rs
@@ -24,6 +24,9 @@
     pub connected_since: Moment,
     /// Whether it was on the topic when the topic was first read.
     pub initial: bool,
+    /// Whether it may be older than what is known of its key: it was on the topic when the log had come back
+    /// from an older copy.
+    pub restored: bool,
 }
 
 /// Whether the log is reachable.
--- a/crates/relay/src/follow/read.rs
+++ b/crates/relay/src/follow/read.rs
@@ -15,6 +15,7 @@
 use super::timing::answer_timeout;
 use crate::bundle;
 use crate::calls::Reason;
+use crate::position::Position;
 use crate::topic::Batch;
 use crate::topic::Error;
 use crate::topic::Log;
@@ -116,6 +117,13 @@
                 self.lock().next = None;
                 Ok(false)
             }
+            Err(Error::Restored { era_start }) => {
+                let era = Position::from(era_start).era;
+                let topic = self.topic.as_str();
+                log::warn!(topic, era:%; "follower: The log came back from an older copy, reading it anew.");
+                self.lock().log_restored(era);
+                Ok(false)
+            }
             Err(error) => Err(exchange.failed_with(&error)),
         }
     }
@@ -130,7 +138,7 @@
         let counts = &mut inner.read_counts;
         counts.bytes += exchange.progress.received().bytes;
         match &answer {
-            Ok(Ok(_) | Err(Error::Gone { .. })) => counts.answered += 1,
+            Ok(Ok(_) | Err(Error::Gone { .. } | Error::Restored { .. })) => counts.answered += 1,
             Ok(Err(_)) => counts.failed += 1,
             Err(_) => counts.given_up += 1,
         }
--- a/crates/relay/src/follow/start.rs
+++ b/crates/relay/src/follow/start.rs
@@ -38,6 +38,8 @@
     pub settled: Instant,
     /// When a VM that nobody serves reads the log itself; none before it waits.
     pub give_up: Option<Instant>,
+    /// How many VMs of other zones were asked.
+    pub remote_tries: usize,
 }
 
 impl<F: Fold, L: Log> Follower<F, L> {
@@ -59,6 +61,9 @@
             .borrow_and_update()
             .choose(&mut rand::rng())
             .copied();
+        if source.is_none() && self.fetch_remote_snapshot(first).await {
+            return true;
+        }
         if let Some(source) = source {
             if self.fetch_snapshot(source).await {
                 return true;
@@ -94,6 +99,19 @@
         true
     }
 
+    /// Fetches and adopts the view of a VM of another zone, if this one is alone in its zone and the log was
+    /// restored. The log may lack what those VMs know, such as that a key was revoked.
+    async fn fetch_remote_snapshot(&self, first: &mut FirstView) -> bool {
+        let sources = self.zone.remote_sources().get(first.remote_tries..);
+        for source in sources.unwrap_or_default() {
+            first.remote_tries += 1;
+            if self.fetch_snapshot(*source).await {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Fetches and adopts the view of the VM at `source`. Returns whether that succeeded.
     pub(super) async fn fetch_snapshot(&self, source: SocketAddr) -> bool {
         let Ok(topic) = SharedTopic::try_from(self.topic) else {
@@ -106,8 +124,10 @@
         let problem = match answer {
             Ok(Ok(snapshot)) => {
                 exchange.answered();
-                self.adopt(&snapshot, exchange.sent);
-                return true;
+                if self.adopt(&snapshot, exchange.sent) {
+                    return true;
+                }
+                "the view is from before the log was restored".into()
             }
             Ok(Err(error)) => error.to_string(),
             Err(silent) => silent.to_string(),
@@ -117,17 +137,20 @@
         false
     }
 
-    /// Adopts a neighbour's view that was requested at `sent`.
-    fn adopt(&self, snapshot: &Snapshot, sent: Moment) {
+    /// Adopts a neighbour's view that was requested at `sent`. Returns whether it is of the log's present era.
+    fn adopt(&self, snapshot: &Snapshot, sent: Moment) -> bool {
         let proven = snapshot::proven_at(sent, snapshot.age);
         let mut inner = self.lock();
+        if !inner.adopt(snapshot, proven, boot::now()) {
+            return false;
+        }
         self.mark_connected(&mut inner, boot::now());
-        inner.adopt(snapshot, proven, boot::now());
         drop(inner);
         let records = snapshot.records.len();
         let age_ms = millis(snapshot.age);
         log::info!(topic = self.topic.as_str(), records, age_ms; "follower: Adopted a neighbour's view.");
         self.change_count.send_modify(|count| *count += 1);
+        true
     }
 
     /// The view for another VM, and when it was proven; none if nothing was read yet.
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -1,5 +1,7 @@
 //! The view of a topic, to which each record is applied once and in order.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use pimento_progress::Progress;
 use pimento_units::Moment;
@@ -9,6 +11,8 @@
 use super::Proof;
 use super::ReadCounts;
 use super::RecordContext;
+use crate::position::Era;
+use crate::position::Position;
 use crate::recent;
 use crate::recent::Recent;
 use crate::snapshot::Snapshot;
@@ -20,6 +24,10 @@
 /// at once. If more arrive early, the VM reads the log itself.
 const MAX_EARLY: usize = 64;
 
+/// Time after a restoration of the log within which what its copy lacks may be written again. Until then it
+/// stays in force.
+const RETENTION: Duration = Duration::from_secs(3);
+
 /// Records from another VM: all those between two offsets that changed its view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RecordRange {
@@ -67,6 +75,12 @@
     pub proven_at: Option<Moment>,
     /// Other VMs' last stamps that had arrived by `proven_at`, sorted by VM.
     pub stamps: Vec<Stamp>,
+    /// The era of the view's records.
+    pub era: Era,
+    /// The era that the log is known to be in. Views of earlier ones are out of date.
+    pub log_era: Era,
+    /// Until when keys stay that the log has lacked since it was restored.
+    retained_until: Option<Moment>,
     /// Since when the log has been reachable, directly or through another VM; none while it is not.
     pub connected_since: Option<Moment>,
 }
@@ -91,6 +105,9 @@
             read_counts: ReadCounts::default(),
             proven_at: None,
             stamps: Vec::new(),
+            era: Era::default(),
+            log_era: Era::default(),
+            retained_until: None,
             connected_since: None,
         }
     }
@@ -99,7 +116,13 @@
     /// because the pages of the newest records are not taken at one moment, and because reads may overlap.
     /// Returns whether the view changed.
     pub fn apply(&mut self, record: &Record, now: Moment) -> bool {
-        match self.seen.binary_search_by(|(key, _)| key.cmp(&record.key)) {
+        self.apply_in_era(record, false, now)
+    }
+
+    /// The same. `restored` is set if the record may be of the copy from which the log came back.
+    fn apply_in_era(&mut self, record: &Record, restored: bool, now: Moment) -> bool {
+        let found = self.seen.binary_search_by(|(key, _)| key.cmp(&record.key));
+        match found {
             Ok(place) if self.seen[place].1 >= record.offset => return false,
             Ok(place) => self.seen[place].1 = record.offset,
             Err(place) => self.seen.insert(place, (record.key.clone(), record.offset)),
@@ -108,16 +131,27 @@
             received: now,
             connected_since: self.connected_since.unwrap_or(now),
             initial: self.proven_at.is_none(),
+            restored: restored && found.is_ok(),
         };
         let changed = self.fold.apply(record, context);
         if changed {
             self.change_end = self.change_end.max(record.offset.next());
             self.update_newest(record);
             self.recent.push(record, self.newest.len());
+        } else if restored {
+            self.confirm(record);
         }
         changed
     }
 
+    /// Records that the log still holds a key whose known value stays in force.
+    fn confirm(&mut self, record: &Record) {
+        let found = self.newest.binary_search_by(|r| r.key.cmp(&record.key));
+        if let Ok(place) = found {
+            self.newest[place].offset = record.offset;
+        }
+    }
+
     /// Stores a record that changed the view for VMs that start. They need no record that changed nothing:
     /// it has no more effect than the one before it.
     fn update_newest(&mut self, record: &Record) {
@@ -132,10 +166,21 @@
         }
     }
 
-    /// Adopts another VM's whole view, which is proven as of a moment of this VM's clock.
-    pub fn adopt(&mut self, snapshot: &Snapshot, proven: Option<Moment>, now: Moment) {
+    /// Adopts another VM's whole view, which is proven as of a moment of this VM's clock. Returns false if the
+    /// log was restored since it was read.
+    pub fn adopt(&mut self, snapshot: &Snapshot, proven: Option<Moment>, now: Moment) -> bool {
+        if Position::from(snapshot.to).era < self.log_era {
+            return false;
+        }
         self.replace(&snapshot.records, snapshot.to, now);
         self.proven_at = self.proven_at.max(proven);
+        true
+    }
+
+    /// Records that the log came back from an older copy, and that the view must be read anew.
+    pub fn log_restored(&mut self, era: Era) {
+        self.log_era = self.log_era.max(era);
+        self.next = None;
     }
 
     /// Applies records that follow those in the view. Returns whether the view changed.
@@ -150,15 +195,69 @@
     }
 
     /// Replaces the contents of the view by the newest records of all keys up to `end`. Returns whether the
-    /// view changed.
+    /// view, or its era, changed.
     pub fn replace(&mut self, newest: &[Record], end: Offset, now: Moment) -> bool {
+        let restored = self.enter_era(end, now);
         let mut changed = false;
         for record in newest {
-            changed |= self.apply(record, now);
+            changed |= self.apply_in_era(record, restored, now);
+        }
+        if self.retained_until.is_none() {
+            changed |= self.remove_missing(newest, end, now);
+        }
+        if restored {
+            // The other VMs must learn of the new era as well, although nothing else may have changed.
+            self.change_end = end;
         }
-        changed |= self.remove_missing(newest, end, now);
         self.recent.reset(end);
         self.advance(end);
+        changed || restored
+    }
+
+    /// Enters the era of a position if that is a later one. Returns whether it is.
+    fn enter_era(&mut self, end: Offset, now: Moment) -> bool {
+        let era = Position::from(end).era;
+        if era <= self.era {
+            return false;
+        }
+        self.era = era;
+        self.log_era = self.log_era.max(era);
+        self.retained_until = Some(now + RETENTION);
+        true
+    }
+
+    /// Removes the keys that were not written again since the log was restored, once the time for it is over.
+    /// Returns whether the view changed. Each VM does so by itself.
+    pub fn expire_retained(&mut self, now: Moment) -> bool {
+        if self.retained_until.is_none_or(|until| now < until) {
+            return false;
+        }
+        self.retained_until = None;
+        let start = Position::start(self.era).into();
+        let missing = self.seen.iter().filter(|(_, offset)| *offset < start);
+        let missing: Vec<CompactString> = missing.map(|(key, _)| key.clone()).collect();
+        let context = RecordContext {
+            received: now,
+            connected_since: self.connected_since.unwrap_or(now),
+            initial: false,
+            restored: false,
+        };
+        let mut changed = false;
+        for key in missing {
+            let removal = Record {
+                offset: start,
+                key,
+                value: None,
+            };
+            if self
+                .newest
+                .binary_search_by(|r| r.key.cmp(&removal.key))
+                .is_ok()
+            {
+                changed |= self.fold.apply(&removal, context);
+                self.update_newest(&removal);
+            }
+        }
         changed
     }
 
@@ -229,7 +328,8 @@
 
     /// Drops the end that another VM announced if the log holds no records up to it, and returns whether it
     /// did. The caller has read up to the end of the topic with a read sent at `sent`. An end announced
-    /// before must be wrong if the view still lacks its records, because the log never loses records. If it
+    /// before must be wrong if the view still lacks its records, because a log that loses records begins a
+    /// new era. If it
     /// stayed, this VM would read all the time and refuse callers until the log holds as many records.
     pub fn drop_false_end(&mut self, sent: Moment) -> bool {
         let wrong = self.lacks_changes() && self.known_end_at <= sent;
@@ -240,6 +340,11 @@
         wrong
     }
 
+    /// Whether the log was restored since the view was read.
+    pub fn is_out_of_era(&self) -> bool {
+        self.era < self.log_era
+    }
+
     /// Whether another VM announced a change that the view does not hold, or nothing was read yet.
     pub fn lacks_changes(&self) -> bool {
         self.next.is_none_or(|next| next < self.known_end)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod operators;
 pub mod poison;
 mod pools;
+pub mod position;
 mod recent;
 pub mod refusal;
 pub mod registration;
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -58,6 +58,7 @@
 use crate::follow::ReadRole;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
+use crate::position::Era;
 use crate::rollouts::announcement::PinnedSession;
 use crate::topic::Log;
 use crate::zone::Reachability;
@@ -91,6 +92,8 @@
     to_group: Relayed,
     /// The leader of the group; none if it is this VM.
     leader: Option<(id::Node, SocketAddr)>,
+    /// The era of the log when this VM read the records of other VMs.
+    log_era: Era,
     /// When this VM last looked for leaders of other groups.
     probed_at: Moment,
     /// The offsets up to which records were forwarded to others; none while this VM serves none.
--- a/crates/relay/src/neighbours/discovery.rs
+++ b/crates/relay/src/neighbours/discovery.rs
@@ -23,6 +23,8 @@
 use crate::fleet::VmRecord;
 use crate::follow::ReadRole;
 use crate::headers::HeaderCodec;
+use crate::position::Era;
+use crate::position::Position;
 use crate::topic::Log;
 use crate::topic::Topic;
 
@@ -43,6 +45,9 @@
 /// whether its zone is so large that it is divided.
 const ZONES_DELAY: Duration = Duration::from_secs(1);
 
+/// VMs of each other zone that a VM which is alone in its zone asks for their views, at most.
+const MAX_REMOTE_SOURCES: usize = 2;
+
 /// Attempts to write this VM's record before it reads those of the others all the same.
 const MAX_ATTEMPTS: u32 = 3;
 
@@ -64,6 +69,7 @@
         let by_log = async {
             let mut written = self.node.config.first_start && self.publish(MAX_ATTEMPTS).await;
             written |= self.read_zone().await;
+            self.find_remote_sources().await;
             self.join().await;
             if !written {
                 self.publish(u32::MAX).await;
@@ -147,6 +153,28 @@
         }
     }
 
+    /// Finds VMs of other zones that know what a log which came back from an older copy may lack, if no VM of
+    /// this zone does.
+    async fn find_remote_sources(&self) {
+        if self.log_era() == Era::default() || !self.refresh_peers().is_empty() {
+            return;
+        }
+        let config = &self.node.config;
+        let mut sources = Vec::new();
+        for (zone, _) in config.zones.iter().filter(|(zone, _)| *zone != config.zone) {
+            let records = self.read_vms(zone).await.unwrap_or_default();
+            let chosen = records.sample(&mut rand::rng(), MAX_REMOTE_SOURCES);
+            sources.extend(chosen.map(|(_, record)| record.address));
+        }
+        let known = sources.len();
+        log::info!(known; "neighbours: The log was restored, asking VMs of other zones for their views.");
+        self.zone.set_remote_sources(sources);
+    }
+
+    fn log_era(&self) -> Era {
+        self.lock().log_era
+    }
+
     /// Reads the records of a zone's VMs; none if the log gave no answer.
     async fn read_vms(&self, zone: &id::Zone) -> Option<Vec<(id::Node, VmRecord)>> {
         let topic = Topic::Vms(self.node.config.partition(zone));
@@ -155,6 +183,8 @@
         let newest = self.log.newest(topic, &progress);
         let problem = match progress.wait(newest, CALL_TIMEOUT, CALL_TIMEOUT).await {
             Ok(Ok(batch)) => {
+                let era = Position::from(batch.end).era;
+                self.lock().log_era = era;
                 let records = batch.records.iter().filter_map(fleet::decode);
                 // Zones may share a partition.
                 return Some(records.filter(|(_, record)| record.zone == *zone).collect());
--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -5,7 +5,6 @@
 use pimento_units::Moment;
 use pimento_units::Offset;
 
-use crate::boot;
 use crate::codec::Codec;
 use crate::codec::OperatorRecord;
 use crate::codec::Order;
@@ -13,9 +12,13 @@
 use crate::follow::Fold;
 use crate::follow::RecordContext;
 use crate::node::millis;
+use crate::position::Position;
 use crate::table::Table;
 use crate::topic::Record;
 
+/// Orders that newer ones replaced, of which so many are remembered.
+const MAX_REPLACED: usize = 32;
+
 /// An [`Order`], with where and when it was read.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReadOrder {
@@ -36,6 +39,8 @@
     table: Option<Arc<Table>>,
     /// The newest order for each service, sorted by service.
     orders: Vec<ReadOrder>,
+    /// Orders that newer ones replaced, the latest last.
+    replaced: Vec<Order>,
     evacuations: Evacuations,
 }
 
@@ -47,6 +52,7 @@
             codec,
             table: None,
             orders: Vec::new(),
+            replaced: Vec::new(),
             evacuations: Evacuations::default(),
         }
     }
@@ -90,12 +96,72 @@
         &self.orders
     }
 
-    fn insert_order(&mut self, order: ReadOrder) {
+    /// Puts a configuration in force unless a newer one is. A log that came back from a copy holds an older
+    /// one until the operators write theirs again.
+    fn set_table(&mut self, table: Table, bytes: usize, offset: Offset, restored: bool) -> bool {
+        let (version, known) = (table.version(), self.table.as_ref().map(|t| t.version()));
+        let newer = known.is_none_or(|known| version > known || version == known && !restored);
+        if !newer {
+            log::info!(topic = "operators", offset = offset.0, version, known; "operators: Ignoring an older configuration.");
+            return false;
+        }
+        log::info!(
+            topic = "operators",
+            offset = offset.0,
+            configuration = version,
+            bytes;
+            "operators: Configuration in force."
+        );
+        self.table = Some(Arc::new(table));
+        true
+    }
+
+    /// Records an order. One that the operators wrote again after the log lost it is the same as before under
+    /// a new offset. One that was replaced before the log lost that is not in force again.
+    fn set_order(&mut self, order: ReadOrder, restored: bool) -> bool {
         let find = |known: &ReadOrder| known.rollout.pool.cmp(&order.rollout.pool);
-        match self.orders.binary_search_by(find) {
-            Ok(index) => self.orders[index] = order,
-            Err(index) => self.orders.insert(index, order),
+        let index = match self.orders.binary_search_by(find) {
+            Ok(index) => index,
+            Err(index) => {
+                log_order(&order);
+                self.orders.insert(index, order);
+                return true;
+            }
+        };
+        let known = &mut self.orders[index];
+        if known.is_repeated_by(&order) {
+            known.offset = order.offset;
+            return true;
+        }
+        if restored && self.replaced.contains(&order.rollout) {
+            return false;
         }
+        log_order(&order);
+        let before = std::mem::replace(known, order);
+        self.replaced.push(before.rollout);
+        let excess = self.replaced.len().saturating_sub(MAX_REPLACED);
+        self.replaced.drain(..excess);
+        true
+    }
+}
+
+fn log_order(order: &ReadOrder) {
+    log::info!(
+        topic = "operators",
+        offset = order.offset.0,
+        pool = order.rollout.pool.as_str(),
+        version = order.rollout.target.as_str(),
+        lasts_ms = millis(order.rollout.time_limit);
+        "operators: Roll-out ordered."
+    );
+}
+
+impl ReadOrder {
+    /// Whether another order is this one, which the operators wrote again because the log had lost it.
+    #[must_use]
+    pub fn is_repeated_by(&self, other: &Self) -> bool {
+        let later = Position::from(other.offset).era > Position::from(self.offset).era;
+        later && self.rollout == other.rollout
     }
 }
 
@@ -104,34 +170,23 @@
         let Some(value) = &record.value else {
             return self.remove(record, context);
         };
-        let started = boot::now();
         match self.codec.decode_operator_record(&record.key, value) {
             Ok(OperatorRecord::Table(table)) => {
-                log::info!(
-                    topic = "operators",
-                    offset = record.offset.0,
-                    configuration = table.version(),
-                    bytes = value.len(),
-                    decoded_ms = millis(boot::now().since(started));
-                    "operators: Configuration in force."
-                );
-                self.table = Some(Arc::from(table));
+                return self.set_table(*table, value.len(), record.offset, context.restored);
             }
             Ok(OperatorRecord::Rollout(rollout)) => {
-                log::info!(
-                    topic = "operators",
-                    offset = record.offset.0,
-                    pool = rollout.pool.as_str(),
-                    version = rollout.target.as_str(),
-                    lasts_ms = millis(rollout.time_limit);
-                    "operators: Roll-out ordered."
-                );
-                self.insert_order(ReadOrder {
+                let order = ReadOrder {
                     rollout,
                     offset: record.offset,
                     read_at: context.received,
                     initial: context.initial,
-                });
+                };
+                return self.set_order(order, context.restored);
+            }
+            Ok(OperatorRecord::Evacuation(zone))
+                if context.restored && self.evacuations.has_ended(&zone) =>
+            {
+                return false;
             }
             Ok(OperatorRecord::Evacuation(zone)) => {
                 log::info!(
--- a/crates/relay/src/poison/writer.rs
+++ b/crates/relay/src/poison/writer.rs
@@ -46,7 +46,7 @@
 }
 
 /// Ends the blocks that have expired. A VM that reads the log itself also removes obsolete blocks from
-/// the log.
+/// the log, and writes those that it lacks.
 fn expire_blocks<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>) {
     let now = boot::now();
     let state = &mut *node.poison.lock();
@@ -62,8 +62,11 @@
         Subject::Part(id) => state.parts.table.is_acquitted(id),
     };
     let obsolete = node.blocklist.view(|list| list.obsolete(cleared, now));
-    let blocked = state.parts.table.blocked(now);
-    let blocked = blocked.map(|(id, left)| (Subject::Part(id), left));
+    let parts = state.parts.table.blocked(now);
+    let parts = parts.map(|(id, left)| (Subject::Part(id), left));
+    let requests = state.table.blocked(now);
+    let requests = requests.map(|(digest, left)| (Subject::Request(digest), left));
+    let blocked = parts.chain(requests);
     let missing = blocked.filter(|(subject, _)| !node.blocklist.view(|l| l.contains(*subject)));
     let missing: Vec<(Subject, Duration)> = missing.collect();
     for subject in obsolete {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -145,6 +145,23 @@
         known.is_some_and(|known| known.offset() >= order.offset)
     }
 
+    /// The orders that have ended, and how.
+    #[must_use]
+    pub fn ended_orders(&self) -> Vec<(ReadOrder, End)> {
+        let ended = |rollout: &RolloutState| Some((rollout.order.clone(), rollout.ended()?));
+        self.newest.iter().filter_map(ended).collect()
+    }
+
+    /// Takes an order for the known one of its service if the operators wrote that again because the log had
+    /// lost it. It goes on under the new offset.
+    pub fn adopt_repeated_order(&mut self, order: &ReadOrder) {
+        if let Some(known) = self.get_mut(&order.rollout.pool)
+            && known.order.is_repeated_by(order)
+        {
+            known.order.offset = order.offset;
+        }
+    }
+
     /// Adds an order. `ended` is how it ended, if that was before this process started.
     pub fn add_order(&mut self, order: ReadOrder, ended: Option<End>, now: Moment) {
         let mut rollout = RolloutState::new(order, ended.map(|end| (end, now)));
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -39,6 +39,8 @@
 use crate::node::Node;
 use crate::operators::ReadOrder;
 use crate::pools;
+use crate::position::Era;
+use crate::position::Position;
 use crate::topic::Error;
 use crate::topic::Log;
 use crate::topic::Record;
@@ -114,9 +116,11 @@
     published: Vec<Announcement>,
     /// When this VM first found that an end is to be reported.
     report_due: Option<Moment>,
-    /// For each order that was given while this VM ran and read the log: the order's offset, and the end of
-    /// the status topic when this VM accepted it. Reports before that end belong to earlier orders.
-    status_ends: Vec<(Offset, Offset)>,
+    /// For each service whose last order was given while this VM ran and read the log: the end of the status
+    /// topic when this VM accepted it. Reports before that end belong to earlier orders.
+    status_ends: Vec<(id::Pool, Offset)>,
+    /// The era of the log in which the ends of roll-outs are known to be reported.
+    reported_era: Era,
 }
 
 /// Starts the controller, which runs until `token` is cancelled.
@@ -129,6 +133,7 @@
         published: Vec::new(),
         report_due: None,
         status_ends: Vec::new(),
+        reported_era: Era::default(),
     };
     tokio::spawn(async move { token.run_until_cancelled(controller.run()).await });
 }
@@ -139,6 +144,7 @@
         let mut endpoints = self.node.directory.changes();
         loop {
             let pending = self.accept_orders().await;
+            let retry = !self.report_again().await || pending == Pending::Status;
             let running = self.node.rollouts(|r| r.running());
             if running.is_empty() {
                 if self.node.reads_log() {
@@ -148,7 +154,7 @@
                 let woken = tokio::select! {
                     woken = changes.changed() => woken,
                     woken = endpoints.changed(), if pending == Pending::SeveralVersions => woken,
-                    () = tokio::time::sleep(PUBLISH_INTERVAL), if pending == Pending::Status => Ok(()),
+                    () = tokio::time::sleep(PUBLISH_INTERVAL), if retry => Ok(()),
                 };
                 if woken.is_err() {
                     return;
@@ -179,6 +185,11 @@
     /// read: VMs that start together would all call the log for nothing.
     async fn accept_orders(&mut self) -> Pending {
         let orders: Vec<ReadOrder> = self.node.operators.view(|view| view.orders().to_vec());
+        self.node.rollouts(|r| {
+            for order in &orders {
+                r.adopt_repeated_order(order);
+            }
+        });
         let known = |order: &ReadOrder| self.node.rollouts(|r| r.has_order(order));
         let new: Vec<ReadOrder> = orders.into_iter().filter(|order| !known(order)).collect();
         let now = boot::now();
@@ -203,7 +214,8 @@
                     let Some((_, end)) = self.read_statuses().await else {
                         return Pending::Status;
                     };
-                    self.status_ends.push((order.offset, end));
+                    self.status_ends.retain(|(known, _)| known != pool);
+                    self.status_ends.push((pool.clone(), end));
                 }
                 None
             };
@@ -212,6 +224,28 @@
         pending
     }
 
+    /// Reports the ends of roll-outs once more if the log may have lost the reports. The operators may have
+    /// acted on them, so that the same ends are written again. Returns whether nothing is left to report.
+    async fn report_again(&mut self) -> bool {
+        let era = self.node.operators.era();
+        if era <= self.reported_era || !self.node.reads_log() {
+            return true;
+        }
+        let own = &self.node.config.node;
+        let ended = self.node.rollouts(|r| r.ended_orders());
+        let mut reported = true;
+        for (order, end) in ended {
+            let pool = &order.rollout.pool;
+            let rank = self.node.rollouts(|r| r.rank(pool, own, boot::now()));
+            tokio::time::sleep((RANK_DELAY * rank).min(MAX_RANK_DELAY)).await;
+            reported &= self.report_end(&order, end).await;
+        }
+        if reported {
+            self.reported_era = era;
+        }
+        reported
+    }
+
     fn follow(&mut self) {
         if self.fleet.is_none() {
             let token = CancellationToken::new();
@@ -328,10 +362,7 @@
         let Some((statuses, at)) = self.read_statuses().await else {
             return false;
         };
-        let since = self
-            .status_ends
-            .iter()
-            .find(|(offset, _)| *offset == order.offset);
+        let since = self.status_ends.iter().find(|(known, _)| known == pool);
         let since = since.map_or(Offset::default(), |(_, since)| *since);
         let now = boot::now();
         if let Some(reported) = reported_end(&statuses, order, since) {
@@ -411,7 +442,7 @@
     since: Offset,
 ) -> Option<End> {
     let found = statuses.iter().find(|(offset, status)| {
-        *offset >= since
+        is_after(*offset, since)
             && status.pool == order.rollout.pool
             && status.target == order.rollout.target
     });
@@ -422,6 +453,12 @@
     }
 }
 
+/// Whether a report was written after the status topic ended at `since`. What the log returns anew after it
+/// was restored has the offsets that it had.
+fn is_after(offset: Offset, since: Offset) -> bool {
+    Position::from(offset).offset >= Position::from(since).offset
+}
+
 impl<P: HeaderCodec + Codec, L: Log> Node<P, L> {
     /// Whether no request of this VM is at an endpoint of another version than `target`.
     fn is_drained(&self, pool: &id::Pool, target: &id::Version) -> bool {
--- a/crates/relay/src/topic.rs
+++ b/crates/relay/src/topic.rs
@@ -83,6 +83,13 @@
         /// The cause.
         reason: CompactString,
     },
+    /// The log came back from an older copy. Records before `era_start` that the copy lacks are gone, and
+    /// what was read before may differ from what the log holds now.
+    #[snafu(display("the log came back from an older copy"))]
+    Restored {
+        /// The lowest offset of the records that are written from now on.
+        era_start: Offset,
+    },
     /// The log no longer keeps the requested records.
     #[snafu(display("the log keeps records from {oldest} on only"))]
     Gone {
@@ -98,6 +105,10 @@
 }
 
 /// A client of the platform's log. Clones share connections.
+///
+/// Offsets grow with time even if the log comes back from an older copy and gives offsets out again: an
+/// implementation then returns higher ones, also for the records of the copy. So what orders or names
+/// records by their offsets never takes a new record for a known one.
 pub trait Log: Clone + Send + Sync + 'static {
     /// Returns the newest record of each key. [`Batch::end`] is where the topic ended before the first of
     /// them was looked up, so that some may be newer. `progress` counts the bytes that have arrived.
@@ -108,7 +119,8 @@
     ) -> impl Future<Output = Result<Batch, Error>> + Send;
 
     /// Returns the records from `from` on, and waits up to `wait` if there are none yet. `progress` counts
-    /// the bytes that have arrived.
+    /// the bytes that have arrived. If the log came back from a copy since `from` was returned, the answer is
+    /// [`Error::Restored`].
     fn read(
         &self,
         topic: Topic,
--- a/crates/relay/src/zone.rs
+++ b/crates/relay/src/zone.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -147,6 +148,8 @@
     arrivals: Arc<Mutex<Vec<Arrivals>>>,
     /// The VMs that can serve a whole view to this one.
     pub sources: Arc<watch::Sender<Vec<SocketAddr>>>,
+    /// VMs of other zones, for a VM that is alone in its zone and starts after the log was restored.
+    remote_sources: Arc<OnceLock<Vec<SocketAddr>>>,
     /// Whether this VM reads for others, or another one for it.
     pub read_role: Arc<watch::Sender<ReadRole>>,
     /// Notified of each read of this VM that proved its view as of a later moment.
@@ -218,6 +221,19 @@
         self.vms.store(vms, Ordering::Relaxed);
     }
 
+    /// Sets the VMs of other zones that this VM may ask for their views when it starts.
+    pub fn set_remote_sources(&self, sources: Vec<SocketAddr>) {
+        if self.remote_sources.set(sources).is_err() {
+            log::debug!("zone: VMs of other zones are known already.");
+        }
+    }
+
+    /// The VMs of other zones that this VM may ask for their views when it starts.
+    #[must_use]
+    pub fn remote_sources(&self) -> &[SocketAddr] {
+        self.remote_sources.get().map_or(&[], Vec::as_slice)
+    }
+
     /// Sets the VMs that can serve a whole view to this one.
     pub fn set_sources(&self, sources: Vec<SocketAddr>) {
         self.sources.send_if_modified(|known| {
