--- a/crates/relay/src/poison/part_report.rs
+++ b/crates/relay/src/poison/part_report.rs
@@ -33,7 +33,7 @@
 /// A report as it is sent. VMs' clocks differ, so it holds ages instead of moments.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PartMessage {
-    /// See [`PartReport::Crashed`].
+    /// An endpoint crashed while it ran a prompt with the part.
     Crashed {
         /// Hash of the endpoint's id.
         endpoint: u64,
@@ -50,7 +50,7 @@
         /// Milliseconds since the answer began or the request was sent.
         since_ms: u32,
     },
-    /// See [`PartReport::Sound`].
+    /// A complete answer to a prompt with the part began.
     Sound {
         /// The part.
         part: u64,
