--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -7,14 +7,12 @@
 mod announced;
 mod connect;
 mod detail;
+mod run;
 mod slot;
 
 use std::time::Duration;
 
-use hyper::StatusCode;
 use pimento_endpoint::Fault;
-use pimento_policy::poison::parts;
-use pimento_policy::poison::parts::Suspect;
 use pimento_scheduler::Estimate;
 use pimento_scheduler::Permit;
 use pimento_units::Moment;
@@ -42,9 +40,6 @@
 /// trip, and if so many decline, the pool is full or the list of endpoints is out of date.
 const MAX_DECLINED: usize = 5;
 
-/// Parts of a prompt that are compared when endpoints crash, at most.
-const MAX_REPORTED_PARTS: usize = 32;
-
 /// An endpoint's response whose head was received and belongs to the request.
 #[derive(Debug)]
 pub struct Opened {
@@ -360,29 +355,6 @@
         Err(self.qualify(Refusal::new(cause)))
     }
 
-    /// Records that a complete response was received. Whatever its status, the endpoint did not crash on the
-    /// request.
-    pub fn response_complete(&self, status: StatusCode) {
-        poison::record_answer(self.node, &self.run(), status.is_success());
-    }
-
-    /// The last run of the request, which ends now.
-    #[must_use]
-    pub fn run(&self) -> poison::Run {
-        let parts = self.request.shared_parts().take(MAX_REPORTED_PARTS);
-        let parts = parts.enumerate().map(|(place, part)| Suspect {
-            id: parts::Id(part.hash),
-            leads: place == 0,
-            begun: self.state.answer_begun,
-            since: self.state.run_since,
-        });
-        poison::Run {
-            digest: self.request.digest,
-            parts: parts.collect(),
-            ended: boot::now(),
-        }
-    }
-
     /// Parses the head of a response and checks that it is an endpoint's response to this request.
     fn check_response(
         &self,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -16,6 +16,7 @@
 mod pool;
 mod pool_state;
 pub mod requirement;
+mod scheduler;
 mod sharing;
 
 pub use clock::Clock;
@@ -28,6 +29,6 @@
 pub use pool::Job;
 pub use pool::Pool;
 pub use pool::PoolMetrics;
-pub use pool::Scheduler;
 pub use pool_state::rest::Report as RestReport;
 pub use requirement::Requirement;
+pub use scheduler::Scheduler;
--- a/crates/scheduler/src/pool_state/limits.rs
+++ b/crates/scheduler/src/pool_state/limits.rs
@@ -115,7 +115,9 @@
     pub(super) fn brittle_share(&self, state: &EndpointState, limit: RateLimit) -> Share {
         let capacity = self.hold_time.capacity(state.batch(), limit);
         let (zone, key) = (&state.member.zone, state.name_hash);
-        self.sharing.brittle_share(capacity, zone, key, &self.zones)
+        self.sharing
+            .participants
+            .brittle_share(capacity, zone, key, &self.zones)
     }
 
     /// Returns `None` if the job may wait for the rate limits and cold starts of the endpoints, else why it
--- a/crates/scheduler/src/sharing.rs
+++ b/crates/scheduler/src/sharing.rs
@@ -1,7 +1,6 @@
 //! What this VM may use of what endpoints take from all VMs together: its shares, less what it lends, and
 //! what other VMs lend to it.
 
-use pimento_policy::brittle;
 use pimento_policy::cold;
 use pimento_policy::loan::Book;
 use pimento_policy::throttle::RateLimit;
@@ -10,7 +9,7 @@
 
 use crate::participants::Participants;
 
-/// The shares and loans of one pool's endpoints.
+/// The shares and loans of one pool's endpoints. Shares of brittle endpoints' slots are not lent.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Sharing {
     pub participants: Participants,
@@ -42,16 +41,4 @@
         let share = |vm| self.participants.cold_share(vm, bound, zone, endpoint);
         self.usable(share, now)
     }
-
-    /// Returns this VM's share of a brittle endpoint. Shares of slots are not lent.
-    pub fn brittle_share(
-        &self,
-        capacity: brittle::Capacity,
-        zone: &id::Zone,
-        endpoint: u64,
-        with_endpoints: &[id::Zone],
-    ) -> brittle::Share {
-        self.participants
-            .brittle_share(capacity, zone, endpoint, with_endpoints)
-    }
 }
