Let no proof from before the log was lost show that it is reachable

Callers would have seen: work sent to an endpoint whose registration had expired, for seconds, over and over, while the log was out.

Cause: a proof counted as word of the log for as long as views usually take to be proven, from its stamp. One stamped shortly before this VM lost the log was young enough for some milliseconds after, so that the log was found reachable and lost again.

Change: a proof stamped before the loss says nothing.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -267,10 +267,12 @@
         inner.receive_proof(proof, boot::now());
         self.pass_on_proof(&mut inner, before);
         self.wake.notify_one();
-        // An old proof, passed on by a VM that gets none itself, says nothing of the log now.
+        // An old proof, passed on by a VM that gets none itself, says nothing of the log now. Nor does one from
+        // before this VM lost the log.
         let now = boot::now();
         let old = now.since(proof.stamp) > DISCONNECTED_AFTER + self.timing.max_proof_age;
-        if old || inner.lacks_changes() {
+        let before_loss = inner.lost_at.is_some_and(|lost| proof.stamp < lost);
+        if old || before_loss || inner.lacks_changes() {
             return;
         }
         // The log is reachable as of now, not only once this VM reads it again. Until then the registration
@@ -477,6 +479,7 @@
             .proven_at
             .is_none_or(|proven| now.since(proven) > DISCONNECTED_AFTER + interval);
         if silent && inner.connected_since.take().is_some() {
+            inner.lost_at = Some(now);
             inner.fold.connectivity_changed(Connectivity::Lost);
             log::warn!(topic = self.topic.as_str(); "follower: Disconnected from the log.");
         }
--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -83,6 +83,8 @@
     retained_until: Option<Moment>,
     /// Since when the log has been reachable, directly or through another VM; none while it is not.
     pub connected_since: Option<Moment>,
+    /// When the log was last found to be unreachable.
+    pub lost_at: Option<Moment>,
 }
 
 impl<F: Fold> View<F> {
@@ -109,6 +111,7 @@
             log_era: Era::default(),
             retained_until: None,
             connected_since: None,
+            lost_at: None,
         }
     }
 
