Send no prompt elsewhere whose part has just crashed two engines

A prompt that ended its engine was sent to up to three engines by itself before its part was known. If the part is the one that most likely ends engines, by two crashes in a row, the run that broke is not repeated. Bystanders have other prime suspects beside them and go on elsewhere.

--- a/crates/policy/src/poison/parts.rs
+++ b/crates/policy/src/poison/parts.rs
@@ -307,7 +307,12 @@
     fn block(&self, leads: bool, explained: &mut [bool], now: Moment) -> Vec<(Id, Moment)> {
         let mut blocked = Vec::new();
         loop {
-            let mut scores = self.scores(leads, explained, now);
+            let settle_time = if leads {
+                self.config.lead_settle_time
+            } else {
+                self.config.settle_time
+            };
+            let mut scores = self.scores(leads, explained, now.before(settle_time));
             scores.retain(|(id, score)| *score >= self.threshold(*id));
             let Some(best) = scores.iter().map(|(_, score)| *score).max() else {
                 return blocked;
@@ -337,16 +342,11 @@
         newest.map_or(Moment::ZERO, |event| event.at + self.config.crash_ttl)
     }
 
-    /// The scores of all parts by the crashes that count, sorted by part.
-    fn scores(&self, leads: bool, explained: &[bool], now: Moment) -> Vec<(Id, u32)> {
-        let settle_time = if leads {
-            self.config.lead_settle_time
-        } else {
-            self.config.settle_time
-        };
+    /// The scores of all parts by the crashes up to `until` that count, sorted by part.
+    fn scores(&self, leads: bool, explained: &[bool], until: Moment) -> Vec<(Id, u32)> {
         let mut scores: Vec<Score> = Vec::new();
         for (event, explained) in self.events.iter().zip(explained) {
-            if *explained || event.at + settle_time > now {
+            if *explained || event.at > until {
                 continue;
             }
             for suspect in event.suspects.iter().filter(|s| s.leads == leads) {
@@ -382,6 +382,16 @@
         (!left.is_zero()).then_some(left)
     }
 
+    /// Whether a part is the one that most likely causes crashes, although it is not blocked yet: two crashes
+    /// in a row count against it, and against no other part do more.
+    #[must_use]
+    pub fn is_prime_suspect(&self, id: Id, now: Moment) -> bool {
+        let scores = self.scores(false, &vec![false; self.events.len()], now);
+        let most = scores.iter().map(|(_, score)| *score).max();
+        let own = scores.iter().find(|(part, _)| *part == id);
+        own.is_some_and(|(_, own)| *own >= 2 * BEGUN_WEIGHT && Some(*own) == most)
+    }
+
     /// Whether this VM knows of crashes under the part, and that it caused none of them.
     #[must_use]
     pub fn is_acquitted(&self, id: Id) -> bool {
--- a/crates/policy/tests/poison_parts.rs
+++ b/crates/policy/tests/poison_parts.rs
@@ -163,6 +163,20 @@
     assert_eq!(blocked(&mut table, ended + 700), [BAD]);
 }
 
+/// Guards against a prompt that is sent to three engines by itself although its part has crashed two.
+#[test]
+fn a_part_is_the_prime_suspect_after_two_crashes() {
+    let mut table = Table::default();
+    crash_each_second(&mut table, 1, &[LEAD, BAD, SOUND]);
+    assert!(!table.is_prime_suspect(BAD, at(1_001)));
+    crash_each_second(&mut table, 2, &[LEAD, BAD]);
+    assert!(table.is_prime_suspect(BAD, at(2_001)));
+    assert!(!table.is_prime_suspect(SOUND, at(2_001)));
+    assert!(!table.is_prime_suspect(LEAD, at(2_001)));
+    table.record_sound(BAD, at(2_100));
+    assert!(!table.is_prime_suspect(BAD, at(2_200)));
+}
+
 /// Guards against a table that grows with the crashes and parts of a fleet.
 #[test]
 fn the_table_is_bounded() {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -345,7 +345,11 @@
         } else {
             permit.failed(fault);
         }
-        if self.may_retry() {
+        // A prompt that just crashed an endpoint would crash the next one as well.
+        let crashes = self.state.answer_begun
+            && fault.is_interrupted()
+            && poison::is_prime_suspect(self.node, self.request);
+        if self.may_retry() && !crashes {
             return Ok(());
         }
         let cause = match fault {
--- a/crates/relay/src/poison.rs
+++ b/crates/relay/src/poison.rs
@@ -305,6 +305,18 @@
     by_part.max().flatten().max(by_itself.flatten())
 }
 
+/// Whether a part of a request's prompt is the one that most likely crashes endpoints at present, although it
+/// is not blocked yet.
+pub fn is_prime_suspect<P: HeaderCodec + Codec, L: Log>(
+    node: &Node<P, L>,
+    request: &AdmittedRequest,
+) -> bool {
+    let now = boot::now();
+    let parts = &node.poison.lock().parts.table;
+    let mut ids = request.shared_parts().map(|part| parts::Id(part.hash));
+    ids.any(|id| parts.is_prime_suspect(id, now))
+}
+
 /// Records that a run failed at an endpoint. If its connection broke, the endpoint may have crashed.
 pub fn record_failure<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
