Count a loan's term from when its borrower asked, by its own clock

Cause: a borrower counted the term from the receipt of a loan. A datagram that waits, at a VM that was frozen, gave it a share that the lender had taken back seconds before, so that both used it; LIMIT and the bound of cold endpoints would have been exceeded for up to 1.5 s. Found by reading the change again.

Change: a lender returns the stamp under which it was asked; the term ends 2.5 s after it. The lender goes without for 2.6 s from when it lends, which is later, so that no delay matters.

--- a/crates/policy/src/loan.rs
+++ b/crates/policy/src/loan.rs
@@ -5,17 +5,20 @@
 //! one that wants more.
 //!
 //! The sum never exceeds the limit: the lender gives up the part before it tells the borrower, and takes it
-//! back only after the borrower has stopped to use it, although the word of a loan may be lost or late.
+//! back only after the borrower has stopped to use it. Clocks of VMs can't be compared, and the word of a loan
+//! may be lost, or late by any time. So the term of a loan begins for the borrower when it asked, by its own
+//! clock, and for the lender when it lends, which is later.
 
 use std::time::Duration;
 
 use pimento_units::Moment;
 
-/// Time for which a borrower uses a loan, from its receipt.
-pub const TERM: Duration = Duration::from_millis(1_500);
+/// Time for which a borrower uses a loan, from when it asked. It asks several times within it.
+pub const TERM: Duration = Duration::from_millis(2_500);
 
-/// Time for which a lender goes without what it lent: a loan on its way is received within the difference.
-const LENDER_TERM: Duration = Duration::from_millis(2_500);
+/// Time for which a lender goes without what it lent, from when it lends. The difference is for clocks that
+/// do not run alike.
+const LENDER_TERM: Duration = Duration::from_millis(2_600);
 
 /// How much more than its calls a VM wants and keeps, so that uneven arrivals are served.
 const HEADROOM: f64 = 1.3;
@@ -42,9 +45,20 @@
     vm: u64,
     /// Calls per second beyond its own shares.
     rate: f64,
+    /// When it asked, by its own clock.
+    asked: Moment,
     until: Moment,
 }
 
+/// A loan to another VM, which must be told.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Lent {
+    /// The part of this VM's shares, from 0 to 1.
+    pub part: f64,
+    /// When the other VM asked, by its own clock.
+    pub asked: Moment,
+}
+
 /// Which loans are over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Expired {
@@ -65,11 +79,13 @@
 }
 
 impl Book {
-    /// Records what another VM wants, in calls per second beyond its own shares.
-    pub fn record_want(&mut self, vm: u64, rate: f64, now: Moment) {
+    /// Records what another VM wants, in calls per second beyond its own shares. It asked at `asked`, by its own
+    /// clock.
+    pub fn record_want(&mut self, vm: u64, rate: f64, asked: Moment, now: Moment) {
         let want = Want {
             vm,
             rate,
+            asked,
             until: now + TERM,
         };
         let place = self.wants.partition_point(|known| known.vm < vm);
@@ -81,33 +97,30 @@
     }
 
     /// Lends to a VM what it may have of this VM's shares, which are worth `share` calls per second while
-    /// this VM's callers send `demand`. Returns the part lent, from 0 to 1.
-    pub fn lend(&mut self, vm: u64, share: f64, demand: f64, now: Moment) -> Option<f64> {
+    /// this VM's callers send `demand`.
+    pub fn lend(&mut self, vm: u64, share: f64, demand: f64, now: Moment) -> Option<Lent> {
         let wants = self.wants.iter().filter(|want| now < want.until);
         let wanted: f64 = wants.clone().map(|want| want.rate).sum();
-        let own = wants.clone().find(|want| want.vm == vm)?.rate;
-        if own <= 0.0 || share <= 0.0 {
+        let Want { rate, asked, .. } = *wants.clone().find(|want| want.vm == vm)?;
+        if rate <= 0.0 || share <= 0.0 {
             return None;
         }
         let unused = (1.0 - demand * HEADROOM / share).max(0.0);
         let others = self.part_lent(now, |loan| loan.vm != vm);
-        let part = (unused * own / wanted).min(1.0 - others);
+        let part = (unused * rate / wanted).min(1.0 - others);
         if part < MIN_PART {
             return None;
         }
         let until = now + LENDER_TERM;
         self.lent.retain(|loan| loan.vm != vm || loan.part > part);
         self.lent.push(Loan { vm, part, until });
-        Some(part)
+        Some(Lent { part, asked })
     }
 
-    /// Records a loan of another VM, which replaces its last one.
-    pub fn borrow(&mut self, vm: u64, part: f64, now: Moment) {
-        let loan = Loan {
-            vm,
-            part: part.clamp(0.0, 1.0),
-            until: now + TERM,
-        };
+    /// Records a loan of another VM until a moment, which replaces its last one.
+    pub fn borrow(&mut self, vm: u64, part: f64, until: Moment) {
+        let part = part.clamp(0.0, 1.0);
+        let loan = Loan { vm, part, until };
         let place = self.borrowed.partition_point(|known| known.vm < vm);
         if self.borrowed.get(place).is_some_and(|known| known.vm == vm) {
             self.borrowed[place] = loan;
--- a/crates/relay/src/neighbours/loan.rs
+++ b/crates/relay/src/neighbours/loan.rs
@@ -1,12 +1,17 @@
 //! What VMs of a group want and lend of their shares of what endpoints take.
 
 use pimento_policy::choice;
+use pimento_policy::loan::Lent;
+use pimento_policy::loan::TERM;
 use pimento_scheduler::Pool;
 use pimento_scheduler::Scheduler;
+use pimento_units::Moment;
 use pimento_units::id;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::boot;
+
 /// Calls per second that the sender wants of a pool's endpoints beyond its own shares.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Want {
@@ -23,6 +28,8 @@
     pool: u64,
     /// In thousandths.
     permille: u16,
+    /// When the receiver asked, by its own boot-time clock.
+    asked: Moment,
 }
 
 fn pool_key(name: &id::Pool) -> u64 {
@@ -43,16 +50,18 @@
 pub fn lend(scheduler: &Scheduler, vm: u64) -> Vec<Loan> {
     let pools = scheduler.pools().into_iter();
     let loans = pools.filter_map(|(name, pool)| {
+        let Lent { part, asked } = pool.lend(vm)?;
         Some(Loan {
             pool: pool_key(&name),
-            permille: u16::try_from(thousandths(pool.lend(vm)?)).ok()?,
+            permille: u16::try_from(thousandths(part)).ok()?,
+            asked,
         })
     });
     loans.collect()
 }
 
-/// Records what the VM with this key wants and lends.
-pub fn merge(scheduler: &Scheduler, vm: u64, wants: &[Want], loans: &[Loan]) {
+/// Records what the VM with this key wants and lends. `stamp` is when it sent that, by its own clock.
+pub fn merge(scheduler: &Scheduler, vm: u64, stamp: Moment, wants: &[Want], loans: &[Loan]) {
     if wants.is_empty() && loans.is_empty() {
         return;
     }
@@ -63,12 +72,15 @@
     };
     for want in wants {
         if let Some(pool) = find(want.pool) {
-            pool.record_want(vm, f64::from(want.millis_per_second) / THOUSAND);
+            pool.record_want(vm, f64::from(want.millis_per_second) / THOUSAND, stamp);
         }
     }
+    let now = boot::now();
     for loan in loans {
-        if let Some(pool) = find(loan.pool) {
-            pool.borrow(vm, f64::from(loan.permille) / THOUSAND);
+        // A stamp from before this machine restarted may lie in the future.
+        let term = (loan.asked + TERM).since(now);
+        if let Some(pool) = find(loan.pool).filter(|_| loan.asked <= now && !term.is_zero()) {
+            pool.borrow(vm, f64::from(loan.permille) / THOUSAND, term);
         }
     }
 }
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -17,6 +17,7 @@
 use super::message::Extension;
 use super::message::Message;
 use super::message::Proofs;
+use super::message::Supplement;
 use super::message::ZoneSummary;
 use super::peer::Peer;
 use super::peer::ReaderStatus;
@@ -184,7 +185,8 @@
         }
         if group {
             let scheduler = &self.node.scheduler;
-            loan::merge(scheduler, sender, &supplement.wants, &supplement.loans);
+            let Supplement { wants, loans, .. } = supplement;
+            loan::merge(scheduler, sender, message.stamp, wants, loans);
         }
         for report in &supplement.poison_parts {
             self.node.poison.receive_part(*report, !group, now);
--- a/crates/scheduler/src/pool_state/loans.rs
+++ b/crates/scheduler/src/pool_state/loans.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use pimento_policy::loan;
+use pimento_policy::loan::Lent;
 use pimento_policy::throttle::RateLimit;
 use pimento_units::Moment;
 
@@ -32,29 +33,28 @@
     }
 
     /// Records what another VM wants.
-    pub fn record_want(&mut self, vm: u64, rate: f64, now: Moment) {
-        self.sharing.loans.record_want(vm, rate, now);
+    pub fn record_want(&mut self, vm: u64, rate: f64, asked: Moment, now: Moment) {
+        self.sharing.loans.record_want(vm, rate, asked, now);
     }
 
-    /// Lends to a VM what it may have of this VM's shares. Returns the part lent, from 0 to 1; none while
-    /// calls of this VM wait.
-    pub fn lend(&mut self, vm: u64, now: Moment) -> Option<f64> {
+    /// Lends to a VM what it may have of this VM's shares; nothing while calls of this VM wait.
+    pub fn lend(&mut self, vm: u64, now: Moment) -> Option<Lent> {
         if self.queues.iter().any(|entry| !entry.queue.is_empty()) {
             return None;
         }
         let share = self.own_share(now)?;
         let demand = self.arrivals.rate(now);
         let before = self.sharing.loans.part_kept(now);
-        let part = self.sharing.loans.lend(vm, share, demand, now);
+        let lent = self.sharing.loans.lend(vm, share, demand, now);
         if self.sharing.loans.part_kept(now) < before {
             self.apply_shares(now);
         }
-        part
+        lent
     }
 
-    /// Records a loan of another VM.
-    pub fn borrow(&mut self, vm: u64, part: f64, now: Moment) {
-        self.sharing.loans.borrow(vm, part, now);
+    /// Records a loan of another VM, which lasts for `term`.
+    pub fn borrow(&mut self, vm: u64, part: f64, term: Duration, now: Moment) {
+        self.sharing.loans.borrow(vm, part, now + term);
         self.apply_shares(now);
     }
 
