Keep what is written again unchanged after the log was restored

Callers would have seen: 503 at VMs for which another one reads the log, from three seconds after a restoration on, for an endpoint that the copy lacked and that had registered again as before.

Cause: a record that says nothing new was passed on to nobody, so that only the reader knew that the log holds the key again; the others took it for lost. Beside it, keys that vanished from the log within three seconds of a VM's entering an era were not removed.

Found by reading the change again.

Change: the first record of a key in a new era is passed on with the value that is in force, whatever it says; only keys of earlier eras are retained. Nothing changes while the log names no era.

--- a/crates/relay/src/follow/view.rs
+++ b/crates/relay/src/follow/view.rs
@@ -125,34 +125,52 @@
     /// The same. `restored` is set if the record may be of the copy from which the log came back.
     fn apply_in_era(&mut self, record: &Record, restored: bool, now: Moment) -> bool {
         let found = self.seen.binary_search_by(|(key, _)| key.cmp(&record.key));
+        let before = found.ok().map(|place| self.seen[place].1);
+        if before.is_some_and(|before| before >= record.offset) {
+            return false;
+        }
         match found {
-            Ok(place) if self.seen[place].1 >= record.offset => return false,
             Ok(place) => self.seen[place].1 = record.offset,
             Err(place) => self.seen.insert(place, (record.key.clone(), record.offset)),
         }
-        let context = RecordContext {
+        let context = self.context(restored && before.is_some(), now);
+        if self.fold.apply(record, context) {
+            self.update_newest(record);
+            self.push_recent(record);
+            return true;
+        }
+        let era = |offset| Position::from(offset).era;
+        let crosses = before.is_some_and(|before| era(before) < era(record.offset));
+        crosses && self.confirm(record, restored)
+    }
+
+    fn context(&self, restored: bool, now: Moment) -> RecordContext {
+        RecordContext {
             received: now,
             connected_since: self.connected_since.unwrap_or(now),
             initial: self.proven_at.is_none(),
-            restored: restored && found.is_ok(),
-        };
-        let changed = self.fold.apply(record, context);
-        if changed {
-            self.change_end = self.change_end.max(record.offset.next());
-            self.update_newest(record);
-            self.recent.push(record, self.newest.len());
-        } else if restored {
-            self.confirm(record);
+            restored,
         }
-        changed
     }
 
-    /// Records that the log still holds a key whose known value stays in force.
-    fn confirm(&mut self, record: &Record) {
+    fn push_recent(&mut self, record: &Record) {
+        self.change_end = self.change_end.max(record.offset.next());
+        self.recent.push(record, self.newest.len());
+    }
+
+    /// Records that the log holds a key in a new era whose known value stays in force. The other VMs are told,
+    /// or they would take it for lost. Returns whether the key has a value.
+    fn confirm(&mut self, record: &Record, restored: bool) -> bool {
         let found = self.newest.binary_search_by(|r| r.key.cmp(&record.key));
-        if let Ok(place) = found {
-            self.newest[place].offset = record.offset;
+        let Ok(place) = found else {
+            return false;
+        };
+        self.newest[place].offset = record.offset;
+        if !restored {
+            let known = self.newest[place].clone();
+            self.push_recent(&known);
         }
+        true
     }
 
     /// Stores a record that changed the view for VMs that start. They need no record that changed nothing:
@@ -205,9 +223,7 @@
         for record in newest {
             changed |= self.apply_in_era(record, restored, now);
         }
-        if self.retained_until.is_none() {
-            changed |= self.remove_missing(newest, end, now);
-        }
+        changed |= self.remove_missing(newest, end, now);
         if restored {
             // The other VMs must learn of the new era as well, although nothing else may have changed.
             self.change_end = end;
@@ -239,12 +255,7 @@
         let start = Position::start(self.era).into();
         let missing = self.seen.iter().filter(|(_, offset)| *offset < start);
         let missing: Vec<CompactString> = missing.map(|(key, _)| key.clone()).collect();
-        let context = RecordContext {
-            received: now,
-            connected_since: self.connected_since.unwrap_or(now),
-            initial: false,
-            restored: false,
-        };
+        let context = self.context(false, now);
         let mut changed = false;
         for key in missing {
             let removal = Record {
@@ -331,8 +342,8 @@
 
     /// Drops the end that another VM announced if the log holds no records up to it, and returns whether it
     /// did. The caller has read up to the end of the topic with a read sent at `sent`. An end announced
-    /// before must be wrong if the view still lacks its records, because a log that loses records begins a
-    /// new era. If it
+    /// before must be wrong if the view still lacks its records, because a log that loses
+    /// records begins a new era. If it
     /// stayed, this VM would read all the time and refuse callers until the log holds as many records.
     pub fn drop_false_end(&mut self, sent: Moment) -> bool {
         let wrong = self.lacks_changes() && self.known_end_at <= sent;
@@ -353,14 +364,20 @@
         self.next.is_none_or(|next| next < self.known_end)
     }
 
-    /// Removes the keys that are not among the newest records of the log any more.
+    /// Removes the keys that are not among the newest records of the log any more, but for those that it may
+    /// only have lost.
     fn remove_missing(&mut self, newest: &[Record], before: Offset, now: Moment) -> bool {
+        let retained = self
+            .retained_until
+            .map(|_| Position::start(self.era).into());
+        let is_retained = |offset: Offset| retained.is_some_and(|start| offset < start);
         let mut present: Vec<&CompactString> = newest.iter().map(|r| &r.key).collect();
         present.sort_unstable();
         let removed: Vec<CompactString> = self
             .seen
             .iter()
-            .filter(|(key, offset)| *offset < before && present.binary_search(&key).is_err())
+            .filter(|(_, offset)| *offset < before && !is_retained(*offset))
+            .filter(|(key, _)| present.binary_search(&key).is_err())
             .map(|(key, _)| key.clone())
             .collect();
         let mut changed = false;
