Log what decides a roll-out, and count the requests that its version gets

Which of three causes let a bad version get too many requests can't be told from the lines there are: not which order a VM goes by, nor how many requests the new version has had, nor whom the VM that reports the end has heard.

Now each VM counts what it sends to each version since the order (pimento_rollout_sent) and logs the beginning of each phase with these counts, an order it accepts with how it ended, a version that it uses without any order, and, before it reports an end, the evidence by route and the VMs heard and known.

No decision is changed.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -107,6 +107,17 @@
         matches!(self, Self::Observation | Self::Trial(_))
     }
 
+    /// Its name in logs.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Observation => "observation",
+            Self::Trial(_) => "trial",
+            Self::Ramp(_) => "ramp",
+            Self::Moved => "moved",
+        }
+    }
+
     /// The share of sessions that use the new version.
     #[must_use]
     pub const fn weight(self) -> Share {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -291,6 +291,7 @@
         self.state.run_since = boot::now();
         self.state.answer_begun = false;
         self.record_session_version(&permit);
+        self.record_sent(&permit);
         self.log_sent(&permit, overrides);
         let left = self.request.left(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(outgoing)).await;
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Counts a request that is about to be sent, for the roll-out of its service.
+    pub(super) fn record_sent(&self, permit: &Permit) {
+        if let Some(version) = permit.version() {
+            self.node
+                .rollouts(|r| r.record_sent(&self.request.pool, version));
+        }
+    }
+
     /// Records whether the response has begun or the endpoint failed, in metrics and as evidence in a
     /// roll-out.
     pub fn record_result(&self, permit: &Permit, failed: bool) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -64,6 +64,7 @@
     reads: GaugeVec,
     calls: GaugeVec,
     rollouts: GaugeVec,
+    rollout_sent: GaugeVec,
     poison: GaugeVec,
     connects: GaugeVec,
     links: GaugeVec,
@@ -158,6 +159,7 @@
                 "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
                 &["pool", "outcome"],
             ),
+            rollout_sent: rollout_sent(r),
             poison: poison(r),
             connects: connects(r),
             links: links(r),
@@ -173,6 +175,15 @@
     }
 }
 
+fn rollout_sent(registry: &Registry) -> GaugeVec {
+    gauge_vec(
+        registry,
+        "pimento_rollout_sent",
+        "Requests that this VM sent since the last roll-out's order, by pool, to the new version and to all",
+        &["pool", "version"],
+    )
+}
+
 fn poison(registry: &Registry) -> GaugeVec {
     let what = "Requests under which endpoints ended: suspects, and those that are sent no more";
     gauge_vec(registry, "pimento_poison_requests", what, &["state"])
@@ -313,6 +324,13 @@
                 gauge.set(f64::from(count));
             }
         }
+        for (pool, sent) in node.rollouts(|rollouts| rollouts.sent_counts()) {
+            for (version, count) in [("new", sent.new), ("all", sent.all)] {
+                let labels = [pool.as_str(), version];
+                let gauge = metrics.rollout_sent.with_label_values(&labels);
+                gauge.set(f64::from(count));
+            }
+        }
         metrics.set_topic_figures("poison", &node.blocklist);
         let (suspect, blocked) = node.poison.counts();
         let parts = node.poison.blocked_parts();
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -230,6 +230,7 @@
         drop(inner);
         self.node.links.set_helpers(helpers);
         self.node.retry_budgets.set_vms(all);
+        self.node.rollouts(|r| r.set_vms(all));
         self.node.scheduler.set_participants(&participants);
         self.zone.set_vms(vms);
         let mut served: Vec<u64> = group.iter().chain(&leaders).map(|peer| peer.key).collect();
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -24,6 +24,7 @@
 use self::announcement::Outcome;
 use self::announcement::PinnedSession;
 use self::announcement::RequestCounts;
+use self::announcement::SentCounts;
 use self::state::RolloutState;
 use self::state::Step;
 use self::state::Visibility;
@@ -82,6 +83,8 @@
     pools: Vec<PoolVersions>,
     sessions: Sessions,
     last_announced: LastAnnounced,
+    /// The number of VMs that are known, including this one.
+    vms: usize,
 }
 
 /// The id by which a session is placed among all sessions.
@@ -115,9 +118,15 @@
             pools: Vec::new(),
             sessions: Sessions::new(session),
             last_announced: LastAnnounced::default(),
+            vms: 1,
         }
     }
 
+    /// Sets the number of known VMs of all zones, including this one.
+    pub const fn set_vms(&mut self, vms: usize) {
+        self.vms = vms;
+    }
+
     fn find(&self, pool: &id::Pool) -> Result<usize, usize> {
         self.newest
             .binary_search_by(|r| r.order.rollout.pool.cmp(pool))
@@ -195,7 +204,16 @@
             self.pools.insert(place, known);
             place
         });
+        let no_order = self.get(pool).is_none();
         let known = &mut self.pools[place];
+        if no_order && versions.len() > 1 && known.versions.len() != versions.len() {
+            log::info!(
+                pool = pool.as_str(),
+                version = known.stable.as_str(),
+                versions = versions.len();
+                "rollout: Several versions and no order are known, using one of them."
+            );
+        }
         known.versions = versions;
         if known.count(&known.stable) == 0 {
             known.stable = most;
@@ -282,6 +300,22 @@
         }
     }
 
+    /// Records that a request is sent to a version of a service.
+    pub fn record_sent(&mut self, pool: &id::Pool, version: &id::Version) {
+        if let Some(rollout) = self.get_mut(pool) {
+            rollout.count_sent(version);
+        }
+    }
+
+    /// The requests that this VM sent since each service's last order, to the new version and to all.
+    #[must_use]
+    pub fn sent_counts(&self) -> Vec<(id::Pool, SentCounts)> {
+        let newest = self.newest.iter();
+        newest
+            .map(|rollout| (rollout.order.rollout.pool.clone(), rollout.sent()))
+            .collect()
+    }
+
     /// Whether a session is in the share that the trial would move.
     fn is_in_trial(&self, session: u64, target: &id::Version) -> bool {
         let share = self.config.trial_share(self.exposure.share);
@@ -432,6 +466,23 @@
         rollout.next_step(phase, drained, visibility, DEADLINE_MARGIN, now)
     }
 
+    /// Logs the phase of a roll-out if it is another one than before.
+    fn log_phase(&mut self, pool: &id::Pool, now: Moment) {
+        let Some(phase) = self.get(pool).map(|rollout| self.phase(rollout, now)) else {
+            return;
+        };
+        if let Some(rollout) = self.get_mut(pool) {
+            rollout.log_phase(phase, now);
+        }
+    }
+
+    /// Logs why the end of a roll-out is to be reported.
+    fn log_verdict(&self, pool: &id::Pool, end: End, now: Moment) {
+        if let Some(rollout) = self.get(pool) {
+            rollout.log_verdict(end, self.vms, now);
+        }
+    }
+
     fn end(&mut self, pool: &id::Pool, end: End, now: Moment) {
         if let Some(rollout) = self.get_mut(pool) {
             rollout.end(end, now);
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -219,6 +219,13 @@
                 }
                 None
             };
+            log::info!(
+                pool = order.rollout.pool.as_str(),
+                version = order.rollout.target.as_str(),
+                initial = order.initial,
+                ended:?;
+                "rollout: Order accepted."
+            );
             self.node.rollouts(|r| r.add_order(order, ended, now));
         }
         pending
@@ -331,10 +338,14 @@
         let step = self
             .node
             .rollouts(|r| r.next_step(pool, drained, visibility, now));
+        self.node.rollouts(|r| r.log_phase(pool, now));
         let Step::Report(end) = step else {
             self.report_due = None;
             return;
         };
+        if self.report_due.is_none() {
+            self.node.rollouts(|r| r.log_verdict(pool, end, now));
+        }
         // The other VMs must learn that the version is bad before this VM ends the roll-out.
         let announced = self.published.iter().any(|announcement| announcement.bad);
         if end == End::RolledBack && reads && !announced {
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -16,6 +16,8 @@
 use super::announcement::Outcome;
 use super::announcement::RequestCounts;
 use super::announcement::Route;
+use super::announcement::SentCounts;
+use crate::node::millis;
 use crate::operators::ReadOrder;
 
 /// After this long without an announcement from a VM the roll-out no longer waits for it: the VM is
@@ -49,6 +51,10 @@
     ended: Option<(End, Moment)>,
     /// Why the new version counts as bad; none if it doesn't.
     bad: Option<CompactString>,
+    /// Requests that this VM sent.
+    sent: SentCounts,
+    /// The phase that was logged last.
+    logged_phase: Option<&'static str>,
     /// This VM's evidence, sorted by name.
     routes: Vec<Route>,
     /// Hashes of endpoints of the new version that failed a request of this VM, sorted.
@@ -89,6 +95,8 @@
             read_delay: Duration::ZERO,
             ended,
             bad: None,
+            sent: SentCounts { new: 0, all: 0 },
+            logged_phase: None,
             routes: Vec::new(),
             failing: Vec::new(),
             peers: Vec::new(),
@@ -169,6 +177,60 @@
         }
     }
 
+    /// Counts a request that is sent to a version.
+    pub fn count_sent(&mut self, version: &id::Version) {
+        let new = self.target() == version;
+        self.sent.count(new);
+    }
+
+    /// The requests that this VM sent since it read the order.
+    #[must_use]
+    pub const fn sent(&self) -> SentCounts {
+        self.sent
+    }
+
+    /// Logs the phase if it is another one than before.
+    pub fn log_phase(&mut self, phase: Phase, now: Moment) {
+        if self.logged_phase == Some(phase.name()) {
+            return;
+        }
+        self.logged_phase = Some(phase.name());
+        let counts = self.target_counts();
+        log::info!(
+            pool = self.order.rollout.pool.as_str(),
+            version = self.target().as_str(),
+            phase = phase.name(),
+            age_ms = millis(self.age(now)),
+            sent_new = self.sent.new,
+            sent = self.sent.all,
+            answers = counts.attempts,
+            failed = counts.failed,
+            heard = self.live_peers(now).count();
+            "rollout: Phase began."
+        );
+    }
+
+    /// Logs on whose word and on which evidence this VM finds that the roll-out has ended.
+    pub fn log_verdict(&self, end: End, known_vms: usize, now: Moment) {
+        let counts = self.target_counts();
+        let drained = self.live_peers(now).filter(|p| p.announcement.drained);
+        log::info!(
+            pool = self.order.rollout.pool.as_str(),
+            version = self.target().as_str(),
+            end:?,
+            age_ms = millis(self.age(now)),
+            sent_new = self.sent.new,
+            sent = self.sent.all,
+            answers = counts.attempts,
+            failed = counts.failed,
+            heard = self.live_peers(now).count(),
+            drained = drained.count(),
+            routes:? = self.all_routes(),
+            known_vms;
+            "rollout: The end is due to be reported."
+        );
+    }
+
     /// Counts a request of a route. `new` is set if it used the new version.
     pub fn count(&mut self, route: &str, new: bool, endpoint: &id::Endpoint, outcome: Outcome) {
         if new && outcome == Outcome::Failed {
@@ -182,8 +244,8 @@
         counts.count(outcome);
     }
 
-    /// The evidence of all VMs, for each route.
-    fn evidence(&self) -> Vec<shift::RouteEvidence> {
+    /// The counts of all VMs, for each route.
+    fn all_routes(&self) -> Vec<Route> {
         let mut routes = self.routes.clone();
         let peers = self.peers.iter();
         for other in peers.flat_map(|peer| &peer.announcement.routes) {
@@ -191,11 +253,16 @@
             route.new.add(&other.new);
             route.old.add(&other.old);
         }
+        routes
+    }
+
+    /// The evidence of all VMs, for each route.
+    fn evidence(&self) -> Vec<shift::RouteEvidence> {
         let route_evidence = |route: &Route| shift::RouteEvidence {
             new: route.new.evidence(),
             old: route.old.evidence(),
         };
-        routes.iter().map(route_evidence).collect()
+        self.all_routes().iter().map(route_evidence).collect()
     }
 
     /// Requests of all routes on the new version, at any VM.
