Show that bad versions get more requests than their bound (fails)

Callers met a bad version of a service in up to half of their requests by the deadline of its roll-out. Eight tests, each for one way to that, fail on the code as it is and are listed as red:

- a VM that heard none of the other VMs reports the version as good

a_good_version_is_reported_by_its_deadline passes and is to go on passing.

--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 mod bundle;
 mod departures;
+mod exposure;
 mod fixture;
 mod follow;
 mod groups;
