Bound the requests to a version in roll-out by number

Cause: nothing counted requests. The bound was kept by a share of the sessions in the first half, and by finding the version bad in the second, in which all sessions moved by the clock within 2.5 s. Evidence that isn't there kept nothing.

Change: each VM counts what it sends to each version from the order on, repeats included, and keeps to the bound by these counts alone (policy::exposure). No message is needed, whoever has the callers and whatever the log does; a VM that starts after the order has no part of the slack. The trial uses three tenths of the bound at most, and all sessions move only when the rest of it suffices for all requests until the deadline. A session that has used the new version stays there; beyond the bound it is refused at once, others use the old version. What a request may use is asked again right before each send.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod connect;
 pub mod eject;
 pub mod engine;
+pub mod exposure;
 pub mod hedge;
 pub mod limit;
 pub mod loan;
--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -2,20 +2,24 @@
 //! its own. The relay uses these; roll-outs in stages are those of [`crate::rollout`].
 //!
 //! Operators order a version and set the deadline by which the move must be done or undone. The
-//! version may fail or be slow, on one route only, late, or only under load. Without care, either
+//! version may fail or be slow, on one route only, late, or only under load, and some bad versions can't be
+//! told from good ones by their answers. Without care, either
 //! all requests meet a bad version at once, or a good one is not in place in time. The move has
-//! three phases by the age of the order. In the trial, a small fixed share of the sessions uses the
+//! three phases by the age of the order. In the trial, a small share of the sessions uses the
 //! new version, well below what a bad version may get, and no known session changes its version. A
-//! session is known once it has used one of the versions. Then the share rises to all sessions
-//! within seconds. The evidence of all nodes is summed for each route. A version that is slow on
+//! session is known once it has used one of the versions. Then, so shortly before the deadline that what is
+//! left of the bound suffices for all requests, the share rises to all sessions.
+//! The evidence of all nodes is summed for each route. A version that is slow on
 //! one of them, or fails there at more than one endpoint, is bad, and its share is zero from then
-//! on.
+//! on. The bound itself is that of [`crate::exposure`], and holds whatever the evidence.
 //!
 //! The fixed position of a session and the bounds on evidence are those of [`crate::rollout`].
 //! Routes are evaluated separately because a fault in one class of requests is lost in the sum.
 //! Failures must affect more than one endpoint because a single failing endpoint is handled by
 //! [`crate::eject`].
 
+mod side;
+
 use std::time::Duration;
 
 use pimento_contract::rollout::Gate;
@@ -26,6 +30,10 @@
 use crate::rollout::Cause;
 use crate::rollout::Evidence;
 
+pub use self::side::Known;
+pub use self::side::Progress;
+pub use self::side::Side;
+
 /// Settings of a shift.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
@@ -42,10 +50,14 @@
     pub observation: Duration,
     /// Extension of the trial, because nodes read an order at slightly different times.
     pub clock_margin: Duration,
-    /// How long the share takes to rise to all sessions. With a much shorter ramp, all sessions
-    /// meet a fault under load before the first evidence of it is shared; with a much longer one,
-    /// calls to the old version have no time to end.
-    pub ramp: Duration,
+    /// Part of the bound on requests that the trial may use, beyond which no further session joins.
+    pub trial_part: f64,
+    /// Part of the bound on requests that is used by the deadline. The rest is for callers that come faster
+    /// in the last seconds than before.
+    pub usable_part: f64,
+    /// How long the share takes to rise to all sessions, as a part of the time before the deadline for which the
+    /// new version may get all requests.
+    pub ramp: f64,
 }
 
 impl Default for Config {
@@ -55,7 +67,9 @@
             trial_time: 0.5,
             observation: Duration::from_millis(1_500),
             clock_margin: Duration::from_millis(400),
-            ramp: Duration::from_millis(2_500),
+            trial_part: 0.3,
+            usable_part: 0.95,
+            ramp: 0.5,
         }
     }
 }
@@ -84,7 +98,13 @@
     /// given.
     #[must_use]
     pub fn phase(&self, age: Duration, time_limit: Duration, exposure: f64) -> Phase {
-        let trial_end = time_limit.mul_f64(self.trial_time) + self.clock_margin;
+        let earliest = time_limit.mul_f64(self.trial_time) + self.clock_margin;
+        // For this long before the deadline the new version may get all requests.
+        let left = (self.usable_part - self.trial_part) * exposure.clamp(0.0, 1.0);
+        let left = time_limit.mul_f64(left);
+        let ramp = left.mul_f64(self.ramp).max(Duration::from_millis(1));
+        // A share that rises evenly gets half of the requests.
+        let trial_end = time_limit.saturating_sub(left + ramp / 2).max(earliest);
         let share = (exposure * self.trial_exposure).clamp(0.0, 1.0);
         if age < self.observation {
             return Phase::Observation;
@@ -92,7 +112,7 @@
         if age < trial_end {
             return Phase::Trial(to_share(share));
         }
-        let progress = age.saturating_sub(trial_end).as_secs_f64() / self.ramp.as_secs_f64();
+        let progress = age.saturating_sub(trial_end).as_secs_f64() / ramp.as_secs_f64();
         if progress >= 1.0 {
             return Phase::Moved;
         }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -274,7 +274,8 @@
         let paced = permit.is_cold() || !self.node.is_cold(permit.endpoint());
         let pool = self.node.scheduler.pool(&self.request.pool);
         let rests = pool.is_resting(permit.endpoint());
-        Ok(at_home && paced && !rests && self.node.usable(permit.endpoint()))
+        let usable = self.node.usable(permit.endpoint()) && self.may_use_version(permit);
+        Ok(at_home && paced && !rests && usable)
     }
 
     /// Sends the request. Returns none if the attempt failed and another one may be made.
@@ -413,7 +414,7 @@
     #[must_use]
     pub fn estimate(&self, overrides: &Overrides) -> Option<Estimate> {
         let pool = self.node.scheduler.pool(&self.request.pool);
-        pool.estimate(&self.job(overrides))
+        pool.estimate(&self.job(overrides)?)
     }
 }
 
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -18,6 +18,7 @@
 use crate::headers::AttemptInfo;
 use crate::headers::HeaderCodec;
 use crate::node::millis;
+use crate::rollouts::Choice;
 use crate::rollouts::FinishedRequest;
 use crate::rollouts::announcement::Outcome;
 use crate::topic::Log;
@@ -148,12 +149,26 @@
         }
     }
 
-    /// The version that the request is to run on now; none if it has no restriction.
-    pub(super) fn choose_version(&self) -> Option<id::Version> {
-        let session = self.request.info.session.unwrap_or(self.request.random);
-        let now = boot::now();
-        let pool = &self.request.pool;
-        self.node.rollouts(|r| r.version(pool, session, now))
+    /// The session of the request, or a number of its own if it belongs to none.
+    fn session(&self) -> u64 {
+        self.request.info.session.unwrap_or(self.request.random)
+    }
+
+    /// The version that the request is to run on now.
+    fn choose_version(&self) -> Choice {
+        let (pool, session) = (&self.request.pool, self.session());
+        self.node
+            .rollouts(|r| r.version(pool, session, boot::now()))
+    }
+
+    /// Whether the request may still be sent to the permit's version.
+    pub(super) fn may_use_version(&self, permit: &Permit) -> bool {
+        let Some(version) = permit.version() else {
+            return true;
+        };
+        let (pool, session) = (&self.request.pool, self.session());
+        self.node
+            .rollouts(|r| r.may_send(pool, session, version, boot::now()))
     }
 
     /// When the caller wants the response.
@@ -166,7 +181,13 @@
         }
     }
 
-    pub(super) fn job(&self, overrides: &Overrides) -> Job {
+    /// The job of an attempt; none if the request may use no version now.
+    pub(super) fn job(&self, overrides: &Overrides) -> Option<Job> {
+        let version = match self.choose_version() {
+            Choice::Any => None,
+            Choice::Version(version) => Some(version),
+            Choice::Neither => return None,
+        };
         let request = self.request;
         let customer = request.grant.customer.as_ref();
         let name = customer.map_or_else(
@@ -176,14 +197,14 @@
         let tokens = request.usage().map_or(PLAIN_CALL_WORK, |(input, output)| {
             admission::work(input, output)
         });
-        Job {
+        Some(Job {
             customer: name.expect("the name of public requests is valid"),
             weight: 1,
             priority: request.grant.route.priority,
             tokens,
             deadline: request.deadline,
             requirement: Requirement {
-                version: self.choose_version(),
+                version,
                 ..self.home_requirement(&request.grant)
             },
             prefix: request.prefix(),
@@ -192,6 +213,6 @@
             tried: self.state.tried.clone(),
             previously_refused: false,
             repeatable: request.grant.route.repeatable(),
-        }
+        })
     }
 }
--- a/crates/relay/src/attempts/slot.rs
+++ b/crates/relay/src/attempts/slot.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Attempts;
+use super::NO_ENDPOINT_RETRY_AFTER;
 use super::Overrides;
 use crate::admit::Grant;
 use crate::codec::Codec;
@@ -25,7 +26,11 @@
             // Dropping this future removes the job from the queue, so the token is never cancelled.
             let never = CancellationToken::new();
             let started = self.node.now();
-            let permit = pool.acquire(self.job(overrides), &never).await;
+            let Some(job) = self.job(overrides) else {
+                let refusal = Refusal::new(Cause::Exposure);
+                return Err(self.qualify(refusal.with_retry_after(NO_ENDPOINT_RETRY_AFTER)));
+            };
+            let permit = pool.acquire(job, &never).await;
             let waited = self.node.now().since(started);
             let route = &self.request.grant.route.name;
             self.node.metrics.observe_queue_wait(route, waited);
@@ -44,7 +49,7 @@
                 }
                 Err(refused) => return Err(self.qualify(refused.into())),
             };
-            if self.node.usable(permit.endpoint()) && !self.version_is_bad(&permit) {
+            if self.node.usable(permit.endpoint()) && self.may_use_version(&permit) {
                 return Ok(permit);
             }
             self.skip_unusable(permit.endpoint())?;
@@ -79,13 +84,4 @@
             Cause::NoEndpoint
         }
     }
-
-    /// Whether the endpoint's version was found to be bad while the job waited.
-    pub(super) fn version_is_bad(&self, permit: &Permit) -> bool {
-        let Some(version) = permit.version() else {
-            return false;
-        };
-        self.node
-            .rollouts(|r| r.is_bad(&self.request.pool, version))
-    }
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -43,6 +43,8 @@
     Overloaded,
     /// No endpoint can accept the request.
     NoEndpoint,
+    /// The service's new version has had as many requests as it may, and the old one can't take this one.
+    Exposure,
     /// All endpoints that could accept the request are in evacuated zones.
     Evacuated,
     /// All endpoints that could accept the request have just started and take few calls.
@@ -75,6 +77,7 @@
             Self::Stale => "stale",
             Self::Overloaded => "overloaded",
             Self::NoEndpoint => "no_endpoint",
+            Self::Exposure => "exposure",
             Self::Evacuated => "evacuated",
             Self::Cold => "cold",
             Self::NotHome => "not_home",
@@ -97,6 +100,7 @@
             | Self::Stale
             | Self::Overloaded
             | Self::NoEndpoint
+            | Self::Exposure
             | Self::Evacuated
             | Self::Cold
             | Self::NotHome
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -11,9 +11,12 @@
 
 use std::time::Duration;
 
+use pimento_policy::exposure::Sent;
 use pimento_policy::rollout;
 use pimento_policy::shift;
+use pimento_policy::shift::Known;
 use pimento_policy::shift::Phase;
+use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::id;
 use uuid::Uuid;
@@ -24,7 +27,6 @@
 use self::announcement::Outcome;
 use self::announcement::PinnedSession;
 use self::announcement::RequestCounts;
-use self::announcement::SentCounts;
 use self::state::RolloutState;
 use self::state::Step;
 use self::state::Visibility;
@@ -40,7 +42,18 @@
 
 /// This long before the deadline the end is reported to the operators in any case, even if VMs have not
 /// announced that they drained the old version.
-const DEADLINE_MARGIN: Duration = Duration::from_secs(2);
+const DEADLINE_MARGIN: Duration = Duration::from_millis(600);
+
+/// Which version a request uses.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Choice {
+    /// Whichever there is: no usable endpoint of the service is known.
+    Any,
+    /// This one.
+    Version(id::Version),
+    /// None for now: the bound on requests to the new version is reached, and the old one can't take it.
+    Neither,
+}
 
 /// The versions among a service's usable endpoints, with the number of endpoints of each.
 #[derive(Debug)]
@@ -123,8 +136,11 @@
     }
 
     /// Sets the number of known VMs of all zones, including this one.
-    pub const fn set_vms(&mut self, vms: usize) {
+    pub fn set_vms(&mut self, vms: usize) {
         self.vms = vms;
+        for rollout in &mut self.newest {
+            rollout.set_vms(vms);
+        }
     }
 
     fn find(&self, pool: &id::Pool) -> Result<usize, usize> {
@@ -174,6 +190,7 @@
     /// Adds an order. `ended` is how it ended, if that was before this process started.
     pub fn add_order(&mut self, order: ReadOrder, ended: Option<End>, now: Moment) {
         let mut rollout = RolloutState::new(order, ended.map(|end| (end, now)));
+        rollout.set_vms(self.vms);
         if ended.is_none() {
             for session in self.sessions.active(now) {
                 if self.is_in_trial(session, rollout.target()) {
@@ -225,36 +242,83 @@
         found.ok().map(|place| &self.pools[place])
     }
 
-    /// The version that a request uses; none if no usable endpoint of its service is known.
+    /// The version that a request uses.
     ///
     /// Endpoints of a version without an order get no requests as long as there are others: the order
     /// may not have been read yet.
     #[must_use]
-    pub fn version(&self, pool: &id::Pool, session: u64, now: Moment) -> Option<id::Version> {
-        let versions = self.pool_versions(pool)?;
+    pub fn version(&self, pool: &id::Pool, session: u64, now: Moment) -> Choice {
+        let Some(versions) = self.pool_versions(pool) else {
+            return Choice::Any;
+        };
         let Some(rollout) = self.get(pool) else {
-            return Some(versions.stable.clone());
+            return Choice::Version(versions.stable.clone());
         };
         let target = rollout.target();
-        let Some(old) = versions.other(target) else {
-            return Some(target.clone());
-        };
-        if versions.count(target) == 0 || rollout.is_bad() {
-            return Some(old.clone());
-        }
-        if rollout.ended() == Some(End::Done) {
-            return Some(target.clone());
+        let old = versions.other(target).unwrap_or(&versions.stable);
+        match self.known(rollout, versions, session, now).side() {
+            Some(Side::Old) => Choice::Version(old.clone()),
+            Some(Side::New) => Choice::Version(target.clone()),
+            None => Choice::Neither,
         }
+    }
+
+    /// What is known of a roll-out for a request of this session.
+    fn known(
+        &self,
+        rollout: &RolloutState,
+        versions: &PoolVersions,
+        session: u64,
+        now: Moment,
+    ) -> Known {
+        let target = rollout.target();
         let phase = self.phase(rollout, now);
         let used = self.sessions.version(session, now);
-        if used == Some(target) {
-            return Some(target.clone());
-        }
-        if phase.pins_known_sessions() && (used.is_some() || rollout.is_pinned(session)) {
-            return Some(old.clone());
+        let side = |used: &id::Version| if used == target { Side::New } else { Side::Old };
+        let last = used.map(side);
+        let known = last.is_some() || rollout.is_pinned(session);
+        let in_share = rollout::uses_new_version(session_id(session), target, phase.weight());
+        Known {
+            progress: rollout.progress(),
+            old_usable: versions.other(target).is_some(),
+            new_usable: versions.count(target) > 0,
+            last,
+            pinned: phase.pins_known_sessions() && known,
+            joins: in_share && self.admits_session(rollout, phase, now),
+            within_bound: self.is_within_bound(rollout, 1.0, now),
         }
-        let moves = rollout::uses_new_version(session_id(session), target, phase.weight());
-        Some(if moves { target } else { old }.clone())
+    }
+
+    /// Whether another session may join the new version.
+    fn admits_session(&self, rollout: &RolloutState, phase: Phase, now: Moment) -> bool {
+        let part = match phase {
+            Phase::Observation | Phase::Trial(_) => self.config.trial_part,
+            Phase::Ramp(_) | Phase::Moved => 1.0,
+        };
+        self.is_within_bound(rollout, part, now)
+    }
+
+    fn is_within_bound(&self, rollout: &RolloutState, part: f64, now: Moment) -> bool {
+        let bound = rollout.bound(self.exposure);
+        rollout.is_over(now) || bound.allows(rollout.sent(), part)
+    }
+
+    /// Whether a request may be sent to a version now. What it may use may have changed since it was chosen.
+    #[must_use]
+    pub fn may_send(
+        &self,
+        pool: &id::Pool,
+        session: u64,
+        version: &id::Version,
+        now: Moment,
+    ) -> bool {
+        let new = self.get(pool).is_some_and(|r| r.target() == version);
+        let same = |choice| match choice {
+            Choice::Any => true,
+            Choice::Version(chosen) => chosen == *version,
+            Choice::Neither => false,
+        };
+        !new || same(self.version(pool, session, now))
     }
 
     /// The number of endpoints of a roll-out's new version.
@@ -309,7 +373,7 @@
 
     /// The requests that this VM sent since each service's last order, to the new version and to all.
     #[must_use]
-    pub fn sent_counts(&self) -> Vec<(id::Pool, SentCounts)> {
+    pub fn sent_counts(&self) -> Vec<(id::Pool, Sent)> {
         let newest = self.newest.iter();
         newest
             .map(|rollout| (rollout.order.rollout.pool.clone(), rollout.sent()))
--- a/crates/relay/src/rollouts/announcement.rs
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -61,25 +61,6 @@
     }
 }
 
-/// Requests that a VM sent to a service since the order of its roll-out, repeats included.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct SentCounts {
-    /// Those to the new version.
-    pub new: u32,
-    /// Those to any version.
-    pub all: u32,
-}
-
-impl SentCounts {
-    /// Counts a request. `new` is set if it used the new version.
-    pub const fn count(&mut self, new: bool) {
-        self.all = self.all.saturating_add(1);
-        if new {
-            self.new = self.new.saturating_add(1);
-        }
-    }
-}
-
 /// Requests of one route on both versions.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -4,8 +4,11 @@
 
 use compact_str::CompactString;
 use pimento_policy::choice;
+use pimento_policy::exposure;
+use pimento_policy::exposure::Sent;
 use pimento_policy::shift;
 use pimento_policy::shift::Phase;
+use pimento_policy::shift::Progress;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -16,7 +19,7 @@
 use super::announcement::Outcome;
 use super::announcement::RequestCounts;
 use super::announcement::Route;
-use super::announcement::SentCounts;
+use crate::config::Exposure;
 use crate::node::millis;
 use crate::operators::ReadOrder;
 
@@ -28,6 +31,9 @@
 /// An ended roll-out is announced for this long, for VMs that don't know of the end yet.
 const END_ANNOUNCED: Duration = Duration::from_secs(10);
 
+/// A VM that read the order first is this far ahead of the operators' own clock at most.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Failing endpoints that an announcement lists. Two from different VMs are enough to tell a bad
 /// version from a single faulty endpoint.
 const MAX_FAILING: usize = 8;
@@ -52,7 +58,9 @@
     /// Why the new version counts as bad; none if it doesn't.
     bad: Option<CompactString>,
     /// Requests that this VM sent.
-    sent: SentCounts,
+    sent: Sent,
+    /// The most VMs that were known since the order was read.
+    vms: usize,
     /// The phase that was logged last.
     logged_phase: Option<&'static str>,
     /// This VM's evidence, sorted by name.
@@ -95,7 +103,8 @@
             read_delay: Duration::ZERO,
             ended,
             bad: None,
-            sent: SentCounts { new: 0, all: 0 },
+            sent: Sent { new: 0, all: 0 },
+            vms: 1,
             logged_phase: None,
             routes: Vec::new(),
             failing: Vec::new(),
@@ -158,6 +167,16 @@
         self.bad.is_some() || self.ended() == Some(End::RolledBack)
     }
 
+    /// How it has gone on.
+    #[must_use]
+    pub fn progress(&self) -> Progress {
+        match self.ended() {
+            Some(End::Done) => Progress::Done,
+            _ if self.is_bad() => Progress::RolledBack,
+            _ => Progress::Running,
+        }
+    }
+
     /// Whether it is announced to other VMs: while it is under way, and for some time after its end.
     #[must_use]
     pub fn is_announced(&self, now: Moment) -> bool {
@@ -185,10 +204,31 @@
 
     /// The requests that this VM sent since it read the order.
     #[must_use]
-    pub const fn sent(&self) -> SentCounts {
+    pub const fn sent(&self) -> Sent {
         self.sent
     }
 
+    /// Takes note of the number of VMs that are known, including this one.
+    pub fn set_vms(&mut self, vms: usize) {
+        self.vms = self.vms.max(vms);
+    }
+
+    /// This VM's bound on the requests to the new version.
+    #[must_use]
+    pub fn bound(&self, exposure: Exposure) -> exposure::Bound {
+        if self.order.initial {
+            exposure::Bound::without_slack(exposure.share)
+        } else {
+            exposure::Bound::new(exposure.share, exposure.slack, self.vms)
+        }
+    }
+
+    /// Whether the deadline has passed for all VMs, whenever each of them read the order.
+    #[must_use]
+    pub fn is_over(&self, now: Moment) -> bool {
+        self.age(now) >= self.order.rollout.time_limit + DEADLINE_MARGIN
+    }
+
     /// Logs the phase if it is another one than before.
     pub fn log_phase(&mut self, phase: Phase, now: Moment) {
         if self.logged_phase == Some(phase.name()) {
