Find a bad version by what all routes have in common

Cause: each route was judged by itself, by a ratio of 3.5 or by failures beyond a tenth.

Change: besides, the routes together are compared with what the old version would have taken and failed on the same ones. The bound on the ratio of times comes down with the number of answers, from 2.2 at eight to 1.5. The trial may use seven tenths of the slack as well: on small deployments the slack is most of the bound, and without it a trial had five answers.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -32,6 +32,23 @@
     }
 }
 
+/// A part of a bound.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Part {
+    /// Of the share, from 0 to 1.
+    pub share: f64,
+    /// Of the slack, from 0 to 1.
+    pub slack: f64,
+}
+
+impl Part {
+    /// The whole bound.
+    pub const WHOLE: Self = Self {
+        share: 1.0,
+        slack: 1.0,
+    };
+}
+
 /// The bound of one node.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Bound {
@@ -60,8 +77,9 @@
 
     /// Whether this part of the bound allows another request to the new version.
     #[must_use]
-    pub fn allows(&self, sent: Sent, part: f64) -> bool {
-        let allowed = self.share * (f64::from(sent.all) + 1.0) + self.slack;
-        f64::from(sent.new) + 1.0 <= part * allowed
+    pub fn allows(&self, sent: Sent, part: Part) -> bool {
+        let all = f64::from(sent.all) + 1.0;
+        let allowed = part.share * self.share * all + part.slack * self.slack;
+        f64::from(sent.new) + 1.0 <= allowed
     }
 }
--- a/crates/policy/src/rollout.rs
+++ b/crates/policy/src/rollout.rs
@@ -170,6 +170,17 @@
         self.passed / self.rated.max(f64::MIN_POSITIVE)
     }
 
+    /// The number of attempts.
+    pub(crate) const fn attempts(&self) -> f64 {
+        self.attempts
+    }
+
+    /// The number of attempts whose time is known, and their mean time; none if there are none.
+    pub(crate) fn times(&self) -> Option<(f64, f64)> {
+        let timed = self.timed_attempts > 0.0 && self.time_sum > 0.0;
+        timed.then(|| (self.timed_attempts, self.time_sum / self.timed_attempts))
+    }
+
     /// The share of attempts that failed.
     #[must_use]
     pub fn error_rate(&self) -> f64 {
--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -18,18 +18,17 @@
 //! Failures must affect more than one endpoint because a single failing endpoint is handled by
 //! [`crate::eject`].
 
+mod evidence;
 mod side;
 
 use std::time::Duration;
 
-use pimento_contract::rollout::Gate;
 use pimento_units::Share;
-use pimento_units::Span;
 
-use crate::rollout;
-use crate::rollout::Cause;
-use crate::rollout::Evidence;
+use crate::exposure;
 
+pub use self::evidence::RouteEvidence;
+pub use self::evidence::regression;
 pub use self::side::Known;
 pub use self::side::Progress;
 pub use self::side::Side;
@@ -50,8 +49,9 @@
     pub observation: Duration,
     /// Extension of the trial, because nodes read an order at slightly different times.
     pub clock_margin: Duration,
-    /// Part of the bound on requests that the trial may use, beyond which no further session joins.
-    pub trial_part: f64,
+    /// Part of the bound on requests that the trial may use, beyond which no further session joins. Where few
+    /// requests come, most of them are the slack's, and without it the trial would show nothing.
+    pub trial_part: exposure::Part,
     /// Part of the bound on requests that is used by the deadline. The rest is for callers that come faster
     /// in the last seconds than before.
     pub usable_part: f64,
@@ -67,7 +67,10 @@
             trial_time: 0.5,
             observation: Duration::from_millis(1_500),
             clock_margin: Duration::from_millis(400),
-            trial_part: 0.3,
+            trial_part: exposure::Part {
+                share: 0.3,
+                slack: 0.7,
+            },
             usable_part: 0.95,
             ramp: 0.5,
         }
@@ -100,7 +103,7 @@
     pub fn phase(&self, age: Duration, time_limit: Duration, exposure: f64) -> Phase {
         let earliest = time_limit.mul_f64(self.trial_time) + self.clock_margin;
         // For this long before the deadline the new version may get all requests.
-        let left = (self.usable_part - self.trial_part) * exposure.clamp(0.0, 1.0);
+        let left = (self.usable_part - self.trial_part.share) * exposure.clamp(0.0, 1.0);
         let left = time_limit.mul_f64(left);
         let ramp = left.mul_f64(self.ramp).max(Duration::from_millis(1));
         // A share that rises evenly gets half of the requests.
@@ -152,66 +155,3 @@
 fn to_share(share: f64) -> Share {
     Share::try_from(share).unwrap_or(Share::ONE)
 }
-
-/// Evidence on both versions for one route.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct RouteEvidence {
-    /// Evidence on the new version.
-    pub new: Evidence,
-    /// Evidence on the old version.
-    pub old: Evidence,
-}
-
-/// The largest share of failed attempts beyond that of the old version. It is well below the share
-/// that bad versions fail, and above what a single failing endpoint adds.
-const MAX_ERROR_INCREASE: f64 = 0.1;
-
-/// The largest ratio of the new version's mean time to the old one's, in percent. Bad versions are
-/// several times slower. The endpoints of a new version start with empty caches, which makes them
-/// up to twice as slow.
-const MAX_LATENCY_PERCENT: u32 = 350;
-
-/// Timed answers needed before a version counts as slow, because times vary far more than failures.
-const MIN_TIMED_ANSWERS: u32 = 8;
-
-/// Endpoints of the new version that must have failed a request, unless it has only one endpoint.
-const MIN_FAILING_ENDPOINTS: usize = 2;
-
-/// Why the new version is bad, on one of the routes or on all together; none if it is not.
-/// `failing` is the number of its endpoints that failed a request, `endpoints` the number of all
-/// its endpoints.
-#[must_use]
-pub fn regression(routes: &[RouteEvidence], failing: usize, endpoints: usize) -> Option<Cause> {
-    let mut all = RouteEvidence {
-        new: Evidence::default(),
-        old: Evidence::default(),
-    };
-    for route in routes {
-        all.new.merge(&route.new);
-        all.old.merge(&route.old);
-    }
-    let several = failing >= MIN_FAILING_ENDPOINTS.min(endpoints.max(1));
-    let causes = routes
-        .iter()
-        .filter_map(|route| route_regression(route, true));
-    let cause = causes.chain(route_regression(&all, false)).next()?;
-    (several || cause == Cause::Latency).then_some(cause)
-}
-
-/// `compare_times` tells whether times are compared, which is done within a route only, because
-/// routes differ in them.
-fn route_regression(route: &RouteEvidence, compare_times: bool) -> Option<Cause> {
-    let errors = to_share((MAX_ERROR_INCREASE + route.old.error_rate()).min(1.0));
-    let gate = Gate {
-        samples: MIN_TIMED_ANSWERS,
-        quality: Share::ZERO,
-        errors,
-        latency: if compare_times {
-            MAX_LATENCY_PERCENT
-        } else {
-            u32::MAX
-        },
-        dwell: Span::ZERO,
-    };
-    rollout::regression(&route.new, &route.old, &gate)
-}
--- /dev/null
+++ b/crates/policy/src/shift/evidence.rs
@@ -0,0 +1,129 @@
+//! Whether the evidence of all nodes shows that a shift's new version is bad.
+//!
+//! Routes differ in times and failures, so that a version is compared with the old one within each of them. A fault in
+//! one route is found there. One that shows a little on all of them, with too few answers on any, is found by what the
+//! routes have in common: how many answers failed beyond those that the old version would have failed, and how much
+//! longer they took than its.
+
+use pimento_contract::rollout::Gate;
+use pimento_units::Share;
+use pimento_units::Span;
+
+use super::to_share;
+use crate::rollout;
+use crate::rollout::Cause;
+use crate::rollout::Evidence;
+
+/// Evidence on both versions for one route.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RouteEvidence {
+    /// Evidence on the new version.
+    pub new: Evidence,
+    /// Evidence on the old version.
+    pub old: Evidence,
+}
+
+/// The largest share of failed attempts beyond that of the old version. It is well below the share
+/// that bad versions fail, and above what a single failing endpoint adds.
+const MAX_ERROR_INCREASE: f64 = 0.1;
+
+/// The largest ratio of the new version's mean time to the old one's, in percent. Bad versions are
+/// several times slower. The endpoints of a new version start with empty caches, which makes them
+/// up to twice as slow.
+const MAX_LATENCY_PERCENT: u32 = 350;
+
+/// Timed answers needed before a version counts as slow, because times vary far more than failures.
+const MIN_TIMED_ANSWERS: u32 = 8;
+
+/// Endpoints of the new version that must have failed a request, unless it has only one endpoint.
+const MIN_FAILING_ENDPOINTS: usize = 2;
+
+/// Standard deviations by which failures must exceed those that the old version would have had.
+const FAILURE_DEVIATIONS: f64 = 3.0;
+
+/// The least share of failures beyond those of the old version that makes a version bad.
+const MIN_EXCESS_FAILURES: f64 = 0.05;
+
+/// The ratio of times at which a version is slow, with any number of answers, and what is added to it for the chance
+/// in few answers: this divided by the square root of their number.
+const MAX_TIME_RATIO: f64 = 1.5;
+const TIME_RATIO_SPREAD: f64 = 2.0;
+
+/// Answers of the old version on a route with which those of the new one are compared.
+const MIN_COMPARED_ANSWERS: f64 = 8.0;
+
+/// Why the new version is bad, on one of the routes or on all together; none if it is not.
+/// `failing` is the number of its endpoints that failed a request, `endpoints` the number of all
+/// its endpoints.
+#[must_use]
+pub fn regression(routes: &[RouteEvidence], failing: usize, endpoints: usize) -> Option<Cause> {
+    let mut all = RouteEvidence {
+        new: Evidence::default(),
+        old: Evidence::default(),
+    };
+    for route in routes {
+        all.new.merge(&route.new);
+        all.old.merge(&route.old);
+    }
+    let several = failing >= MIN_FAILING_ENDPOINTS.min(endpoints.max(1));
+    let causes = routes
+        .iter()
+        .filter_map(|route| route_regression(route, true));
+    let cause = causes
+        .chain(route_regression(&all, false))
+        .chain(excess_failures(routes).then_some(Cause::Errors))
+        .chain(excess_time(routes).then_some(Cause::Latency))
+        .next()?;
+    (several || cause == Cause::Latency).then_some(cause)
+}
+
+/// `compare_times` tells whether times are compared, which is done within a route only, because
+/// routes differ in them.
+fn route_regression(route: &RouteEvidence, compare_times: bool) -> Option<Cause> {
+    let errors = to_share((MAX_ERROR_INCREASE + route.old.error_rate()).min(1.0));
+    let gate = Gate {
+        samples: MIN_TIMED_ANSWERS,
+        quality: Share::ZERO,
+        errors,
+        latency: if compare_times {
+            MAX_LATENCY_PERCENT
+        } else {
+            u32::MAX
+        },
+        dwell: Span::ZERO,
+    };
+    rollout::regression(&route.new, &route.old, &gate)
+}
+
+/// Whether more answers failed, over all routes, than the old version would have failed of as many.
+fn excess_failures(routes: &[RouteEvidence]) -> bool {
+    let (mut attempts, mut excess, mut variance) = (0.0, 0.0, 1.0);
+    for route in routes.iter().filter(|route| route.has_old_answers()) {
+        let rate = route.old.error_rate();
+        let expected = route.new.attempts() * rate;
+        attempts += route.new.attempts();
+        excess += route.new.attempts() * route.new.error_rate() - expected;
+        variance += expected * (1.0 - rate);
+    }
+    excess > FAILURE_DEVIATIONS * f64::sqrt(variance) && excess > MIN_EXCESS_FAILURES * attempts
+}
+
+/// Whether answers took longer, over all routes, than the old version would have taken for as many.
+fn excess_time(routes: &[RouteEvidence]) -> bool {
+    let (mut answers, mut ratios) = (0.0, 0.0);
+    for route in routes.iter().filter(|route| route.has_old_answers()) {
+        let (Some((count, new)), Some((_, old))) = (route.new.times(), route.old.times()) else {
+            continue;
+        };
+        answers += count;
+        ratios += count * new / old;
+    }
+    let max_ratio = MAX_TIME_RATIO + TIME_RATIO_SPREAD / answers.sqrt();
+    answers >= f64::from(MIN_TIMED_ANSWERS) && ratios > answers * max_ratio
+}
+
+impl RouteEvidence {
+    fn has_old_answers(&self) -> bool {
+        self.old.attempts() >= MIN_COMPARED_ANSWERS
+    }
+}
--- a/crates/policy/src/shift/side.rs
+++ b/crates/policy/src/shift/side.rs
@@ -22,6 +22,10 @@
 
 /// What is known when a request needs a version.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is known apart from the others, and all are looked up by name"
+)]
 pub struct Known {
     /// How the shift has gone on.
     pub progress: Progress,
@@ -42,7 +46,7 @@
 impl Known {
     /// The version that the request uses; none if it may use neither now.
     #[must_use]
-    pub fn side(&self) -> Option<Side> {
+    pub const fn side(self) -> Option<Side> {
         match self.progress {
             Progress::Done if self.new_usable => Some(Side::New),
             Progress::RolledBack if self.old_usable => Some(Side::Old),
@@ -51,20 +55,26 @@
         }
     }
 
-    fn running_side(&self) -> Option<Side> {
+    const fn running_side(self) -> Option<Side> {
         if !self.old_usable || !self.new_usable {
             return self.any_side();
         }
         match self.last {
             // Its caller has answers of the new version, and must not get others again.
-            Some(Side::New) => self.within_bound.then_some(Side::New),
+            Some(Side::New) => {
+                if self.within_bound {
+                    Some(Side::New)
+                } else {
+                    None
+                }
+            }
             _ if self.joins && !self.pinned && self.within_bound => Some(Side::New),
             _ => Some(Side::Old),
         }
     }
 
     /// Whichever version has usable endpoints.
-    const fn any_side(&self) -> Option<Side> {
+    const fn any_side(self) -> Option<Side> {
         match (self.old_usable, self.new_usable) {
             (true, _) => Some(Side::Old),
             (false, true) => Some(Side::New),
--- /dev/null
+++ b/crates/policy/tests/shift.rs
@@ -0,0 +1,74 @@
+//! Shifts by a deadline: when a version counts as bad by the evidence of all nodes.
+
+use pimento_policy::rollout::Cause;
+use pimento_policy::rollout::Counts;
+use pimento_policy::rollout::Evidence;
+use pimento_policy::shift;
+use pimento_policy::shift::RouteEvidence;
+
+const SEVERAL: usize = 3;
+
+/// Answers of one version on a route: attempts, failures and the mean time in milliseconds of the others.
+fn answers(attempts: u32, failed: u32, milliseconds: f64) -> Evidence {
+    Evidence::from(Counts {
+        rated: 0,
+        passed: 0,
+        attempts,
+        failed,
+        mean_time: Some(milliseconds / 1_000.0),
+    })
+}
+
+fn route(new: Evidence, old: Evidence) -> RouteEvidence {
+    RouteEvidence { new, old }
+}
+
+fn cause(routes: &[RouteEvidence]) -> Option<Cause> {
+    shift::regression(routes, SEVERAL, SEVERAL)
+}
+
+/// Guards against a version several times slower in half of its answers that no single route shows clearly.
+#[test]
+fn a_version_that_is_slower_on_all_routes_is_bad() {
+    let plain = [
+        route(answers(18, 0, 23.0), answers(264, 2, 10.0)),
+        route(answers(3, 0, 43.0), answers(61, 0, 20.0)),
+        route(answers(9, 1, 38.0), answers(153, 48, 15.0)),
+    ];
+    assert_eq!(cause(&plain), Some(Cause::Latency));
+    let engines = [
+        route(answers(16, 0, 267.0), answers(426, 0, 100.0)),
+        route(answers(26, 0, 147.0), answers(574, 0, 100.0)),
+        route(answers(36, 0, 105.0), answers(634, 0, 50.0)),
+    ];
+    assert_eq!(cause(&engines), Some(Cause::Latency));
+}
+
+/// Guards against a version whose failures are few on each route, beside requests that fail on any version.
+#[test]
+fn failures_beyond_those_of_the_old_version_are_found_over_all_routes() {
+    let routes = [
+        route(answers(22, 8, 20.0), answers(227, 60, 20.0)),
+        route(answers(35, 3, 20.0), answers(433, 0, 20.0)),
+        route(answers(12, 3, 20.0), answers(99, 0, 20.0)),
+    ];
+    assert_eq!(cause(&routes), Some(Cause::Errors));
+}
+
+/// Guards against a good version that is rolled back because its few answers happen to be slow or to fail.
+#[test]
+fn a_version_that_is_as_good_as_the_old_one_is_not_bad() {
+    let quiet = [
+        route(answers(12, 2, 21.0), answers(127, 21, 20.0)),
+        route(answers(24, 1, 17.0), answers(201, 0, 20.0)),
+        route(answers(3, 2, 20.0), answers(32, 20, 20.0)),
+    ];
+    assert_eq!(cause(&quiet), None);
+    let cold_caches = [
+        route(answers(9, 0, 151.0), answers(44, 0, 100.0)),
+        route(answers(13, 0, 120.0), answers(66, 0, 100.0)),
+        route(answers(19, 0, 117.0), answers(86, 0, 100.0)),
+        route(answers(2, 0, 219.0), answers(12, 0, 100.0)),
+    ];
+    assert_eq!(cause(&cold_caches), None);
+}
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -11,6 +11,7 @@
 
 use std::time::Duration;
 
+use pimento_policy::exposure::Part;
 use pimento_policy::exposure::Sent;
 use pimento_policy::rollout;
 use pimento_policy::shift;
@@ -285,7 +286,7 @@
             last,
             pinned: phase.pins_known_sessions() && known,
             joins: in_share && self.admits_session(rollout, phase, now),
-            within_bound: self.is_within_bound(rollout, 1.0, now),
+            within_bound: self.is_within_bound(rollout, Part::WHOLE, now),
         }
     }
 
@@ -293,12 +294,12 @@
     fn admits_session(&self, rollout: &RolloutState, phase: Phase, now: Moment) -> bool {
         let part = match phase {
             Phase::Observation | Phase::Trial(_) => self.config.trial_part,
-            Phase::Ramp(_) | Phase::Moved => 1.0,
+            Phase::Ramp(_) | Phase::Moved => Part::WHOLE,
         };
         self.is_within_bound(rollout, part, now)
     }
 
-    fn is_within_bound(&self, rollout: &RolloutState, part: f64, now: Moment) -> bool {
+    fn is_within_bound(&self, rollout: &RolloutState, part: Part, now: Moment) -> bool {
         let bound = rollout.bound(self.exposure);
         rollout.is_over(now) || bound.allows(rollout.sent(), part)
     }
