Count a request that fails at several endpoints as one failure of its version

What callers saw: good versions rolled back.

Cause: each attempt was evidence of its own, while a request's attempts fail together. Two unlucky requests were four failures.

Change: after a failure of a request was counted, its further attempts are no evidence, on either version.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -77,6 +77,8 @@
     run_since: Moment,
     /// Whether the answer to the last send has begun.
     answer_begun: bool,
+    /// Whether a failure of the request was counted as evidence in a roll-out.
+    failure_counted: bool,
 }
 
 /// The attempts of one request.
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -100,7 +100,7 @@
 
     /// Records whether the response has begun or the endpoint failed, in metrics and as evidence in a
     /// roll-out.
-    pub fn record_result(&self, permit: &Permit, failed: bool) {
+    pub fn record_result(&mut self, permit: &Permit, failed: bool) {
         let outcome = if failed {
             Outcome::Failed
         } else {
@@ -111,11 +111,16 @@
         self.record_evidence(permit, outcome);
     }
 
-    /// Records an outcome as evidence in a roll-out.
-    pub(super) fn record_evidence(&self, permit: &Permit, outcome: Outcome) {
+    /// Records an outcome as evidence in a roll-out. Some requests fail on any version, and do so at each endpoint
+    /// to which they are sent; counted each time, a few of them would make a good version look bad.
+    pub(super) fn record_evidence(&mut self, permit: &Permit, outcome: Outcome) {
         let Some(version) = permit.version() else {
             return;
         };
+        if self.state.failure_counted {
+            return;
+        }
+        self.state.failure_counted = outcome == Outcome::Failed;
         let finished = FinishedRequest {
             pool: &self.request.pool,
             route: &self.request.grant.route.name,
