Send nothing beyond its bound to a new version whose old one is away

Cause: without a usable endpoint of the old version the choice was whichever version there is. That the old one is not to be seen was taken for its end.

The choice is one pure function of what is known (policy::shift::Known), with a test over all 288 combinations.

--- a/crates/policy/src/shift/side.rs
+++ b/crates/policy/src/shift/side.rs
@@ -46,39 +46,42 @@
 impl Known {
     /// The version that the request uses; none if it may use neither now.
     #[must_use]
-    pub const fn side(self) -> Option<Side> {
+    pub const fn side(&self) -> Option<Side> {
+        if !self.new_usable {
+            return Some(Side::Old);
+        }
         match self.progress {
-            Progress::Done if self.new_usable => Some(Side::New),
-            Progress::RolledBack if self.old_usable => Some(Side::Old),
+            Progress::Done => Some(Side::New),
+            // Its old version is back soon, and answers of a bad one are worse than none.
+            Progress::RolledBack => self.old_side(),
             Progress::Running => self.running_side(),
-            Progress::Done | Progress::RolledBack => self.any_side(),
         }
     }
 
     const fn running_side(self) -> Option<Side> {
-        if !self.old_usable || !self.new_usable {
-            return self.any_side();
-        }
         match self.last {
             // Its caller has answers of the new version, and must not get others again.
-            Some(Side::New) => {
-                if self.within_bound {
-                    Some(Side::New)
-                } else {
-                    None
-                }
-            }
+            Some(Side::New) => self.new_side(),
+            _ if !self.old_usable => self.new_side(),
             _ if self.joins && !self.pinned && self.within_bound => Some(Side::New),
             _ => Some(Side::Old),
         }
     }
 
-    /// Whichever version has usable endpoints.
-    const fn any_side(self) -> Option<Side> {
-        match (self.old_usable, self.new_usable) {
-            (true, _) => Some(Side::Old),
-            (false, true) => Some(Side::New),
-            (false, false) => None,
+    const fn old_side(self) -> Option<Side> {
+        if self.old_usable {
+            Some(Side::Old)
+        } else {
+            None
+        }
+    }
+
+    /// The new version, of which nothing is known yet, within its bound.
+    const fn new_side(self) -> Option<Side> {
+        if self.within_bound {
+            Some(Side::New)
+        } else {
+            None
         }
     }
 }
--- a/crates/policy/tests/shift.rs
+++ b/crates/policy/tests/shift.rs
@@ -4,7 +4,10 @@
 use pimento_policy::rollout::Counts;
 use pimento_policy::rollout::Evidence;
 use pimento_policy::shift;
+use pimento_policy::shift::Known;
+use pimento_policy::shift::Progress;
 use pimento_policy::shift::RouteEvidence;
+use pimento_policy::shift::Side;
 
 const SEVERAL: usize = 3;
 
@@ -72,3 +75,47 @@
     ];
     assert_eq!(cause(&cold_caches), None);
 }
+
+/// All that may be known when a request needs a version.
+fn all_known() -> Vec<Known> {
+    let mut all = Vec::new();
+    for progress in [Progress::Running, Progress::Done, Progress::RolledBack] {
+        for last in [None, Some(Side::Old), Some(Side::New)] {
+            for bits in 0..32_u8 {
+                all.push(Known {
+                    progress,
+                    last,
+                    old_usable: bits & 1 > 0,
+                    new_usable: bits & 2 > 0,
+                    pinned: bits & 4 > 0,
+                    joins: bits & 8 > 0,
+                    within_bound: bits & 16 > 0,
+                });
+            }
+        }
+    }
+    all
+}
+
+/// Guards against any way to a new version beyond its bound, or once it is known to be bad.
+#[test]
+fn only_a_version_in_place_gets_requests_beyond_its_bound() {
+    for known in all_known() {
+        let new = known.side() == Some(Side::New);
+        let allowed = match known.progress {
+            Progress::Done => true,
+            Progress::Running => known.within_bound,
+            Progress::RolledBack => false,
+        };
+        assert!(!new || allowed, "{known:?}");
+    }
+}
+
+/// Guards against requests that are refused although the old version could take them.
+#[test]
+fn only_a_session_on_the_new_version_is_refused_beside_a_usable_old_one() {
+    for known in all_known().into_iter().filter(|known| known.old_usable) {
+        let on_new = known.last == Some(Side::New) && known.progress == Progress::Running;
+        assert!(known.side().is_some() || on_new, "{known:?}");
+    }
+}
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -256,9 +256,11 @@
             return Choice::Version(versions.stable.clone());
         };
         let target = rollout.target();
-        let old = versions.other(target).unwrap_or(&versions.stable);
         match self.known(rollout, versions, session, now).side() {
-            Some(Side::Old) => Choice::Version(old.clone()),
+            Some(Side::Old) => {
+                let old = versions.other(target).cloned();
+                old.map_or(Choice::Any, Choice::Version)
+            }
             Some(Side::New) => Choice::Version(target.clone()),
             None => Choice::Neither,
         }
