Let all VMs choose the same sessions for a trial

A session that goes from one VM to another met one that had more left, or less.

Change: sessions are chosen by their position alone, by a share that leaves half of the bound for the seconds before the deadline; requests that belong to no session are admitted by count, within the part that the trial may use.

a_session_uses_the_same_version_at_each_vm_in_the_trial failed before.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -36,10 +36,12 @@
 /// Settings of a shift.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Config {
-    /// Part of the exposure that the trial uses. The exposure is the share of requests that a bad
-    /// version may get. What the trial leaves of it is for repeats of requests that failed in the
-    /// trial, and for the seconds of the ramp until a fault that shows only under load is seen.
+    /// Share of the sessions that use the new version in the trial, as a part of the exposure. The exposure is
+    /// the share of requests that a bad version may get. All nodes choose the same sessions, so that one that
+    /// goes from node to node keeps its version.
     pub trial_exposure: f64,
+    /// The same for requests that belong to no session. Each node admits them within a part of its bound.
+    pub trial_exposure_of_requests: f64,
     /// Part of the time until the deadline that the trial lasts. Sessions may only change their
     /// version after it.
     pub trial_time: f64,
@@ -49,8 +51,8 @@
     pub observation: Duration,
     /// Extension of the trial, because nodes read an order at slightly different times.
     pub clock_margin: Duration,
-    /// Part of the bound on requests that the trial may use, beyond which no further session joins. Where few
-    /// requests come, most of them are the slack's, and without it the trial would show nothing.
+    /// Part of the bound on requests that the trial may use. Where few requests come, most of the bound is its
+    /// slack, and without that the trial would show nothing.
     pub trial_part: exposure::Part,
     /// Part of the bound on requests that is used by the deadline. The rest is for callers that come faster
     /// in the last seconds than before.
@@ -63,12 +65,13 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            trial_exposure: 0.6,
+            trial_exposure: 0.45,
+            trial_exposure_of_requests: 0.7,
             trial_time: 0.5,
             observation: Duration::from_millis(1_500),
             clock_margin: Duration::from_millis(400),
             trial_part: exposure::Part {
-                share: 0.3,
+                share: 0.45,
                 slack: 0.7,
             },
             usable_part: 0.95,
@@ -97,6 +100,18 @@
         to_share((exposure * self.trial_exposure).clamp(0.0, 1.0))
     }
 
+    /// The share of requests that belong to no session and use the new version in a phase, as far as the bound
+    /// allows.
+    #[must_use]
+    pub fn request_share(&self, phase: Phase, exposure: f64) -> Share {
+        match phase {
+            Phase::Trial(_) => {
+                to_share((exposure * self.trial_exposure_of_requests).clamp(0.0, 1.0))
+            }
+            Phase::Observation | Phase::Ramp(_) | Phase::Moved => phase.weight(),
+        }
+    }
+
     /// The phase of a shift whose order is `age` old and must be done `time_limit` after it was
     /// given.
     #[must_use]
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -20,6 +20,7 @@
 use crate::node::millis;
 use crate::rollouts::Choice;
 use crate::rollouts::FinishedRequest;
+use crate::rollouts::Scope;
 use crate::rollouts::announcement::Outcome;
 use crate::topic::Log;
 
@@ -154,16 +155,16 @@
         }
     }
 
-    /// The session of the request, or a number of its own if it belongs to none.
-    fn session(&self) -> u64 {
-        self.request.info.session.unwrap_or(self.request.random)
+    /// What keeps its version with the request.
+    fn scope(&self) -> Scope {
+        let session = self.request.info.session.map(Scope::Session);
+        session.unwrap_or(Scope::Request(self.request.random))
     }
 
     /// The version that the request is to run on now.
     fn choose_version(&self) -> Choice {
-        let (pool, session) = (&self.request.pool, self.session());
-        self.node
-            .rollouts(|r| r.version(pool, session, boot::now()))
+        let (pool, scope) = (&self.request.pool, self.scope());
+        self.node.rollouts(|r| r.version(pool, scope, boot::now()))
     }
 
     /// Whether the request may still be sent to the permit's version.
@@ -171,9 +172,9 @@
         let Some(version) = permit.version() else {
             return true;
         };
-        let (pool, session) = (&self.request.pool, self.session());
+        let (pool, scope) = (&self.request.pool, self.scope());
         self.node
-            .rollouts(|r| r.may_send(pool, session, version, boot::now()))
+            .rollouts(|r| r.may_send(pool, scope, version, boot::now()))
     }
 
     /// When the caller wants the response.
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -45,6 +45,29 @@
 /// announced that they drained the old version.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(600);
 
+/// What keeps its version in a roll-out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// All requests of this session.
+    Session(u64),
+    /// One request that belongs to no session, with a random number of its own.
+    Request(u64),
+}
+
+impl Scope {
+    /// The position among all sessions and requests.
+    const fn id(self) -> id::Session {
+        let (Self::Session(number) | Self::Request(number)) = self;
+        session_id(number)
+    }
+}
+
+impl From<u64> for Scope {
+    fn from(session: u64) -> Self {
+        Self::Session(session)
+    }
+}
+
 /// Which version a request uses.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Choice {
@@ -248,7 +271,7 @@
     /// Endpoints of a version without an order get no requests as long as there are others: the order
     /// may not have been read yet.
     #[must_use]
-    pub fn version(&self, pool: &id::Pool, session: u64, now: Moment) -> Choice {
+    pub fn version(&self, pool: &id::Pool, scope: impl Into<Scope>, now: Moment) -> Choice {
         let Some(versions) = self.pool_versions(pool) else {
             return Choice::Any;
         };
@@ -256,7 +279,7 @@
             return Choice::Version(versions.stable.clone());
         };
         let target = rollout.target();
-        match self.known(rollout, versions, session, now).side() {
+        match self.known(rollout, versions, scope.into(), now).side() {
             Some(Side::Old) => {
                 let old = versions.other(target).cloned();
                 old.map_or(Choice::Any, Choice::Version)
@@ -266,39 +289,47 @@
         }
     }
 
-    /// What is known of a roll-out for a request of this session.
+    /// What is known of a roll-out for a request of this scope.
     fn known(
         &self,
         rollout: &RolloutState,
         versions: &PoolVersions,
-        session: u64,
+        scope: Scope,
         now: Moment,
     ) -> Known {
         let target = rollout.target();
         let phase = self.phase(rollout, now);
-        let used = self.sessions.version(session, now);
+        let session = match scope {
+            Scope::Session(session) => Some(session),
+            Scope::Request(_) => None,
+        };
+        let used = session.and_then(|session| self.sessions.version(session, now));
         let side = |used: &id::Version| if used == target { Side::New } else { Side::Old };
         let last = used.map(side);
-        let known = last.is_some() || rollout.is_pinned(session);
-        let in_share = rollout::uses_new_version(session_id(session), target, phase.weight());
+        let known = last.is_some() || session.is_some_and(|s| rollout.is_pinned(s));
         Known {
             progress: rollout.progress(),
             old_usable: versions.other(target).is_some(),
             new_usable: versions.count(target) > 0,
             last,
             pinned: phase.pins_known_sessions() && known,
-            joins: in_share && self.admits_session(rollout, phase, now),
+            joins: self.admits(rollout, scope, phase, now),
             within_bound: self.is_within_bound(rollout, Part::WHOLE, now),
         }
     }
 
-    /// Whether another session may join the new version.
-    fn admits_session(&self, rollout: &RolloutState, phase: Phase, now: Moment) -> bool {
-        let part = match phase {
-            Phase::Observation | Phase::Trial(_) => self.config.trial_part,
-            Phase::Ramp(_) | Phase::Moved => Part::WHOLE,
+    /// Whether a request of this scope is in the share that uses the new version. Sessions are chosen alike by
+    /// all VMs; by its own count, one VM would send a session back that another one has let join.
+    fn admits(&self, rollout: &RolloutState, scope: Scope, phase: Phase, now: Moment) -> bool {
+        let (share, part) = match (scope, phase) {
+            (Scope::Request(_), Phase::Trial(_)) => {
+                let share = self.config.request_share(phase, self.exposure.share);
+                (share, self.config.trial_part)
+            }
+            _ => (phase.weight(), Part::WHOLE),
         };
-        self.is_within_bound(rollout, part, now)
+        let in_share = rollout::uses_new_version(scope.id(), rollout.target(), share);
+        in_share && self.is_within_bound(rollout, part, now)
     }
 
     fn is_within_bound(&self, rollout: &RolloutState, part: Part, now: Moment) -> bool {
@@ -311,7 +342,7 @@
     pub fn may_send(
         &self,
         pool: &id::Pool,
-        session: u64,
+        scope: Scope,
         version: &id::Version,
         now: Moment,
     ) -> bool {
@@ -321,7 +352,7 @@
             Choice::Version(chosen) => chosen == *version,
             Choice::Neither => false,
         };
-        !new || same(self.version(pool, session, now))
+        !new || same(self.version(pool, scope, now))
     }
 
     /// The number of endpoints of a roll-out's new version.
--- a/crates/relay/tests/all/exposure.rs
+++ b/crates/relay/tests/all/exposure.rs
@@ -225,3 +225,20 @@
         assert!(matches!(step, Step::Report(_)), "{step:?}");
     }
 }
+
+/// Guards against a session that one VM has let join the new version and another sends back to the old one.
+#[test]
+fn a_session_uses_the_same_version_at_each_vm_in_the_trial() {
+    let mut fleet = Fleet::new(6, Duration::from_secs(24));
+    let now = ordered() + Duration::from_secs(8);
+    for number in 0..600 {
+        fleet.request(now, number % 6);
+    }
+    for session in 10_000..10_600 {
+        let version = |vm: &Rollouts| vm.version(&pool(), session, now);
+        let at_first = version(&fleet.vms[0]);
+        for vm in &fleet.vms {
+            assert_eq!(version(vm), at_first, "session {session}");
+        }
+    }
+}
