Use the version that was there first until it is known how an order ended

Cause: such a VM takes its neighbours' view, with the order in it, but accepted the order only once it had read the status topic, to learn whether it has ended. Until then it was as if no order were known, and the version with the most endpoints was used, of equal ones the later by name. What other VMs announced of the order, that the version is bad among it, was dropped.

Change: an order is accepted at once, as one of which it is not known whether it has ended; the old version is right in any case then, as its endpoints are gone if the new one is in place. A VM that has seen no other version than the new one takes it for in place. Any VM that knows says so with its announcements; the status topic is read each 1.9 s meanwhile. Without any order the version whose first endpoint started first is used (rollouts::versions), and after an order the one that it left in place.

Ruled out: to take no request until the status is read, which refuses what the old version can serve.

That nothing unknown gives the new version more requests is a test over all combinations (policy/tests/shift).

--- a/crates/policy/src/shift/side.rs
+++ b/crates/policy/src/shift/side.rs
@@ -12,6 +12,8 @@
 /// How a shift has gone on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
+    /// It may have ended, and nobody was heard of it yet.
+    Unknown,
     /// It has not ended.
     Running,
     /// It has ended with the new version in place.
@@ -54,6 +56,8 @@
             Progress::Done => Some(Side::New),
             // Its old version is back soon, and answers of a bad one are worse than none.
             Progress::RolledBack => self.old_side(),
+            Progress::Unknown if self.old_usable => Some(Side::Old),
+            Progress::Unknown => self.new_side(),
             Progress::Running => self.running_side(),
         }
     }
--- a/crates/policy/tests/shift.rs
+++ b/crates/policy/tests/shift.rs
@@ -79,7 +79,12 @@
 /// All that may be known when a request needs a version.
 fn all_known() -> Vec<Known> {
     let mut all = Vec::new();
-    for progress in [Progress::Running, Progress::Done, Progress::RolledBack] {
+    for progress in [
+        Progress::Unknown,
+        Progress::Running,
+        Progress::Done,
+        Progress::RolledBack,
+    ] {
         for last in [None, Some(Side::Old), Some(Side::New)] {
             for bits in 0..32_u8 {
                 all.push(Known {
@@ -104,7 +109,7 @@
         let new = known.side() == Some(Side::New);
         let allowed = match known.progress {
             Progress::Done => true,
-            Progress::Running => known.within_bound,
+            Progress::Unknown | Progress::Running => known.within_bound,
             Progress::RolledBack => false,
         };
         assert!(!new || allowed, "{known:?}");
@@ -119,3 +124,23 @@
         assert!(known.side().is_some() || on_new, "{known:?}");
     }
 }
+
+/// Guards against a version that gets more requests from a VM that knows less.
+#[test]
+fn what_is_not_known_gives_a_version_no_more_requests() {
+    let uses_new = |known: &Known| known.side() == Some(Side::New);
+    for known in all_known() {
+        if known.progress == Progress::Running {
+            let progress = Progress::Unknown;
+            let unknown = Known { progress, ..known };
+            assert!(!uses_new(&unknown) || uses_new(&known), "{unknown:?}");
+        }
+        let last = None;
+        let forgotten = Known { last, ..known };
+        let moved = known.joins && !known.pinned;
+        assert!(
+            !uses_new(&forgotten) || uses_new(&known) || moved,
+            "{forgotten:?}"
+        );
+    }
+}
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -14,6 +14,7 @@
 use crate::directory;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
+use crate::rollouts::versions::Held;
 use crate::topic::Log;
 
 /// Additional delay to another zone. Links between zones take three to six milliseconds one way.
@@ -97,14 +98,28 @@
     count
 }
 
-/// The versions of the usable endpoints, sorted, with the number of endpoints of each.
-fn versions(members: &[Member]) -> Vec<(id::Version, usize)> {
-    let mut versions: Vec<(id::Version, usize)> = Vec::new();
-    let usable = members.iter().filter(|member| member.usable);
-    for version in usable.filter_map(|member| member.versions.as_ref()?.first()) {
-        match versions.binary_search_by(|(known, _)| known.cmp(version)) {
-            Ok(index) => versions[index].1 += 1,
-            Err(index) => versions.insert(index, (version.clone(), 1)),
+/// The versions that the usable endpoints hold, sorted.
+fn versions(members: &[Member]) -> Vec<Held> {
+    let mut versions: Vec<Held> = Vec::new();
+    for member in members.iter().filter(|member| member.usable) {
+        let Some(version) = member.versions.as_ref().and_then(|held| held.first()) else {
+            continue;
+        };
+        let started = member.incarnation;
+        match versions.binary_search_by(|held| held.version.cmp(version)) {
+            Ok(index) => {
+                let held = &mut versions[index];
+                held.endpoints += 1;
+                held.started_unix_ms = held.started_unix_ms.min(started);
+            }
+            Err(index) => {
+                let held = Held {
+                    version: version.clone(),
+                    endpoints: 1,
+                    started_unix_ms: started,
+                };
+                versions.insert(index, held);
+            }
         }
     }
     versions
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -8,6 +8,7 @@
 pub mod announcement;
 pub mod controller;
 pub mod state;
+pub mod versions;
 
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use pimento_policy::shift;
 use pimento_policy::shift::Known;
 use pimento_policy::shift::Phase;
+use pimento_policy::shift::Progress;
 use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -31,6 +33,8 @@
 use self::state::RolloutState;
 use self::state::Step;
 use self::state::Visibility;
+use self::versions::Held;
+use self::versions::PoolVersions;
 use crate::config::Exposure;
 use crate::operators::ReadOrder;
 use crate::sessions::Sessions;
@@ -79,29 +83,6 @@
     Neither,
 }
 
-/// The versions among a service's usable endpoints, with the number of endpoints of each.
-#[derive(Debug)]
-struct PoolVersions {
-    pool: id::Pool,
-    /// The version in use as long as the service has had no order.
-    stable: id::Version,
-    /// Sorted by version.
-    versions: Vec<(id::Version, usize)>,
-}
-
-impl PoolVersions {
-    fn count(&self, version: &id::Version) -> usize {
-        let found = self.versions.binary_search_by(|(v, _)| v.cmp(version));
-        found.map_or(0, |place| self.versions[place].1)
-    }
-
-    /// The version with the most endpoints, other than `target`.
-    fn other(&self, target: &id::Version) -> Option<&id::Version> {
-        let others = self.versions.iter().filter(|(v, _)| v != target);
-        others.max_by_key(|(_, count)| *count).map(|(v, _)| v)
-    }
-}
-
 /// What this VM last announced to its zone, and when.
 #[derive(Debug, Default)]
 struct LastAnnounced {
@@ -184,7 +165,7 @@
     #[must_use]
     pub fn has_several_versions(&self, pool: &id::Pool) -> bool {
         let versions = self.pool_versions(pool);
-        versions.is_some_and(|known| known.versions.len() > 1)
+        versions.is_some_and(PoolVersions::has_several)
     }
 
     /// Whether this order, or a later one for the same service, was added.
@@ -211,54 +192,64 @@
         }
     }
 
-    /// Adds an order. `ended` is how it ended, if that was before this process started.
-    pub fn add_order(&mut self, order: ReadOrder, ended: Option<End>, now: Moment) {
-        let mut rollout = RolloutState::new(order, ended.map(|end| (end, now)));
+    /// Adds an order. Whether one that was there before this process started has ended is not known yet.
+    pub fn add_order(&mut self, order: ReadOrder, now: Moment) {
+        let mut rollout = RolloutState::new(order);
         rollout.set_vms(self.vms);
-        if ended.is_none() {
+        if !rollout.order.initial {
             for session in self.sessions.active(now) {
                 if self.is_in_trial(session, rollout.target()) {
                     rollout.pin_session(session, true);
                 }
             }
         }
-        match self.find(&rollout.order.rollout.pool) {
+        let pool = &rollout.order.rollout.pool;
+        if let Some(versions) = self.pools.iter_mut().find(|p| p.pool == *pool)
+            && let Some(old) = versions.other(rollout.target()).cloned()
+        {
+            versions.put_in_place(old);
+        }
+        match self.find(pool) {
             Ok(place) => self.newest[place] = rollout,
             Err(place) => self.newest.insert(place, rollout),
         }
     }
 
-    /// Sets the versions among a service's usable endpoints, sorted, with the number of endpoints of
-    /// each. An empty list changes nothing.
-    pub fn update_versions(&mut self, pool: &id::Pool, versions: Vec<(id::Version, usize)>) {
-        let most = versions.iter().max_by_key(|(_, count)| *count);
-        let Some((most, _)) = most.cloned() else {
-            return;
-        };
+    /// Sets how an order that was there before this process started has gone on: it ended, or is still under way.
+    pub fn resolve(&mut self, order: &ReadOrder, ended: Option<End>, now: Moment) {
+        let pool = &order.rollout.pool;
+        if let Some(rollout) = self.get_mut(pool).filter(|r| r.offset() == order.offset) {
+            rollout.resolve();
+        }
+        if let Some(end) = ended {
+            self.end(pool, end, now);
+        }
+    }
+
+    /// The orders of which it is not known whether they have ended.
+    #[must_use]
+    pub fn unresolved(&self) -> Vec<ReadOrder> {
+        let unresolved = self.newest.iter().filter(|rollout| !rollout.is_resolved());
+        unresolved.map(|rollout| rollout.order.clone()).collect()
+    }
+
+    /// Sets the versions that a service's usable endpoints hold, sorted. An empty list changes nothing.
+    pub fn update_versions(&mut self, pool: &id::Pool, held: Vec<Held>) {
         let place = self.pools.binary_search_by(|p| p.pool.cmp(pool));
         let place = place.unwrap_or_else(|place| {
-            let known = PoolVersions {
-                pool: pool.clone(),
-                stable: most.clone(),
-                versions: Vec::new(),
-            };
-            self.pools.insert(place, known);
+            self.pools.insert(place, PoolVersions::new(pool.clone()));
             place
         });
         let no_order = self.get(pool).is_none();
         let known = &mut self.pools[place];
-        if no_order && versions.len() > 1 && known.versions.len() != versions.len() {
+        let changed = known.update(held);
+        if changed && no_order && known.has_several() {
             log::info!(
                 pool = pool.as_str(),
-                version = known.stable.as_str(),
-                versions = versions.len();
-                "rollout: Several versions and no order are known, using one of them."
+                version = known.stable().map(id::Version::as_str);
+                "rollout: Several versions and no order are known, using the first one."
             );
         }
-        known.versions = versions;
-        if known.count(&known.stable) == 0 {
-            known.stable = most;
-        }
     }
 
     fn pool_versions(&self, pool: &id::Pool) -> Option<&PoolVersions> {
@@ -276,7 +267,8 @@
             return Choice::Any;
         };
         let Some(rollout) = self.get(pool) else {
-            return Choice::Version(versions.stable.clone());
+            let stable = versions.stable().cloned();
+            return stable.map_or(Choice::Any, Choice::Version);
         };
         let target = rollout.target();
         match self.known(rollout, versions, scope.into(), now).side() {
@@ -308,7 +300,7 @@
         let last = used.map(side);
         let known = last.is_some() || session.is_some_and(|s| rollout.is_pinned(s));
         Known {
-            progress: rollout.progress(),
+            progress: Self::progress(rollout, versions),
             old_usable: versions.other(target).is_some(),
             new_usable: versions.count(target) > 0,
             last,
@@ -318,6 +310,15 @@
         }
     }
 
+    /// How a roll-out has gone on. One of which that is not known has ended with the new version in place if no
+    /// endpoint of another one was seen: the old ones stop at once then.
+    fn progress(rollout: &RolloutState, versions: &PoolVersions) -> Progress {
+        match rollout.progress() {
+            Progress::Unknown if !versions.has_seen_other(rollout.target()) => Progress::Done,
+            progress => progress,
+        }
+    }
+
     /// Whether a request of this scope is in the share that uses the new version. Sessions are chosen alike by
     /// all VMs; by its own count, one VM would send a session back that another one has let join.
     fn admits(&self, rollout: &RolloutState, scope: Scope, phase: Phase, now: Moment) -> bool {
@@ -462,10 +463,10 @@
         }
     }
 
-    /// Services with a roll-out under way.
+    /// Services with a roll-out that is known to be under way.
     #[must_use]
     pub fn running(&self) -> Vec<id::Pool> {
-        let running = self.newest.iter().filter(|r| r.ended().is_none());
+        let running = self.newest.iter().filter(|r| r.is_running());
         running.map(|r| r.order.rollout.pool.clone()).collect()
     }
 
@@ -490,6 +491,7 @@
                 rollout.detect_regression(endpoints);
             }
         }
+        self.put_target_in_place(&received.announcement.pool);
     }
 
     /// This VM's announcements. `drained` tells whether all requests of this VM to a service are at the
@@ -582,8 +584,21 @@
     }
 
     fn end(&mut self, pool: &id::Pool, end: End, now: Moment) {
-        if let Some(rollout) = self.get_mut(pool) {
-            rollout.end(end, now);
+        let Some(rollout) = self.get_mut(pool) else {
+            return;
+        };
+        rollout.end(end, now);
+        self.put_target_in_place(pool);
+    }
+
+    /// Takes the target of a roll-out that is done for the version in place.
+    fn put_target_in_place(&mut self, pool: &id::Pool) {
+        let done = self.get(pool).filter(|r| r.ended() == Some(End::Done));
+        let Some(target) = done.map(|rollout| rollout.target().clone()) else {
+            return;
+        };
+        if let Some(versions) = self.pools.iter_mut().find(|p| p.pool == *pool) {
+            versions.put_in_place(target);
         }
     }
 
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -76,6 +76,9 @@
     pause: Duration::from_secs(1),
 };
 
+/// Time between two reads of the status topic for orders of which it is not known how they went on.
+const STATUS_RETRY: Duration = Duration::from_millis(1_900);
+
 /// How long an answer of the log may take to begin, and how long it may stall. The next tick may try
 /// again.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
@@ -93,7 +96,7 @@
     }
 }
 
-/// What orders that could not be accepted yet wait for.
+/// What orders wait for of which it is not known how they went on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Pending {
     /// No order waits.
@@ -121,6 +124,8 @@
     status_ends: Vec<(id::Pool, Offset)>,
     /// The era of the log in which the ends of roll-outs are known to be reported.
     reported_era: Era,
+    /// When the status topic was last asked how orders went on.
+    status_tried_at: Moment,
 }
 
 /// Starts the controller, which runs until `token` is cancelled.
@@ -134,6 +139,7 @@
         report_due: None,
         status_ends: Vec::new(),
         reported_era: Era::default(),
+        status_tried_at: Moment::ZERO,
     };
     tokio::spawn(async move { token.run_until_cancelled(controller.run()).await });
 }
@@ -178,11 +184,7 @@
         }
     }
 
-    /// Accepts orders that are new to this VM; returns what the others wait for.
-    ///
-    /// An order that was given before this process started may have ended already, which only the status
-    /// topic shows. While the service has a single version this makes no difference, and the topic is not
-    /// read: VMs that start together would all call the log for nothing.
+    /// Accepts orders that are new to this VM. Returns what it waits for to learn how the others went on.
     async fn accept_orders(&mut self) -> Pending {
         let orders: Vec<ReadOrder> = self.node.operators.view(|view| view.orders().to_vec());
         self.node.rollouts(|r| {
@@ -192,43 +194,76 @@
         });
         let known = |order: &ReadOrder| self.node.rollouts(|r| r.has_order(order));
         let new: Vec<ReadOrder> = orders.into_iter().filter(|order| !known(order)).collect();
-        let now = boot::now();
-        if new.iter().any(|order| order.initial) {
+        for order in &new {
+            log::info!(
+                pool = order.rollout.pool.as_str(),
+                version = order.rollout.target.as_str(),
+                initial = order.initial;
+                "rollout: Order accepted."
+            );
+            self.node
+                .rollouts(|r| r.add_order(order.clone(), boot::now()));
+        }
+        if self.node.reads_log() {
+            self.read_status_ends(&new).await;
+        }
+        self.resolve_orders().await
+    }
+
+    /// Records up to where the status topic is about orders before these, which were given just now. Without an
+    /// answer, an earlier order's report for the same version counts for its next order as well.
+    async fn read_status_ends(&mut self, new: &[ReadOrder]) {
+        for order in new.iter().filter(|order| !order.initial) {
+            let pool = &order.rollout.pool;
+            self.status_ends.retain(|(known, _)| known != pool);
+            if let Some((_, end)) = self.read_statuses().await {
+                self.status_ends.push((pool.clone(), end));
+            }
+        }
+    }
+
+    /// Reads how the orders ended that were there before this process started, unless another VM has said so.
+    ///
+    /// While the service has a single version this makes no difference, and the topic is not read: VMs that
+    /// start together would all call the log for nothing.
+    async fn resolve_orders(&mut self) -> Pending {
+        let unresolved = self.node.rollouts(|r| r.unresolved());
+        if !unresolved.is_empty() {
             // The pools may not know the versions of the endpoints yet.
             pools::refresh(&self.node);
         }
-        let mut pending = Pending::Nothing;
-        for order in new {
+        let several = |order: &ReadOrder| {
             let pool = &order.rollout.pool;
-            if order.initial && !self.node.rollouts(|r| r.has_several_versions(pool)) {
-                pending = Pending::SeveralVersions;
-                continue;
-            }
-            let ended = if order.initial {
-                let Some((statuses, _)) = self.read_statuses().await else {
-                    return Pending::Status;
-                };
-                reported_end(&statuses, &order, Offset::default())
+            self.node.rollouts(|r| r.has_several_versions(pool))
+        };
+        let waiting = unresolved.len();
+        let unresolved: Vec<ReadOrder> = unresolved.into_iter().filter(several).collect();
+        if unresolved.is_empty() {
+            return if waiting > 0 {
+                Pending::SeveralVersions
             } else {
-                if self.node.reads_log() {
-                    let Some((_, end)) = self.read_statuses().await else {
-                        return Pending::Status;
-                    };
-                    self.status_ends.retain(|(known, _)| known != pool);
-                    self.status_ends.push((pool.clone(), end));
-                }
-                None
+                Pending::Nothing
             };
+        }
+        let now = boot::now();
+        if now.since(self.status_tried_at) < STATUS_RETRY {
+            return Pending::Status;
+        }
+        self.status_tried_at = now;
+        let Some((statuses, _)) = self.read_statuses().await else {
+            return Pending::Status;
+        };
+        for order in unresolved {
+            let ended = reported_end(&statuses, &order, Offset::default());
             log::info!(
                 pool = order.rollout.pool.as_str(),
                 version = order.rollout.target.as_str(),
-                initial = order.initial,
                 ended:?;
-                "rollout: Order accepted."
+                "rollout: Read how the order has gone on."
             );
-            self.node.rollouts(|r| r.add_order(order, ended, now));
+            self.node.rollouts(|r| r.resolve(&order, ended, now));
         }
-        pending
+        Pending::Nothing
     }
 
     /// Reports the ends of roll-outs once more if the log may have lost the reports. The operators may have
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -53,6 +53,8 @@
     pub order: ReadOrder,
     /// How old the order was when this VM read it, by the announcements of other VMs.
     read_delay: Duration,
+    /// Whether it is known if the roll-out has ended.
+    resolved: bool,
     /// How the roll-out ended, and when this VM knew of it.
     ended: Option<(End, Moment)>,
     /// Why the new version counts as bad; none if it doesn't.
@@ -95,13 +97,14 @@
 }
 
 impl RolloutState {
-    /// A roll-out that begins, or that ended before this process started.
+    /// A roll-out that begins, or that may have ended before this process started.
     #[must_use]
-    pub const fn new(order: ReadOrder, ended: Option<(End, Moment)>) -> Self {
+    pub const fn new(order: ReadOrder) -> Self {
         Self {
+            resolved: !order.initial,
             order,
             read_delay: Duration::ZERO,
-            ended,
+            ended: None,
             bad: None,
             sent: Sent { new: 0, all: 0 },
             vms: 1,
@@ -161,6 +164,23 @@
         self.ended.map(|(end, _)| end)
     }
 
+    /// Whether it is known if it has ended.
+    #[must_use]
+    pub const fn is_resolved(&self) -> bool {
+        self.resolved
+    }
+
+    /// Whether it is known to be under way.
+    #[must_use]
+    pub const fn is_running(&self) -> bool {
+        self.resolved && self.ended.is_none()
+    }
+
+    /// Takes it for under way unless it has ended.
+    pub const fn resolve(&mut self) {
+        self.resolved = true;
+    }
+
     /// Whether the new version is known to be bad.
     #[must_use]
     pub fn is_bad(&self) -> bool {
@@ -173,19 +193,21 @@
         match self.ended() {
             Some(End::Done) => Progress::Done,
             _ if self.is_bad() => Progress::RolledBack,
-            _ => Progress::Running,
+            _ if self.resolved => Progress::Running,
+            _ => Progress::Unknown,
         }
     }
 
     /// Whether it is announced to other VMs: while it is under way, and for some time after its end.
     #[must_use]
     pub fn is_announced(&self, now: Moment) -> bool {
-        self.ended
-            .is_none_or(|(_, at)| now.since(at) < END_ANNOUNCED)
+        let ended = self.ended;
+        self.resolved && ended.is_none_or(|(_, at)| now.since(at) < END_ANNOUNCED)
     }
 
     /// Ends it, unless it has ended.
     pub fn end(&mut self, end: End, now: Moment) {
+        self.resolved = true;
         if self.ended.is_none() {
             log::info!(
                 "rollout: {} to {} ended: {end:?}.",
@@ -356,6 +378,8 @@
         if announcement.order != self.order.offset {
             return;
         }
+        // Only those who know how it went on announce it.
+        self.resolved = true;
         let age = Duration::from_millis(u64::from(announcement.age_ms));
         self.read_delay += age.saturating_sub(self.age(now));
         if let Some(end) = announcement.ended {
@@ -425,6 +449,9 @@
         margin: Duration,
         now: Moment,
     ) -> Step {
+        if !self.resolved {
+            return Step::Wait;
+        }
         if self.bad.is_some() {
             return Step::Report(End::RolledBack);
         }
--- a/crates/relay/tests/all/exposure.rs
+++ b/crates/relay/tests/all/exposure.rs
@@ -12,6 +12,7 @@
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
 use pimento_relay::rollouts::state::Visibility;
+use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -26,6 +27,15 @@
     text.parse().unwrap()
 }
 
+/// Endpoints of a version. Those of the new one started later.
+fn held(version: id::Version, endpoints: usize) -> Held {
+    Held {
+        started_unix_ms: if version == old() { 1 } else { 2 },
+        version,
+        endpoints,
+    }
+}
+
 fn pool() -> id::Pool {
     name("llm")
 }
@@ -58,8 +68,8 @@
         let vm = || {
             let mut rollouts = Rollouts::new(EXPOSURE, Duration::from_secs(5));
             rollouts.set_vms(vms);
-            rollouts.update_versions(&pool(), vec![(old(), 4)]);
-            rollouts.update_versions(&pool(), vec![(old(), 4), (new(), 4)]);
+            rollouts.update_versions(&pool(), vec![held(old(), 4)]);
+            rollouts.update_versions(&pool(), vec![held(old(), 4), held(new(), 4)]);
             let order = ReadOrder {
                 rollout: Order {
                     pool: pool(),
@@ -70,7 +80,7 @@
                 read_at: ordered(),
                 initial: false,
             };
-            rollouts.add_order(order, None, ordered());
+            rollouts.add_order(order, ordered());
             rollouts
         };
         Self {
@@ -170,7 +180,7 @@
 fn a_trial_without_an_old_endpoint_stays_within_its_bound() {
     let mut fleet = Fleet::new(6, Duration::from_secs(24));
     for vm in &mut fleet.vms {
-        vm.update_versions(&pool(), vec![(new(), 4)]);
+        vm.update_versions(&pool(), vec![held(new(), 4)]);
     }
     let now = ordered() + Duration::from_secs(6);
     for number in 0..1_000 {
@@ -196,7 +206,7 @@
         }
     }
     assert!(vm.is_bad(&pool(), &new()));
-    vm.update_versions(&pool(), vec![(new(), 4)]);
+    vm.update_versions(&pool(), vec![held(new(), 4)]);
     let now = ordered() + Duration::from_secs(6);
     assert_ne!(vm.version(&pool(), 1, now), Choice::Version(new()));
 }
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -13,6 +13,7 @@
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
 use pimento_relay::rollouts::state::Visibility;
+use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -29,6 +30,15 @@
     text.parse().unwrap()
 }
 
+/// Endpoints of a version. Those of the new one started later.
+fn held(version: id::Version, endpoints: usize) -> Held {
+    Held {
+        started_unix_ms: if version == old() { 1 } else { 2 },
+        version,
+        endpoints,
+    }
+}
+
 fn pool() -> id::Pool {
     name("llm")
 }
@@ -72,14 +82,14 @@
         rollback: Duration::from_secs(5),
     };
     let mut rollouts = Rollouts::new(exposure, SESSION);
-    rollouts.update_versions(&pool(), vec![(old(), 4)]);
+    rollouts.update_versions(&pool(), vec![held(old(), 4)]);
     rollouts
 }
 
 /// Four endpoints of the new version register, and the order is read.
 fn begin(rollouts: &mut Rollouts) {
-    rollouts.update_versions(&pool(), vec![(old(), 4), (new(), 4)]);
-    rollouts.add_order(order(), None, ordered());
+    rollouts.update_versions(&pool(), vec![held(old(), 4), held(new(), 4)]);
+    rollouts.add_order(order(), ordered());
 }
 
 /// Sessions that the trial moves at a VM that has not seen them before.
@@ -106,7 +116,7 @@
 #[test]
 fn a_version_without_an_order_gets_no_requests() {
     let mut vm = vm();
-    vm.update_versions(&pool(), vec![(old(), 4), (new(), 8)]);
+    vm.update_versions(&pool(), vec![held(old(), 4), held(new(), 8)]);
     let versions = (0..500).map(|s| vm.version(&pool(), s, ordered()));
     assert!(
         versions
@@ -245,13 +255,13 @@
 fn a_vm_that_reads_an_order_late_learns_its_age() {
     let (mut prompt, mut late) = (vm(), vm());
     begin(&mut prompt);
-    late.update_versions(&pool(), vec![(old(), 4), (new(), 4)]);
+    late.update_versions(&pool(), vec![held(old(), 4), held(new(), 4)]);
     let read = ordered() + Duration::from_secs(10);
     let order = ReadOrder {
         read_at: read,
         ..order()
     };
-    late.add_order(order, None, read);
+    late.add_order(order, read);
     let now = ordered() + MOVED;
     let session = 3;
     late.record_session(&pool(), session, &old(), now);
@@ -288,7 +298,7 @@
     begin(&mut vm);
     let now = ordered() + TRIAL;
     vm.record_session(&pool(), session, &new(), now);
-    vm.update_versions(&pool(), vec![(old(), 4)]);
+    vm.update_versions(&pool(), vec![held(old(), 4)]);
     assert_eq!(vm.version(&pool(), session, now), Choice::Version(old()));
 }
 
@@ -316,8 +326,8 @@
 fn an_order_matters_once_there_are_several_versions() {
     let mut vm = vm();
     assert!(!vm.has_several_versions(&pool()));
-    vm.update_versions(&pool(), vec![(old(), 4), (new(), 1)]);
+    vm.update_versions(&pool(), vec![held(old(), 4), held(new(), 1)]);
     assert!(vm.has_several_versions(&pool()));
-    vm.update_versions(&pool(), vec![(new(), 4)]);
+    vm.update_versions(&pool(), vec![held(new(), 4)]);
     assert!(!vm.has_several_versions(&pool()));
 }
