Report a version as good only on evidence, and on the word of the VMs that are known

What callers saw: the only VM of a zone reported a bad version as good 0.6 s before three others found it bad. Its old endpoints stopped, and every request went to the bad version for good: requests 5 s after its 50th bad answer.

Cause: all VMs counted as drained, and nobody as having seen a failure, if no announcement had come: the condition was that all who spoke had drained. Whether any answer had come from the new version was not asked.

Change: who must have spoken is who is known. policy::shift::Readiness decides: all known VMs have drained, or, 0.8 s before the deadline, more than half of them were heard; besides 24 answers since the share rose beyond the trial's, some on each busy route, and no doubt: answers that are somewhat worse, but too few to tell. A good version of which too little is known by its deadline is reported late, as that can be undone and an early report can't; four and ten seconds after the deadline VMs and answers are no longer waited for. So that the evidence is there in time, VMs announce each 250 ms while the share rises, those that read the log publish and read each 500 ms, and report in the order of their zones instead of their names, which on large deployments cost 1.5 s.

In a_vm_that_sees_only_its_zone_... the report shortly before the deadline 'in any case' was this fault; the VM must wait longer now, and a second test holds that all VMs' word and a majority shortly before the deadline suffice.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -19,6 +19,7 @@
 //! [`crate::eject`].
 
 mod evidence;
+mod readiness;
 mod side;
 
 use std::time::Duration;
@@ -28,7 +29,10 @@
 use crate::exposure;
 
 pub use self::evidence::RouteEvidence;
+pub use self::evidence::covers_routes;
+pub use self::evidence::is_doubtful;
 pub use self::evidence::regression;
+pub use self::readiness::Readiness;
 pub use self::side::Known;
 pub use self::side::Progress;
 pub use self::side::Side;
--- a/crates/policy/src/shift/evidence.rs
+++ b/crates/policy/src/shift/evidence.rs
@@ -39,7 +39,10 @@
 const MIN_FAILING_ENDPOINTS: usize = 2;
 
 /// Standard deviations by which failures must exceed those that the old version would have had.
-const FAILURE_DEVIATIONS: f64 = 3.0;
+const FAILURE_DEVIATIONS: f64 = 2.6;
+
+/// The same for doubts.
+const DOUBTFUL_DEVIATIONS: f64 = 1.5;
 
 /// The least share of failures beyond those of the old version that makes a version bad.
 const MIN_EXCESS_FAILURES: f64 = 0.05;
@@ -49,6 +52,14 @@
 const MAX_TIME_RATIO: f64 = 1.5;
 const TIME_RATIO_SPREAD: f64 = 2.0;
 
+/// The same for doubts.
+const DOUBTFUL_TIME_RATIO: f64 = 1.35;
+const DOUBTFUL_RATIO_SPREAD: f64 = 1.5;
+
+/// A route with more than this part of the requests must have had answers of the new version, and how many.
+const MIN_COVERED_PART: f64 = 0.1;
+const MIN_ROUTE_ANSWERS: f64 = 4.0;
+
 /// Answers of the old version on a route with which those of the new one are compared.
 const MIN_COMPARED_ANSWERS: f64 = 8.0;
 
@@ -69,10 +80,12 @@
     let causes = routes
         .iter()
         .filter_map(|route| route_regression(route, true));
+    let failures = Failures::of(routes);
+    let slow = Times::of(routes).exceed(MAX_TIME_RATIO, TIME_RATIO_SPREAD);
     let cause = causes
         .chain(route_regression(&all, false))
-        .chain(excess_failures(routes).then_some(Cause::Errors))
-        .chain(excess_time(routes).then_some(Cause::Latency))
+        .chain(failures.exceed(FAILURE_DEVIATIONS).then_some(Cause::Errors))
+        .chain(slow.then_some(Cause::Latency))
         .next()?;
     (several || cause == Cause::Latency).then_some(cause)
 }
@@ -95,31 +108,76 @@
     rollout::regression(&route.new, &route.old, &gate)
 }
 
-/// Whether more answers failed, over all routes, than the old version would have failed of as many.
-fn excess_failures(routes: &[RouteEvidence]) -> bool {
-    let (mut attempts, mut excess, mut variance) = (0.0, 0.0, 1.0);
-    for route in routes.iter().filter(|route| route.has_old_answers()) {
-        let rate = route.old.error_rate();
-        let expected = route.new.attempts() * rate;
-        attempts += route.new.attempts();
-        excess += route.new.attempts() * route.new.error_rate() - expected;
-        variance += expected * (1.0 - rate);
+/// Whether the new version is somewhat worse than the old one, but has too few answers to tell.
+#[must_use]
+pub fn is_doubtful(routes: &[RouteEvidence]) -> bool {
+    let (failures, times) = (Failures::of(routes), Times::of(routes));
+    failures.exceed(DOUBTFUL_DEVIATIONS) || times.exceed(DOUBTFUL_TIME_RATIO, DOUBTFUL_RATIO_SPREAD)
+}
+
+/// Whether each route that has a good part of the requests has had some answers of the new version.
+#[must_use]
+pub fn covers_routes(routes: &[RouteEvidence]) -> bool {
+    let all: f64 = routes.iter().map(|route| route.old.attempts()).sum();
+    let busy = |route: &&RouteEvidence| route.old.attempts() > MIN_COVERED_PART * all;
+    let mut busy = routes.iter().filter(busy);
+    busy.all(|route| route.new.attempts() >= MIN_ROUTE_ANSWERS)
+}
+
+/// Failures of the new version beyond those that the old one would have had of as many requests on the same routes.
+struct Failures {
+    attempts: f64,
+    excess: f64,
+    variance: f64,
+}
+
+impl Failures {
+    fn of(routes: &[RouteEvidence]) -> Self {
+        let (mut attempts, mut excess, mut variance) = (0.0, 0.0, 1.0);
+        for route in routes.iter().filter(|route| route.has_old_answers()) {
+            let rate = route.old.error_rate();
+            let expected = route.new.attempts() * rate;
+            attempts += route.new.attempts();
+            excess += route.new.attempts() * route.new.error_rate() - expected;
+            variance += expected * (1.0 - rate);
+        }
+        Self {
+            attempts,
+            excess,
+            variance,
+        }
+    }
+
+    fn exceed(&self, deviations: f64) -> bool {
+        let chance = deviations * self.variance.sqrt();
+        self.excess > chance && self.excess > MIN_EXCESS_FAILURES * self.attempts
     }
-    excess > FAILURE_DEVIATIONS * f64::sqrt(variance) && excess > MIN_EXCESS_FAILURES * attempts
 }
 
-/// Whether answers took longer, over all routes, than the old version would have taken for as many.
-fn excess_time(routes: &[RouteEvidence]) -> bool {
-    let (mut answers, mut ratios) = (0.0, 0.0);
-    for route in routes.iter().filter(|route| route.has_old_answers()) {
-        let (Some((count, new)), Some((_, old))) = (route.new.times(), route.old.times()) else {
-            continue;
-        };
-        answers += count;
-        ratios += count * new / old;
+/// Times of the new version's answers, as multiples of the old one's on the same routes.
+struct Times {
+    answers: f64,
+    ratios: f64,
+}
+
+impl Times {
+    fn of(routes: &[RouteEvidence]) -> Self {
+        let (mut answers, mut ratios) = (0.0, 0.0);
+        for route in routes.iter().filter(|route| route.has_old_answers()) {
+            let (Some((count, new)), Some((_, old))) = (route.new.times(), route.old.times())
+            else {
+                continue;
+            };
+            answers += count;
+            ratios += count * new / old;
+        }
+        Self { answers, ratios }
+    }
+
+    fn exceed(&self, ratio: f64, spread: f64) -> bool {
+        let max_ratio = ratio + spread / self.answers.sqrt();
+        self.answers >= f64::from(MIN_TIMED_ANSWERS) && self.ratios > self.answers * max_ratio
     }
-    let max_ratio = MAX_TIME_RATIO + TIME_RATIO_SPREAD / answers.sqrt();
-    answers >= f64::from(MIN_TIMED_ANSWERS) && ratios > answers * max_ratio
 }
 
 impl RouteEvidence {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -32,7 +32,6 @@
 use self::announcement::RequestCounts;
 use self::state::RolloutState;
 use self::state::Step;
-use self::state::Visibility;
 use self::versions::Held;
 use self::versions::PoolVersions;
 use crate::config::Exposure;
@@ -45,9 +44,9 @@
 /// The shortest time between announcements, for changes such as a failure of the new version.
 const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(700);
 
-/// This long before the deadline the end is reported to the operators in any case, even if VMs have not
-/// announced that they drained the old version.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(600);
+/// Time between announcements while the new version gets more requests than in the trial. The whole rise takes a
+/// second or two, in which a fault under load shows for the first time.
+const RISING_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What keeps its version in a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -522,12 +521,17 @@
     ) -> Vec<Announcement> {
         let since = now.since(self.last_announced.at);
         let announced = |rollout: &RolloutState| rollout.is_announced(now);
-        if since < MIN_ANNOUNCE_INTERVAL || !self.newest.iter().any(announced) {
+        let (least, most) = if self.any_rising(now) {
+            (RISING_ANNOUNCE_INTERVAL, RISING_ANNOUNCE_INTERVAL)
+        } else {
+            (MIN_ANNOUNCE_INTERVAL, ANNOUNCE_INTERVAL)
+        };
+        if since < least || !self.newest.iter().any(announced) {
             return Vec::new();
         }
         let announcements = self.announcements(drained, now);
         let before = &self.last_announced.announcements;
-        if since < ANNOUNCE_INTERVAL && !announcements_differ(&announcements, before) {
+        if since < most && !announcements_differ(&announcements, before) {
             return Vec::new();
         }
         self.last_announced = LastAnnounced {
@@ -537,6 +541,17 @@
         announcements
     }
 
+    /// Whether a roll-out has not ended, and its new version gets more requests than in the trial.
+    fn is_rising(&self, rollout: &RolloutState, now: Moment) -> bool {
+        rollout.is_running() && !self.phase(rollout, now).pins_known_sessions()
+    }
+
+    /// Whether any roll-out is in the seconds in which its new version gets more requests than in the trial.
+    #[must_use]
+    pub fn any_rising(&self, now: Moment) -> bool {
+        self.newest.iter().any(|r| self.is_rising(r, now))
+    }
+
     /// The last announcements of the other VMs, to be forwarded.
     #[must_use]
     pub fn received_announcements(&self, now: Moment) -> Vec<NodeAnnouncement> {
@@ -552,28 +567,16 @@
     /// What is to be done about a roll-out now. `drained` is set if none of this VM's requests is at the
     /// old version.
     #[must_use]
-    pub fn next_step(
-        &self,
-        pool: &id::Pool,
-        drained: bool,
-        visibility: Visibility,
-        now: Moment,
-    ) -> Step {
-        let Some(rollout) = self.get(pool) else {
+    pub fn next_step(&mut self, pool: &id::Pool, drained: bool, now: Moment) -> Step {
+        let Some(phase) = self.get(pool).map(|rollout| self.phase(rollout, now)) else {
             return Step::Wait;
         };
-        let phase = self.phase(rollout, now);
-        rollout.next_step(phase, drained, visibility, DEADLINE_MARGIN, now)
-    }
-
-    /// Logs the phase of a roll-out if it is another one than before.
-    fn log_phase(&mut self, pool: &id::Pool, now: Moment) {
-        let Some(phase) = self.get(pool).map(|rollout| self.phase(rollout, now)) else {
-            return;
+        let known_vms = self.vms;
+        let Some(rollout) = self.get_mut(pool) else {
+            return Step::Wait;
         };
-        if let Some(rollout) = self.get_mut(pool) {
-            rollout.log_phase(phase, now);
-        }
+        rollout.enter_phase(phase, now);
+        rollout.next_step(phase, drained, known_vms, now)
     }
 
     /// Logs why the end of a roll-out is to be reported.
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -22,7 +22,6 @@
 use super::announcement::NodeAnnouncement;
 use super::announcements_differ;
 use super::state::Step;
-use super::state::Visibility;
 use crate::boot;
 use crate::calls::Reason;
 use crate::codec::Codec;
@@ -56,24 +55,30 @@
 /// The shortest time between them, for announcements that differ from the last ones.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(700);
 
-/// Delay before a VM reports an end to the operators, times its rank among the VMs that are alive: the
-/// report of the first one should be on the log before the others write the same.
+/// Delay before a VM that reads the log reports an end to the operators, times the place of its zone: one VM of a
+/// zone reads, and the report of the first one should be on the log before the others write the same.
+const ZONE_DELAY: Duration = Duration::from_millis(120);
+
+/// The same for other VMs, times the rank among those that are alive.
 const RANK_DELAY: Duration = Duration::from_millis(300);
 
-/// The longest such delay.
-const MAX_RANK_DELAY: Duration = Duration::from_millis(1_500);
+/// How much later than one that reads the log any other VM reports an end.
+const READER_DELAY: Duration = Duration::from_secs(3);
+
+/// Time between them while the new version gets more requests than in the trial.
+const RISING_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// How the entry VMs' own topic is read while a roll-out is under way.
 const FLEET: ReadTiming = ReadTiming {
-    alone: SECONDLY,
-    reader: SECONDLY,
+    alone: TWICE_A_SECOND,
+    reader: TWICE_A_SECOND,
     max_proof_age: Duration::ZERO,
     timeout: Duration::from_millis(450),
 };
 
-const SECONDLY: Polling = Polling {
+const TWICE_A_SECOND: Polling = Polling {
     wait: Duration::ZERO,
-    pause: Duration::from_secs(1),
+    pause: Duration::from_millis(500),
 };
 
 /// Time between two reads of the status topic for orders of which it is not known how they went on.
@@ -273,13 +278,10 @@
         if era <= self.reported_era || !self.node.reads_log() {
             return true;
         }
-        let own = &self.node.config.node;
         let ended = self.node.rollouts(|r| r.ended_orders());
         let mut reported = true;
         for (order, end) in ended {
-            let pool = &order.rollout.pool;
-            let rank = self.node.rollouts(|r| r.rank(pool, own, boot::now()));
-            tokio::time::sleep((RANK_DELAY * rank).min(MAX_RANK_DELAY)).await;
+            tokio::time::sleep(ZONE_DELAY * self.zone_rank()).await;
             reported &= self.report_end(&order, end).await;
         }
         if reported {
@@ -337,7 +339,13 @@
         let urgent = decided(&own) && !decided(&self.published);
         let changed = announcements_differ(&own, &self.published);
         let ended = own.iter().all(|announcement| announcement.ended.is_some());
-        let early = since < MIN_PUBLISH_INTERVAL || (since < PUBLISH_INTERVAL || ended) && !changed;
+        let rises = self.node.rollouts(|r| r.any_rising(now));
+        let (least, most) = if rises {
+            (RISING_PUBLISH_INTERVAL, RISING_PUBLISH_INTERVAL)
+        } else {
+            (MIN_PUBLISH_INTERVAL, PUBLISH_INTERVAL)
+        };
+        let early = since < least || (since < most || ended) && !changed;
         if early && !urgent {
             return;
         }
@@ -357,6 +365,13 @@
         }
     }
 
+    /// The place of this VM's zone among all zones.
+    fn zone_rank(&self) -> u32 {
+        let config = &self.node.config;
+        let before = config.zones.iter().filter(|(zone, _)| *zone < config.zone);
+        u32::try_from(before.count()).unwrap_or(u32::MAX)
+    }
+
     /// Does what is to be done about one roll-out now.
     async fn step(&mut self, pool: &id::Pool) {
         let Some(order) = self.node.rollouts(|r| r.get(pool).map(|p| p.order.clone())) else {
@@ -365,15 +380,7 @@
         let now = boot::now();
         let drained = self.node.is_drained(pool, &order.rollout.target);
         let reads = self.node.reads_log();
-        let visibility = if reads {
-            Visibility::AllZones
-        } else {
-            Visibility::Zone
-        };
-        let step = self
-            .node
-            .rollouts(|r| r.next_step(pool, drained, visibility, now));
-        self.node.rollouts(|r| r.log_phase(pool, now));
+        let step = self.node.rollouts(|r| r.next_step(pool, drained, now));
         let Step::Report(end) = step else {
             self.report_due = None;
             return;
@@ -390,10 +397,10 @@
         let own = &self.node.config.node;
         let rank = self.node.rollouts(|r| r.rank(pool, own, now));
         let delay = if reads {
-            (RANK_DELAY * rank).min(MAX_RANK_DELAY)
+            ZONE_DELAY * self.zone_rank()
         } else {
             // Otherwise all VMs of a zone would report the same end at the same moment.
-            MAX_RANK_DELAY * 2 + RANK_DELAY * rank
+            READER_DELAY + RANK_DELAY * rank
         };
         if now.since(due) >= delay && self.report_end(&order, end).await {
             self.report_due = None;
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -9,6 +9,7 @@
 use pimento_policy::shift;
 use pimento_policy::shift::Phase;
 use pimento_policy::shift::Progress;
+use pimento_policy::shift::Readiness;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -65,6 +66,8 @@
     vms: usize,
     /// The phase that was logged last.
     logged_phase: Option<&'static str>,
+    /// Answers of the new version, at any VM, when this VM found that the trial is over; none before.
+    answers_in_trial: Option<u32>,
     /// This VM's evidence, sorted by name.
     routes: Vec<Route>,
     /// Hashes of endpoints of the new version that failed a request of this VM, sorted.
@@ -78,15 +81,6 @@
     pending_sessions: Vec<u64>,
 }
 
-/// Which VMs' announcements a VM receives.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Visibility {
-    /// Those of its zone, by datagrams.
-    Zone,
-    /// Those of all zones, as it reads the VMs' topic.
-    AllZones,
-}
-
 /// What is to be done about a roll-out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Step {
@@ -109,6 +103,7 @@
             sent: Sent { new: 0, all: 0 },
             vms: 1,
             logged_phase: None,
+            answers_in_trial: None,
             routes: Vec::new(),
             failing: Vec::new(),
             peers: Vec::new(),
@@ -251,13 +246,16 @@
         self.age(now) >= self.order.rollout.time_limit + DEADLINE_MARGIN
     }
 
-    /// Logs the phase if it is another one than before.
-    pub fn log_phase(&mut self, phase: Phase, now: Moment) {
+    /// Takes note of the phase, and logs it if it is another one than before.
+    pub fn enter_phase(&mut self, phase: Phase, now: Moment) {
         if self.logged_phase == Some(phase.name()) {
             return;
         }
         self.logged_phase = Some(phase.name());
         let counts = self.target_counts();
+        if !phase.pins_known_sessions() {
+            self.answers_in_trial.get_or_insert(counts.attempts);
+        }
         log::info!(
             pool = self.order.rollout.pool.as_str(),
             version = self.target().as_str(),
@@ -434,32 +432,33 @@
     }
 
     /// What is to be done about the roll-out now. `drained` is set if none of this VM's requests is at
-    /// the old version. `margin` is the time before the deadline from which the end is reported even if
-    /// not all VMs are known to have drained the old version.
+    /// the old version, and `known_vms` is the number of VMs that are known, including this one.
     ///
-    /// The old endpoints stop as soon as the operators read that a roll-out is done. A VM that receives
-    /// announcements of its own zone only can't know whether the VMs of other zones have drained them;
-    /// if it reported the end early, it would cut streams of their callers.
+    /// A VM that receives announcements of its own zone only hears fewer than it knows. If it reported the end
+    /// early, it would cut streams of other zones' callers, or miss what they saw of the version.
     #[must_use]
-    pub fn next_step(
-        &self,
-        phase: Phase,
-        drained: bool,
-        visibility: Visibility,
-        margin: Duration,
-        now: Moment,
-    ) -> Step {
+    pub fn next_step(&self, phase: Phase, drained: bool, known_vms: usize, now: Moment) -> Step {
         if !self.resolved {
             return Step::Wait;
         }
         if self.bad.is_some() {
             return Step::Report(End::RolledBack);
         }
-        let all = drained
-            && visibility == Visibility::AllZones
-            && self.live_peers(now).all(|peer| peer.announcement.drained);
-        let late = self.age(now) + margin >= self.order.rollout.time_limit;
-        if phase == Phase::Moved && (all || late) {
+        let evidence = self.evidence();
+        let others_drained = self.live_peers(now).all(|p| p.announcement.drained);
+        let answers = self.target_counts().attempts;
+        let readiness = Readiness {
+            age: self.age(now),
+            time_limit: self.order.rollout.time_limit,
+            moved: phase == Phase::Moved,
+            drained: drained && others_drained,
+            heard: self.live_peers(now).count() + 1,
+            known: known_vms,
+            answers: answers.saturating_sub(self.answers_in_trial.unwrap_or(answers)),
+            covers_routes: shift::covers_routes(&evidence),
+            doubtful: shift::is_doubtful(&evidence),
+        };
+        if readiness.is_done() {
             return Step::Report(End::Done);
         }
         Step::Wait
--- a/crates/relay/tests/all/exposure.rs
+++ b/crates/relay/tests/all/exposure.rs
@@ -11,7 +11,6 @@
 use pimento_relay::rollouts::announcement::NodeAnnouncement;
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
-use pimento_relay::rollouts::state::Visibility;
 use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
 use pimento_units::Offset;
@@ -116,6 +115,10 @@
     }
 
     fn announce(&mut self, now: Moment) {
+        for vm in &mut self.vms {
+            // What it does about the roll-out is for the test to ask.
+            let _ = vm.next_step(&pool(), true, now);
+        }
         for from in 0..self.vms.len() {
             let announcements = self.vms[from].announcements(|_, _| true, now);
             let node = name::<id::Node>(&format!("vm-{from}"));
@@ -218,7 +221,7 @@
     let vm = &mut fleet.vms[0];
     for tenths in 0..240 {
         let now = ordered() + Duration::from_millis(100) * tenths;
-        let step = vm.next_step(&pool(), true, Visibility::AllZones, now);
+        let step = vm.next_step(&pool(), true, now);
         assert_eq!(step, Step::Wait, "after {tenths} tenths of a second");
     }
 }
@@ -231,7 +234,7 @@
         fleet.run(40, |number| usize::try_from(number).unwrap() % 6);
         let left = Duration::from_millis(300);
         let now = ordered() + fleet.time_limit.saturating_sub(left);
-        let step = fleet.vms[0].next_step(&pool(), true, Visibility::AllZones, now);
+        let step = fleet.vms[0].next_step(&pool(), true, now);
         assert!(matches!(step, Step::Report(_)), "{step:?}");
     }
 }
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -12,7 +12,6 @@
 use pimento_relay::rollouts::announcement::NodeAnnouncement;
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
-use pimento_relay::rollouts::state::Visibility;
 use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
 use pimento_units::Offset;
@@ -302,22 +301,75 @@
     assert_eq!(vm.version(&pool(), session, now), Choice::Version(old()));
 }
 
-// Guards against streams of other zones that are cut because a VM reports the end before those zones have
-// drained the old version.
-#[test]
-fn a_vm_that_sees_only_its_zone_does_not_report_the_end_early() {
+/// Answers of the new version from the whole zone, as many as show that it is good.
+fn serve_by_new(vm: &mut Rollouts) {
+    for _ in 0..30 {
+        vm.record(&FinishedRequest {
+            pool: &pool(),
+            route: "review",
+            version: &new(),
+            endpoint: &name("a"),
+            outcome: Outcome::Served(Duration::from_millis(30)),
+        });
+    }
+}
+
+/// A VM at which all sessions have moved, that knows of another one, and has had good answers since.
+fn moved_vm_beside_another() -> Rollouts {
     let mut vm = vm();
+    vm.set_vms(2);
     begin(&mut vm);
-    let now = ordered() + MOVED;
-    assert_eq!(
-        vm.next_step(&pool(), true, Visibility::Zone, now),
-        Step::Wait
-    );
+    let ramp = ordered() + Duration::from_secs(22);
+    assert_eq!(vm.next_step(&pool(), true, ramp), Step::Wait);
+    serve_by_new(&mut vm);
+    vm
+}
+
+/// Guards against streams of other zones that are cut because a VM reports the end before those zones have drained
+/// the old version.
+#[test]
+fn a_vm_that_sees_only_its_zone_does_not_report_the_end_early() {
+    let mut vm = moved_vm_beside_another();
+    for now in [MOVED, TIME_LIMIT, TIME_LIMIT + Duration::from_secs(3)] {
+        assert_eq!(vm.next_step(&pool(), true, ordered() + now), Step::Wait);
+    }
+    // After that the other one is taken for gone.
+    let late = ordered() + TIME_LIMIT + Duration::from_secs(4);
     let done = Step::Report(End::Done);
-    assert_eq!(vm.next_step(&pool(), true, Visibility::AllZones, now), done);
-    // Shortly before the deadline the end is reported in any case.
+    assert_eq!(vm.next_step(&pool(), true, late), done);
+}
+
+#[test]
+fn the_end_is_reported_once_all_vms_have_drained_the_old_version() {
+    let mut vm = moved_vm_beside_another();
+    let now = ordered() + MOVED;
+    let mut other = self::vm();
+    begin(&mut other);
+    for (drained, step) in [(false, Step::Wait), (true, Step::Report(End::Done))] {
+        let announcement = other.announcements(|_, _| drained, now).remove(0);
+        let node = name("other");
+        vm.receive(&NodeAnnouncement { node, announcement }, now);
+        assert_eq!(vm.next_step(&pool(), true, now), step);
+    }
+    // Shortly before the deadline calls at the old version are not waited for.
+    let mut vm = moved_vm_beside_another();
     let late = ordered() + TIME_LIMIT.saturating_sub(Duration::from_millis(400));
-    assert_eq!(vm.next_step(&pool(), true, Visibility::Zone, late), done);
+    let announcement = other.announcements(|_, _| false, late).remove(0);
+    let node = name("other");
+    vm.receive(&NodeAnnouncement { node, announcement }, late);
+    assert_eq!(vm.next_step(&pool(), false, late), Step::Report(End::Done));
+}
+
+/// Guards against a version that is reported as good although hardly any answer has shown it.
+#[test]
+fn an_end_is_not_reported_on_hardly_any_answers() {
+    let mut vm = vm();
+    begin(&mut vm);
+    let mut now = ordered();
+    while now < ordered() + TIME_LIMIT + Duration::from_secs(9) {
+        assert_eq!(vm.next_step(&pool(), true, now), Step::Wait);
+        now = now + Duration::from_millis(250);
+    }
 }
 
 // Guards against VMs that start together and all read the status of an order that has no effect, as the
