Let one slow answer not decide that a version is slow

Cause: times were compared by their means, and one connection whose first packet is lost takes a second, fifty usual answers.

Change: beside eight answers of the old version at the same VM, no answer counts as longer than six times their mean. Slow versions take several times as long in many answers, and are found as before.

one_very_slow_answer_does_not_make_a_version_bad failed before.

--- a/crates/policy/src/shift/readiness.rs
+++ b/crates/policy/src/shift/readiness.rs
@@ -21,6 +21,10 @@
 
 /// What is known when a shift may be reported as done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each is found apart from the others"
+)]
 pub struct Readiness {
     /// The age of the order.
     pub age: Duration,
--- a/crates/relay/src/rollouts/announcement.rs
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -9,6 +9,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Answers of the old version at this VM with which one answer is compared, at least.
+const MIN_COMPARED_ANSWERS: u16 = 8;
+
+/// The longest time with which an answer counts, as a multiple of the mean. Slow versions take several times as long.
+const MAX_COUNTED_RATIO: f32 = 6.0;
+
 /// How one request ended, as evidence.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Outcome {
@@ -30,11 +36,25 @@
 }
 
 impl RequestCounts {
-    /// Counts a request.
-    pub fn count(&mut self, outcome: Outcome) {
+    /// The longest time with which an answer counts beside these; none if they are too few to tell.
+    ///
+    /// A connection that is lost in the network costs a second. In a mean of few short times it would make a
+    /// good version look slow.
+    #[must_use]
+    pub fn longest_counted(&self) -> Option<f32> {
+        let answers = u16::try_from(self.attempts.saturating_sub(self.failed)).unwrap_or(u16::MAX);
+        let mean = self.first_byte_seconds / f32::from(answers);
+        (answers >= MIN_COMPARED_ANSWERS).then_some(mean * MAX_COUNTED_RATIO)
+    }
+
+    /// Counts a request. No answer counts as longer than `longest`, in seconds.
+    pub fn count(&mut self, outcome: Outcome, longest: Option<f32>) {
         self.attempts = self.attempts.saturating_add(1);
         match outcome {
-            Outcome::Served(took) => self.first_byte_seconds += took.as_secs_f32(),
+            Outcome::Served(took) => {
+                let took = took.as_secs_f32();
+                self.first_byte_seconds += longest.map_or(took, |longest| took.min(longest));
+            }
             Outcome::Failed => self.failed = self.failed.saturating_add(1),
         }
     }
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -300,8 +300,9 @@
             }
         }
         let route = route_mut(&mut self.routes, route);
+        let longest = route.old.longest_counted();
         let counts = if new { &mut route.new } else { &mut route.old };
-        counts.count(outcome);
+        counts.count(outcome, longest);
     }
 
     /// The counts of all VMs, for each route.
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -228,6 +228,29 @@
     assert!(!vm.is_bad(&pool(), &new()));
 }
 
+/// Guards against a good version that is rolled back for one answer whose connection was lost in the network.
+#[test]
+fn one_very_slow_answer_does_not_make_a_version_bad() {
+    let mut vm = vm();
+    begin(&mut vm);
+    let mut serve = |version: id::Version, milliseconds: u64| {
+        vm.record(&FinishedRequest {
+            pool: &pool(),
+            route: "review",
+            version: &version,
+            endpoint: &name("a"),
+            outcome: Outcome::Served(Duration::from_millis(milliseconds)),
+        });
+    };
+    for _ in 0..40 {
+        serve(old(), 20);
+    }
+    for answer in 0..8 {
+        serve(new(), if answer == 3 { 1_020 } else { 20 });
+    }
+    assert!(!vm.is_bad(&pool(), &new()));
+}
+
 // Each of two VMs has too little evidence to find the version bad. With the other one's announcement it has
 // enough.
 #[test]
