Tell of a version that turns bad once it is in place

What operators saw: nothing. After a roll-out was done nothing was counted any more, so that a version that failed from then on, under the full load or after some time, was found by nobody. The old endpoints are gone, and a VM can undo nothing; the operators can order the old version.

Change: the first 2,000 answers go on being compared after the end. What is found is an error line and pimento_rollout_bad{when="in_place"}, and changes no version.

a_version_that_turns_bad_once_in_place_is_told fails without it.

--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -65,6 +65,7 @@
     calls: GaugeVec,
     rollouts: GaugeVec,
     rollout_sent: GaugeVec,
+    rollout_bad: GaugeVec,
     poison: GaugeVec,
     connects: GaugeVec,
     links: GaugeVec,
@@ -160,6 +161,7 @@
                 &["pool", "outcome"],
             ),
             rollout_sent: rollout_sent(r),
+            rollout_bad: rollout_bad(r),
             poison: poison(r),
             connects: connects(r),
             links: links(r),
@@ -175,6 +177,15 @@
     }
 }
 
+fn rollout_bad(registry: &Registry) -> GaugeVec {
+    gauge_vec(
+        registry,
+        "pimento_rollout_bad",
+        "1 if the new version of the last roll-out was found to be bad, by pool, in time or once in place",
+        &["pool", "when"],
+    )
+}
+
 fn rollout_sent(registry: &Registry) -> GaugeVec {
     gauge_vec(
         registry,
@@ -324,6 +335,12 @@
                 gauge.set(f64::from(count));
             }
         }
+        metrics.rollout_bad.reset();
+        for (pool, in_place) in node.rollouts(|rollouts| rollouts.bad_versions()) {
+            let when = if in_place { "in_place" } else { "in_time" };
+            let labels = [pool.as_str(), when];
+            metrics.rollout_bad.with_label_values(&labels).set(1.0);
+        }
         for (pool, sent) in node.rollouts(|rollouts| rollouts.sent_counts()) {
             for (version, count) in [("new", sent.new), ("all", sent.all)] {
                 let labels = [pool.as_str(), version];
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -452,7 +452,7 @@
         let Some(rollout) = self.get_mut(request.pool) else {
             return;
         };
-        if rollout.ended().is_some() {
+        if !rollout.counts_evidence() {
             return;
         }
         let new = rollout.target() == request.version;
@@ -462,6 +462,17 @@
         }
     }
 
+    /// The last roll-outs whose new version was found to be bad, and whether that was only after it was in place.
+    #[must_use]
+    pub fn bad_versions(&self) -> Vec<(id::Pool, bool)> {
+        let bad = self.newest.iter().filter(|rollout| rollout.is_bad());
+        bad.map(|rollout| {
+            let in_place = rollout.ended() == Some(End::Done);
+            (rollout.order.rollout.pool.clone(), in_place)
+        })
+        .collect()
+    }
+
     /// Services with a roll-out that is known to be under way.
     #[must_use]
     pub fn running(&self) -> Vec<id::Pool> {
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -35,6 +35,9 @@
 /// A VM that read the order first is this far ahead of the operators' own clock at most.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 
+/// Answers at all VMs that are looked at for a version that turned bad once in place. Each costs a look at all routes.
+const MAX_WATCHED_ANSWERS: u32 = 2_000;
+
 /// Failing endpoints that an announcement lists. Two from different VMs are enough to tell a bad
 /// version from a single faulty endpoint.
 const MAX_FAILING: usize = 8;
@@ -291,6 +294,17 @@
         );
     }
 
+    /// Whether answers still tell something: until the end, and for some time after the new version was put in
+    /// place, so that operators hear of one that fails from then on.
+    #[must_use]
+    pub fn counts_evidence(&self) -> bool {
+        match self.ended() {
+            None => true,
+            Some(End::Done) => self.target_counts().attempts < MAX_WATCHED_ANSWERS,
+            Some(End::RolledBack) => false,
+        }
+    }
+
     /// Counts a request of a route. `new` is set if it used the new version.
     pub fn count(&mut self, route: &str, new: bool, endpoint: &id::Endpoint, outcome: Outcome) {
         if new && outcome == Outcome::Failed {
@@ -362,6 +376,13 @@
             cause.map(|cause| CompactString::from(format!("{cause:?}")))
         };
         if let Some(cause) = cause {
+            if self.ended() == Some(End::Done) {
+                log::error!(
+                    "rollout: {} of {} turned bad after it was put in place: {cause}.",
+                    self.order.rollout.target,
+                    self.order.rollout.pool
+                );
+            }
             log::warn!(
                 "rollout: {} of {} is bad: {cause}; {:?}.",
                 self.order.rollout.target,
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -406,3 +406,19 @@
     vm.update_versions(&pool(), vec![held(new(), 4)]);
     assert!(!vm.has_several_versions(&pool()));
 }
+
+/// Guards against a version that fails as soon as it is in place, of which nobody is told.
+#[test]
+fn a_version_that_turns_bad_once_in_place_is_told() {
+    let mut vm = moved_vm_beside_another();
+    let mut announcement = vm.announcements(|_, _| true, ordered() + MOVED).remove(0);
+    announcement.ended = Some(End::Done);
+    let node = name("other");
+    vm.receive(&NodeAnnouncement { node, announcement }, ordered() + MOVED);
+    fail(&mut vm, "a", 20);
+    fail(&mut vm, "b", 20);
+    assert_eq!(vm.bad_versions(), [(pool(), true)]);
+    // Nothing else is there to use.
+    let version = vm.version(&pool(), 1, ordered() + TIME_LIMIT);
+    assert_eq!(version, Choice::Version(new()));
+}
