Tell other zones by datagrams of versions found bad and of roll-outs that ended

What callers saw: while the log was away, the VMs of one zone went on using a version that those of another had found bad, until each zone had evidence enough of its own.

Cause: announcements went from zone to zone by the log alone.

Change: those that say how a roll-out ends go to one VM of each other zone as well, with the datagrams that go there anyway; it takes the word for its own and tells its zone. VMs of older builds ignore it.

all_zones_hear_of_a_bad_version_while_the_log_is_away timed out before.

--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -27,6 +27,7 @@
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
 use crate::rollouts::Rollouts;
+use crate::rollouts::announcement::Announcement;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::topic::Log;
 
@@ -276,7 +277,7 @@
     /// Collects what is to be sent to the group. What others need to know as well is queued for them.
     fn collect_update(&self) -> Update {
         let mut update = Update {
-            rollouts: self.due_announcements(),
+            rollouts: self.own_announcements(self.node.due_announcements(boot::now())),
             pinned_sessions: self.node.rollouts(Rollouts::take_pending_sessions),
             poison: self.node.poison.take_zone_reports(boot::now()),
             poison_parts: self.node.poison.take_zone_parts(boot::now()),
@@ -306,15 +307,16 @@
         update
     }
 
-    /// The announcements of this VM about roll-outs that are due.
-    fn due_announcements(&self) -> Vec<NodeAnnouncement> {
-        let due = self.node.due_announcements(boot::now()).into_iter();
+    /// The announcements as this VM's.
+    fn own_announcements(&self, announcements: Vec<Announcement>) -> Vec<NodeAnnouncement> {
         let node = &self.node.config.node;
-        due.map(|announcement| NodeAnnouncement {
-            node: node.clone(),
-            announcement,
-        })
-        .collect()
+        let announcements = announcements.into_iter();
+        announcements
+            .map(|announcement| NodeAnnouncement {
+                node: node.clone(),
+                announcement,
+            })
+            .collect()
     }
 
     /// Sends updates to one VM of each other zone and of each other group of this one.
@@ -330,6 +332,7 @@
                     pinned_sessions: std::mem::take(&mut inner.remote_sessions),
                     poison: self.node.poison.take_remote_reports(now),
                     poison_parts: self.node.poison.take_remote_parts(now),
+                    rollouts: self.own_announcements(self.node.decided_announcements(now)),
                     ..Update::default()
                 };
                 let config = &self.node.config;
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -206,7 +206,11 @@
                 self.apply_bundle(bundle);
             }
             self.apply_proofs(message.proofs);
-            self.merge_relayed(message, &limits, group, now);
+            self.queue_relayed(message, &limits, group);
+        }
+        let own = &config.node;
+        for received in message.rollouts.iter().filter(|r| r.node != *own) {
+            self.node.rollouts(|r| r.receive(received, now));
         }
         let waits: Vec<(u64, Duration)> = message
             .waits
@@ -258,14 +262,9 @@
         }
     }
 
-    /// Merges announcements about roll-outs, and queues them and limits for those who get them from this VM
-    /// while it leads its group: what its group says for the other leaders, and what they say themselves for
-    /// its group.
-    fn merge_relayed(&self, message: &Message, limits: &[Limit], group: bool, now: Moment) {
-        let own = &self.node.config.node;
-        for received in message.rollouts.iter().filter(|r| r.node != *own) {
-            self.node.rollouts(|r| r.receive(received, now));
-        }
+    /// Queues announcements about roll-outs, and limits, for those who get them from this VM while it leads its
+    /// group: what its group says for the other leaders, and what they say themselves for its group.
+    fn queue_relayed(&self, message: &Message, limits: &[Limit], group: bool) {
         let inner = &mut *self.lock();
         if inner.leader.is_some() || !inner.peers.level().is_divided() {
             return;
--- a/crates/relay/src/rollouts/announcement.rs
+++ b/crates/relay/src/rollouts/announcement.rs
@@ -123,6 +123,12 @@
 }
 
 impl Announcement {
+    /// Whether it says how the roll-out ends.
+    #[must_use]
+    pub const fn is_decided(&self) -> bool {
+        self.bad || self.ended.is_some()
+    }
+
     /// Whether other VMs must soon learn of the difference to an earlier announcement. Other counts of
     /// requests alone are not urgent.
     #[must_use]
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -335,7 +335,7 @@
             return;
         }
         let since = now.since(self.published_at);
-        let decided = |all: &[Announcement]| all.iter().any(|a| a.bad || a.ended.is_some());
+        let decided = |all: &[Announcement]| all.iter().any(Announcement::is_decided);
         let urgent = decided(&own) && !decided(&self.published);
         let changed = announcements_differ(&own, &self.published);
         let ended = own.iter().all(|announcement| announcement.ended.is_some());
@@ -522,6 +522,14 @@
         self.rollouts(|r| r.announcements(|pool, target| self.is_drained(pool, target), now))
     }
 
+    /// The announcements of roll-outs whose version is bad, or that have ended. Other zones hear of them by
+    /// datagrams as well: the log may be away just then.
+    pub(crate) fn decided_announcements(&self, now: Moment) -> Vec<Announcement> {
+        let mut announcements = self.announcements(now);
+        announcements.retain(Announcement::is_decided);
+        announcements
+    }
+
     /// The announcements about roll-outs to send to the zone now.
     pub(crate) fn due_announcements(&self, now: Moment) -> Vec<Announcement> {
         self.rollouts(|r: &mut Rollouts| {
