Let the share rise a little earlier, and ask for fewer answers

The trial uses two fifths of the bound's share now, and the rise all that is left of it; the slack stays for callers that come faster. Sixteen answers since the rise began suffice.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -58,8 +58,8 @@
     /// Part of the bound on requests that the trial may use. Where few requests come, most of the bound is its
     /// slack, and without that the trial would show nothing.
     pub trial_part: exposure::Part,
-    /// Part of the bound on requests that is used by the deadline. The rest is for callers that come faster
-    /// in the last seconds than before.
+    /// Part of the bound's share that is used by the deadline. Its slack is for callers that come faster in the
+    /// last seconds than before.
     pub usable_part: f64,
     /// How long the share takes to rise to all sessions, as a part of the time before the deadline for which the
     /// new version may get all requests.
@@ -69,16 +69,16 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            trial_exposure: 0.45,
+            trial_exposure: 0.4,
             trial_exposure_of_requests: 0.7,
             trial_time: 0.5,
             observation: Duration::from_millis(1_500),
             clock_margin: Duration::from_millis(400),
             trial_part: exposure::Part {
-                share: 0.45,
+                share: 0.4,
                 slack: 0.7,
             },
-            usable_part: 0.95,
+            usable_part: 1.0,
             ramp: 0.5,
         }
     }
--- a/crates/policy/src/shift/readiness.rs
+++ b/crates/policy/src/shift/readiness.rs
@@ -17,7 +17,7 @@
 const ANSWERS_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Answers of the new version that must have come since the share rose beyond that of the trial.
-const MIN_ANSWERS: u32 = 24;
+const MIN_ANSWERS: u32 = 16;
 
 /// What is known when a shift may be reported as done.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
