--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -6,30 +6,26 @@
 //! shares the evidence and reports the end to the operators.
 
 pub mod announcement;
+mod choice;
 pub mod controller;
+mod evidence;
+mod exchange;
 pub mod state;
 pub mod versions;
 
 use std::time::Duration;
 
-use pimento_policy::exposure::Part;
 use pimento_policy::exposure::Sent;
-use pimento_policy::rollout;
 use pimento_policy::shift;
-use pimento_policy::shift::Known;
 use pimento_policy::shift::Phase;
-use pimento_policy::shift::Progress;
-use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::id;
-use uuid::Uuid;
 
-use self::announcement::Announcement;
 use self::announcement::End;
-use self::announcement::NodeAnnouncement;
 use self::announcement::Outcome;
 use self::announcement::PinnedSession;
 use self::announcement::RequestCounts;
+use self::exchange::LastAnnounced;
 use self::state::RolloutState;
 use self::state::Step;
 use self::versions::Held;
@@ -38,56 +34,9 @@
 use crate::operators::ReadOrder;
 use crate::sessions::Sessions;
 
-/// The longest time between announcements of a VM, which show the others that it is alive.
-const ANNOUNCE_INTERVAL: Duration = Duration::from_secs(2);
-
-/// The shortest time between announcements, for changes such as a failure of the new version.
-const MIN_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(700);
-
-/// Time between announcements while the new version gets more requests than in the trial. The whole rise takes a
-/// second or two, in which a fault under load shows for the first time.
-const RISING_ANNOUNCE_INTERVAL: Duration = Duration::from_millis(250);
-
-/// What keeps its version in a roll-out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Scope {
-    /// All requests of this session.
-    Session(u64),
-    /// One request that belongs to no session, with a random number of its own.
-    Request(u64),
-}
-
-impl Scope {
-    /// The position among all sessions and requests.
-    const fn id(self) -> id::Session {
-        let (Self::Session(number) | Self::Request(number)) = self;
-        session_id(number)
-    }
-}
-
-impl From<u64> for Scope {
-    fn from(session: u64) -> Self {
-        Self::Session(session)
-    }
-}
-
-/// Which version a request uses.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Choice {
-    /// Whichever there is: no usable endpoint of the service is known.
-    Any,
-    /// This one.
-    Version(id::Version),
-    /// None for now: the bound on requests to the new version is reached, and the old one can't take it.
-    Neither,
-}
-
-/// What this VM last announced to its zone, and when.
-#[derive(Debug, Default)]
-struct LastAnnounced {
-    at: Moment,
-    announcements: Vec<Announcement>,
-}
+pub use self::choice::Choice;
+pub use self::choice::Scope;
+pub use self::exchange::announcements_differ;
 
 /// The roll-outs of all services, and the sessions' versions.
 #[derive(Debug)]
@@ -104,11 +53,6 @@
     vms: usize,
 }
 
-/// The id by which a session is placed among all sessions.
-const fn session_id(session: u64) -> id::Session {
-    id::Session(Uuid::from_u64_pair(session, session))
-}
-
 /// A request that ended, as evidence.
 #[derive(Debug, Clone, Copy)]
 pub struct FinishedRequest<'a> {
@@ -256,105 +200,6 @@
         found.ok().map(|place| &self.pools[place])
     }
 
-    /// The version that a request uses.
-    ///
-    /// Endpoints of a version without an order get no requests as long as there are others: the order
-    /// may not have been read yet.
-    #[must_use]
-    pub fn version(&self, pool: &id::Pool, scope: impl Into<Scope>, now: Moment) -> Choice {
-        let Some(versions) = self.pool_versions(pool) else {
-            return Choice::Any;
-        };
-        let Some(rollout) = self.get(pool) else {
-            let stable = versions.stable().cloned();
-            return stable.map_or(Choice::Any, Choice::Version);
-        };
-        let target = rollout.target();
-        match self.known(rollout, versions, scope.into(), now).side() {
-            Some(Side::Old) => {
-                let old = versions.other(target).cloned();
-                old.map_or(Choice::Any, Choice::Version)
-            }
-            Some(Side::New) => Choice::Version(target.clone()),
-            None => Choice::Neither,
-        }
-    }
-
-    /// What is known of a roll-out for a request of this scope.
-    fn known(
-        &self,
-        rollout: &RolloutState,
-        versions: &PoolVersions,
-        scope: Scope,
-        now: Moment,
-    ) -> Known {
-        let target = rollout.target();
-        let phase = self.phase(rollout, now);
-        let session = match scope {
-            Scope::Session(session) => Some(session),
-            Scope::Request(_) => None,
-        };
-        let used = session.and_then(|session| self.sessions.version(session, now));
-        let side = |used: &id::Version| if used == target { Side::New } else { Side::Old };
-        let last = used.map(side);
-        let known = last.is_some() || session.is_some_and(|s| rollout.is_pinned(s));
-        Known {
-            progress: Self::progress(rollout, versions),
-            old_usable: versions.other(target).is_some(),
-            new_usable: versions.count(target) > 0,
-            last,
-            pinned: phase.pins_known_sessions() && known,
-            joins: self.admits(rollout, scope, phase, now),
-            within_bound: self.is_within_bound(rollout, Part::WHOLE, now),
-        }
-    }
-
-    /// How a roll-out has gone on. One of which that is not known has ended with the new version in place if no
-    /// endpoint of another one was seen: the old ones stop at once then.
-    fn progress(rollout: &RolloutState, versions: &PoolVersions) -> Progress {
-        match rollout.progress() {
-            Progress::Unknown if !versions.has_seen_other(rollout.target()) => Progress::Done,
-            progress => progress,
-        }
-    }
-
-    /// Whether a request of this scope is in the share that uses the new version. Sessions are chosen alike by
-    /// all VMs; by its own count, one VM would send a session back that another one has let join.
-    fn admits(&self, rollout: &RolloutState, scope: Scope, phase: Phase, now: Moment) -> bool {
-        let (share, part) = match (scope, phase) {
-            (Scope::Request(_), Phase::Trial(_)) => {
-                let share = self.config.request_share(phase, self.exposure.share);
-                (share, self.config.trial_part)
-            }
-            _ => (phase.weight(), Part::WHOLE),
-        };
-        let in_share = rollout::uses_new_version(scope.id(), rollout.target(), share);
-        in_share && self.is_within_bound(rollout, part, now)
-    }
-
-    fn is_within_bound(&self, rollout: &RolloutState, part: Part, now: Moment) -> bool {
-        let bound = rollout.bound(self.exposure);
-        rollout.is_over(now) || bound.allows(rollout.sent(), part)
-    }
-
-    /// Whether a request may be sent to a version now. What it may use may have changed since it was chosen.
-    #[must_use]
-    pub fn may_send(
-        &self,
-        pool: &id::Pool,
-        scope: Scope,
-        version: &id::Version,
-        now: Moment,
-    ) -> bool {
-        let new = self.get(pool).is_some_and(|r| r.target() == version);
-        let same = |choice| match choice {
-            Choice::Any => true,
-            Choice::Version(chosen) => chosen == *version,
-            Choice::Neither => false,
-        };
-        !new || same(self.version(pool, scope, now))
-    }
-
     /// The number of endpoints of a roll-out's new version.
     fn target_endpoints(&self, pool: &id::Pool) -> usize {
         let target = self.get(pool).map(RolloutState::target);
@@ -414,12 +259,6 @@
             .collect()
     }
 
-    /// Whether a session is in the share that the trial would move.
-    fn is_in_trial(&self, session: u64, target: &id::Version) -> bool {
-        let share = self.config.trial_share(self.exposure.share);
-        rollout::uses_new_version(session_id(session), target, share)
-    }
-
     /// Sessions that used the old version at this VM and were not announced to other VMs yet.
     pub fn take_pending_sessions(&mut self) -> Vec<PinnedSession> {
         let mut pending = Vec::new();
@@ -492,89 +331,6 @@
             .collect()
     }
 
-    /// Takes in another VM's announcement.
-    pub fn receive(&mut self, received: &NodeAnnouncement, now: Moment) {
-        let endpoints = self.target_endpoints(&received.announcement.pool);
-        if let Some(rollout) = self.get_mut(&received.announcement.pool) {
-            rollout.receive(&received.node, &received.announcement, now);
-            if rollout.ended().is_none() {
-                rollout.detect_regression(endpoints);
-            }
-        }
-        self.put_target_in_place(&received.announcement.pool);
-    }
-
-    /// This VM's announcements. `drained` tells whether all requests of this VM to a service are at the
-    /// given version.
-    #[must_use]
-    pub fn announcements(
-        &self,
-        drained: impl Fn(&id::Pool, &id::Version) -> bool,
-        now: Moment,
-    ) -> Vec<Announcement> {
-        let announced = self
-            .newest
-            .iter()
-            .filter(|rollout| rollout.is_announced(now));
-        announced
-            .map(|rollout| {
-                let drained = drained(&rollout.order.rollout.pool, rollout.target());
-                rollout.announcement(self.phase(rollout, now), drained, now)
-            })
-            .collect()
-    }
-
-    /// The same if it is time to send them to the zone; otherwise nothing.
-    pub fn due_announcements(
-        &mut self,
-        drained: impl Fn(&id::Pool, &id::Version) -> bool,
-        now: Moment,
-    ) -> Vec<Announcement> {
-        let since = now.since(self.last_announced.at);
-        let announced = |rollout: &RolloutState| rollout.is_announced(now);
-        let (least, most) = if self.any_rising(now) {
-            (RISING_ANNOUNCE_INTERVAL, RISING_ANNOUNCE_INTERVAL)
-        } else {
-            (MIN_ANNOUNCE_INTERVAL, ANNOUNCE_INTERVAL)
-        };
-        if since < least || !self.newest.iter().any(announced) {
-            return Vec::new();
-        }
-        let announcements = self.announcements(drained, now);
-        let before = &self.last_announced.announcements;
-        if since < most && !announcements_differ(&announcements, before) {
-            return Vec::new();
-        }
-        self.last_announced = LastAnnounced {
-            at: now,
-            announcements: announcements.clone(),
-        };
-        announcements
-    }
-
-    /// Whether a roll-out has not ended, and its new version gets more requests than in the trial.
-    fn is_rising(&self, rollout: &RolloutState, now: Moment) -> bool {
-        rollout.is_running() && !self.phase(rollout, now).pins_known_sessions()
-    }
-
-    /// Whether any roll-out is in the seconds in which its new version gets more requests than in the trial.
-    #[must_use]
-    pub fn any_rising(&self, now: Moment) -> bool {
-        self.newest.iter().any(|r| self.is_rising(r, now))
-    }
-
-    /// The last announcements of the other VMs, to be forwarded.
-    #[must_use]
-    pub fn received_announcements(&self, now: Moment) -> Vec<NodeAnnouncement> {
-        let announced = self
-            .newest
-            .iter()
-            .filter(|rollout| rollout.is_announced(now));
-        announced
-            .flat_map(|rollout| rollout.received_announcements(now))
-            .collect()
-    }
-
     /// What is to be done about a roll-out now. `drained` is set if none of this VM's requests is at the
     /// old version.
     #[must_use]
@@ -620,13 +376,3 @@
         self.get(pool).map_or(0, |rollout| rollout.rank(own, now))
     }
 }
-
-/// Whether others should soon know of the difference between the announcements.
-#[must_use]
-pub fn announcements_differ(now: &[Announcement], before: &[Announcement]) -> bool {
-    now.len() != before.len()
-        || now
-            .iter()
-            .zip(before)
-            .any(|(one, other)| one.is_urgent_after(other))
-}
