Take an order first read from a restored log for one that may have ended

One of three causes: a VM that started while the restored log lacked the order read it, written again, as one that was given just then. It took a part of the slack each time, counted its own requests from zero, and could not know that the order had ended. Such an order is one that may have been given before now: no slack, and the old version until it is known how it ended.

--- a/crates/relay/src/operators.rs
+++ b/crates/relay/src/operators.rs
@@ -12,6 +12,7 @@
 use crate::follow::Fold;
 use crate::follow::RecordContext;
 use crate::node::millis;
+use crate::position::Era;
 use crate::position::Position;
 use crate::table::Table;
 use crate::topic::Record;
@@ -28,7 +29,7 @@
     pub offset: Offset,
     /// When this VM read it.
     pub read_at: Moment,
-    /// Whether it already existed when this process first read the topic.
+    /// Whether it may already have existed when this process first read the topic.
     pub initial: bool,
 }
 
@@ -124,6 +125,7 @@
             Ok(index) => index,
             Err(index) => {
                 log_order(&order);
+                let order = order.possibly_repeated();
                 self.orders.insert(index, order);
                 return true;
             }
@@ -157,6 +159,16 @@
 }
 
 impl ReadOrder {
+    /// The order as one that may have been given before this process started, if the log has lost records: it may
+    /// be written again, and a process that started while it was lost can't tell.
+    fn possibly_repeated(self) -> Self {
+        let restored = Position::from(self.offset).era > Era::default();
+        Self {
+            initial: self.initial || restored,
+            ..self
+        }
+    }
+
     /// Whether another order is this one, which the operators wrote again because the log had lost it.
     #[must_use]
     pub fn is_repeated_by(&self, other: &Self) -> bool {
