Report a version as good only when its bound holds until the deadline

What callers saw in the soak: after the report all requests go to the new version, and no count holds them.

Change: the VM that reports looks whether its own bound holds if all its requests go to the new version until the deadline, at a quarter more than their rate so far, and else waits; its own count holds meanwhile. The trial uses half of the slack, not seven tenths.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -6,6 +6,8 @@
 //! together keep to the whole, whoever has the callers and whichever nodes hear each other. A node that starts
 //! meanwhile knows nothing of what it sent before, so that its part has no slack.
 
+use std::time::Duration;
+
 /// Part of the slack that is used. Requests that were sent may not arrive, and then don't raise the bound.
 const USABLE_SLACK: f64 = 0.85;
 
@@ -13,6 +15,9 @@
 /// parts.
 const MIN_NODES: usize = 8;
 
+/// Factor by which requests may come faster than since the order.
+const RATE_MARGIN: f64 = 1.25;
+
 /// Requests that were sent, repeats included.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Sent {
@@ -75,6 +80,16 @@
         Self { share, slack: 0.0 }
     }
 
+    /// Whether the bound still holds if all requests go to the new version for a time, as many of them each second
+    /// as since the order, and some more.
+    #[must_use]
+    pub fn allows_all_for(&self, sent: Sent, since_order: Duration, time: Duration) -> bool {
+        let seconds = since_order.as_secs_f64().max(1.0);
+        let further = f64::from(sent.all) / seconds * time.as_secs_f64() * RATE_MARGIN;
+        let allowed = self.share * (f64::from(sent.all) + further) + self.slack;
+        f64::from(sent.new) + further <= allowed
+    }
+
     /// Whether this part of the bound allows another request to the new version.
     #[must_use]
     pub fn allows(&self, sent: Sent, part: Part) -> bool {
--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -76,7 +76,7 @@
             clock_margin: Duration::from_millis(400),
             trial_part: exposure::Part {
                 share: 0.4,
-                slack: 0.7,
+                slack: 0.5,
             },
             usable_part: 1.0,
             ramp: 0.5,
--- a/crates/policy/src/shift/readiness.rs
+++ b/crates/policy/src/shift/readiness.rs
@@ -32,6 +32,8 @@
     pub time_limit: Duration,
     /// Whether all sessions use the new version.
     pub moved: bool,
+    /// Whether the bound on requests holds if all of them use the new version until the deadline.
+    pub within_bound: bool,
     /// Whether this node and all that were heard have no call at the old version.
     pub drained: bool,
     /// The number of nodes that were heard not long ago, including this one.
@@ -50,7 +52,7 @@
     /// Whether the shift may be reported as done.
     #[must_use]
     pub fn is_done(&self) -> bool {
-        self.moved && self.has_evidence() && self.has_nodes()
+        self.moved && self.within_bound && self.has_evidence() && self.has_nodes()
     }
 
     fn has_evidence(&self) -> bool {
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -25,6 +25,7 @@
 use self::announcement::Outcome;
 use self::announcement::PinnedSession;
 use self::announcement::RequestCounts;
+use self::evidence::Situation;
 use self::exchange::LastAnnounced;
 use self::state::RolloutState;
 use self::state::Step;
@@ -338,12 +339,17 @@
         let Some(phase) = self.get(pool).map(|rollout| self.phase(rollout, now)) else {
             return Step::Wait;
         };
-        let known_vms = self.vms;
+        let situation = Situation {
+            phase,
+            exposure: self.exposure,
+            drained,
+            known_vms: self.vms,
+        };
         let Some(rollout) = self.get_mut(pool) else {
             return Step::Wait;
         };
         rollout.enter_phase(phase, now);
-        rollout.next_step(phase, drained, known_vms, now)
+        rollout.next_step(&situation, now)
     }
 
     /// Logs why the end of a roll-out is to be reported.
--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -14,11 +14,25 @@
 use super::announcement::Route;
 use super::state::RolloutState;
 use super::state::Step;
+use crate::config::Exposure;
 use crate::node::millis;
 
 /// Answers at all VMs that are looked at for a version that turned bad once in place. Each costs a look at all routes.
 const MAX_WATCHED_ANSWERS: u32 = 2_000;
 
+/// What a VM knows beside the announcements when it looks at a roll-out.
+#[derive(Debug, Clone, Copy)]
+pub struct Situation {
+    /// The phase.
+    pub phase: Phase,
+    /// The bound on requests to the new version.
+    pub exposure: Exposure,
+    /// Whether none of this VM's requests is at the old version.
+    pub drained: bool,
+    /// The number of VMs that are known, including this one.
+    pub known_vms: usize,
+}
+
 impl RolloutState {
     /// Takes note of the phase, and logs it if it is another one than before.
     pub fn enter_phase(&mut self, phase: Phase, now: Moment) {
@@ -164,13 +178,20 @@
         }
     }
 
-    /// What is to be done about the roll-out now. `drained` is set if none of this VM's requests is at
-    /// the old version, and `known_vms` is the number of VMs that are known, including this one.
+    /// Whether the bound on requests holds if all of this VM's use the new version until the deadline.
+    fn stays_within_bound(&self, exposure: Exposure, now: Moment) -> bool {
+        let left = self.order.rollout.time_limit.saturating_sub(self.age(now));
+        let since_order = now.since(self.order.read_at);
+        let bound = self.bound(exposure);
+        left.is_zero() || bound.allows_all_for(self.sent, since_order, left)
+    }
+
+    /// What is to be done about the roll-out now.
     ///
     /// A VM that receives announcements of its own zone only hears fewer than it knows. If it reported the end
     /// early, it would cut streams of other zones' callers, or miss what they saw of the version.
     #[must_use]
-    pub fn next_step(&self, phase: Phase, drained: bool, known_vms: usize, now: Moment) -> Step {
+    pub fn next_step(&self, situation: &Situation, now: Moment) -> Step {
         if !self.resolved {
             return Step::Wait;
         }
@@ -183,10 +204,11 @@
         let readiness = Readiness {
             age: self.age(now),
             time_limit: self.order.rollout.time_limit,
-            moved: phase == Phase::Moved,
-            drained: drained && others_drained,
+            moved: situation.phase == Phase::Moved,
+            within_bound: self.stays_within_bound(situation.exposure, now),
+            drained: situation.drained && others_drained,
             heard: self.live_peers(now).count() + 1,
-            known: known_vms,
+            known: situation.known_vms,
             answers: answers.saturating_sub(self.answers_in_trial.unwrap_or(answers)),
             covers_routes: shift::covers_routes(&evidence),
             doubtful: shift::is_doubtful(&evidence),
