Read how an order ended when only its target has endpoints

Cause: with one version the status was not read, as it made no difference. It does where that version is the one that was ordered.

Change: the status is read if endpoints of the order's target are there; until it is, the new version is used within its bound. Only if the log can't be read are the endpoints that are there taken for the version in place, as refusing most requests for the length of an outage would be worse. A VM that starts after a roll-out makes one call of the log more.

a_vm_that_starts_without_an_old_endpoint_stays_within_its_bound failed before (1,000 of 1,000). The test of when an order matters asked whether there are several versions; it asks whether the target has endpoints now.

--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -105,11 +105,18 @@
         self.find(pool).ok().map(|place| &mut self.newest[place])
     }
 
-    /// Whether a service has usable endpoints of several versions, so that there is a choice to make.
+    /// Whether usable endpoints hold an order's target, so that it matters how the order has gone on.
     #[must_use]
-    pub fn has_several_versions(&self, pool: &id::Pool) -> bool {
-        let versions = self.pool_versions(pool);
-        versions.is_some_and(PoolVersions::has_several)
+    pub fn holds_target(&self, order: &ReadOrder) -> bool {
+        let versions = self.pool_versions(&order.rollout.pool);
+        versions.is_some_and(|known| known.count(&order.rollout.target) > 0)
+    }
+
+    /// Takes note that nobody can be asked for now how orders have gone on.
+    pub fn status_is_out_of_reach(&mut self) {
+        for rollout in &mut self.newest {
+            rollout.status_out_of_reach = true;
+        }
     }
 
     /// Whether this order, or a later one for the same service, was added.
--- a/crates/relay/src/rollouts/choice.rs
+++ b/crates/relay/src/rollouts/choice.rs
@@ -107,11 +107,16 @@
         }
     }
 
-    /// How a roll-out has gone on. One of which that is not known has ended with the new version in place if no
-    /// endpoint of another one was seen: the old ones stop at once then.
+    /// How a roll-out has gone on. If that is not known and can't be read, it has most likely ended with the new
+    /// version in place where no endpoint of another one was seen: the old ones stop at once then. Refusing most
+    /// requests as long as the log is away would be worse.
     fn progress(rollout: &RolloutState, versions: &PoolVersions) -> Progress {
         match rollout.progress() {
-            Progress::Unknown if !versions.has_seen_other(rollout.target()) => Progress::Done,
+            Progress::Unknown
+                if rollout.status_out_of_reach && !versions.has_seen_other(rollout.target()) =>
+            {
+                Progress::Done
+            }
             progress => progress,
         }
     }
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -141,7 +141,7 @@
                 self.stop_following();
                 let woken = tokio::select! {
                     woken = changes.changed() => woken,
-                    woken = endpoints.changed(), if pending == Pending::SeveralVersions => woken,
+                    woken = endpoints.changed(), if pending == Pending::TargetVersion => woken,
                     () = tokio::time::sleep(PUBLISH_INTERVAL), if retry => Ok(()),
                 };
                 if woken.is_err() {
--- a/crates/relay/src/rollouts/controller/status.rs
+++ b/crates/relay/src/rollouts/controller/status.rs
@@ -6,6 +6,7 @@
 use pimento_progress::Progress;
 use pimento_units::Offset;
 
+use super::super::Rollouts;
 use super::super::announcement::End;
 use super::Controller;
 use super::ZONE_DELAY;
@@ -35,8 +36,8 @@
 pub(super) enum Pending {
     /// No order waits.
     Nothing,
-    /// The service has endpoints of one version only.
-    SeveralVersions,
+    /// The service has no endpoint of the version that was ordered.
+    TargetVersion,
     /// The status topic could not be read.
     Status,
 }
@@ -56,23 +57,20 @@
 
     /// Reads how the orders ended that were there before this process started, unless another VM has said so.
     ///
-    /// While the service has a single version this makes no difference, and the topic is not read: VMs that
-    /// start together would all call the log for nothing.
+    /// While the service has only endpoints of another version this makes no difference, and the topic is not read:
+    /// VMs that start together would all call the log for nothing.
     pub(super) async fn resolve_orders(&mut self) -> Pending {
         let unresolved = self.node.rollouts(|r| r.unresolved());
         if !unresolved.is_empty() {
             // The pools may not know the versions of the endpoints yet.
             pools::refresh(&self.node);
         }
-        let several = |order: &ReadOrder| {
-            let pool = &order.rollout.pool;
-            self.node.rollouts(|r| r.has_several_versions(pool))
-        };
+        let held = |order: &ReadOrder| self.node.rollouts(|r| r.holds_target(order));
         let waiting = unresolved.len();
-        let unresolved: Vec<ReadOrder> = unresolved.into_iter().filter(several).collect();
+        let unresolved: Vec<ReadOrder> = unresolved.into_iter().filter(held).collect();
         if unresolved.is_empty() {
             return if waiting > 0 {
-                Pending::SeveralVersions
+                Pending::TargetVersion
             } else {
                 Pending::Nothing
             };
@@ -83,6 +81,7 @@
         }
         self.status_tried_at = now;
         let Some((statuses, _)) = self.read_statuses().await else {
+            self.node.rollouts(Rollouts::status_is_out_of_reach);
             return Pending::Status;
         };
         for order in unresolved {
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -50,6 +50,8 @@
     pub(super) read_delay: Duration,
     /// Whether it is known if the roll-out has ended.
     pub(super) resolved: bool,
+    /// Whether the operators' status could not be read to learn that.
+    pub(super) status_out_of_reach: bool,
     /// How the roll-out ended, and when this VM knew of it.
     pub(super) ended: Option<(End, Moment)>,
     /// Why the new version counts as bad; none if it doesn't.
@@ -90,6 +92,7 @@
     pub const fn new(order: ReadOrder) -> Self {
         Self {
             resolved: !order.initial,
+            status_out_of_reach: false,
             order,
             read_delay: Duration::ZERO,
             ended: None,
--- a/crates/relay/tests/all/exposure.rs
+++ b/crates/relay/tests/all/exposure.rs
@@ -255,3 +255,32 @@
         }
     }
 }
+
+/// Guards against a VM that starts while the old version is gone for a moment and takes the roll-out for done.
+#[test]
+fn a_vm_that_starts_without_an_old_endpoint_stays_within_its_bound() {
+    let mut fleet = Fleet::new(1, Duration::from_secs(24));
+    let mut vm = Rollouts::new(EXPOSURE, Duration::from_secs(5));
+    vm.update_versions(&pool(), vec![held(new(), 4)]);
+    let order = ReadOrder {
+        rollout: Order {
+            pool: pool(),
+            target: new(),
+            time_limit: fleet.time_limit,
+        },
+        offset: Offset(7),
+        read_at: ordered(),
+        initial: true,
+    };
+    vm.add_order(order, ordered());
+    fleet.vms = vec![vm];
+    let now = ordered() + Duration::from_secs(6);
+    for _ in 0..1_000 {
+        fleet.request(now, 0);
+    }
+    fleet.assert_within_bound();
+    // With nobody to ask, the endpoints that are there are taken for the version in place.
+    let vm = &mut fleet.vms[0];
+    vm.status_is_out_of_reach();
+    assert_eq!(vm.version(&pool(), 1, now), Choice::Version(new()));
+}
