--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -2,16 +2,17 @@
 //! its own. The relay uses these; roll-outs in stages are those of [`crate::rollout`].
 //!
 //! Operators order a version and set the deadline by which the move must be done or undone. The
-//! version may fail or be slow, on one route only, late, or only under load, and some bad versions can't be
-//! told from good ones by their answers. Without care, either
-//! all requests meet a bad version at once, or a good one is not in place in time. The move has
-//! three phases by the age of the order. In the trial, a small share of the sessions uses the
-//! new version, well below what a bad version may get, and no known session changes its version. A
-//! session is known once it has used one of the versions. Then, so shortly before the deadline that what is
-//! left of the bound suffices for all requests, the share rises to all sessions.
-//! The evidence of all nodes is summed for each route. A version that is slow on
-//! one of them, or fails there at more than one endpoint, is bad, and its share is zero from then
-//! on. The bound itself is that of [`crate::exposure`], and holds whatever the evidence.
+//! version may fail or be slow, on one route only, late, or only under load, and some bad versions
+//! can't be told from good ones by their answers. Without care, either all requests meet a bad
+//! version at once, or a good one is not in place in time.
+//!
+//! The move has three phases by the age of the order. In the trial, a small share of the sessions
+//! uses the new version, well below what a bad version may get, and no known session changes its
+//! version. A session is known once it has used one of the versions. Then, so shortly before the
+//! deadline that what is left of the bound suffices for all requests, the share rises to all
+//! sessions. The evidence of all nodes is summed for each route. A version that is slow on one of
+//! them, or fails there at more than one endpoint, is bad, and its share is zero from then on. The
+//! bound itself is that of [`crate::exposure`], and holds whatever the evidence.
 //!
 //! The fixed position of a session and the bounds on evidence are those of [`crate::rollout`].
 //! Routes are evaluated separately because a fault in one class of requests is lost in the sum.
@@ -46,8 +47,8 @@
     pub trial_exposure: f64,
     /// The same for requests that belong to no session. Each node admits them within a part of its bound.
     pub trial_exposure_of_requests: f64,
-    /// Part of the time until the deadline that the trial lasts. Sessions may only change their
-    /// version after it.
+    /// Part of the time until the deadline that the trial lasts at least. Sessions may only change
+    /// their version after it.
     pub trial_time: f64,
     /// Time from the order until the trial begins. Sessions go from node to node, so that each node
     /// must learn which of them used the old version before. Messages within and between zones take
