Report good versions early enough for the operators to read it

Change: VMs that have not drained are no longer waited for one second before the deadline instead of 0.8. The bound must hold until the deadline at the rate so far and a twentieth more, not a quarter more: with hardly any slack for each VM, as on large deployments, a quarter more is never there before the deadline.

--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -16,7 +16,7 @@
 const MIN_NODES: usize = 8;
 
 /// Factor by which requests may come faster than since the order.
-const RATE_MARGIN: f64 = 1.25;
+const RATE_MARGIN: f64 = 1.05;
 
 /// Requests that were sent, repeats included.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
--- a/crates/policy/src/shift/readiness.rs
+++ b/crates/policy/src/shift/readiness.rs
@@ -7,8 +7,9 @@
 
 use std::time::Duration;
 
-/// This long before the deadline, nodes that have not drained are no longer waited for.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(800);
+/// This long before the deadline, nodes that have not drained are no longer waited for. The operators must read the
+/// report by then.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(1);
 
 /// This long after the deadline, nodes that were not heard are no longer waited for.
 const NODES_TIMEOUT: Duration = Duration::from_secs(4);
