--- a/crates/relay/tests/all/exposure.rs
+++ b/crates/relay/tests/all/exposure.rs
@@ -2,56 +2,25 @@
 
 use std::time::Duration;
 
-use pimento_relay::codec::Order;
-use pimento_relay::config::Exposure;
-use pimento_relay::operators::ReadOrder;
 use pimento_relay::rollouts::Choice;
 use pimento_relay::rollouts::FinishedRequest;
 use pimento_relay::rollouts::Rollouts;
 use pimento_relay::rollouts::announcement::NodeAnnouncement;
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
-use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
-use pimento_units::Offset;
 use pimento_units::id;
 
-const EXPOSURE: Exposure = Exposure {
-    share: 0.15,
-    slack: 30,
-    rollback: Duration::from_secs(5),
-};
+use crate::versions;
+use crate::versions::EXPOSURE;
+use crate::versions::held;
+use crate::versions::name;
+use crate::versions::new;
+use crate::versions::old;
+use crate::versions::ordered;
+use crate::versions::pool;
 
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().unwrap()
-}
-
-/// Endpoints of a version. Those of the new one started later.
-fn held(version: id::Version, endpoints: usize) -> Held {
-    Held {
-        started_unix_ms: if version == old() { 1 } else { 2 },
-        version,
-        endpoints,
-    }
-}
-
-fn pool() -> id::Pool {
-    name("llm")
-}
-
-fn old() -> id::Version {
-    name("v1")
-}
-
-fn new() -> id::Version {
-    name("v2")
-}
-
-fn ordered() -> Moment {
-    Moment::ZERO + Duration::from_secs(100)
-}
-
-/// Zone by zone, VMs that hear each other's announcements each second.
+/// VMs that hear each other's announcements several times a second.
 struct Fleet {
     vms: Vec<Rollouts>,
     time_limit: Duration,
@@ -69,17 +38,7 @@
             rollouts.set_vms(vms);
             rollouts.update_versions(&pool(), vec![held(old(), 4)]);
             rollouts.update_versions(&pool(), vec![held(old(), 4), held(new(), 4)]);
-            let order = ReadOrder {
-                rollout: Order {
-                    pool: pool(),
-                    target: new(),
-                    time_limit,
-                },
-                offset: Offset(7),
-                read_at: ordered(),
-                initial: false,
-            };
-            rollouts.add_order(order, ordered());
+            rollouts.add_order(versions::order(time_limit), ordered());
             rollouts
         };
         Self {
@@ -270,16 +229,8 @@
     let mut fleet = Fleet::new(1, Duration::from_secs(24));
     let mut vm = Rollouts::new(EXPOSURE, Duration::from_secs(5));
     vm.update_versions(&pool(), vec![held(new(), 4)]);
-    let order = ReadOrder {
-        rollout: Order {
-            pool: pool(),
-            target: new(),
-            time_limit: fleet.time_limit,
-        },
-        offset: Offset(7),
-        read_at: ordered(),
-        initial: true,
-    };
+    let mut order = versions::order(fleet.time_limit);
+    order.initial = true;
     vm.add_order(order, ordered());
     fleet.vms = vec![vm];
     let now = ordered() + Duration::from_secs(6);
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -15,3 +15,4 @@
 mod snapshot;
 mod timings;
 mod turns;
+mod versions;
--- a/crates/relay/tests/all/rollouts.rs
+++ b/crates/relay/tests/all/rollouts.rs
@@ -2,8 +2,6 @@
 
 use std::time::Duration;
 
-use pimento_relay::codec::Order;
-use pimento_relay::config::Exposure;
 use pimento_relay::operators::ReadOrder;
 use pimento_relay::rollouts::Choice;
 use pimento_relay::rollouts::FinishedRequest;
@@ -12,75 +10,39 @@
 use pimento_relay::rollouts::announcement::NodeAnnouncement;
 use pimento_relay::rollouts::announcement::Outcome;
 use pimento_relay::rollouts::state::Step;
-use pimento_relay::rollouts::versions::Held;
 use pimento_units::Moment;
-use pimento_units::Offset;
 use pimento_units::id;
 
+use crate::versions;
+use crate::versions::EXPOSURE;
+use crate::versions::held;
+use crate::versions::name;
+use crate::versions::new;
+use crate::versions::old;
+use crate::versions::ordered;
+use crate::versions::pool;
+
 const TIME_LIMIT: Duration = Duration::from_secs(24);
 const SESSION: Duration = Duration::from_secs(5);
 
-/// Time from the order to a moment in the trial, which ends at half of the deadline.
+/// Time from the order to a moment in the trial.
 const TRIAL: Duration = Duration::from_secs(4);
 /// Time from the order to a moment when all sessions have moved.
 const MOVED: Duration = Duration::from_millis(22_700);
 
-fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
-    text.parse().unwrap()
-}
-
-/// Endpoints of a version. Those of the new one started later.
-fn held(version: id::Version, endpoints: usize) -> Held {
-    Held {
-        started_unix_ms: if version == old() { 1 } else { 2 },
-        version,
-        endpoints,
-    }
-}
-
-fn pool() -> id::Pool {
-    name("llm")
-}
-
-fn old() -> id::Version {
-    name("v1")
-}
-
-fn new() -> id::Version {
-    name("v2")
-}
-
 fn at(seconds: u64) -> Moment {
     Moment::ZERO + Duration::from_secs(seconds)
 }
 
 const ORDERED: u64 = 100;
 
-fn ordered() -> Moment {
-    at(ORDERED)
-}
-
 fn order() -> ReadOrder {
-    ReadOrder {
-        rollout: Order {
-            pool: pool(),
-            target: new(),
-            time_limit: TIME_LIMIT,
-        },
-        offset: Offset(7),
-        read_at: ordered(),
-        initial: false,
-    }
+    versions::order(TIME_LIMIT)
 }
 
 /// A VM that knows four endpoints of the old version.
 fn vm() -> Rollouts {
-    let exposure = Exposure {
-        share: 0.15,
-        slack: 30,
-        rollback: Duration::from_secs(5),
-    };
-    let mut rollouts = Rollouts::new(exposure, SESSION);
+    let mut rollouts = Rollouts::new(EXPOSURE, SESSION);
     rollouts.update_versions(&pool(), vec![held(old(), 4)]);
     rollouts
 }
