--- a/crates/policy/src/exposure.rs
+++ b/crates/policy/src/exposure.rs
@@ -15,7 +15,7 @@
 /// parts.
 const MIN_NODES: usize = 8;
 
-/// Factor by which requests may come faster than since the order.
+/// Factor by which requests may come faster than before.
 const RATE_MARGIN: f64 = 1.05;
 
 /// Requests that were sent, repeats included.
@@ -80,12 +80,11 @@
         Self { share, slack: 0.0 }
     }
 
-    /// Whether the bound still holds if all requests go to the new version for a time, as many of them each second
-    /// as since the order, and some more.
+    /// Whether the bound still holds if all requests go to the new version for a time, at this rate a second and
+    /// some more.
     #[must_use]
-    pub fn allows_all_for(&self, sent: Sent, since_order: Duration, time: Duration) -> bool {
-        let seconds = since_order.as_secs_f64().max(1.0);
-        let further = f64::from(sent.all) / seconds * time.as_secs_f64() * RATE_MARGIN;
+    pub fn allows_all_for(&self, sent: Sent, rate: f64, time: Duration) -> bool {
+        let further = rate * time.as_secs_f64() * RATE_MARGIN;
         let allowed = self.share * (f64::from(sent.all) + further) + self.slack;
         f64::from(sent.new) + further <= allowed
     }
--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -12,6 +12,7 @@
 use super::announcement::Outcome;
 use super::announcement::RequestCounts;
 use super::announcement::Route;
+use super::state::Rise;
 use super::state::RolloutState;
 use super::state::Step;
 use crate::config::Exposure;
@@ -20,6 +21,9 @@
 /// Answers at all VMs that are looked at for a version that turned bad once in place. Each costs a look at all routes.
 const MAX_WATCHED_ANSWERS: u32 = 2_000;
 
+/// The shortest time over which requests are counted for a rate, in seconds.
+const MIN_RATE_SECONDS: f64 = 0.5;
+
 /// What a VM knows beside the announcements when it looks at a roll-out.
 #[derive(Debug, Clone, Copy)]
 pub struct Situation {
@@ -42,7 +46,11 @@
         self.logged_phase = Some(phase.name());
         let counts = self.target_counts();
         if !phase.pins_known_sessions() {
-            self.answers_in_trial.get_or_insert(counts.attempts);
+            self.rise.get_or_insert(Rise {
+                at: now,
+                answers: counts.attempts,
+                sent: self.sent.all,
+            });
         }
         log::info!(
             pool = self.order.rollout.pool.as_str(),
@@ -181,9 +189,22 @@
     /// Whether the bound on requests holds if all of this VM's use the new version until the deadline.
     fn stays_within_bound(&self, exposure: Exposure, now: Moment) -> bool {
         let left = self.order.rollout.time_limit.saturating_sub(self.age(now));
-        let since_order = now.since(self.order.read_at);
+        let rate = self.request_rate(now);
         let bound = self.bound(exposure);
-        left.is_zero() || bound.allows_all_for(self.sent, since_order, left)
+        left.is_zero() || bound.allows_all_for(self.sent, rate, left)
+    }
+
+    /// Requests that this VM sends in a second: since the order, or since the rise if there are more of them now.
+    fn request_rate(&self, now: Moment) -> f64 {
+        let rate = |sent: u32, since: Moment| {
+            let seconds = now.since(since).as_secs_f64();
+            f64::from(sent) / seconds.max(MIN_RATE_SECONDS)
+        };
+        let mean = rate(self.sent.all, self.order.read_at);
+        let rising = self
+            .rise
+            .map(|rise| rate(self.sent.all - rise.sent, rise.at));
+        rising.map_or(mean, |rising| rising.max(mean))
     }
 
     /// What is to be done about the roll-out now.
@@ -209,7 +230,7 @@
             drained: situation.drained && others_drained,
             heard: self.live_peers(now).count() + 1,
             known: situation.known_vms,
-            answers: answers.saturating_sub(self.answers_in_trial.unwrap_or(answers)),
+            answers: answers.saturating_sub(self.rise.map_or(answers, |rise| rise.answers)),
             covers_routes: shift::covers_routes(&evidence),
             doubtful: shift::is_doubtful(&evidence),
         };
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -41,6 +41,17 @@
     pub received: Moment,
 }
 
+/// What there was when the share of the new version began to rise beyond that of the trial.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Rise {
+    /// When it began.
+    pub at: Moment,
+    /// Answers of the new version at any VM.
+    pub answers: u32,
+    /// Requests that this VM had sent.
+    pub sent: u32,
+}
+
 /// A roll-out that was ordered.
 #[derive(Debug)]
 pub struct RolloutState {
@@ -62,8 +73,8 @@
     pub(super) vms: usize,
     /// The phase that was logged last.
     pub(super) logged_phase: Option<&'static str>,
-    /// Answers of the new version, at any VM, when this VM found that the trial is over; none before.
-    pub(super) answers_in_trial: Option<u32>,
+    /// What there was when this VM found that the trial is over; none before.
+    pub(super) rise: Option<Rise>,
     /// This VM's evidence, sorted by name.
     pub(super) routes: Vec<Route>,
     /// Hashes of endpoints of the new version that failed a request of this VM, sorted.
@@ -100,7 +111,7 @@
             sent: Sent { new: 0, all: 0 },
             vms: 1,
             logged_phase: None,
-            answers_in_trial: None,
+            rise: None,
             routes: Vec::new(),
             failing: Vec::new(),
             peers: Vec::new(),
