--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -1,4 +1,4 @@
-//! One roll-out: its order, the evidence of this and the other VMs, and how it ended.
+//! One roll-out: its order, what this and the other VMs announced of it, and how it ended.
 
 use std::time::Duration;
 
@@ -26,7 +26,7 @@
 /// An ended roll-out is announced for this long, for VMs that don't know of the end yet.
 const END_ANNOUNCED: Duration = Duration::from_secs(10);
 
-/// A VM that read the order first is this far ahead of the operators' own clock at most.
+/// The bound on requests holds this long beyond the deadline by this VM's clock, since clocks differ a little.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 
 /// Failing endpoints that an announcement lists. Two from different VMs are enough to tell a bad
