Stop summing a roll-out's answers once they are no longer looked at

The end of it is kept in a flag now, and the sums are made only while answers are looked at.

No figure was measured.

--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -93,7 +93,7 @@
     pub fn counts_evidence(&self) -> bool {
         match self.ended() {
             None => true,
-            Some(End::Done) => self.target_counts().attempts < MAX_WATCHED_ANSWERS,
+            Some(End::Done) => !self.watched,
             Some(End::RolledBack) => false,
         }
     }
@@ -110,6 +110,9 @@
         let longest = route.old.longest_counted();
         let counts = if new { &mut route.new } else { &mut route.old };
         counts.count(outcome, longest);
+        if self.ended() == Some(End::Done) {
+            self.watched = self.target_counts().attempts >= MAX_WATCHED_ANSWERS;
+        }
     }
 
     /// The counts of all VMs, for each route.
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -77,6 +77,8 @@
     pub(super) rise: Option<Rise>,
     /// This VM's evidence, sorted by name.
     pub(super) routes: Vec<Route>,
+    /// Whether the new version was looked at for long enough since it was put in place.
+    pub(super) watched: bool,
     /// Hashes of endpoints of the new version that failed a request of this VM, sorted.
     pub(super) failing: Vec<u64>,
     /// Sorted by node.
@@ -113,6 +115,7 @@
             logged_phase: None,
             rise: None,
             routes: Vec::new(),
+            watched: false,
             failing: Vec::new(),
             peers: Vec::new(),
             pinned: Vec::new(),
