Look a service's versions up by one search

Two places searched the sorted list of services' versions from its start; both call versions_mut now. A constant stands beside those that its comment speaks of.

Ruled out: one function for the intervals of announcements and records, which share a shape and no figure.

--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -155,7 +155,7 @@
             }
         }
         let pool = &rollout.order.rollout.pool;
-        if let Some(versions) = self.pools.iter_mut().find(|p| p.pool == *pool)
+        if let Some(versions) = Self::versions_mut(&mut self.pools, pool)
             && let Some(old) = versions.other(rollout.target()).cloned()
         {
             versions.put_in_place(old);
@@ -208,6 +208,14 @@
         found.ok().map(|place| &self.pools[place])
     }
 
+    fn versions_mut<'a>(
+        pools: &'a mut [PoolVersions],
+        pool: &id::Pool,
+    ) -> Option<&'a mut PoolVersions> {
+        let found = pools.binary_search_by(|p| p.pool.cmp(pool));
+        found.ok().map(|place| &mut pools[place])
+    }
+
     /// The number of endpoints of a roll-out's new version.
     fn target_endpoints(&self, pool: &id::Pool) -> usize {
         let target = self.get(pool).map(RolloutState::target);
@@ -296,12 +304,10 @@
     /// Counts a request that ended.
     pub fn record(&mut self, request: &FinishedRequest<'_>) {
         let endpoints = self.target_endpoints(request.pool);
-        let Some(rollout) = self.get_mut(request.pool) else {
+        let counting = |rollout: &&mut RolloutState| rollout.counts_evidence();
+        let Some(rollout) = self.get_mut(request.pool).filter(counting) else {
             return;
         };
-        if !rollout.counts_evidence() {
-            return;
-        }
         let new = rollout.target() == request.version;
         rollout.count(request.route, new, request.endpoint, request.outcome);
         if new {
@@ -380,7 +386,7 @@
         let Some(target) = done.map(|rollout| rollout.target().clone()) else {
             return;
         };
-        if let Some(versions) = self.pools.iter_mut().find(|p| p.pool == *pool) {
+        if let Some(versions) = Self::versions_mut(&mut self.pools, pool) {
             versions.put_in_place(target);
         }
     }
--- a/crates/relay/src/rollouts/controller.rs
+++ b/crates/relay/src/rollouts/controller.rs
@@ -50,6 +50,9 @@
 /// The shortest time between them, for announcements that differ from the last ones.
 const MIN_PUBLISH_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Time between them while the new version gets more requests than in the trial.
+const RISING_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Delay before a VM that reads the log reports an end to the operators, times the place of its zone: one VM of a
 /// zone reads, and the report of the first one should be on the log before the others write the same.
 const ZONE_DELAY: Duration = Duration::from_millis(120);
@@ -60,9 +63,6 @@
 /// How much later than one that reads the log any other VM reports an end.
 const READER_DELAY: Duration = Duration::from_secs(3);
 
-/// Time between them while the new version gets more requests than in the trial.
-const RISING_PUBLISH_INTERVAL: Duration = Duration::from_millis(500);
-
 /// How the entry VMs' own topic is read while a roll-out is under way.
 const FLEET: ReadTiming = ReadTiming {
     alone: TWICE_A_SECOND,
