Tell how far a request had come when its handling ends unanswered

What callers saw couldn't be found in logs or metrics: a request that a VM drops at the end of its grace period had no line after `attempt: Sent.`, and a stream dropped with its VM said `caller_left`. The line for a caller that disconnects was written in both cases.

A request now has a tracker that its attempts update: received, queued, connecting, sent, answered, with the endpoint, since when, and whether it may have run. When the future that handles it is dropped, one line tells these, as an error with another text if the VM dropped it, and `pimento_dropped_total{by,step}` counts it. After the abort the process waits up to 100 ms so that these lines are written. The steps of the shutdown stand in `Lifetime`; five series moved to `metrics::series`.

No decision about requests is changed.

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -1,5 +1,6 @@
 //! An admitted request, with everything that its attempts need.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use crate::admit::Grant;
 use crate::headers::PromptPart;
 use crate::headers::RequestInfo;
+use crate::stage::Tracker;
 
 /// An admitted request.
 #[derive(Debug)]
@@ -37,6 +39,8 @@
     pub random: u64,
     /// Identifies the request across its caller's retries, which have other ids; see [`digest`].
     pub digest: Digest,
+    /// How far it has come.
+    pub tracker: Arc<Tracker>,
 }
 
 impl AdmittedRequest {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -34,6 +34,7 @@
 use crate::pools;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::stage::Step;
 use crate::topic::Log;
 
 /// Maximum number of endpoints that are tried for one request without running it. Each costs a round
@@ -293,6 +294,8 @@
         self.state.last_sent = self.node.now();
         self.state.run_since = boot::now();
         self.state.answer_begun = false;
+        let tracker = &self.request.tracker;
+        tracker.enter_sent(permit.endpoint(), self.state.last_sent);
         self.record_session_version(&permit);
         self.record_sent(&permit);
         self.log_sent(&permit, overrides);
@@ -303,6 +306,7 @@
                 Ok((response, info)) => {
                     self.state.run_since = boot::now();
                     self.state.answer_begun = true;
+                    tracker.enter(Step::Answered, self.node.now());
                     return Ok(Some(Opened {
                         permit,
                         response,
@@ -320,6 +324,7 @@
         }
         if fault.not_run() {
             self.state.runs -= 1;
+            tracker.set_may_have_run(self.may_have_run());
             self.endpoint_declined(permit, &fault)?;
             return Ok(None);
         }
--- a/crates/relay/src/attempts/connect.rs
+++ b/crates/relay/src/attempts/connect.rs
@@ -10,6 +10,7 @@
 use crate::links::failure::Blame;
 use crate::links::failure::Failure;
 use crate::refusal::Refusal;
+use crate::stage::Step;
 use crate::topic::Log;
 
 impl<P: HeaderCodec + Codec, L: Log> Attempts<'_, P, L> {
@@ -20,6 +21,8 @@
     /// [`Failure`]: nothing was sent.
     pub(super) async fn connect(&self, permit: &mut Permit) -> Result<Connection, Failure> {
         let links = &self.node.links;
+        let tracker = &self.request.tracker;
+        tracker.enter(Step::Connecting, self.node.now());
         let connection = links
             .connect(Target {
                 endpoint: permit.endpoint(),
--- a/crates/relay/src/attempts/slot.rs
+++ b/crates/relay/src/attempts/slot.rs
@@ -15,6 +15,7 @@
 use crate::pools;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::stage::Step;
 use crate::topic::Log;
 
 impl<P: HeaderCodec + Codec, L: Log> Attempts<'_, P, L> {
@@ -26,6 +27,7 @@
             // Dropping this future removes the job from the queue, so the token is never cancelled.
             let never = CancellationToken::new();
             let started = self.node.now();
+            self.request.tracker.enter(Step::Queued, started);
             let Some(job) = self.job(overrides) else {
                 let refusal = Refusal::new(Cause::Exposure);
                 return Err(self.qualify(refusal.with_retry_after(NO_ENDPOINT_RETRY_AFTER)));
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -1,5 +1,6 @@
 //! Handles callers' requests: parses the head, admits the request, reads the body and responds.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,11 +12,12 @@
 use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::http::request;
-use pimento_scheduler::Clock;
+use log::Level;
 use pimento_serve::Limits;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
 use pimento_units::Moment;
+use pimento_units::id;
 
 use crate::admit;
 use crate::admitted;
@@ -28,6 +30,7 @@
 use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::stage::Tracker;
 use crate::stream;
 use crate::table::Kind;
 use crate::topic::Log;
@@ -67,11 +70,12 @@
                 return refusal.response();
             }
         };
-        let mut outcome = OutcomeLog::new(info.id.clone(), began, node.clock);
-        let response = respond(node, (head, body), info, began).await;
+        let mut outcome = OutcomeLog::new(node, info.id.clone(), began);
+        let tracker = Arc::clone(&outcome.tracker);
+        let response = respond(node, (head, body), info, began, tracker).await;
         outcome.known = true;
         response.unwrap_or_else(|refusal| {
-            outcome.refused(node, &refusal);
+            outcome.refused(&refusal);
             refusal.response()
         })
     }
@@ -94,31 +98,35 @@
 }
 
 /// Logs a request that gets no response from an endpoint. Dropping the value before the outcome is known
-/// means that the caller disconnected, as that drops the future that handles the request.
-struct OutcomeLog {
+/// means that the caller disconnected or that this VM stops, as both drop the future that handles the
+/// request.
+struct OutcomeLog<'a, P: HeaderCodec + Codec, L: Log> {
+    node: &'a Node<P, L>,
     id: CompactString,
     began: Moment,
-    clock: Clock,
+    tracker: Arc<Tracker>,
     known: bool,
 }
 
-impl OutcomeLog {
-    const fn new(id: CompactString, began: Moment, clock: Clock) -> Self {
+impl<'a, P: HeaderCodec + Codec, L: Log> OutcomeLog<'a, P, L> {
+    fn new(node: &'a Node<P, L>, id: CompactString, began: Moment) -> Self {
+        let tracker = Arc::default();
         Self {
+            node,
             id,
             began,
-            clock,
+            tracker,
             known: false,
         }
     }
 
     fn took(&self) -> u64 {
-        millis(self.clock.now().since(self.began))
+        millis(self.node.now().since(self.began))
     }
 
-    fn refused<P: HeaderCodec + Codec, L: Log>(&self, node: &Node<P, L>, refusal: &Refusal) {
-        node.metrics.count_refusal(refusal);
-        let view = node.view_info();
+    fn refused(&self, refusal: &Refusal) {
+        self.node.metrics.count_refusal(refusal);
+        let view = self.node.view_info();
         log::info!(
             request = self.id.as_str(),
             cause = refusal.cause.as_str(),
@@ -134,12 +142,32 @@
     }
 }
 
-impl Drop for OutcomeLog {
+impl<P: HeaderCodec + Codec, L: Log> Drop for OutcomeLog<'_, P, L> {
     fn drop(&mut self) {
-        if !self.known {
-            let (request, took_ms) = (self.id.as_str(), self.took());
-            log::info!(request, took_ms; "request: Caller disconnected before the response.");
+        if self.known {
+            return;
         }
+        let stage = self.tracker.stage();
+        let by_vm = self.node.lifetime.is_over();
+        self.node.metrics.count_dropped(by_vm, stage.step);
+        let (level, message) = if by_vm {
+            (Level::Error, "request: Left unanswered, this VM stops.")
+        } else {
+            (
+                Level::Info,
+                "request: Caller disconnected before the response.",
+            )
+        };
+        log::log!(
+            level,
+            request = self.id.as_str(),
+            step = stage.step.as_str(),
+            step_ms = millis(self.node.now().since(stage.since)),
+            endpoint = stage.endpoint.as_ref().map(id::Endpoint::as_str),
+            may_have_run = stage.may_have_run,
+            took_ms = self.took();
+            "{message}"
+        );
     }
 }
 
@@ -148,6 +176,7 @@
     (head, body): (request::Parts, Incoming),
     info: RequestInfo,
     began: Moment,
+    tracker: Arc<Tracker>,
 ) -> Result<Response<ReplyBody>, Refusal> {
     let grant = admit::admit(node, &info, head.uri.path())?;
     let limits = *grant.table.limits();
@@ -173,6 +202,7 @@
         deadline: began + timeout,
         random,
         digest,
+        tracker,
     };
     node.retry_budgets.count_request(&request.pool, began);
     match kind {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,7 @@
 //! Counters, gauges and histograms of an entry VM, with a bounded number of series.
 
+mod series;
+
 use std::time::Duration;
 
 use compact_str::CompactString;
@@ -29,6 +31,7 @@
 use crate::headers::HeaderCodec;
 use crate::node::Node;
 use crate::refusal::Refusal;
+use crate::stage::Step;
 use crate::topic::Log;
 
 /// Bucket bounds of the latency histograms, in seconds. Buckets are narrowest around the latency targets
@@ -53,6 +56,7 @@
     routes: BoundedLabels,
     answers: IntCounterVec,
     refusals: IntCounterVec,
+    dropped: IntCounterVec,
     attempts: IntCounterVec,
     cascade: IntCounterVec,
     first: HistogramVec,
@@ -89,19 +93,14 @@
                 "Requests that got no answer of an endpoint, by cause and whether they may have run",
                 &["cause", "run"],
             ),
+            dropped: series::dropped(r),
             attempts: counter(
                 r,
                 "pimento_attempts_total",
                 "Attempts at endpoints, by pool and how they ended",
                 &["pool", "result"],
             ),
-            cascade: counter(
-                r,
-                "pimento_cascade_total",
-                "First answers with a confidence, by model and whether they were dropped for a \
-                 larger one",
-                &["model", "result"],
-            ),
+            cascade: series::cascade(r),
             first: histogram(
                 r,
                 "pimento_first_byte_seconds",
@@ -160,11 +159,11 @@
                 "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
                 &["pool", "outcome"],
             ),
-            rollout_sent: rollout_sent(r),
-            rollout_bad: rollout_bad(r),
-            poison: poison(r),
-            connects: connects(r),
-            links: links(r),
+            rollout_sent: series::rollout_sent(r),
+            rollout_bad: series::rollout_bad(r),
+            poison: series::poison(r),
+            connects: series::connects(r),
+            links: series::links(r),
             log_lines: gauge_vec(
                 r,
                 "pimento_log_lines_left_out",
@@ -177,40 +176,6 @@
     }
 }
 
-fn rollout_bad(registry: &Registry) -> GaugeVec {
-    gauge_vec(
-        registry,
-        "pimento_rollout_bad",
-        "1 if the new version of the last roll-out was found to be bad, by pool, in time or once in place",
-        &["pool", "when"],
-    )
-}
-
-fn rollout_sent(registry: &Registry) -> GaugeVec {
-    gauge_vec(
-        registry,
-        "pimento_rollout_sent",
-        "Requests that this VM sent since the last roll-out's order, by pool, to the new version and to all",
-        &["pool", "version"],
-    )
-}
-
-fn poison(registry: &Registry) -> GaugeVec {
-    let what = "Requests under which endpoints ended: suspects, and those that are sent no more";
-    gauge_vec(registry, "pimento_poison_requests", what, &["state"])
-}
-
-fn connects(registry: &Registry) -> GaugeVec {
-    let what = "Connects to endpoints since the start, by how they ended";
-    gauge_vec(registry, "pimento_endpoint_connects", what, &["result"])
-}
-
-fn links(registry: &Registry) -> GaugeVec {
-    let what = "Whether this VM's own links to endpoints are suspect or down, endpoints reached through other VMs, \
-                and VMs that reach endpoints";
-    gauge_vec(registry, "pimento_links", what, &["figure"])
-}
-
 impl Metrics {
     /// Records the time until a response's head was sent to the caller.
     pub fn observe_first_byte(&self, route: &CompactString, took: Duration) {
@@ -238,6 +203,12 @@
         self.refusals.with_label_values(&labels).inc();
     }
 
+    /// Counts a request whose handling ended before a response, because this VM stopped or the caller left.
+    pub fn count_dropped(&self, by_vm: bool, step: Step) {
+        let by = if by_vm { "vm" } else { "caller" };
+        self.dropped.with_label_values(&[by, step.as_str()]).inc();
+    }
+
     /// Counts an attempt by its result.
     pub fn count_attempt(&self, pool: &id::Pool, result: &str) {
         let labels = [pool.as_str(), result];
--- /dev/null
+++ b/crates/relay/src/metrics/series.rs
@@ -0,0 +1,59 @@
+//! Series of the metrics that need more than a line to declare.
+
+use pimento_metrics::counter;
+use pimento_metrics::gauge_vec;
+use prometheus::GaugeVec;
+use prometheus::IntCounterVec;
+use prometheus::Registry;
+
+pub(super) fn rollout_bad(registry: &Registry) -> GaugeVec {
+    gauge_vec(
+        registry,
+        "pimento_rollout_bad",
+        "1 if the new version of the last roll-out was found to be bad, by pool, in time or once in place",
+        &["pool", "when"],
+    )
+}
+
+pub(super) fn rollout_sent(registry: &Registry) -> GaugeVec {
+    gauge_vec(
+        registry,
+        "pimento_rollout_sent",
+        "Requests that this VM sent since the last roll-out's order, by pool, to the new version and to all",
+        &["pool", "version"],
+    )
+}
+
+pub(super) fn poison(registry: &Registry) -> GaugeVec {
+    let what = "Requests under which endpoints ended: suspects, and those that are sent no more";
+    gauge_vec(registry, "pimento_poison_requests", what, &["state"])
+}
+
+pub(super) fn connects(registry: &Registry) -> GaugeVec {
+    let what = "Connects to endpoints since the start, by how they ended";
+    gauge_vec(registry, "pimento_endpoint_connects", what, &["result"])
+}
+
+pub(super) fn links(registry: &Registry) -> GaugeVec {
+    let what = "Whether this VM's own links to endpoints are suspect or down, endpoints reached through other VMs, \
+                and VMs that reach endpoints";
+    gauge_vec(registry, "pimento_links", what, &["figure"])
+}
+
+pub(super) fn dropped(registry: &Registry) -> IntCounterVec {
+    counter(
+        registry,
+        "pimento_dropped_total",
+        "Requests whose handling ended before a response, by who ended it and what they waited for",
+        &["by", "step"],
+    )
+}
+
+pub(super) fn cascade(registry: &Registry) -> IntCounterVec {
+    counter(
+        registry,
+        "pimento_cascade_total",
+        "First answers with a confidence, by model and whether they were dropped for a larger one",
+        &["model", "result"],
+    )
+}
--- a/crates/relay/src/neighbours.rs
+++ b/crates/relay/src/neighbours.rs
@@ -260,7 +260,7 @@
 
     /// Whether this VM can read the log for others.
     fn reader_status(&self) -> ReaderStatus {
-        if self.node.leaving.is_cancelled() {
+        if self.node.lifetime.is_leaving() {
             return ReaderStatus::Leaving;
         }
         let ages = [self.node.operators.age(), self.node.directory.age()];
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -29,6 +29,7 @@
 use crate::fleet::VmRecord;
 use crate::follow::Follower;
 use crate::headers::HeaderCodec;
+use crate::lifetime::Lifetime;
 use crate::links::Links;
 use crate::links::gate;
 use crate::metrics::Metrics;
@@ -90,8 +91,8 @@
     pub links: Arc<Links>,
     /// The process's clocks.
     pub clock: Clock,
-    /// Cancelled when the VM starts to shut down.
-    pub leaving: CancellationToken,
+    /// The steps of its shutdown.
+    pub lifetime: Lifetime,
     /// Tasks that forward responses to callers.
     pub response_tasks: TaskTracker,
 }
@@ -115,7 +116,7 @@
             rollouts: Arc::clone(&self.rollouts),
             links: Arc::clone(&self.links),
             clock: self.clock,
-            leaving: self.leaving.clone(),
+            lifetime: self.lifetime.clone(),
             response_tasks: self.response_tasks.clone(),
         }
     }
@@ -125,7 +126,7 @@
     fn usable_address(&self, endpoint: &id::Endpoint) -> Option<SocketAddr> {
         let member = self.directory.view(|view| view.member(endpoint).cloned())?;
         let pool = self.scheduler.pool(&member.registration.pool);
-        let open = !self.leaving.is_cancelled() && !pool.is_resting(endpoint);
+        let open = !self.lifetime.is_leaving() && !pool.is_resting(endpoint);
         (open && self.usable(endpoint)).then_some(member.registration.address)
     }
 }
@@ -210,7 +211,7 @@
             rollouts: Arc::new(Mutex::new(rollouts)),
             links,
             clock,
-            leaving: CancellationToken::new(),
+            lifetime: Lifetime::default(),
             response_tasks: TaskTracker::new(),
         };
         pools::start(&node, token.clone());
@@ -346,7 +347,7 @@
     #[must_use]
     pub fn ready(&self) -> bool {
         let endpoints_read = self.directory.proven_at().is_some();
-        let leaving = self.leaving.is_cancelled();
+        let leaving = self.lifetime.is_leaving();
         let fresh = [
             self.age_freshness(READY_SHARE),
             self.change_freshness(READY_SHARE),
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -5,6 +5,7 @@
 //! accepts no more, closes idle connections, completes the requests in flight and exits.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,6 +37,9 @@
 /// Time reserved at the end of the grace period for closing the remaining connections.
 const CLOSE_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time that aborted requests have to end.
+const ABORT_PERIOD: Duration = Duration::from_millis(100);
+
 /// The server can't listen on an address.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: {source}"))]
@@ -73,7 +77,8 @@
         let background = CancellationToken::new();
         let node = Node::start(config, platform, log, &background);
         let stop = Stop {
-            leaving: node.leaving.clone(),
+            leaving: node.lifetime.leaving.clone(),
+            abort: node.lifetime.abort.clone(),
             ..Stop::default()
         };
         tokio::spawn(pimento_serve::run(
@@ -102,22 +107,26 @@
         let begun = self.node.now();
         let grace = self.node.config.bounds.grace;
         log::info!("server: Shutting down.");
-        self.node.leaving.cancel();
+        self.node.lifetime.leaving.cancel();
         tokio::time::sleep(ACCEPT_PERIOD.min(grace / 2)).await;
         self.stop.closing.cancel();
         self.node.response_tasks.close();
         let tasks = self.node.response_tasks.clone();
         let serving = self.serving;
-        let done = async {
+        let mut done = pin!(async {
             let _ = serving.await;
             tasks.wait().await;
-        };
+        });
         let spent = self.node.now().since(begun);
         let left = grace.saturating_sub(spent + CLOSE_RESERVE);
-        let complete = tokio::time::timeout(left, done).await.is_ok();
+        let complete = tokio::time::timeout(left, done.as_mut()).await.is_ok();
         if !complete {
             log::error!("server: Grace period is over, aborting requests in flight.");
             self.stop.abort.cancel();
+            // Each aborted request logs how far it had come.
+            if tokio::time::timeout(ABORT_PERIOD, done).await.is_err() {
+                log::error!("server: Some requests or tunnels did not end when they were aborted.");
+            }
         }
         self.background.cancel();
         log::info!("server: Stopped.");
