Give each request a final response before a VM ends

Callers saw their connection closed, without an answer or a refusal, 7.6 s after their VM was told to stop.

Cause: at the end of the grace period the connections of callers were dropped, and with them the futures that handle requests, whatever these waited for: a slot, an endpoint's head, its first event.

Change: 400 ms before the end each request without a response gets a final one: 503 with a Retry-After of 200 ms if it was never sent to an endpoint, else 502. The connection closes with it. 200 ms later what is left, streams under way, is aborted. From the last call on nothing is sent to endpoints, since a request that ends hands its slot to the next in the queue; without that check the test's waiting requests were sent and got 502.

Why it works: the handler itself races the request against the last call, so that no wait inside of it, whenever it began, can outlast it; whether it may have run is tracked outside of the future that is dropped.

Both tests failed on the code before ("the connection was closed without a response") and pass.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -5,7 +5,6 @@
 //! old.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use pimento_units::id;
 
@@ -16,6 +15,7 @@
 use crate::node::Freshness;
 use crate::node::Node;
 use crate::refusal::Cause;
+use crate::refusal::OTHER_VM_RETRY_AFTER;
 use crate::refusal::Refusal;
 use crate::table::Customer;
 use crate::table::Route;
@@ -27,10 +27,6 @@
 /// bound. The rest of the bound covers the time until the caller gets the response.
 const DENIAL_MAX_AGE: f64 = 0.8;
 
-/// Retry delay for callers of a VM without a current configuration. By then the load balancer sends the
-/// caller to another VM of the zone.
-const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(200);
-
 /// The result of a successful admission. It is no grant of money, as in [`pimento_policy::budget`].
 #[derive(Debug, Clone)]
 pub struct Grant {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -246,14 +246,24 @@
         Err(self.qualify(Refusal::new(Cause::Poison).with_retry_after(left)))
     }
 
+    /// Refuses the request if this VM gives its final responses. A request that ends frees its slot, which
+    /// would send the next one that waits there to an endpoint, too late for a response.
+    fn check_not_ending(&self) -> Result<(), Refusal> {
+        if self.node.lifetime.last_call.is_cancelled() {
+            return Err(Refusal::stopping(self.may_have_run()));
+        }
+        Ok(())
+    }
+
     /// Checks that the request may still be sent.
     ///
     /// # Errors
     ///
-    /// A [`Refusal`] if its key, its route or its service no longer allow it, or if it is blocked because
-    /// endpoints crashed while they ran it.
+    /// A [`Refusal`] if its key, its route or its service no longer allow it, if it is blocked because
+    /// endpoints crashed while they ran it, or if this VM ends.
     pub fn check_allowed(&self) -> Result<Grant, Refusal> {
         self.check_not_blocked()?;
+        self.check_not_ending()?;
         let request = self.request;
         let grant = admit::recheck(self.node, &request.info, request.path());
         let grant = grant.map_err(|refusal| self.qualify(refusal))?;
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -72,7 +72,15 @@
         };
         let mut outcome = OutcomeLog::new(node, info.id.clone(), began);
         let tracker = Arc::clone(&outcome.tracker);
-        let response = respond(node, (head, body), info, began, tracker).await;
+        let responding = respond(node, (head, body), info, began, Arc::clone(&tracker));
+        let response = tokio::select! {
+            biased;
+            response = responding => response,
+            // The caller of a dropped request would see a closed connection, which tells it nothing.
+            () = node.lifetime.last_call.cancelled() => {
+                Err(Refusal::stopping(tracker.stage().may_have_run))
+            }
+        };
         outcome.known = true;
         response.unwrap_or_else(|refusal| {
             outcome.refused(&refusal);
--- a/crates/relay/src/lifetime.rs
+++ b/crates/relay/src/lifetime.rs
@@ -2,11 +2,13 @@
 
 use tokio_util::sync::CancellationToken;
 
-/// The steps of a VM's shutdown. Clones share them.
+/// The steps of a VM's shutdown, in order. Clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct Lifetime {
     /// Cancelled when the VM starts to shut down.
     pub leaving: CancellationToken,
+    /// Cancelled when each request that has no response yet gets a final one.
+    pub last_call: CancellationToken,
     /// Cancelled when all connections of callers are closed, whatever they wait for.
     pub abort: CancellationToken,
 }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -18,6 +18,10 @@
 use pimento_scheduler::NoSlot;
 use pimento_serve::ReplyBody;
 
+/// Retry delay for callers that another VM can serve. By then the load balancer sends the caller to another
+/// VM of the zone.
+pub const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -59,6 +63,8 @@
     Failed,
     /// The request is blocked because endpoints crashed while they ran it.
     Poison,
+    /// This VM stops before the request can be completed.
+    Stopping,
 }
 
 impl Cause {
@@ -85,6 +91,7 @@
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::Poison => "poison",
+            Self::Stopping => "stopping",
         }
     }
 
@@ -105,7 +112,8 @@
             | Self::Cold
             | Self::NotHome
             | Self::Expired
-            | Self::Poison => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Poison
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::Failed => StatusCode::BAD_GATEWAY,
         }
@@ -123,6 +131,7 @@
                 | Self::BadBody
                 | Self::NotReady
                 | Self::Stale
+                | Self::Stopping
         )
     }
 }
@@ -155,6 +164,17 @@
         }
     }
 
+    /// The refusal of a request that this VM can't complete because it stops.
+    #[must_use]
+    pub const fn stopping(may_have_run: bool) -> Self {
+        let refusal = Self::new(Cause::Stopping);
+        if may_have_run {
+            refusal.with_unknown_outcome()
+        } else {
+            refusal.with_retry_after(OTHER_VM_RETRY_AFTER)
+        }
+    }
+
     /// Sets the time after which the caller may retry.
     #[must_use]
     pub const fn with_retry_after(mut self, after: Duration) -> Self {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -2,9 +2,12 @@
 //!
 //! On shutdown the VM immediately reports that it is not ready and asks callers to close their
 //! connections. It continues to accept connections until the load balancer must have noticed. Then it
-//! accepts no more, closes idle connections, completes the requests in flight and exits.
+//! accepts no more, closes idle connections, completes the requests in flight and exits. Shortly before the
+//! end of its grace period it gives a final response to each request that has none yet, and breaks off the
+//! streams that are still running.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -25,6 +28,7 @@
 use crate::config::Config;
 use crate::handler::RequestHandler;
 use crate::headers::HeaderCodec;
+use crate::lifetime::Lifetime;
 use crate::links::gate::RelayGate;
 use crate::metrics::MetricsService;
 use crate::node::Node;
@@ -34,9 +38,13 @@
 /// a second and removes a VM after two negative responses.
 const ACCEPT_PERIOD: Duration = Duration::from_millis(2_600);
 
-/// Time reserved at the end of the grace period for closing the remaining connections.
+/// Time reserved at the end of the grace period for final responses and for closing the remaining
+/// connections.
 const CLOSE_RESERVE: Duration = Duration::from_millis(400);
 
+/// Time that final responses have to reach their callers.
+const LAST_CALL_PERIOD: Duration = Duration::from_millis(200);
+
 /// Time that aborted requests have to end.
 const ABORT_PERIOD: Duration = Duration::from_millis(100);
 
@@ -102,7 +110,7 @@
         })
     }
 
-    /// Shuts down gracefully. Returns false if requests were aborted because the grace period was over.
+    /// Shuts down gracefully. Returns false if requests were ended because the grace period was over.
     pub async fn shut_down(self) -> bool {
         let begun = self.node.now();
         let grace = self.node.config.bounds.grace;
@@ -121,12 +129,8 @@
         let left = grace.saturating_sub(spent + CLOSE_RESERVE);
         let complete = tokio::time::timeout(left, done.as_mut()).await.is_ok();
         if !complete {
-            log::error!("server: Grace period is over, aborting requests in flight.");
-            self.stop.abort.cancel();
-            // Each aborted request logs how far it had come.
-            if tokio::time::timeout(ABORT_PERIOD, done).await.is_err() {
-                log::error!("server: Some requests or tunnels did not end when they were aborted.");
-            }
+            log::error!("server: Grace period is over, ending requests in flight.");
+            end(&self.node.lifetime, done).await;
         }
         self.background.cancel();
         log::info!("server: Stopped.");
@@ -134,6 +138,23 @@
     }
 }
 
+/// Waits until final responses were given, then aborts what is left. `done` ends with the last request.
+async fn end(lifetime: &Lifetime, mut done: Pin<&mut impl Future<Output = ()>>) {
+    lifetime.last_call.cancel();
+    if tokio::time::timeout(LAST_CALL_PERIOD, done.as_mut())
+        .await
+        .is_ok()
+    {
+        return;
+    }
+    log::error!("server: Aborting the streams in flight.");
+    lifetime.abort.cancel();
+    // Each aborted request logs how far it had come.
+    if tokio::time::timeout(ABORT_PERIOD, done).await.is_err() {
+        log::error!("server: Some requests or tunnels did not end when they were aborted.");
+    }
+}
+
 /// Connects other VMs to endpoints. If the address can't be bound, they turn to others.
 async fn serve_tunnels<P: HeaderCodec + Codec, L: Log>(node: Node<P, L>) {
     let address = node.config.tunnel_listen;
