Begin nothing on a stopping VM that it can't end

Callers saw answers cut when their VM ended, although it had begun these runs itself while it was leaving: a larger model in place of an answer that it had, a broken stream resumed 0.38 s before the end, a request taken for a wait longer than its life.

Cause: queues, attempts, larger models and resumptions were bounded by the caller's deadline, never by the VM's own end.

Change: the VM's end is set when it is told to stop, and `AdmittedRequest::left` is the earlier of the deadline and that end, so that queues, sends, waits for a first event, and the time that endpoints are given follow it. Before each attempt what it is expected to take (queue and prefill at the engine, then the tokens expected at the model's measured pace, `policy::pace`; 300 ms at least) is compared with what is left: if it doesn't fit, the request is refused at once, as not run where that is true, and the caller asks another VM; a larger model isn't begun and the answer that is there is delivered. Streams under way still run until the abort.

Ruled out: refusing all new requests from the signal on. Callers still come for 2 s, and most answers take less than what is left.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod limit;
 pub mod loan;
 mod number;
+pub mod pace;
 pub mod poison;
 pub mod queue;
 pub mod reach;
--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -16,6 +16,7 @@
 use crate::admit::Grant;
 use crate::headers::PromptPart;
 use crate::headers::RequestInfo;
+use crate::lifetime::Lifetime;
 use crate::stage::Tracker;
 
 /// An admitted request.
@@ -41,6 +42,8 @@
     pub digest: Digest,
     /// How far it has come.
     pub tracker: Arc<Tracker>,
+    /// The life of this VM.
+    pub lifetime: Lifetime,
 }
 
 impl AdmittedRequest {
@@ -50,10 +53,16 @@
         self.head.uri.path()
     }
 
+    /// When the response must be complete: by its deadline, and before this VM ends.
+    #[must_use]
+    pub fn bound(&self) -> Moment {
+        self.lifetime.bound(self.deadline)
+    }
+
     /// Time left until the response must be complete.
     #[must_use]
     pub fn left(&self, now: Moment) -> Duration {
-        self.deadline.since(now)
+        self.bound().since(now)
     }
 
     /// The prompt's parts that other requests can share, in order. The part after them is specific to
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -7,6 +7,7 @@
 mod announced;
 mod connect;
 mod detail;
+mod ending;
 mod run;
 mod slot;
 
@@ -150,6 +151,7 @@
     pub async fn open(&mut self, overrides: &Overrides) -> Result<Opened, Refusal> {
         loop {
             self.check_not_blocked()?;
+            self.check_can_end(overrides)?;
             let mut permit = self.acquire_slot(overrides).await?;
             let connection = match self.connect(&mut permit).await {
                 Ok(connection) => connection,
@@ -246,15 +248,6 @@
         Err(self.qualify(Refusal::new(Cause::Poison).with_retry_after(left)))
     }
 
-    /// Refuses the request if this VM gives its final responses. A request that ends frees its slot, which
-    /// would send the next one that waits there to an endpoint, too late for a response.
-    fn check_not_ending(&self) -> Result<(), Refusal> {
-        if self.node.lifetime.last_call.is_cancelled() {
-            return Err(Refusal::stopping(self.may_have_run()));
-        }
-        Ok(())
-    }
-
     /// Checks that the request may still be sent.
     ///
     /// # Errors
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -9,7 +9,9 @@
 use pimento_policy::confidence;
 use pimento_policy::confidence::Answer;
 use pimento_policy::confidence::LargerModel;
+use pimento_policy::pace;
 use pimento_policy::value;
+use pimento_units::Tokens;
 use pimento_units::id;
 
 use crate::admitted::AdmittedRequest;
@@ -35,9 +37,39 @@
     config: confidence::Config,
     pass_rates: Mutex<confidence::PassRates>,
     baseline: Mutex<value::Baseline>,
+    paces: Mutex<pace::Paces>,
 }
 
 impl Statistics {
+    /// Records how long a model took for the events of a whole stream after its first one.
+    pub fn record_pace(
+        &self,
+        request: &AdmittedRequest,
+        overrides: &Overrides,
+        events: u64,
+        took: Duration,
+    ) {
+        if let Some(model) = &overrides.model {
+            let tokens = tokens_of(request, events);
+            let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+            paces.record(model_hash(model), tokens, took);
+        }
+    }
+
+    /// How long a model is expected to generate a request's answer; zero if that is unknown.
+    pub fn expected_generation(
+        &self,
+        request: &AdmittedRequest,
+        overrides: &Overrides,
+    ) -> Duration {
+        let Some(model) = &overrides.model else {
+            return Duration::ZERO;
+        };
+        let paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        let expected = paces.expect(model_hash(model), expected_tokens(request));
+        expected.unwrap_or_default()
+    }
+
     /// Value and cost of a request's answer, relative to a typical request. With `first`, the request is
     /// added to the statistics, so that it counts once.
     fn relative_value(
@@ -46,10 +78,10 @@
         full_prefill: Duration,
         first: bool,
     ) -> value::RelativeValue {
-        let (prompt, max) = request.usage().unwrap_or_default();
+        let (prompt, _) = request.usage().unwrap_or_default();
         let valued = value::Request {
             prompt,
-            answer: request.info.expected_tokens.unwrap_or(max).min(max),
+            answer: expected_tokens(request),
             priority: request.grant.route.priority,
         };
         let mut baseline = self.baseline.lock().unwrap_or_else(PoisonError::into_inner);
@@ -60,6 +92,19 @@
     }
 }
 
+/// The tokens that an answer is expected to have.
+fn expected_tokens(request: &AdmittedRequest) -> Tokens {
+    let (_, max) = request.usage().unwrap_or_default();
+    request.info.expected_tokens.unwrap_or(max).min(max)
+}
+
+/// Tokens of a stream with this many events.
+fn tokens_of(request: &AdmittedRequest, events: u64) -> Tokens {
+    let service = request.grant.table.service(&request.pool);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    Tokens(engine.map_or(1, |engine| engine.tokens_per_event.0) * events)
+}
+
 /// Model and confidence of an answer that was dropped for a larger model.
 #[derive(Debug, Clone)]
 pub struct Dropped {
@@ -136,6 +181,9 @@
             model: Some(larger.clone()),
             last_event_id: overrides.last_event_id,
         };
+        if !attempts.can_end(&next) {
+            break;
+        }
         let estimate = attempts.estimate(&next)?;
         (full_prefill, next_wait) = (estimate.full_prefill, estimate.next_wait);
         candidates.push(LargerModel {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -211,6 +211,7 @@
         random,
         digest,
         tracker,
+        lifetime: node.lifetime.clone(),
     };
     node.retry_budgets.count_request(&request.pool, began);
     match kind {
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -115,7 +115,8 @@
         let begun = self.node.now();
         let grace = self.node.config.bounds.grace;
         log::info!("server: Shutting down.");
-        self.node.lifetime.leaving.cancel();
+        let end = begun + grace.saturating_sub(CLOSE_RESERVE);
+        self.node.lifetime.leave(end);
         tokio::time::sleep(ACCEPT_PERIOD.min(grace / 2)).await;
         self.stop.closing.cancel();
         self.node.response_tasks.close();
@@ -125,12 +126,11 @@
             let _ = serving.await;
             tasks.wait().await;
         });
-        let spent = self.node.now().since(begun);
-        let left = grace.saturating_sub(spent + CLOSE_RESERVE);
+        let left = end.since(self.node.now());
         let complete = tokio::time::timeout(left, done.as_mut()).await.is_ok();
         if !complete {
             log::error!("server: Grace period is over, ending requests in flight.");
-            end(&self.node.lifetime, done).await;
+            end_requests(&self.node.lifetime, done).await;
         }
         self.background.cancel();
         log::info!("server: Stopped.");
@@ -139,7 +139,7 @@
 }
 
 /// Waits until final responses were given, then aborts what is left. `done` ends with the last request.
-async fn end(lifetime: &Lifetime, mut done: Pin<&mut impl Future<Output = ()>>) {
+async fn end_requests(lifetime: &Lifetime, mut done: Pin<&mut impl Future<Output = ()>>) {
     lifetime.last_call.cancel();
     if tokio::time::timeout(LAST_CALL_PERIOD, done.as_mut())
         .await
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,6 +18,7 @@
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
 use pimento_serve::body::Disconnected;
+use pimento_units::Moment;
 use pimento_units::Tokens;
 use tokio::time::Instant;
 
@@ -118,6 +119,7 @@
             overrides,
             last_event_id: request.info.last_event_id,
             events: 0,
+            begun: node.now(),
         };
         stream.run(writer, source, first).await;
     });
@@ -222,6 +224,8 @@
     last_event_id: Option<u64>,
     /// Number of forwarded events.
     events: u64,
+    /// When the first event came.
+    begun: Moment,
 }
 
 /// How a stream ended.
@@ -236,7 +240,7 @@
 
 impl<P: HeaderCodec + Codec, L: Log> Stream<'_, P, L> {
     async fn run(&mut self, writer: Writer, source: Source, first: Event) {
-        let left = self.request.left(self.node.now());
+        let left = self.request.deadline.since(self.node.now());
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
             end = forwarding => end,
@@ -244,12 +248,26 @@
             () = tokio::time::sleep(left) => StreamEnd::Aborted(Cause::Timeout),
         };
         self.record_end(&end);
+        self.record_pace(&end);
         // Dropping the writer without a call of end() aborts the connection.
         if matches!(end, StreamEnd::Complete) && writer.end().await.is_err() {
             log::debug!("stream: Caller disconnected at the end.");
         }
     }
 
+    /// Records how fast the model generated a whole stream.
+    fn record_pace(&self, end: &StreamEnd) {
+        let one_run = self.overrides.last_event_id.is_none();
+        if one_run && matches!(end, StreamEnd::Complete) {
+            let (took, rest) = (
+                self.node.now().since(self.begun),
+                self.events.saturating_sub(1),
+            );
+            let statistics = &self.node.cascade;
+            statistics.record_pace(self.request, &self.overrides, rest, took);
+        }
+    }
+
     /// Records how the stream ended, in metrics and the log.
     fn record_end(&self, end: &StreamEnd) {
         let took = self.node.now().since(self.request.began);
