Tell endpoints the caller's deadline, not the VM's end

Callers of a stopping VM saw streams cut 200 ms earlier than the VM's abort, and endpoints were counted as crashed under their requests.

Endpoints and tunnels get the caller's deadline again; the VM's end closes their connections.

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -53,6 +53,13 @@
         self.head.uri.path()
     }
 
+    /// Time left until its deadline, whether or not this VM lives as long. An endpoint that is told an earlier
+    /// end breaks off there, which looks like a crash.
+    #[must_use]
+    pub fn left_by_deadline(&self, now: Moment) -> Duration {
+        self.deadline.since(now)
+    }
+
     /// When the response must be complete: by its deadline, and before this VM ends.
     #[must_use]
     pub fn bound(&self) -> Moment {
--- a/crates/relay/src/attempts/connect.rs
+++ b/crates/relay/src/attempts/connect.rs
@@ -28,7 +28,7 @@
                 endpoint: permit.endpoint(),
                 zone: permit.zone(),
                 address: permit.address(),
-                lifetime: self.request.left(self.node.now()),
+                lifetime: self.request.left_by_deadline(self.node.now()),
             })
             .await?;
         if links.are_suspect() {
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -142,7 +142,7 @@
         let attempt = AttemptInfo {
             endpoint: permit.endpoint(),
             customer: customer.map(|customer| &customer.name),
-            time_left: Some(request.left(self.node.now())),
+            time_left: Some(request.left_by_deadline(self.node.now())),
             model: overrides.model.as_ref(),
             last_event_id: overrides.last_event_id.or(request.info.last_event_id),
             urgency: Some(cascade::urgency(request, overrides)),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -240,7 +240,7 @@
 
 impl<P: HeaderCodec + Codec, L: Log> Stream<'_, P, L> {
     async fn run(&mut self, writer: Writer, source: Source, first: Event) {
-        let left = self.request.deadline.since(self.node.now());
+        let left = self.request.left_by_deadline(self.node.now());
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
             end = forwarding => end,
