Tests: an entry VM that ends leaves requests without an answer

Callers of the first chain whose request has no answer at the last bound get a closed connection. Five tests, all failing on this code:

- sent to a silent engine, as a stream and as a whole answer: hyper::Error(IncompleteMessage)
- sent to a silent service under a claim: IncompleteMessage, and no outcome on the claims stream
- waiting in a queue since before the signal, and asked for after it: IncompleteMessage
- body not yet complete: connection closed, nothing read
- stream under way at the last bound: no refusal is counted and the engine isn't told to stop

--- /dev/null
+++ b/crates/entry/tests/all/ending.rs
@@ -0,0 +1,208 @@
+//! The end of an entry VM: what requests get that it can't finish.
+
+use std::time::Duration;
+
+use hyper::Method;
+use hyper::StatusCode;
+use pimento_ledger::record::ClaimRecord;
+use pimento_ledger::record::Run as LoggedRun;
+use pimento_scheduler::Job;
+use pimento_scheduler::Permit;
+use pimento_scheduler::Pool;
+use pimento_scheduler::Requirement;
+use pimento_standin::Handler;
+use pimento_standin::fault::Action;
+use pimento_standin::fault::Rule;
+use pimento_units::Tokens;
+use pimento_wire::api::Run;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use uuid::Uuid;
+
+use crate::support::Entry;
+use crate::support::Fixture;
+use crate::support::KEY;
+use crate::support::SMALL;
+use crate::support::TIMEOUT;
+use crate::support::name;
+use crate::support::wait_until;
+
+/// Settings of a VM that ends soon after it is told to.
+const SHORT: [(&str, &str); 2] = [("grace", "0ms"), ("last-bound", "1s")];
+
+/// A timeout that the VM does not live to see, in seconds.
+const LONG_TIMEOUT: &str = "600";
+
+fn pool(entry: &Entry, pool: &str) -> Pool {
+    entry.running.node.scheduler.pool(&name(pool))
+}
+
+fn hang(method: &str, path: &str) -> Vec<Rule> {
+    vec![Rule::new(Action::Hang).on(method, path)]
+}
+
+/// Takes all slots of the engines.
+fn fill(entry: &Entry) -> Vec<Permit> {
+    let pool = pool(entry, "pimento-llm");
+    let job = Job {
+        customer: name("garage"),
+        weight: 1,
+        priority: 0,
+        tokens: Tokens(50),
+        deadline: entry.running.node.clock.now() + TIMEOUT,
+        requirement: Requirement::version(Some(name(SMALL))),
+        prefix: None,
+        prompt: None,
+        aim: None,
+        tried: Vec::new(),
+        previously_refused: false,
+        repeatable: true,
+    };
+    std::iter::from_fn(|| pool.try_acquire(&job)).collect()
+}
+
+/// The VM ends while engines are silent. Guards against a connection that closes without an answer.
+#[tokio::test]
+async fn requests_at_silent_engines_are_answered_before_the_end() {
+    let fixture = Fixture::start(1).await;
+    fixture.engines[0]
+        .faults
+        .set_rules(hang("POST", "/v1/chat/completions"));
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let send = |stream| {
+        let request = entry.chat("answer in 3 tokens", stream);
+        tokio::spawn(request.header("request-timeout", LONG_TIMEOUT).send())
+    };
+    let pending = [send(true), send(false)];
+    let engines = pool(&entry, "pimento-llm");
+    wait_until("both are sent", || engines.metrics().in_flight == 2).await;
+    let node = entry.running.node.clone();
+    assert!(!entry.running.shut_down().await);
+    for pending in pending {
+        let answer = pending.await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{answer:?}");
+        assert_eq!(answer.error_body().error.code, "aborted");
+        assert_eq!(answer.error_body().error.run, Run::Unknown);
+    }
+    let metrics = String::from_utf8(node.metrics.text()).unwrap();
+    let series = r#"pimento_refusals_total{code="aborted",run="unknown"} 2"#;
+    assert!(metrics.contains(series), "{metrics}");
+}
+
+/// The VM ends while a call that may not be repeated is under way. Guards against a lost outcome.
+#[tokio::test]
+async fn the_outcome_of_a_call_at_a_silent_service_reaches_the_log() {
+    let fixture = Fixture::start(1).await;
+    for desk in &fixture.desks {
+        desk.faults.set_rules(hang("POST", "/drums"));
+    }
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let key = Uuid::now_v7().to_string();
+    let order = entry.order(&key).header("request-timeout", LONG_TIMEOUT);
+    let pending = tokio::spawn(order.send());
+    let desks = pool(&entry, "order-desk");
+    wait_until("it is sent", || desks.metrics().in_flight == 1).await;
+    assert!(!entry.running.shut_down().await);
+    let records = fixture.log.handler.records("claims").into_iter();
+    let outcomes = records.filter_map(|entry| match serde_json::from_str(&entry.record) {
+        Ok(ClaimRecord::Outcome(outcome)) => Some(outcome.run),
+        _ => None,
+    });
+    assert_eq!(outcomes.collect::<Vec<_>>(), [LoggedRun::Unknown]);
+    let answer = pending.await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::GATEWAY_TIMEOUT, "{answer:?}");
+    assert_eq!(answer.error_body().error.run, Run::Unknown);
+}
+
+/// The VM ends while a request waits in a queue. Guards against a queue that outlasts the VM.
+#[tokio::test]
+async fn requests_in_a_queue_are_refused_as_not_run_before_the_end() {
+    let fixture = Fixture::start(1).await;
+    let settings = [("grace", "600ms"), ("last-bound", "1s")];
+    let entry = fixture.entry_with("entry-1", &settings).await;
+    let _permits = fill(&entry);
+    let send = || {
+        let request = entry.chat("answer in 3 tokens", false);
+        tokio::spawn(request.header("request-timeout", LONG_TIMEOUT).send())
+    };
+    let early = send();
+    let engines = pool(&entry, "pimento-llm");
+    wait_until("it waits", || engines.metrics().waiting == 1).await;
+    let node = entry.running.node.clone();
+    let late = entry.chat("answer in 3 tokens", false);
+    let late = late.header("request-timeout", LONG_TIMEOUT);
+    let shutdown = tokio::spawn(entry.running.shut_down());
+    wait_until("the VM is leaving", || !node.ready()).await;
+    let late = tokio::spawn(late.send());
+    for pending in [early, late] {
+        let answer = pending.await.expect("an answer");
+        assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+        assert_eq!(answer.error_body().error.code, "shutting_down");
+        assert_eq!(answer.error_body().error.run, Run::NotRun);
+        assert_ne!(answer.header("retry-after"), "");
+    }
+    shutdown.await.unwrap();
+    assert_eq!(fixture.started(), 0);
+}
+
+/// The VM ends before a body is complete. Guards against a connection that closes without an answer.
+#[tokio::test]
+async fn a_request_whose_body_is_not_there_is_refused_as_not_run_before_the_end() {
+    let fixture = Fixture::start(1).await;
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let mut stream = TcpStream::connect(entry.running.caller_address)
+        .await
+        .unwrap();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 100\r\n\r\n{{"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let node = entry.running.node.clone();
+    wait_until("it is read", || !node.tasks.is_empty()).await;
+    assert!(!entry.running.shut_down().await);
+    let mut answer = vec![0; 4096];
+    let read = stream.read(&mut answer).await.unwrap();
+    let answer = String::from_utf8_lossy(&answer[..read]);
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer:?}");
+    assert!(answer.contains("not_run"), "{answer:?}");
+}
+
+/// A stream is cut at the last bound. Guards against a count that says that its caller left.
+#[tokio::test]
+async fn a_stream_that_the_vm_cuts_is_counted_as_such() {
+    let fixture = Fixture::start(1).await;
+    fixture.engines[0]
+        .handler
+        .change(|settings| settings.token_us = 50_000);
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let mut stream = TcpStream::connect(entry.running.caller_address)
+        .await
+        .unwrap();
+    let request = entry.chat("answer in 400 tokens", true);
+    let body = request.content();
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {KEY}\r\n\
+         request-timeout: {LONG_TIMEOUT}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    stream.write_all(&body).await.unwrap();
+    let mut piece = vec![0; 4096];
+    let read = stream.read(&mut piece).await.unwrap();
+    assert!(piece[..read].starts_with(b"HTTP/1.1 200 "));
+    let reading =
+        tokio::spawn(async move { while stream.read(&mut piece).await.unwrap_or(0) > 0 {} });
+    let node = entry.running.node.clone();
+    assert!(!entry.running.shut_down().await);
+    reading.await.unwrap();
+    let metrics = String::from_utf8(node.metrics.text()).unwrap();
+    let series = r#"pimento_refusals_total{code="aborted",run="unknown"} 1"#;
+    assert!(metrics.contains(series), "{metrics}");
+    let engines = &fixture.engines;
+    wait_until("the engine was told to stop", || {
+        engines[0].handler.stats().cancelled == 1
+    })
+    .await;
+}
--- a/crates/entry/tests/all/main.rs
+++ b/crates/entry/tests/all/main.rs
@@ -3,6 +3,7 @@
 
 mod config;
 mod delivery;
+mod ending;
 mod faults;
 mod leaving;
 mod model;
