Answer a request before its entry VM ends, and begin nothing that it can't end

Callers of the first chain whose request had no answer at the last bound got a closed connection, with no line and no count of their own; a stream that was cut there counted as one whose caller had left. A call under a claim got no outcome on the log, and an engine of a cut stream wasn't told to stop.

Cause: the last bound dropped the connections and with them all that waited, and the process ended beside the tasks that it had not awaited. Queues, retries and steps of the cascade knew the caller's deadline only.

Change: a value, the VM's end, goes with each request's identity. New work has the earlier of the caller's deadline and the end; what can't start by then gets 503 shutting_down, not run. At the end, half a second before the last bound, all that waits gives up: before a send 503 shutting_down, after one 504 aborted with an unknown run, an answer at hand that was to be bettered is returned, a claimed call reports its outcome. Streams of which the caller has a part go on to the last bound; then their tasks are awaited for half a second, so that they log and count aborted, and engines are told to stop. Neither speaks against an endpoint or a version: the permit is dropped without a verdict. Attempts keep the caller's timeout, as a timeout at the VM's end would be blamed on the endpoint.

Ruled out: a race of the whole chain against the end in one place. It would need a second account of what was sent, and would drop a claim's outcome.

--- a/crates/entry/src/chain.rs
+++ b/crates/entry/src/chain.rs
@@ -52,6 +52,7 @@
         Err(Refusal::not_run(Code::UnknownPath, "unknown path"))
     };
     result.unwrap_or_else(|refusal| {
+        let refusal = refusal.attribute(&node.end);
         node.metrics.record_refusal(refusal.code, refusal.run);
         log::info!("reply: Refused, {}: {}.", refusal.code, refusal.message);
         refusal.response()
--- a/crates/entry/src/chain/model.rs
+++ b/crates/entry/src/chain/model.rs
@@ -43,6 +43,22 @@
     body: Incoming,
     caller_gone: CancellationToken,
 ) -> Result<Response<ReplyBody>, Refusal> {
+    let funded = node.end.run(prepare(node, head, body, caller_gone));
+    let funded = funded.await.ok_or_else(Refusal::shutting_down)??;
+    if funded.resolved.request.chat.stream {
+        stream(node, funded).await
+    } else {
+        whole(node, funded).await
+    }
+}
+
+/// Reads and checks the request; nothing is sent to an endpoint yet.
+async fn prepare(
+    node: &Node,
+    head: &Parts,
+    body: Incoming,
+    caller_gone: CancellationToken,
+) -> Result<Funded, Refusal> {
     let caller = Authenticate(node).apply(&head.headers).await?;
     let body = identify::body(node, body).await?;
     let raw = Raw {
@@ -53,12 +69,7 @@
     };
     let request = Identify(node).apply(raw).await?;
     let resolved = Contract(node).apply(request).await?;
-    let funded = Budget(node).apply(resolved).await?;
-    if funded.resolved.request.chat.stream {
-        stream(node, funded).await
-    } else {
-        whole(node, funded).await
-    }
+    Budget(node).apply(resolved).await
 }
 
 async fn whole(node: &Arc<Node>, funded: Funded) -> Result<Response<ReplyBody>, Refusal> {
@@ -78,6 +89,7 @@
     let task_node = Arc::clone(node);
     node.tasks.spawn(async move {
         if let Err(refusal) = run(&task_node, funded, &mut delivery).await {
+            let refusal = refusal.attribute(&task_node.end);
             task_node.metrics.record_refusal(refusal.code, refusal.run);
             log::info!(
                 "reply: Stream failed, {}: {}.",
--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -21,6 +21,7 @@
 use pimento_serve::ReplyBody;
 use pimento_units::Money;
 use pimento_units::Tokens;
+use pimento_units::id;
 use pimento_wire::api::Run;
 use pimento_wire::header;
 use tokio::time::Instant;
@@ -71,16 +72,18 @@
     body: Incoming,
     caller_gone: CancellationToken,
 ) -> Result<Response<ReplyBody>, Refusal> {
-    let call = read(node, head, body, caller_gone).await?;
+    let call = node.end.run(read(node, head, body, caller_gone));
+    let call = call.await.ok_or_else(Refusal::shutting_down)??;
     if let Some(claimed) = call.claim
         && let Some(answer) = Claim(node).cached(claimed)?
     {
         return Ok(cached_response(&answer));
     }
-    let deadline = call.identity.deadline;
-    let reservation = Budget(node)
-        .reserve(&call.customer, call.service.price, deadline)
-        .await?;
+    let deadline = call.identity.work_deadline();
+    let budget = Budget(node);
+    let reservation = budget.reserve(&call.customer, call.service.price, deadline);
+    let reservation = node.end.run(reservation).await;
+    let reservation = reservation.ok_or_else(Refusal::shutting_down)??;
     let mut trace = Trace::default();
     let outcome = run(node, &call, &mut trace).await?;
     match outcome {
@@ -123,6 +126,10 @@
         check_blocked(node, call, trace)?;
         let permit = admit(node, call, trace).await?;
         if let (Some(claimed), None) = (call.claim, *ticket) {
+            let claimed = ClaimedCall {
+                deadline: call.identity.work_deadline(),
+                ..claimed
+            };
             match Claim(node).apply(claimed).await? {
                 Claimed::Owned(owned) => *ticket = Some(owned),
                 Claimed::Answered(answer) => return Ok(CallResult::Cached(answer)),
@@ -131,7 +138,8 @@
         check_dispatch(node, call, *ticket, trace)?;
         let endpoint = permit.endpoint().clone();
         trace.attempts += 1;
-        match attempt_once(node, call, *ticket, permit).await {
+        let result = attempt_once(node, call, *ticket, permit).await;
+        match result.ok_or_else(|| record_end(node, call, trace, &endpoint))? {
             Ok(answer) => {
                 node.record_complete_answer(call.block_digest);
                 trace.record_start();
@@ -156,6 +164,16 @@
     }
 }
 
+/// Records that the attempt is given up because this VM ends, which tells nothing of the endpoint.
+fn record_end(node: &Node, call: &Call, trace: &mut Trace, endpoint: &id::Endpoint) -> Refusal {
+    let id = call.identity.id;
+    log::warn!("attempt: This VM ends, {id} at {endpoint} is given up.");
+    let pool = &call.service.pool;
+    node.metrics.record_attempt(pool, attempt::ENDED);
+    trace.record_start();
+    trace.ended()
+}
+
 fn check_blocked(node: &Node, call: &Call, trace: &Trace) -> Result<(), Refusal> {
     let result = node.ensure_not_blocked(call.block_digest);
     result.map_err(|refusal| trace.correct_run(refusal))
@@ -169,7 +187,7 @@
             weight: call.weight,
             priority: PRIORITY,
             tokens: CALL_TOKENS,
-            deadline: call.identity.deadline,
+            deadline: call.identity.work_deadline(),
             requirement: Requirement::default(),
             prefix: None,
             prompt: None,
@@ -178,7 +196,7 @@
             previously_refused: call.identity.is_retry,
             repeatable: call.repeatable,
         },
-        caller_gone: &call.identity.caller_gone,
+        identity: &call.identity,
     };
     let admitted = Admission(node).apply(slot_request).await;
     let admitted = admitted.map_err(|refusal| trace.correct_run(refusal))?;
@@ -195,6 +213,9 @@
     trace: &Trace,
 ) -> Result<(), Refusal> {
     check_blocked(node, call, trace)?;
+    if call.identity.end.is_reached() {
+        return Err(trace.ended());
+    }
     if Contract(node)
         .service(&call.customer, &call.service.name)
         .is_none()
@@ -211,12 +232,13 @@
     Ok(())
 }
 
+/// `None` if this VM ends first.
 async fn attempt_once(
     node: &Node,
     call: &Call,
     ticket: Option<Ticket>,
     permit: Permit,
-) -> Result<service::Response, Fault> {
+) -> Option<Result<service::Response, Fault>> {
     let mut outgoing = call.outgoing.clone();
     if let Some(ticket) = ticket {
         outgoing.attempt = ticket.attempt;
@@ -226,6 +248,7 @@
     let result = tokio::select! {
         result = remote.call(outgoing) => result,
         () = call.identity.caller_gone.cancelled() => Err(Fault::Cancelled),
+        () = call.identity.end.reached() => return None,
     };
     match &result {
         Ok(answer) if answer.status.is_server_error() => permit.failed(&Fault::Failed {
@@ -237,7 +260,7 @@
             permit.failed(fault);
         }
     }
-    result
+    Some(result)
 }
 
 /// Whether to send the call again to another endpoint. A call that is not repeatable is sent again only if
@@ -256,7 +279,7 @@
         repeatable: call.repeatable || fault.not_run(),
         attempts: trace.attempts,
         run_time: pool.expected_run_time(None, CALL_TOKENS),
-        deadline: call.identity.deadline,
+        deadline: call.identity.work_deadline(),
     };
     if matches!(fault, Fault::Unreachable { .. }) {
         return retry::can_retry_unsent(failure, now);
--- a/crates/entry/src/filter/admission.rs
+++ b/crates/entry/src/filter/admission.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use pimento_scheduler::Job;
+use pimento_scheduler::NoSlot;
 use pimento_scheduler::Permit;
 use pimento_units::id;
-use tokio_util::sync::CancellationToken;
 
 use super::Filter;
+use super::identify::Identity;
 use crate::node::Node;
 use crate::refusal::Refusal;
 
@@ -23,8 +24,8 @@
     pub pool: &'a id::Pool,
     /// The work.
     pub job: Job,
-    /// Cancelled when the caller disconnects.
-    pub caller_gone: &'a CancellationToken,
+    /// The request that it is for.
+    pub identity: &'a Identity,
 }
 
 /// A slot and the time spent waiting for it.
@@ -42,9 +43,19 @@
     async fn apply(&self, slot_request: SlotRequest<'a>) -> Result<Admitted, Refusal> {
         let started = self.0.clock.now();
         let pool = self.0.scheduler.pool(slot_request.pool);
-        let permit = pool
-            .acquire(slot_request.job, slot_request.caller_gone)
-            .await?;
+        let identity = slot_request.identity;
+        let slot = pool.acquire(slot_request.job, &identity.caller_gone);
+        let permit = match identity.end.run(slot).await {
+            Some(Ok(permit)) => permit,
+            // Another VM may have the time that this one lacks.
+            Some(Err(NoSlot::Overloaded { .. } | NoSlot::Expired { .. }))
+                if identity.work_deadline() < identity.deadline =>
+            {
+                return Err(Refusal::shutting_down());
+            }
+            Some(Err(no_slot)) => return Err(no_slot.into()),
+            None => return Err(Refusal::shutting_down()),
+        };
         let waited = self.0.clock.now().since(started);
         Ok(Admitted { permit, waited })
     }
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -72,6 +72,8 @@
     Refused(Refusal),
     /// The attempts failed.
     Failed(Fault),
+    /// This VM ends, and the caller has no part of the answer yet.
+    Ended,
 }
 
 impl<'a> Attempt<'a> {
@@ -87,7 +89,7 @@
             let slot_request = SlotRequest {
                 pool: context.pool,
                 job: self.job(context),
-                caller_gone: &context.request.identity.caller_gone,
+                identity: &context.request.identity,
             };
             let admitted = Admission(self.0)
                 .apply(slot_request)
@@ -97,7 +99,8 @@
             let version = self.usable_version(context).ok_or(Error::Withdrawn)?;
             self.0.ensure_not_blocked(digest).map_err(Error::Refused)?;
             let endpoint = admitted.permit.endpoint().clone();
-            match self.attempt_once(admitted.permit, &version, context).await {
+            let result = self.attempt_once(admitted.permit, &version, context).await;
+            match result.ok_or_else(|| self.record_end(context, &endpoint))? {
                 Ok(answer) => {
                     self.0.record_complete_answer(digest);
                     let now = self.0.clock.now();
@@ -139,7 +142,7 @@
             weight: request.weight,
             priority: request.class.priority,
             tokens: self.expected_tokens(context),
-            deadline: request.identity.deadline,
+            deadline: request.identity.work_deadline(),
             requirement: Requirement::version(Some(context.version.clone())),
             prefix: first_message.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
             prompt: None,
@@ -168,6 +171,15 @@
         }
     }
 
+    /// Records that an attempt is given up because this VM ends, which tells nothing of the endpoint.
+    fn record_end(&self, context: &mut Context<'_>, endpoint: &id::Endpoint) -> Error {
+        let id = context.request.identity.id;
+        log::warn!("attempt: This VM ends, {id} at {endpoint} is given up.");
+        self.0.metrics.record_attempt(context.pool, ENDED);
+        context.trace.record_start();
+        Error::Ended
+    }
+
     /// Whether to make another attempt. Once a part of the answer has been sent to the caller, only a
     /// deterministic answer can be generated again from its start.
     fn should_retry(&self, context: &mut Context<'_>, fault: &Fault) -> bool {
@@ -179,13 +191,15 @@
         // to try elsewhere.
         if matches!(fault, Fault::Refused { .. }) {
             let identity = &request.identity;
-            let half_time = identity.arrived + identity.deadline.since(identity.arrived) / 2;
+            let time = identity.work_deadline().since(identity.arrived);
+            let half_time = identity.arrived + time / 2;
             context.trace.record_refusal();
             return now < half_time;
         }
         let is_repeatable =
             !context.delivery.has_started() || request.chat.temperature == Some(0.0);
-        if *fault == Fault::Cancelled || !is_repeatable || now >= request.identity.deadline {
+        let deadline = request.identity.work_deadline();
+        if *fault == Fault::Cancelled || !is_repeatable || now >= deadline {
             return false;
         }
         let pool = node.scheduler.pool(context.pool);
@@ -193,7 +207,7 @@
             repeatable: true,
             attempts: context.trace.attempts,
             run_time: pool.expected_run_time(Some(context.version), self.expected_tokens(context)),
-            deadline: request.identity.deadline,
+            deadline,
         };
         if context.retry_charged.swap(false, Ordering::Relaxed) {
             return context.trace.attempts < retry::MAX_ATTEMPTS;
@@ -205,16 +219,19 @@
             .try_retry(&request.customer, context.pool, failure, now)
     }
 
+    /// `None` if this VM ends first.
     async fn attempt_once(
         &self,
         permit: Permit,
         version: &Version,
         context: &mut Context<'_>,
-    ) -> Result<Answer, Fault> {
-        let caller_gone = context.request.identity.caller_gone.clone();
+    ) -> Option<Result<Answer, Fault>> {
+        let identity = &context.request.identity;
+        let passed = identity.end.passed(context.delivery.started());
         tokio::select! {
-            answer = self.run(permit, version, context) => answer,
-            () = caller_gone.cancelled() => Err(Fault::Cancelled),
+            answer = self.run(permit, version, context) => Some(answer),
+            () = identity.caller_gone.cancelled() => Some(Err(Fault::Cancelled)),
+            () = passed => None,
         }
     }
 
@@ -428,6 +445,9 @@
     if one.not_run() { other } else { one }
 }
 
+/// The label in metrics for an attempt that was given up because this VM ends.
+pub const ENDED: &str = "ended";
+
 /// The label for a fault in metrics.
 #[must_use]
 pub const fn label(fault: &Fault) -> &'static str {
--- a/crates/entry/src/filter/bill.rs
+++ b/crates/entry/src/filter/bill.rs
@@ -1,5 +1,7 @@
 //! Billing: a second VM or the log must hold the bill before the caller gets the last byte.
 
+use std::time::Duration;
+
 use pimento_contract::contract::Period;
 use pimento_ledger::Bill;
 use pimento_ledger::record::Item;
@@ -18,6 +20,9 @@
 use crate::refusal::Code;
 use crate::refusal::Refusal;
 
+/// Time for storing a bill that is left even at the end of this VM, so that the answer still reaches its caller.
+const MIN_STORE_TIME: Duration = Duration::from_millis(200);
+
 /// The id under which a repeatable request is billed, derived from the caller's id and the call's hash.
 ///
 /// A caller that sends different calls under one id gets an answer to each, and must pay for each. The same
@@ -91,7 +96,11 @@
             period: period.0,
             at: node.clock.wall(),
         };
-        let deadline = tokio::time::Instant::now() + node.config.bill_timeout;
+        let now = node.clock.now();
+        let deadline = node.end.bound(now + node.config.bill_timeout);
+        let deadline = node
+            .clock
+            .instant(deadline.max(now + MIN_STORE_TIME.min(node.config.bill_timeout)));
         let stored = answered
             .reservation
             .bill_permit
--- a/crates/entry/src/filter/budget.rs
+++ b/crates/entry/src/filter/budget.rs
@@ -56,7 +56,7 @@
         let request = &resolved.request;
         let max_output = max_output(&request.chat, &request.class);
         let max_charge = self.max_charge(&request.chat, &request.class, max_output);
-        let deadline = request.identity.deadline;
+        let deadline = request.identity.work_deadline();
         let reservation = self
             .reserve(&request.customer, max_charge, deadline)
             .await?;
--- a/crates/entry/src/filter/cascade.rs
+++ b/crates/entry/src/filter/cascade.rs
@@ -87,6 +87,10 @@
     async fn apply(&self, mut work: Work<'a>) -> Result<Served, Refusal> {
         let mut progress = Progress::default();
         for _ in 0..MAX_STEPS {
+            if work.funded.resolved.request.identity.end.is_reached() {
+                progress.refusal.get_or_insert(work.trace.ended());
+                break;
+            }
             let pins = Contract(self.0).pins(&work.funded.resolved.request);
             let versions = self.versions(&pins);
             let candidates = self.candidates(&work, &versions, &progress);
@@ -176,7 +180,7 @@
         Terms {
             target: request.class.quality,
             budget: work.funded.reservation.max_charge,
-            time_left: request.identity.deadline.since(now),
+            time_left: request.identity.work_deadline().since(now),
             rating_time: rating,
             cost_per_second: node.config.second_worth,
         }
@@ -244,6 +248,7 @@
                 let caller_gone = fault == pimento_endpoint::Fault::Cancelled;
                 (work.trace.refusal(&fault), caller_gone)
             }
+            attempt::Error::Ended => (work.trace.ended(), false),
         };
         self.0.metrics.record_step(version, "none");
         if is_final || work.delivery.has_started() {
@@ -276,7 +281,11 @@
                 self.sample_rating(rated_answer);
                 Some(true)
             }
-            Release::Rated => rate::rate(node, rated_answer, request.identity.deadline).await,
+            Release::Rated => {
+                let identity = &request.identity;
+                let rating = rate::rate(node, rated_answer, identity.deadline);
+                identity.end.run(rating).await.flatten()
+            }
         };
         let accepted = pass.unwrap_or_else(|| chosen.acceptable_unrated());
         let result = match pass {
--- a/crates/entry/src/filter/delivery.rs
+++ b/crates/entry/src/filter/delivery.rs
@@ -3,6 +3,9 @@
 //! The last chunk is always held back until the bill is stored. A stream that can't be completed ends with an
 //! error event and without the end mark.
 
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -33,6 +36,7 @@
     created: u64,
     deadline: Moment,
     sink: Sink,
+    started: Arc<AtomicBool>,
     /// Whether chunks are sent as they arrive.
     immediate: bool,
     /// Chunks that wait for the release.
@@ -111,6 +115,7 @@
             created: clock.wall().millis() / 1_000,
             deadline,
             sink,
+            started: Arc::default(),
             immediate: false,
             buffered: Vec::new(),
             text: String::new(),
@@ -143,6 +148,12 @@
         matches!(self.sink, Sink::Open(_))
     }
 
+    /// Whether a part of the answer has been sent, for a reader that doesn't hold the delivery.
+    #[must_use]
+    pub fn started(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.started)
+    }
+
     /// Prepares for another attempt at the same version. If a part of the answer has been sent, the new attempt
     /// must repeat that part exactly, and only what follows is sent.
     pub fn restart(&mut self) {
@@ -327,6 +338,7 @@
                 response_sender
                     .send(self.head.stream(body))
                     .map_err(|_| Fault::Cancelled)?;
+                self.started.store(true, Ordering::Relaxed);
                 Sink::Open(writer)
             }
             sink => sink,
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -23,6 +23,7 @@
 
 use super::Filter;
 use super::authenticate::Caller;
+use crate::end::End;
 use crate::node::Node;
 use crate::refusal::Code;
 use crate::refusal::Refusal;
@@ -56,12 +57,23 @@
     pub arrived: Moment,
     /// When the whole answer must be there.
     pub deadline: Moment,
+    /// The end of this VM.
+    pub end: End,
     /// Cancelled when the caller disconnects.
     pub caller_gone: CancellationToken,
     /// The request's share of the memory for requests in flight.
     pub memory: Arc<OwnedSemaphorePermit>,
 }
 
+impl Identity {
+    /// Until when work that is begun now must be done: the caller's deadline, or this VM's end if that comes
+    /// first.
+    #[must_use]
+    pub fn work_deadline(&self) -> Moment {
+        self.end.bound(self.deadline)
+    }
+}
+
 /// A body and its share of the memory for requests in flight.
 #[derive(Debug, Clone)]
 pub struct Content {
@@ -269,6 +281,7 @@
         is_retry: given.is_some() && is_retry(id, node.clock.wall()),
         arrived,
         deadline: arrived + timeout.min(node.config.max_timeout),
+        end: node.end.clone(),
         caller_gone,
         memory,
     })
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod chain;
 pub mod cli;
 pub mod config;
+pub mod end;
 pub mod estimate;
 pub mod evidence;
 pub mod filter;
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -38,6 +38,7 @@
 
 use crate::answers::Cache;
 use crate::config::Config;
+use crate::end::End;
 use crate::estimate;
 use crate::evidence;
 use crate::filter::identify;
@@ -92,6 +93,7 @@
     /// Cancelled when shutdown begins: the node is no longer ready, and closes each connection
     /// after its next response.
     pub leaving: CancellationToken,
+    pub end: End,
     appender: Appender,
     source: configuration::Source,
     weak: Weak<Node>,
@@ -175,6 +177,7 @@
             metrics: Metrics::new(config.metric_customers),
             tasks: TaskTracker::new(),
             leaving: CancellationToken::new(),
+            end: End::default(),
             appender,
             source,
             weak: weak.clone(),
@@ -236,8 +239,10 @@
         &self.source
     }
 
-    /// Begins to leave: announces it to peers and stops being ready.
-    pub fn leave(&self) {
+    /// Begins to leave: announces it to peers and stops being ready. Requests that have no answer at `end`
+    /// get their final one then.
+    pub fn leave(&self, end: Moment) {
+        self.end.set(end);
         self.leaving.cancel();
         self.mesh.update_status(|own| own.leaving = true);
     }
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -17,6 +17,8 @@
 use pimento_wire::api::Run;
 use pimento_wire::header;
 
+use crate::end::End;
+
 /// Reason why a caller gets an error instead of an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Code {
@@ -68,6 +70,10 @@
     Poison,
     /// The deadline passed.
     Timeout,
+    /// The entry VM is shutting down and can't finish the call.
+    ShuttingDown,
+    /// The entry VM shut down while the call was under way.
+    Aborted,
     /// The caller disconnected, so that nobody receives this error.
     CallerGone,
     /// A fault of the router.
@@ -106,6 +112,8 @@
             Self::EndpointFailed => (502, SERVER, "endpoint_failed"),
             Self::Poison => (503, SERVER, "poison_request"),
             Self::Timeout => (504, SERVER, "timeout"),
+            Self::ShuttingDown => (503, SERVER, "shutting_down"),
+            Self::Aborted => (504, SERVER, "aborted"),
             Self::CallerGone => (499, SERVER, "caller_gone"),
             Self::Internal => (500, SERVER, "internal_error"),
         }
@@ -172,6 +180,31 @@
         }
     }
 
+    /// A refusal by a VM that is shutting down, before anything was sent to an endpoint.
+    #[must_use]
+    pub fn shutting_down() -> Self {
+        /// Time in which load balancers have noticed that this VM is not ready.
+        const RETRY_AFTER: Duration = Duration::from_secs(1);
+        let message = "this entry VM is shutting down";
+        Self::not_run(Code::ShuttingDown, message).retry_after(RETRY_AFTER)
+    }
+
+    /// An error after this VM shut down while the call was under way.
+    #[must_use]
+    pub fn aborted(run: Run) -> Self {
+        let message = "this entry VM shut down before the answer was complete";
+        Self::new(Code::Aborted, message, run)
+    }
+
+    /// Names this VM as the one that left if it closed the caller's connection itself.
+    #[must_use]
+    pub fn attribute(self, end: &End) -> Self {
+        if self.code == Code::CallerGone && end.is_aborted() {
+            return Self::aborted(self.run);
+        }
+        self
+    }
+
     /// Sets the delay before a retry.
     #[must_use]
     pub const fn retry_after(mut self, after: Duration) -> Self {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -3,8 +3,9 @@
 //! On the first signal `/ready` fails immediately. Connections are still accepted for the grace
 //! period, as the load balancer lags. Then no connection is accepted, idle ones are closed, and
 //! every request in flight is finished, streams included. Bills, outcomes and grants are flushed to
-//! the log. A second signal has no effect. Requests that are still in flight at the last bound are
-//! aborted, with an error in the log lines.
+//! the log. A second signal has no effect. Shortly before the last bound, requests of which the caller has
+//! nothing yet get a final answer. Streams that are still under way at the last bound are aborted. Log
+//! lines and metrics tell both from requests whose callers left.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -27,6 +28,12 @@
 /// log outage: a peer holds copies of the bills that do not reach the log.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time before the last bound in which requests that have no answer yet get their final one.
+const ANSWER_RESERVE: Duration = Duration::from_millis(500);
+
+/// Time after the abort in which the streams that were cut log their end and their engines are told to stop.
+const ABORT_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Why the program could not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -99,15 +106,17 @@
         })
     }
 
-    /// Shuts down and returns when that is done. False if requests were aborted, or if bills or
+    /// Shuts down and returns when that is done. False if requests were not finished, or if bills or
     /// outcomes did not reach the log.
     pub async fn shut_down(mut self) -> bool {
         let grace = self.node.config.grace;
-        let bound = Instant::now() + grace + self.node.config.last_bound;
+        let last_bound = self.node.config.last_bound;
+        let bound = Instant::now() + grace + last_bound;
+        let end = bound - ANSWER_RESERVE.min(last_bound / 2);
         log::info!("server: Shutting down; still accepting connections for {grace:?}.");
-        self.node.leave();
+        self.node.leave(self.node.clock.moment(end));
         tokio::time::sleep(grace).await;
-        let drained = self.drain(bound).await;
+        let drained = self.drain(end, bound).await;
         let flushed = self.flush(Instant::now() + FLUSH_TIMEOUT).await;
         self.operators_stop.closing.cancel();
         self.operators_stop.abort.cancel();
@@ -116,8 +125,9 @@
         drained && flushed
     }
 
-    /// Waits until all requests in flight are finished, and aborts the rest at `bound`.
-    async fn drain(&mut self, bound: Instant) -> bool {
+    /// Waits until all requests in flight are finished, gives those without an answer their final one at
+    /// `end`, and aborts the rest at `bound`. False if not all were finished.
+    async fn drain(&mut self, end: Instant, bound: Instant) -> bool {
         self.stop.closing.cancel();
         self.node.tasks.close();
         let tasks = self.node.tasks.clone();
@@ -125,14 +135,28 @@
             let _ = (&mut self.serving).await;
             tasks.wait().await;
         };
-        if tokio::time::timeout_at(bound, done).await.is_ok() {
+        tokio::pin!(done);
+        if tokio::time::timeout_at(end, &mut done).await.is_ok() {
             return true;
         }
         log::error!(
-            "server: The last bound has passed; aborting {} tasks.",
+            "server: The last bound is near; refusing what has no answer of {} tasks.",
             self.node.tasks.len()
         );
+        self.node.end.reach();
+        if tokio::time::timeout_at(bound, &mut done).await.is_ok() {
+            return false;
+        }
+        log::error!(
+            "server: The last bound has passed; aborting {} tasks, streams under way among them.",
+            self.node.tasks.len()
+        );
+        self.node.end.abort();
         self.stop.abort.cancel();
+        if tokio::time::timeout(ABORT_TIMEOUT, done).await.is_err() {
+            let left = self.node.tasks.len();
+            log::error!("server: {left} aborted tasks have not ended.");
+        }
         false
     }
 
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -89,10 +89,22 @@
         }
     }
 
+    /// The refusal to return if this VM ends before the request has an answer.
+    #[must_use]
+    pub fn ended(&self) -> Refusal {
+        if self.started {
+            return Refusal::aborted(self.run());
+        }
+        Refusal::shutting_down()
+    }
+
     /// Corrects a refusal that occurred between attempts: `not_run` holds only if no earlier attempt may
     /// have started.
     #[must_use]
     pub fn correct_run(&self, mut refusal: Refusal) -> Refusal {
+        if self.started && refusal.code == Code::ShuttingDown {
+            return self.ended();
+        }
         if self.started && refusal.run == Run::NotRun {
             refusal.run = Run::Unknown;
         }
--- a/crates/entry/tests/all/ending.rs
+++ b/crates/entry/tests/all/ending.rs
@@ -1,9 +1,7 @@
 //! The end of an entry VM: what requests get that it can't finish.
 
-use std::time::Duration;
-
-use hyper::Method;
 use hyper::StatusCode;
+use pimento_contract::Value;
 use pimento_ledger::record::ClaimRecord;
 use pimento_ledger::record::Run as LoggedRun;
 use pimento_scheduler::Job;
@@ -11,8 +9,10 @@
 use pimento_scheduler::Pool;
 use pimento_scheduler::Requirement;
 use pimento_standin::Handler;
+use pimento_standin::engine::Quality;
 use pimento_standin::fault::Action;
 use pimento_standin::fault::Rule;
+use pimento_units::Share;
 use pimento_units::Tokens;
 use pimento_wire::api::Run;
 use tokio::io::AsyncReadExt;
@@ -23,8 +23,10 @@
 use crate::support::Entry;
 use crate::support::Fixture;
 use crate::support::KEY;
+use crate::support::LARGE;
 use crate::support::SMALL;
 use crate::support::TIMEOUT;
+use crate::support::contract;
 use crate::support::name;
 use crate::support::wait_until;
 
@@ -146,6 +148,35 @@
     assert_eq!(fixture.started(), 0);
 }
 
+/// The VM ends while a better answer is sought. Guards against the loss of the answer that it has.
+#[tokio::test]
+async fn an_answer_at_hand_is_returned_when_the_better_one_cannot_be_had() {
+    let fixture = Fixture::start(1).await;
+    fixture.publish(Value::Contract(contract(&[LARGE, SMALL], 0.95)));
+    let quality = |version, share| Quality {
+        version: name(version),
+        share,
+    };
+    let engine = &fixture.engines[0];
+    engine.handler.change(|settings| {
+        settings.quality = vec![quality(SMALL, Share::ZERO), quality(LARGE, Share::ONE)];
+    });
+    let rule = Rule::new(Action::Hang).on("POST", "/v1/chat/completions");
+    engine.faults.set_rules([rule.containing(LARGE)]);
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let request = entry.chat("answer in 10 tokens", true);
+    let pending = tokio::spawn(request.header("request-timeout", LONG_TIMEOUT).send());
+    wait_until("the large version is asked", || {
+        engine.faults.table().rules[0].hits == 1
+    })
+    .await;
+    assert!(!entry.running.shut_down().await);
+    let answer = pending.await.expect("an answer");
+    assert!(answer.whole_stream(), "{answer:?}");
+    assert_eq!(answer.header("model-version"), SMALL);
+    assert_eq!(fixture.bills().len(), 1);
+}
+
 /// The VM ends before a body is complete. Guards against a connection that closes without an answer.
 #[tokio::test]
 async fn a_request_whose_body_is_not_there_is_refused_as_not_run_before_the_end() {
@@ -169,19 +200,12 @@
     assert!(answer.contains("not_run"), "{answer:?}");
 }
 
-/// A stream is cut at the last bound. Guards against a count that says that its caller left.
-#[tokio::test]
-async fn a_stream_that_the_vm_cuts_is_counted_as_such() {
-    let fixture = Fixture::start(1).await;
-    fixture.engines[0]
-        .handler
-        .change(|settings| settings.token_us = 50_000);
-    let entry = fixture.entry_with("entry-1", &SHORT).await;
+/// A stream of which its caller has the first piece.
+pub async fn begun_stream(entry: &Entry) -> TcpStream {
     let mut stream = TcpStream::connect(entry.running.caller_address)
         .await
         .unwrap();
-    let request = entry.chat("answer in 400 tokens", true);
-    let body = request.content();
+    let body = entry.chat("answer in 400 tokens", true).content();
     let head = format!(
         "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {KEY}\r\n\
          request-timeout: {LONG_TIMEOUT}\r\ncontent-length: {}\r\n\r\n",
@@ -189,20 +213,27 @@
     );
     stream.write_all(head.as_bytes()).await.unwrap();
     stream.write_all(&body).await.unwrap();
-    let mut piece = vec![0; 4096];
+    let mut piece = [0; 4096];
     let read = stream.read(&mut piece).await.unwrap();
     assert!(piece[..read].starts_with(b"HTTP/1.1 200 "));
-    let reading =
-        tokio::spawn(async move { while stream.read(&mut piece).await.unwrap_or(0) > 0 {} });
+    stream
+}
+
+/// A stream is cut at the last bound. Guards against a count that says that its caller left.
+#[tokio::test]
+async fn a_stream_that_the_vm_cuts_is_counted_as_such() {
+    let fixture = Fixture::start(1).await;
+    let engine = &fixture.engines[0];
+    engine.handler.change(|settings| settings.token_us = 50_000);
+    let entry = fixture.entry_with("entry-1", &SHORT).await;
+    let _stream = begun_stream(&entry).await;
     let node = entry.running.node.clone();
     assert!(!entry.running.shut_down().await);
-    reading.await.unwrap();
     let metrics = String::from_utf8(node.metrics.text()).unwrap();
     let series = r#"pimento_refusals_total{code="aborted",run="unknown"} 1"#;
     assert!(metrics.contains(series), "{metrics}");
-    let engines = &fixture.engines;
     wait_until("the engine was told to stop", || {
-        engines[0].handler.stats().cancelled == 1
+        engine.handler.stats().cancelled == 1
     })
     .await;
 }
--- a/crates/entry/tests/all/shutdown.rs
+++ b/crates/entry/tests/all/shutdown.rs
@@ -1,7 +1,9 @@
 //! Clean shutdown under load.
 
 use hyper::StatusCode;
+use tokio::io::AsyncReadExt;
 
+use crate::ending::begun_stream;
 use crate::support::Fixture;
 use crate::support::wait_until;
 
@@ -45,12 +47,11 @@
         .change(|settings| settings.token_us = 200_000);
     let settings = [("grace", "0ms"), ("last-bound", "300ms")];
     let entry = fixture.entry_with("entry-1", &settings).await;
-    let request = entry.chat("answer in 400 tokens", true);
-    let request = request.header("request-timeout", "600").send();
-    let pending = tokio::spawn(request);
-    wait_until("the stream has started", || fixture.started() == 1).await;
+    let mut stream = begun_stream(&entry).await;
     assert!(!entry.running.shut_down().await);
-    // The client reports an aborted body, on which the helper panics.
-    assert!(pending.await.is_err());
+    let mut rest = Vec::new();
+    let end = stream.read_to_end(&mut rest).await;
+    // The last chunk of a complete body is empty.
+    assert!(end.is_err() || !rest.ends_with(b"0\r\n\r\n"), "{rest:?}");
     assert!(fixture.bills().is_empty());
 }
