Test: a shutdown strands a grant that is on its way

A VM that ends while it requests another grant ahead of need returns what it has, and gets the grant afterwards.

--- a/crates/coordination/tests/streams/grants.rs
+++ b/crates/coordination/tests/streams/grants.rs
@@ -174,6 +174,29 @@
     token.cancel();
 }
 
+/// A node shuts down while it requests a grant ahead of need. Guards against money that nobody can spend
+/// until the period ends.
+#[tokio::test(start_paused = true)]
+async fn a_shutdown_returns_a_grant_that_is_on_its_way() {
+    let log = Memory::new();
+    let token = CancellationToken::new();
+    let contract = contract();
+    let one = wallet(&log, "node-1", &token);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    // At this rate the first grant is soon spent, so that the wallet requests another one.
+    let mut spent = Money::ZERO;
+    for _ in 0..20 {
+        let hold = one.reserve(account(&contract), CALL, 1, deadline).await;
+        spent += hold.expect("granted").settle(CALL);
+    }
+    assert_eq!(log.records(Stream::Grants).len(), 1);
+    one.close(deadline).await;
+    let two = wallet(&log, "node-2", &token);
+    let (more, _) = spend_all(&two, &contract).await;
+    assert_eq!(spent + more, LIMIT);
+    token.cancel();
+}
+
 /// Other wallets, called without a network. Responses can be lost after the transfer took effect.
 #[derive(Clone, Default)]
 struct Neighbours {
