Return a grant that is still on its way when a VM ends

Customers near their limit: a VM that ends while it requests a grant ahead of need got the grant after it had returned the rest. Its name is that of one run of the process, so that nobody could spend the grant until the period's end, and no line said so.

Cause: requests ahead are spawned, and the close neither waited for them nor counted what had been read since the last call. Change: it waits for them until its deadline, with a line if they don't end, and updates each balance before it returns what is available.

Not covered: a request whose outcome is unknown at its timeout; money that a peer transferred, which can't be returned under this name.

--- a/crates/coordination/src/grants.rs
+++ b/crates/coordination/src/grants.rs
@@ -286,14 +286,16 @@
     }
 
     /// Returns all money that is not reserved, and waits until the returns are appended or until
-    /// `deadline`.
+    /// `deadline`. No call may be reserved for after this.
     pub async fn close(&self, deadline: Instant) {
+        self.shared.finish_requests(deadline).await;
         let returns: Vec<(id::Customer, u64, Money)> = {
             let mut balances = self.shared.balances();
             let returns = balances.iter_mut().map(|balance| {
                 // Transferred money cannot be returned under this name: the fold would refuse the
                 // return.
                 let granted = self.shared.granted(&balance.customer, balance.period);
+                balance.update(granted);
                 let amount = balance.grants.available().min(granted);
                 let amount = balance.grants.release(amount);
                 balance.returning += amount;
--- a/crates/coordination/src/grants/shared.rs
+++ b/crates/coordination/src/grants/shared.rs
@@ -135,6 +135,19 @@
         read.is_some()
     }
 
+    /// Waits for grants that were requested ahead. Nobody could spend one that came after the returns, until
+    /// the period ends.
+    pub(super) async fn finish_requests(&self, deadline: Instant) {
+        let tasks = &self.tasks;
+        tasks.close();
+        if tokio::time::timeout_at(deadline, tasks.wait())
+            .await
+            .is_err()
+        {
+            log::warn!("grants: {} requests have not ended.", tasks.len());
+        }
+    }
+
     /// Waits until the follower has read past `written`, or until `find` finds the record.
     async fn wait_passed(
         &self,
