--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts of a model request at engines of one version, with hedging, resuming and retries.
 
+mod hedged;
 mod opened;
 
 use std::future::Future;
@@ -7,12 +8,10 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use futures::future::Either;
 use pimento_contract::Version;
 use pimento_endpoint::Fault;
 use pimento_endpoint::engine::Call;
 use pimento_endpoint::engine::Remote;
-use pimento_policy::hedge;
 use pimento_policy::retry;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
@@ -36,9 +35,6 @@
 use crate::refusal::Refusal;
 use crate::trace::Trace;
 
-/// Expected tokens from which an attempt counts as long for hedging. The queue has a threshold of its own.
-const LONG_JOB: Tokens = Tokens(6_000);
-
 /// Sends a request to engines of one version.
 #[derive(Debug, Clone)]
 pub struct Attempt<'a>(pub &'a Node);
@@ -286,67 +282,6 @@
         opened.abort.disarm();
     }
 
-    /// Starts an answer. If a short request waits unusually long for its first chunk, starts it at a second
-    /// engine too and uses the answer that starts first.
-    async fn open_hedged(
-        &self,
-        permit: Permit,
-        context: &mut Context<'_>,
-    ) -> Result<Opened, Fault> {
-        let node = self.0;
-        let time_left = context.request.identity.deadline.since(node.clock.now());
-        let long = self.expected_tokens(context) >= LONG_JOB;
-        let attempt = hedge::Attempt {
-            repeatable: true,
-            long,
-            time_left,
-        };
-        let delay = node.retries.hedge_delay(context.version, attempt);
-        context.trace.attempts += 1;
-        let endpoint = permit.endpoint().clone();
-        let first = self.open(permit, context);
-        tokio::pin!(first);
-        let Some(delay) = delay else {
-            return first.await;
-        };
-        tokio::select! {
-            biased;
-            opened = &mut first => return opened,
-            () = tokio::time::sleep(delay) => {}
-        }
-        let Some(permit) = self.acquire_hedge(context, &endpoint) else {
-            return first.await;
-        };
-        node.metrics.record_attempt(context.pool, "hedged");
-        let second = self.open(permit, context);
-        tokio::pin!(second);
-        match futures::future::select(first, second).await {
-            Either::Left((Ok(opened), _)) | Either::Right((Ok(opened), _)) => Ok(opened),
-            Either::Left((Err(fault), remaining)) => remaining
-                .await
-                .map_err(|other| prefer_maybe_run(fault, other)),
-            Either::Right((Err(fault), remaining)) => remaining
-                .await
-                .map_err(|other| prefer_maybe_run(fault, other)),
-        }
-    }
-
-    /// Acquires a free slot at another engine, if the retry budgets allow a hedge.
-    fn acquire_hedge(&self, context: &Context<'_>, first: &id::Endpoint) -> Option<Permit> {
-        let node = self.0;
-        self.usable_version(context)?;
-        node.ensure_not_blocked(context.request.digest).ok()?;
-        let mut job = self.job(context);
-        job.tried.push(first.clone());
-        let permit = node.scheduler.pool(context.pool).try_acquire(&job)?;
-        let customer = &context.request.customer;
-        let allowed = permit.endpoint() != first
-            && node
-                .retries
-                .try_withdraw(customer, context.pool, node.clock.now());
-        allowed.then_some(permit)
-    }
-
     /// Waits until an attempt without a first chunk is to be abandoned. The first chunk has the first token.
     ///
     /// An engine that hangs would otherwise hold a request for half of its time. But first chunks are also
@@ -440,11 +375,6 @@
     }
 }
 
-/// Of two faults, the one after which the request may have run, if any.
-fn prefer_maybe_run(one: Fault, other: Fault) -> Fault {
-    if one.not_run() { other } else { one }
-}
-
 /// The label in metrics for an attempt that was given up because this VM ends.
 pub const ENDED: &str = "ended";
 
--- a/crates/entry/tests/all/ending.rs
+++ b/crates/entry/tests/all/ending.rs
@@ -148,6 +148,37 @@
     assert_eq!(fixture.started(), 0);
 }
 
+/// A VM that is told to stop has more work than time. Guards against a wait that can't succeed.
+#[tokio::test]
+async fn what_a_stopping_vm_cannot_begin_in_time_is_refused_at_once() {
+    let fixture = Fixture::start(1).await;
+    fixture.engines[0]
+        .handler
+        .change(|settings| settings.token_us = 50_000);
+    let settings = [("grace", "3s"), ("last-bound", "1s")];
+    let entry = fixture.entry_with("entry-1", &settings).await;
+    let request = || {
+        let request = entry.chat("answer in 400 tokens", false);
+        request.header("request-timeout", LONG_TIMEOUT)
+    };
+    let pending: Vec<_> = (0..60).map(|_| tokio::spawn(request().send())).collect();
+    let engines = pool(&entry, "pimento-llm");
+    wait_until("many requests wait", || engines.metrics().waiting > 20).await;
+    let late = request();
+    let node = entry.running.node.clone();
+    let shutdown = tokio::spawn(entry.running.shut_down());
+    wait_until("the VM is leaving", || !node.ready()).await;
+    let answer = late.send().await;
+    assert!(!node.end.is_reached(), "refused only at the end");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert_eq!(answer.error_body().error.code, "shutting_down");
+    shutdown.await.unwrap();
+    for pending in pending {
+        let answer = pending.await.expect("an answer");
+        assert_ne!(answer.status, StatusCode::OK);
+    }
+}
+
 /// The VM ends while a better answer is sought. Guards against the loss of the answer that it has.
 #[tokio::test]
 async fn an_answer_at_hand_is_returned_when_the_better_one_cannot_be_had() {
