--- a/crates/entry/tests/all/ending.rs
+++ b/crates/entry/tests/all/ending.rs
@@ -179,6 +179,36 @@
     }
 }
 
+/// A slot is free only when too little time is left. Guards against a send that the VM's end cuts off.
+#[tokio::test]
+async fn a_request_that_gets_its_slot_too_late_is_not_sent() {
+    let fixture = Fixture::start(1).await;
+    fixture.engines[0]
+        .handler
+        .change(|settings| settings.token_us = 50_000);
+    let settings = [("grace", "0ms"), ("last-bound", "2s")];
+    let entry = fixture.entry_with("entry-1", &settings).await;
+    let request = || {
+        let request = entry.chat("answer in 60 tokens", false);
+        request.header("request-timeout", LONG_TIMEOUT)
+    };
+    assert_eq!(request().send().await.status, StatusCode::OK);
+    let permits = fill(&entry);
+    let pending = tokio::spawn(request().send());
+    let engines = pool(&entry, "pimento-llm");
+    wait_until("it waits", || engines.metrics().waiting == 1).await;
+    let node = entry.running.node.clone();
+    let shutdown = tokio::spawn(entry.running.shut_down());
+    wait_until("the VM is leaving", || !node.ready()).await;
+    drop(permits);
+    let answer = pending.await.expect("an answer");
+    assert_eq!(answer.status, StatusCode::SERVICE_UNAVAILABLE, "{answer:?}");
+    assert_eq!(answer.error_body().error.code, "shutting_down");
+    assert_eq!(answer.error_body().error.run, Run::NotRun);
+    assert_eq!(fixture.started(), 1);
+    assert!(shutdown.await.unwrap());
+}
+
 /// The VM ends while a better answer is sought. Guards against the loss of the answer that it has.
 #[tokio::test]
 async fn an_answer_at_hand_is_returned_when_the_better_one_cannot_be_had() {
