Don't send what a stopping VM gets a slot for too late

A request that waits when its VM is told to stop has the caller's deadline in the queue. It was sent when a slot came shortly before the VM's end, cut off half a second before the last bound, and got 504 with an unknown run; it could have had 503, not run, and gone to another VM.

Admission now compares the expected run time with what is left of the VM's time, if that is less than the caller's, and gives the slot back.

--- a/crates/entry/src/filter/admission.rs
+++ b/crates/entry/src/filter/admission.rs
@@ -44,19 +44,28 @@
         let started = self.0.clock.now();
         let pool = self.0.scheduler.pool(slot_request.pool);
         let identity = slot_request.identity;
-        let slot = pool.acquire(slot_request.job, &identity.caller_gone);
+        let job = slot_request.job;
+        let version = job.requirement.version.clone();
+        let tokens = job.tokens;
+        let slot = pool.acquire(job, &identity.caller_gone);
         let permit = match identity.end.run(slot).await {
             Some(Ok(permit)) => permit,
             // Another VM may have the time that this one lacks.
             Some(Err(NoSlot::Overloaded { .. } | NoSlot::Expired { .. }))
-                if identity.work_deadline() < identity.deadline =>
+                if identity.is_cut_short() =>
             {
                 return Err(Refusal::shutting_down());
             }
             Some(Err(no_slot)) => return Err(no_slot.into()),
             None => return Err(Refusal::shutting_down()),
         };
-        let waited = self.0.clock.now().since(started);
+        let now = self.0.clock.now();
+        // The VM may have been told to stop while the request waited.
+        let run_time = pool.expected_run_time(version.as_ref(), tokens);
+        if identity.is_cut_short() && now + run_time > identity.work_deadline() {
+            return Err(Refusal::shutting_down());
+        }
+        let waited = now.since(started);
         Ok(Admitted { permit, waited })
     }
 }
--- a/crates/entry/src/filter/identify.rs
+++ b/crates/entry/src/filter/identify.rs
@@ -72,6 +72,12 @@
     pub fn work_deadline(&self) -> Moment {
         self.end.bound(self.deadline)
     }
+
+    /// Whether this VM ends before the caller's deadline.
+    #[must_use]
+    pub fn is_cut_short(&self) -> bool {
+        self.work_deadline() < self.deadline
+    }
 }
 
 /// A body and its share of the memory for requests in flight.
