Tell a cut stream from a request given up, and cut it without a clean end

Two attempts that end with the VM looked the same in log and metrics: one whose caller gets an error, and a stream that is cut. Log lines and pimento_attempts_total now say which (ended, aborted).

Streams now give up once all connections are closed; a chunk that fails in between counts as aborted too.

The metrics' result of a fault moves to metrics.rs.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -33,7 +33,6 @@
 use crate::filter::Filter;
 use crate::filter::admission::Admission;
 use crate::filter::admission::SlotRequest;
-use crate::filter::attempt;
 use crate::filter::bill;
 use crate::filter::bill::Answered;
 use crate::filter::bill::Billing;
@@ -44,6 +43,8 @@
 use crate::filter::claim::ClaimedCall;
 use crate::filter::contract::Contract;
 use crate::filter::reply;
+use crate::metrics;
+use crate::metrics::ENDED;
 use crate::metrics::NO_CLASS;
 use crate::metrics::Sample;
 use crate::node::Node;
@@ -153,8 +154,8 @@
                     "attempt: {endpoint} failed for {}: {fault}.",
                     call.identity.id
                 );
-                node.metrics
-                    .record_attempt(&call.service.pool, attempt::label(&fault));
+                let result = metrics::result(&fault, &call.identity.end);
+                node.metrics.record_attempt(&call.service.pool, result);
                 trace.record_failure(&endpoint, &fault);
                 if !should_retry(node, call, trace, &fault) {
                     return Err(trace.refusal(&fault));
@@ -167,9 +168,9 @@
 /// Records that the attempt is given up because this VM ends, which tells nothing of the endpoint.
 fn record_end(node: &Node, call: &Call, trace: &mut Trace, endpoint: &id::Endpoint) -> Refusal {
     let id = call.identity.id;
-    log::warn!("attempt: This VM ends, {id} at {endpoint} is given up.");
+    log::warn!("attempt: This VM ends, {id} at {endpoint}: it is given up.");
     let pool = &call.service.pool;
-    node.metrics.record_attempt(pool, attempt::ENDED);
+    node.metrics.record_attempt(pool, ENDED);
     trace.record_start();
     trace.ended()
 }
--- a/crates/entry/src/end.rs
+++ b/crates/entry/src/end.rs
@@ -15,6 +15,7 @@
     at: Arc<OnceLock<Moment>>,
     reached: CancellationToken,
     aborted: CancellationToken,
+    closed: CancellationToken,
 }
 
 impl End {
@@ -50,20 +51,25 @@
         self.reached.run_until_cancelled(work).await
     }
 
-    /// Waits until a request must give up: at the end, or at the abort if it has `started` to answer.
+    /// Waits until a request must give up: at the end or, if its answer has `started`, when connections are
+    /// closed. If a stream gave up before that, its caller could get a clean end.
     pub async fn passed(&self, started: Arc<AtomicBool>) {
         self.reached.cancelled().await;
         if started.load(Ordering::Relaxed) {
-            self.aborted.cancelled().await;
+            self.closed.cancelled().await;
         }
     }
 
-    /// Gives up all that is left. To be called before connections are closed.
+    /// Records that this VM closes its callers' connections. To be called before it does so.
     pub fn abort(&self) {
-        self.reached.cancel();
         self.aborted.cancel();
     }
 
+    /// Gives up the rest after all connections were closed.
+    pub fn close(&self) {
+        self.closed.cancel();
+    }
+
     /// Whether this VM closes its callers' connections.
     #[must_use]
     pub fn is_aborted(&self) -> bool {
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -31,6 +31,9 @@
 use crate::filter::delivery::Answer;
 use crate::filter::delivery::Delivery;
 use crate::filter::identify::Request;
+use crate::metrics;
+use crate::metrics::ABORTED;
+use crate::metrics::ENDED;
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::trace::Trace;
@@ -158,7 +161,8 @@
             _ => log::Level::Info,
         };
         log::log!(level, "attempt: {endpoint} failed for {id}: {fault}.");
-        node.metrics.record_attempt(context.pool, label(fault));
+        let result = metrics::result(fault, &context.request.identity.end);
+        node.metrics.record_attempt(context.pool, result);
         context.trace.record_failure(endpoint, fault);
         let is_neutral = fault.not_run() || *fault == Fault::Cancelled;
         if !is_neutral {
@@ -170,8 +174,13 @@
     /// Records that an attempt is given up because this VM ends, which tells nothing of the endpoint.
     fn record_end(&self, context: &mut Context<'_>, endpoint: &id::Endpoint) -> Error {
         let id = context.request.identity.id;
-        log::warn!("attempt: This VM ends, {id} at {endpoint} is given up.");
-        self.0.metrics.record_attempt(context.pool, ENDED);
+        let (end, label) = if context.delivery.has_started() {
+            ("its stream is cut", ABORTED)
+        } else {
+            ("it is given up", ENDED)
+        };
+        log::warn!("attempt: This VM ends, {id} at {endpoint}: {end}.");
+        self.0.metrics.record_attempt(context.pool, label);
         context.trace.record_start();
         Error::Ended
     }
@@ -374,20 +383,3 @@
         }
     }
 }
-
-/// The label in metrics for an attempt that was given up because this VM ends.
-pub const ENDED: &str = "ended";
-
-/// The label for a fault in metrics.
-#[must_use]
-pub const fn label(fault: &Fault) -> &'static str {
-    match fault {
-        Fault::Unreachable { .. } => "unreachable",
-        Fault::Refused { .. } => "refused",
-        Fault::Failed { .. } => "failed",
-        Fault::Interrupted { .. } => "cut",
-        Fault::Invalid { .. } => "nonsense",
-        Fault::Timeout => "timeout",
-        Fault::Cancelled => "cancelled",
-    }
-}
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pimento_endpoint::Fault;
 use pimento_metrics::BoundedLabels;
 use pimento_metrics::counter;
 use pimento_metrics::gauge;
@@ -17,6 +18,7 @@
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
+use crate::end::End;
 use crate::refusal::Code;
 
 /// Bucket bounds of the latency histograms, in seconds. They are finest around 0.41 s, the target
@@ -36,6 +38,27 @@
 /// Class label of requests without a class, which are calls of plain services.
 pub const NO_CLASS: &str = "service";
 
+/// Result of an attempt that was given up because this VM ends. Its caller gets an error.
+pub const ENDED: &str = "ended";
+
+/// Result of an attempt whose stream was cut because this VM ends.
+pub const ABORTED: &str = "aborted";
+
+/// The result of an attempt that failed.
+#[must_use]
+pub fn result(fault: &Fault, end: &End) -> &'static str {
+    match fault {
+        Fault::Unreachable { .. } => "unreachable",
+        Fault::Refused { .. } => "refused",
+        Fault::Failed { .. } => "failed",
+        Fault::Interrupted { .. } => "cut",
+        Fault::Invalid { .. } => "nonsense",
+        Fault::Timeout => "timeout",
+        Fault::Cancelled if end.is_aborted() => ABORTED,
+        Fault::Cancelled => "cancelled",
+    }
+}
+
 /// The metrics of an entry VM.
 #[derive(Debug)]
 pub struct Metrics {
--- a/crates/entry/src/run.rs
+++ b/crates/entry/src/run.rs
@@ -131,8 +131,10 @@
         self.stop.closing.cancel();
         self.node.tasks.close();
         let tasks = self.node.tasks.clone();
+        let end_of_vm = self.node.end.clone();
         let done = async {
             let _ = (&mut self.serving).await;
+            end_of_vm.close();
             tasks.wait().await;
         };
         tokio::pin!(done);
--- a/crates/entry/tests/all/ending.rs
+++ b/crates/entry/tests/all/ending.rs
@@ -90,6 +90,8 @@
     let metrics = String::from_utf8(node.metrics.text()).unwrap();
     let series = r#"pimento_refusals_total{code="aborted",run="unknown"} 2"#;
     assert!(metrics.contains(series), "{metrics}");
+    let series = r#"pimento_attempts_total{pool="pimento-llm",result="ended"} 2"#;
+    assert!(metrics.contains(series), "{metrics}");
 }
 
 /// The VM ends while a call that may not be repeated is under way. Guards against a lost outcome.
@@ -293,6 +295,8 @@
     let metrics = String::from_utf8(node.metrics.text()).unwrap();
     let series = r#"pimento_refusals_total{code="aborted",run="unknown"} 1"#;
     assert!(metrics.contains(series), "{metrics}");
+    let series = r#"pimento_attempts_total{pool="pimento-llm",result="aborted"} 1"#;
+    assert!(metrics.contains(series), "{metrics}");
     wait_until("the engine was told to stop", || {
         engine.handler.stats().cancelled == 1
     })
--- a/tests/all/fleet/mod.rs
+++ b/tests/all/fleet/mod.rs
@@ -338,6 +338,11 @@
         self.child = Some(child);
     }
 
+    /// Sets a variable for the next start of the process.
+    pub fn set(&mut self, variable: &'static str, value: &str) {
+        self.environment.push((variable, value.to_owned()));
+    }
+
     /// Kills the process without a shutdown, as when a VM is lost.
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
