--- a/crates/control/tests/all/main.rs
+++ b/crates/control/tests/all/main.rs
@@ -3,6 +3,7 @@
 mod daemon;
 mod decisions;
 mod fakes;
+mod leases;
 mod orders;
 mod rollouts;
 mod settings;
