--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts of a model request at engines of one version, with hedging, resuming and retries.
 
+mod hedged;
 mod opened;
 
 use std::future::Future;
@@ -7,12 +8,10 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 
-use futures::future::Either;
 use pimento_contract::Version;
 use pimento_endpoint::Fault;
 use pimento_endpoint::engine::Call;
 use pimento_endpoint::engine::Remote;
-use pimento_policy::hedge;
 use pimento_policy::retry;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
@@ -32,13 +31,13 @@
 use crate::filter::delivery::Answer;
 use crate::filter::delivery::Delivery;
 use crate::filter::identify::Request;
+use crate::metrics;
+use crate::metrics::ABORTED;
+use crate::metrics::ENDED;
 use crate::node::Node;
 use crate::refusal::Refusal;
 use crate::trace::Trace;
 
-/// Expected tokens from which an attempt counts as long for hedging. The queue has a threshold of its own.
-const LONG_JOB: Tokens = Tokens(6_000);
-
 /// Sends a request to engines of one version.
 #[derive(Debug, Clone)]
 pub struct Attempt<'a>(pub &'a Node);
@@ -72,6 +71,8 @@
     Refused(Refusal),
     /// The attempts failed.
     Failed(Fault),
+    /// This VM ends, and the caller has no part of the answer yet.
+    Ended,
 }
 
 impl<'a> Attempt<'a> {
@@ -87,7 +88,7 @@
             let slot_request = SlotRequest {
                 pool: context.pool,
                 job: self.job(context),
-                caller_gone: &context.request.identity.caller_gone,
+                identity: &context.request.identity,
             };
             let admitted = Admission(self.0)
                 .apply(slot_request)
@@ -97,7 +98,8 @@
             let version = self.usable_version(context).ok_or(Error::Withdrawn)?;
             self.0.ensure_not_blocked(digest).map_err(Error::Refused)?;
             let endpoint = admitted.permit.endpoint().clone();
-            match self.attempt_once(admitted.permit, &version, context).await {
+            let result = self.attempt_once(admitted.permit, &version, context).await;
+            match result.ok_or_else(|| self.record_end(context, &endpoint))? {
                 Ok(answer) => {
                     self.0.record_complete_answer(digest);
                     let now = self.0.clock.now();
@@ -139,7 +141,7 @@
             weight: request.weight,
             priority: request.class.priority,
             tokens: self.expected_tokens(context),
-            deadline: request.identity.deadline,
+            deadline: request.identity.work_deadline(),
             requirement: Requirement::version(Some(context.version.clone())),
             prefix: first_message.map(|m| xxhash_rust::xxh3::xxh3_64(m.content.as_bytes())),
             prompt: None,
@@ -159,7 +161,8 @@
             _ => log::Level::Info,
         };
         log::log!(level, "attempt: {endpoint} failed for {id}: {fault}.");
-        node.metrics.record_attempt(context.pool, label(fault));
+        let result = metrics::result(fault, &context.request.identity.end);
+        node.metrics.record_attempt(context.pool, result);
         context.trace.record_failure(endpoint, fault);
         let is_neutral = fault.not_run() || *fault == Fault::Cancelled;
         if !is_neutral {
@@ -168,6 +171,20 @@
         }
     }
 
+    /// Records that an attempt is given up because this VM ends, which tells nothing of the endpoint.
+    fn record_end(&self, context: &mut Context<'_>, endpoint: &id::Endpoint) -> Error {
+        let id = context.request.identity.id;
+        let (end, label) = if context.delivery.has_started() {
+            ("its stream is cut", ABORTED)
+        } else {
+            ("it is given up", ENDED)
+        };
+        log::warn!("attempt: This VM ends, {id} at {endpoint}: {end}.");
+        self.0.metrics.record_attempt(context.pool, label);
+        context.trace.record_start();
+        Error::Ended
+    }
+
     /// Whether to make another attempt. Once a part of the answer has been sent to the caller, only a
     /// deterministic answer can be generated again from its start.
     fn should_retry(&self, context: &mut Context<'_>, fault: &Fault) -> bool {
@@ -179,13 +196,15 @@
         // to try elsewhere.
         if matches!(fault, Fault::Refused { .. }) {
             let identity = &request.identity;
-            let half_time = identity.arrived + identity.deadline.since(identity.arrived) / 2;
+            let time = identity.work_deadline().since(identity.arrived);
+            let half_time = identity.arrived + time / 2;
             context.trace.record_refusal();
             return now < half_time;
         }
         let is_repeatable =
             !context.delivery.has_started() || request.chat.temperature == Some(0.0);
-        if *fault == Fault::Cancelled || !is_repeatable || now >= request.identity.deadline {
+        let deadline = request.identity.work_deadline();
+        if *fault == Fault::Cancelled || !is_repeatable || now >= deadline {
             return false;
         }
         let pool = node.scheduler.pool(context.pool);
@@ -193,7 +212,7 @@
             repeatable: true,
             attempts: context.trace.attempts,
             run_time: pool.expected_run_time(Some(context.version), self.expected_tokens(context)),
-            deadline: request.identity.deadline,
+            deadline,
         };
         if context.retry_charged.swap(false, Ordering::Relaxed) {
             return context.trace.attempts < retry::MAX_ATTEMPTS;
@@ -205,16 +224,19 @@
             .try_retry(&request.customer, context.pool, failure, now)
     }
 
+    /// `None` if this VM ends first.
     async fn attempt_once(
         &self,
         permit: Permit,
         version: &Version,
         context: &mut Context<'_>,
-    ) -> Result<Answer, Fault> {
-        let caller_gone = context.request.identity.caller_gone.clone();
+    ) -> Option<Result<Answer, Fault>> {
+        let identity = &context.request.identity;
+        let passed = identity.end.passed(context.delivery.started());
         tokio::select! {
-            answer = self.run(permit, version, context) => answer,
-            () = caller_gone.cancelled() => Err(Fault::Cancelled),
+            answer = self.run(permit, version, context) => Some(answer),
+            () = identity.caller_gone.cancelled() => Some(Err(Fault::Cancelled)),
+            () = passed => None,
         }
     }
 
@@ -269,67 +291,6 @@
         opened.abort.disarm();
     }
 
-    /// Starts an answer. If a short request waits unusually long for its first chunk, starts it at a second
-    /// engine too and uses the answer that starts first.
-    async fn open_hedged(
-        &self,
-        permit: Permit,
-        context: &mut Context<'_>,
-    ) -> Result<Opened, Fault> {
-        let node = self.0;
-        let time_left = context.request.identity.deadline.since(node.clock.now());
-        let long = self.expected_tokens(context) >= LONG_JOB;
-        let attempt = hedge::Attempt {
-            repeatable: true,
-            long,
-            time_left,
-        };
-        let delay = node.retries.hedge_delay(context.version, attempt);
-        context.trace.attempts += 1;
-        let endpoint = permit.endpoint().clone();
-        let first = self.open(permit, context);
-        tokio::pin!(first);
-        let Some(delay) = delay else {
-            return first.await;
-        };
-        tokio::select! {
-            biased;
-            opened = &mut first => return opened,
-            () = tokio::time::sleep(delay) => {}
-        }
-        let Some(permit) = self.acquire_hedge(context, &endpoint) else {
-            return first.await;
-        };
-        node.metrics.record_attempt(context.pool, "hedged");
-        let second = self.open(permit, context);
-        tokio::pin!(second);
-        match futures::future::select(first, second).await {
-            Either::Left((Ok(opened), _)) | Either::Right((Ok(opened), _)) => Ok(opened),
-            Either::Left((Err(fault), remaining)) => remaining
-                .await
-                .map_err(|other| prefer_maybe_run(fault, other)),
-            Either::Right((Err(fault), remaining)) => remaining
-                .await
-                .map_err(|other| prefer_maybe_run(fault, other)),
-        }
-    }
-
-    /// Acquires a free slot at another engine, if the retry budgets allow a hedge.
-    fn acquire_hedge(&self, context: &Context<'_>, first: &id::Endpoint) -> Option<Permit> {
-        let node = self.0;
-        self.usable_version(context)?;
-        node.ensure_not_blocked(context.request.digest).ok()?;
-        let mut job = self.job(context);
-        job.tried.push(first.clone());
-        let permit = node.scheduler.pool(context.pool).try_acquire(&job)?;
-        let customer = &context.request.customer;
-        let allowed = permit.endpoint() != first
-            && node
-                .retries
-                .try_withdraw(customer, context.pool, node.clock.now());
-        allowed.then_some(permit)
-    }
-
     /// Waits until an attempt without a first chunk is to be abandoned. The first chunk has the first token.
     ///
     /// An engine that hangs would otherwise hold a request for half of its time. But first chunks are also
@@ -422,22 +383,3 @@
         }
     }
 }
-
-/// Of two faults, the one after which the request may have run, if any.
-fn prefer_maybe_run(one: Fault, other: Fault) -> Fault {
-    if one.not_run() { other } else { one }
-}
-
-/// The label for a fault in metrics.
-#[must_use]
-pub const fn label(fault: &Fault) -> &'static str {
-    match fault {
-        Fault::Unreachable { .. } => "unreachable",
-        Fault::Refused { .. } => "refused",
-        Fault::Failed { .. } => "failed",
-        Fault::Interrupted { .. } => "cut",
-        Fault::Invalid { .. } => "nonsense",
-        Fault::Timeout => "timeout",
-        Fault::Cancelled => "cancelled",
-    }
-}
