Close a stream's run before another endpoint gets the request

Cause: forward() handed the slot of the failed run on and kept the rest of its source, with the connection, until the next one was assigned to the variable. The connection was closed only once the next endpoint had sent its head: as long as that one queued the request, two endpoints worked on it, and the first one's slot counted as free.

Change: Source::close() consumes the source and returns the slot, so nothing of the run is left when the failure is recorded. The two places before the first event use it too; they were sound, as they returned at once.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -175,11 +175,11 @@
                 reason: "the stream has no event".into(),
             };
             attempts
-                .attempt_failed(source.permit, &fault)
+                .attempt_failed(source.close(), &fault)
                 .map(|()| None)
         }
         Err(fault) => attempts
-            .attempt_failed(source.permit, &fault)
+            .attempt_failed(source.close(), &fault)
             .map(|()| None),
     }
 }
@@ -307,7 +307,8 @@
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
-                    if let Err(refusal) = self.attempts.attempt_failed(source.permit, &fault) {
+                    // Resuming takes a while, in which two endpoints would work on the request.
+                    if let Err(refusal) = self.attempts.attempt_failed(source.close(), &fault) {
                         return StreamEnd::Aborted(refusal.cause);
                     }
                     source = match self.resume().await {
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -75,6 +75,11 @@
         self.next_within(left.min(DEFAULT_EVENT_TIMEOUT)).await
     }
 
+    /// Closes the connection, which stops the endpoint's work, and returns the slot.
+    pub fn close(self) -> Permit {
+        self.permit
+    }
+
     async fn next_within(&mut self, timeout: Duration) -> Result<Item, Fault> {
         loop {
             if let Some(event) = self.splitter.next_event() {
