Keep a silent stream's run until another endpoint is reserved

Callers saw an answer that was cut in its middle although its endpoint was at work and the deadline far off. This is what the record shows: cut 4.00 s after the last send, and no further send.

Cause: at a pause the run was dropped first, and then a slot, a connection, a retry and the checks were asked for. If any of them was refused, nothing was left to go on with. Where nobody could take over from the start, one longer silence was borne, and the second one broke the stream off; without a target for the gap, the first one of 4 s. A resumed run had 4 s for its first event, and three such runs were all.

Change: Attempts::open is split into reserve (slot, connection, checks, retry) and send. A silent run is kept while another endpoint is reserved (stream/silence.rs). An event that comes meanwhile is forwarded and ends the search. If one is reserved, the run is closed and the request sent, without a wait in between. If none can be had, the stream waits on, and asks again after each event timeout, until the response is due. The failure is recorded once, when the run is closed; a run that is still silent at the deadline is recorded as failed as well, for which the stream has 10 ms more.

The scheduler is told not to offer the run's own endpoint (Job::excluded): sent there anew, the request waits behind others for what it already has. It may be offered where this VM's links are suspect, since another VM may reach it.

Ruled out: sending first and closing the old run at the new head. It would have to be bounded by 400 ms, and an endpoint with a queue takes longer.

--- a/crates/entry/src/chain/service.rs
+++ b/crates/entry/src/chain/service.rs
@@ -175,6 +175,7 @@
             prompt: None,
             aim: None,
             tried: trace.tried.clone(),
+            excluded: None,
             previously_refused: call.identity.is_retry,
             repeatable: call.repeatable,
         },
--- a/crates/entry/src/filter/attempt.rs
+++ b/crates/entry/src/filter/attempt.rs
@@ -145,6 +145,7 @@
             prompt: None,
             aim: None,
             tried: context.trace.tried.clone(),
+            excluded: None,
             previously_refused: request.identity.is_retry,
             repeatable: true,
         }
--- a/crates/entry/tests/all/scheduler.rs
+++ b/crates/entry/tests/all/scheduler.rs
@@ -66,6 +66,7 @@
             prompt: None,
             aim: None,
             tried: Vec::new(),
+            excluded: None,
             previously_refused: false,
             repeatable: true,
         }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -51,6 +51,13 @@
     pub info: ResponseInfo,
 }
 
+/// A slot and a connection at an endpoint to which the request may be sent now.
+#[derive(Debug)]
+pub struct Reservation {
+    permit: Permit,
+    connection: Connection,
+}
+
 /// Values of one attempt that replace those of the caller's request.
 #[derive(Debug, Clone, Default)]
 pub struct Overrides {
@@ -147,9 +154,28 @@
     ///
     /// A [`Refusal`] if no further attempt may be made.
     pub async fn open(&mut self, overrides: &Overrides) -> Result<Opened, Refusal> {
+        loop {
+            let reservation = self.reserve(overrides, None).await?;
+            if let Some(opened) = self.send(reservation, overrides).await? {
+                return Ok(opened);
+            }
+        }
+    }
+
+    /// Reserves an endpoint for the next attempt, with all checks and a retry from the budget. It is not the
+    /// excluded one, which still runs the request. What is reserved must be sent at once.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if no endpoint can be had now. Nothing was sent.
+    pub async fn reserve(
+        &mut self,
+        overrides: &Overrides,
+        excluded: Option<&id::Endpoint>,
+    ) -> Result<Reservation, Refusal> {
         loop {
             self.check_not_blocked()?;
-            let mut permit = self.acquire_slot(overrides).await?;
+            let mut permit = self.acquire_slot(overrides, excluded).await?;
             let connection = match self.connect(&mut permit).await {
                 Ok(connection) => connection,
                 Err(failure) => {
@@ -164,9 +190,7 @@
             if self.state.sent > 0 && !self.consume_retry() {
                 return Err(self.no_retry_left());
             }
-            if let Some(opened) = self.send(permit, connection, overrides).await? {
-                return Ok(opened);
-            }
+            return Ok(Reservation { permit, connection });
         }
     }
 
@@ -281,12 +305,16 @@
     }
 
     /// Sends the request. Returns none if the attempt failed and another one may be made.
-    async fn send(
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if no further attempt may be made.
+    pub async fn send(
         &mut self,
-        permit: Permit,
-        connection: Connection,
+        reservation: Reservation,
         overrides: &Overrides,
     ) -> Result<Option<Opened>, Refusal> {
+        let Reservation { permit, connection } = reservation;
         let outgoing = self.outgoing_request(&permit, overrides);
         self.state.sent += 1;
         self.state.runs += 1;
@@ -329,7 +357,9 @@
 
     /// Makes further attempts avoid an endpoint if there is another.
     pub fn avoid(&mut self, endpoint: &id::Endpoint) {
-        self.state.tried.push(endpoint.clone());
+        if !self.state.tried.contains(endpoint) {
+            self.state.tried.push(endpoint.clone());
+        }
     }
 
     /// Records that an endpoint received the request and gave no usable response.
@@ -393,6 +423,19 @@
         Ok((response, info))
     }
 
+    /// Whether another endpoint may take over a run that still goes on, as far as can be told before one is
+    /// reserved.
+    #[must_use]
+    pub fn may_take_over(&self) -> bool {
+        self.may_retry() && self.has_retry_budget() && self.check_allowed().is_ok()
+    }
+
+    /// Time left until the response must be complete.
+    #[must_use]
+    pub fn left(&self) -> Duration {
+        self.request.left(self.node.now())
+    }
+
     /// The request.
     #[must_use]
     pub const fn request(&self) -> &AdmittedRequest {
@@ -416,7 +459,7 @@
     #[must_use]
     pub fn estimate(&self, overrides: &Overrides) -> Option<Estimate> {
         let pool = self.node.scheduler.pool(&self.request.pool);
-        pool.estimate(&self.job(overrides)?)
+        pool.estimate(&self.job(overrides, None)?)
     }
 }
 
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -187,8 +187,12 @@
         }
     }
 
-    /// The job of an attempt; none if the request may use no version now.
-    pub(super) fn job(&self, overrides: &Overrides) -> Option<Job> {
+    /// The job of an attempt at any endpoint but the excluded one; none if the request may use no version now.
+    pub(super) fn job(
+        &self,
+        overrides: &Overrides,
+        excluded: Option<&id::Endpoint>,
+    ) -> Option<Job> {
         let version = match self.choose_version() {
             Choice::Any => None,
             Choice::Version(version) => Some(version),
@@ -217,6 +221,7 @@
             prompt: overrides.model.as_ref().and_then(|m| request.prompt(m)),
             aim: Some(self.aim()),
             tried: self.state.tried.clone(),
+            excluded: excluded.cloned(),
             previously_refused: false,
             repeatable: request.grant.route.repeatable(),
         })
--- a/crates/relay/src/attempts/slot.rs
+++ b/crates/relay/src/attempts/slot.rs
@@ -19,14 +19,18 @@
 
 impl<P: HeaderCodec + Codec, L: Log> Attempts<'_, P, L> {
     /// Waits for a slot at an endpoint that is still usable.
-    pub(super) async fn acquire_slot(&mut self, overrides: &Overrides) -> Result<Permit, Refusal> {
+    pub(super) async fn acquire_slot(
+        &mut self,
+        overrides: &Overrides,
+        excluded: Option<&id::Endpoint>,
+    ) -> Result<Permit, Refusal> {
         let mut refreshed = false;
         loop {
             let pool = self.node.scheduler.pool(&self.request.pool);
             // Dropping this future removes the job from the queue, so the token is never cancelled.
             let never = CancellationToken::new();
             let started = self.node.now();
-            let Some(job) = self.job(overrides) else {
+            let Some(job) = self.job(overrides, excluded) else {
                 let refusal = Refusal::new(Cause::Exposure);
                 return Err(self.qualify(refusal.with_retry_after(NO_ENDPOINT_RETRY_AFTER)));
             };
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,9 +7,11 @@
 //! never takes it for complete.
 
 mod batch;
+mod silence;
 mod source;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Response;
 use hyper::StatusCode;
@@ -22,13 +24,14 @@
 use tokio::time::Instant;
 
 use self::batch::Batch;
-use self::source::DEFAULT_EVENT_TIMEOUT;
+use self::silence::Silence;
 use self::source::Item;
 use self::source::Source;
 use crate::admitted::AdmittedRequest;
 use crate::attempts::Attempts;
 use crate::attempts::Opened;
 use crate::attempts::Overrides;
+use crate::attempts::Reservation;
 use crate::cascade;
 use crate::codec::Codec;
 use crate::connection::ResponseBody;
@@ -43,6 +46,9 @@
 /// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
 const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
 
+/// Time after the deadline within which a silent run is counted as failed before its stream is dropped.
+const END_SLACK: Duration = Duration::from_millis(10);
+
 /// A stream whose first event was received.
 struct StartedStream {
     head: response::Parts,
@@ -159,9 +165,8 @@
     }
     let links = Arc::clone(&node.links);
     let mut source = Source::new(permit, body, &request.grant.route, links);
-    match source.first(left).await {
+    match source.next_within(source.timeout().min(left)).await {
         Ok(Item::Event(event)) => {
-            source.permit.record_first_token();
             attempts.record_result(&source.permit, false);
             Ok(Some(FirstResponse::Stream(Box::new(StartedStream {
                 head,
@@ -241,7 +246,7 @@
         let end = tokio::select! {
             end = forwarding => end,
             () = writer.disconnected() => StreamEnd::Disconnected,
-            () = tokio::time::sleep(left) => StreamEnd::Aborted(Cause::Timeout),
+            () = tokio::time::sleep(left + END_SLACK) => StreamEnd::Aborted(Cause::Timeout),
         };
         self.record_end(&end);
         // Dropping the writer without a call of end() aborts the connection.
@@ -297,39 +302,43 @@
                     source.permit.served(Tokens(1));
                     return StreamEnd::Complete;
                 }
-                Err(Fault::Timeout)
-                    if source.event_timeout < DEFAULT_EVENT_TIMEOUT && !self.may_resume() =>
-                {
-                    source.event_timeout = DEFAULT_EVENT_TIMEOUT;
-                    item = source.next().await;
-                }
                 Err(fault) => {
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
-                    // Resuming takes a while, in which two endpoints would work on the request.
-                    if let Err(refusal) = self.attempts.attempt_failed(source.close(), &fault) {
-                        return StreamEnd::Aborted(refusal.cause);
-                    }
-                    source = match self.resume().await {
-                        Ok(source) => source,
+                    (source, item) = match self.recover(source, fault).await {
+                        Ok(recovered) => recovered,
                         Err(refusal) => return StreamEnd::Aborted(refusal.cause),
                     };
-                    item = source.first(self.request.left(self.node.now())).await;
-                    if matches!(item, Ok(Item::Event(_))) {
-                        source.permit.record_first_token();
-                    }
                 }
             }
         }
     }
 
-    /// Whether another endpoint may resume the stream. If not, the stream waits longer for its endpoint,
-    /// since a late event is better than an aborted response.
-    fn may_resume(&self) -> bool {
-        self.attempts.may_retry()
-            && self.attempts.has_retry_budget()
-            && self.attempts.check_allowed().is_ok()
+    /// Goes on after a fault, with a late item of the same run or the first item of another one.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the stream can't be completed.
+    async fn recover(
+        &mut self,
+        mut source: Source,
+        fault: Fault,
+    ) -> Result<(Source, Result<Item, Fault>), Refusal> {
+        self.overrides.last_event_id = self.last_event_id;
+        let mut reservation = None;
+        if fault == Fault::Timeout {
+            match silence::outlast(&mut self.attempts, &self.overrides, &mut source).await {
+                Silence::Over(item) => return Ok((source, item)),
+                Silence::TakenOver(reserved) => reservation = Some(*reserved),
+                Silence::Expired => {}
+            }
+        }
+        // Resuming takes a while, in which two endpoints would work on the request.
+        self.attempts.attempt_failed(source.close(), &fault)?;
+        let mut source = self.resume(reservation).await?;
+        let item = source.next().await;
+        Ok((source, item))
     }
 
     /// Whether an event is to be forwarded. Returns false for one that was forwarded before.
@@ -356,11 +365,17 @@
         Ok(true)
     }
 
-    /// Resumes the stream at another endpoint, after the last forwarded event.
-    async fn resume(&mut self) -> Result<Source, Refusal> {
-        self.overrides.last_event_id = self.last_event_id;
+    /// Resumes the stream after the last forwarded event, at the reserved endpoint if there is one.
+    async fn resume(&mut self, reservation: Option<Reservation>) -> Result<Source, Refusal> {
+        let mut reservation = reservation;
         loop {
-            let opened = self.attempts.open(&self.overrides).await?;
+            let reserved = match reservation.take() {
+                Some(reserved) => reserved,
+                None => self.attempts.reserve(&self.overrides, None).await?,
+            };
+            let Some(opened) = self.attempts.send(reserved, &self.overrides).await? else {
+                continue;
+            };
             let Opened {
                 permit, response, ..
             } = opened;
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -5,6 +5,7 @@
 
 use pimento_endpoint::Fault;
 use pimento_scheduler::Permit;
+use tokio::time::Instant;
 
 use crate::connection::ResponseBody;
 use crate::events::Event;
@@ -35,8 +36,10 @@
     body: ResponseBody,
     splitter: Splitter,
     links: Arc<Links>,
-    /// Timeout for the next event.
-    pub event_timeout: Duration,
+    /// Timeout for an event after the first.
+    event_timeout: Duration,
+    /// Whether an event was received.
+    begun: bool,
 }
 
 /// The next item of a source.
@@ -61,31 +64,34 @@
             event_timeout: timeout.map_or(DEFAULT_EVENT_TIMEOUT, |timeout| {
                 timeout.clamp(MIN_EVENT_TIMEOUT, DEFAULT_EVENT_TIMEOUT)
             }),
+            begun: false,
         }
     }
 
-    /// The next complete event, or the regular end.
-    pub async fn next(&mut self) -> Result<Item, Fault> {
-        self.next_within(self.event_timeout).await
-    }
-
-    /// The first complete event, or the regular end. The first event takes longer than later ones, since it
-    /// waits for the prefill.
-    pub async fn first(&mut self, left: Duration) -> Result<Item, Fault> {
-        self.next_within(left.min(DEFAULT_EVENT_TIMEOUT)).await
+    /// Time without an event after which the run counts as silent. The first event takes longer than later
+    /// ones, since it waits for the prefill.
+    pub const fn timeout(&self) -> Duration {
+        if self.begun {
+            self.event_timeout
+        } else {
+            DEFAULT_EVENT_TIMEOUT
+        }
     }
 
-    /// Closes the connection, which stops the endpoint's work, and returns the slot.
-    pub fn close(self) -> Permit {
-        self.permit
+    /// The next complete event, or the regular end; [`Fault::Timeout`] if the run is silent.
+    pub async fn next(&mut self) -> Result<Item, Fault> {
+        self.next_within(self.timeout()).await
     }
 
-    async fn next_within(&mut self, timeout: Duration) -> Result<Item, Fault> {
+    /// The same, with this timeout. No data is lost if the future is dropped.
+    pub async fn next_within(&mut self, timeout: Duration) -> Result<Item, Fault> {
+        let due = Instant::now() + timeout;
         loop {
             if let Some(event) = self.splitter.next_event() {
+                self.record_begun();
                 return Ok(Item::Event(event));
             }
-            let data = tokio::time::timeout(timeout, self.body.next()).await;
+            let data = tokio::time::timeout_at(due, self.body.next()).await;
             match data.unwrap_or(Err(Fault::Timeout))? {
                 Some(data) => self.splitter.push(&data).map_err(|error| Fault::Invalid {
                     reason: error.to_string().into(),
@@ -104,4 +110,16 @@
             }
         }
     }
+
+    /// Closes the connection, which stops the endpoint's work, and returns the slot.
+    pub fn close(self) -> Permit {
+        self.permit
+    }
+
+    fn record_begun(&mut self) {
+        if !self.begun {
+            self.begun = true;
+            self.permit.record_first_token();
+        }
+    }
 }
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -98,7 +98,8 @@
 impl EndpointState {
     /// Returns whether the endpoint accepts the job from this VM now.
     pub(crate) fn accepts(&self, job: &Job, now: Moment) -> bool {
-        self.accepts_calls(now) && job.requirement.is_met_by(&self.member)
+        let excluded = job.excluded.as_ref() == Some(&self.member.endpoint);
+        !excluded && self.accepts_calls(now) && job.requirement.is_met_by(&self.member)
     }
 
     /// Returns whether the endpoint accepts calls from this VM now.
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -53,6 +53,8 @@
     pub aim: Option<Aim>,
     /// Endpoints that failed this request before.
     pub tried: Vec<id::Endpoint>,
+    /// An endpoint that must not get the job, since it still runs the same request.
+    pub excluded: Option<id::Endpoint>,
     /// Whether the caller retries a request that was refused before.
     pub previously_refused: bool,
     /// Whether the call may be sent twice.
--- a/crates/scheduler/tests/common/mod.rs
+++ b/crates/scheduler/tests/common/mod.rs
@@ -44,6 +44,7 @@
         prompt: None,
         aim: None,
         tried: Vec::new(),
+        excluded: None,
         previously_refused: false,
         repeatable: true,
     }
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -154,6 +154,35 @@
     assert_eq!(permit.unwrap().endpoint().as_str(), "i-1");
 }
 
+/// Guards against a job that goes to the endpoint which still runs the same request, because no other has a
+/// slot.
+#[tokio::test]
+async fn an_excluded_endpoint_is_no_last_resort() {
+    let scheduler = Scheduler::new(Clock::default());
+    for (name, call) in [("service", call()), ("llm", job())] {
+        let pool = scheduler.pool(&name.parse().unwrap());
+        let kv_capacity = call.prompt.as_ref().map(|_| KV_CAPACITY);
+        let members = [1, 2].map(|number| Member {
+            kv_capacity,
+            ..plain_member(number, true)
+        });
+        let excluding = Job {
+            excluded: Some("i-1".parse().unwrap()),
+            ..call
+        };
+        let cancel = CancellationToken::new();
+        pool.update(members.to_vec());
+        let permit = pool.acquire(excluding.clone(), &cancel).await;
+        assert_eq!(permit.unwrap().endpoint().as_str(), "i-2");
+        pool.update(members[..1].to_vec());
+        let refused = pool.acquire(excluding, &cancel).await;
+        assert!(
+            matches!(refused, Err(NoSlot::NoEndpoint { .. })),
+            "{refused:?}"
+        );
+    }
+}
+
 // The same for prompts: an ejected engine is a better choice than the one that just failed this prompt,
 // which gets the prompt only if there is no other engine.
 #[tokio::test]
