Wait for a first event while no other endpoint can give it

Callers got 504, or the refusal of a search, although their endpoint had sent its head and was at work: after 4 s without a first event the run was dropped, whoever else was there. A lone endpoint that needs longer was asked three times over.

Change: the same wait as within a stream (silence::outlast).

Evidence: the_first_event_may_take_long_where_nobody_else_is got 504 before and gets the answer from one send now.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -9,13 +9,13 @@
 mod batch;
 mod silence;
 mod source;
+mod start;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::http::response;
 use pimento_endpoint::Fault;
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
@@ -27,6 +27,7 @@
 use self::silence::Silence;
 use self::source::Item;
 use self::source::Source;
+use self::start::FirstResponse;
 use crate::admitted::AdmittedRequest;
 use crate::attempts::Attempts;
 use crate::attempts::Opened;
@@ -34,7 +35,6 @@
 use crate::attempts::Reservation;
 use crate::cascade;
 use crate::codec::Codec;
-use crate::connection::ResponseBody;
 use crate::events::Event;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
@@ -43,29 +43,9 @@
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
-/// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
-const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
-
 /// Time after the deadline within which a silent run is counted as failed before its stream is dropped.
 const END_SLACK: Duration = Duration::from_millis(10);
 
-/// A stream whose first event was received.
-struct StartedStream {
-    head: response::Parts,
-    source: Source,
-    event: Event,
-    /// The model's confidence in its answer, from 0 to 100.
-    confidence: Option<u8>,
-}
-
-/// The start of an endpoint's response.
-enum FirstResponse {
-    /// A stream, with its first event.
-    Stream(Box<StartedStream>),
-    /// An error response, to be forwarded if no other response follows.
-    Error(Response<ReplyBody>),
-}
-
 /// Handles a request for a stream.
 ///
 /// # Errors
@@ -87,7 +67,7 @@
             Ok(opened) => opened,
             Err(refusal) => return error.ok_or(refusal),
         };
-        match read_start(&mut attempts, node, &request, opened).await {
+        match start::read(&mut attempts, &overrides, opened).await {
             Ok(Some(FirstResponse::Stream(started))) => {
                 let confidence = started.confidence;
                 let larger =
@@ -130,78 +110,6 @@
     Ok(Response::from_parts(head, reply))
 }
 
-/// Reads a response up to its first event. Returns none if the attempt failed and another one may be made.
-async fn read_start<P: HeaderCodec + Codec, L: Log>(
-    attempts: &mut Attempts<'_, P, L>,
-    node: &Node<P, L>,
-    request: &AdmittedRequest,
-    opened: Opened,
-) -> Result<Option<FirstResponse>, Refusal> {
-    let Opened {
-        permit,
-        response,
-        info,
-    } = opened;
-    let (mut head, mut body) = (response.head, response.body);
-    let left = request.left(node.now());
-    if head.status != StatusCode::OK {
-        let read = tokio::time::timeout(left, collect(&mut body)).await;
-        return match read.unwrap_or(Err(Fault::Timeout)) {
-            Ok(bytes) => {
-                attempts.record_result(&permit, head.status.is_server_error());
-                attempts.response_complete(head.status);
-                // The endpoint has the prompt in its cache, so the scheduler would prefer it for the next
-                // attempt.
-                attempts.avoid(permit.endpoint());
-                permit.failed(&Fault::Failed {
-                    status: head.status.as_u16(),
-                });
-                node.platform.strip_connection_headers(&mut head.headers);
-                let response = Response::from_parts(head, ReplyBody::whole(bytes));
-                Ok(Some(FirstResponse::Error(response)))
-            }
-            Err(fault) => attempts.attempt_failed(permit, &fault).map(|()| None),
-        };
-    }
-    let links = Arc::clone(&node.links);
-    let mut source = Source::new(permit, body, &request.grant.route, links);
-    match source.next_within(source.timeout().min(left)).await {
-        Ok(Item::Event(event)) => {
-            attempts.record_result(&source.permit, false);
-            Ok(Some(FirstResponse::Stream(Box::new(StartedStream {
-                head,
-                source,
-                event,
-                confidence: info.confidence,
-            }))))
-        }
-        Ok(Item::End) => {
-            let fault = Fault::Invalid {
-                reason: "the stream has no event".into(),
-            };
-            attempts
-                .attempt_failed(source.close(), &fault)
-                .map(|()| None)
-        }
-        Err(fault) => attempts
-            .attempt_failed(source.close(), &fault)
-            .map(|()| None),
-    }
-}
-
-async fn collect(body: &mut ResponseBody) -> Result<Vec<u8>, Fault> {
-    let mut bytes = Vec::new();
-    while let Some(data) = body.next().await? {
-        if bytes.len() + data.len() > MAX_ERROR_BODY_BYTES {
-            return Err(Fault::Invalid {
-                reason: "the body of an error response is too long".into(),
-            });
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes)
-}
-
 /// Waits for the next item of a source and sends buffered events when they are due.
 async fn next(
     source: &mut Source,
