Let a broken stream wait up to four seconds for an endpoint

Callers saw their answer cut at once when its endpoint broke off and, for that moment, no other could go on: none usable, no slot in time, a version at its bound, a configuration a little too old, the retry budget spent. They had to ask anew, which makes the whole answer again and counts as new load.

Change: these refusals, Cause::is_momentary, are asked again every 500 ms, for 4 s at most and never past the deadline; each is logged. Final ones (key, route, regions, evacuation, a block) end the stream at once as before, as does a run that may not be repeated. A spent budget has a cause of its own, no_retry, with the status that it had: a log line tells it from endpoints that failed now.

4 s: with the event timeout before it that stays under the time after which callers leave a stream without an event. Only streams whose head was sent wait; before that a refusal is an answer, and the caller can come back at once.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -198,7 +198,7 @@
     /// only if they are told that it did not run.
     const fn no_retry_left(&self) -> Refusal {
         if self.may_have_run() {
-            Refusal::new(Cause::Failed).with_unknown_outcome()
+            Refusal::new(Cause::NoRetry).with_unknown_outcome()
         } else {
             Refusal::new(Cause::Overloaded).with_retry_after(NO_ENDPOINT_RETRY_AFTER)
         }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -57,6 +57,8 @@
     Timeout,
     /// The endpoints that were tried failed.
     Failed,
+    /// The endpoints that were tried failed, and the retry budget is exhausted.
+    NoRetry,
     /// The request is blocked because endpoints crashed while they ran it.
     Poison,
 }
@@ -84,10 +86,25 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
+            Self::NoRetry => "no_retry",
             Self::Poison => "poison",
         }
     }
 
+    /// Whether the same request may be accepted a moment later.
+    #[must_use]
+    pub const fn is_momentary(self) -> bool {
+        matches!(
+            self,
+            Self::Stale
+                | Self::Overloaded
+                | Self::NoEndpoint
+                | Self::Exposure
+                | Self::Cold
+                | Self::NoRetry
+        )
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
@@ -107,7 +124,7 @@
             | Self::Expired
             | Self::Poison => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::NoRetry => StatusCode::BAD_GATEWAY,
         }
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -43,6 +43,14 @@
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
+/// Time after which a broken stream is aborted if no endpoint can resume it. A stream that goes on late is
+/// better than one that its caller must ask for anew, but callers disconnect after some seconds without an
+/// event.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(4);
+
+/// Pause between two tries to resume a broken stream.
+const RESUME_PAUSE: Duration = Duration::from_millis(500);
+
 /// Time after the deadline within which a silent run is counted as failed before its stream is dropped.
 const END_SLACK: Duration = Duration::from_millis(10);
 
@@ -273,13 +281,32 @@
         Ok(true)
     }
 
+    /// Reserves an endpoint for a stream whose run is gone, within [`MAX_RESUME_WAIT`].
+    async fn reserve(&mut self) -> Result<Reservation, Refusal> {
+        let began = Instant::now();
+        loop {
+            let refusal = match self.attempts.reserve(&self.overrides, None).await {
+                Ok(reservation) => return Ok(reservation),
+                Err(refusal) => refusal,
+            };
+            let waited = began.elapsed() >= MAX_RESUME_WAIT;
+            if waited || !refusal.cause.is_momentary() || !self.attempts.may_retry() {
+                return Err(refusal);
+            }
+            let request = self.request.info.id.as_str();
+            let cause = refusal.cause.as_str();
+            log::info!(request, cause; "stream: Broken, no endpoint can resume it yet.");
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+    }
+
     /// Resumes the stream after the last forwarded event, at the reserved endpoint if there is one.
     async fn resume(&mut self, reservation: Option<Reservation>) -> Result<Source, Refusal> {
         let mut reservation = reservation;
         loop {
             let reserved = match reservation.take() {
                 Some(reserved) => reserved,
-                None => self.attempts.reserve(&self.overrides, None).await?,
+                None => self.reserve().await?,
             };
             let Some(opened) = self.attempts.send(reserved, &self.overrides).await? else {
                 continue;
