--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -160,6 +160,8 @@
         let left = self.request.left(self.node.now());
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
+            // On a busy VM both are ready at once, and a silent run would not be counted as failed.
+            biased;
             end = forwarding => end,
             () = writer.disconnected() => StreamEnd::Disconnected,
             () = tokio::time::sleep(left + END_SLACK) => StreamEnd::Aborted(Cause::Timeout),
