Merge: keep a silent stream's run until another endpoint is reserved

The bounds of a stopping VM and the reservation of an endpoint meet in `Attempts::reserve`. Waits for a run that is under way follow the caller's deadline, since a run that ends with its VM tells nothing of its endpoint; new attempts follow the VM's end.

--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -61,6 +61,8 @@
     Timeout,
     /// The endpoints that were tried failed.
     Failed,
+    /// The endpoints that were tried failed, and the retry budget is exhausted.
+    NoRetry,
     /// The request is blocked because endpoints crashed while they ran it.
     Poison,
     /// This VM stops before the request can be completed.
@@ -90,11 +92,26 @@
             Self::Expired => "expired",
             Self::Timeout => "timeout",
             Self::Failed => "failed",
+            Self::NoRetry => "no_retry",
             Self::Poison => "poison",
             Self::Stopping => "stopping",
         }
     }
 
+    /// Whether the same request may be accepted a moment later.
+    #[must_use]
+    pub const fn is_momentary(self) -> bool {
+        matches!(
+            self,
+            Self::Stale
+                | Self::Overloaded
+                | Self::NoEndpoint
+                | Self::Exposure
+                | Self::Cold
+                | Self::NoRetry
+        )
+    }
+
     const fn status(self) -> StatusCode {
         match self {
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
@@ -115,7 +132,7 @@
             | Self::Poison
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Failed => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::NoRetry => StatusCode::BAD_GATEWAY,
         }
     }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,13 +7,15 @@
 //! never takes it for complete.
 
 mod batch;
+mod silence;
 mod source;
+mod start;
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::http::response;
 use pimento_endpoint::Fault;
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
@@ -23,16 +25,17 @@
 use tokio::time::Instant;
 
 use self::batch::Batch;
-use self::source::DEFAULT_EVENT_TIMEOUT;
+use self::silence::Silence;
 use self::source::Item;
 use self::source::Source;
+use self::start::FirstResponse;
 use crate::admitted::AdmittedRequest;
 use crate::attempts::Attempts;
 use crate::attempts::Opened;
 use crate::attempts::Overrides;
+use crate::attempts::Reservation;
 use crate::cascade;
 use crate::codec::Codec;
-use crate::connection::ResponseBody;
 use crate::events::Event;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
@@ -41,25 +44,16 @@
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
-/// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
-const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
+/// Time after which a broken stream is aborted if no endpoint can resume it. A stream that goes on late is
+/// better than one that its caller must ask for anew, but callers disconnect after some seconds without an
+/// event.
+const MAX_RESUME_WAIT: Duration = Duration::from_secs(4);
 
-/// A stream whose first event was received.
-struct StartedStream {
-    head: response::Parts,
-    source: Source,
-    event: Event,
-    /// The model's confidence in its answer, from 0 to 100.
-    confidence: Option<u8>,
-}
+/// Pause between two tries to resume a broken stream.
+const RESUME_PAUSE: Duration = Duration::from_millis(500);
 
-/// The start of an endpoint's response.
-enum FirstResponse {
-    /// A stream, with its first event.
-    Stream(Box<StartedStream>),
-    /// An error response, to be forwarded if no other response follows.
-    Error(Response<ReplyBody>),
-}
+/// Time after the deadline within which a silent run is counted as failed before its stream is dropped.
+const END_SLACK: Duration = Duration::from_millis(10);
 
 /// Handles a request for a stream.
 ///
@@ -82,7 +76,7 @@
             Ok(opened) => opened,
             Err(refusal) => return error.ok_or(refusal),
         };
-        match read_start(&mut attempts, node, &request, opened).await {
+        match start::read(&mut attempts, &overrides, opened).await {
             Ok(Some(FirstResponse::Stream(started))) => {
                 let confidence = started.confidence;
                 let larger =
@@ -126,79 +120,6 @@
     Ok(Response::from_parts(head, reply))
 }
 
-/// Reads a response up to its first event. Returns none if the attempt failed and another one may be made.
-async fn read_start<P: HeaderCodec + Codec, L: Log>(
-    attempts: &mut Attempts<'_, P, L>,
-    node: &Node<P, L>,
-    request: &AdmittedRequest,
-    opened: Opened,
-) -> Result<Option<FirstResponse>, Refusal> {
-    let Opened {
-        permit,
-        response,
-        info,
-    } = opened;
-    let (mut head, mut body) = (response.head, response.body);
-    let left = request.left(node.now());
-    if head.status != StatusCode::OK {
-        let read = tokio::time::timeout(left, collect(&mut body)).await;
-        return match read.unwrap_or(Err(Fault::Timeout)) {
-            Ok(bytes) => {
-                attempts.record_result(&permit, head.status.is_server_error());
-                attempts.response_complete(head.status);
-                // The endpoint has the prompt in its cache, so the scheduler would prefer it for the next
-                // attempt.
-                attempts.avoid(permit.endpoint());
-                permit.failed(&Fault::Failed {
-                    status: head.status.as_u16(),
-                });
-                node.platform.strip_connection_headers(&mut head.headers);
-                let response = Response::from_parts(head, ReplyBody::whole(bytes));
-                Ok(Some(FirstResponse::Error(response)))
-            }
-            Err(fault) => attempts.attempt_failed(permit, &fault).map(|()| None),
-        };
-    }
-    let links = Arc::clone(&node.links);
-    let mut source = Source::new(permit, body, &request.grant.route, links);
-    match source.first(left).await {
-        Ok(Item::Event(event)) => {
-            source.permit.record_first_token();
-            attempts.record_result(&source.permit, false);
-            Ok(Some(FirstResponse::Stream(Box::new(StartedStream {
-                head,
-                source,
-                event,
-                confidence: info.confidence,
-            }))))
-        }
-        Ok(Item::End) => {
-            let fault = Fault::Invalid {
-                reason: "the stream has no event".into(),
-            };
-            attempts
-                .attempt_failed(source.permit, &fault)
-                .map(|()| None)
-        }
-        Err(fault) => attempts
-            .attempt_failed(source.permit, &fault)
-            .map(|()| None),
-    }
-}
-
-async fn collect(body: &mut ResponseBody) -> Result<Vec<u8>, Fault> {
-    let mut bytes = Vec::new();
-    while let Some(data) = body.next().await? {
-        if bytes.len() + data.len() > MAX_ERROR_BODY_BYTES {
-            return Err(Fault::Invalid {
-                reason: "the body of an error response is too long".into(),
-            });
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes)
-}
-
 /// Waits for the next item of a source and sends buffered events when they are due.
 async fn next(
     source: &mut Source,
@@ -243,9 +164,11 @@
         let left = self.request.left_by_deadline(self.node.now());
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
+            // On a busy VM both are ready at once, and a silent run would not be counted as failed.
+            biased;
             end = forwarding => end,
             () = writer.disconnected() => StreamEnd::Disconnected,
-            () = tokio::time::sleep(left) => StreamEnd::Aborted(Cause::Timeout),
+            () = tokio::time::sleep(left + END_SLACK) => StreamEnd::Aborted(Cause::Timeout),
         };
         self.record_end(&end);
         self.record_pace(&end);
@@ -316,38 +239,43 @@
                     source.permit.served(Tokens(1));
                     return StreamEnd::Complete;
                 }
-                Err(Fault::Timeout)
-                    if source.event_timeout < DEFAULT_EVENT_TIMEOUT && !self.may_resume() =>
-                {
-                    source.event_timeout = DEFAULT_EVENT_TIMEOUT;
-                    item = source.next().await;
-                }
                 Err(fault) => {
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
-                    if let Err(refusal) = self.attempts.attempt_failed(source.permit, &fault) {
-                        return StreamEnd::Aborted(refusal.cause);
-                    }
-                    source = match self.resume().await {
-                        Ok(source) => source,
+                    (source, item) = match self.recover(source, fault).await {
+                        Ok(recovered) => recovered,
                         Err(refusal) => return StreamEnd::Aborted(refusal.cause),
                     };
-                    item = source.first(self.request.left(self.node.now())).await;
-                    if matches!(item, Ok(Item::Event(_))) {
-                        source.permit.record_first_token();
-                    }
                 }
             }
         }
     }
 
-    /// Whether another endpoint may resume the stream. If not, the stream waits longer for its endpoint,
-    /// since a late event is better than an aborted response.
-    fn may_resume(&self) -> bool {
-        self.attempts.may_retry()
-            && self.attempts.has_retry_budget()
-            && self.attempts.check_allowed().is_ok()
+    /// Goes on after a fault, with a late item of the same run or the first item of another one.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the stream can't be completed.
+    async fn recover(
+        &mut self,
+        mut source: Source,
+        fault: Fault,
+    ) -> Result<(Source, Result<Item, Fault>), Refusal> {
+        self.overrides.last_event_id = self.last_event_id;
+        let mut reservation = None;
+        if fault == Fault::Timeout {
+            match silence::outlast(&mut self.attempts, &self.overrides, &mut source).await {
+                Silence::Over(item) => return Ok((source, item)),
+                Silence::TakenOver(reserved) => reservation = Some(*reserved),
+                Silence::Expired => {}
+            }
+        }
+        // Resuming takes a while, in which two endpoints would work on the request.
+        self.attempts.attempt_failed(source.close(), &fault)?;
+        let mut source = self.resume(reservation).await?;
+        let item = source.next().await;
+        Ok((source, item))
     }
 
     /// Whether an event is to be forwarded. Returns false for one that was forwarded before.
@@ -374,11 +302,36 @@
         Ok(true)
     }
 
-    /// Resumes the stream at another endpoint, after the last forwarded event.
-    async fn resume(&mut self) -> Result<Source, Refusal> {
-        self.overrides.last_event_id = self.last_event_id;
+    /// Reserves an endpoint for a stream whose run is gone, within [`MAX_RESUME_WAIT`].
+    async fn reserve(&mut self) -> Result<Reservation, Refusal> {
+        let began = Instant::now();
         loop {
-            let opened = self.attempts.open(&self.overrides).await?;
+            let refusal = match self.attempts.reserve(&self.overrides, None).await {
+                Ok(reservation) => return Ok(reservation),
+                Err(refusal) => refusal,
+            };
+            let waited = began.elapsed() >= MAX_RESUME_WAIT;
+            if waited || !refusal.cause.is_momentary() || !self.attempts.may_retry() {
+                return Err(refusal);
+            }
+            let request = self.request.info.id.as_str();
+            let cause = refusal.cause.as_str();
+            log::info!(request, cause; "stream: Broken, no endpoint can resume it yet.");
+            tokio::time::sleep(RESUME_PAUSE).await;
+        }
+    }
+
+    /// Resumes the stream after the last forwarded event, at the reserved endpoint if there is one.
+    async fn resume(&mut self, reservation: Option<Reservation>) -> Result<Source, Refusal> {
+        let mut reservation = reservation;
+        loop {
+            let reserved = match reservation.take() {
+                Some(reserved) => reserved,
+                None => self.reserve().await?,
+            };
+            let Some(opened) = self.attempts.send(reserved, &self.overrides).await? else {
+                continue;
+            };
             let Opened {
                 permit, response, ..
             } = opened;
