Admit a request by the configuration that is in force once its body is there

A caller that had sent half of its body when its route got another service was answered 503 (no_endpoint), though the new service was free: the service was picked by the configuration at the head, and the one in force no longer allowed it. The test a_body_that_arrives_after_a_change_goes_to_the_new_service failed with (503, "no_endpoint"). The request is admitted again after its body was read, so that service, timeout and key are those in force; it costs one lookup. It could not have run, so that nothing is sent twice.

--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -155,6 +155,8 @@
         return Err(Refusal::new(Cause::LargeHead));
     }
     let body = read(body, limits.body_bytes, limits.receive_timeout).await?;
+    // Its route may have got another service while the body arrived.
+    let grant = admit::admit(node, &info, head.uri.path())?;
     let random = admitted::random(&info);
     let pool = grant
         .pick_service(random)
