Let a stream go on while the configuration in force allows it

A stream was broken off at the timeout that its route had when the request came, although the operators had made it longer meanwhile: the caller got 15 of 30 events and a closed connection (a_stream_goes_on_after_its_timeout_became_longer). Its deadline was fixed at admission. It is now looked up again when it is reached, and put off to what the route allows by then, as far as the caller waits and the configuration still admits the request. Nothing is looked up before. A shorter timeout is for requests that come after it: a run that was allowed isn't cut. Endpoints are given the deadline of the send, and stop there; the stream is then resumed elsewhere, with the later deadline. Calls that are not streams still get 504 at the old one, as their endpoint has stopped and an answer, not a closed connection, is what callers get.

--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -13,6 +13,7 @@
 use pimento_units::id;
 
 use crate::admit::Grant;
+use crate::deadline::Deadline;
 use crate::headers::PromptPart;
 use crate::headers::RequestInfo;
 
@@ -32,7 +33,7 @@
     /// When its head was received.
     pub began: Moment,
     /// When the response must be complete, by the caller's and the route's timeout.
-    pub deadline: Moment,
+    pub deadline: Deadline,
     /// Pseudo-random number that is the same for all attempts of this request.
     pub random: u64,
     /// Identifies the request across its caller's retries, which have other ids; see [`digest`].
@@ -49,7 +50,7 @@
     /// Time left until the response must be complete.
     #[must_use]
     pub fn left(&self, now: Moment) -> Duration {
-        self.deadline.since(now)
+        self.deadline.get().since(now)
     }
 
     /// The prompt's parts that other requests can share, in order. The part after them is specific to
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -208,7 +208,7 @@
             weight: 1,
             priority: request.grant.route.priority,
             tokens,
-            deadline: request.deadline,
+            deadline: request.deadline.get(),
             requirement: Requirement {
                 version,
                 ..self.home_requirement(&request.grant)
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -22,6 +22,7 @@
 use crate::admitted::AdmittedRequest;
 use crate::buffered;
 use crate::codec::Codec;
+use crate::deadline;
 use crate::headers::HeaderCodec;
 use crate::headers::RequestInfo;
 use crate::node::Node;
@@ -161,8 +162,7 @@
     let pool = grant
         .pick_service(random)
         .ok_or_else(|| Refusal::new(Cause::NoEndpoint))?;
-    let limit = grant.route.timeout;
-    let timeout = info.timeout.map_or(limit, |caller| caller.min(limit));
+    let limit = deadline::time_limit(&info, &grant.route);
     let kind = grant.route.kind;
     let digest = admitted::digest(&info, &head, &body, &grant);
     let request = AdmittedRequest {
@@ -172,7 +172,7 @@
         grant,
         pool,
         began,
-        deadline: began + timeout,
+        deadline: (began + limit).into(),
         random,
         digest,
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod codec;
 pub mod config;
 pub mod connection;
+pub mod deadline;
 pub mod departures;
 pub mod directory;
 pub mod evacuation;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -32,6 +32,7 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::connection::ResponseBody;
+use crate::deadline;
 use crate::events::Event;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
@@ -236,12 +237,12 @@
 
 impl<P: HeaderCodec + Codec, L: Log> Stream<'_, P, L> {
     async fn run(&mut self, writer: Writer, source: Source, first: Event) {
-        let left = self.request.left(self.node.now());
+        let deadline = deadline::passed(self.node, self.request);
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
             end = forwarding => end,
             () = writer.disconnected() => StreamEnd::Disconnected,
-            () = tokio::time::sleep(left) => StreamEnd::Aborted(Cause::Timeout),
+            () = deadline => StreamEnd::Aborted(Cause::Timeout),
         };
         self.record_end(&end);
         // Dropping the writer without a call of end() aborts the connection.
