Refuse a queued request as soon as its configuration no longer allows it

A request that waited for a slot whose route had been removed waited on, for the slot or its deadline, and was refused only then: a_queued_request_whose_route_is_removed_is_refused_at_once got no answer within 1 s of the change. Its caller could do nothing meanwhile, and it kept others of its queue back. The wait for a slot now ends with the first change of the operators' records by which the request may no longer be sent: 404, 401, or 503 for a route that has another service. A configuration that is only too old ends no wait, as a newer one may come first.

--- a/crates/relay/src/attempts/slot.rs
+++ b/crates/relay/src/attempts/slot.rs
@@ -30,7 +30,11 @@
                 let refusal = Refusal::new(Cause::Exposure);
                 return Err(self.qualify(refusal.with_retry_after(NO_ENDPOINT_RETRY_AFTER)));
             };
-            let permit = pool.acquire(job, &never).await;
+            let permit = tokio::select! {
+                biased;
+                permit = pool.acquire(job, &never) => permit,
+                refusal = self.no_longer_allowed() => return Err(refusal),
+            };
             let waited = self.node.now().since(started);
             let route = &self.request.grant.route.name;
             self.node.metrics.observe_queue_wait(route, waited);
@@ -56,6 +60,19 @@
         }
     }
 
+    /// Waits until a change of the configuration no longer allows the request. While the configuration is just
+    /// too old, it waits on: a newer one may come before the slot.
+    async fn no_longer_allowed(&self) -> Refusal {
+        let mut changes = self.node.operators.changes();
+        while changes.changed().await.is_ok() {
+            match self.check_allowed() {
+                Err(refusal) if refusal.cause != Cause::Stale => return refusal,
+                _ => {}
+            }
+        }
+        std::future::pending().await
+    }
+
     /// The zones in which the request may run by its grant, as a requirement of any version.
     pub(super) fn home_requirement(&self, grant: &Grant) -> Requirement {
         Requirement {
