Go on with a request that was sent although the log is away

A VM that doesn't reach the log may admit no keys after a while. It also gave up requests that it had admitted and sent before: a stream that its endpoint broke off 5 s after its admission was not resumed, and its caller got 20 of 24 events and a closed connection, in a_stream_is_resumed_although_the_configuration_is_too_old_to_admit_keys. A repeatable call would have got 502. No other VM can go on with such a request, and one whose endpoint doesn't fail runs on as well. What was sent was admitted in time; by its second check it now ends only if the last configuration that was read has no longer its key, its route or its service. A request that was not sent is refused as before, for another VM.

--- a/crates/relay/src/admit.rs
+++ b/crates/relay/src/admit.rs
@@ -2,7 +2,7 @@
 //!
 //! Requests are checked on arrival and again before each attempt. While a request waits, its key may be
 //! revoked, its route may be removed or moved to another service, or the configuration may become too
-//! old.
+//! old. The last does not end a request that may have run.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -61,6 +61,19 @@
     if node.config_freshness() == Freshness::Stale {
         return Err(Denial::Stale);
     }
+    let found = look_up(table, info, path);
+    let keyed = match &found {
+        Ok(grant) => grant.customer.is_some(),
+        Err(denial) => *denial == Denial::Key,
+    };
+    if keyed && node.key_freshness() == Freshness::Stale {
+        return Err(Denial::Stale);
+    }
+    found
+}
+
+/// Looks a request up in a configuration of any age.
+fn look_up(table: Arc<Table>, info: &RequestInfo, path: &str) -> Result<Grant, Denial> {
     let route = table.route(&info.host, path).ok_or(Denial::Route)?;
     let route = Arc::clone(route);
     if route.public || !table.requires_key() {
@@ -70,9 +83,6 @@
             customer: None,
         });
     }
-    if node.key_freshness() == Freshness::Stale {
-        return Err(Denial::Stale);
-    }
     let customer = info.key.as_deref().and_then(|key| table.customer(key));
     let customer = customer.cloned().ok_or(Denial::Key)?;
     Ok(Grant {
@@ -119,6 +129,22 @@
     check(node, info, path).map_err(refusal)
 }
 
+/// Checks a request again that was sent to an endpoint. It was admitted by a configuration that was recent
+/// enough, and no other VM can go on with it, so that one that has become too old ends it only by what it says.
+///
+/// # Errors
+///
+/// A [`Refusal`] if the last configuration that was read does not admit the request.
+pub fn recheck_sent<P: HeaderCodec + Codec, L: Log>(
+    node: &Node<P, L>,
+    info: &RequestInfo,
+    path: &str,
+) -> Result<Grant, Refusal> {
+    let table = node.table().ok_or(Denial::NoTable);
+    let found = table.and_then(|table| look_up(table, info, path));
+    found.map_err(refusal)
+}
+
 fn refusal(denial: Denial) -> Refusal {
     match denial {
         Denial::NoTable => Refusal::new(Cause::NotReady).with_retry_after(OTHER_VM_RETRY_AFTER),
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -254,7 +254,11 @@
     pub fn check_allowed(&self) -> Result<Grant, Refusal> {
         self.check_not_blocked()?;
         let request = self.request;
-        let grant = admit::recheck(self.node, &request.info, request.path());
+        let grant = if self.may_have_run() {
+            admit::recheck_sent(self.node, &request.info, request.path())
+        } else {
+            admit::recheck(self.node, &request.info, request.path())
+        };
         let grant = grant.map_err(|refusal| self.qualify(refusal))?;
         let same_customer = grant.customer == request.grant.customer;
         if !same_customer || !grant.route.allows(&request.pool) {
--- a/crates/relay/src/deadline.rs
+++ b/crates/relay/src/deadline.rs
@@ -59,7 +59,7 @@
 
 /// Puts off the deadline of a request if the configuration in force allows it more time.
 fn extend<P: HeaderCodec + Codec, L: Log>(node: &Node<P, L>, request: &AdmittedRequest) -> bool {
-    let Ok(grant) = admit::recheck(node, &request.info, request.path()) else {
+    let Ok(grant) = admit::recheck_sent(node, &request.info, request.path()) else {
         return false;
     };
     let limit = time_limit(&request.info, &grant.route);
