--- a/crates/relay/src/admitted.rs
+++ b/crates/relay/src/admitted.rs
@@ -14,6 +14,7 @@
 use pimento_units::id;
 
 use crate::admit::Grant;
+use crate::deadline::Deadline;
 use crate::headers::PromptPart;
 use crate::headers::RequestInfo;
 use crate::lifetime::Lifetime;
@@ -35,7 +36,7 @@
     /// When its head was received.
     pub began: Moment,
     /// When the response must be complete, by the caller's and the route's timeout.
-    pub deadline: Moment,
+    pub deadline: Deadline,
     /// Pseudo-random number that is the same for all attempts of this request.
     pub random: u64,
     /// Identifies the request across its caller's retries, which have other ids; see [`digest`].
@@ -57,13 +58,13 @@
     /// end breaks off there, which looks like a crash.
     #[must_use]
     pub fn left_by_deadline(&self, now: Moment) -> Duration {
-        self.deadline.since(now)
+        self.deadline.get().since(now)
     }
 
     /// When the response must be complete: by its deadline, and before this VM ends.
     #[must_use]
     pub fn bound(&self) -> Moment {
-        self.lifetime.bound(self.deadline)
+        self.lifetime.bound(self.deadline.get())
     }
 
     /// Time left until the response must be complete.
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -26,6 +26,7 @@
 use crate::codec::Codec;
 use crate::connection::Connection;
 use crate::connection::EndpointResponse;
+use crate::deadline;
 use crate::headers::Declined;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
@@ -282,7 +283,11 @@
         self.check_not_blocked()?;
         self.check_not_ending()?;
         let request = self.request;
-        let grant = admit::recheck(self.node, &request.info, request.path());
+        let grant = if self.may_have_run() {
+            admit::recheck_sent(self.node, &request.info, request.path())
+        } else {
+            admit::recheck(self.node, &request.info, request.path())
+        };
         let grant = grant.map_err(|refusal| self.qualify(refusal))?;
         let same_customer = grant.customer == request.grant.customer;
         if !same_customer || !grant.route.allows(&request.pool) {
@@ -444,6 +449,12 @@
         self.request.left_by_deadline(self.node.now())
     }
 
+    /// Puts off the deadline if the configuration in force allows more time. Returns whether there is time left.
+    #[must_use]
+    pub fn extend_deadline(&self) -> bool {
+        deadline::extend(self.node, self.request)
+    }
+
     /// The request.
     #[must_use]
     pub const fn request(&self) -> &AdmittedRequest {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -24,6 +24,7 @@
 use crate::admitted::AdmittedRequest;
 use crate::buffered;
 use crate::codec::Codec;
+use crate::deadline;
 use crate::headers::HeaderCodec;
 use crate::headers::RequestInfo;
 use crate::node::Node;
@@ -192,12 +193,13 @@
         return Err(Refusal::new(Cause::LargeHead));
     }
     let body = read(body, limits.body_bytes, limits.receive_timeout).await?;
+    // Its route may have got another service while the body arrived.
+    let grant = admit::admit(node, &info, head.uri.path())?;
     let random = admitted::random(&info);
     let pool = grant
         .pick_service(random)
         .ok_or_else(|| Refusal::new(Cause::NoEndpoint))?;
-    let limit = grant.route.timeout;
-    let timeout = info.timeout.map_or(limit, |caller| caller.min(limit));
+    let limit = deadline::time_limit(&info, &grant.route);
     let kind = grant.route.kind;
     let digest = admitted::digest(&info, &head, &body, &grant);
     let request = AdmittedRequest {
@@ -207,7 +209,7 @@
         grant,
         pool,
         began,
-        deadline: began + timeout,
+        deadline: (began + limit).into(),
         random,
         digest,
         tracker,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -36,6 +36,7 @@
 use crate::attempts::Reservation;
 use crate::cascade;
 use crate::codec::Codec;
+use crate::deadline;
 use crate::events::Event;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
@@ -161,14 +162,17 @@
 
 impl<P: HeaderCodec + Codec, L: Log> Stream<'_, P, L> {
     async fn run(&mut self, writer: Writer, source: Source, first: Event) {
-        let left = self.request.left_by_deadline(self.node.now());
+        let deadline = async {
+            deadline::passed(self.node, self.request).await;
+            tokio::time::sleep(END_SLACK).await;
+        };
         let forwarding = self.forward(&writer, source, first);
         let end = tokio::select! {
             // On a busy VM both are ready at once, and a silent run would not be counted as failed.
             biased;
             end = forwarding => end,
             () = writer.disconnected() => StreamEnd::Disconnected,
-            () = tokio::time::sleep(left + END_SLACK) => StreamEnd::Aborted(Cause::Timeout),
+            () = deadline => StreamEnd::Aborted(Cause::Timeout),
         };
         self.record_end(&end);
         self.record_pace(&end);
--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -41,7 +41,10 @@
             tokio::select! {
                 // An event is worth more than another endpoint.
                 biased;
-                item = source.next_within(left) => return ended_by(item),
+                item = source.next_within(left) => match item {
+                    Err(Fault::Timeout) if attempts.extend_deadline() => {}
+                    item => return ended_by(item),
+                },
                 reserved = attempts.reserve(overrides, excluded.as_ref()) => match reserved {
                     Ok(reservation) => return Silence::TakenOver(Box::new(reservation)),
                     Err(refusal) => log_refused(attempts, &refusal, searches),
@@ -50,7 +53,7 @@
         }
         let pause = source.timeout().min(attempts.left());
         match source.next_within(pause).await {
-            Err(Fault::Timeout) if !attempts.left().is_zero() => {}
+            Err(Fault::Timeout) if !attempts.left().is_zero() || attempts.extend_deadline() => {}
             item => return ended_by(item),
         }
     }
