Show requests that cross the closing of a server

Callers saw their connection closed, or reset, without an answer, though their request had been sent before. Five tests fail, on loopback with a runtime of one thread that does nothing between the caller's write and the signal: an unread request on a kept connection and on a new one, a first request 6 ms after the signal, a head read in part on a kept connection (all: no byte of an answer, orderly end), and 100 connections in the backlog (reset). Two pass as they should: a body that arrives after the signal is read, and idle connections are closed.

--- /dev/null
+++ b/crates/serve/tests/all/main.rs
@@ -0,0 +1,4 @@
+//! Tests of how connections end: what has arrived is answered, and answers arrive whole.
+
+mod closing;
+mod support;
