Read and answer what arrived before a server closes

Callers whose request crossed the closing of a server, 2.6 s after the signal, saw their connection closed without an answer, or reset.

Cause: at `closing`, hyper's graceful_shutdown closes a connection that is idle for all it has read. Bytes in the kernel's buffer don't count, nor, on a kept connection, a head that was read in part (State::close on KA::Idle); a new connection is closed if nothing was read (has_initial_read_write_state). A VM that lags behind its kernel closes requests sent long before. Dropping the listener resets what the kernel has accepted and we have not.

Change: at `closing` a connection first lets the runtime poll the kernel (yield_now wakes its task only after that), is polled itself, and is closed only if it is then idle. A new connection gets 300 ms for the first byte of its first request, a head read in part 1 s. Answers ask for closing from `closing` on as well as from `leaving` on. The backlog is accepted, up to 4,096 connections, before the listener is dropped. At `abort` the connection is polled once more first, so that an answer that is ready is written.

The socket, the service and the body of the answer note how far a connection has come: hyper doesn't tell.

Ruled out: a wait for every idle connection; it would move the moment at which a request crosses, and hold up the end.

Not answered: pipelined requests behind one whose answer asked for closing.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,7 +6,9 @@
 //! connection is broken off.
 
 pub mod body;
+mod progress;
 pub mod server;
+mod socket;
 
 pub use body::ReplyBody;
 pub use body::Writer;
--- /dev/null
+++ b/crates/serve/src/progress.rs
@@ -0,0 +1,122 @@
+//! How far a connection has come with its requests.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering::Relaxed;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::body::ReplyBody;
+use crate::body::Truncated;
+
+/// What a connection is at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[repr(u8)]
+pub enum Stage {
+    /// Nothing has been read yet.
+    New,
+    /// The head of a request has been read in part.
+    Reading,
+    /// A request is being answered.
+    Serving,
+    /// The last answer is complete, and not all of it has been written.
+    Writing,
+    /// The last answer has been written.
+    Idle,
+}
+
+const STAGES: [Stage; 5] = [
+    Stage::New,
+    Stage::Reading,
+    Stage::Serving,
+    Stage::Writing,
+    Stage::Idle,
+];
+
+/// The progress of one connection, noted by its socket, its service and the bodies of its answers.
+#[derive(Debug, Default)]
+pub struct Progress {
+    stage: AtomicU8,
+}
+
+impl Progress {
+    /// What the connection is at.
+    pub fn stage(&self) -> Stage {
+        STAGES[usize::from(self.stage.load(Relaxed))]
+    }
+
+    /// Notes that bytes were read.
+    pub fn read(&self) {
+        if matches!(self.stage(), Stage::New | Stage::Idle) {
+            self.enter(Stage::Reading);
+        }
+    }
+
+    /// Notes that a request is handed over.
+    pub fn serve(&self) {
+        self.enter(Stage::Serving);
+    }
+
+    /// Notes that all that has been handed to the socket is written.
+    pub fn flushed(&self) {
+        if self.stage() == Stage::Writing {
+            self.enter(Stage::Idle);
+        }
+    }
+
+    fn complete(&self) {
+        if self.stage() == Stage::Serving {
+            self.enter(Stage::Writing);
+        }
+    }
+
+    fn enter(&self, stage: Stage) {
+        self.stage.store(stage as u8, Relaxed);
+    }
+}
+
+/// The body of an answer, whose end is noted.
+#[derive(Debug)]
+pub struct Tracked {
+    body: ReplyBody,
+    progress: Arc<Progress>,
+}
+
+impl Tracked {
+    /// Wraps `body`.
+    pub const fn new(body: ReplyBody, progress: Arc<Progress>) -> Self {
+        Self { body, progress }
+    }
+}
+
+impl Drop for Tracked {
+    fn drop(&mut self) {
+        self.progress.complete();
+    }
+}
+
+impl Body for Tracked {
+    type Data = Bytes;
+    type Error = Truncated;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -2,6 +2,12 @@
 
 use std::convert::Infallible;
 use std::future::Future;
+use std::future::poll_fn;
+use std::future::ready;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::task::Poll;
 use std::time::Duration;
 
 use hyper::Request;
@@ -15,14 +21,31 @@
 use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::coop::unconstrained;
+use tokio::task::yield_now;
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::body::ReplyBody;
+use crate::progress::Progress;
+use crate::progress::Stage;
+use crate::progress::Tracked;
+use crate::socket::Socket;
 
 /// Wait after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Maximum number of connections that are accepted after the server has begun to close; the kernel
+/// holds no more by default.
+const BACKLOG: usize = 4_096;
+
+/// Time that a new connection has for the first byte of its first request once the server is closing.
+const FIRST_REQUEST_WAIT: Duration = Duration::from_millis(300);
+
+/// Time that the rest of a head has for arriving once the server is closing.
+const HEAD_WAIT: Duration = Duration::from_secs(1);
+
 /// Limits on what a caller may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Limits {
@@ -71,34 +94,86 @@
 
 /// Serves until `stop` is closing; returns once all connections are closed.
 pub async fn run(listener: TcpListener, service: impl Serve, stop: Stop) {
-    let connections = TaskTracker::new();
-    let mut full = false;
-    loop {
-        let accepted = tokio::select! {
-            () = stop.closing.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let limits = service.limits();
-                let open = connections.len();
-                let fits = open < limits.connections;
-                if fits {
-                    connections.spawn(connection(stream, service.clone(), limits, stop.clone()));
-                } else if !full {
-                    log::warn!(open; "server: Too many connections, closing new ones.");
-                }
-                full = !fits;
+    let mut acceptor = Acceptor {
+        listener,
+        service,
+        stop,
+        connections: TaskTracker::new(),
+        full: false,
+    };
+    acceptor.run().await;
+    acceptor.drain().await;
+    let Acceptor { connections, .. } = acceptor;
+    connections.close();
+    connections.wait().await;
+}
+
+/// Accepts connections.
+struct Acceptor<S> {
+    listener: TcpListener,
+    service: S,
+    stop: Stop,
+    connections: TaskTracker,
+    /// Whether the last connection was one too many.
+    full: bool,
+}
+
+impl<S: Serve> Acceptor<S> {
+    /// Accepts connections until the server is closing.
+    async fn run(&mut self) {
+        loop {
+            let accepted = tokio::select! {
+                () = self.stop.closing.cancelled() => return,
+                accepted = self.listener.accept() => accepted,
+            };
+            if !self.admit(accepted) {
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
+        }
+    }
+
+    /// Accepts what has connected by now. The kernel has told these callers that they are connected, and
+    /// would reset their connections, and the requests they have sent, when the listener is closed.
+    async fn drain(&mut self) {
+        // A task learns of new connections only after the runtime has polled the kernel.
+        yield_now().await;
+        for _ in 0..BACKLOG {
+            let accepted = tokio::select! {
+                biased;
+                accepted = unconstrained(self.listener.accept()) => accepted,
+                () = ready(()) => return,
+            };
+            if !self.admit(accepted) {
+                return;
+            }
+        }
+    }
+
+    /// Starts to serve a connection. False if it couldn't be accepted.
+    fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) -> bool {
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!("server: Connection not accepted: {error}.");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
+                return false;
             }
+        };
+        let limits = self.service.limits();
+        let open = self.connections.len();
+        let fits = open < limits.connections;
+        if fits {
+            self.connections.spawn(connection(
+                stream,
+                self.service.clone(),
+                limits,
+                self.stop.clone(),
+            ));
+        } else if !self.full {
+            log::warn!(open; "server: Too many connections, closing new ones.");
         }
+        self.full = !fits;
+        true
     }
-    drop(listener);
-    connections.close();
-    connections.wait().await;
 }
 
 async fn connection(stream: TcpStream, service: impl Serve, limits: Limits, stop: Stop) {
@@ -106,36 +181,77 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("server: Setting TCP_NODELAY failed: {error}.");
     }
-    let leaving = stop.leaving.clone();
-    let answer = service_fn(move |request| {
-        let service = service.clone();
-        let leaving = leaving.clone();
-        async move {
-            let mut response = service.serve(request).await;
-            if leaving.is_cancelled() {
-                let close = HeaderValue::from_static("close");
-                response.headers_mut().insert(CONNECTION, close);
-            }
-            Ok::<_, Infallible>(response)
-        }
+    let progress = Arc::new(Progress::default());
+    let socket = Socket::new(stream, Arc::clone(&progress));
+    let answers = service_fn(|request| {
+        progress.serve();
+        answer(service.clone(), request, &stop, &progress)
     });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head_bytes)
-        .serve_connection(TokioIo::new(stream), answer);
+        .serve_connection(TokioIo::new(socket), answers);
     tokio::pin!(connection);
-    let result = tokio::select! {
-        result = connection.as_mut() => result,
-        () = stop.closing.cancelled() => {
-            connection.as_mut().graceful_shutdown();
-            tokio::select! {
-                result = connection => result,
-                () = stop.abort.cancelled() => Ok(()),
-            }
+    let served = async {
+        tokio::select! {
+            biased;
+            result = connection.as_mut() => return result,
+            () = last_request(&progress, &stop) => {}
         }
+        connection.as_mut().graceful_shutdown();
+        connection.as_mut().await
     };
-    if let Err(error) = result {
-        log::debug!("server: Connection ended: {error}.");
+    tokio::select! {
+        // An answer that is ready is written before an abort takes effect.
+        biased;
+        result = served => {
+            if let Err(error) = result {
+                log::debug!("server: Connection ended: {error}.");
+            }
+        }
+        () = aborted(&stop) => {}
     }
 }
+
+async fn answer(
+    service: impl Serve,
+    request: Request<Incoming>,
+    stop: &Stop,
+    progress: &Arc<Progress>,
+) -> Result<Response<Tracked>, Infallible> {
+    let mut response = service.serve(request).await;
+    if stop.leaving.is_cancelled() || stop.closing.is_cancelled() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(response.map(|body| Tracked::new(body, Arc::clone(progress))))
+}
+
+/// Waits until the server is closing and all requests that had arrived have been read.
+///
+/// A busy VM lags behind its kernel: a connection that looks idle may have received a request long
+/// before, and would be closed without an answer. This future is polled in the connection's task and
+/// after it, and so sees what the connection has just read.
+async fn last_request(progress: &Progress, stop: &Stop) {
+    stop.closing.cancelled().await;
+    // A task learns of received bytes only after the runtime has polled the kernel.
+    yield_now().await;
+    let left = |stage| {
+        poll_fn(move |_| {
+            if progress.stage() == stage {
+                Poll::Pending
+            } else {
+                Poll::Ready(())
+            }
+        })
+    };
+    // A caller that takes longer than this isn't waited for.
+    let _ = timeout(FIRST_REQUEST_WAIT, left(Stage::New)).await;
+    let _ = timeout(HEAD_WAIT, left(Stage::Reading)).await;
+}
+
+async fn aborted(stop: &Stop) {
+    stop.closing.cancelled().await;
+    stop.abort.cancelled().await;
+}
