Show answers that a reset destroys

Callers lose the end of an answer that was written: of 524,288 bytes, 127,905 arrive of a refusal given before a long body was read, and 127,901, then a reset, of the last answer before pipelined requests.

--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -1,4 +1,5 @@
 //! Tests of how connections end: what has arrived is answered, and answers arrive whole.
 
 mod closing;
+mod linger;
 mod support;
