Read on after the last answer before a socket is closed

Callers lost the end of an answer: a socket that is closed with unread bytes resets its connection, and the kernel drops what it has not delivered. That met answers given before the body was read, and last answers before pipelined requests.

Change: after the last answer the writing side is shut down first, so that the caller sees its end at once. Then, where bytes may be unread (the request had a body, or bytes came during its answer, or after it), the socket is read on until the caller closes its end, is silent for 250 ms, or 1 s or 16 MiB are over. Otherwise it is looked at once more after 1 ms: a task learns of bytes only after the runtime has polled the kernel. A connection that fails, or that an abort ends, is closed at once as before, and so is one whose caller has closed first.

Ruled out: taking the socket back by poll_without_shutdown.

Open: hyper doesn't tell whether a body was read to its end, so a request with a body is always read on after; a caller that asked for no more and keeps its end open holds its connection, and the end of the server, for 250 ms.

--- a/crates/serve/src/progress.rs
+++ b/crates/serve/src/progress.rs
@@ -2,14 +2,17 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering::Relaxed;
 use std::task::Context;
 use std::task::Poll;
 
 use bytes::Bytes;
+use hyper::Request;
 use hyper::body::Body;
 use hyper::body::Frame;
+use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
 use crate::body::ReplyBody;
@@ -43,6 +46,7 @@
 #[derive(Debug, Default)]
 pub struct Progress {
     stage: AtomicU8,
+    unread: AtomicBool,
 }
 
 impl Progress {
@@ -51,16 +55,24 @@
         STAGES[usize::from(self.stage.load(Relaxed))]
     }
 
+    /// Whether the caller may have sent bytes that are left unread when the connection ends.
+    pub fn unread(&self) -> bool {
+        self.unread.load(Relaxed)
+    }
+
     /// Notes that bytes were read.
     pub fn read(&self) {
-        if matches!(self.stage(), Stage::New | Stage::Idle) {
-            self.enter(Stage::Reading);
+        match self.stage() {
+            Stage::New | Stage::Idle => self.enter(Stage::Reading),
+            Stage::Serving | Stage::Writing => self.unread.store(true, Relaxed),
+            Stage::Reading => {}
         }
     }
 
     /// Notes that a request is handed over.
-    pub fn serve(&self) {
+    pub fn serve(&self, request: &Request<Incoming>) {
         self.enter(Stage::Serving);
+        self.unread.store(!request.body().is_end_stream(), Relaxed);
     }
 
     /// Notes that all that has been handed to the socket is written.
@@ -70,6 +82,13 @@
         }
     }
 
+    /// Notes that all that was read has been answered, if no request is in hand.
+    pub fn settle(&self) {
+        if self.stage() == Stage::Idle {
+            self.unread.store(false, Relaxed);
+        }
+    }
+
     fn complete(&self) {
         if self.stage() == Stage::Serving {
             self.enter(Stage::Writing);
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -184,7 +184,7 @@
     let progress = Arc::new(Progress::default());
     let socket = Socket::new(stream, Arc::clone(&progress));
     let answers = service_fn(|request| {
-        progress.serve();
+        progress.serve(&request);
         answer(service.clone(), request, &stop, &progress)
     });
     let connection = http1::Builder::new()
@@ -199,6 +199,7 @@
             result = connection.as_mut() => return result,
             () = last_request(&progress, &stop) => {}
         }
+        progress.settle();
         connection.as_mut().graceful_shutdown();
         connection.as_mut().await
     };
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -1,4 +1,4 @@
-//! Callers' sockets, which note the progress of their connections.
+//! Callers' sockets, which are closed without destroying what was written to them.
 
 use std::io;
 use std::io::IoSlice;
@@ -7,25 +7,100 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep;
 
 use crate::progress::Progress;
 
+/// Maximum time for which a socket is read on after the last answer.
+const LINGER_PERIOD: Duration = Duration::from_secs(1);
+
+/// Maximum number of bytes that are read on after the last answer.
+const LINGER_BYTES: usize = 16 << 20;
+
+/// Silence of a caller after which no more bytes are expected.
+const SILENCE: Duration = Duration::from_millis(250);
+
+/// The same where nothing is known to be unread. A timer fires after the runtime has polled the kernel,
+/// and by then it is known whether bytes have arrived.
+const GLANCE: Duration = Duration::from_millis(1);
+
+/// Bytes that are discarded at once.
+const DISCARD_BYTES: usize = 16 << 10;
+
 /// A caller's socket that notes its progress.
 #[derive(Debug)]
 pub struct Socket {
     stream: TcpStream,
     progress: Arc<Progress>,
+    /// Whether the caller has closed its end.
+    ended: bool,
+    /// Whether our end is shut down.
+    shut: bool,
+    /// Bytes read since then.
+    discarded: usize,
+    linger: Option<Linger>,
+}
+
+/// A wait for bytes after the last answer.
+#[derive(Debug)]
+struct Linger {
+    begun: Instant,
+    end: Pin<Box<Sleep>>,
 }
 
 impl Socket {
     /// Wraps `stream`.
     pub const fn new(stream: TcpStream, progress: Arc<Progress>) -> Self {
-        Self { stream, progress }
+        Self {
+            stream,
+            progress,
+            ended: false,
+            shut: false,
+            discarded: 0,
+            linger: None,
+        }
+    }
+
+    /// Discards what arrives until the caller closes its end, falls silent or a limit is reached.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut space = [0; DISCARD_BYTES];
+        let before = self.discarded;
+        while !self.ended && self.discarded < LINGER_BYTES {
+            let mut buffer = ReadBuf::new(&mut space);
+            if Pin::new(&mut self.stream)
+                .poll_read(cx, &mut buffer)?
+                .is_pending()
+            {
+                return self.poll_silence(self.discarded > before, cx);
+            }
+            let read = buffer.filled().len();
+            self.ended = read == 0;
+            self.discarded += read;
+        }
+        Poll::Ready(Ok(()))
+    }
+
+    /// Waits until the caller has been silent for long enough.
+    fn poll_silence(&mut self, read: bool, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let unread = self.discarded > 0 || self.progress.unread();
+        let silence = if unread { SILENCE } else { GLANCE };
+        let linger = self.linger.get_or_insert_with(|| Linger {
+            begun: Instant::now(),
+            end: Box::pin(sleep(silence)),
+        });
+        if read {
+            let end = (Instant::now() + silence).min(linger.begun + LINGER_PERIOD);
+            linger.end.as_mut().reset(end);
+        }
+        linger.end.as_mut().poll(cx).map(Ok)
     }
 }
 
@@ -40,6 +115,8 @@
         ready!(Pin::new(&mut socket.stream).poll_read(cx, buffer))?;
         if buffer.filled().len() > filled {
             socket.progress.read();
+        } else {
+            socket.ended = true;
         }
         Poll::Ready(Ok(()))
     }
@@ -73,7 +150,14 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Ends the writing side, and reads on where bytes may be left unread: closing a socket with unread
+    /// bytes resets the connection, which destroys the part of the last answer that is still on its way.
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let socket = self.get_mut();
+        if !socket.shut {
+            ready!(Pin::new(&mut socket.stream).poll_shutdown(cx))?;
+            socket.shut = true;
+        }
+        socket.poll_discard(cx)
     }
 }
