Show broken-off streams that look complete to callers of HTTP/1.0

A stream to a caller of HTTP/1.0 has neither a length nor chunks; it ends with its connection. One that broke off, and one that an abort ended, were closed in order: two tests, each with status 200, 5 bytes and no reset.

--- a/crates/serve/tests/all/linger.rs
+++ b/crates/serve/tests/all/linger.rs
@@ -74,6 +74,19 @@
     assert_eq!(answer.body, "5\r\npiece\r\n".len(), "{answer:?}");
 }
 
+/// Guards against a broken-off stream that looks complete to a caller of HTTP/1.0, for whom a stream
+/// ends with its connection.
+#[tokio::test]
+async fn broken_off_stream_without_chunks_ends_with_a_reset() {
+    let server = Server::start().await;
+    let mut caller = Caller::connect(server.address).unwrap();
+    assert!(caller.write("GET /cut HTTP/1.0\r\nhost: loopback\r\n\r\n"));
+    catch_up().await;
+    server.script.release.cancel();
+    let answer = caller.answer().await;
+    assert!(answer.reset, "{answer:?}");
+}
+
 /// Guards against waiting without end for callers who keep sending, or never close.
 #[tokio::test]
 async fn lingering_is_bounded() {
--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of how connections end: what has arrived is answered, and answers arrive whole.
 
+mod abort;
 mod closing;
 mod linger;
 mod support;
