Reset broken-off answers whose end is that of their connection

A caller of HTTP/1.0 took a stream that broke off, or that an abort ended, for a complete one.

Cause: hyper sends such a stream without chunks; the orderly end of the connection is then the end of the answer.

Change: a socket that is dropped after its answer to a request of HTTP/1.0 was broken off resets its connection (SO_LINGER of zero). The body of the answer notes when it was truncated, and the socket when all of it was written, so that an abort amid the last bytes counts too. Chunked answers are closed as before: without their last chunk they don't look complete, and what was written is kept.

--- a/crates/serve/src/progress.rs
+++ b/crates/serve/src/progress.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use hyper::Request;
+use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
@@ -32,14 +33,17 @@
     Writing,
     /// The last answer has been written.
     Idle,
+    /// The last answer was broken off.
+    Cut,
 }
 
-const STAGES: [Stage; 5] = [
+const STAGES: [Stage; 6] = [
     Stage::New,
     Stage::Reading,
     Stage::Serving,
     Stage::Writing,
     Stage::Idle,
+    Stage::Cut,
 ];
 
 /// The progress of one connection, noted by its socket, its service and the bodies of its answers.
@@ -47,6 +51,7 @@
 pub struct Progress {
     stage: AtomicU8,
     unread: AtomicBool,
+    unframed: AtomicBool,
 }
 
 impl Progress {
@@ -60,12 +65,17 @@
         self.unread.load(Relaxed)
     }
 
+    /// Whether an answer was broken off whose end is told by the end of the connection alone.
+    pub fn looks_complete(&self) -> bool {
+        self.stage() == Stage::Cut && self.unframed.load(Relaxed)
+    }
+
     /// Notes that bytes were read.
     pub fn read(&self) {
         match self.stage() {
             Stage::New | Stage::Idle => self.enter(Stage::Reading),
             Stage::Serving | Stage::Writing => self.unread.store(true, Relaxed),
-            Stage::Reading => {}
+            Stage::Reading | Stage::Cut => {}
         }
     }
 
@@ -73,6 +83,8 @@
     pub fn serve(&self, request: &Request<Incoming>) {
         self.enter(Stage::Serving);
         self.unread.store(!request.body().is_end_stream(), Relaxed);
+        self.unframed
+            .store(request.version() == Version::HTTP_10, Relaxed);
     }
 
     /// Notes that all that has been handed to the socket is written.
@@ -82,6 +94,13 @@
         }
     }
 
+    /// Notes that the answer under way is broken off.
+    pub fn cut(&self) {
+        if matches!(self.stage(), Stage::Serving | Stage::Writing) {
+            self.enter(Stage::Cut);
+        }
+    }
+
     /// Notes that all that was read has been answered, if no request is in hand.
     pub fn settle(&self) {
         if self.stage() == Stage::Idle {
@@ -128,7 +147,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Truncated>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let tracked = self.get_mut();
+        let frame = Pin::new(&mut tracked.body).poll_frame(cx);
+        if let Poll::Ready(Some(Err(Truncated))) = frame {
+            tracked.progress.cut();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -211,7 +211,7 @@
                 log::debug!("server: Connection ended: {error}.");
             }
         }
-        () = aborted(&stop) => {}
+        () = aborted(&stop) => progress.cut(),
     }
 }
 
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -104,6 +104,18 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        // A caller of HTTP/1.0 takes the orderly end of its connection for the end of the answer. A
+        // reset is no such end.
+        if self.progress.looks_complete()
+            && let Err(error) = self.stream.set_zero_linger()
+        {
+            log::warn!("server: A broken-off answer may look complete: {error}.");
+        }
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         self: Pin<&mut Self>,
