Tell what an abort ends

At the end of the grace period connections were cut, and the log didn't say how many nor what they were at.

Change: each connection that an abort ends is counted by what it is at, and when all are closed one line gives the counts: idle (nothing read, or the last answer written), reading (a head in part), serving (a request in hand, or an answer not wholly written). Connections whose answer has ended and that only read on aren't counted.

Before: no line. After: one line with idle 1, reading 2, serving 3; 16 of 16 tests pass.

The line comes when `run` returns; whoever aborts must await it for a moment.

--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,6 +6,7 @@
 //! connection is broken off.
 
 pub mod body;
+mod cuts;
 mod progress;
 pub mod server;
 mod socket;
--- a/crates/serve/src/progress.rs
+++ b/crates/serve/src/progress.rs
@@ -35,15 +35,18 @@
     Idle,
     /// The last answer was broken off.
     Cut,
+    /// The writing side is shut down.
+    Closed,
 }
 
-const STAGES: [Stage; 6] = [
+const STAGES: [Stage; 7] = [
     Stage::New,
     Stage::Reading,
     Stage::Serving,
     Stage::Writing,
     Stage::Idle,
     Stage::Cut,
+    Stage::Closed,
 ];
 
 /// The progress of one connection, noted by its socket, its service and the bodies of its answers.
@@ -75,7 +78,7 @@
         match self.stage() {
             Stage::New | Stage::Idle => self.enter(Stage::Reading),
             Stage::Serving | Stage::Writing => self.unread.store(true, Relaxed),
-            Stage::Reading | Stage::Cut => {}
+            Stage::Reading | Stage::Cut | Stage::Closed => {}
         }
     }
 
@@ -101,6 +104,11 @@
         }
     }
 
+    /// Notes that the writing side is shut down.
+    pub fn close(&self) {
+        self.enter(Stage::Closed);
+    }
+
     /// Notes that all that was read has been answered, if no request is in hand.
     pub fn settle(&self) {
         if self.stage() == Stage::Idle {
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -28,6 +28,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::body::ReplyBody;
+use crate::cuts::Cuts;
 use crate::progress::Progress;
 use crate::progress::Stage;
 use crate::progress::Tracked;
@@ -100,12 +101,16 @@
         stop,
         connections: TaskTracker::new(),
         full: false,
+        cuts: Arc::default(),
     };
     acceptor.run().await;
     acceptor.drain().await;
-    let Acceptor { connections, .. } = acceptor;
+    let Acceptor {
+        connections, cuts, ..
+    } = acceptor;
     connections.close();
     connections.wait().await;
+    cuts.log();
 }
 
 /// Accepts connections.
@@ -116,6 +121,7 @@
     connections: TaskTracker,
     /// Whether the last connection was one too many.
     full: bool,
+    cuts: Arc<Cuts>,
 }
 
 impl<S: Serve> Acceptor<S> {
@@ -167,6 +173,7 @@
                 self.service.clone(),
                 limits,
                 self.stop.clone(),
+                Arc::clone(&self.cuts),
             ));
         } else if !self.full {
             log::warn!(open; "server: Too many connections, closing new ones.");
@@ -176,7 +183,13 @@
     }
 }
 
-async fn connection(stream: TcpStream, service: impl Serve, limits: Limits, stop: Stop) {
+async fn connection(
+    stream: TcpStream,
+    service: impl Serve,
+    limits: Limits,
+    stop: Stop,
+    cuts: Arc<Cuts>,
+) {
     // Each piece of a stream is sent immediately.
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("server: Setting TCP_NODELAY failed: {error}.");
@@ -211,7 +224,10 @@
                 log::debug!("server: Connection ended: {error}.");
             }
         }
-        () = aborted(&stop) => progress.cut(),
+        () = aborted(&stop) => {
+            cuts.count(progress.stage());
+            progress.cut();
+        }
     }
 }
 
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -169,6 +169,7 @@
         if !socket.shut {
             ready!(Pin::new(&mut socket.stream).poll_shutdown(cx))?;
             socket.shut = true;
+            socket.progress.close();
         }
         socket.poll_discard(cx)
     }
