Drive a server through all orders of its shutdown

A model plays all orders of leaving, closing, abort, the two parts of a request and its answer (without an abort, without an answer, and with both; 480 orders), on kept, new and not yet connected callers, split in the head and in the body, with a server that keeps up and one that does nothing before all events are over: 5,760 cases on loopback sockets. Each request sent before closing gets one whole answer, or a closed connection if the abort came first; no answer comes twice; answers after leaving or closing ask for closing; `run` returns though callers keep their ends open.

Two tests that compared with a clock now compare two servers, and a third is new: idle connections aren't read on.

The runtime of these tests has one thread; with more, an other thread polls the kernel meanwhile.

--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -87,13 +87,15 @@
 pub struct Stop {
     /// Responses ask callers to close their connections.
     pub leaving: CancellationToken,
-    /// No further connections are accepted, and each connection is closed once it is idle.
+    /// Requests and connections that have arrived by now are read and answered. No further connections
+    /// are accepted, and each one is closed once it is idle.
     pub closing: CancellationToken,
     /// All remaining connections are closed at once. Takes effect only after `closing`.
     pub abort: CancellationToken,
 }
 
-/// Serves until `stop` is closing; returns once all connections are closed.
+/// Serves until `stop` is closing; returns once all connections are closed. Logs how many were aborted,
+/// and what they were at.
 pub async fn run(listener: TcpListener, service: impl Serve, stop: Stop) {
     let mut acceptor = Acceptor {
         listener,
--- a/crates/serve/tests/all/closing.rs
+++ b/crates/serve/tests/all/closing.rs
@@ -8,6 +8,7 @@
 use crate::support::catch_up;
 use crate::support::get;
 use crate::support::post;
+use crate::support::take_notice;
 
 /// Guards against closing a kept connection on which a request has arrived unread.
 #[tokio::test]
@@ -41,7 +42,7 @@
     let mut caller = Caller::connect(server.address).unwrap();
     catch_up().await;
     server.stop.closing.cancel();
-    catch_up().await;
+    take_notice().await;
     assert!(caller.write(get("/now")));
     let answer = caller.answer().await;
     assert!(answer.body_whole() && answer.close, "{answer:?}");
@@ -78,7 +79,7 @@
     assert!(caller.write(first));
     catch_up().await;
     server.stop.closing.cancel();
-    catch_up().await;
+    take_notice().await;
     assert!(caller.write(rest));
     let answer = caller.answer().await;
     assert!(answer.body_whole() && answer.close, "{answer:?}");
--- a/crates/serve/tests/all/linger.rs
+++ b/crates/serve/tests/all/linger.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tokio::task::JoinHandle;
+
 use crate::support::Caller;
 use crate::support::Server;
 use crate::support::catch_up;
@@ -87,33 +89,63 @@
     assert!(answer.reset, "{answer:?}");
 }
 
-/// Guards against waiting without end for callers who keep sending, or never close.
-#[tokio::test]
-async fn lingering_is_bounded() {
-    let server = Server::start().await;
+/// Closes a server that has answered `caller` early; the caller goes on sending if it `sends`.
+async fn close_before_body(server: &Server, sends: bool) -> JoinHandle<Caller> {
     let mut caller = Caller::connect(server.address).unwrap();
     assert!(caller.write(post("/early", LONG_BODY)));
     catch_up().await;
     server.stop.closing.cancel();
-    let sending = tokio::task::spawn_blocking(move || {
-        while caller.write([0; 100]) {
+    tokio::task::spawn_blocking(move || {
+        while sends && caller.write([0; 100]) {
             std::thread::sleep(Duration::from_millis(5));
         }
-    });
+        caller
+    })
+}
+
+/// Guards against waiting without end for callers who keep sending.
+#[tokio::test]
+async fn lingering_is_bounded() {
+    let server = Server::start().await;
+    let caller = close_before_body(&server, true).await;
     server.stopped().await;
-    sending.await.unwrap();
+    caller.await.unwrap();
 }
 
 /// Guards against lingering on beyond an abort.
 #[tokio::test]
 async fn abort_ends_lingering() {
     let server = Server::start().await;
-    let mut caller = Caller::connect(server.address).unwrap();
-    assert!(caller.write(post("/early", LONG_BODY)));
-    catch_up().await;
-    server.stop.closing.cancel();
-    server.stop.abort.cancel();
-    let waited = std::time::Instant::now();
-    server.stopped().await;
-    assert!(waited.elapsed() < Duration::from_millis(500));
+    let aborted = Server::start().await;
+    let callers = [
+        close_before_body(&server, true).await,
+        close_before_body(&aborted, true).await,
+    ];
+    aborted.stop.abort.cancel();
+    let abort = server.stop.abort.clone();
+    tokio::select! {
+        biased;
+        () = aborted.stopped() => {}
+        () = server.stopped() => panic!("the server that is not aborted stops first"),
+    }
+    abort.cancel();
+    for caller in callers {
+        caller.await.unwrap();
+    }
+}
+
+/// Guards against lingering on idle connections, whose requests have been read to their ends.
+#[tokio::test]
+async fn idle_connections_are_closed_without_lingering() {
+    let server = Server::start().await;
+    let idle = Server::start().await;
+    let kept = Caller::connect(idle.address).unwrap().keep().await;
+    let silent = close_before_body(&server, false).await;
+    idle.stop.closing.cancel();
+    tokio::select! {
+        biased;
+        () = idle.stopped() => {}
+        () = server.stopped() => panic!("the server with an idle connection stops last"),
+    }
+    drop((kept, silent));
 }
--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -3,4 +3,5 @@
 mod abort;
 mod closing;
 mod linger;
+mod model;
 mod support;
--- a/crates/serve/tests/all/support.rs
+++ b/crates/serve/tests/all/support.rs
@@ -128,6 +128,13 @@
     }
 }
 
+/// Lets the server take notice of signals, in far less time than it waits for callers.
+pub async fn take_notice() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// A caller's connection.
 pub struct Caller(std::net::TcpStream);
 
@@ -144,10 +151,26 @@
         self.0.write_all(bytes.as_ref()).is_ok()
     }
 
+    /// Waits until a brief answer has arrived, and leaves it unread.
+    pub async fn answered(&self) {
+        let arrival = async {
+            let mut bytes = [0; 4 << 10];
+            let mut arrived = 0;
+            while Answer::parse(&bytes[..arrived]).body < BRIEF {
+                catch_up().await;
+                self.0.set_nonblocking(true).unwrap();
+                arrived = self.0.peek(&mut bytes).unwrap_or(0);
+                self.0.set_nonblocking(false).unwrap();
+            }
+        };
+        let arrived = tokio::time::timeout(BOUND, arrival).await;
+        arrived.expect("an answer arrives");
+    }
+
     /// Has one request answered, so that the connection is a kept one.
     pub async fn keep(self) -> Self {
         let mut caller = self;
-        assert!(caller.write(get("/now")));
+        assert!(caller.write(post("/now", 2) + "ab"));
         let (caller, answer) = caller
             .read_until(|bytes| Answer::parse(bytes).body_whole())
             .await;
