--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -6,7 +6,10 @@
 //! connection is broken off.
 
 pub mod body;
+mod cuts;
+mod progress;
 pub mod server;
+mod socket;
 
 pub use body::ReplyBody;
 pub use body::Writer;
--- /dev/null
+++ b/crates/serve/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of how connections end: what has arrived is answered, and answers arrive whole.
+
+mod abort;
+mod closing;
+mod linger;
+mod model;
+mod support;
