Reserve endpoints for attempts in a module of its own

What comes before a send, a slot, a connection and the checks, stands in attempts/reserve.rs; Attempts keeps the state and the send. Nothing else changes.

--- a/crates/relay/src/attempts/slot.rs
+++ b/crates/relay/src/attempts/slot.rs
@@ -7,8 +7,8 @@
 use tokio_util::sync::CancellationToken;
 
 use super::Attempts;
-use super::NO_ENDPOINT_RETRY_AFTER;
 use super::Overrides;
+use super::reserve::NO_ENDPOINT_RETRY_AFTER;
 use crate::admit::Grant;
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
