Close the listener before waiting for the last connections

Callers who connected to a VM after it had stopped accepting were left waiting up to five seconds and then reset: the kernel took their connections for a listener that was still open and that nobody asked any more.

Cause: since the backlog is accepted at closing, the listener lived in a struct of which two fields were taken; the rest was dropped at the end of `run`, after the last connection.

The test connects while a head is half there; it failed without the drop.

--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -108,8 +108,13 @@
     acceptor.run().await;
     acceptor.drain().await;
     let Acceptor {
-        connections, cuts, ..
+        listener,
+        connections,
+        cuts,
+        ..
     } = acceptor;
+    // The kernel goes on accepting for an open listener, and nobody would answer these callers.
+    drop(listener);
     connections.close();
     connections.wait().await;
     cuts.log();
--- a/crates/serve/tests/all/closing.rs
+++ b/crates/serve/tests/all/closing.rs
@@ -116,3 +116,16 @@
         assert_eq!(caller.answer().await.status, None);
     }
 }
+
+/// Guards against connections that the kernel accepts for a server which no longer does, and closes unanswered.
+#[tokio::test]
+async fn new_connections_are_refused_while_requests_are_answered() {
+    let server = Server::start().await;
+    let mut caller = Caller::connect(server.address).unwrap().keep().await;
+    assert!(caller.write("GET /now"));
+    catch_up().await;
+    server.stop.closing.cancel();
+    take_notice().await;
+    assert!(Caller::connect(server.address).is_err());
+    server.stopped().await;
+}
