Resume no stream on a stopping VM in its last seconds

Callers saw streams cut at the end of a VM that had been resumed at an endpoint where they only waited: the VM had dropped a run that was at work, or a break that another VM could have resumed, with half a second to live.

Cause: a new attempt needed 300 ms of the VM's life, whatever it was. Endpoints queue requests for up to 2.6 s.

A resumption needs 2.5 s now, another stream one second, a plain call 300 ms, or what is expected where that is more. What doesn't fit is broken off at once or stays with its silent run.

--- a/crates/relay/src/attempts/ending.rs
+++ b/crates/relay/src/attempts/ending.rs
@@ -7,10 +7,18 @@
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
 use crate::refusal::Refusal;
+use crate::table::Kind;
 use crate::topic::Log;
 
-/// Least time for an attempt: a connect, the endpoint's queue and the beginning of the answer.
-const MIN_ATTEMPT: Duration = Duration::from_millis(300);
+/// Least time for an attempt of a plain call.
+const MIN_CALL: Duration = Duration::from_millis(300);
+
+/// Least time for a stream, for what an estimate doesn't know of the endpoint's queue.
+const MIN_STREAM: Duration = Duration::from_secs(1);
+
+/// Least time for a stream that is resumed. One that is cut in the queue of its new endpoint could have been
+/// resumed through another VM instead.
+const MIN_RESUMPTION: Duration = Duration::from_millis(2_500);
 
 impl<P: HeaderCodec + Codec, L: Log> Attempts<'_, P, L> {
     /// Refuses the request if this VM gives its final responses. A request that ends frees its slot, which
@@ -41,6 +49,16 @@
             .is_none_or(|end| end.since(now) >= self.expected_time(overrides))
     }
 
+    fn least_time(&self, overrides: &Overrides) -> Duration {
+        if self.request.grant.route.kind != Kind::Stream {
+            MIN_CALL
+        } else if overrides.last_event_id.is_some() {
+            MIN_RESUMPTION
+        } else {
+            MIN_STREAM
+        }
+    }
+
     /// How long an attempt is expected to take, as far as that is known. What is left of a stream that is
     /// resumed is not.
     fn expected_time(&self, overrides: &Overrides) -> Duration {
@@ -53,6 +71,6 @@
                 .cascade
                 .expected_generation(self.request, overrides)
         };
-        (begin + rest).max(MIN_ATTEMPT)
+        (begin + rest).max(self.least_time(overrides))
     }
 }
