Don't refuse a request for endpoints that have just gone

Callers got 503 `no_endpoint` or a broken-off stream within 40 ms although sound endpoints were there: all endpoints of a version stop at one moment, and five of them that refuse a connection ended a request.

Cause: a refused connect counted as an endpoint that declined, five of which end a request for its whole life, also later, when a stream is resumed; and a refusal while a resumed stream was sent ended it at once, without the wait that a refusal before has.

Refused connects have a bound of 25 of their own now, since each costs a round trip only; both counts belong to one search; what is refused at the send is asked for again like what is refused before it.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -65,8 +65,10 @@
     sent: u32,
     /// Endpoints that the scheduler uses again only if no other can take the request.
     tried: Vec<id::Endpoint>,
-    /// Number of endpoints that did not run the request.
+    /// Number of endpoints that did not run the request since [`Attempts::begin_search`].
     declined: usize,
+    /// Number of endpoints that could not be connected to in the present search.
+    unreachable: usize,
     /// When the request was last sent.
     last_sent: Moment,
     /// When it was last sent or, once the answer has begun, when that began, on the clock of [`boot::now`].
@@ -143,6 +145,7 @@
     ///
     /// A [`Refusal`] if no further attempt may be made.
     pub async fn open(&mut self, overrides: &Overrides) -> Result<Opened, Refusal> {
+        self.begin_search();
         loop {
             let reservation = self.reserve(overrides, None).await?;
             if let Some(opened) = self.send(reservation, overrides).await? {
@@ -173,7 +176,8 @@
         self.record_session_version(&permit);
         self.record_sent(&permit);
         self.log_sent(&permit, overrides);
-        let left = self.request.left(self.node.now());
+        // The end of this VM says nothing of the endpoint.
+        let left = self.request.left_by_deadline(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(outgoing)).await;
         let fault = match sent {
             Ok(Ok(response)) => match self.check_response(&permit, response) {
@@ -220,6 +224,11 @@
     /// A [`Refusal`] if no further attempt may be made.
     pub fn attempt_failed(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
         self.log_failure(&permit, fault, "attempt: No usable response.");
+        // An endpoint that keeps the deadline breaks off there, which is no crash.
+        let fault = match fault {
+            Fault::Interrupted { .. } if self.left().is_zero() => &Fault::Timeout,
+            fault => fault,
+        };
         self.node
             .metrics
             .count_attempt(&self.request.pool, "broken");
--- a/crates/relay/src/attempts/connect.rs
+++ b/crates/relay/src/attempts/connect.rs
@@ -44,7 +44,8 @@
         failure: &Failure,
     ) -> Result<(), Refusal> {
         if failure.blame == Blame::Endpoint {
-            return self.endpoint_declined(permit, &failure.fault);
+            self.record_declined(permit, &failure.fault);
+            return self.count_unreachable();
         }
         let message = "attempt: The endpoint is out of reach.";
         self.log_failure(&permit, &failure.fault, message);
@@ -53,7 +54,10 @@
         self.state.tried.push(permit.endpoint().clone());
         match failure.blame {
             Blame::Silence => permit.unanswered(),
-            Blame::Endpoint | Blame::Links => permit.lost(),
+            Blame::Endpoint | Blame::Links => {
+                permit.lost();
+                return self.count_unreachable();
+            }
         }
         self.count_declined()
     }
--- a/crates/relay/src/attempts/reserve.rs
+++ b/crates/relay/src/attempts/reserve.rs
@@ -24,6 +24,10 @@
 /// trip, and if so many decline, the pool is full or the list of endpoints is out of date.
 const MAX_DECLINED: usize = 5;
 
+/// Maximum number of endpoints that one search can't connect to. A refused connect costs a round trip only,
+/// and all endpoints of a version stop at the same moment, before they leave the list.
+const MAX_UNREACHABLE: usize = 25;
+
 /// Retry delay for callers whose request no endpoint accepted. Within this time the endpoints' queues have
 /// advanced.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -104,12 +108,34 @@
         Ok(())
     }
 
-    /// Records that an endpoint did not run the request.
+    /// Starts to count endpoints that don't run the request anew.
+    pub fn begin_search(&mut self) {
+        self.state.declined = 0;
+        self.state.unreachable = 0;
+    }
+
+    /// Counts an endpoint that could not be connected to, without a wait for it.
+    pub(super) fn count_unreachable(&mut self) -> Result<(), Refusal> {
+        self.state.unreachable += 1;
+        if self.state.unreachable >= MAX_UNREACHABLE {
+            let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
+            return Err(self.qualify(refusal));
+        }
+        Ok(())
+    }
+
+    /// Records that an endpoint did not run the request, and counts it.
     pub(super) fn endpoint_declined(
         &mut self,
         permit: Permit,
         fault: &Fault,
     ) -> Result<(), Refusal> {
+        self.record_declined(permit, fault);
+        self.count_declined()
+    }
+
+    /// Records that an endpoint did not run the request.
+    pub(super) fn record_declined(&mut self, permit: Permit, fault: &Fault) {
         self.log_failure(
             &permit,
             fault,
@@ -125,7 +151,6 @@
             self.node.announced.notify_one();
         }
         self.state.tried.push(endpoint);
-        self.count_declined()
     }
 
     fn is_brittle(&self, endpoint: &id::Endpoint) -> bool {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -310,31 +310,43 @@
     async fn reserve(&mut self) -> Result<Reservation, Refusal> {
         let began = Instant::now();
         loop {
-            let refusal = match self.attempts.reserve(&self.overrides, None).await {
+            self.attempts.begin_search();
+            match self.attempts.reserve(&self.overrides, None).await {
                 Ok(reservation) => return Ok(reservation),
-                Err(refusal) => refusal,
-            };
-            let waited = began.elapsed() >= MAX_RESUME_WAIT;
-            if waited || !refusal.cause.is_momentary() || !self.attempts.may_retry() {
-                return Err(refusal);
+                Err(refusal) => self.wait_after(refusal, began).await?,
             }
-            let request = self.request.info.id.as_str();
-            let cause = refusal.cause.as_str();
-            log::info!(request, cause; "stream: Broken, no endpoint can resume it yet.");
-            tokio::time::sleep(RESUME_PAUSE).await;
         }
     }
 
+    /// Waits after a refusal before an endpoint is asked for again, if that may help.
+    async fn wait_after(&self, refusal: Refusal, began: Instant) -> Result<(), Refusal> {
+        let waited = began.elapsed() >= MAX_RESUME_WAIT;
+        if waited || !refusal.cause.is_momentary() || !self.attempts.may_retry() {
+            return Err(refusal);
+        }
+        let request = self.request.info.id.as_str();
+        let cause = refusal.cause.as_str();
+        log::info!(request, cause; "stream: Broken, no endpoint can resume it yet.");
+        tokio::time::sleep(RESUME_PAUSE).await;
+        Ok(())
+    }
+
     /// Resumes the stream after the last forwarded event, at the reserved endpoint if there is one.
     async fn resume(&mut self, reservation: Option<Reservation>) -> Result<Source, Refusal> {
+        let began = Instant::now();
         let mut reservation = reservation;
         loop {
             let reserved = match reservation.take() {
                 Some(reserved) => reserved,
                 None => self.reserve().await?,
             };
-            let Some(opened) = self.attempts.send(reserved, &self.overrides).await? else {
-                continue;
+            let opened = match self.attempts.send(reserved, &self.overrides).await {
+                Ok(Some(opened)) => opened,
+                Ok(None) => continue,
+                Err(refusal) => {
+                    self.wait_after(refusal, began).await?;
+                    continue;
+                }
             };
             let Opened {
                 permit, response, ..
