Give the steps of a VM's end fixed times

A VM that is 200 ms behind gave its final responses late and counted the 200 and 100 ms until abort and exit from there, beyond the reserve of 400 ms, so that the supervisor's kill could come first. `finish`, `finish_at` and `is_aborted` are what `last_call`, `end` and `is_over` were, which a reviewer stumbled over. Found by reading; the tests of the shutdown pass, none shows the overrun.

--- a/crates/relay/src/attempts/ending.rs
+++ b/crates/relay/src/attempts/ending.rs
@@ -24,7 +24,7 @@
     /// Refuses the request if this VM gives its final responses. A request that ends frees its slot, which
     /// would send the next one that waits there to an endpoint, too late for a response.
     pub(super) fn check_not_ending(&self) -> Result<(), Refusal> {
-        if self.node.lifetime.last_call.is_cancelled() {
+        if self.node.lifetime.finish.is_cancelled() {
             return Err(Refusal::stopping(self.may_have_run()));
         }
         Ok(())
@@ -45,7 +45,7 @@
         let lifetime = &self.node.lifetime;
         let now = self.node.now();
         lifetime
-            .end()
+            .finish_at()
             .is_none_or(|end| end.since(now) >= self.expected_time(overrides))
     }
 
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -78,7 +78,7 @@
             biased;
             response = responding => response,
             // The caller of a dropped request would see a closed connection, which tells it nothing.
-            () = node.lifetime.last_call.cancelled() => {
+            () = node.lifetime.finish.cancelled() => {
                 Err(Refusal::stopping(tracker.stage().may_have_run))
             }
         };
@@ -157,7 +157,7 @@
             return;
         }
         let stage = self.tracker.stage();
-        let by_vm = self.node.lifetime.is_over();
+        let by_vm = self.node.lifetime.is_aborted();
         self.node.metrics.count_dropped(by_vm, stage.step);
         let (level, message) = if by_vm {
             (Level::Error, "request: Left unanswered, this VM stops.")
--- a/crates/relay/src/lifetime.rs
+++ b/crates/relay/src/lifetime.rs
@@ -12,30 +12,30 @@
     /// Cancelled when the VM starts to shut down.
     pub leaving: CancellationToken,
     /// Cancelled when each request that has no response yet gets a final one.
-    pub last_call: CancellationToken,
+    pub finish: CancellationToken,
     /// Cancelled when all connections of callers are closed, whatever they wait for.
     pub abort: CancellationToken,
-    /// When the last call comes, once the VM shuts down.
-    end: Arc<OnceLock<Moment>>,
+    /// When `finish` is due, once the VM shuts down.
+    finish_at: Arc<OnceLock<Moment>>,
 }
 
 impl Lifetime {
-    /// Starts to shut down, with the last call at `end`. Later calls change nothing.
-    pub fn leave(&self, end: Moment) {
-        self.end.get_or_init(|| end);
+    /// Starts to shut down, and gives final responses at `finish_at`. Later calls change nothing.
+    pub fn leave(&self, finish_at: Moment) {
+        self.finish_at.get_or_init(|| finish_at);
         self.leaving.cancel();
     }
 
-    /// When the last call comes; none before the VM shuts down.
+    /// When final responses are given; none before the VM shuts down.
     #[must_use]
-    pub fn end(&self) -> Option<Moment> {
-        self.end.get().copied()
+    pub fn finish_at(&self) -> Option<Moment> {
+        self.finish_at.get().copied()
     }
 
-    /// The earlier of a deadline and the last call.
+    /// The earlier of a deadline and the time of the final responses.
     #[must_use]
     pub fn bound(&self, deadline: Moment) -> Moment {
-        self.end().map_or(deadline, |end| end.min(deadline))
+        self.finish_at().map_or(deadline, |end| end.min(deadline))
     }
 
     /// Whether the VM shuts down.
@@ -46,7 +46,7 @@
 
     /// Whether the VM has closed the connections of its callers.
     #[must_use]
-    pub fn is_over(&self) -> bool {
+    pub fn is_aborted(&self) -> bool {
         self.abort.is_cancelled()
     }
 }
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -19,6 +19,7 @@
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
 use pimento_serve::Stop;
+use pimento_units::Moment;
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
@@ -28,7 +29,6 @@
 use crate::config::Config;
 use crate::handler::RequestHandler;
 use crate::headers::HeaderCodec;
-use crate::lifetime::Lifetime;
 use crate::links::gate::RelayGate;
 use crate::metrics::MetricsService;
 use crate::node::Node;
@@ -43,7 +43,7 @@
 const CLOSE_RESERVE: Duration = Duration::from_millis(400);
 
 /// Time that final responses have to reach their callers.
-const LAST_CALL_PERIOD: Duration = Duration::from_millis(200);
+const FINISH_PERIOD: Duration = Duration::from_millis(200);
 
 /// Time that aborted requests have to end.
 const ABORT_PERIOD: Duration = Duration::from_millis(100);
@@ -130,7 +130,7 @@
         let complete = tokio::time::timeout(left, done.as_mut()).await.is_ok();
         if !complete {
             log::error!("server: Grace period is over, ending requests in flight.");
-            end_requests(&self.node.lifetime, done).await;
+            end_requests(&self.node, end, done).await;
         }
         self.background.cancel();
         log::info!("server: Stopped.");
@@ -138,19 +138,26 @@
     }
 }
 
-/// Waits until final responses were given, then aborts what is left. `done` ends with the last request.
-async fn end_requests(lifetime: &Lifetime, mut done: Pin<&mut impl Future<Output = ()>>) {
-    lifetime.last_call.cancel();
-    if tokio::time::timeout(LAST_CALL_PERIOD, done.as_mut())
+/// Gives final responses, which are due at `due`, and aborts what is left. `done` ends with the last request.
+/// The steps have fixed times, so that one that comes late on a busy VM doesn't delay the next.
+async fn end_requests<P: HeaderCodec + Codec, L: Log>(
+    node: &Node<P, L>,
+    due: Moment,
+    mut done: Pin<&mut impl Future<Output = ()>>,
+) {
+    let abort_at = node.clock.instant(due + FINISH_PERIOD);
+    let exit_at = abort_at + ABORT_PERIOD;
+    node.lifetime.finish.cancel();
+    if tokio::time::timeout_at(abort_at, done.as_mut())
         .await
         .is_ok()
     {
         return;
     }
-    log::error!("server: Aborting the streams in flight.");
-    lifetime.abort.cancel();
+    log::error!("server: Aborting streams, long responses and tunnels in flight.");
+    node.lifetime.abort.cancel();
     // Each aborted request logs how far it had come.
-    if tokio::time::timeout(ABORT_PERIOD, done).await.is_err() {
+    if tokio::time::timeout_at(exit_at, done).await.is_err() {
         log::error!("server: Some requests or tunnels did not end when they were aborted.");
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -200,7 +200,7 @@
         let took = self.node.now().since(self.request.began);
         let (end, cause) = match end {
             StreamEnd::Complete => ("whole", None),
-            StreamEnd::Disconnected if self.node.lifetime.is_over() => ("vm_stopped", None),
+            StreamEnd::Disconnected if self.node.lifetime.is_aborted() => ("vm_stopped", None),
             StreamEnd::Disconnected => ("caller_left", None),
             StreamEnd::Aborted(cause) => ("broken_off", Some(cause.as_str())),
         };
