--- a/crates/entry/tests/all/ending.rs
+++ b/crates/entry/tests/all/ending.rs
@@ -58,6 +58,7 @@
         prompt: None,
         aim: None,
         tried: Vec::new(),
+        excluded: None,
         previously_refused: false,
         repeatable: true,
     };
