Blame no endpoint for the end of its VM amid an answer

Callers of a stopping VM whose plain answer had come halfway got 504 some milliseconds before the last call's 502, and the endpoint was counted as silent, in its pool and by the attempts' metric.

Cause: the body was read within the time to the VM's own end, whose passing was taken for a timeout of the endpoint.

A run under way now has the time to the caller's deadline, as streams have. At the VM's end the last call drops what waits for its head, and the abort closes the connections of long answers; neither counts for or against the endpoint.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -58,7 +58,8 @@
             permit, response, ..
         } = opened;
         let (mut head, body) = (response.head, response.body);
-        let left = request.left(node.now());
+        // The end of this VM says nothing of the endpoint. The last call answers callers who wait by then.
+        let left = request.left_by_deadline(node.now());
         let ends_with_connection = body.ends_with_connection();
         let read = async {
             let read = read(body).await?;
@@ -95,7 +96,7 @@
             }
             Ok(Buffered::Partial(start, rest)) => {
                 let (writer, reply) = ReplyBody::stream();
-                let left = request.left(node.now());
+                let left = request.left_by_deadline(node.now());
                 let (shared, run, status) = (node.clone(), attempts.run(), head.status);
                 node.response_tasks.spawn(async move {
                     let forwarding = async {
