Cancel a long answer that is silent when its caller leaves

Endpoints went on with long answers whose callers had left, and held their slots, until the deadline if the body was silent; half a second is allowed.

Cause: the task that forwards the body learned of a caller's leaving by its next write alone.

The task now waits for the leaving as well, as streams do. It is cancelled, which counts neither for nor against the endpoint.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -106,8 +106,15 @@
                         }
                         Ok(())
                     };
-                    let forwarded = tokio::time::timeout(left, forwarding).await;
-                    match forwarded.unwrap_or(Err(Fault::Timeout)) {
+                    let forwarded = tokio::select! {
+                        biased;
+                        forwarded = tokio::time::timeout(left, forwarding) => {
+                            forwarded.unwrap_or(Err(Fault::Timeout))
+                        }
+                        // Amid a silent body no write would show it, and the endpoint would go on.
+                        () = writer.disconnected() => Err(Fault::Cancelled),
+                    };
+                    match forwarded {
                         Ok(()) => {
                             poison::record_answer(&shared, &run, status.is_success());
                             permit.served(PLAIN_CALL_WORK);
