Count long answers of plain services, and log how they end

Nothing counted plain answers of more than 256 KiB: neither their first and last byte nor their end was in a metric, and no line told whether they were broken off, which is what one asks first when a caller got half of one.

Cause: a complete answer is recorded where it is read, and a long one leaves that path. Evidence: a_long_answer_is_counted_by_its_end: timed out waiting for: whole; a_vm_that_ends_breaks_off_long_answers_itself: left: [], right: [end="vm_stopped" 5].

A long answer is a struct of its own now, which records its end as streams do: "response: Ended." with the request, the end (whole, failed, caller_left, vm_stopped, broken_off), the cause and the endpoint. An error of its writer's end is logged too.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -4,13 +4,18 @@
 //! breaks off must not look complete, and a request that may run again is better answered by another
 //! endpoint.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
+use compact_str::CompactString;
 use hyper::Response;
 use hyper::StatusCode;
 use pimento_endpoint::Fault;
+use pimento_scheduler::Permit;
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
+use pimento_units::Moment;
 use pimento_units::Tokens;
 
 use crate::admitted::AdmittedRequest;
@@ -23,6 +28,7 @@
 use crate::node::Node;
 use crate::node::millis;
 use crate::poison;
+use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
@@ -96,36 +102,22 @@
             }
             Ok(Buffered::Partial(start, rest)) => {
                 let (writer, reply) = ReplyBody::stream();
+                let took = node.now().since(request.began);
+                let route = request.grant.route.name.clone();
+                node.metrics.observe_first_byte(&route, took);
+                let long = Long {
+                    node: node.clone(),
+                    permit,
+                    run: attempts.run(),
+                    status: head.status,
+                    id: request.info.id.clone(),
+                    route,
+                    began: request.began,
+                    ends_with_connection,
+                };
                 let left = request.left_by_deadline(node.now());
-                let (shared, run, status) = (node.clone(), attempts.run(), head.status);
-                node.response_tasks.spawn(async move {
-                    let forwarding = async {
-                        forward(&writer, start, rest).await?;
-                        if ends_with_connection {
-                            shared.links.check_end(&permit).await?;
-                        }
-                        Ok(())
-                    };
-                    let forwarded = tokio::select! {
-                        biased;
-                        forwarded = tokio::time::timeout(left, forwarding) => {
-                            forwarded.unwrap_or(Err(Fault::Timeout))
-                        }
-                        // Amid a silent body no write would show it, and the endpoint would go on.
-                        () = writer.disconnected() => Err(Fault::Cancelled),
-                    };
-                    match forwarded {
-                        Ok(()) => {
-                            poison::record_answer(&shared, &run, status.is_success());
-                            permit.served(PLAIN_CALL_WORK);
-                            let _ = writer.end().await;
-                        }
-                        Err(fault) => {
-                            poison::record_failure(&shared, run, permit.endpoint(), &fault);
-                            permit.failed(&fault);
-                        }
-                    }
-                });
+                node.response_tasks
+                    .spawn(async move { long.run(writer, (start, rest), left).await });
                 return Ok(Response::from_parts(head, reply));
             }
             Err(fault) => {
@@ -137,6 +129,86 @@
     }
 }
 
+/// A response that is too long to be buffered, on its way to the caller.
+struct Long<P, L> {
+    node: Node<P, L>,
+    permit: Permit,
+    run: poison::Run,
+    status: StatusCode,
+    /// The request's id.
+    id: CompactString,
+    route: CompactString,
+    /// When the request's head was received.
+    began: Moment,
+    ends_with_connection: bool,
+}
+
+impl<P: HeaderCodec + Codec, L: Log> Long<P, L> {
+    async fn run(self, writer: Writer, body: (Bytes, ResponseBody), left: Duration) {
+        let forwarded = tokio::select! {
+            biased;
+            forwarded = tokio::time::timeout(left, self.forward(&writer, body)) => {
+                forwarded.unwrap_or(Err(Fault::Timeout))
+            }
+            // Amid a silent body no write would show it, and the endpoint would go on.
+            () = writer.disconnected() => Err(Fault::Cancelled),
+        };
+        self.record_end(&forwarded);
+        match forwarded {
+            Ok(()) => {
+                poison::record_answer(&self.node, &self.run, self.status.is_success());
+                self.permit.served(PLAIN_CALL_WORK);
+                if writer.end().await.is_err() {
+                    log::debug!("response: Caller disconnected at the end.");
+                }
+            }
+            // Dropping the writer without a call of end() aborts the connection.
+            Err(fault) => {
+                poison::record_failure(&self.node, self.run, self.permit.endpoint(), &fault);
+                self.permit.failed(&fault);
+            }
+        }
+    }
+
+    async fn forward(&self, writer: &Writer, body: (Bytes, ResponseBody)) -> Result<(), Fault> {
+        let disconnected = |_| Fault::Cancelled;
+        let (start, mut rest) = body;
+        if !start.is_empty() {
+            writer.send(start).await.map_err(disconnected)?;
+        }
+        while let Some(data) = rest.next().await? {
+            writer.send(data).await.map_err(disconnected)?;
+        }
+        if self.ends_with_connection {
+            self.node.links.check_end(&self.permit).await?;
+        }
+        Ok(())
+    }
+
+    /// Records how the response ended, in metrics and the log.
+    fn record_end(&self, forwarded: &Result<(), Fault>) {
+        let took = self.node.now().since(self.began);
+        let (end, cause) = match forwarded {
+            Ok(()) if self.status.is_server_error() => ("failed", None),
+            Ok(()) => ("whole", None),
+            Err(Fault::Cancelled) if self.node.lifetime.is_over() => ("vm_stopped", None),
+            Err(Fault::Cancelled) => ("caller_left", None),
+            Err(Fault::Timeout) => ("broken_off", Some(Cause::Timeout)),
+            Err(_) => ("broken_off", Some(Cause::Failed)),
+        };
+        self.node.metrics.observe_end(&self.route, end, took);
+        log::info!(
+            request = self.id.as_str(),
+            end,
+            cause = cause.map(Cause::as_str),
+            endpoint = self.permit.endpoint().as_str(),
+            status = self.status.as_u16(),
+            took_ms = millis(took);
+            "response: Ended."
+        );
+    }
+}
+
 /// Records a complete response in metrics and the log.
 fn record_response<P, L>(
     node: &Node<P, L>,
@@ -178,14 +250,3 @@
     }
     Ok(Buffered::Complete(buffer.freeze()))
 }
-
-async fn forward(writer: &Writer, start: Bytes, mut rest: ResponseBody) -> Result<(), Fault> {
-    let disconnected = |_| Fault::Cancelled;
-    if !start.is_empty() {
-        writer.send(start).await.map_err(disconnected)?;
-    }
-    while let Some(data) = rest.next().await? {
-        writer.send(data).await.map_err(disconnected)?;
-    }
-    Ok(())
-}
