--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -4,4 +4,5 @@
 mod closing;
 mod linger;
 mod model;
+mod panics;
 mod support;
--- a/crates/serve/tests/all/support.rs
+++ b/crates/serve/tests/all/support.rs
@@ -35,7 +35,7 @@
 pub const BRIEF: usize = 100;
 
 /// Answers by path: `/now` at once, `/held` and `/brief` when released, all after reading the body; `/early` at once
-/// without reading the body; `/cut` with a stream that breaks off when released.
+/// without reading the body; `/cut` with a stream that breaks off when released; `/panic` with a panic.
 #[derive(Debug, Clone, Default)]
 pub struct Script {
     pub release: CancellationToken,
@@ -44,6 +44,7 @@
 impl Serve for Script {
     async fn serve(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let path = request.uri().path().to_owned();
+        assert_ne!(path, "/panic", "a fault of the service");
         match path.as_str() {
             "/early" => {
                 let mut response = Response::new(ReplyBody::whole(ANSWER));
