Answer requests whose service panics

Callers saw a closed connection without an answer when the service's code panicked, which tells them nothing of whether and when to ask again.

Cause: the panic ended the connection's task.

The server catches it and answers 500 with `Connection: close`, which promises nothing of whether the request ran, and logs an error. The next connection is served. With std alone, the server needs no further dependency.

--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -6,12 +6,16 @@
 use std::future::ready;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
+use std::panic::catch_unwind;
+use std::pin::pin;
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
 use hyper::Request;
 use hyper::Response;
+use hyper::StatusCode;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
@@ -244,7 +248,11 @@
     stop: &Stop,
     progress: &Arc<Progress>,
 ) -> Result<Response<Tracked>, Infallible> {
-    let mut response = service.serve(request).await;
+    let serving = async { service.serve(request).await };
+    let mut response = catch(serving).await.unwrap_or_else(|Panicked| {
+        log::error!("server: The service panicked, the request gets a 500.");
+        panic_response()
+    });
     if stop.leaving.is_cancelled() || stop.closing.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
@@ -252,6 +260,30 @@
     Ok(response.map(|body| Tracked::new(body, Arc::clone(progress))))
 }
 
+/// A future panicked. The panic hook has said where.
+struct Panicked;
+
+/// Catches a panic. It would end the connection's task, and the caller would see a closed connection, which
+/// tells it nothing.
+async fn catch<T>(future: impl Future<Output = T>) -> Result<T, Panicked> {
+    let mut future = pin!(future);
+    // The future isn't polled again after a panic, so nobody sees what it left half done.
+    poll_fn(|cx| {
+        let polled = catch_unwind(AssertUnwindSafe(|| future.as_mut().poll(cx)));
+        polled.map_or(Poll::Ready(Err(Panicked)), |poll| poll.map(Ok))
+    })
+    .await
+}
+
+/// Promises nothing of whether the request ran.
+fn panic_response() -> Response<ReplyBody> {
+    let mut response = Response::new(ReplyBody::whole("internal error\n"));
+    *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR;
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    response
+}
+
 /// Waits until the server is closing and all requests that had arrived have been read.
 ///
 /// A busy VM lags behind its kernel: a connection that looks idle may have received a request long
