Keep an answer until an endpoint takes the larger model

Callers got 502 or 401 although a small model's answer was there: it was dropped before an endpoint for the larger model was had, and if none could be reserved (none left, no retry left, key revoked) only the refusal remained.

If nothing can be reserved, the small answer is forwarded; otherwise its run is closed and the request sent at once, so that two never work on it. Decisions are counted as dropped, and confidences compared, only for answers that were really dropped.

An endpoint that declines after the reservation, or fails before its first event, still costs the answer; the request runs on with the attempts that are left.

--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -145,8 +145,20 @@
     times.map(millis).collect()
 }
 
+/// Counts whether the answer of an attempt was dropped for a larger model.
+pub fn count_decision<P: HeaderCodec + Codec, L: Log>(
+    attempts: &Attempts<'_, P, L>,
+    overrides: &Overrides,
+    dropped: bool,
+) {
+    if let Some(model) = &overrides.model {
+        let metrics = &attempts.node().metrics;
+        metrics.count_cascade_decision(model, dropped);
+    }
+}
+
 /// Decides whether to drop an answer and to run the request on a larger model. Returns that model, or none
-/// if the answer is forwarded to the caller. `dropped` is the answer that was dropped before, if any; its
+/// if the answer is forwarded to the caller; the decision to drop it is counted once an endpoint is had. `dropped` is the answer that was dropped before, if any; its
 /// confidence and that of the larger model's answer are added to the statistics.
 pub fn choose_larger<P: HeaderCodec + Codec, L: Log>(
     attempts: &Attempts<'_, P, L>,
@@ -220,10 +232,9 @@
         larger = chosen.and_then(|chosen| name(index + 1 + chosen));
         "cascade: Considered larger models."
     );
-    attempts
-        .node()
-        .metrics
-        .count_cascade_decision(model, chosen.is_some());
+    if chosen.is_none() {
+        count_decision(attempts, overrides, false);
+    }
     let larger = models.get(index + 1 + chosen?)?;
     *dropped = Some(Dropped {
         model: model_hash(model),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
 //! never takes it for complete.
 
 mod batch;
+mod larger;
 mod silence;
 mod source;
 mod start;
@@ -72,20 +73,29 @@
         model: cascade::first_model(&request),
         last_event_id: None,
     };
+    let mut reservation = None;
     let (mut head, source, first) = loop {
-        let opened = match attempts.open(&overrides).await {
-            Ok(opened) => opened,
+        let opened = match reservation.take() {
+            Some(reserved) => attempts.send(reserved, &overrides).await,
+            None => attempts.open(&overrides).await.map(Some),
+        };
+        let opened = match opened {
+            Ok(Some(opened)) => opened,
+            Ok(None) => continue,
             Err(refusal) => return error.ok_or(refusal),
         };
         match start::read(&mut attempts, &overrides, opened).await {
             Ok(Some(FirstResponse::Stream(started))) => {
                 let confidence = started.confidence;
                 let larger =
-                    cascade::choose_larger(&attempts, &overrides, confidence, &mut dropped);
-                let Some(model) = larger else {
+                    larger::reserve(&mut attempts, &overrides, confidence, &mut dropped).await;
+                let Some(larger) = larger else {
                     break (started.head, started.source, started.event);
                 };
-                overrides.model = Some(model);
+                // Two endpoints would work on the request otherwise.
+                drop(started);
+                overrides.model = Some(larger.model);
+                reservation = Some(larger.reservation);
             }
             Ok(Some(FirstResponse::Error(response))) => {
                 if !attempts.may_retry() {
