Count a silent run when its silence begins

Callers were sent to an endpoint that gave one event and nothing more: since silent runs are kept, the scheduler learned of a silence only when the run was given up. It went on to fill every slot there beside an endpoint that was sound, and those callers got no whole stream. Seen with no retry left, 10 streams a second and 64 slots: 20, 40, 60, 64 sent there after 2, 4, 6 and 8 s.

A permit now counts the silence for the endpoint's health when it begins and keeps the slot; a timeout later on does not count the same silence again. So three silences eject the endpoint as they did when runs were given up at once. Nothing is counted while this VM's links are suspect.

--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -32,6 +32,9 @@
     overrides: &Overrides,
     source: &mut Source,
 ) -> Silence {
+    if !attempts.node().links.are_suspect() {
+        source.permit.record_silence();
+    }
     let mut searches = 0;
     loop {
         if attempts.may_take_over() {
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -88,7 +88,7 @@
         let due = Instant::now() + timeout;
         loop {
             if let Some(event) = self.splitter.next_event() {
-                self.record_begun();
+                self.record_event();
                 return Ok(Item::Event(event));
             }
             let data = tokio::time::timeout_at(due, self.body.next()).await;
@@ -116,7 +116,8 @@
         self.permit
     }
 
-    fn record_begun(&mut self) {
+    fn record_event(&mut self) {
+        self.permit.end_silence();
         if !self.begun {
             self.begun = true;
             self.permit.record_first_token();
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -43,6 +43,8 @@
     shared: Arc<Shared>,
     slot: Slot,
     released: bool,
+    /// Whether the call is silent and this was counted.
+    silent: bool,
 }
 
 impl Permit {
@@ -51,6 +53,7 @@
             shared,
             slot,
             released: false,
+            silent: false,
         }
     }
 
@@ -114,6 +117,25 @@
         state.dispatch_waiting(&self.shared, now);
     }
 
+    /// Counts the call as silent and keeps its slot. Once the call has failed, the scheduler would learn of the
+    /// silence too late, and would send further calls meanwhile.
+    pub fn record_silence(&mut self) {
+        if self.silent {
+            return;
+        }
+        self.silent = true;
+        let now = self.shared.clock.now();
+        let mut state = self.shared.lock();
+        state.record_silence(&self.slot, now);
+        // An endpoint that was ejected before may be in use again in place of this one.
+        state.dispatch_waiting(&self.shared, now);
+    }
+
+    /// Records that the call is no longer silent.
+    pub const fn end_silence(&mut self) {
+        self.silent = false;
+    }
+
     /// Releases the slot after a complete answer. `tokens` includes the prompt.
     pub fn served(mut self, tokens: Tokens) {
         let now = self.shared.clock.now();
@@ -140,6 +162,7 @@
         let now = self.shared.clock.now();
         let (limit, health) = match fault {
             Fault::Refused { .. } => (limit::Outcome::Overload, eject::Outcome::Unknown),
+            Fault::Timeout if self.silent => (limit::Outcome::Overload, eject::Outcome::Unknown),
             Fault::Timeout => (limit::Outcome::Overload, eject::Outcome::Silent),
             Fault::Cancelled => (limit::Outcome::Unknown, eject::Outcome::Unknown),
             Fault::Unreachable { .. }
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pimento_policy::eject;
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
@@ -183,6 +184,12 @@
         engine.record_cached(prompt, now);
     }
 
+    /// Counts a call that goes on as silent.
+    pub fn record_silence(&mut self, slot: &Slot, now: Moment) {
+        let silent = eject::Outcome::Silent;
+        self.health.record(&slot.endpoint, silent, now);
+    }
+
     /// Records that the first token of a call has arrived.
     pub fn record_first_token(&mut self, slot: &Slot, now: Moment) {
         let Some(call) = slot.call else { return };
--- a/crates/scheduler/tests/pool.rs
+++ b/crates/scheduler/tests/pool.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
+use pimento_policy::eject::SILENCE;
 use pimento_policy::engine::Part;
 use pimento_policy::engine::Prompt;
 use pimento_scheduler::Clock;
@@ -154,6 +155,31 @@
     assert_eq!(permit.unwrap().endpoint().as_str(), "i-1");
 }
 
+/// Guards against an endpoint that is ejected too early, because silences count when they begin and when their
+/// calls fail.
+#[tokio::test(start_paused = true)]
+async fn a_silence_counts_once() {
+    let scheduler = Scheduler::new(Clock::default());
+    let pool = scheduler.pool(&"service".parse().unwrap());
+    pool.update(vec![plain_member(1, true), plain_member(2, true)]);
+    let cancel = CancellationToken::new();
+    let job = Job {
+        tried: vec!["i-2".parse().unwrap()],
+        ..call()
+    };
+    for (silence, ejected) in [(1, 0), (2, 0), (3, 1)] {
+        let mut permit = pool.acquire(job.clone(), &cancel).await.unwrap();
+        assert_eq!(permit.endpoint().as_str(), "i-1");
+        permit.record_silence();
+        assert_eq!(pool.metrics().ejected, ejected, "after silence {silence}");
+        // Silences that are closer to each other count as one in any case.
+        tokio::time::sleep(SILENCE).await;
+        permit.failed(&Fault::Timeout);
+        assert_eq!(pool.metrics().ejected, ejected, "after failure {silence}");
+        tokio::time::sleep(SILENCE).await;
+    }
+}
+
 /// Guards against a job that goes to the endpoint which still runs the same request, because no other has a
 /// slot.
 #[tokio::test]
