Run a stream anew at its own endpoint once its run hangs

Callers got a stream that was broken off at its timeout although the only endpoint was sound: its run had gone silent for good, and the endpoint was never asked again because it was excluded for as long as the run was kept. With one slot at that endpoint, other callers were refused with 503 as well, since the silent run held it.

A run without an event for 8 s hangs, since callers disconnect by then. From then on its endpoint may be reserved again, though others come first. If no slot can be had, the run is closed, because the slot waited for may be its own, and the stream is resumed as after any failure. Runs that may not be repeated are kept as before, and so are those of a VM whose links are suspect.

Both tests failed before: a body that ends after "piece 1", and a caller with 503 (left: 503, right: 200). With the exclusion dropped alone, the second one still failed in the same way: the reservation was refused as overloaded.

--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -1,10 +1,14 @@
 //! Runs from which nothing comes for a while.
 //!
 //! An endpoint that pauses is at work most of the time, and a late event is better than an aborted response.
-//! So a silent run is kept until another endpoint is reserved for the request.
+//! So a silent run is kept until another endpoint is reserved for the request. One that hangs may also be run
+//! anew at its own endpoint.
+
+use std::time::Duration;
 
 use pimento_endpoint::Fault;
 use pimento_units::id;
+use tokio::time::Instant;
 
 use super::source::Item;
 use super::source::Source;
@@ -13,16 +17,20 @@
 use crate::attempts::Reservation;
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
+use crate::refusal::Cause;
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
+/// Time without an event after which a run hangs. Callers disconnect then, so that nothing is lost by its end.
+const MAX_SILENCE: Duration = Duration::from_secs(8);
+
 /// How a silence ended.
 pub enum Silence {
     /// The run goes on with this item, or is broken.
     Over(Result<Item, Fault>),
     /// Another endpoint can take over. The run must be closed before the request is sent there.
     TakenOver(Box<Reservation>),
-    /// The response is due.
+    /// The response is due, or the run hangs and may hold the very slot that is waited for.
     Expired,
 }
 
@@ -35,12 +43,20 @@
     if !attempts.node().links.are_suspect() {
         source.permit.record_silence();
     }
+    let hangs_at = Instant::now() + MAX_SILENCE.saturating_sub(source.timeout());
     let mut searches = 0;
     loop {
         if attempts.may_take_over() {
             searches += 1;
-            let excluded = excluded(attempts, source);
+            let hangs = Instant::now() >= hangs_at;
+            let may_close = hangs && !attempts.node().links.are_suspect();
+            let excluded = excluded(attempts, source, hangs);
             let left = attempts.left();
+            let search_end = if hangs {
+                Instant::now() + source.timeout()
+            } else {
+                hangs_at
+            };
             tokio::select! {
                 // An event is worth more than another endpoint.
                 biased;
@@ -50,8 +66,19 @@
                 },
                 reserved = attempts.reserve(overrides, excluded.as_ref()) => match reserved {
                     Ok(reservation) => return Silence::TakenOver(Box::new(reservation)),
-                    Err(refusal) => log_refused(attempts, &refusal, searches),
+                    Err(refusal) => {
+                        log_refused(attempts, &refusal, searches);
+                        if may_close && refusal.cause == Cause::Overloaded {
+                            return Silence::Expired;
+                        }
+                    }
                 },
+                () = tokio::time::sleep_until(search_end) => {
+                    if may_close {
+                        return Silence::Expired;
+                    }
+                    continue;
+                }
             }
         }
         let pause = source.timeout().min(attempts.left());
@@ -70,13 +97,15 @@
     }
 }
 
-/// The run's own endpoint, unless the silence may be due to the link to it: another VM may then reach it.
+/// The run's own endpoint, unless the run hangs, or the silence may be due to the link to the endpoint: another
+/// VM may then reach it.
 fn excluded<P: HeaderCodec + Codec, L: Log>(
     attempts: &mut Attempts<'_, P, L>,
     source: &Source,
+    hangs: bool,
 ) -> Option<id::Endpoint> {
     let endpoint = source.permit.endpoint();
-    if attempts.node().links.are_suspect() {
+    if hangs || attempts.node().links.are_suspect() {
         attempts.avoid(endpoint);
         return None;
     }
