--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -64,7 +64,7 @@
             permit, response, ..
         } = opened;
         let (mut head, body) = (response.head, response.body);
-        // The end of this VM says nothing of the endpoint. The last call answers callers who wait by then.
+        // The end of this VM says nothing of the endpoint. Callers who wait by then get a final response.
         let left = request.left_by_deadline(node.now());
         let ends_with_connection = body.ends_with_connection();
         let read = async {
@@ -191,7 +191,7 @@
         let (end, cause) = match forwarded {
             Ok(()) if self.status.is_server_error() => ("failed", None),
             Ok(()) => ("whole", None),
-            Err(Fault::Cancelled) if self.node.lifetime.is_over() => ("vm_stopped", None),
+            Err(Fault::Cancelled) if self.node.lifetime.is_aborted() => ("vm_stopped", None),
             Err(Fault::Cancelled) => ("caller_left", None),
             Err(Fault::Timeout) => ("broken_off", Some(Cause::Timeout)),
             Err(_) => ("broken_off", Some(Cause::Failed)),
