Tell panics of handlers from callers who left

A request whose handler panicked was logged at info as "Caller disconnected before the response" and counted so, which hid the bug from whoever looked for callers without an answer.

Cause: its outcome is logged when the handler's future is dropped, and that a panic drops it too was not considered.

The callers get the server's 500.

--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -31,6 +31,7 @@
 use crate::node::millis;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::stage::DroppedBy;
 use crate::stage::Tracker;
 use crate::stream;
 use crate::table::Kind;
@@ -107,8 +108,8 @@
 }
 
 /// Logs a request that gets no response from an endpoint. Dropping the value before the outcome is known
-/// means that the caller disconnected or that this VM stops, as both drop the future that handles the
-/// request.
+/// means that the caller disconnected, that this VM stops or that the handler panicked, as each drops the
+/// future that handles the request.
 struct OutcomeLog<'a, P: HeaderCodec + Codec, L: Log> {
     node: &'a Node<P, L>,
     id: CompactString,
@@ -157,15 +158,21 @@
             return;
         }
         let stage = self.tracker.stage();
-        let by_vm = self.node.lifetime.is_aborted();
-        self.node.metrics.count_dropped(by_vm, stage.step);
-        let (level, message) = if by_vm {
-            (Level::Error, "request: Left unanswered, this VM stops.")
+        let by = if std::thread::panicking() {
+            DroppedBy::Panic
+        } else if self.node.lifetime.is_aborted() {
+            DroppedBy::Vm
         } else {
-            (
+            DroppedBy::Caller
+        };
+        self.node.metrics.count_dropped(by, stage.step);
+        let (level, message) = match by {
+            DroppedBy::Panic => (Level::Error, "request: Its handler panicked."),
+            DroppedBy::Vm => (Level::Error, "request: Left unanswered, this VM stops."),
+            DroppedBy::Caller => (
                 Level::Info,
                 "request: Caller disconnected before the response.",
-            )
+            ),
         };
         log::log!(
             level,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,6 +31,7 @@
 use crate::headers::HeaderCodec;
 use crate::node::Node;
 use crate::refusal::Refusal;
+use crate::stage::DroppedBy;
 use crate::stage::Step;
 use crate::topic::Log;
 
@@ -203,10 +204,10 @@
         self.refusals.with_label_values(&labels).inc();
     }
 
-    /// Counts a request whose handling ended before a response, because this VM stopped or the caller left.
-    pub fn count_dropped(&self, by_vm: bool, step: Step) {
-        let by = if by_vm { "vm" } else { "caller" };
-        self.dropped.with_label_values(&[by, step.as_str()]).inc();
+    /// Counts a request whose handling ended before a response.
+    pub fn count_dropped(&self, by: DroppedBy, step: Step) {
+        let labels = [by.as_str(), step.as_str()];
+        self.dropped.with_label_values(&labels).inc();
     }
 
     /// Counts an attempt by its result.
--- a/crates/relay/src/stage.rs
+++ b/crates/relay/src/stage.rs
@@ -37,6 +37,29 @@
     }
 }
 
+/// What ended the handling of a request before there was a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum DroppedBy {
+    /// The caller disconnected.
+    Caller,
+    /// This VM stopped.
+    Vm,
+    /// The handler panicked, which is a bug. The server answers with status 500.
+    Panic,
+}
+
+impl DroppedBy {
+    /// The name in metrics.
+    #[must_use]
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Caller => "caller",
+            Self::Vm => "vm",
+            Self::Panic => "panic",
+        }
+    }
+}
+
 /// How far a request has come.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Stage {
