Name three types as nouns, and log why serving ends early

A transfer is a long response on its way, an upgrade an endpoint that is reserved for a larger model, a panic what was caught. A server task that panics while the VM stops was passed over without a line.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -105,7 +105,7 @@
                 let took = node.now().since(request.began);
                 let route = request.grant.route.name.clone();
                 node.metrics.observe_first_byte(&route, took);
-                let long = Long {
+                let transfer = Transfer {
                     node: node.clone(),
                     permit,
                     run: attempts.run(),
@@ -117,7 +117,7 @@
                 };
                 let left = request.left_by_deadline(node.now());
                 node.response_tasks
-                    .spawn(async move { long.run(writer, (start, rest), left).await });
+                    .spawn(async move { transfer.run(writer, (start, rest), left).await });
                 return Ok(Response::from_parts(head, reply));
             }
             Err(fault) => {
@@ -130,7 +130,7 @@
 }
 
 /// A response that is too long to be buffered, on its way to the caller.
-struct Long<P, L> {
+struct Transfer<P, L> {
     node: Node<P, L>,
     permit: Permit,
     run: poison::Run,
@@ -143,7 +143,7 @@
     ends_with_connection: bool,
 }
 
-impl<P: HeaderCodec + Codec, L: Log> Long<P, L> {
+impl<P: HeaderCodec + Codec, L: Log> Transfer<P, L> {
     async fn run(self, writer: Writer, body: (Bytes, ResponseBody), left: Duration) {
         let forwarded = tokio::select! {
             biased;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -123,7 +123,9 @@
         let tasks = self.node.response_tasks.clone();
         let serving = self.serving;
         let mut done = pin!(async {
-            let _ = serving.await;
+            if let Err(error) = serving.await {
+                log::error!("server: Serving ended early: {error}.");
+            }
             tasks.wait().await;
         });
         let left = end.since(self.node.now());
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -87,15 +87,15 @@
         match start::read(&mut attempts, &overrides, opened).await {
             Ok(Some(FirstResponse::Stream(started))) => {
                 let confidence = started.confidence;
-                let larger =
+                let upgrade =
                     larger::reserve(&mut attempts, &overrides, confidence, &mut dropped).await;
-                let Some(larger) = larger else {
+                let Some(upgrade) = upgrade else {
                     break (started.head, started.source, started.event);
                 };
                 // Two endpoints would work on the request otherwise.
                 drop(started);
-                overrides.model = Some(larger.model);
-                reservation = Some(larger.reservation);
+                overrides.model = Some(upgrade.model);
+                reservation = Some(upgrade.reservation);
             }
             Ok(Some(FirstResponse::Error(response))) => {
                 if !attempts.may_retry() {
--- a/crates/relay/src/stream/larger.rs
+++ b/crates/relay/src/stream/larger.rs
@@ -20,7 +20,7 @@
 const MAX_RESERVE_WAIT: Duration = Duration::from_millis(200);
 
 /// An endpoint that can run a larger model.
-pub struct Larger {
+pub struct Upgrade {
     pub model: id::Version,
     pub reservation: Reservation,
 }
@@ -32,7 +32,7 @@
     overrides: &Overrides,
     confidence: Option<u8>,
     dropped: &mut Option<Dropped>,
-) -> Option<Larger> {
+) -> Option<Upgrade> {
     let model = cascade::choose_larger(attempts, overrides, confidence, dropped)?;
     let next = Overrides {
         model: Some(model.clone()),
@@ -43,7 +43,7 @@
     let cause = match reserved {
         Ok(Ok(reservation)) => {
             cascade::count_decision(attempts, overrides, true);
-            return Some(Larger { model, reservation });
+            return Some(Upgrade { model, reservation });
         }
         Ok(Err(refusal)) => Some(refusal.cause.as_str()),
         Err(_) => None,
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -249,7 +249,7 @@
     progress: &Arc<Progress>,
 ) -> Result<Response<Tracked>, Infallible> {
     let serving = async { service.serve(request).await };
-    let mut response = catch(serving).await.unwrap_or_else(|Panicked| {
+    let mut response = catch(serving).await.unwrap_or_else(|Panic| {
         log::error!("server: The service panicked, the request gets a 500.");
         panic_response()
     });
@@ -261,16 +261,16 @@
 }
 
 /// A future panicked. The panic hook has said where.
-struct Panicked;
+struct Panic;
 
 /// Catches a panic. It would end the connection's task, and the caller would see a closed connection, which
 /// tells it nothing.
-async fn catch<T>(future: impl Future<Output = T>) -> Result<T, Panicked> {
+async fn catch<T>(future: impl Future<Output = T>) -> Result<T, Panic> {
     let mut future = pin!(future);
     // The future isn't polled again after a panic, so nobody sees what it left half done.
     poll_fn(|cx| {
         let polled = catch_unwind(AssertUnwindSafe(|| future.as_mut().poll(cx)));
-        polled.map_or(Poll::Ready(Err(Panicked)), |poll| poll.map(Ok))
+        polled.map_or(Poll::Ready(Err(Panic)), |poll| poll.map(Ok))
     })
     .await
 }
