Say a missing endpoint's refusal once, and name the time by the deadline

Cause: the refusal for want of an endpoint was put together in three places of `attempts::reserve`; `Attempts::left` gave the time by the caller's deadline while `AdmittedRequest::left` is bounded by the VM's end too, so that a reader takes one for the other.

Change: `no_endpoint` makes the refusal; `left_by_deadline` is the name on both types. Behaviour is as before.

--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -226,7 +226,7 @@
         self.log_failure(&permit, fault, "attempt: No usable response.");
         // An endpoint that keeps the deadline breaks off there, which is no crash.
         let fault = match fault {
-            Fault::Interrupted { .. } if self.left().is_zero() => &Fault::Timeout,
+            Fault::Interrupted { .. } if self.left_by_deadline().is_zero() => &Fault::Timeout,
             fault => fault,
         };
         self.node
@@ -292,7 +292,7 @@
 
     /// Time left until the deadline, for a run that is under way.
     #[must_use]
-    pub fn left(&self) -> Duration {
+    pub fn left_by_deadline(&self) -> Duration {
         self.request.left_by_deadline(self.node.now())
     }
 
--- a/crates/relay/src/attempts/reserve.rs
+++ b/crates/relay/src/attempts/reserve.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// The refusal if no endpoint can take the request.
+    const fn no_endpoint(&self) -> Refusal {
+        let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
+        self.qualify(refusal)
+    }
+
     /// Consumes a retry from the budget. Returns false if it is exhausted.
     fn consume_retry(&self) -> bool {
         let now = self.node.now();
@@ -102,8 +108,7 @@
     pub(super) fn count_declined(&mut self) -> Result<(), Refusal> {
         self.state.declined += 1;
         if self.state.declined >= MAX_DECLINED {
-            let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
-            return Err(self.qualify(refusal));
+            return Err(self.no_endpoint());
         }
         Ok(())
     }
@@ -118,8 +123,7 @@
     pub(super) fn count_unreachable(&mut self) -> Result<(), Refusal> {
         self.state.unreachable += 1;
         if self.state.unreachable >= MAX_UNREACHABLE {
-            let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
-            return Err(self.qualify(refusal));
+            return Err(self.no_endpoint());
         }
         Ok(())
     }
@@ -191,8 +195,7 @@
         let grant = grant.map_err(|refusal| self.qualify(refusal))?;
         let same_customer = grant.customer == request.grant.customer;
         if !same_customer || !grant.route.allows(&request.pool) {
-            let refusal = Refusal::new(Cause::NoEndpoint).with_retry_after(NO_ENDPOINT_RETRY_AFTER);
-            return Err(self.qualify(refusal));
+            return Err(self.no_endpoint());
         }
         Ok(grant)
     }
--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -52,7 +52,7 @@
             let hangs = Instant::now() >= hangs_at;
             let may_close = hangs && !attempts.node().links.are_suspect();
             let excluded = excluded(attempts, source, hangs);
-            let left = attempts.left();
+            let left = attempts.left_by_deadline();
             let search_end = if hangs {
                 Instant::now() + source.timeout()
             } else {
@@ -82,9 +82,10 @@
                 }
             }
         }
-        let pause = source.timeout().min(attempts.left());
+        let pause = source.timeout().min(attempts.left_by_deadline());
         match source.next_within(pause).await {
-            Err(Fault::Timeout) if !attempts.left().is_zero() || attempts.extend_deadline() => {}
+            Err(Fault::Timeout)
+                if !attempts.left_by_deadline().is_zero() || attempts.extend_deadline() => {}
             item => return ended_by(item),
         }
     }
--- a/crates/relay/src/stream/start.rs
+++ b/crates/relay/src/stream/start.rs
@@ -95,7 +95,7 @@
     response: EndpointResponse,
 ) -> Result<Outcome, Refusal> {
     let EndpointResponse { mut head, mut body } = response;
-    let read = tokio::time::timeout(attempts.left(), collect(&mut body)).await;
+    let read = tokio::time::timeout(attempts.left_by_deadline(), collect(&mut body)).await;
     match read.unwrap_or(Err(Fault::Timeout)) {
         Ok(bytes) => {
             attempts.record_result(&permit, head.status.is_server_error());
@@ -129,7 +129,7 @@
     let links = Arc::clone(&attempts.node().links);
     let route = &attempts.request().grant.route;
     let mut source = Source::new(permit, body, route, links);
-    let timeout = source.timeout().min(attempts.left());
+    let timeout = source.timeout().min(attempts.left_by_deadline());
     let mut item = source.next_within(timeout).await;
     let mut reservation = None;
     if matches!(item, Err(Fault::Timeout)) {
