Assert in one place that a request across the closing is answered

Five tests of the server's closing ended with the same three lines. `assert_answered` has them, with the same assertions.

--- a/crates/serve/tests/all/closing.rs
+++ b/crates/serve/tests/all/closing.rs
@@ -10,6 +10,13 @@
 use crate::support::post;
 use crate::support::take_notice;
 
+/// Asserts that a caller gets a whole answer that closes its connection, and that the server stops.
+async fn assert_answered(caller: Caller, server: Server) {
+    let answer = caller.answer().await;
+    assert!(answer.body_whole() && answer.close, "{answer:?}");
+    server.stopped().await;
+}
+
 /// Guards against closing a kept connection on which a request has arrived unread.
 #[tokio::test]
 async fn unread_request_on_a_kept_connection_is_answered() {
@@ -17,9 +24,7 @@
     let mut caller = Caller::connect(server.address).unwrap().keep().await;
     assert!(caller.write(get("/now")));
     server.stop.closing.cancel();
-    let answer = caller.answer().await;
-    assert!(answer.body_whole() && answer.close, "{answer:?}");
-    server.stopped().await;
+    assert_answered(caller, server).await;
 }
 
 /// Guards against closing a new connection whose first request has arrived unread.
@@ -30,9 +35,7 @@
     catch_up().await;
     assert!(caller.write(get("/now")));
     server.stop.closing.cancel();
-    let answer = caller.answer().await;
-    assert!(answer.body_whole() && answer.close, "{answer:?}");
-    server.stopped().await;
+    assert_answered(caller, server).await;
 }
 
 /// Guards against closing a new connection whose first request is on its way.
@@ -44,9 +47,7 @@
     server.stop.closing.cancel();
     take_notice().await;
     assert!(caller.write(get("/now")));
-    let answer = caller.answer().await;
-    assert!(answer.body_whole() && answer.close, "{answer:?}");
-    server.stopped().await;
+    assert_answered(caller, server).await;
 }
 
 /// Guards against resetting connections that the kernel has accepted and the server has not.
@@ -81,9 +82,7 @@
     server.stop.closing.cancel();
     take_notice().await;
     assert!(caller.write(rest));
-    let answer = caller.answer().await;
-    assert!(answer.body_whole() && answer.close, "{answer:?}");
-    server.stopped().await;
+    assert_answered(caller, server).await;
 }
 
 /// Guards against ending a request whose body arrives after closing.
@@ -96,9 +95,7 @@
     server.stop.closing.cancel();
     catch_up().await;
     assert!(caller.write([0; 10]));
-    let answer = caller.answer().await;
-    assert!(answer.body_whole() && answer.close, "{answer:?}");
-    server.stopped().await;
+    assert_answered(caller, server).await;
 }
 
 /// Guards against a server that waits for callers who neither ask for anything nor close.
