Tell the group at once of prompts with a long prefill

Cause: VMs of a zone tell each other the waits at engines every 580 ms (20 ms for each other VM), while a prompt of the largest model keeps its engine busy for 200 to 900 ms. Engines that another VM had just given such a prompt looked idle, and short prompts waited behind it. Change: a VM that sends a prompt with an expected prefill of 100 ms or more sends its report at once, at most one each 20 ms. policy::report holds the rule, pimento_urgent_reports_total counts the reports. Datagrams are as before, so that VMs of older versions read them.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod poison;
 pub mod queue;
 pub mod reach;
+pub mod report;
 pub mod rest;
 pub mod retry;
 pub mod rollout;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -176,6 +176,9 @@
         self.record_session_version(&permit);
         self.record_sent(&permit);
         self.log_sent(&permit, overrides);
+        if self.node.config.reports.is_urgent(permit.prefill_time()) {
+            self.node.long_prompt_sent.notify_one();
+        }
         // The end of this VM says nothing of the endpoint.
         let left = self.request.left_by_deadline(self.node.now());
         let sent = tokio::time::timeout(left, connection.send(outgoing)).await;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use compact_str::CompactString;
+use pimento_policy::report;
 use pimento_units::id;
 
 use crate::capacity::Capacity;
@@ -42,6 +43,8 @@
     pub bounds: Bounds,
     /// Polling intervals of the log's topics, derived from the bounds.
     pub timings: Timings,
+    /// When other VMs are told about prompts that this one sent.
+    pub reports: report::Config,
 }
 
 impl Config {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -22,6 +22,7 @@
 use pimento_units::id;
 use prometheus::GaugeVec;
 use prometheus::HistogramVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
@@ -60,6 +61,8 @@
     dropped: IntCounterVec,
     attempts: IntCounterVec,
     cascade: IntCounterVec,
+    estimates: IntCounterVec,
+    urgent_reports: IntCounter,
     first: HistogramVec,
     last: HistogramVec,
     queued: HistogramVec,
@@ -102,6 +105,8 @@
                 &["pool", "result"],
             ),
             cascade: series::cascade(r),
+            estimates: series::estimates(r),
+            urgent_reports: series::urgent_reports(r),
             first: histogram(
                 r,
                 "pimento_first_byte_seconds",
@@ -230,6 +235,25 @@
         self.cascade.with_label_values(&labels).inc();
     }
 
+    /// Records when the first token of a larger model arrived.
+    pub fn count_estimate(&self, estimate: Duration, took: Duration) {
+        let arrived = if took <= estimate / 2 {
+            "within_half"
+        } else if took <= estimate {
+            "within"
+        } else if took <= estimate * 2 {
+            "within_twice"
+        } else {
+            "later"
+        };
+        self.estimates.with_label_values(&[arrived]).inc();
+    }
+
+    /// Counts a report to the VMs of the group that was sent at once for a long prompt.
+    pub fn count_urgent_report(&self) {
+        self.urgent_reports.inc();
+    }
+
     fn set_pool_depths(&self, scheduler: &Scheduler) {
         for (name, pool) in scheduler.pools() {
             for (which, count) in pool.metrics().figures() {
--- a/crates/relay/src/metrics/series.rs
+++ b/crates/relay/src/metrics/series.rs
@@ -3,6 +3,7 @@
 use pimento_metrics::counter;
 use pimento_metrics::gauge_vec;
 use prometheus::GaugeVec;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
@@ -49,6 +50,26 @@
     )
 }
 
+pub(super) fn urgent_reports(registry: &Registry) -> IntCounter {
+    let reports = counter(
+        registry,
+        "pimento_urgent_reports_total",
+        "Reports to the VMs of the group that were sent at once for a prompt with a long prefill",
+        &[],
+    );
+    reports.with_label_values::<&str>(&[])
+}
+
+pub(super) fn estimates(registry: &Registry) -> IntCounterVec {
+    counter(
+        registry,
+        "pimento_cascade_estimates_total",
+        "First tokens of larger models, by whether they arrived within half of the estimated time, within it, \
+         within twice that or later",
+        &["arrived"],
+    )
+}
+
 pub(super) fn cascade(registry: &Registry) -> IntCounterVec {
     counter(
         registry,
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -158,6 +158,7 @@
                 _ = blocklist.changed() => serves,
                 () = self.node.poison.reports_due.notified() => false,
                 () = self.node.announced.notified() => true,
+                () = self.long_prompt_sent(last_sent) => false,
                 () = self.node.links.changed.notified() => true,
                 () = self.zone.proved.notified(), if serves => true,
                 () = self.zone.unreachable.notified() => true,
@@ -186,6 +187,14 @@
         }
     }
 
+    /// Waits until this VM has sent a prompt that is reported at once, and the next report may be sent.
+    async fn long_prompt_sent(&self, last_report: Moment) {
+        self.node.long_prompt_sent.notified().await;
+        let delay = self.node.config.reports.delay(last_report, boot::now());
+        tokio::time::sleep(delay).await;
+        self.node.metrics.count_urgent_report();
+    }
+
     /// Tells the VMs through which this one reached endpoints what those announced: it reached them.
     async fn send_to_helpers(&self) {
         let helpers = self.node.links.recent_helpers();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -78,6 +78,8 @@
     pub departures: Arc<Departures>,
     /// Notified when an endpoint announces something that other VMs should know at once.
     pub announced: Arc<Notify>,
+    /// Notified when this VM has sent a prompt that other VMs should know of at once.
+    pub(crate) long_prompt_sent: Arc<Notify>,
     /// The retry budgets.
     pub retry_budgets: Arc<RetryBudgets>,
     /// Statistics for choosing models.
@@ -109,6 +111,7 @@
             scheduler: self.scheduler.clone(),
             departures: Arc::clone(&self.departures),
             announced: Arc::clone(&self.announced),
+            long_prompt_sent: Arc::clone(&self.long_prompt_sent),
             retry_budgets: Arc::clone(&self.retry_budgets),
             cascade: Arc::clone(&self.cascade),
             calls: self.calls.clone(),
@@ -204,6 +207,7 @@
             scheduler: Scheduler::new(clock),
             departures: Arc::default(),
             announced: Arc::default(),
+            long_prompt_sent: Arc::default(),
             retry_budgets: Arc::new(retry_budgets),
             cascade: Arc::default(),
             calls,
--- a/crates/scheduler/src/permit.rs
+++ b/crates/scheduler/src/permit.rs
@@ -34,6 +34,8 @@
     pub call: Option<engine::CallId>,
     /// The prompt, if the call is at an engine.
     pub prompt: Option<engine::Prompt>,
+    /// Expected prefill time of the prompt; zero without one.
+    pub prefill_time: Duration,
 }
 
 /// The right to make one call at one endpoint. If it is dropped without an outcome, the call does not count
@@ -103,6 +105,12 @@
         self.slot.address
     }
 
+    /// Returns the expected prefill time of the call's prompt; zero if it has none.
+    #[must_use]
+    pub const fn prefill_time(&self) -> Duration {
+        self.slot.prefill_time
+    }
+
     /// Records that the call takes a detour or waited for lost links, so that its time says nothing of the
     /// endpoint.
     pub const fn set_untimed(&mut self) {
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -287,6 +287,7 @@
             timed: true,
             call,
             prompt,
+            prefill_time,
         };
         Some(Permit::new(Arc::clone(shared), slot))
     }
