Weigh larger models by the probability that they begin in time

Cause: an answer known to be poor was kept whenever the larger model was expected after 95 in 100 of the target. Such estimates are wrong by a factor of two either way: of those over 1.2 s half came within 0.66 of the estimate, of those under 0.1 s half took 1.8 times as long or more. Change: policy::forecast records the ratio of actual to estimated times by bands of estimates, from a prior, and tells the probability that a first token arrives in the time left. The cascade weighs the answer in time and the late one by it. Log lines have in_time_percent, pimento_cascade_estimates_total counts how estimates came out.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -8,8 +8,8 @@
 //! and the head of its answer carries its confidence before the caller has received anything. The
 //! expected gain of each larger model, scaled by the value of the answer, is set against its price
 //! and against the engine time it takes from other requests; the fuller the engines, the larger the
-//! gain must be. An answer after the caller's target counts for little, so that a prompt which the
-//! largest model prefills too slowly goes to a middle one. The confidences of larger models for
+//! gain must be. An answer after the caller's target counts for less, so that a prompt which the
+//! largest model is unlikely to prefill in time goes to a middle one. The confidences of larger models for
 //! requests that a smaller one was unsure of are recorded and replace the initial estimate.
 //!
 //! Cascades by a score are those of `FrugalGPT` (Chen, Zaharia and Zou, 2023). A price on a shared
@@ -21,6 +21,7 @@
 
 use pimento_units::Moment;
 
+use crate::forecast::Forecast;
 use crate::number;
 use crate::value::RelativeValue;
 
@@ -38,10 +39,6 @@
     /// time at the larger model. A higher weight loses useful answers; with a lower one, other
     /// requests wait for what is gained.
     pub load_weight: f64,
-    /// Share of the target that an estimated time may take. The margin covers the error of the
-    /// estimate for long prompts. A greater margin keeps long prompts from a model that would be in
-    /// time.
-    pub target_share: f64,
 }
 
 impl Default for Config {
@@ -50,7 +47,6 @@
             late_value: 0.3,
             price_weight: 0.25,
             load_weight: 2.5,
-            target_share: 0.95,
         }
     }
 }
@@ -190,6 +186,14 @@
     pub prefill: Duration,
 }
 
+impl LargerModel {
+    /// Expected time to its first token.
+    #[must_use]
+    pub fn first_token(&self) -> Duration {
+        self.wait + self.prefill
+    }
+}
+
 /// The answer to decide on, and the state of the engines.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Answer {
@@ -207,6 +211,14 @@
     pub relative: RelativeValue,
 }
 
+impl Answer {
+    /// Time until the caller should have the first token; zero once that has passed.
+    #[must_use]
+    pub fn time_left(&self, now: Moment) -> Duration {
+        self.target.saturating_sub(now.since(self.received))
+    }
+}
+
 impl Config {
     /// The index of the model that the answer is dropped for; none if the answer is forwarded.
     #[must_use]
@@ -215,9 +227,10 @@
         answer: &Answer,
         larger: &[LargerModel],
         pass_rates: &PassRates,
+        forecast: &Forecast,
         now: Moment,
     ) -> Option<usize> {
-        let elapsed = now.since(answer.received);
+        let left = answer.time_left(now);
         let passes = pass_rate(answer.confidence);
         let target = answer.target.as_secs_f64().max(f64::MIN_POSITIVE);
         let load = self.load_weight * answer.next_wait.as_secs_f64() / target;
@@ -225,9 +238,8 @@
         let baseline = (relative.prefill.as_secs_f64() * relative.value).max(f64::MIN_POSITIVE);
         let price = self.price_weight * relative.price;
         let gain = |model: &LargerModel| {
-            let first_token = elapsed + model.wait + model.prefill;
-            let in_time = first_token <= answer.target.mul_f64(self.target_share);
-            let value = if in_time { 1.0 } else { self.late_value };
+            let in_time = forecast.probability(model.first_token(), left);
+            let value = in_time + (1.0 - in_time) * self.late_value;
             let expected = pass_rates.pass_rate(answer.model, answer.confidence, model) * value;
             let engine_time = model.prefill.as_secs_f64() / baseline;
             expected - passes - price * model.price - load * engine_time
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod eject;
 pub mod engine;
 pub mod exposure;
+pub mod forecast;
 pub mod hedge;
 pub mod limit;
 pub mod loan;
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -2,6 +2,7 @@
 //! one replaces it if its confidence is too low. It uses [`pimento_policy::confidence`].
 
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -9,8 +10,10 @@
 use pimento_policy::confidence;
 use pimento_policy::confidence::Answer;
 use pimento_policy::confidence::LargerModel;
+use pimento_policy::forecast::Forecast;
 use pimento_policy::pace;
 use pimento_policy::value;
+use pimento_units::Moment;
 use pimento_units::Tokens;
 use pimento_units::id;
 
@@ -36,6 +39,7 @@
 pub struct Statistics {
     config: confidence::Config,
     pass_rates: Mutex<confidence::PassRates>,
+    forecast: Mutex<Forecast>,
     baseline: Mutex<value::Baseline>,
     paces: Mutex<pace::Paces>,
 }
@@ -51,7 +55,7 @@
     ) {
         if let Some(model) = &overrides.model {
             let tokens = tokens_of(request, events);
-            let mut paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+            let mut paces = lock(&self.paces);
             paces.record(model_hash(model), tokens, took);
         }
     }
@@ -65,11 +69,37 @@
         let Some(model) = &overrides.model else {
             return Duration::ZERO;
         };
-        let paces = self.paces.lock().unwrap_or_else(PoisonError::into_inner);
+        let paces = lock(&self.paces);
         let expected = paces.expect(model_hash(model), expected_tokens(request));
         expected.unwrap_or_default()
     }
 
+    /// Records the first token of a larger model, with the model's hash and its confidence, for a request
+    /// whose answer by a smaller one was dropped.
+    fn record_larger(&self, dropped: &Dropped, larger: (u64, u8), now: Moment) {
+        let mut pass_rates = lock(&self.pass_rates);
+        pass_rates.record((dropped.model, dropped.confidence), larger);
+        drop(pass_rates);
+        lock(&self.forecast).record(dropped.estimate, now.since(dropped.at));
+    }
+
+    /// Probability in percent that each larger model's first token arrives within the caller's target.
+    fn in_time_percent(&self, answer: &Answer, larger: &[LargerModel], now: Moment) -> Vec<u8> {
+        let left = answer.time_left(now);
+        let forecast = lock(&self.forecast);
+        let probabilities = larger
+            .iter()
+            .map(|model| forecast.probability(model.first_token(), left));
+        probabilities.map(percent).collect()
+    }
+
+    /// The index of the model that an answer is dropped for; none if the answer is forwarded.
+    fn choose(&self, answer: &Answer, larger: &[LargerModel], now: Moment) -> Option<usize> {
+        let (pass_rates, forecast) = (lock(&self.pass_rates), lock(&self.forecast));
+        self.config
+            .choose(answer, larger, &pass_rates, &forecast, now)
+    }
+
     /// Value and cost of a request's answer, relative to a typical request. With `first`, the request is
     /// added to the statistics, so that it counts once.
     fn relative_value(
@@ -84,7 +114,7 @@
             answer: expected_tokens(request),
             priority: request.grant.route.priority,
         };
-        let mut baseline = self.baseline.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut baseline = lock(&self.baseline);
         if first {
             baseline.record(&valued, full_prefill);
         }
@@ -92,6 +122,11 @@
     }
 }
 
+/// Locks statistics. They stay usable if a task panicked while it held the lock.
+fn lock<T>(statistics: &Mutex<T>) -> MutexGuard<'_, T> {
+    statistics.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// The tokens that an answer is expected to have.
 fn expected_tokens(request: &AdmittedRequest) -> Tokens {
     let (_, max) = request.usage().unwrap_or_default();
@@ -105,11 +140,15 @@
     Tokens(engine.map_or(1, |engine| engine.tokens_per_event.0) * events)
 }
 
-/// Model and confidence of an answer that was dropped for a larger model.
+/// An answer that was dropped for a larger model.
 #[derive(Debug, Clone)]
 pub struct Dropped {
+    /// Hash of its model.
     model: u64,
     confidence: u8,
+    at: Moment,
+    /// Estimated time to the larger model's first token.
+    estimate: Duration,
 }
 
 /// The model of the first attempt: the one that the caller named, otherwise the route's smallest.
@@ -137,6 +176,15 @@
     own.filter(|_| max > 0.0).map_or(1.0, |own| own.cost / max)
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a probability is between 0 and 1"
+)]
+fn percent(probability: f64) -> u8 {
+    (probability * 100.0).round() as u8
+}
+
 fn model_hash(model: &id::Version) -> u64 {
     choice::hash(model.as_str())
 }
@@ -173,15 +221,11 @@
     let model = overrides.model.as_ref()?;
     let index = models.iter().position(|known| known == model)?;
     let statistics = &attempts.node().cascade;
-    let mut pass_rates = statistics
-        .pass_rates
-        .lock()
-        .unwrap_or_else(PoisonError::into_inner);
+    let now = attempts.node().now();
     if let Some(before) = dropped.take() {
-        pass_rates.record(
-            (before.model, before.confidence),
-            (model_hash(model), confidence),
-        );
+        statistics.record_larger(&before, (model_hash(model), confidence), now);
+        let metrics = &attempts.node().metrics;
+        metrics.count_estimate(before.estimate, now.since(before.at));
     }
     let named = matches!(request.info.model, Some(RequestedModel::Named(_)));
     if named || !attempts.may_retry() || !attempts.has_retry_budget() {
@@ -215,10 +259,7 @@
         next_wait,
         relative: statistics.relative_value(request, full_prefill, index == 0),
     };
-    let now = attempts.node().now();
-    let chosen = statistics
-        .config
-        .choose(&answer, &candidates, &pass_rates, now);
+    let chosen = statistics.choose(&answer, &candidates, now);
     let name = |index: usize| models.get(index).map(id::Version::as_str);
     log::info!(
         request = request.info.id.as_str(),
@@ -227,6 +268,7 @@
         since_ms = millis(now.since(request.began)),
         waits_ms:? = all_millis(candidates.iter().map(|larger| larger.wait)),
         reads_ms:? = all_millis(candidates.iter().map(|larger| larger.prefill)),
+        in_time_percent:? = statistics.in_time_percent(&answer, &candidates, now),
         next_ms = millis(answer.next_wait),
         worth = answer.relative.value,
         price = answer.relative.price,
@@ -236,10 +278,13 @@
     if chosen.is_none() {
         count_decision(attempts, overrides, false);
     }
-    let larger = models.get(index + 1 + chosen?)?;
+    let chosen = chosen?;
+    let larger = models.get(index + 1 + chosen)?;
     *dropped = Some(Dropped {
         model: model_hash(model),
         confidence,
+        at: now,
+        estimate: candidates.get(chosen)?.first_token(),
     });
     Some(larger.clone())
 }
