Count only engine time as load, and value late answers at a half

The start of a first token, two steps and a round trip (some 45 ms), counted as if other prompts waited for it, a third of a short prompt's time. A late good answer counted as 0.3 of one in time, below many poor answers. Change: the load term of the cascade takes the engine time of a prefill without the start. Its weight is 1.5 for 2.5, a late answer counts a half, and an engine's own prefill counts 2.2 times a wait for 1.5, since waits of the group are known now and a prefill stalls the answers beside it.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -35,8 +35,8 @@
     /// with a lower one, some answers don't earn their price.
     pub price_weight: f64,
     /// Weight of the engines' load. The required increase in the pass rate is `load_weight *
-    /// (next_wait / target) * prefill / (baseline_prefill * value)`, where `prefill` is the prefill
-    /// time at the larger model. A higher weight loses useful answers; with a lower one, other
+    /// (next_wait / target) * engine_time / (baseline_engine_time * value)`, where `engine_time` is
+    /// that of the prefill at the larger model. A higher weight loses useful answers; with a lower one, other
     /// requests wait for what is gained.
     pub load_weight: f64,
 }
@@ -44,9 +44,9 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            late_value: 0.3,
+            late_value: 0.5,
             price_weight: 0.25,
-            load_weight: 2.5,
+            load_weight: 1.5,
         }
     }
 }
@@ -184,6 +184,8 @@
     pub wait: Duration,
     /// Time to prefill what is not in the engine's prefix cache.
     pub prefill: Duration,
+    /// The part of that time in which other prompts wait at the engine.
+    pub engine_time: Duration,
 }
 
 impl LargerModel {
@@ -241,7 +243,7 @@
             let in_time = forecast.probability(model.first_token(), left);
             let value = in_time + (1.0 - in_time) * self.late_value;
             let expected = pass_rates.pass_rate(answer.model, answer.confidence, model) * value;
-            let engine_time = model.prefill.as_secs_f64() / baseline;
+            let engine_time = model.engine_time.as_secs_f64() / baseline;
             expected - passes - price * model.price - load * engine_time
         };
         let gains = larger.iter().map(gain).enumerate();
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -308,7 +308,7 @@
 impl Default for Config {
     fn default() -> Self {
         Self {
-            prefill_weight: 1.5,
+            prefill_weight: 2.2,
             remote_penalty: Duration::from_millis(400),
         }
     }
--- a/crates/policy/src/engine/prefill.rs
+++ b/crates/policy/src/engine/prefill.rs
@@ -97,6 +97,14 @@
         )
     }
 
+    /// Returns the part of a time to a first token in which the engine prefills the prompt, and other
+    /// prompts wait. Without this, the time of two steps and a round trip would count against each
+    /// short prompt as if it kept the engine from others.
+    #[must_use]
+    pub fn engine_time(&self, prefill_time: Duration) -> Duration {
+        prefill_time.saturating_sub(number::seconds(self.start_seconds()))
+    }
+
     fn start_seconds(&self) -> f64 {
         self.start_seconds.unwrap_or(INITIAL_START_SECONDS)
     }
--- a/crates/policy/src/value.rs
+++ b/crates/policy/src/value.rs
@@ -61,7 +61,7 @@
     pub value: f64,
     /// Price of a model's use per unit of value, as a multiple of the baseline.
     pub price: f64,
-    /// Baseline time in which the largest model prefills a whole prompt.
+    /// Baseline engine time in which the largest model prefills a whole prompt.
     pub prefill: Duration,
 }
 
@@ -77,7 +77,7 @@
 }
 
 impl Baseline {
-    /// Records a request. `prefill` is the time in which the largest model prefills its whole
+    /// Records a request. `prefill` is the engine time in which the largest model prefills its whole
     /// prompt.
     pub fn record(&mut self, request: &Request, prefill: Duration) {
         let value = request.value();
--- a/crates/policy/tests/value.rs
+++ b/crates/policy/tests/value.rs
@@ -80,6 +80,7 @@
         price: 1.0,
         wait: Duration::ZERO,
         prefill: prefill(request),
+        engine_time: prefill(request),
     };
     let rates = PassRates::default();
     let forecast = Forecast::default();
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -105,7 +105,7 @@
     fn relative_value(
         &self,
         request: &AdmittedRequest,
-        full_prefill: Duration,
+        full_engine_time: Duration,
         first: bool,
     ) -> value::RelativeValue {
         let (prompt, _) = request.usage().unwrap_or_default();
@@ -116,7 +116,7 @@
         };
         let mut baseline = lock(&self.baseline);
         if first {
-            baseline.record(&valued, full_prefill);
+            baseline.record(&valued, full_engine_time);
         }
         baseline.compare(&valued)
     }
@@ -232,7 +232,7 @@
         return None;
     }
     let mut candidates: Vec<LargerModel> = Vec::new();
-    let (mut full_prefill, mut next_wait) = (Duration::ZERO, Duration::ZERO);
+    let (mut full_engine_time, mut next_wait) = (Duration::ZERO, Duration::ZERO);
     for (rank, larger) in models.iter().enumerate().skip(index + 1) {
         let next = Overrides {
             model: Some(larger.clone()),
@@ -242,13 +242,14 @@
             break;
         }
         let estimate = attempts.estimate(&next)?;
-        (full_prefill, next_wait) = (estimate.full_prefill, estimate.next_wait);
+        (full_engine_time, next_wait) = (estimate.full_engine_time, estimate.next_wait);
         candidates.push(LargerModel {
             model: model_hash(larger),
             rank: confidence::rank(rank, models.len()),
             price: relative_cost(request, larger),
             wait: estimate.wait,
             prefill: estimate.prefill,
+            engine_time: estimate.engine_time,
         });
     }
     let answer = Answer {
@@ -257,7 +258,7 @@
         received: request.began,
         target: request.grant.route.latency_target,
         next_wait,
-        relative: statistics.relative_value(request, full_prefill, index == 0),
+        relative: statistics.relative_value(request, full_engine_time, index == 0),
     };
     let chosen = statistics.choose(&answer, &candidates, now);
     let name = |index: usize| models.get(index).map(id::Version::as_str);
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -336,8 +336,10 @@
     pub wait: Duration,
     /// Time to prefill the tokens that the engine has not cached.
     pub prefill: Duration,
-    /// Time to prefill the whole prompt.
-    pub full_prefill: Duration,
+    /// The part of `prefill` in which other prompts wait.
+    pub engine_time: Duration,
+    /// The same if nothing of the prompt is cached.
+    pub full_engine_time: Duration,
     /// Wait of the next prompt: the mean over the less busy half of the local zone's engines once this
     /// prompt is placed.
     pub next_wait: Duration,
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -120,12 +120,14 @@
         let half = waits.len().div_ceil(2);
         let sum: Duration = waits.iter().take(half).sum();
         let next_wait = sum / u32::try_from(half.max(1)).unwrap_or(u32::MAX);
+        let full_prefill =
+            self.prefill
+                .prefill_time(prompt.model, prompt.tokens(), prompt.tokens());
         Some(Estimate {
             wait: chosen.wait,
             prefill: chosen.prefill_time,
-            full_prefill: self
-                .prefill
-                .prefill_time(prompt.model, prompt.tokens(), prompt.tokens()),
+            engine_time: self.prefill.engine_time(chosen.prefill_time),
+            full_engine_time: self.prefill.engine_time(full_prefill),
             next_wait,
         })
     }
