Avoid endpoints whose addresses belong to others, and tell other VMs

Cause: a 421 for the endpoint that was meant counted like a refusal by a full endpoint. Each VM learnt of an endpoint that was gone by requests of its own, and a request that was declined by five of them ended with 503 although others were free.

Change: a 421 says that this incarnation is not at its address. The VM avoids it, updates its pool and tells its group at once; VMs repeat it for two seconds from the 421 on, with its age. A later record of the same incarnation ends it, else eight seconds; at most half of a pool's listed endpoints are avoided (policy::presence). The state stands with the registration in the directory. The zone's reader passes on the record that ends an avoidance, which it otherwise would not, as the record changes nothing else. A 421 does not use up the declines that end a search, but has a bound of its own (10), the deadline and the retry budget; a second 421 from the same endpoint counts as a decline. Datagrams get a struct of their own at the end, which older VMs don't read. Refusals by full endpoints stay with the VM that got them.

Ruled out: the field of endpoints that leave. It holds for ten minutes whatever the list says, so that older VMs would keep a wrong 421 for so long.

Conclusion: open is a reader that did not learn of an avoidance, as when it runs the older version: the VMs that it serves then wait for the eight seconds.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -27,6 +27,7 @@
 mod number;
 pub mod pace;
 pub mod poison;
+pub mod presence;
 pub mod queue;
 pub mod reach;
 pub mod rest;
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -67,6 +67,8 @@
     tried: Vec<id::Endpoint>,
     /// Number of endpoints that did not run the request since [`Attempts::begin_search`].
     declined: usize,
+    /// Number of addresses that answered for other endpoints in the present search.
+    misdirected: usize,
     /// Number of endpoints that could not be connected to in the present search.
     unreachable: usize,
     /// When the request was last sent.
@@ -181,6 +183,12 @@
         let sent = tokio::time::timeout(left, connection.send(outgoing)).await;
         let fault = match sent {
             Ok(Ok(response)) => match self.check_response(&permit, response) {
+                Err(Unusable::Misdirected(fault)) => {
+                    self.state.runs -= 1;
+                    tracker.set_may_have_run(self.may_have_run());
+                    self.misdirected(permit, &fault)?;
+                    return Ok(None);
+                }
                 Ok((response, info)) => {
                     self.state.run_since = boot::now();
                     self.state.answer_begun = true;
@@ -191,7 +199,7 @@
                         info,
                     }));
                 }
-                Err(fault) => fault,
+                Err(Unusable::Fault(fault)) => fault,
             },
             Ok(Err(fault)) => fault,
             Err(_) => Fault::Timeout,
@@ -258,16 +266,20 @@
         &self,
         permit: &Permit,
         response: EndpointResponse,
-    ) -> Result<(EndpointResponse, ResponseInfo), Fault> {
+    ) -> Result<(EndpointResponse, ResponseInfo), Unusable> {
         let info = self.node.platform.parse_response(&response.head);
         let status = response.head.status;
         if info.declined != Some(Declined::Misdirected) {
             self.apply_announcements(permit, &info);
         }
-        if info.declined.is_some() {
-            return Err(Fault::Refused {
+        if let Some(declined) = info.declined {
+            let fault = Fault::Refused {
                 status: status.as_u16(),
                 retry_after: None,
+            };
+            return Err(match declined {
+                Declined::Misdirected => Unusable::Misdirected(fault),
+                Declined::Refused => Unusable::Fault(fault),
             });
         }
         let other = info
@@ -275,10 +287,14 @@
             .as_ref()
             .is_some_and(|id| *id != self.request.info.id);
         if other {
-            return Err(nonsense("the response belongs to another request"));
+            return Err(Unusable::Fault(nonsense(
+                "the response belongs to another request",
+            )));
         }
         if !info.signed {
-            return Err(nonsense("the response carries no signature"));
+            return Err(Unusable::Fault(nonsense(
+                "the response carries no signature",
+            )));
         }
         Ok((response, info))
     }
@@ -329,6 +345,14 @@
     }
 }
 
+/// Why a response can't be passed on.
+enum Unusable {
+    /// Another endpoint has the address, and did not run the request.
+    Misdirected(Fault),
+    /// The attempt failed, or the endpoint refused the request.
+    Fault(Fault),
+}
+
 fn nonsense(reason: &'static str) -> Fault {
     Fault::Invalid {
         reason: reason.into(),
--- a/crates/relay/src/attempts/announced.rs
+++ b/crates/relay/src/attempts/announced.rs
@@ -6,6 +6,8 @@
 use pimento_units::id;
 
 use super::Attempts;
+use crate::absences;
+use crate::absences::Absence;
 use crate::boot;
 use crate::codec::Codec;
 use crate::departures::Departure;
@@ -84,4 +86,14 @@
         pools::refresh(self.node);
         self.node.announced.notify_one();
     }
+
+    /// Sends nothing for some time to an endpoint whose address answers for another one, and tells the other VMs
+    /// at once: each of them would find it out by a request of its own.
+    pub(super) fn apply_absence(&self, permit: &Permit) {
+        let absence = Absence::new(permit.endpoint(), permit.incarnation());
+        if absences::record(self.node, absence, boot::now()) {
+            pools::refresh(self.node);
+            self.node.announced.notify_one();
+        }
+    }
 }
--- a/crates/relay/src/attempts/connect.rs
+++ b/crates/relay/src/attempts/connect.rs
@@ -44,7 +44,7 @@
         failure: &Failure,
     ) -> Result<(), Refusal> {
         if failure.blame == Blame::Endpoint {
-            self.record_declined(permit, &failure.fault);
+            self.record_declined(permit, &failure.fault, "not_run");
             return self.count_unreachable();
         }
         let message = "attempt: The endpoint is out of reach.";
--- a/crates/relay/src/attempts/reserve.rs
+++ b/crates/relay/src/attempts/reserve.rs
@@ -28,6 +28,10 @@
 /// and all endpoints of a version stop at the same moment, before they leave the list.
 const MAX_UNREACHABLE: usize = 25;
 
+/// Maximum number of addresses that answer for other endpoints in one search. Such an endpoint is avoided from
+/// then on, and others are found gone within the same moment. Each attempt also consumes a retry.
+const MAX_MISDIRECTED: usize = 10;
+
 /// Retry delay for callers whose request no endpoint accepted. Within this time the endpoints' queues have
 /// advanced.
 pub(super) const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -116,6 +120,7 @@
     /// Starts to count endpoints that don't run the request anew.
     pub fn begin_search(&mut self) {
         self.state.declined = 0;
+        self.state.misdirected = 0;
         self.state.unreachable = 0;
     }
 
@@ -128,26 +133,40 @@
         Ok(())
     }
 
+    /// Records that an endpoint's address answered for another one, and counts it. If the request was sent there
+    /// before, no other endpoint could take it; that counts like a refusal.
+    pub(super) fn misdirected(&mut self, permit: Permit, fault: &Fault) -> Result<(), Refusal> {
+        let again = self.state.tried.contains(permit.endpoint());
+        self.apply_absence(&permit);
+        self.record_declined(permit, fault, "misdirected");
+        if again {
+            return self.count_declined();
+        }
+        self.state.misdirected += 1;
+        if self.state.misdirected >= MAX_MISDIRECTED {
+            return Err(self.no_endpoint());
+        }
+        Ok(())
+    }
+
     /// Records that an endpoint did not run the request, and counts it.
     pub(super) fn endpoint_declined(
         &mut self,
         permit: Permit,
         fault: &Fault,
     ) -> Result<(), Refusal> {
-        self.record_declined(permit, fault);
+        self.record_declined(permit, fault, "not_run");
         self.count_declined()
     }
 
-    /// Records that an endpoint did not run the request.
-    pub(super) fn record_declined(&mut self, permit: Permit, fault: &Fault) {
+    /// Records that an endpoint did not run the request. `result` is counted in the metrics.
+    pub(super) fn record_declined(&mut self, permit: Permit, fault: &Fault, result: &str) {
         self.log_failure(
             &permit,
             fault,
             "attempt: The endpoint did not run the request.",
         );
-        self.node
-            .metrics
-            .count_attempt(&self.request.pool, "not_run");
+        self.node.metrics.count_attempt(&self.request.pool, result);
         let endpoint = permit.endpoint().clone();
         permit.failed(fault);
         if self.is_brittle(&endpoint) {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -8,10 +8,14 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use pimento_policy::presence;
+use pimento_policy::presence::Presence;
+use pimento_policy::presence::Verdict;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
 
+use crate::absences::Absence;
 use crate::codec::Codec;
 use crate::follow::Connectivity;
 use crate::follow::Fold;
@@ -44,6 +48,8 @@
     pub grace_end: Option<Moment>,
     /// When it stops being cold; none if it was not cold when it last wrote.
     pub cold_end: Option<Moment>,
+    /// Whether it is assumed to be at its address.
+    pub presence: Presence,
 }
 
 /// The registered endpoints, built up from their records.
@@ -86,28 +92,80 @@
         found.ok().map(|place| &self.members[place])
     }
 
+    fn member_mut(&mut self, id: &id::Endpoint) -> Option<&mut Member> {
+        let found = self.members.binary_search_by(|m| m.registration.id.cmp(id));
+        found.ok().map(|place| &mut self.members[place])
+    }
+
     /// Whether new work may be sent to an endpoint.
     #[must_use]
     pub fn is_usable(&self, id: &id::Endpoint, now: Moment) -> bool {
         self.member(id).is_some_and(|member| member.is_usable(now))
     }
 
-    /// Removes the endpoints whose expired registrations were not renewed in time. Returns whether there were
-    /// any.
+    /// Records that an endpoint's address answered for another one at `at`. Returns the endpoint and the effect;
+    /// none if this incarnation is not registered.
+    pub fn record_absence(
+        &mut self,
+        absence: Absence,
+        at: Moment,
+        now: Moment,
+    ) -> Option<(id::Endpoint, Verdict)> {
+        let is_meant = |member: &Member| member.absence() == absence;
+        let place = self.members.iter().position(is_meant)?;
+        let pool = self.presences(&self.members[place].registration.pool, now);
+        let member = &mut self.members[place];
+        let verdict = member.presence.misdirect(at, pool, now);
+        Some((member.registration.id.clone(), verdict))
+    }
+
+    /// How many endpoints of a pool take work by their registrations, and how many of those are avoided.
+    fn presences(&self, pool: &id::Pool, now: Moment) -> presence::Pool {
+        let of_pool = |member: &&Member| member.registration.pool == *pool && member.is_usable(now);
+        let of_pool = self.members.iter().filter(of_pool);
+        let avoided = of_pool.clone().filter(|m| m.presence.is_avoided(now));
+        presence::Pool {
+            listed: of_pool.clone().count(),
+            avoided: avoided.count(),
+        }
+    }
+
+    /// The number of avoided endpoints of each pool, sorted by pool.
+    #[must_use]
+    pub fn avoided(&self, now: Moment) -> Vec<(id::Pool, usize)> {
+        let mut counts: Vec<(id::Pool, usize)> = Vec::new();
+        for member in &self.members {
+            let pool = &member.registration.pool;
+            let avoided = usize::from(member.presence.is_avoided(now));
+            match counts.binary_search_by(|(known, _)| known.cmp(pool)) {
+                Ok(place) => counts[place].1 += avoided,
+                Err(place) => counts.insert(place, (pool.clone(), avoided)),
+            }
+        }
+        counts
+    }
+
+    /// Removes the endpoints whose expired registrations were not renewed in time, and uses those again that
+    /// were avoided for too long. Returns whether there were any.
     pub fn remove_expired(&mut self, now: Moment) -> bool {
         let before = self.members.len();
+        let mut back = false;
+        for member in &mut self.members {
+            back |= member.presence.expire(now);
+        }
         self.members
             .retain(|member| member.grace_end.is_none_or(|end| now < end));
-        self.members.len() != before
+        back || self.members.len() != before
     }
 
-    /// When [`remove_expired`](Self::remove_expired) may next remove an endpoint; none if no
-    /// registration has expired.
+    /// When [`remove_expired`](Self::remove_expired) may next change an endpoint; none if no
+    /// registration has expired and no endpoint is avoided.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Moment> {
         self.members
             .iter()
-            .filter_map(|member| member.grace_end)
+            .flat_map(|member| [member.grace_end, member.presence.avoided_until()])
+            .flatten()
             .min()
     }
 
@@ -125,10 +183,18 @@
         // Counted from now, since it is not known when the record was written. Until then the endpoint is
         // taken for cold longer than it is.
         let cold_end = (!registration.cold.is_zero()).then(|| received + registration.cold);
-        let known = self.member(&registration.id);
-        if known.is_some_and(|member| member.is_unchanged(&registration, cold_end)) {
-            return false;
+        if let Some(known) = self.member_mut(&registration.id)
+            && known.is_unchanged(&registration, cold_end)
+        {
+            // The VMs that this one serves avoid it as well, and get no record that changes nothing.
+            let was_avoided = known.presence.confirm(received);
+            if was_avoided {
+                let endpoint = registration.id.as_str();
+                log::info!(endpoint; "directory: The endpoint wrote its record again, and is used again.");
+            }
+            return was_avoided;
         }
+        let known = self.member(&registration.id);
         let changed = known.is_none_or(|m| m.registration.leaving != registration.leaving);
         if changed && !context.initial && self.members.len() < MAX_LOGGED {
             log::info!(
@@ -146,6 +212,7 @@
             registration,
             grace_end: None,
             cold_end,
+            presence: Presence::new(received),
         });
         true
     }
@@ -217,6 +284,12 @@
         self.grace_end.is_none() && same_cold_end && known == *registration
     }
 
+    /// What is reported if it is not at its address.
+    fn absence(&self) -> Absence {
+        let registration = &self.registration;
+        Absence::new(&registration.id, registration.started_unix_ms)
+    }
+
     /// How much longer it is cold; zero if it is not.
     #[must_use]
     pub fn cold_remaining(&self, now: Moment) -> Duration {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`Attempts`](attempts::Attempts) whether it may be sent again. [`Running`] binds the listeners and
 //! shuts down without dropping requests that are in flight.
 
+pub mod absences;
 pub mod admit;
 pub mod admitted;
 pub mod attempts;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,7 @@
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
+use crate::boot;
 use crate::codec::Codec;
 use crate::follow::Fold;
 use crate::follow::Follower;
@@ -298,6 +299,10 @@
         for (pool, left) in node.retry_budgets.remaining(node.now()) {
             metrics.set_pool_figure(&pool, "repeats_left", left);
         }
+        for (pool, count) in node.directory.view(|view| view.avoided(boot::now())) {
+            let count = u64::try_from(count).unwrap_or(u64::MAX);
+            metrics.set_pool_figure(&pool, "avoided", to_f64(count));
+        }
         for (pool, sum) in node.rollouts(|rollouts| rollouts.target_counts()) {
             let served = sum.attempts.saturating_sub(sum.failed);
             let outcomes = [("served", served), ("failed", sum.failed)];
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -10,6 +10,8 @@
 use super::limit;
 use super::limit::Limit;
 use super::loan;
+use super::message::AbsenceMessage;
+use super::message::Absences;
 use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
@@ -400,10 +402,14 @@
                     .map(|vm| loan::lend(&self.node.scheduler, vm))
                     .unwrap_or_default(),
             };
+            let absences = self.node.absences.to_tell(boot::now()).into_iter();
             let datagram = Datagram {
                 message,
                 extension,
                 supplement,
+                absences: Absences {
+                    misdirected: absences.map(AbsenceMessage::from).collect(),
+                },
             };
             let bytes = match datagram.encode() {
                 Ok(bytes) => bytes,
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -19,6 +19,7 @@
 use super::loan::Loan;
 use super::loan::Want;
 use super::peer::ReaderStatus;
+use crate::absences::Absence;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
 use crate::departures::Departure;
@@ -87,6 +88,32 @@
     pub loans: Vec<Loan>,
 }
 
+/// What follows the other parts of a datagram, with the same rule for older versions.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Absences {
+    /// Endpoints whose addresses answered for others not long ago. Their avoidance is bounded in time and by the
+    /// pool, unlike that of [`Extension::departures`].
+    pub misdirected: Vec<AbsenceMessage>,
+}
+
+/// An endpoint whose address answered for another one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AbsenceMessage {
+    /// The endpoint.
+    pub absence: Absence,
+    /// Milliseconds since that response.
+    pub age_ms: u32,
+}
+
+impl From<(Absence, Duration)> for AbsenceMessage {
+    fn from((absence, age): (Absence, Duration)) -> Self {
+        Self {
+            absence,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
 /// A decoded datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Datagram {
@@ -96,6 +123,8 @@
     pub extension: Extension,
     /// What versions with supplements send.
     pub supplement: Supplement,
+    /// What versions with absences send.
+    pub absences: Absences,
 }
 
 /// An endpoint that wants no requests for some time.
@@ -183,7 +212,8 @@
     pub fn encode(&self) -> postcard::Result<Vec<u8>> {
         let bytes = postcard::to_stdvec(&self.message)?;
         let bytes = postcard::to_extend(&self.extension, bytes)?;
-        postcard::to_extend(&self.supplement, bytes)
+        let bytes = postcard::to_extend(&self.supplement, bytes)?;
+        postcard::to_extend(&self.absences, bytes)
     }
 
     /// Decodes a datagram. What the sender's version does not send is empty.
@@ -194,11 +224,13 @@
     pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
         let (message, rest) = postcard::take_from_bytes(bytes)?;
         let (extension, rest) = take_if_any(rest)?;
-        let (supplement, _) = take_if_any(rest)?;
+        let (supplement, rest) = take_if_any(rest)?;
+        let (absences, _) = take_if_any(rest)?;
         Ok(Self {
             message,
             extension,
             supplement,
+            absences,
         })
     }
 }
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -13,6 +13,7 @@
 use super::limit;
 use super::limit::Limit;
 use super::loan;
+use super::message::AbsenceMessage;
 use super::message::Datagram;
 use super::message::Extension;
 use super::message::Message;
@@ -22,6 +23,7 @@
 use super::peer::Peer;
 use super::peer::ReaderStatus;
 use super::update::Update;
+use crate::absences;
 use crate::boot;
 use crate::bundle::Bundle;
 use crate::bundle::SharedTopic;
@@ -162,6 +164,7 @@
             message,
             extension,
             supplement,
+            absences,
         } = datagram;
         let config = &self.node.config;
         if message.node == config.node {
@@ -195,6 +198,7 @@
             self.node.rollouts(|r| r.pin_session(*pinned));
         }
         self.merge_departures(&extension.departures, now);
+        self.merge_absences(&absences.misdirected, now);
         let limits = limit::joined(&message.limits, &extension.max_rejections);
         if local {
             let stamp = Stamp {
@@ -248,6 +252,18 @@
         }
     }
 
+    /// Records endpoints that are not at their addresses, which this VM then tells others as well.
+    fn merge_absences(&self, absences: &[AbsenceMessage], now: Moment) {
+        let mut any = false;
+        for message in absences {
+            let age = Duration::from_millis(u64::from(message.age_ms));
+            any |= absences::record(&self.node, message.absence, now.before(age));
+        }
+        if any {
+            pools::refresh(&self.node);
+        }
+    }
+
     /// Applies records that another VM read from the log.
     fn apply_bundle(&self, bundle: &Bundle) {
         let Bundle {
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -16,6 +16,7 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::absences::Absences;
 use crate::boot;
 use crate::calls::LogCalls;
 use crate::calls::Reason;
@@ -76,6 +77,8 @@
     pub scheduler: Scheduler,
     /// Endpoints that said that they leave.
     pub departures: Arc<Departures>,
+    /// Endpoints that are not at their addresses any more.
+    pub absences: Arc<Absences>,
     /// Notified when an endpoint announces something that other VMs should know at once.
     pub announced: Arc<Notify>,
     /// The retry budgets.
@@ -108,6 +111,7 @@
             blocklist: self.blocklist.clone(),
             scheduler: self.scheduler.clone(),
             departures: Arc::clone(&self.departures),
+            absences: Arc::clone(&self.absences),
             announced: Arc::clone(&self.announced),
             retry_budgets: Arc::clone(&self.retry_budgets),
             cascade: Arc::clone(&self.cascade),
@@ -203,6 +207,7 @@
             blocklist,
             scheduler: Scheduler::new(clock),
             departures: Arc::default(),
+            absences: Arc::default(),
             announced: Arc::default(),
             retry_budgets: Arc::new(retry_budgets),
             cascade: Arc::default(),
@@ -274,11 +279,13 @@
         }
     }
 
-    /// Whether an endpoint accepts new work, by its registration and by what it said itself.
+    /// Whether an endpoint accepts new work, by its registration, by what it said itself and by what answers at
+    /// its address.
     pub(crate) fn accepts_work(&self, member: &directory::Member, now: Moment) -> bool {
         let registration = &member.registration;
         let departure = Departure::new(&registration.id, registration.started_unix_ms);
-        member.is_usable(now) && !self.departures.contains(departure, now)
+        let leaves = self.departures.contains(departure, now);
+        member.is_usable(now) && !leaves && !member.presence.is_avoided(now)
     }
 
     /// Whether an endpoint may get new requests now.
--- a/crates/relay/src/pools.rs
+++ b/crates/relay/src/pools.rs
@@ -44,6 +44,7 @@
         tokio::select! {
             _ = endpoints.changed() => {}
             _ = operators.changed() => {}
+            () = node.absences.changed.notified() => {}
             Ok(()) = links.changed() => {
                 // What failed while the links were lost says nothing of the endpoints.
                 if *links.borrow_and_update() == Links::Down {
