Leave a silent run at its engine while another one would take longer

Change: policy::resume takes a run over if the other engine is expected to deliver the next event on time, or once the silence has lasted twice what the other engine takes. Silence counts against the endpoint as before.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod reach;
 pub mod report;
 pub mod rest;
+pub mod resume;
 pub mod retry;
 pub mod rollout;
 pub mod session;
--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use pimento_endpoint::Fault;
+use pimento_policy::resume::SilentRun;
 use pimento_units::id;
 use tokio::time::Instant;
 
@@ -24,6 +25,9 @@
 /// Time without an event after which a run hangs. Callers disconnect then, so that nothing is lost by its end.
 const MAX_SILENCE: Duration = Duration::from_secs(8);
 
+/// Least time between two looks at how long another endpoint would take.
+const MIN_PAUSE: Duration = Duration::from_millis(50);
+
 /// How a silence ended.
 pub enum Silence {
     /// The run goes on with this item, or is broken.
@@ -43,10 +47,12 @@
     if !attempts.node().links.are_suspect() {
         source.permit.record_silence();
     }
+    let silent_since = Instant::now() - source.timeout();
     let hangs_at = Instant::now() + MAX_SILENCE.saturating_sub(source.timeout());
     let mut searches = 0;
     loop {
-        if attempts.may_take_over() {
+        let patience = patience(attempts, overrides, silent_since.elapsed());
+        if attempts.may_take_over() && patience.is_zero() {
             searches += 1;
             attempts.begin_search();
             let hangs = Instant::now() >= hangs_at;
@@ -82,7 +88,12 @@
                 }
             }
         }
-        let pause = source.timeout().min(attempts.left_by_deadline());
+        let pause = if patience.is_zero() {
+            source.timeout()
+        } else {
+            patience.clamp(MIN_PAUSE, source.timeout())
+        };
+        let pause = pause.min(attempts.left_by_deadline());
         match source.next_within(pause).await {
             Err(Fault::Timeout)
                 if !attempts.left_by_deadline().is_zero() || attempts.extend_deadline() => {}
@@ -91,6 +102,23 @@
     }
 }
 
+/// How long the run is left at its endpoint before another one is asked for.
+fn patience<P: HeaderCodec + Codec, L: Log>(
+    attempts: &Attempts<'_, P, L>,
+    overrides: &Overrides,
+    silent: Duration,
+) -> Duration {
+    let Some(estimate) = attempts.estimate(overrides) else {
+        return Duration::ZERO;
+    };
+    let run = SilentRun {
+        silent,
+        max_gap: attempts.request().grant.route.max_event_gap,
+        expected: estimate.wait + estimate.prefill,
+    };
+    run.patience()
+}
+
 /// How a wait until the response is due ended a silence.
 fn ended_by(item: Result<Item, Fault>) -> Silence {
     match item {
