Learn how fast each engine of a pool is

Prefill speeds were learned per model only, so that a prompt went to a slow engine as often as to a fast one of the same load, and the expected time to a first token was wrong at both.

Prompts that found their engine idle now also give a sample of their engine's speed. The model's speed is learned from times divided by the factor, or it would become that of the fastest engines. A new incarnation starts at 1.

Ruled out: a decayed mean of clamped logarithms, because a pause moves it by its share of the samples; an update in steps of a bounded size, because it needs dozens of samples to reach a slow engine's factor.

--- a/crates/policy/src/eject.rs
+++ b/crates/policy/src/eject.rs
@@ -261,6 +261,17 @@
         })
     }
 
+    /// Whether an endpoint is in use and its last call did not fail. The times of another one may tell of its
+    /// failure instead of its speed.
+    #[must_use]
+    pub fn is_sound(&self, endpoint: &id::Endpoint) -> bool {
+        let place = self.find(endpoint);
+        place.is_some_and(|place| {
+            let member = &self.members[place];
+            !member.is_ejected() && member.errors == 0
+        })
+    }
+
     /// When an endpoint may get calls again; [`Moment::ZERO`] for one that is in use.
     #[must_use]
     pub fn ejected_until(&self, endpoint: &id::Endpoint) -> Moment {
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -23,6 +23,7 @@
 use pimento_units::Tokens;
 
 pub use self::prefill::PrefillEstimator;
+pub use self::prefill::Timing;
 use crate::number;
 
 /// A part of a prompt.
@@ -105,6 +106,8 @@
     cached_tokens: Tokens,
     /// When the first pending prompt became the first.
     head_since: Moment,
+    /// The factor by which it takes longer than the pool's median engine.
+    factor: f64,
 }
 
 /// Maximum overdue time of a prompt that is added to the wait. A prompt that is later than this is most
@@ -129,9 +132,21 @@
             cached: Vec::new(),
             cached_tokens: Tokens::ZERO,
             head_since: Moment::ZERO,
+            factor: 1.0,
         }
     }
 
+    /// Sets the factor by which the engine takes longer than the pool's median engine.
+    pub const fn set_factor(&mut self, factor: f64) {
+        self.factor = factor;
+    }
+
+    /// Returns the factor by which the engine takes longer than the pool's median engine.
+    #[must_use]
+    pub const fn factor(&self) -> f64 {
+        self.factor
+    }
+
     /// Returns the number of tokens of a prompt that the engine would have to prefill: all tokens from the
     /// first part on that is neither cached nor part of a pending prompt.
     #[must_use]
@@ -226,20 +241,24 @@
     /// Records that the first token of a call has arrived: the prompt is prefilled, and its parts are
     /// cached from now on. The parts of a call that was cancelled before may not be cached. If they counted
     /// as cached, the next attempt would be placed at an engine that was too full to prefill the first one.
+    /// Returns what the call tells of the engine's speed, if it tells anything.
     pub fn record_first_token(
         &mut self,
         call: CallId,
         prefill: &mut PrefillEstimator,
         now: Moment,
-    ) {
-        let Some(pending) = self.remove(call, now) else {
-            return;
-        };
+    ) -> Option<Timing> {
+        let pending = self.remove(call, now)?;
         self.cache_parts(&pending.parts, now);
         let took = now.since(pending.sent);
-        if pending.engine_was_idle {
-            prefill.record(&pending, took);
+        if !pending.engine_was_idle {
+            return None;
         }
+        let timing = prefill.timing(&pending, took);
+        // With engines of unequal speeds, the model's speed would else become that of the fastest ones.
+        let took = number::seconds(took.as_secs_f64() / self.factor);
+        prefill.record(&pending, took);
+        timing
     }
 
     /// Records that a call has ended, prefilled or not.
--- a/crates/policy/src/engine/prefill.rs
+++ b/crates/policy/src/engine/prefill.rs
@@ -17,6 +17,23 @@
     samples: u32,
 }
 
+/// How long a prompt took that found its engine idle.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Timing {
+    /// The time that the pool's median engine was expected to take.
+    pub expected: Duration,
+    /// The time that the engine took.
+    pub took: Duration,
+}
+
+/// Samples after which the estimates are good enough to compare engines by them. What is still wrong with them
+/// then is common to all engines.
+const MIN_TIMING_SAMPLES: u32 = 12;
+
+/// Least prefill of a prompt whose time is compared. Less is drowned by the delay of the network and by the
+/// steps of the batch.
+const MIN_TIMED_PREFILL: Duration = Duration::from_millis(20);
+
 /// Samples after which the estimates are reported to other nodes: enough for several models.
 const MIN_SAMPLES: u32 = 40;
 
@@ -101,6 +118,21 @@
         self.start_seconds.unwrap_or(INITIAL_START_SECONDS)
     }
 
+    /// Returns what a prompt tells of its engine's speed, whose first token arrived `took` after it was sent to
+    /// the idle engine. Returns `None` if it tells nothing, since its prefill is too short or the model's speed
+    /// is not known yet.
+    pub(super) fn timing(&self, pending: &Pending, took: Duration) -> Option<Timing> {
+        let known = self
+            .models
+            .binary_search_by_key(&pending.model, |(m, _)| *m);
+        if known.is_err() || self.samples < MIN_TIMING_SAMPLES {
+            return None;
+        }
+        let expected = self.prefill_time(pending.model, pending.prefill_tokens, pending.total);
+        let prefill = expected.saturating_sub(number::seconds(self.start_seconds()));
+        (prefill >= MIN_TIMED_PREFILL).then_some(Timing { expected, took })
+    }
+
     /// Learns from a prompt whose first token arrived `took` after it was sent to an idle engine.
     pub(super) fn record(&mut self, pending: &Pending, took: Duration) {
         let (model, uncached) = (pending.model, pending.prefill_tokens);
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -35,5 +35,6 @@
 pub mod session;
 pub mod shed;
 pub mod shift;
+pub mod speed;
 pub mod throttle;
 pub mod value;
--- a/crates/scheduler/src/endpoint_state.rs
+++ b/crates/scheduler/src/endpoint_state.rs
@@ -7,6 +7,8 @@
 use pimento_policy::engine::Engine;
 use pimento_policy::limit;
 use pimento_policy::shed;
+use pimento_policy::speed::Speed;
+use pimento_policy::speed::Sum;
 use pimento_policy::throttle::Throttle;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -90,6 +92,10 @@
     pub(crate) cold: Option<ColdState>,
     /// How long calls take, at a plain endpoint.
     pub(crate) delay: shed::Delay,
+    /// What is known of an engine's speed.
+    pub(crate) speed: Speed,
+    /// This VM's samples of it that were not reported yet.
+    pub(crate) unsent_samples: Sum,
 }
 
 /// Time after which to retry at an endpoint if this VM has no share of its limit.
@@ -249,6 +255,8 @@
         rate_limit: None,
         brittle: None,
         delay: shed::Delay::default(),
+        speed: Speed::default(),
+        unsent_samples: Sum::default(),
         member,
     }
 }
@@ -315,6 +323,8 @@
         state.rate_limit = None;
         state.brittle = None;
         state.delay = shed::Delay::default();
+        state.speed = Speed::default();
+        state.unsent_samples = Sum::default();
     }
     if let Some((report, at)) = member.report
         && state.member.report.is_none_or(|(_, seen)| seen < at)
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -30,5 +30,6 @@
 pub use pool::Pool;
 pub use pool::PoolMetrics;
 pub use pool_state::rest::Report as RestReport;
+pub use pool_state::speeds::Report as SpeedReport;
 pub use requirement::Requirement;
 pub use scheduler::Scheduler;
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -4,6 +4,7 @@
 mod loans;
 mod placement;
 pub(crate) mod rest;
+pub(crate) mod speeds;
 mod waiting;
 
 use std::sync::Arc;
@@ -20,6 +21,7 @@
 use pimento_units::Tokens;
 use pimento_units::id;
 
+use self::speeds::Speeds;
 use self::waiting::RequirementQueue;
 use crate::brittle::HoldTime;
 use crate::endpoint_state::EndpointState;
@@ -54,6 +56,8 @@
     choice: choice::Config,
     engine_choice: engine::Config,
     prefill: engine::PrefillEstimator,
+    /// How the engines' speeds compare.
+    speeds: Speeds,
     last_call: engine::CallId,
     /// Engines that each other VM named in its last report of waits, sorted by VM.
     peer_engines: Vec<(u64, Vec<u64>)>,
@@ -85,6 +89,7 @@
             choice: choice::Config::default(),
             engine_choice: engine::Config::default(),
             prefill: engine::PrefillEstimator::default(),
+            speeds: Speeds::default(),
             last_call: 0,
             peer_engines: Vec::new(),
             prefilled: Vec::new(),
@@ -482,6 +487,8 @@
             limited: usable.clone().filter(|s| s.throttle().is_some()).count(),
             brittle: usable.clone().filter(|s| s.brittle(now).is_some()).count(),
             cold: usable.clone().filter(|s| s.cold(now).is_some()).count(),
+            speeds_known: self.speeds.known(),
+            speed_spread: self.speeds.spread(),
             usable: usable.count(),
         }
     }
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -4,6 +4,7 @@
 
 use pimento_policy::eject;
 use pimento_policy::engine;
+use pimento_policy::engine::Engine;
 use pimento_policy::engine::Prompt;
 use pimento_units::Moment;
 use pimento_units::Tokens;
@@ -80,9 +81,11 @@
             let engine = state.engine.as_ref();
             let prefill_tokens =
                 engine.map_or(Tokens::ZERO, |engine| engine.prefill_tokens(prompt));
+            let factor = engine.map_or(1.0, Engine::factor);
             let prefill_time = self
                 .prefill
-                .prefill_time(prompt.model, prefill_tokens, total);
+                .prefill_time(prompt.model, prefill_tokens, total)
+                .mul_f64(factor);
             let wait = engine.map_or(Duration::ZERO, |engine| engine.wait(now));
             engine::Candidate {
                 name_hash: state.name_hash,
@@ -200,11 +203,14 @@
         let Some(engine) = state.engine.as_mut() else {
             return;
         };
-        engine.record_first_token(call, &mut self.prefill, now);
+        let timing = engine.record_first_token(call, &mut self.prefill, now);
         if let Some(prompt) = &slot.prompt
             && self.prefilled.len() < MAX_PREFILLED
         {
             self.prefilled.push((state.name_hash, prompt.clone()));
         }
+        if let Some(timing) = timing {
+            self.record_speed(index, timing, slot, now);
+        }
     }
 }
