Give engines of like speed the same factor, and require more samples

VMs of a group know much the same samples. In a model test of 82 VMs that report their waits within two groups only, all of them sent their prompts to the engines with the lowest estimates, and the mean time to a first token rose from 213 to 288 ms, although slow engines got 2 of 100 prompts instead of 28. Some VMs also took equal engines for unequal for a moment.

Factors are now rounded to steps of 1.65, an engine that seems faster than the median needs more samples than one that seems slower, and engines are compared once they have a weight of 6 and the VM has 40 samples of the models' speeds. Small pools need a larger ratio of variances.

Ruled out: a smaller step (1.5) and the same prior weight for both sides; they helped less or harmed at 82 or 300 VMs.

--- a/crates/policy/src/engine/prefill.rs
+++ b/crates/policy/src/engine/prefill.rs
@@ -26,15 +26,12 @@
     pub took: Duration,
 }
 
-/// Samples after which the estimates are good enough to compare engines by them. What is still wrong with them
-/// then is common to all engines.
-const MIN_TIMING_SAMPLES: u32 = 12;
-
 /// Least prefill of a prompt whose time is compared. Less is drowned by the delay of the network and by the
 /// steps of the batch.
 const MIN_TIMED_PREFILL: Duration = Duration::from_millis(20);
 
-/// Samples after which the estimates are reported to other nodes: enough for several models.
+/// Samples after which the estimates are reported to other nodes, and engines are compared by them: enough for
+/// several models. While the estimates still change, engines would differ by when they were measured.
 const MIN_SAMPLES: u32 = 40;
 
 /// Seconds per token before any were measured: a medium-sized model on a fast accelerator. The first prompt
@@ -125,7 +122,7 @@
         let known = self
             .models
             .binary_search_by_key(&pending.model, |(m, _)| *m);
-        if known.is_err() || self.samples < MIN_TIMING_SAMPLES {
+        if known.is_err() || self.samples < MIN_SAMPLES {
             return None;
         }
         let expected = self.prefill_time(pending.model, pending.prefill_tokens, pending.total);
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -56,11 +56,14 @@
 /// Weight from which an engine counts when speeds are compared for the first time, and once they are known to
 /// differ. A slow engine gets few prompts from then on, and its samples decay. If it no longer counted, the others
 /// would look equal, and the prompts would return to it all at once.
-const MIN_WEIGHT: f64 = 4.0;
+const MIN_WEIGHT: f64 = 6.0;
 const MIN_KNOWN_WEIGHT: f64 = 0.25;
 
-/// Weight of the assumption that an engine is as fast as the median one.
-const PRIOR_WEIGHT: f64 = 2.0;
+/// Weight of the assumption that an engine is as fast as the median one, against samples that say that it is
+/// slower and that it is faster. An engine that is wrongly taken for fast draws the prompts of all nodes; one that
+/// is wrongly taken for slow is only spared.
+const PRIOR_WEIGHT_SLOWER: f64 = 4.0;
+const PRIOR_WEIGHT_FASTER: f64 = 12.0;
 
 /// Engines that must have enough samples, or their variance is mere chance.
 const MIN_ENGINES: usize = 3;
@@ -69,16 +72,21 @@
 /// for many engines, and more for few, whose variance varies by chance. Below a third of that they no longer
 /// differ.
 const VARIANCE_RATIO: f64 = 4.0;
-const FEW_ENGINES: f64 = 4.0;
+const FEW_ENGINES: f64 = 8.0;
 
 /// Standard deviation of the engines' logarithms below which their differences do not matter, and half of which
 /// ends a difference.
-const MIN_DEVIATION: f64 = 0.2;
+const MIN_DEVIATION: f64 = 0.25;
 
 /// Least variance within the samples, a tenth of the time squared: samples of one VM that are equal by chance
 /// must not make a difference of a few percent significant.
 const MIN_VARIANCE: f64 = 0.01;
 
+/// Step between the logarithms of factors: each factor is 1.65 times the next lower one. Engines whose estimates
+/// differ by less get the same factor. Otherwise all nodes, which know much the same samples, would send their
+/// prompts to the few engines with the lowest estimates, before any of them hears of the others' prompts.
+const FACTOR_STEP: f64 = 0.5;
+
 /// The largest factor and, inverted, the smallest.
 const MAX_FACTOR: f64 = 4.0;
 
@@ -246,8 +254,14 @@
         let Some((median, engine)) = self.median.zip(estimate) else {
             return 1.0;
         };
-        let confidence = engine.weight / (engine.weight + PRIOR_WEIGHT);
-        let factor = ((engine.log - median) * confidence).exp();
+        let log = engine.log - median;
+        let prior = if log > 0.0 {
+            PRIOR_WEIGHT_SLOWER
+        } else {
+            PRIOR_WEIGHT_FASTER
+        };
+        let log = log * engine.weight / (engine.weight + prior);
+        let factor = ((log / FACTOR_STEP).round() * FACTOR_STEP).exp();
         factor.clamp(1.0 / MAX_FACTOR, MAX_FACTOR)
     }
 }
--- a/crates/policy/tests/speed.rs
+++ b/crates/policy/tests/speed.rs
@@ -181,9 +181,10 @@
     let mut pool = Pool::new(ENGINES, 1);
     pool.run(UNEVEN, 0, 20);
     let (_, slow) = pool.factors(20_000);
-    pool.update(80_000);
-    let (_, later) = pool.factors(80_000);
-    assert!(most(&later) < most(&slow), "{later:?} after {slow:?}");
+    assert!(most(&slow) > 1.0);
+    pool.update(200_000);
+    let (_, later) = pool.factors(200_000);
+    assert!(most(&later) <= 1.0, "{later:?} after {slow:?}");
     pool.update(320_000);
     assert!(!pool.pace.is_uneven());
     let (fast, slow) = pool.factors(320_000);
