--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -14,6 +14,7 @@
 use super::message::Absences;
 use super::message::Datagram;
 use super::message::Extension;
+use super::message::Measurements;
 use super::message::Message;
 use super::message::Position;
 use super::message::Prefill;
@@ -22,6 +23,7 @@
 use super::message::Supplement;
 use super::message::ZoneSummary;
 use super::peers::PROBE_INTERVAL;
+use super::speeds;
 use super::update::Update;
 use crate::boot;
 use crate::bundle::Bundle;
@@ -294,6 +296,7 @@
             poison_parts: self.node.poison.take_zone_parts(boot::now()),
             bundles: self.take_bundles(),
             wants: loan::wants(&self.node.scheduler),
+            speeds: speeds::take(&self.node.scheduler),
             ..Update::default()
         };
         let mut shared = Vec::new();
@@ -412,10 +415,14 @@
                     .unwrap_or_default(),
             };
             let absences = self.node.absences.to_tell(boot::now()).into_iter();
+            let speeds = if part.first { &update.speeds[..] } else { &[] };
             let datagram = Datagram {
                 message,
                 extension,
                 supplement,
+                measurements: Measurements {
+                    speeds: speeds.to_vec(),
+                },
                 absences: Absences {
                     misdirected: absences.map(AbsenceMessage::from).collect(),
                 },
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -19,6 +19,7 @@
 use super::loan::Loan;
 use super::loan::Want;
 use super::peer::ReaderStatus;
+use super::speeds::SpeedMessage;
 use crate::absences::Absence;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
@@ -88,7 +89,14 @@
     pub loans: Vec<Loan>,
 }
 
-/// What follows the other parts of a datagram, with the same rule for older versions.
+/// What follows a [`Supplement`] in its datagram, with the same rule for older versions.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Measurements {
+    /// The sender's samples of engines' speeds since the last datagram.
+    pub speeds: Vec<SpeedMessage>,
+}
+
+/// What follows [`Measurements`] in their datagram, with the same rule for older versions.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Absences {
     /// Endpoints whose addresses answered for others not long ago. Their avoidance is bounded in time and by the
@@ -123,6 +131,8 @@
     pub extension: Extension,
     /// What versions with supplements send.
     pub supplement: Supplement,
+    /// What versions with measurements send.
+    pub measurements: Measurements,
     /// What versions with absences send.
     pub absences: Absences,
 }
@@ -213,6 +223,7 @@
         let bytes = postcard::to_stdvec(&self.message)?;
         let bytes = postcard::to_extend(&self.extension, bytes)?;
         let bytes = postcard::to_extend(&self.supplement, bytes)?;
+        let bytes = postcard::to_extend(&self.measurements, bytes)?;
         postcard::to_extend(&self.absences, bytes)
     }
 
@@ -225,11 +236,13 @@
         let (message, rest) = postcard::take_from_bytes(bytes)?;
         let (extension, rest) = take_if_any(rest)?;
         let (supplement, rest) = take_if_any(rest)?;
+        let (measurements, rest) = take_if_any(rest)?;
         let (absences, _) = take_if_any(rest)?;
         Ok(Self {
             message,
             extension,
             supplement,
+            measurements,
             absences,
         })
     }
@@ -245,6 +258,7 @@
 
 impl Prefill {
     /// A prompt that was sent to an engine.
+    #[must_use]
     pub fn new((engine, prompt): &(u64, Prompt)) -> Self {
         let tokens = |part: &Part| u32::try_from(part.tokens.0).unwrap_or(u32::MAX);
         let parts = prompt.parts.iter().map(|part| (part.hash, tokens(part)));
@@ -256,6 +270,7 @@
     }
 
     /// The same without the last part, which belongs to the one request; none if no part is left.
+    #[must_use]
     pub fn shared_prefix(sent: &(u64, Prompt)) -> Option<Self> {
         let mut prefill = Self::new(sent);
         prefill.parts.pop();
@@ -263,6 +278,7 @@
     }
 
     /// The prompt.
+    #[must_use]
     pub fn prompt(&self) -> Prompt {
         let parts = self.parts.iter().map(|(hash, tokens)| Part {
             hash: *hash,
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -1,6 +1,7 @@
 //! Pools of endpoints, and the jobs that wait for their slots.
 
 mod loans;
+mod speeds;
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,6 +29,7 @@
 use crate::permit::Permit;
 use crate::pool_state::PoolState;
 use crate::pool_state::rest;
+use crate::pool_state::speeds::Spread;
 use crate::requirement::Requirement;
 
 /// A job that needs a slot.
@@ -346,7 +348,7 @@
 }
 
 /// Metrics of a pool: its jobs, slots and endpoints.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PoolMetrics {
     /// Waiting jobs.
     pub waiting: usize,
@@ -364,12 +366,14 @@
     pub brittle: usize,
     /// Usable endpoints that are cold.
     pub cold: usize,
+    /// By how much its engines are known to differ in speed.
+    pub speeds: Spread,
 }
 
 impl PoolMetrics {
     /// Returns the values with their names in metrics.
     #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 8] {
+    pub fn figures(&self) -> [(&'static str, u64); 10] {
         let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
         [
             ("waiting", count(self.waiting)),
@@ -380,6 +384,8 @@
             ("limited", count(self.limited)),
             ("brittle", count(self.brittle)),
             ("cold", count(self.cold)),
+            ("speeds_known", count(self.speeds.known)),
+            ("speed_spread", u64::from(self.speeds.percent)),
         ]
     }
 }
