Bound what is buffered for callers that do not read

Cause: 32 pieces of any size were buffered for a caller that stopped reading, and the kernel's buffers grew to megabytes. An endpoint that cut off such an answer counted as failed, as crashed under the request, and the stream was resumed out of the retry budget that all callers of the service share. A caller that never read kept its connection for ever.

Change: `serve::unread` bounds the buffer in bytes: 16 KiB for each caller, up to 256 KiB while 16 MiB that all callers of the VM share last. Sockets to callers and endpoints have buffers of a fixed size. An answer that ends while its caller holds it back is not resumed, and counts neither against its endpoint nor as a crash; it is broken off, also where only the end of the connection ends it. A caller that takes nothing for two minutes gets its connection reset.

Ruled out: resuming out of a budget of its own, since the platform's bound on repeats counts these calls as well.

Open: no test holds back a long answer of a plain service until its deadline.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -15,8 +15,12 @@
 use pimento_scheduler::Permit;
 use pimento_serve::ReplyBody;
 use pimento_serve::Writer;
+use pimento_serve::unread::CALLER_BYTES;
+use pimento_serve::unread::Reservation;
+use pimento_serve::unread::Unread;
 use pimento_units::Moment;
 use pimento_units::Tokens;
+use pimento_units::id;
 
 use crate::admitted::AdmittedRequest;
 use crate::attempts::Attempts;
@@ -30,11 +34,12 @@
 use crate::poison;
 use crate::refusal::Cause;
 use crate::refusal::Refusal;
+use crate::stream::unread;
 use crate::topic::Log;
 
 /// Maximum size of a response that is buffered, in bytes. Responses of plain services have a few
 /// kilobytes; a VM has tens of megabytes for some hundred concurrent requests.
-const MAX_BUFFERED_BYTES: u64 = 256 << 10;
+const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// The part of a body that was read.
 enum Buffered {
@@ -68,7 +73,7 @@
         let left = request.left_by_deadline(node.now());
         let ends_with_connection = body.ends_with_connection();
         let read = async {
-            let read = read(body).await?;
+            let read = read(body, &node.unread).await?;
             if ends_with_connection && matches!(read, Buffered::Complete(_)) {
                 node.links.check_end(&permit).await?;
             }
@@ -101,12 +106,13 @@
                 return Ok(response);
             }
             Ok(Buffered::Partial(start, rest)) => {
-                let (writer, reply) = ReplyBody::stream();
+                let (writer, reply) = ReplyBody::stream_within(&node.unread);
                 let took = node.now().since(request.began);
                 let route = request.grant.route.name.clone();
                 node.metrics.observe_first_byte(&route, took);
                 let transfer = Transfer {
                     node: node.clone(),
+                    pool: request.pool.clone(),
                     permit,
                     run: attempts.run(),
                     status: head.status,
@@ -132,6 +138,7 @@
 /// A response that is too long to be buffered, on its way to the caller.
 struct Transfer<P, L> {
     node: Node<P, L>,
+    pool: id::Pool,
     permit: Permit,
     run: poison::Run,
     status: StatusCode,
@@ -153,7 +160,9 @@
             // Amid a silent body no write would show it, and the endpoint would go on.
             () = writer.disconnected() => Err(Fault::Cancelled),
         };
-        self.record_end(&forwarded);
+        let ended = !matches!(forwarded, Ok(()) | Err(Fault::Cancelled));
+        let unread = ended && unread::is_cut_off(&writer);
+        self.record_end(&forwarded, unread);
         match forwarded {
             Ok(()) => {
                 poison::record_answer(&self.node, &self.run, self.status.is_success());
@@ -163,6 +172,7 @@
                 }
             }
             // Dropping the writer without a call of end() aborts the connection.
+            Err(_) if unread => unread::record(&self.node, &self.pool, self.permit),
             Err(fault) => {
                 poison::record_failure(&self.node, self.run, self.permit.endpoint(), &fault);
                 self.permit.failed(&fault);
@@ -180,19 +190,25 @@
             writer.send(data).await.map_err(disconnected)?;
         }
         if self.ends_with_connection {
+            if unread::is_cut_off(writer) {
+                return Err(Fault::Interrupted {
+                    reason: "the end may be that of an unread answer".into(),
+                });
+            }
             self.node.links.check_end(&self.permit).await?;
         }
         Ok(())
     }
 
     /// Records how the response ended, in metrics and the log.
-    fn record_end(&self, forwarded: &Result<(), Fault>) {
+    fn record_end(&self, forwarded: &Result<(), Fault>, unread: bool) {
         let took = self.node.now().since(self.began);
         let (end, cause) = match forwarded {
             Ok(()) if self.status.is_server_error() => ("failed", None),
             Ok(()) => ("whole", None),
             Err(Fault::Cancelled) if self.node.lifetime.is_aborted() => ("vm_stopped", None),
             Err(Fault::Cancelled) => ("caller_left", None),
+            Err(_) if unread => ("broken_off", Some(Cause::Unread)),
             Err(Fault::Timeout) => ("broken_off", Some(Cause::Timeout)),
             Err(_) => ("broken_off", Some(Cause::Failed)),
         };
@@ -237,16 +253,38 @@
 /// The scheduler's measure of work for a call to a plain service.
 const PLAIN_CALL_WORK: Tokens = Tokens(1);
 
-async fn read(mut body: ResponseBody) -> Result<Buffered, Fault> {
-    if body.min_remaining() > MAX_BUFFERED_BYTES {
+/// Reads an answer that is short enough to be buffered. While callers leave much unread, only the shortest are.
+async fn read(mut body: ResponseBody, unread: &Unread) -> Result<Buffered, Fault> {
+    let length = body.min_remaining();
+    if length > MAX_BUFFERED_BYTES as u64 {
         return Ok(Buffered::Partial(Bytes::new(), body));
     }
+    let length = usize::try_from(length).unwrap_or(MAX_BUFFERED_BYTES);
+    let expected = if length == 0 {
+        MAX_BUFFERED_BYTES
+    } else {
+        length
+    };
+    let mut reservation = None;
     let mut buffer = BytesMut::new();
     while let Some(data) = body.next().await? {
         buffer.extend_from_slice(&data);
-        if buffer.len() as u64 > MAX_BUFFERED_BYTES {
-            return Ok(Buffered::Partial(buffer.freeze(), body));
+        if buffer.len() > CALLER_BYTES && reservation.is_none() {
+            reservation = unread.reserve(expected);
+        }
+        let limit = reservation
+            .as_ref()
+            .map_or(CALLER_BYTES, |_| MAX_BUFFERED_BYTES);
+        if buffer.len() > limit {
+            return Ok(Buffered::Partial(hold(buffer, reservation), body));
         }
     }
-    Ok(Buffered::Complete(buffer.freeze()))
+    Ok(Buffered::Complete(hold(buffer, reservation)))
+}
+
+fn hold(buffer: BytesMut, reservation: Option<Reservation>) -> Bytes {
+    match reservation {
+        Some(reservation) => reservation.hold(&buffer),
+        None => buffer.freeze(),
+    }
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -6,6 +6,7 @@
 //! trip within a zone. Dropping an [`EndpointResponse`] closes the connection, which stops the endpoint's
 //! work.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,12 +30,32 @@
 use pimento_endpoint::Fault;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
 /// Maximum size of a response's head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Bytes that the kernel buffers of a response, which it doubles for its own use. By itself it would go up to
+/// megabytes for each response whose caller reads slowly.
+const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Opens a connection to an endpoint or to another VM.
+///
+/// # Errors
+///
+/// As [`TcpSocket::connect`].
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
+    socket.connect(address).await
+}
+
 /// A request to an endpoint.
 #[derive(Debug, Clone)]
 pub struct OutgoingRequest {
@@ -111,7 +132,7 @@
     ///
     /// [`Fault::Unreachable`]: nothing was sent.
     pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Fault> {
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+        let connecting = tokio::time::timeout(timeout, connect(address));
         let stream = match connecting.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) => return Err(unreachable(&error)),
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -16,6 +16,7 @@
 use pimento_serve::Limits;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
+use pimento_serve::server::UNREAD_TIMEOUT;
 use pimento_units::Moment;
 use pimento_units::id;
 
@@ -42,6 +43,7 @@
     head_timeout: Duration::from_secs(10),
     head_bytes: 16 << 10,
     connections: usize::MAX,
+    unread_timeout: UNREAD_TIMEOUT,
 };
 
 /// Bytes by which the server's buffer exceeds the maximum size of a head, so that a head over the limit
@@ -103,6 +105,7 @@
             connections,
             head_timeout: limits.idle_timeout.max(limits.receive_timeout),
             head_bytes: limits.head_bytes + HEAD_OVERRUN_BYTES,
+            unread_timeout: UNREAD_TIMEOUT,
         }
     }
 }
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -38,6 +38,7 @@
 use self::helpers::Helper;
 use self::helpers::Helpers;
 use self::tunnels::Declined;
+use crate::connection;
 use crate::connection::Connection;
 use crate::node::millis;
 
@@ -222,7 +223,7 @@
         address: SocketAddr,
     ) -> io::Result<TcpStream> {
         let started = self.clock.now();
-        let connecting = TcpStream::connect(address);
+        let connecting = connection::connect(address);
         let connected = tokio::time::timeout(self.connect_timeout(), connecting).await;
         let connected = connected.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into()));
         let now = self.clock.now();
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -10,6 +10,7 @@
 use pimento_scheduler::Clock;
 use pimento_scheduler::ColdStart;
 use pimento_scheduler::Scheduler;
+use pimento_serve::unread::Unread;
 use pimento_units::Moment;
 use pimento_units::id;
 use tokio::sync::Notify;
@@ -95,6 +96,8 @@
     pub lifetime: Lifetime,
     /// Tasks that forward responses to callers.
     pub response_tasks: TaskTracker,
+    /// What may be buffered for callers that don't read.
+    pub unread: Unread,
 }
 
 impl<P: Clone, L: Clone> Clone for Node<P, L> {
@@ -118,6 +121,7 @@
             clock: self.clock,
             lifetime: self.lifetime.clone(),
             response_tasks: self.response_tasks.clone(),
+            unread: self.unread.clone(),
         }
     }
 }
@@ -213,6 +217,7 @@
             clock,
             lifetime: Lifetime::default(),
             response_tasks: TaskTracker::new(),
+            unread: Unread::default(),
         };
         pools::start(&node, token.clone());
         poison::start(&node, log.clone(), token.clone());
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -63,6 +63,8 @@
     Failed,
     /// The endpoints that were tried failed, and the retry budget is exhausted.
     NoRetry,
+    /// The endpoint cut the answer off because the caller did not read it.
+    Unread,
     /// The request is blocked because endpoints crashed while they ran it.
     Poison,
     /// This VM stops before the request can be completed.
@@ -93,6 +95,7 @@
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::NoRetry => "no_retry",
+            Self::Unread => "unread",
             Self::Poison => "poison",
             Self::Stopping => "stopping",
         }
@@ -132,7 +135,7 @@
             | Self::Poison
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Failed | Self::NoRetry => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::NoRetry | Self::Unread => StatusCode::BAD_GATEWAY,
         }
     }
 
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -6,6 +6,7 @@
 //! end of its grace period it gives a final response to each request that has none yet, and breaks off the
 //! streams that are still running.
 
+use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
@@ -23,6 +24,7 @@
 use snafu::ResultExt;
 use snafu::Snafu;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio_util::sync::CancellationToken;
 
 use crate::codec::Codec;
@@ -48,12 +50,19 @@
 /// Time that aborted requests have to end.
 const ABORT_PERIOD: Duration = Duration::from_millis(100);
 
+/// Bytes that the kernel buffers for a caller, which it doubles for its own use. By itself it would go up to
+/// megabytes for each caller that doesn't read.
+const SEND_BUFFER_BYTES: u32 = 64 << 10;
+
+/// Connections that the kernel holds until they are accepted.
+const BACKLOG: u32 = 1_024;
+
 /// The server can't listen on an address.
 #[derive(Debug, Snafu)]
 #[snafu(display("can't listen on {address}: {source}"))]
 pub struct Error {
     address: SocketAddr,
-    source: std::io::Error,
+    source: io::Error,
 }
 
 /// A running entry VM.
@@ -71,10 +80,14 @@
     /// # Errors
     ///
     /// [`Error`] if an address can't be bound.
+    #[expect(
+        clippy::unused_async,
+        reason = "it starts tasks, which needs a runtime"
+    )]
     pub async fn start(config: Config, platform: P, log: L) -> Result<Self, Error> {
-        let callers = bind(config.listen).await?;
-        let ready = bind(config.ready_listen).await?;
-        let metrics = bind(config.metrics_listen).await?;
+        let callers = bind(config.listen)?;
+        let ready = bind(config.ready_listen)?;
+        let metrics = bind(config.metrics_listen)?;
         log::info!(
             node = config.node.as_str(),
             zone = config.zone.as_str(),
@@ -181,9 +194,21 @@
         .await;
 }
 
-async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    let listener = TcpListener::bind(address).await;
-    listener.context(Snafu { address })
+fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    listen(address).context(Snafu { address })
+}
+
+/// Listens with a limit on what the kernel buffers for each caller, which connections inherit.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 /// Serves the load balancer's readiness check.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,6 +11,7 @@
 mod silence;
 mod source;
 mod start;
+pub mod unread;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -112,7 +113,7 @@
     let took = node.now().since(request.began);
     node.metrics
         .observe_first_byte(&request.grant.route.name, took);
-    let (writer, reply) = ReplyBody::stream();
+    let (writer, reply) = ReplyBody::stream_within(&node.unread);
     let node = node.clone();
     let tasks = node.response_tasks.clone();
     tasks.spawn(async move {
@@ -137,6 +138,9 @@
     writer: &Writer,
     batch: &mut Batch,
 ) -> Result<Result<Item, Fault>, Disconnected> {
+    if batch.is_full() {
+        batch.flush(writer).await?;
+    }
     while let Some(due) = batch.due {
         match tokio::time::timeout_at(due, source.next()).await {
             Ok(item) => return Ok(item),
@@ -248,6 +252,9 @@
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
+                    if source.ends_with_connection() && unread::is_cut_off(writer) {
+                        return self.cut_off(source);
+                    }
                     self.attempts.response_complete(StatusCode::OK);
                     self.attempts.record_session_version(&source.permit);
                     source.permit.served(Tokens(1));
@@ -257,6 +264,9 @@
                     if batch.flush(writer).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
+                    if fault.is_interrupted() && unread::is_cut_off(writer) {
+                        return self.cut_off(source);
+                    }
                     (source, item) = match self.recover(source, fault).await {
                         Ok(recovered) => recovered,
                         Err(refusal) => return StreamEnd::Aborted(refusal.cause),
@@ -266,6 +276,13 @@
         }
     }
 
+    /// Ends a stream that its endpoint cut off because the caller did not read. It isn't resumed: the repeat
+    /// would be taken from the budget of all callers, and the same caller may let the next run be cut off.
+    fn cut_off(&self, source: Source) -> StreamEnd {
+        unread::record(self.node, &self.request.pool, source.close());
+        StreamEnd::Aborted(Cause::Unread)
+    }
+
     /// Goes on after a fault, with a late item of the same run or the first item of another one.
     ///
     /// # Errors
--- a/crates/relay/src/stream/batch.rs
+++ b/crates/relay/src/stream/batch.rs
@@ -14,6 +14,10 @@
 /// packets mean fewer losses, each of which delays all later events until the retransmission.
 const MAX_BATCH_DELAY: Duration = Duration::from_millis(40);
 
+/// Size in bytes from which a batch is sent at once. An endpoint that sends without a pause would fill the
+/// memory before the delay is over.
+const MAX_BATCH_BYTES: usize = 16 << 10;
+
 /// Buffer of events that are sent together.
 #[derive(Debug, Default)]
 pub struct Batch {
@@ -37,6 +41,11 @@
         self.due.get_or_insert(now + delay);
     }
 
+    /// Whether the events must be sent before any other is added.
+    pub fn is_full(&self) -> bool {
+        self.bytes.len() >= MAX_BATCH_BYTES
+    }
+
     /// Sends what is buffered.
     ///
     /// # Errors
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -111,6 +111,11 @@
         }
     }
 
+    /// Whether nothing but the end of the connection shows the end of the stream.
+    pub const fn ends_with_connection(&self) -> bool {
+        self.body.ends_with_connection()
+    }
+
     /// Closes the connection, which stops the endpoint's work, and returns the slot.
     pub fn close(self) -> Permit {
         self.permit
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -1,8 +1,11 @@
 //! Bodies of responses to callers: complete ones, and streams that are never truncated unnoticed.
 
+use std::future::ready;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::Context;
 use std::task::Poll;
+use std::time::Duration;
 
 use bytes::Bytes;
 use hyper::body::Body;
@@ -11,9 +14,9 @@
 use snafu::Snafu;
 use tokio::sync::mpsc;
 
-/// Pieces that are buffered for a slow reader. When the buffer is full, the writer waits and stops
-/// reading the engine's stream.
-const BUFFERED_PIECES: usize = 32;
+use crate::unread::Backlog;
+use crate::unread::MAX_PIECE_BYTES;
+use crate::unread::Unread;
 
 /// The body of a response.
 #[derive(Debug)]
@@ -27,7 +30,7 @@
 /// The reading end of a streamed body.
 #[derive(Debug)]
 pub struct Stream {
-    pieces: mpsc::Receiver<Piece>,
+    pieces: mpsc::UnboundedReceiver<Piece>,
     ended: bool,
 }
 
@@ -41,7 +44,9 @@
 /// broken off, so that callers can't mistake a partial body for a complete one.
 #[derive(Debug)]
 pub struct Writer {
-    pieces: mpsc::Sender<Piece>,
+    /// Bounded by the backlog, in bytes.
+    pieces: mpsc::UnboundedSender<Piece>,
+    backlog: Arc<Backlog>,
 }
 
 /// The writer was dropped before the end of the body.
@@ -64,24 +69,44 @@
     /// Creates a streamed body and its writer.
     #[must_use]
     pub fn stream() -> (Writer, Self) {
-        let (sender, pieces) = mpsc::channel(BUFFERED_PIECES);
+        Self::stream_within(&Unread::default())
+    }
+
+    /// The same for a caller of a VM, with the limits on what it buffers for all of them.
+    #[must_use]
+    pub fn stream_within(unread: &Unread) -> (Writer, Self) {
+        let (sender, pieces) = mpsc::unbounded_channel();
         let stream = Stream {
             pieces,
             ended: false,
         };
-        (Writer { pieces: sender }, Self::Stream(stream))
+        let writer = Writer {
+            pieces: sender,
+            backlog: Arc::new(Backlog::new(unread.clone())),
+        };
+        (writer, Self::Stream(stream))
     }
 }
 
 impl Writer {
-    /// Sends a piece. Waits while the buffer is full.
+    /// Sends a piece. Waits while there is no room for it.
     ///
     /// # Errors
     ///
     /// [`Disconnected`] if the reader was dropped.
     pub async fn send(&self, data: impl Into<Bytes>) -> Result<(), Disconnected> {
-        let piece = Piece::Data(data.into());
-        self.pieces.send(piece).await.map_err(|_| Disconnected)
+        let mut data = data.into();
+        while !data.is_empty() {
+            let piece = data.split_to(data.len().min(MAX_PIECE_BYTES));
+            let admitted = tokio::select! {
+                biased;
+                () = self.pieces.closed() => return Err(Disconnected),
+                admitted = self.backlog.admit(piece) => admitted,
+            };
+            let sent = self.pieces.send(Piece::Data(admitted));
+            sent.map_err(|_| Disconnected)?;
+        }
+        Ok(())
     }
 
     /// Ends the body cleanly.
@@ -89,8 +114,15 @@
     /// # Errors
     ///
     /// [`Disconnected`] if the reader was dropped.
-    pub async fn end(self) -> Result<(), Disconnected> {
-        self.pieces.send(Piece::End).await.map_err(|_| Disconnected)
+    pub fn end(self) -> impl Future<Output = Result<(), Disconnected>> {
+        ready(self.pieces.send(Piece::End).map_err(|_| Disconnected))
+    }
+
+    /// How long the caller's slow reading has held the writer back, if that isn't over for longer than
+    /// `within`.
+    #[must_use]
+    pub fn held_back(&self, within: Duration) -> Duration {
+        self.backlog.held_back(within)
     }
 
     /// Waits until the reader is dropped.
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -62,14 +62,22 @@
     /// Maximum number of open connections. Further ones are closed at once, before anything is read, so
     /// that callers may turn to another VM whatever they ask for.
     pub connections: usize,
+    /// Maximum time in which a caller takes nothing of an answer that waits for it. Its connection is then
+    /// reset, as it holds memory and may never be closed.
+    pub unread_timeout: Duration,
 }
 
+/// Default of [`Limits::unread_timeout`]. A caller that reads 1 kB a second lets its kernel announce room for
+/// more only when half of a buffer of 64 KiB is free, so a shorter time would break off answers that are read.
+pub const UNREAD_TIMEOUT: Duration = Duration::from_mins(2);
+
 impl Default for Limits {
     fn default() -> Self {
         Self {
             head_timeout: Duration::from_secs(30),
             head_bytes: 400 << 10,
             connections: usize::MAX,
+            unread_timeout: UNREAD_TIMEOUT,
         }
     }
 }
@@ -206,7 +214,7 @@
         log::debug!("server: Setting TCP_NODELAY failed: {error}.");
     }
     let progress = Arc::new(Progress::default());
-    let socket = Socket::new(stream, Arc::clone(&progress));
+    let socket = Socket::new(stream, Arc::clone(&progress), limits.unread_timeout);
     let answers = service_fn(|request| {
         progress.serve(&request);
         answer(service.clone(), request, &stop, &progress)
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -47,6 +47,10 @@
     /// Bytes read since then.
     discarded: usize,
     linger: Option<Linger>,
+    /// Maximum time in which the caller takes no byte.
+    unread_timeout: Duration,
+    /// When the bytes that wait for the caller have been unread for that long.
+    unread_end: Option<Pin<Box<Sleep>>>,
 }
 
 /// A wait for bytes after the last answer.
@@ -58,7 +62,7 @@
 
 impl Socket {
     /// Wraps `stream`.
-    pub const fn new(stream: TcpStream, progress: Arc<Progress>) -> Self {
+    pub const fn new(stream: TcpStream, progress: Arc<Progress>, unread_timeout: Duration) -> Self {
         Self {
             stream,
             progress,
@@ -66,9 +70,33 @@
             shut: false,
             discarded: 0,
             linger: None,
+            unread_timeout,
+            unread_end: None,
         }
     }
 
+    /// Gives up a caller that has taken nothing for too long. The reset frees what the kernel holds for it,
+    /// and can't be mistaken for the end of the answer.
+    fn poll_unread(
+        &mut self,
+        wrote: Poll<io::Result<usize>>,
+        cx: &mut Context<'_>,
+    ) -> Poll<io::Result<usize>> {
+        if wrote.is_ready() {
+            self.unread_end = None;
+            return wrote;
+        }
+        let timeout = self.unread_timeout;
+        let end = self
+            .unread_end
+            .get_or_insert_with(|| Box::pin(sleep(timeout)));
+        ready!(end.as_mut().poll(cx));
+        log::info!("server: An answer stayed unread, connection reset.");
+        self.progress.cut();
+        self.stream.set_zero_linger()?;
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
     /// Discards what arrives until the caller closes its end, falls silent or a limit is reached.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut space = [0; DISCARD_BYTES];
@@ -140,7 +168,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, bytes)
+        let socket = self.get_mut();
+        let wrote = Pin::new(&mut socket.stream).poll_write(cx, bytes);
+        socket.poll_unread(wrote, cx)
     }
 
     fn poll_write_vectored(
@@ -148,7 +178,9 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write_vectored(cx, slices)
+        let socket = self.get_mut();
+        let wrote = Pin::new(&mut socket.stream).poll_write_vectored(cx, slices);
+        socket.poll_unread(wrote, cx)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod model;
 mod panics;
 mod support;
+mod unread;
--- a/crates/serve/tests/all/support.rs
+++ b/crates/serve/tests/all/support.rs
@@ -14,6 +14,7 @@
 use hyper::StatusCode;
 use hyper::body::Body;
 use hyper::body::Incoming;
+use pimento_serve::Limits;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
 use pimento_serve::Stop;
@@ -31,14 +32,22 @@
 /// The body of an answer: more than the kernel delivers to a caller who doesn't read.
 pub const ANSWER: &[u8] = &[b'a'; 512 << 10];
 
+/// The number of bytes in the body of a long stream: more than the kernel holds for a caller.
+pub const LARGE: usize = 24 << 20;
+
 /// The number of bytes in the body of a brief answer.
 pub const BRIEF: usize = 100;
 
 /// Answers by path: `/now` at once, `/held` and `/brief` when released, all after reading the body; `/early` at once
-/// without reading the body; `/cut` with a stream that breaks off when released; `/panic` with a panic.
+/// without reading the body; `/cut` with a stream that breaks off when released; `/large` with a long stream;
+/// `/panic` with a panic.
 #[derive(Debug, Clone, Default)]
 pub struct Script {
     pub release: CancellationToken,
+    /// Cancelled once the caller of `/large` is gone.
+    pub gone: CancellationToken,
+    /// Limit on the time in which a caller takes nothing; the default if there is none.
+    pub unread_timeout: Option<Duration>,
 }
 
 impl Serve for Script {
@@ -51,6 +60,17 @@
                 *response.status_mut() = StatusCode::PAYLOAD_TOO_LARGE;
                 return response;
             }
+            "/large" => {
+                let (writer, body) = ReplyBody::stream();
+                let gone = self.gone.clone();
+                tokio::spawn(async move {
+                    match writer.send(vec![b'a'; LARGE]).await {
+                        Ok(()) => writer.end().await.unwrap_or_default(),
+                        Err(_) => gone.cancel(),
+                    }
+                });
+                return Response::new(body);
+            }
             "/cut" => {
                 let (writer, body) = ReplyBody::stream();
                 writer.send("piece").await.unwrap();
@@ -74,6 +94,14 @@
         };
         Response::new(ReplyBody::whole(bytes))
     }
+
+    fn limits(&self) -> Limits {
+        let limits = Limits::default();
+        Limits {
+            unread_timeout: self.unread_timeout.unwrap_or(limits.unread_timeout),
+            ..limits
+        }
+    }
 }
 
 async fn read(body: Incoming) {
@@ -96,6 +124,11 @@
 impl Server {
     /// Each server has an address of its own: a port that one has given up may at once be another's.
     pub async fn start() -> Self {
+        Self::with(Script::default()).await
+    }
+
+    /// The same with this script.
+    pub async fn with(script: Script) -> Self {
         static STARTED: AtomicU16 = AtomicU16::new(1);
         let [high, low] = STARTED.fetch_add(1, Relaxed).to_be_bytes();
         let listener = TcpListener::bind((Ipv4Addr::new(127, 1, high, low), 0))
@@ -103,7 +136,6 @@
             .unwrap();
         let address = listener.local_addr().unwrap();
         let stop = Stop::default();
-        let script = Script::default();
         let running = tokio::spawn(pimento_serve::run(listener, script.clone(), stop.clone()));
         Self {
             address,
