Regard an engine's memory in the choice of an engine

Cause: an engine crashes if the requests that it holds exceed its memory. The capacity bounded only what a VM takes for cached there; no choice regarded it. An engine full of running answers looks idle, and attracts prompts whose prefix it has cached.

Change: `policy::engine` counts what an engine holds: this VM's calls from their slot to their end with the length that their answers may have, shared parts once, and for 3 s the prompts that other VMs report as prefilled. An engine without room is no candidate while others have room; if none has, the choice is as before. A prompt larger than the memory of each engine is refused at once with 413. An engine whose requests fit without regard to shared parts has room, so the choice is the same where memory is far from full.

Ruled out: refusing prompts while all engines seem full, since what a VM knows of their memory is an estimate. Counting the answer's length in the refusal: it is only a bound.

Open: VMs don't tell each other their tokens in flight, which needs a new message; prompts of other VMs count only once they are prefilled.

--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -152,6 +152,8 @@
             NoSlot::Overloaded { after } | NoSlot::Expired { after } | NoSlot::Cold { after } => {
                 (Code::Overloaded, Some(after))
             }
+            // Jobs of this chain carry no prompts, and their endpoints no memory.
+            NoSlot::TooLarge => (Code::LargeBody, None),
             NoSlot::CallerGone => (Code::CallerGone, None),
         };
         let refusal = Self::not_run(code, no_slot.to_string());
--- a/crates/policy/src/admission.rs
+++ b/crates/policy/src/admission.rs
@@ -28,6 +28,12 @@
     Tokens(output.0.saturating_add(input.0 / PREFILL_RATIO))
 }
 
+/// Generated tokens in the work of a call whose prompt has `input` tokens.
+#[must_use]
+pub const fn output(work: Tokens, input: Tokens) -> Tokens {
+    Tokens(work.0.saturating_sub(input.0 / PREFILL_RATIO))
+}
+
 /// Running mean of the answer length of one class. The length of an answer is not known before it
 /// ends.
 #[derive(Debug, Clone, Copy)]
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -15,6 +15,7 @@
 //! that differ this much), and prefix-aware placement that weighs a cache hit against the wait for it, as
 //! in Preble (2024). Prefill speeds are learned from prompts that found their engine idle.
 
+mod memory;
 mod prefill;
 
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use pimento_units::Moment;
 use pimento_units::Tokens;
 
+use self::memory::Memory;
 pub use self::prefill::PrefillEstimator;
 use crate::number;
 
@@ -97,6 +99,7 @@
 #[derive(Debug, Clone)]
 pub struct Engine {
     kv_capacity: Tokens,
+    memory: Memory,
     pending: Vec<Pending>,
     /// Sorted by node.
     peers: Vec<Peer>,
@@ -121,9 +124,10 @@
     /// Creates an engine with an empty prefix cache. `kv_capacity` is the size of its KV cache, which holds
     /// running requests and cached parts.
     #[must_use]
-    pub const fn new(kv_capacity: Tokens) -> Self {
+    pub fn new(kv_capacity: Tokens) -> Self {
         Self {
             kv_capacity,
+            memory: Memory::default(),
             pending: Vec::new(),
             peers: Vec::new(),
             cached: Vec::new(),
@@ -132,6 +136,19 @@
         }
     }
 
+    /// Returns whether no memory is left for a prompt whose answer has up to `output` tokens, as far as this node
+    /// knows.
+    #[must_use]
+    pub fn is_full_for(&self, prompt: &Prompt, output: Tokens, now: Moment) -> bool {
+        !self.memory.has_room(prompt, output, self.kv_capacity, now)
+    }
+
+    /// Returns whether a prompt exceeds the whole memory. A capacity of zero is unknown.
+    #[must_use]
+    pub fn is_too_small_for(&self, prompt: &Prompt) -> bool {
+        self.kv_capacity > Tokens::ZERO && prompt.tokens() > self.kv_capacity
+    }
+
     /// Returns the number of tokens of a prompt that the engine would have to prefill: all tokens from the
     /// first part on that is neither cached nor part of a pending prompt.
     #[must_use]
@@ -172,6 +189,11 @@
         self.peers.iter().map(left).sum()
     }
 
+    /// Records that a call with a prompt takes memory from now on, for an answer of up to `output` tokens.
+    pub fn record_held(&mut self, call: CallId, prompt: &Prompt, output: Tokens, now: Moment) {
+        self.memory.add(call, prompt, output, now);
+    }
+
     /// Records that a prompt was sent whose prefill is expected to take `prefill_time`.
     pub fn record_sent(
         &mut self,
@@ -199,6 +221,7 @@
 
     /// Records that the engine has prefilled a prompt, whoever sent it.
     pub fn record_cached(&mut self, prompt: &Prompt, now: Moment) {
+        self.memory.add_peer(prompt, now);
         let parts: Vec<(u64, Tokens)> = prompt.keys().collect();
         self.cache_parts(&parts, now);
     }
@@ -244,6 +267,7 @@
 
     /// Records that a call has ended, prefilled or not.
     pub fn record_end(&mut self, call: CallId, now: Moment) {
+        self.memory.remove(call);
         self.remove(call, now);
     }
 
@@ -327,6 +351,8 @@
     pub wait: Duration,
     /// Time to prefill the tokens that the engine has not cached.
     pub prefill_time: Duration,
+    /// Whether it has no memory left for the prompt.
+    pub full: bool,
 }
 
 impl Candidate {
@@ -352,10 +378,13 @@
 const COST_TOLERANCE: f64 = 0.01;
 
 /// Returns the index of the engine for a prompt, or `None` if no engine is usable. `prefix` is the hash of
-/// the prompt's shared prefix.
+/// the prompt's shared prefix. An engine that is full is chosen only if all usable ones are: what a node knows
+/// of its memory is an estimate, and the request would be refused otherwise.
 #[must_use]
 pub fn choose(candidates: &[Candidate], prefix: u64, config: &Config) -> Option<usize> {
-    let usable = || candidates.iter().enumerate().filter(|(_, c)| c.usable);
+    let any_room = candidates.iter().any(|c| c.usable && !c.full);
+    let may_get = |c: &Candidate| c.usable && !(any_room && c.full);
+    let usable = || candidates.iter().enumerate().filter(|(_, c)| may_get(c));
     let least = usable()
         .map(|(_, c)| c.cost(config))
         .min_by(f64::total_cmp)?;
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -31,6 +31,8 @@
     LargeHead,
     /// The body exceeds the limit.
     LargeBody,
+    /// The prompt exceeds the memory of each engine.
+    LargePrompt,
     /// The body did not arrive in time.
     SlowBody,
     /// The body is incomplete or malformed.
@@ -79,6 +81,7 @@
             Self::BadHead => "bad_head",
             Self::LargeHead => "large_head",
             Self::LargeBody => "large_body",
+            Self::LargePrompt => "large_prompt",
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
             Self::UnknownKey => "unknown_key",
@@ -119,7 +122,7 @@
         match self {
             Self::BadHead | Self::BadBody => StatusCode::BAD_REQUEST,
             Self::LargeHead => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
-            Self::LargeBody => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::LargeBody | Self::LargePrompt => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
@@ -215,7 +218,11 @@
     pub fn status(&self) -> StatusCode {
         let status = self.cause.status();
         match status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT if self.may_have_run => {
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::PAYLOAD_TOO_LARGE
+                if self.may_have_run =>
+            {
                 if self.cause == Cause::Expired {
                     StatusCode::GATEWAY_TIMEOUT
                 } else {
@@ -254,6 +261,7 @@
             NoSlot::Overloaded { after } => Self::new(Cause::Overloaded).with_retry_after(after),
             NoSlot::Cold { after } => Self::new(Cause::Cold).with_retry_after(after),
             NoSlot::Expired { after } => Self::new(Cause::Expired).with_retry_after(after),
+            NoSlot::TooLarge => Self::new(Cause::LargePrompt),
             NoSlot::CallerGone => Self::new(Cause::Expired),
         }
     }
--- a/crates/scheduler/src/no_slot.rs
+++ b/crates/scheduler/src/no_slot.rs
@@ -33,6 +33,9 @@
         /// Time after which the work ahead of it has drained.
         after: Duration,
     },
+    /// The prompt exceeds the whole memory of each engine that could take it.
+    #[snafu(display("the prompt is larger than any engine's memory"))]
+    TooLarge,
     /// The caller stopped waiting.
     #[snafu(display("the caller went away"))]
     CallerGone,
--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -156,6 +156,9 @@
         let now = self.shared.clock.now();
         let mut state = self.shared.lock();
         let demand = state.demand(&pending.job, now).ok_or_else(no_endpoint)?;
+        if state.is_too_large(&pending.job) {
+            return Err(NoSlot::TooLarge);
+        }
         state.record_arrival(now);
         if state.expire_loans(now) {
             self.shared.shares_shrank.notify_waiters();
--- a/crates/scheduler/src/pool_state.rs
+++ b/crates/scheduler/src/pool_state.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use pimento_policy::admission;
 use pimento_policy::choice;
 use pimento_policy::eject;
 use pimento_policy::engine;
@@ -272,6 +273,8 @@
         let call = call.map(|(prompt, engine)| {
             self.last_call += 1;
             engine.record_sent(self.last_call, prompt, prefill_time, now);
+            let output = admission::output(job.tokens, prompt.tokens());
+            engine.record_held(self.last_call, prompt, output, now);
             self.last_call
         });
         let prompt = call.and(job.prompt.clone());
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pimento_policy::admission;
 use pimento_policy::eject;
 use pimento_policy::engine;
 use pimento_policy::engine::Prompt;
@@ -64,8 +65,11 @@
             }
             choose(&ejected)
         };
+        let has_room = |index: &usize| !candidates[*index].full;
         let chosen = self
             .probe(job, now, |index| untried[index].usable)
+            .or_else(|| warm().filter(has_room))
+            .or_else(|| choose(&untried).filter(has_room))
             .or_else(warm)
             .or_else(|| choose(&untried))
             .or_else(ejected)
@@ -75,6 +79,7 @@
 
     fn engine_candidates(&self, prompt: &Prompt, job: &Job, now: Moment) -> Vec<engine::Candidate> {
         let total = prompt.tokens();
+        let output = admission::output(job.tokens, total);
         let last_resort = self.is_last_resort(&job.requirement, now);
         let candidate = |state: &EndpointState| {
             let engine = state.engine.as_ref();
@@ -89,6 +94,7 @@
                 usable: (last_resort || !self.is_ejected(state, now))
                     && Self::is_free(state, job, now),
                 remote: !state.member.extra_delay.is_zero(),
+                full: engine.is_some_and(|engine| engine.is_full_for(prompt, output, now)),
                 wait,
                 prefill_time,
             }
@@ -96,6 +102,20 @@
         self.endpoints.iter().map(candidate).collect()
     }
 
+    /// Returns whether a job's prompt exceeds the whole memory of each engine that could take it. No wait would
+    /// help, and the engine would crash.
+    pub fn is_too_large(&self, job: &Job) -> bool {
+        let Some(prompt) = &job.prompt else {
+            return false;
+        };
+        let too_small = |state: &EndpointState| {
+            let engine = state.engine.as_ref();
+            engine.is_some_and(|engine| engine.is_too_small_for(prompt))
+        };
+        let mut usable = self.usable(&job.requirement).peekable();
+        usable.peek().is_some() && usable.all(too_small)
+    }
+
     /// Returns whether a call may be sent to an endpoint now, ejected or not.
     fn is_free(state: &EndpointState, job: &Job, now: Moment) -> bool {
         state.accepts(job, now) && state.limiter.free() > 0
