Merge: what is buffered for callers that do not read, and engines' memory

A prompt larger than the memory of each engine is refused with 503 instead of 413, as an engine refuses it: the request is valid, and another version may take it.

--- a/crates/policy/tests/report.rs
+++ b/crates/policy/tests/report.rs
@@ -99,6 +99,7 @@
             name_hash: index as u64,
             usable: true,
             remote: false,
+            full: false,
             wait: engine.wait(now),
             prefill_time,
         };
--- a/crates/policy/tests/speed_groups.rs
+++ b/crates/policy/tests/speed_groups.rs
@@ -68,6 +68,7 @@
             name_hash: name,
             usable: true,
             remote: false,
+            full: false,
             wait: engine.wait(now),
             prefill_time: prefill_time.mul_f64(engine.factor()),
         };
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -31,6 +31,8 @@
     LargeHead,
     /// The body exceeds the limit.
     LargeBody,
+    /// The prompt exceeds the memory of each engine.
+    LargePrompt,
     /// The body did not arrive in time.
     SlowBody,
     /// The body is incomplete or malformed.
@@ -63,6 +65,8 @@
     Failed,
     /// The endpoints that were tried failed, and the retry budget is exhausted.
     NoRetry,
+    /// The endpoint cut the answer off because the caller did not read it.
+    Unread,
     /// The request is blocked because endpoints crashed while they ran it.
     Poison,
     /// This VM stops before the request can be completed.
@@ -77,6 +81,7 @@
             Self::BadHead => "bad_head",
             Self::LargeHead => "large_head",
             Self::LargeBody => "large_body",
+            Self::LargePrompt => "large_prompt",
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
             Self::UnknownKey => "unknown_key",
@@ -93,6 +98,7 @@
             Self::Timeout => "timeout",
             Self::Failed => "failed",
             Self::NoRetry => "no_retry",
+            Self::Unread => "unread",
             Self::Poison => "poison",
             Self::Stopping => "stopping",
         }
@@ -120,7 +126,9 @@
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownRoute => StatusCode::NOT_FOUND,
-            Self::NotReady
+            // As an engine refuses a prompt that exceeds its memory. Another version may have more.
+            Self::LargePrompt
+            | Self::NotReady
             | Self::Stale
             | Self::Overloaded
             | Self::NoEndpoint
@@ -132,7 +140,7 @@
             | Self::Poison
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
-            Self::Failed | Self::NoRetry => StatusCode::BAD_GATEWAY,
+            Self::Failed | Self::NoRetry | Self::Unread => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -212,7 +220,11 @@
     pub fn status(&self) -> StatusCode {
         let status = self.cause.status();
         match status {
-            StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT if self.may_have_run => {
+            StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::PAYLOAD_TOO_LARGE
+                if self.may_have_run =>
+            {
                 if self.cause == Cause::Expired {
                     StatusCode::GATEWAY_TIMEOUT
                 } else {
@@ -251,6 +263,7 @@
             NoSlot::Overloaded { after } => Self::new(Cause::Overloaded).with_retry_after(after),
             NoSlot::Cold { after } => Self::new(Cause::Cold).with_retry_after(after),
             NoSlot::Expired { after } => Self::new(Cause::Expired).with_retry_after(after),
+            NoSlot::TooLarge => Self::new(Cause::LargePrompt),
             NoSlot::CallerGone => Self::new(Cause::Expired),
         }
     }
