Limit responses without end on the relay chain

Cause: an endpoint that sends interim responses, digits of a chunk's length, comments or repeated events for ever kept its caller up to the deadline, since each byte counted as an answer or as nothing at all. A plain body had no limit, an error body none in time, and an event could take 1 MiB of a small VM's memory.

Change: bytes without content and the time of a head are limited on the connection. Comments and repeated events don't end a silence, and repeated ones are limited in bytes. What breaks a limit of HTTP is an invalid response, not a crash of the endpoint.

--- a/crates/relay/src/buffered.rs
+++ b/crates/relay/src/buffered.rs
@@ -24,6 +24,7 @@
 use crate::attempts::Overrides;
 use crate::codec::Codec;
 use crate::connection::ResponseBody;
+use crate::error_body;
 use crate::headers::HeaderCodec;
 use crate::node::Node;
 use crate::node::millis;
@@ -36,6 +37,10 @@
 /// kilobytes; a VM has tens of megabytes for some hundred concurrent requests.
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
 
+/// Maximum size of a response, in bytes. Until it is reached, the deadline and the caller's reading limit what an
+/// endpoint sends; a response that does not end must not take a VM's link all that time.
+const MAX_BODY_BYTES: u64 = 64 << 20;
+
 /// The part of a body that was read.
 enum Buffered {
     Complete(Bytes),
@@ -63,12 +68,17 @@
         let Opened {
             permit, response, ..
         } = opened;
-        let (mut head, body) = (response.head, response.body);
+        let (mut head, mut body) = (response.head, response.body);
+        let is_error = head.status.is_server_error();
         // The end of this VM says nothing of the endpoint. Callers who wait by then get a final response.
         let left = request.left_by_deadline(node.now());
         let ends_with_connection = body.ends_with_connection();
         let read = async {
-            let read = read(body).await?;
+            let read = if is_error {
+                Buffered::Complete(error_body::read(&mut body, left).await?)
+            } else {
+                read(body).await?
+            };
             if ends_with_connection && matches!(read, Buffered::Complete(_)) {
                 node.links.check_end(&permit).await?;
             }
@@ -79,7 +89,7 @@
         node.platform.strip_connection_headers(&mut head.headers);
         match read {
             Ok(Buffered::Complete(bytes)) => {
-                let failed = head.status.is_server_error();
+                let failed = is_error;
                 attempts.record_result(&permit, failed);
                 attempts.response_complete(head.status);
                 attempts.record_session_version(&permit);
@@ -173,10 +183,13 @@
     async fn forward(&self, writer: &Writer, body: (Bytes, ResponseBody)) -> Result<(), Fault> {
         let disconnected = |_| Fault::Cancelled;
         let (start, mut rest) = body;
+        let mut forwarded = start.len() as u64;
         if !start.is_empty() {
             writer.send(start).await.map_err(disconnected)?;
         }
         while let Some(data) = rest.next().await? {
+            forwarded += data.len() as u64;
+            check_length(forwarded)?;
             writer.send(data).await.map_err(disconnected)?;
         }
         if self.ends_with_connection {
@@ -237,7 +250,17 @@
 /// The scheduler's measure of work for a call to a plain service.
 const PLAIN_CALL_WORK: Tokens = Tokens(1);
 
+fn check_length(bytes: u64) -> Result<(), Fault> {
+    if bytes > MAX_BODY_BYTES {
+        return Err(Fault::Invalid {
+            reason: "the body is too long".into(),
+        });
+    }
+    Ok(())
+}
+
 async fn read(mut body: ResponseBody) -> Result<Buffered, Fault> {
+    check_length(body.min_remaining())?;
     if body.min_remaining() > MAX_BUFFERED_BYTES {
         return Ok(Buffered::Partial(Bytes::new(), body));
     }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -6,6 +6,10 @@
 //! trip within a zone. Dropping an [`EndpointResponse`] closes the connection, which stops the endpoint's
 //! work.
 
+mod meter;
+
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -21,6 +25,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
+use hyper::ext;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
@@ -32,9 +37,15 @@
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
-/// Maximum size of a response's head, in bytes.
+use self::meter::Meter;
+use self::meter::Metered;
+
+/// Maximum size of a response's head, in bytes. The buffer of a body has the same size.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
+/// Maximum number of headers in a response's head, and of trailers after a body.
+const MAX_HEADERS: usize = 100;
+
 /// A request to an endpoint.
 #[derive(Debug, Clone)]
 pub struct OutgoingRequest {
@@ -61,6 +72,7 @@
 #[derive(Debug)]
 pub struct ResponseBody {
     incoming: Incoming,
+    meter: Meter,
     ends_with_connection: bool,
     _sender: SendRequest<Full<Bytes>>,
     _driver: AbortOnDropHandle<()>,
@@ -83,13 +95,13 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::Interrupted`] if the connection failed before the end of the body.
+    /// [`Fault::Interrupted`] if the connection failed before the end of the body, [`Fault::Invalid`] if the
+    /// body is not valid HTTP or its framing exceeds a limit.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Fault> {
         while let Some(frame) = self.incoming.frame().await {
-            let frame = frame.map_err(|error| Fault::Interrupted {
-                reason: CompactString::from(error.to_string()),
-            })?;
+            let frame = frame.map_err(|error| broken(&error))?;
             if let Ok(data) = frame.into_data() {
+                self.meter.content_taken();
                 return Ok(Some(data));
             }
         }
@@ -101,6 +113,7 @@
 #[derive(Debug)]
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    meter: Meter,
     driver: AbortOnDropHandle<()>,
 }
 
@@ -132,9 +145,11 @@
         stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         address: SocketAddr,
     ) -> Result<Self, Fault> {
+        let meter = Meter::default();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
-            .handshake(TokioIo::new(stream));
+            .max_headers(MAX_HEADERS)
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone())));
         let (sender, connection) = handshake.await.map_err(|error| unreachable(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
@@ -143,6 +158,7 @@
         });
         Ok(Self {
             sender,
+            meter,
             driver: AbortOnDropHandle::new(driver),
         })
     }
@@ -152,7 +168,7 @@
     /// # Errors
     ///
     /// [`Fault::Interrupted`] if the connection failed first, [`Fault::Invalid`] if the response is not valid
-    /// HTTP. In both cases the request may have run.
+    /// HTTP or its head exceeds a limit. In both cases the request may have run.
     pub async fn send(mut self, outgoing: OutgoingRequest) -> Result<EndpointResponse, Fault> {
         let OutgoingRequest {
             method,
@@ -167,18 +183,21 @@
         request
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
-        let response = self.sender.send_request(request).await.map_err(|error| {
-            let reason = CompactString::from(error.to_string());
-            if error.is_parse() {
-                return Fault::Invalid { reason };
-            }
-            Fault::Interrupted { reason }
-        })?;
+        let meter = self.meter.clone();
+        ext::on_informational(&mut request, move |_| meter.head_was_interim());
+        let response = tokio::select! {
+            biased;
+            response = self.sender.send_request(request) => response.map_err(|error| broken(&error))?,
+            () = self.meter.head_overdue() => return Err(Fault::Invalid {
+                reason: "the head does not end".into(),
+            }),
+        };
         let (head, body) = response.into_parts();
         let body = ResponseBody {
             ends_with_connection: body.size_hint().exact().is_none()
                 && !head.headers.contains_key(TRANSFER_ENCODING),
             incoming: body,
+            meter: self.meter,
             _sender: self.sender,
             _driver: self.driver,
         };
@@ -186,6 +205,23 @@
     }
 }
 
+/// The fault for a response that could not be received. What is malformed or over a limit is the endpoint's doing;
+/// anything else may be due to its end.
+fn broken(error: &hyper::Error) -> Fault {
+    let reason = CompactString::from(error.to_string());
+    let malformed = |kind| {
+        matches!(
+            kind,
+            io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput
+        )
+    };
+    let cause = error.source().and_then(<dyn Error>::downcast_ref);
+    if error.is_parse() || cause.is_some_and(|cause: &io::Error| malformed(cause.kind())) {
+        return Fault::Invalid { reason };
+    }
+    Fault::Interrupted { reason }
+}
+
 fn unreachable(error: &impl ToString) -> Fault {
     Fault::Unreachable {
         reason: CompactString::from(error.to_string()),
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -7,16 +7,17 @@
 use bytes::BytesMut;
 use snafu::Snafu;
 
-/// Maximum size of an event in bytes. Events hold a few tokens; without a limit, an endpoint that
-/// never ends an event would exhaust the memory.
-const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Maximum size of an event in bytes, with the comments before it. Events hold a few tokens; without a limit, an
+/// endpoint that never ends an event would exhaust the memory. Fifty such endpoints at a time may take a tenth of
+/// a small VM's memory.
+pub const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// A complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Event {
     /// Its id, if it has a numeric one.
     pub id: Option<u64>,
-    /// Its bytes, including the empty line that ends it.
+    /// Its bytes, including the empty line that ends it and comments before it.
     pub bytes: Bytes,
 }
 
@@ -26,49 +27,70 @@
 pub struct EventTooLong;
 
 /// Buffers received bytes until they form complete events.
+///
+/// Comments and other blocks without data are no events to a caller, and an endpoint that sends nothing else is
+/// silent. They are returned with the next event.
 #[derive(Debug, Default)]
 pub struct Splitter {
     buffer: BytesMut,
-    /// Leading bytes of the buffer that were searched and contain no end of an event.
+    /// Length of the leading blocks without data.
+    empty: usize,
+    /// Leading bytes of the buffer that were searched and contain no further end of a block.
     searched: usize,
 }
 
 impl Splitter {
-    /// Appends received bytes.
+    /// Appends received bytes. Complete events must be taken before more bytes are appended.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Removes and returns the next complete event.
     ///
     /// # Errors
     ///
-    /// [`EventTooLong`] if the buffer would exceed the maximum size of an event.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<(), EventTooLong> {
-        if self.buffer.len() + bytes.len() > MAX_EVENT_BYTES {
+    /// [`EventTooLong`] if it exceeds the maximum size, or what was received of it does.
+    pub fn next_event(&mut self) -> Result<Option<Event>, EventTooLong> {
+        while let Some(end) = self.block_end() {
+            let block = &self.buffer[self.empty..end];
+            let id = id(block);
+            if id.is_some() || has_data(block) {
+                return self.take(end, id).map(Some);
+            }
+            (self.empty, self.searched) = (end, end);
+        }
+        if self.buffer.len() > MAX_EVENT_BYTES {
             return Err(EventTooLong);
         }
-        self.buffer.extend_from_slice(bytes);
-        Ok(())
+        Ok(None)
     }
 
-    /// Removes and returns the next complete event.
-    pub fn next_event(&mut self) -> Option<Event> {
-        let length = self.event_length()?;
-        let bytes = self.buffer.split_to(length).freeze();
-        self.searched = 0;
-        Some(Event {
-            id: id(&bytes),
-            bytes,
-        })
+    /// Removes and returns the blocks without data after the last event of a stream that has ended.
+    pub fn take_rest(&mut self) -> Option<Event> {
+        let rest = self.take(self.empty, None).ok()?;
+        (!rest.bytes.is_empty()).then_some(rest)
     }
 
     /// Whether the buffer holds a partial event.
     #[must_use]
     pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+        self.buffer.len() > self.empty
     }
 
-    /// Length of the first event, including the empty line that ends it. Lines end with a line feed,
-    /// with or without a carriage return before it.
-    fn event_length(&mut self) -> Option<usize> {
+    fn take(&mut self, length: usize, id: Option<u64>) -> Result<Event, EventTooLong> {
+        if length > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        (self.empty, self.searched) = (0, 0);
+        let bytes = self.buffer.split_to(length).freeze();
+        Ok(Event { id, bytes })
+    }
+
+    /// End of the first block after those without data, including the empty line that ends it. Lines end with a
+    /// line feed, with or without a carriage return before it.
+    fn block_end(&mut self) -> Option<usize> {
         let bytes = &self.buffer[..];
-        let from = self.searched.saturating_sub(2);
+        let from = self.searched.saturating_sub(2).max(self.empty);
         let mut feeds = (from..bytes.len()).filter(|at| bytes[*at] == b'\n');
         let end = feeds.find_map(|at| match bytes[at + 1..] {
             [b'\n', ..] => Some(at + 2),
@@ -82,6 +104,12 @@
     }
 }
 
+/// Whether a block has a `data` line.
+fn has_data(block: &[u8]) -> bool {
+    let mut lines = block.split(|byte| *byte == b'\n');
+    lines.any(|line| line.starts_with(b"data:") || line.trim_ascii_end() == b"data")
+}
+
 /// The number in the event's `id` line.
 fn id(event: &[u8]) -> Option<u64> {
     let mut lines = event.split(|byte| *byte == b'\n');
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod deadline;
 pub mod departures;
 pub mod directory;
+pub mod error_body;
 pub mod evacuation;
 pub mod events;
 pub mod fleet;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -234,14 +234,13 @@
         loop {
             match item {
                 Ok(Item::Event(event)) => match self.accept(&event) {
-                    Ok(true) => {
+                    Ok(()) => {
                         batch.push(&event, Instant::now());
                         item = match next(&mut source, writer, &mut batch).await {
                             Ok(item) => item,
                             Err(Disconnected) => return StreamEnd::Disconnected,
                         };
                     }
-                    Ok(false) => item = source.next().await,
                     Err(fault) => item = Err(fault),
                 },
                 Ok(Item::End) => {
@@ -292,28 +291,26 @@
         Ok((source, item))
     }
 
-    /// Whether an event is to be forwarded. Returns false for one that was forwarded before.
+    /// Counts an event that is to be forwarded.
     ///
     /// # Errors
     ///
     /// [`Fault::Invalid`] if an event before it is missing.
-    fn accept(&mut self, event: &Event) -> Result<bool, Fault> {
+    fn accept(&mut self, event: &Event) -> Result<(), Fault> {
         let Some(id) = event.id else {
-            return Ok(true);
+            return Ok(());
         };
-        if let Some(last) = self.last_event_id {
-            if id <= last {
-                return Ok(false);
-            }
-            if id > last + 1 {
-                return Err(Fault::Invalid {
-                    reason: "an event is missing".into(),
-                });
-            }
+        if self
+            .last_event_id
+            .is_some_and(|last| id > last.saturating_add(1))
+        {
+            return Err(Fault::Invalid {
+                reason: "an event is missing".into(),
+            });
         }
         self.last_event_id = Some(id);
         self.events += 1;
-        Ok(true)
+        Ok(())
     }
 
     /// Reserves an endpoint for a stream whose run is gone, within [`MAX_RESUME_WAIT`].
@@ -366,6 +363,7 @@
                     permit,
                     response.body,
                     &self.request.grant.route,
+                    self.last_event_id,
                     Arc::clone(&self.node.links),
                 ));
             }
--- a/crates/relay/src/stream/start.rs
+++ b/crates/relay/src/stream/start.rs
@@ -19,15 +19,12 @@
 use crate::attempts::Reservation;
 use crate::codec::Codec;
 use crate::connection::EndpointResponse;
-use crate::connection::ResponseBody;
+use crate::error_body;
 use crate::events::Event;
 use crate::headers::HeaderCodec;
 use crate::refusal::Refusal;
 use crate::topic::Log;
 
-/// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
-const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
-
 /// A stream whose first event was received.
 pub struct StartedStream {
     pub head: response::Parts,
@@ -95,8 +92,7 @@
     response: EndpointResponse,
 ) -> Result<Outcome, Refusal> {
     let EndpointResponse { mut head, mut body } = response;
-    let read = tokio::time::timeout(attempts.left_by_deadline(), collect(&mut body)).await;
-    match read.unwrap_or(Err(Fault::Timeout)) {
+    match error_body::read(&mut body, attempts.left_by_deadline()).await {
         Ok(bytes) => {
             attempts.record_result(&permit, head.status.is_server_error());
             attempts.response_complete(head.status);
@@ -127,8 +123,9 @@
 ) -> Result<Outcome, Refusal> {
     let EndpointResponse { head, body } = response;
     let links = Arc::clone(&attempts.node().links);
-    let route = &attempts.request().grant.route;
-    let mut source = Source::new(permit, body, route, links);
+    let request = attempts.request();
+    let last = overrides.last_event_id.or(request.info.last_event_id);
+    let mut source = Source::new(permit, body, &request.grant.route, last, links);
     let timeout = source.timeout().min(attempts.left_by_deadline());
     let mut item = source.next_within(timeout).await;
     let mut reservation = None;
@@ -162,16 +159,3 @@
     attempts.attempt_failed(source.close(), &fault)?;
     Ok(reservation.map_or(Outcome::Failed, Outcome::TakenOver))
 }
-
-async fn collect(body: &mut ResponseBody) -> Result<Vec<u8>, Fault> {
-    let mut bytes = Vec::new();
-    while let Some(data) = body.next().await? {
-        if bytes.len() + data.len() > MAX_ERROR_BODY_BYTES {
-            return Err(Fault::Invalid {
-                reason: "the body of an error response is too long".into(),
-            });
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes)
-}
