Limit responses without end in the endpoint, log and platform clients

Cause: fifty load reports or plain answers could take 32 MiB of memory each, an event of the first chain had no limit and its bytes were scanned again with each piece, and repeated events or end marks never counted as a stall. A server of the log that sent a byte now and then kept its client for ever, as did pages without a last one.

Change: load reports have at most 64 KiB, cache changes 1 MiB, heads 64 KiB and 64 interim responses before them, server errors 64 KiB and 4 s, other bodies 16 MiB with two large ones read at a time. Lines are found once each, and an event has 128 KiB. A stall ends only with something new, and 16,384 events that bring nothing new are the most.

--- a/crates/coordination/src/http.rs
+++ b/crates/coordination/src/http.rs
@@ -24,6 +24,8 @@
 /// The largest response body accepted from a platform service, in bytes. A batch of the log may
 /// hold a checkpoint of the whole configuration beside other records.
 const MAX_BODY: usize = 32 << 20;
+/// Maximum size of a response's head, in bytes. The buffer of a body has the same size.
+const MAX_HEAD: usize = 64 << 10;
 /// Idle connections in the pool of each service. A node has one long poll open for each stream and
 /// a handful of appends; more connections would only cost file descriptors.
 const MAX_IDLE: usize = 16;
@@ -105,6 +107,7 @@
         connector.set_connect_timeout(Some(timeout));
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(MAX_IDLE)
+            .http1_max_buf_size(MAX_HEAD)
             .build(connector);
         Self {
             inner,
--- a/crates/endpoint/src/assemble.rs
+++ b/crates/endpoint/src/assemble.rs
@@ -17,6 +17,10 @@
 /// recovers.
 pub const MAX_BUFFERED: usize = 64;
 
+/// Maximum number of events in a row that bring nothing new: chunks that were received before, and further end
+/// marks. A resumed stream may repeat a whole answer of some thousand chunks.
+pub const MAX_REPEATED: usize = 16_384;
+
 /// The state of one streamed response. It outlives connections: after an interruption, resume the
 /// attempt after [`Assembler::last_delivered`] and pass the events to the same assembler.
 #[derive(Debug, Clone)]
@@ -28,6 +32,8 @@
     last_sequence: Option<u64>,
     ended: bool,
     duplicates: u64,
+    /// Events since the last one that brought something new.
+    repeated: usize,
 }
 
 impl Assembler {
@@ -42,6 +48,7 @@
             last_sequence: None,
             ended: false,
             duplicates: 0,
+            repeated: 0,
         }
     }
 
@@ -49,29 +56,44 @@
     ///
     /// # Errors
     ///
-    /// [`Fault::Invalid`] if the chunk is from another stream or version, is beyond the end, or if
-    /// [`MAX_BUFFERED`] chunks are already buffered; the attempt can't be continued.
+    /// [`Fault::Invalid`] if the chunk is from another stream or version, is beyond the end, if
+    /// [`MAX_BUFFERED`] chunks are already buffered, or if [`MAX_REPEATED`] events brought nothing new; the
+    /// attempt can't be continued.
     pub fn accept(&mut self, event: Event) -> Result<(), Fault> {
-        match event {
-            Event::Done { .. } => {
-                self.ended = true;
-                Ok(())
-            }
-            Event::Chunk { sequence, chunk } => self.accept_chunk(sequence, chunk),
+        let is_new = match event {
+            Event::Done { .. } => !std::mem::replace(&mut self.ended, true),
+            Event::Chunk { sequence, chunk } => self.accept_chunk(sequence, chunk)?,
+        };
+        self.repeated = if is_new { 0 } else { self.repeated + 1 };
+        if self.repeated > MAX_REPEATED {
+            return Err(Fault::Invalid {
+                reason: CompactString::const_new("the stream repeats events"),
+            });
         }
+        Ok(())
+    }
+
+    /// Whether the last event brought something new.
+    #[must_use]
+    pub const fn last_was_new(&self) -> bool {
+        self.repeated == 0
     }
 
-    fn accept_chunk(&mut self, sequence: u64, chunk: Chunk) -> Result<(), Fault> {
+    /// Accepts a chunk and returns whether it was not received before.
+    fn accept_chunk(&mut self, sequence: u64, chunk: Chunk) -> Result<bool, Fault> {
         self.check_chunk(sequence, &chunk)?;
         if sequence < self.next_sequence {
             self.duplicates += 1;
-            return Ok(());
+            return Ok(false);
         }
         match self
             .out_of_order
             .binary_search_by_key(&sequence, |(n, _)| *n)
         {
-            Ok(_) => self.duplicates += 1,
+            Ok(_) => {
+                self.duplicates += 1;
+                return Ok(false);
+            }
             Err(_) if self.out_of_order.len() == MAX_BUFFERED => {
                 return invalid(format_compact!(
                     "{MAX_BUFFERED} chunks are buffered, but chunk {} is missing",
@@ -89,7 +111,7 @@
                 self.out_of_order.insert(position, (sequence, chunk));
             }
         }
-        Ok(())
+        Ok(true)
     }
 
     /// Checks that all chunks have the same id and version, so that a late response to another
--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -3,30 +3,53 @@
 //! A failure is classified by whether a byte of the request may have been sent. Only a connection
 //! that was never established proves that none was.
 
+use std::error::Error;
+use std::io;
+use std::iter;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use compact_str::CompactString;
 use compact_str::ToCompactString;
 use compact_str::format_compact;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
 use hyper::HeaderMap;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::Uri;
+use hyper::body::Body;
 use hyper::body::Incoming;
+use hyper::ext;
 use hyper_util::client::legacy;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
 use hyper_util::rt::TokioTimer;
 use pimento_wire::header;
+use tokio::sync::Semaphore;
 
 use crate::fault::Fault;
 
+/// Maximum size of a response's head, in bytes. The buffer of a body has the same size.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Maximum number of headers in a response's head, and of trailers after a body.
+const MAX_HEADERS: usize = 100;
+
+/// Maximum number of interim responses before a response. An endpoint may send one each second while it works.
+const MAX_INTERIM_RESPONSES: u32 = 64;
+
+/// Size from which a body is large, in bytes. Only [`MAX_LARGE_BODIES`] are read at a time, and others wait:
+/// many endpoints that send up to the maximum size together would exhaust a small VM's memory.
+const LARGE_BODY_BYTES: usize = 256 << 10;
+
+/// Maximum number of large bodies that are read at a time.
+const MAX_LARGE_BODIES: usize = 2;
+
 /// Limits and timeouts of a [`Pool`].
 #[derive(Debug, Clone, Copy)]
 pub struct Config {
@@ -44,7 +67,7 @@
         Self {
             connect_timeout: Duration::from_millis(1_500),
             idle_timeout: Duration::from_secs(30),
-            max_body: 32 << 20,
+            max_body: 16 << 20,
         }
     }
 }
@@ -54,6 +77,7 @@
 pub struct Pool {
     client: legacy::Client<HttpConnector, Full<Bytes>>,
     max_body: usize,
+    large_bodies: Arc<Semaphore>,
 }
 
 impl Default for Pool {
@@ -72,52 +96,112 @@
         let client = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
             .pool_idle_timeout(config.idle_timeout)
+            .http1_max_buf_size(MAX_HEAD_BYTES)
+            .http1_max_headers(MAX_HEADERS)
             .build(connector);
         Self {
             client,
             max_body: config.max_body,
+            large_bodies: Arc::new(Semaphore::new(MAX_LARGE_BODIES)),
         }
     }
 
+    /// Maximum size of a response body, in bytes.
+    pub(crate) const fn max_body(&self) -> usize {
+        self.max_body
+    }
+
     /// Sends a request and waits for the head of the response.
     pub(crate) async fn send(
         &self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, Fault> {
-        match tokio::time::timeout(timeout, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(Fault::Unreachable {
-                reason: error.to_compact_string(),
-            }),
-            Ok(Err(error)) => Err(interrupted(&error)),
+        let interim = Arc::new(Semaphore::new(0));
+        let counted = Arc::clone(&interim);
+        ext::on_informational(&mut request, move |_| counted.add_permits(1));
+        let too_many = interim.acquire_many(MAX_INTERIM_RESPONSES);
+        let response = async {
+            tokio::select! {
+                biased;
+                response = self.client.request(request) => response.map_err(|error| {
+                    if error.is_connect() {
+                        return Fault::Unreachable {
+                            reason: error.to_compact_string(),
+                        };
+                    }
+                    broken(&error)
+                }),
+                _ = too_many => Err(invalid("too many interim responses")),
+            }
+        };
+        match tokio::time::timeout(timeout, response).await {
+            Ok(response) => response,
             Err(_) => Err(Fault::Timeout),
         }
     }
 
-    /// Reads a whole body, up to the maximum size.
+    /// Reads a whole body of at most `max` bytes.
     pub(crate) async fn read_body(
         &self,
         body: Incoming,
+        max: usize,
         timeout: Duration,
     ) -> Result<Bytes, Fault> {
-        let collect = Limited::new(body, self.max_body).collect();
-        match tokio::time::timeout(timeout, collect).await {
-            Ok(Ok(collected)) => Ok(collected.to_bytes()),
-            Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-                Err(Fault::Invalid {
-                    reason: format_compact!("the body is over {} bytes", self.max_body),
-                })
-            }
-            Ok(Err(error)) => Err(interrupted(&error)),
+        match tokio::time::timeout(timeout, self.collect(body, max)).await {
+            Ok(collected) => collected,
             Err(_) => Err(Fault::Timeout),
         }
     }
+
+    async fn collect(&self, mut body: Incoming, max: usize) -> Result<Bytes, Fault> {
+        let too_long = || invalid(format_compact!("the body is over {max} bytes"));
+        if body.size_hint().lower() > max as u64 {
+            return Err(too_long());
+        }
+        let mut bytes = BytesMut::new();
+        let mut large = None;
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| broken(&error))?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            let length = bytes.len() + data.len();
+            if length > max {
+                return Err(too_long());
+            }
+            if length > LARGE_BODY_BYTES && large.is_none() {
+                // Fails only if the semaphore is closed, which it never is.
+                large = self.large_bodies.acquire().await.ok();
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
 }
 
-fn interrupted(error: &impl ToString) -> Fault {
+/// The fault for a response that could not be received. One over a limit is the endpoint's doing; anything else
+/// may be due to its end.
+pub(crate) fn broken(error: &(dyn Error + 'static)) -> Fault {
+    let first: Option<&(dyn Error + 'static)> = Some(error);
+    let mut causes = iter::successors(first, |error| (*error).source());
+    let over_limit = causes.any(|cause| {
+        let head = cause.downcast_ref::<hyper::Error>();
+        let framing = cause.downcast_ref::<io::Error>();
+        head.is_some_and(hyper::Error::is_parse_too_large)
+            || framing.is_some_and(|error| error.kind() == io::ErrorKind::InvalidData)
+    });
+    if over_limit {
+        return invalid(error.to_compact_string());
+    }
     Fault::Interrupted {
-        reason: CompactString::from(error.to_string()),
+        reason: error.to_compact_string(),
+    }
+}
+
+pub(crate) fn invalid(reason: impl Into<CompactString>) -> Fault {
+    Fault::Invalid {
+        reason: reason.into(),
     }
 }
 
--- a/crates/endpoint/src/engine.rs
+++ b/crates/endpoint/src/engine.rs
@@ -105,6 +105,13 @@
 /// Timeout of calls other than completions and orders, which transfer a few hundred bytes.
 const SHORT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Maximum size of a load report or an answer to an order, in bytes. They have some hundred; all engines of a pool
+/// are polled at a time.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
+/// Maximum size of the changes of a prefix cache, in bytes.
+const MAX_CACHE_BYTES: usize = 1 << 20;
+
 /// Timeout of an order. An engine responds only after it has loaded the version.
 const ORDER_TIMEOUT: Duration = Duration::from_mins(1);
 
@@ -148,10 +155,12 @@
     async fn fetch<T: DeserializeOwned>(
         &self,
         request: Request<Full<Bytes>>,
+        max: usize,
         timeout: Duration,
     ) -> Result<T, Fault> {
         let response = check_status(self.pool.send(request, timeout).await?)?;
-        let body = self.pool.read_body(response.into_body(), timeout).await?;
+        let body = response.into_body();
+        let body = self.pool.read_body(body, max, timeout).await?;
         decode(&body)
     }
 
@@ -173,7 +182,7 @@
     pub async fn cache(&self, after: u64) -> Result<CacheChanges, Fault> {
         let path = format!("/cache?after={after}");
         let request = self.empty(Method::GET, &path)?.build()?;
-        self.fetch(request, SHORT_TIMEOUT).await
+        self.fetch(request, MAX_CACHE_BYTES, SHORT_TIMEOUT).await
     }
 }
 
@@ -184,7 +193,8 @@
         let started = Instant::now();
         let response = self.send_chat(&call).await?;
         let remaining = call.timeout.saturating_sub(started.elapsed());
-        let body = self.pool.read_body(response.into_body(), remaining).await?;
+        let (body, max) = (response.into_body(), self.pool.max_body());
+        let body = self.pool.read_body(body, max, remaining).await?;
         let completion: Completion = decode(&body)?;
         if completion.model != call.chat.model {
             return Err(wrong_version(&completion.model));
@@ -214,7 +224,7 @@
 
     async fn load(&self) -> Result<Load, Fault> {
         let request = self.empty(Method::GET, "/load")?.build()?;
-        self.fetch(request, SHORT_TIMEOUT).await
+        self.fetch(request, MAX_REPORT_BYTES, SHORT_TIMEOUT).await
     }
 
     async fn order(&self, order: Order, fencing: Option<u64>) -> Result<Reply, Fault> {
@@ -222,7 +232,8 @@
         if let Some(number) = fencing {
             request = request.header(header::FENCING, &number.to_string());
         }
-        self.fetch(request.build()?, ORDER_TIMEOUT).await
+        self.fetch(request.build()?, MAX_REPORT_BYTES, ORDER_TIMEOUT)
+            .await
     }
 }
 
--- a/crates/endpoint/src/events.rs
+++ b/crates/endpoint/src/events.rs
@@ -1,5 +1,7 @@
 //! Decodes a streamed response from a connection.
 
+mod lines;
+
 use std::pin::Pin;
 use std::task::Context;
 use std::task::Poll;
@@ -11,20 +13,21 @@
 use eventsource_stream::EventStreamError;
 use futures::Stream;
 use futures::ready;
-use http_body_util::BodyDataStream;
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::CONTENT_TYPE;
 use pimento_wire::api::Chunk;
 use pimento_wire::api::DONE;
 
+use self::lines::Lines;
+use crate::client::broken;
 use crate::engine::Event;
 use crate::fault::Fault;
 
 /// The events of one attempt. Dropping it closes the connection, so that late data of a cancelled
 /// attempt is never read.
 pub struct Events {
-    inner: EventStream<BodyDataStream<Incoming>>,
+    inner: EventStream<Lines>,
     /// One more than the highest chunk number received.
     chunk_count: u64,
 }
@@ -40,7 +43,7 @@
             });
         }
         Ok(Self {
-            inner: EventStream::new(BodyDataStream::new(response.into_body())),
+            inner: EventStream::new(Lines::new(response.into_body())),
             chunk_count: 0,
         })
     }
@@ -69,9 +72,9 @@
         let item = match ready!(Pin::new(&mut self.inner).poll_next(cx)) {
             None => None,
             Some(Ok(event)) => Some(self.decode(&event)),
-            Some(Err(EventStreamError::Transport(error))) => Some(Err(Fault::Interrupted {
-                reason: error.to_compact_string(),
-            })),
+            Some(Err(EventStreamError::Transport(lines::Error::Connection { source }))) => {
+                Some(Err(broken(&source)))
+            }
             Some(Err(error)) => Some(Err(Fault::Invalid {
                 reason: error.to_compact_string(),
             })),
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -11,17 +11,26 @@
 use hyper::Method;
 use hyper::Request;
 use hyper::StatusCode;
+use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use pimento_units::id;
 use pimento_wire::header;
 use tokio::time::Instant;
 
 use crate::client::Pool;
+use crate::client::invalid;
 use crate::client::is_refused;
 use crate::client::status_fault;
 use crate::client::uri;
 use crate::fault::Fault;
 
+/// Maximum size of a server error's body, in bytes.
+const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
+
+/// Maximum time for a server error's body. The endpoint has nothing to work on any more, and the call may have to be
+/// made to another one before its deadline.
+const MAX_ERROR_BODY_TIME: Duration = Duration::from_secs(4);
+
 /// A call to a plain service, forwarded from a caller.
 #[derive(Debug, Clone)]
 pub struct Call {
@@ -73,6 +82,17 @@
         Self { pool, address }
     }
 
+    async fn read_error_body(&self, body: Incoming, remaining: Duration) -> Result<Bytes, Fault> {
+        let timeout = remaining.min(MAX_ERROR_BODY_TIME);
+        let read = self.pool.read_body(body, MAX_ERROR_BODY_BYTES, timeout);
+        match read.await {
+            Err(Fault::Timeout) if remaining > timeout => {
+                Err(invalid("the body of an error response does not end"))
+            }
+            read => read,
+        }
+    }
+
     fn request(&self, call: &Call) -> Result<Request<Full<Bytes>>, Fault> {
         let mut request = Request::builder()
             .method(call.method.clone())
@@ -103,7 +123,12 @@
             return Err(status_fault(head.status, &head.headers));
         }
         let remaining = call.timeout.saturating_sub(started.elapsed());
-        let body = self.pool.read_body(body, remaining).await?;
+        let body = if head.status.is_server_error() {
+            self.read_error_body(body, remaining).await?
+        } else {
+            let max = self.pool.max_body();
+            self.pool.read_body(body, max, remaining).await?
+        };
         Ok(Response {
             status: head.status,
             headers: end_to_end(&head.headers),
--- a/crates/endpoint/tests/all/assemble.rs
+++ b/crates/endpoint/tests/all/assemble.rs
@@ -4,6 +4,7 @@
 use pimento_endpoint::Assembler;
 use pimento_endpoint::Fault;
 use pimento_endpoint::assemble::MAX_BUFFERED;
+use pimento_endpoint::assemble::MAX_REPEATED;
 use pimento_endpoint::engine::Event;
 use pimento_wire::api::Chunk;
 use pimento_wire::api::ChunkChoice;
@@ -185,6 +186,24 @@
     assert!(matches!(refused, Err(Fault::Invalid { .. })));
 }
 
+/// Guards against an engine that sends old chunks or end marks for ever, which would never count as stalled.
+#[test]
+fn repeated_events_are_not_new_and_bounded() {
+    for repeated in [0, 5] {
+        let mut assembler = Assembler::new(MODEL);
+        assembler.accept(event(0, 5)).unwrap();
+        assert!(assembler.last_was_new());
+        assembler.accept(event(repeated, 5)).unwrap();
+        for _ in 0..MAX_REPEATED - 1 {
+            assembler.accept(event(repeated, 5)).unwrap();
+            assert!(!assembler.last_was_new());
+        }
+        let refused = (0..2).map(|_| assembler.accept(event(repeated, 5)));
+        let refused = refused.last().unwrap();
+        assert!(matches!(refused, Err(Fault::Invalid { .. })), "{repeated}");
+    }
+}
+
 /// A number of chunks, and the event numbers in random order, some of them twice. Fewer
 /// than 60 chunks, so that all can be buffered.
 fn orders() -> impl Strategy<Value = (u64, Vec<u64>)> {
--- a/crates/endpoint/tests/all/main.rs
+++ b/crates/endpoint/tests/all/main.rs
@@ -4,3 +4,4 @@
 mod engine;
 mod raw;
 mod service;
+mod unbounded;
--- a/crates/entry/src/filter/attempt/opened.rs
+++ b/crates/entry/src/filter/attempt/opened.rs
@@ -71,6 +71,7 @@
     ) -> Result<(), Fault> {
         delivery.push(self.first.clone()).await?;
         let mut resumes = 0;
+        let mut read_deadline = deadline.min(Instant::now() + stall_timeout);
         loop {
             while let Some(chunk) = self.assembler.next() {
                 resumes = 0;
@@ -79,12 +80,19 @@
             if self.assembler.is_complete() {
                 return Ok(());
             }
-            let read_deadline = deadline.min(Instant::now() + stall_timeout);
+            // An engine that repeats events for ever has stalled.
+            if self.assembler.last_was_new() {
+                read_deadline = deadline.min(Instant::now() + stall_timeout);
+            }
             let event = tokio::time::timeout_at(read_deadline, self.events.next()).await;
             let broken = match event {
                 Ok(Some(Ok(event))) => {
                     self.assembler.accept(event)?;
-                    continue;
+                    // Events that always arrive in time would keep the timeout from being noticed.
+                    if self.assembler.last_was_new() || Instant::now() < read_deadline {
+                        continue;
+                    }
+                    Fault::Timeout
                 }
                 Ok(Some(Err(fault @ Fault::Invalid { .. }))) => return Err(fault),
                 Ok(Some(Err(fault))) => fault,
@@ -96,6 +104,7 @@
                 return Err(broken);
             }
             self.resume(resumes, broken, deadline).await?;
+            read_deadline = deadline.min(Instant::now() + stall_timeout);
         }
     }
 
--- a/crates/progress/src/lib.rs
+++ b/crates/progress/src/lib.rs
@@ -15,6 +15,11 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// Maximum time from the first byte of an answer to its end. The largest answers, of some ten megabytes, end within
+/// it over a link with a megabit per second. A server that sends a byte now and then for ever would otherwise keep
+/// its client from ever asking again.
+pub const MAX_TIME: Duration = Duration::from_mins(2);
+
 /// How much of an answer has been received.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Received {
@@ -52,12 +57,12 @@
     }
 
     /// Waits for `call`, whose answer is counted here, as long as data arrives. The first byte must
-    /// arrive within `first`, and each further one within `idle_timeout`. The total time is not
-    /// limited.
+    /// arrive within `first`, each further one within `idle_timeout`, and the last one within
+    /// [`MAX_TIME`] of the first.
     ///
     /// # Errors
     ///
-    /// [`TimedOut`] if no data arrived in time; the call is dropped.
+    /// [`TimedOut`] if no data or not all of it arrived in time; the call is dropped.
     pub async fn wait<T>(
         &self,
         call: impl Future<Output = T>,
@@ -66,13 +71,21 @@
     ) -> Result<T, TimedOut> {
         let mut call = pin!(call);
         let mut received = self.received.subscribe();
-        let mut timeout = first;
+        let mut end: Option<Instant> = None;
+        let mut due = Instant::now() + first;
         loop {
             tokio::select! {
                 biased;
                 done = &mut call => return Ok(done),
-                _ = received.changed() => timeout = idle_timeout,
-                () = tokio::time::sleep(timeout) => return Err(TimedOut),
+                _ = received.changed() => {
+                    let now = Instant::now();
+                    due = (now + idle_timeout).min(*end.get_or_insert(now + MAX_TIME));
+                }
+                () = tokio::time::sleep_until(due) => return Err(TimedOut),
+            }
+            // Data that always arrives in time would keep the timeout from being noticed.
+            if end.is_some_and(|end| Instant::now() > end) {
+                return Err(TimedOut);
             }
         }
     }
--- a/crates/progress/tests/progress.rs
+++ b/crates/progress/tests/progress.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pimento_progress::MAX_TIME;
 use pimento_progress::Progress;
 use pimento_progress::TimedOut;
 use tokio::time::Instant;
@@ -62,3 +63,12 @@
     assert_eq!(start.elapsed(), SHORT + IDLE_TIMEOUT);
     assert_eq!(progress.received().bytes, 10);
 }
+
+// An answer arrives piece by piece without end.
+#[tokio::test(start_paused = true)]
+async fn an_answer_without_end_times_out() {
+    let start = Instant::now();
+    let (waited, _) = wait(u32::MAX, SHORT, IDLE_TIMEOUT.mul_f64(0.9)).await;
+    assert_eq!(waited, Err(TimedOut));
+    assert_eq!(start.elapsed(), SHORT + MAX_TIME);
+}
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod snapshot;
 mod timings;
 mod turns;
+mod unbounded;
 mod versions;
