--- a/crates/endpoint/tests/all/unbounded.rs
+++ b/crates/endpoint/tests/all/unbounded.rs
@@ -59,7 +59,8 @@
 /// Makes a call, which must end with [`Fault::Invalid`] and a closed connection.
 async fn check<T>(flood: Flood, call: impl AsyncFnOnce(std::net::SocketAddr) -> Result<T, Fault>) {
     let (address, mut closed) = raw::flood(flood.0, flood.1).await;
-    let fault = call(address).await.err();
+    let called = tokio::time::timeout(TIMEOUT, call(address)).await;
+    let fault = called.ok().and_then(Result::err);
     assert!(
         matches!(fault, Some(Fault::Invalid { .. })),
         "{flood:?}: {fault:?}"
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -8,8 +8,7 @@
 use snafu::Snafu;
 
 /// Maximum size of an event in bytes, with the comments before it. Events hold a few tokens; without a limit, an
-/// endpoint that never ends an event would exhaust the memory. Fifty such endpoints at a time may take a tenth of
-/// a small VM's memory.
+/// endpoint that never ends an event would exhaust the memory, as would fifty at a time with a much higher one.
 pub const MAX_EVENT_BYTES: usize = 128 << 10;
 
 /// A complete event.
