Mend what a reader of the whole change stumbled on

Cause: a read of the diff as a newcomer found faults and unclear words. Change: a hung run is not left at its engine past the time at which callers leave; the estimate for taking a silent run over leaves its own engine out, which may not take it over and has its prompt cached; a second 421 for an endpoint that is avoided no longer ends what is told of it; an engine of unknown capacity is never full.

--- a/crates/policy/src/confidence.rs
+++ b/crates/policy/src/confidence.rs
@@ -9,8 +9,9 @@
 //! expected gain of each larger model, scaled by the value of the answer, is set against its price
 //! and against the engine time it takes from other requests; the fuller the engines, the larger the
 //! gain must be. An answer after the caller's target counts for less, so that a prompt which the
-//! largest model is unlikely to prefill in time goes to a middle one. The confidences of larger models for
-//! requests that a smaller one was unsure of are recorded and replace the initial estimate.
+//! largest model is unlikely to prefill in time goes to a middle one. The confidences of larger
+//! models for requests that a smaller one was unsure of are recorded and replace the initial
+//! estimate.
 //!
 //! Cascades by a score are those of `FrugalGPT` (Chen, Zaharia and Zou, 2023). A price on a shared
 //! resource that rises with its queue is the textbook one (Kelly, 1997). The pass rates below are
@@ -36,8 +37,8 @@
     pub price_weight: f64,
     /// Weight of the engines' load. The required increase in the pass rate is `load_weight *
     /// (next_wait / target) * engine_time / (baseline_engine_time * value)`, where `engine_time` is
-    /// that of the prefill at the larger model. A higher weight loses useful answers; with a lower one, other
-    /// requests wait for what is gained.
+    /// that of the prefill at the larger model. A higher weight loses useful answers; with a lower
+    /// one, other requests wait for what is gained.
     pub load_weight: f64,
 }
 
@@ -237,7 +238,7 @@
         let target = answer.target.as_secs_f64().max(f64::MIN_POSITIVE);
         let load = self.load_weight * answer.next_wait.as_secs_f64() / target;
         let relative = answer.relative;
-        let baseline = (relative.prefill.as_secs_f64() * relative.value).max(f64::MIN_POSITIVE);
+        let baseline = (relative.engine_time.as_secs_f64() * relative.value).max(f64::MIN_POSITIVE);
         let price = self.price_weight * relative.price;
         let gain = |model: &LargerModel| {
             let in_time = forecast.probability(model.first_token(), left);
--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -152,10 +152,11 @@
     }
 
     /// Returns whether no memory is left for a prompt whose answer has up to `output` tokens, as far as this node
-    /// knows.
+    /// knows. An engine of unknown capacity, zero, is never full.
     #[must_use]
     pub fn is_full_for(&self, prompt: &Prompt, output: Tokens, now: Moment) -> bool {
-        !self.memory.has_room(prompt, output, self.kv_capacity, now)
+        let known = self.kv_capacity > Tokens::ZERO;
+        known && !self.memory.has_room(prompt, output, self.kv_capacity, now)
     }
 
     /// Returns whether a prompt exceeds the whole memory. A capacity of zero is unknown.
@@ -234,7 +235,7 @@
         });
     }
 
-    /// Records that the engine has prefilled a prompt, whoever sent it.
+    /// Records that the engine has prefilled a prompt that a peer sent. It also counts as held there for a while.
     pub fn record_cached(&mut self, prompt: &Prompt, now: Moment) {
         self.memory.add_peer(prompt, now);
         let parts: Vec<(u64, Tokens)> = prompt.keys().collect();
--- a/crates/policy/src/engine/memory.rs
+++ b/crates/policy/src/engine/memory.rs
@@ -15,7 +15,8 @@
 use super::CallId;
 use super::Prompt;
 
-/// Time for which a prompt that a peer reported counts. Its end isn't reported; most answers take longer.
+/// Time for which a prompt that a peer reported counts. Its end is not reported, and a longer time would count
+/// answers that have ended.
 const PEER_HOLD_TIME: Duration = Duration::from_secs(3);
 
 /// Maximum number of peers' prompts that are counted.
@@ -52,7 +53,8 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Memory {
     held: Vec<Held>,
-    /// Tokens of all of them, without regard to what they share.
+    /// Tokens of all of them, without regard to what they share. Peers' prompts that have expired count until the
+    /// next one is added, so that this is an upper bound.
     upper: u64,
 }
 
--- a/crates/policy/src/engine/prefill.rs
+++ b/crates/policy/src/engine/prefill.rs
@@ -134,7 +134,7 @@
             return None;
         }
         let expected = self.prefill_time(pending.model, pending.prefill_tokens, pending.total);
-        let prefill = expected.saturating_sub(number::seconds(self.start_seconds()));
+        let prefill = self.engine_time(expected);
         (prefill >= MIN_TIMED_PREFILL).then_some(Timing { expected, took })
     }
 
--- a/crates/policy/src/forecast.rs
+++ b/crates/policy/src/forecast.rs
@@ -1,15 +1,14 @@
 //! How far estimates of the time to a first token can be trusted.
 //!
-//! Under load an estimate is wrong by a factor of two in either direction: prompts of other nodes
-//! that are not reported yet make short estimates too short, and parts that are cached without this
-//! node knowing make long ones too long. A decision that takes each estimate for exact gives up
-//! every prompt whose estimate is a little over its target, although half of these would be in
-//! time, and sends others that have little chance. This module records what became of estimates
-//! and tells the probability that a first token arrives within a given time.
+//! Under load an estimate may be too short, because of prompts of other nodes that are not reported
+//! yet, or too long, because of parts that are cached without this node knowing. A decision that
+//! took it for exact would give up prompts that are still likely to be in time, and send others that
+//! have little chance. This module records what became of estimates and tells the probability that
+//! a first token arrives within a given time.
 //!
 //! Estimates are grouped into bands by their size, since short and long ones err in different
 //! directions. In each band the distribution of the ratio of the actual to the estimated time is
-//! recorded, starting from a prior with a median of one.
+//! recorded, starting from a prior with a median close to one.
 
 use std::time::Duration;
 
@@ -27,8 +26,9 @@
 /// Number of ratio buckets.
 const BUCKETS: usize = RATIO_BOUNDS.len() + 1;
 
-/// Share of estimates in each ratio bucket before any was recorded: half of the actual times are
-/// within a factor of two, and more of the others are too long than too short.
+/// Share of estimates in each ratio bucket before any was recorded. The median is close to one,
+/// three fifths of the actual times are within a factor of two of the estimate, and the others
+/// are spread evenly to both sides.
 const PRIOR: [f64; BUCKETS] = [
     0.05, 0.05, 0.1, 0.13, 0.19, 0.15, 0.12, 0.08, 0.06, 0.04, 0.03,
 ];
@@ -40,8 +40,8 @@
 /// of load within about this many.
 const MAX_RECORDED: f64 = 60.0;
 
-/// Shortest estimate that a ratio is taken of, in seconds. Shorter ones are a few steps of an engine,
-/// and their ratios say nothing of longer ones.
+/// Least estimate, in seconds. A shorter one is taken for this long: it is a few steps of an engine,
+/// whose ratio says nothing of longer estimates.
 const MIN_ESTIMATE: f64 = 0.03;
 
 /// The distribution of actual to estimated times in one band.
--- a/crates/policy/src/poison/parts/answers.rs
+++ b/crates/policy/src/poison/parts/answers.rs
@@ -41,7 +41,8 @@
         known.is_ok_and(|place| self.began[place].1 > moment)
     }
 
-    /// Evicts the older half once there are too many, so that evictions are rare.
+    /// Evicts the older half once there are too many, so that evictions are rare, and all that began at the median
+    /// moment.
     fn evict(&mut self) {
         if self.began.len() <= self.capacity {
             return;
--- a/crates/policy/src/resume.rs
+++ b/crates/policy/src/resume.rs
@@ -12,7 +12,8 @@
 use std::time::Duration;
 
 /// Multiple of the expected time at the other engine that a silence must last where the next event is
-/// late either way. At a multiple of one, half of the runs that only pause would be taken over.
+/// late either way. A run that only pauses is often back sooner than another engine could answer, and
+/// each takeover costs a prefill.
 const PATIENCE: u32 = 2;
 
 /// A run from which nothing has come for a while.
--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -30,11 +30,12 @@
 /// One bucket for each number of steps between the smallest and the largest sample.
 const BUCKETS: usize = 31;
 
-/// Samples of one engine in one [`Sum`]. A node that sends no reports must not give one of seconds a weight of
-/// minutes.
+/// Maximum number of samples in one [`Sum`]. A node that could not send for long would otherwise report all its
+/// samples at once.
 const MAX_COUNT: u8 = 8;
 
-/// Samples of one sum that count. Those within a fraction of a second tell as much as two of them.
+/// Maximum weight of one sum. Samples that were taken close together share the same pause, if there was one, and are
+/// not independent.
 const MAX_SUM_WEIGHT: f64 = 2.0;
 
 /// Half-life of a sample. It outlasts the load peaks of some seconds in which an engine gets no samples, since
@@ -114,7 +115,7 @@
         })
     }
 
-    /// Adds another node's or a later sample, up to a number of samples.
+    /// Adds later samples. They are dropped once the sum holds [`MAX_COUNT`].
     pub fn merge(&mut self, other: Self) {
         if self.count < MAX_COUNT {
             self.count = self.count.saturating_add(other.count);
--- a/crates/policy/src/value.rs
+++ b/crates/policy/src/value.rs
@@ -62,7 +62,7 @@
     /// Price of a model's use per unit of value, as a multiple of the baseline.
     pub price: f64,
     /// Baseline engine time in which the largest model prefills a whole prompt.
-    pub prefill: Duration,
+    pub engine_time: Duration,
 }
 
 /// Decaying sums over a service's latest requests.
@@ -72,19 +72,19 @@
     /// Sum of squared values. Divided by the sum of values it gives the mean weighted by value.
     squared_value: f64,
     billed_tokens: f64,
-    /// Sum of prefill times in seconds, weighted by value.
-    prefill: f64,
+    /// Sum of engine times in seconds, weighted by value.
+    engine_time: f64,
 }
 
 impl Baseline {
-    /// Records a request. `prefill` is the engine time in which the largest model prefills its whole
+    /// Records a request. `engine_time` is that in which the largest model prefills its whole
     /// prompt.
-    pub fn record(&mut self, request: &Request, prefill: Duration) {
+    pub fn record(&mut self, request: &Request, engine_time: Duration) {
         let value = request.value();
         self.value = self.value * DECAY + value;
         self.squared_value = self.squared_value * DECAY + value * value;
         self.billed_tokens = self.billed_tokens * DECAY + request.billed_tokens();
-        self.prefill = self.prefill * DECAY + value * prefill.as_secs_f64();
+        self.engine_time = self.engine_time * DECAY + value * engine_time.as_secs_f64();
     }
 
     /// Compares a request with the baseline. If only this request was recorded, it is the baseline.
@@ -96,7 +96,7 @@
         RelativeValue {
             value: value / mean_value.max(EPSILON),
             price: request.billed_tokens() / value / mean_price.max(EPSILON),
-            prefill: number::seconds(self.prefill / self.value.max(EPSILON)),
+            engine_time: number::seconds(self.engine_time / self.value.max(EPSILON)),
         }
     }
 }
--- a/crates/policy/tests/forecast.rs
+++ b/crates/policy/tests/forecast.rs
@@ -32,7 +32,7 @@
         relative: RelativeValue {
             value: 1.0,
             price: 1.0,
-            prefill,
+            engine_time: prefill,
         },
     };
     let larger = LargerModel {
--- a/crates/progress/src/lib.rs
+++ b/crates/progress/src/lib.rs
@@ -15,9 +15,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-/// Maximum time from the first byte of an answer to its end. The largest answers, of some ten megabytes, end within
-/// it over a link with a megabit per second. A server that sends a byte now and then for ever would otherwise keep
-/// its client from ever asking again.
+/// Maximum time from the first byte of an answer to its end. A server that sends a byte now and then would otherwise
+/// keep its client from asking again.
 pub const MAX_TIME: Duration = Duration::from_mins(2);
 
 /// How much of an answer has been received.
--- a/crates/relay/src/absences.rs
+++ b/crates/relay/src/absences.rs
@@ -62,7 +62,7 @@
 
 /// An absence that was reported.
 #[derive(Debug, Clone, Copy)]
-struct Known {
+struct Entry {
     absence: Absence,
     /// When the endpoint's address answered for another one.
     at: Moment,
@@ -74,14 +74,14 @@
 #[derive(Debug, Default)]
 pub struct Absences {
     /// Sorted by absence.
-    known: Mutex<Vec<Known>>,
+    entries: Mutex<Vec<Entry>>,
     /// Notified when an endpoint is avoided.
     pub changed: Notify,
 }
 
 impl Absences {
-    fn lock(&self) -> MutexGuard<'_, Vec<Known>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Vec<Entry>> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Whether a report says nothing that was not reported before.
@@ -96,7 +96,7 @@
     pub fn insert(&self, absence: Absence, at: Moment, avoided: bool, now: Moment) {
         let mut known = self.lock();
         known.retain(|known| now.since(known.at) < MAX_AVOIDED);
-        let report = Known {
+        let report = Entry {
             absence,
             at,
             avoided,
@@ -112,8 +112,8 @@
     #[must_use]
     pub fn to_tell(&self, now: Moment) -> Vec<(Absence, Duration)> {
         let known = self.lock();
-        let recent = |known: &&Known| known.avoided && now.since(known.at) < TELLING;
-        let mut recent: Vec<Known> = known.iter().filter(recent).copied().collect();
+        let recent = |known: &&Entry| known.avoided && now.since(known.at) < TELLING;
+        let mut recent: Vec<Entry> = known.iter().filter(recent).copied().collect();
         recent.sort_unstable_by_key(|known| Reverse(known.at));
         recent.truncate(MAX_TOLD);
         let told = recent.iter();
@@ -136,9 +136,8 @@
     let found = node
         .directory
         .modify(|directory| directory.record_absence(absence, at, now));
-    let avoided = found
-        .as_ref()
-        .is_some_and(|(_, verdict)| *verdict == Verdict::Avoided);
+    let verdict = found.as_ref().map(|(_, verdict)| *verdict);
+    let avoided = matches!(verdict, Some(Verdict::Avoided | Verdict::Known));
     node.absences.insert(absence, at, avoided, now);
     if let Some((endpoint, verdict)) = found {
         log::info!(
@@ -148,8 +147,9 @@
             "absences: The endpoint's address answered for another one."
         );
     }
-    if avoided {
+    let newly_avoided = verdict == Some(Verdict::Avoided);
+    if newly_avoided {
         node.absences.changed.notify_one();
     }
-    avoided
+    newly_avoided
 }
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -343,8 +343,18 @@
     /// Estimates the queueing and prefill times at the endpoint that an attempt would get now.
     #[must_use]
     pub fn estimate(&self, overrides: &Overrides) -> Option<Estimate> {
+        self.estimate_without(overrides, None)
+    }
+
+    /// The same for an attempt at any endpoint but the excluded one.
+    #[must_use]
+    pub fn estimate_without(
+        &self,
+        overrides: &Overrides,
+        excluded: Option<&id::Endpoint>,
+    ) -> Option<Estimate> {
         let pool = self.node.scheduler.pool(&self.request.pool);
-        pool.estimate(&self.job(overrides, None)?)
+        pool.estimate(&self.job(overrides, excluded)?)
     }
 }
 
--- a/crates/relay/src/attempts/reserve.rs
+++ b/crates/relay/src/attempts/reserve.rs
@@ -28,8 +28,8 @@
 /// and all endpoints of a version stop at the same moment, before they leave the list.
 const MAX_UNREACHABLE: usize = 25;
 
-/// Maximum number of addresses that answer for other endpoints in one search. Such an endpoint is avoided from
-/// then on, and others are found gone within the same moment. Each attempt also consumes a retry.
+/// Maximum number of addresses that answer for other endpoints in one search. Each such endpoint is avoided from
+/// then on, so that the next search starts without it. Each attempt also consumes a retry.
 const MAX_MISDIRECTED: usize = 10;
 
 /// Retry delay for callers whose request no endpoint accepted. Within this time the endpoints' queues have
--- a/crates/relay/src/cascade.rs
+++ b/crates/relay/src/cascade.rs
@@ -145,7 +145,9 @@
 pub struct Dropped {
     /// Hash of its model.
     model: u64,
+    /// The confidence in it, from 0 to 100.
     confidence: u8,
+    /// When it was dropped.
     at: Moment,
     /// Estimated time to the larger model's first token.
     estimate: Duration,
--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -51,7 +51,9 @@
     let hangs_at = Instant::now() + MAX_SILENCE.saturating_sub(source.timeout());
     let mut searches = 0;
     loop {
-        let patience = patience(attempts, overrides, silent_since.elapsed());
+        let until_hang = hangs_at.saturating_duration_since(Instant::now());
+        let patience = patience(attempts, overrides, source, silent_since.elapsed());
+        let patience = patience.min(until_hang);
         if attempts.may_take_over() && patience.is_zero() {
             searches += 1;
             attempts.begin_search();
@@ -106,9 +108,11 @@
 fn patience<P: HeaderCodec + Codec, L: Log>(
     attempts: &Attempts<'_, P, L>,
     overrides: &Overrides,
+    source: &Source,
     silent: Duration,
 ) -> Duration {
-    let Some(estimate) = attempts.estimate(overrides) else {
+    let endpoint = source.permit.endpoint();
+    let Some(estimate) = attempts.estimate_without(overrides, Some(endpoint)) else {
         return Duration::ZERO;
     };
     let run = SilentRun {
--- a/crates/serve/src/unread.rs
+++ b/crates/serve/src/unread.rs
@@ -20,8 +20,8 @@
 /// Bytes that are buffered for any caller, however many there are.
 pub const CALLER_BYTES: usize = 16 << 10;
 
-/// Maximum number of bytes that are buffered for one caller. Streams have fewer, so that most of them end at
-/// their endpoint whatever the caller does.
+/// Maximum number of bytes that are buffered for one caller. Most streams are shorter, so that their endpoint can
+/// send all of them and free its slot although the caller does not read.
 pub const MAX_CALLER_BYTES: usize = 256 << 10;
 
 /// Bytes that are buffered for all callers beyond their own. The smallest VMs have 120 MB.
@@ -114,10 +114,10 @@
 #[derive(Debug, Default)]
 struct State {
     bytes: usize,
-    /// Since when the writer has had to wait, until most is written.
-    full_since: Option<Instant>,
-    /// The last time for which the writer had to wait.
-    held_back: Option<(Instant, Instant)>,
+    /// When the writer first had to wait; none once at most half of [`CALLER_BYTES`] is buffered.
+    blocked_since: Option<Instant>,
+    /// Start and end of the last period in which the writer had to wait.
+    last_blocked: Option<(Instant, Instant)>,
 }
 
 impl Backlog {
@@ -156,7 +156,7 @@
         } else {
             let permit = (total <= MAX_CALLER_BYTES).then(|| self.unread.take(bytes));
             let Some(permit) = permit.flatten() else {
-                state.full_since.get_or_insert_with(Instant::now);
+                state.blocked_since.get_or_insert_with(Instant::now);
                 return None;
             };
             Some(permit)
@@ -170,14 +170,17 @@
         })
     }
 
-    /// How long the writer has been held back, if that isn't over for longer than `within`.
+    /// Returns how long the writer has been blocked, or how long its last blocked period took if that ended at most
+    /// `within` ago.
     pub fn held_back(&self, within: Duration) -> Duration {
         let now = Instant::now();
         let state = self.lock();
-        if let Some(since) = state.full_since {
+        if let Some(since) = state.blocked_since {
             return now - since;
         }
-        let last = state.held_back.filter(|(_, until)| now - *until <= within);
+        let last = state
+            .last_blocked
+            .filter(|(_, until)| now - *until <= within);
         last.map_or(Duration::ZERO, |(since, until)| until - since)
     }
 
@@ -185,9 +188,9 @@
         let mut state = self.lock();
         state.bytes -= bytes;
         if state.bytes <= CALLER_BYTES / 2
-            && let Some(since) = state.full_since.take()
+            && let Some(since) = state.blocked_since.take()
         {
-            state.held_back = Some((since, Instant::now()));
+            state.last_blocked = Some((since, Instant::now()));
         }
         drop(state);
         self.freed.notify_one();
