--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -47,12 +47,13 @@
     if !attempts.node().links.are_suspect() {
         source.permit.record_silence();
     }
-    let silent_since = Instant::now() - source.timeout();
-    let hangs_at = Instant::now() + MAX_SILENCE.saturating_sub(source.timeout());
+    let (began, silent_before) = (Instant::now(), source.timeout());
+    let hangs_at = began + MAX_SILENCE.saturating_sub(source.timeout());
     let mut searches = 0;
     loop {
         let until_hang = hangs_at.saturating_duration_since(Instant::now());
-        let patience = patience(attempts, overrides, source, silent_since.elapsed());
+        let silent = silent_before + began.elapsed();
+        let patience = patience(attempts, overrides, source, silent);
         let patience = patience.min(until_hang);
         if attempts.may_take_over() && patience.is_zero() {
             searches += 1;
