Keep a pool's estimate and metrics in modules of their own

`Estimate` and `PoolMetrics` moved to pool/estimate.rs and pool/metrics.rs, and are re-exported from `pool` and from the crate as before.

--- a/crates/scheduler/src/pool.rs
+++ b/crates/scheduler/src/pool.rs
@@ -1,6 +1,8 @@
 //! Pools of endpoints, and the jobs that wait for their slots.
 
+mod estimate;
 mod loans;
+mod metrics;
 mod speeds;
 
 use std::sync::Arc;
@@ -22,6 +24,8 @@
 use tokio::sync::oneshot;
 use tokio_util::sync::CancellationToken;
 
+pub use self::estimate::Estimate;
+pub use self::metrics::PoolMetrics;
 use crate::clock::Clock;
 use crate::endpoint_limit;
 use crate::endpoint_state::Member;
@@ -29,7 +33,6 @@
 use crate::permit::Permit;
 use crate::pool_state::PoolState;
 use crate::pool_state::rest;
-use crate::pool_state::speeds::Spread;
 use crate::requirement::Requirement;
 
 /// A job that needs a slot.
@@ -334,65 +337,6 @@
     }
 }
 
-/// What a prompt would find at the engine that it would get.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Estimate {
-    /// Wait for the prompts sent before.
-    pub wait: Duration,
-    /// Time to prefill the tokens that the engine has not cached.
-    pub prefill: Duration,
-    /// The part of `prefill` in which other prompts wait.
-    pub engine_time: Duration,
-    /// The same if nothing of the prompt is cached.
-    pub full_engine_time: Duration,
-    /// Wait of the next prompt: the mean over the less busy half of the local zone's engines once this
-    /// prompt is placed.
-    pub next_wait: Duration,
-}
-
-/// Metrics of a pool: its jobs, slots and endpoints.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PoolMetrics {
-    /// Waiting jobs.
-    pub waiting: usize,
-    /// Calls in flight from this node.
-    pub in_flight: u32,
-    /// Sum of the endpoints' limits.
-    pub slots: u32,
-    /// Ejected endpoints.
-    pub ejected: usize,
-    /// Usable endpoints.
-    pub usable: usize,
-    /// Usable endpoints that named a limit.
-    pub limited: usize,
-    /// Usable endpoints that say that they are brittle.
-    pub brittle: usize,
-    /// Usable endpoints that are cold.
-    pub cold: usize,
-    /// By how much its engines are known to differ in speed.
-    pub speeds: Spread,
-}
-
-impl PoolMetrics {
-    /// Returns the values with their names in metrics.
-    #[must_use]
-    pub fn figures(&self) -> [(&'static str, u64); 10] {
-        let count = |count| u64::try_from(count).unwrap_or(u64::MAX);
-        [
-            ("waiting", count(self.waiting)),
-            ("flying", u64::from(self.in_flight)),
-            ("slots", u64::from(self.slots)),
-            ("usable", count(self.usable)),
-            ("ejected", count(self.ejected)),
-            ("limited", count(self.limited)),
-            ("brittle", count(self.brittle)),
-            ("cold", count(self.cold)),
-            ("speeds_known", count(self.speeds.known)),
-            ("speed_spread", u64::from(self.speeds.percent)),
-        ]
-    }
-}
-
 /// Removes the job from the queue when its caller stops waiting for any reason, so that no slot is given to
 /// a job that is gone.
 struct CancelOnDrop<'a> {
