Start an entry VM in a module of its own

node.rs had 428 lines and two jobs: the state that requests share, and its creation with the tasks that follow the log and exchange data. `Node::start` moved to node/start.rs unchanged.

--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -1,5 +1,7 @@
 //! The state of an entry VM that its requests share.
 
+mod start;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,7 +16,6 @@
 use pimento_units::Moment;
 use pimento_units::id;
 use tokio::sync::Notify;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::absences::Absences;
@@ -35,19 +36,14 @@
 use crate::links::Links;
 use crate::links::gate;
 use crate::metrics::Metrics;
-use crate::neighbours;
 use crate::operators::Operators;
-use crate::poison;
 use crate::poison::Blocklist;
 use crate::poison::Poison;
-use crate::pools;
 use crate::retry_budget::RetryBudgets;
 use crate::rollouts::Rollouts;
-use crate::rollouts::controller;
 use crate::table::Table;
 use crate::topic::Log;
 use crate::topic::Topic;
-use crate::zone::ZoneReading;
 
 /// Share of two bounds up to which a configuration may be used. Its age may reach this share of the bound
 /// on revoked keys; a known change may be missing for this share of the bound on configuration changes. A
@@ -169,72 +165,6 @@
 }
 
 impl<P: HeaderCodec + Codec, L: Log> Node<P, L> {
-    /// Creates the state and starts the tasks that follow the log and exchange data with other VMs.
-    pub fn start(config: Config, platform: P, log: L, token: &CancellationToken) -> Self {
-        let zone = ZoneReading::starting(&config);
-        let calls = LogCalls::default();
-        let timings = config.timings;
-        let operators = Follower::start(
-            log.clone(),
-            Topic::Operators,
-            timings.operators,
-            zone.clone(),
-            calls.clone(),
-            Operators::new(platform.clone()),
-            token.clone(),
-        );
-        let directory = Follower::start(
-            log.clone(),
-            Topic::Endpoints,
-            timings.endpoints,
-            zone.clone(),
-            calls.clone(),
-            Directory::new(platform.clone()),
-            token.clone(),
-        );
-        let blocklist = Follower::start(
-            log.clone(),
-            Topic::Poison,
-            timings.poison,
-            zone.clone(),
-            calls.clone(),
-            Blocklist::default(),
-            token.clone(),
-        );
-        let clock = Clock::default();
-        let links = Arc::new(Links::new(config.zone.clone(), clock));
-        let retry_budgets = RetryBudgets::new(config.bounds.retry_budget);
-        let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session_timeout);
-        let node = Self {
-            config: Arc::new(config),
-            platform,
-            operators,
-            directory,
-            poison: Arc::default(),
-            blocklist,
-            scheduler: Scheduler::new(clock),
-            departures: Arc::default(),
-            absences: Arc::default(),
-            announced: Arc::default(),
-            long_prompt_sent: Arc::default(),
-            retry_budgets: Arc::new(retry_budgets),
-            cascade: Arc::default(),
-            calls,
-            metrics: Arc::default(),
-            rollouts: Arc::new(Mutex::new(rollouts)),
-            links,
-            clock,
-            lifetime: Lifetime::default(),
-            response_tasks: TaskTracker::new(),
-            unread: Unread::default(),
-        };
-        pools::start(&node, token.clone());
-        poison::start(&node, log.clone(), token.clone());
-        controller::start(&node, log.clone(), token.clone());
-        neighbours::start(&node, log, zone, token.clone());
-        node
-    }
-
     /// The configuration in force; none before the first one was read.
     #[must_use]
     pub fn table(&self) -> Option<Arc<Table>> {
