Declare the limits of endpoints' responses once

The clients of `pimento_endpoint` and those of `pimento_relay` declared the same limits of a response's head and of an error response's body, so that a change of one could miss the other. Both use `pimento_endpoint::limits` now, with the same values.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -33,12 +33,8 @@
 use tokio::sync::Semaphore;
 
 use crate::fault::Fault;
-
-/// Maximum size of a response's head, in bytes. The buffer of a body has the same size.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
-/// Maximum number of headers in a response's head, and of trailers after a body.
-const MAX_HEADERS: usize = 100;
+use crate::limits::MAX_HEAD_BYTES;
+use crate::limits::MAX_HEADERS;
 
 /// Maximum number of interim responses before a response. An endpoint may send one each second while it works.
 const MAX_INTERIM_RESPONSES: u32 = 64;
--- a/crates/endpoint/src/service.rs
+++ b/crates/endpoint/src/service.rs
@@ -23,13 +23,8 @@
 use crate::client::status_fault;
 use crate::client::uri;
 use crate::fault::Fault;
-
-/// Maximum size of a server error's body, in bytes.
-const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
-
-/// Maximum time for a server error's body. The endpoint has nothing to work on any more, and the call may have to be
-/// made to another one before its deadline.
-const MAX_ERROR_BODY_TIME: Duration = Duration::from_secs(4);
+use crate::limits::MAX_ERROR_BODY_BYTES;
+use crate::limits::MAX_ERROR_BODY_TIME;
 
 /// A call to a plain service, forwarded from a caller.
 #[derive(Debug, Clone)]
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -32,6 +32,8 @@
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use pimento_endpoint::Fault;
+use pimento_endpoint::limits::MAX_HEAD_BYTES;
+use pimento_endpoint::limits::MAX_HEADERS;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpSocket;
@@ -41,12 +43,6 @@
 use self::meter::Meter;
 use self::meter::Metered;
 
-/// Maximum size of a response's head, in bytes. The buffer of a body has the same size.
-const MAX_HEAD_BYTES: usize = 64 << 10;
-
-/// Maximum number of headers in a response's head, and of trailers after a body.
-const MAX_HEADERS: usize = 100;
-
 /// Bytes that the kernel buffers of a response, which it doubles for its own use. By itself it would go up to
 /// megabytes for each response whose caller reads slowly.
 const RECEIVE_BUFFER_BYTES: u32 = 64 << 10;
--- a/crates/relay/src/error_body.rs
+++ b/crates/relay/src/error_body.rs
@@ -5,19 +5,14 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use pimento_endpoint::Fault;
+use pimento_endpoint::limits::MAX_ERROR_BODY_BYTES;
+use pimento_endpoint::limits::MAX_ERROR_BODY_TIME;
 
 use crate::connection::ResponseBody;
 
-/// Maximum size of an error response's body, in bytes. It is buffered to be forwarded.
-pub const MAX_ERROR_BODY_BYTES: usize = 64 << 10;
-
 /// What a chunk counts at least, in bytes. To receive a chunk of one byte takes as long as one of some hundred.
 const MIN_CHUNK_BYTES: usize = 64;
 
-/// Maximum time for an error response's body. The endpoint has nothing to work on any more, and the request may
-/// have to be sent to another one before its deadline.
-pub const MAX_ERROR_BODY_TIME: Duration = Duration::from_secs(4);
-
 /// Reads the body of an error response, at most for the time `left`.
 ///
 /// # Errors
