--- a/crates/policy/src/speed.rs
+++ b/crates/policy/src/speed.rs
@@ -115,7 +115,7 @@
         })
     }
 
-    /// Adds later samples. They are dropped once the sum holds [`MAX_COUNT`].
+    /// Adds later samples. They are dropped once the sum holds `MAX_COUNT`.
     pub fn merge(&mut self, other: Self) {
         if self.count < MAX_COUNT {
             self.count = self.count.saturating_add(other.count);
