Tell an estimate's time to the first token in one place

Cause: the end of a VM and the patience with silent runs each added the wait and the prefill of an estimate; engines' candidates have a method for it. Change: Estimate::time_to_first_token, called in both. The time of a silence before its wait is read once. Behaviour is the same.

--- a/crates/relay/src/attempts/ending.rs
+++ b/crates/relay/src/attempts/ending.rs
@@ -63,7 +63,7 @@
     /// resumed is not.
     fn expected_time(&self, overrides: &Overrides) -> Duration {
         let begin = self.estimate(overrides);
-        let begin = begin.map_or(Duration::ZERO, |estimate| estimate.wait + estimate.prefill);
+        let begin = begin.map_or(Duration::ZERO, |begin| begin.time_to_first_token());
         let rest = if overrides.last_event_id.is_some() {
             Duration::ZERO
         } else {
--- a/crates/relay/src/stream/silence.rs
+++ b/crates/relay/src/stream/silence.rs
@@ -48,7 +48,7 @@
         source.permit.record_silence();
     }
     let (began, silent_before) = (Instant::now(), source.timeout());
-    let hangs_at = began + MAX_SILENCE.saturating_sub(source.timeout());
+    let hangs_at = began + MAX_SILENCE.saturating_sub(silent_before);
     let mut searches = 0;
     loop {
         let until_hang = hangs_at.saturating_duration_since(Instant::now());
@@ -119,7 +119,7 @@
     let run = SilentRun {
         silent,
         max_gap: attempts.request().grant.route.max_event_gap,
-        expected: estimate.wait + estimate.prefill,
+        expected: estimate.time_to_first_token(),
     };
     run.patience()
 }
--- a/crates/scheduler/src/pool/estimate.rs
+++ b/crates/scheduler/src/pool/estimate.rs
@@ -17,3 +17,11 @@
     /// prompt is placed.
     pub next_wait: Duration,
 }
+
+impl Estimate {
+    /// Returns the expected time to the first token.
+    #[must_use]
+    pub fn time_to_first_token(&self) -> Duration {
+        self.wait + self.prefill
+    }
+}
