Count what a VM's own link carries, and say when it is full

Cause: neither logs nor metrics could tell whether a VM's own link was full, nor which way, so that a full link looked like a log and endpoints that don't answer.

Change: bytes of callers' and endpoints' connections are counted each way. policy::link makes shares of the bandwidth of them, and the time that written bytes wait. A line a second tells of a full link, pimento_own_link has the figures. No decision uses them yet.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod forecast;
 pub mod hedge;
 pub mod limit;
+pub mod link;
 pub mod loan;
 mod number;
 pub mod pace;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 use pimento_policy::report;
+use pimento_units::Bandwidth;
 use pimento_units::id;
 
 use crate::capacity::Capacity;
@@ -27,6 +28,8 @@
     pub zones: Vec<(id::Zone, String)>,
     /// What this VM can do for others.
     pub capacity: Capacity,
+    /// What its link carries each way; none if that is unknown.
+    pub link: Option<Bandwidth>,
     /// Connections of callers that are open at a time, at most.
     pub max_callers: usize,
     /// Address that callers connect to.
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -34,6 +34,7 @@
 use pimento_endpoint::Fault;
 use pimento_endpoint::limits::MAX_HEAD_BYTES;
 use pimento_endpoint::limits::MAX_HEADERS;
+use pimento_serve::traffic::Traffic;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::net::TcpSocket;
@@ -149,10 +150,10 @@
         if let Err(error) = stream.set_nodelay(true) {
             log::debug!("call: Can't disable Nagle's algorithm: {error}.");
         }
-        Self::over(stream, address).await
+        Self::over(stream, address, Traffic::default()).await
     }
 
-    /// Prepares an open connection to `address` for a request.
+    /// Prepares an open connection to `address` for a request. Its bytes are counted in `traffic`.
     ///
     /// # Errors
     ///
@@ -160,12 +161,13 @@
     pub async fn over(
         stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
         address: SocketAddr,
+        traffic: Traffic,
     ) -> Result<Self, Fault> {
         let meter = Meter::default();
         let handshake = http1::Builder::new()
             .max_buf_size(MAX_HEAD_BYTES)
             .max_headers(MAX_HEADERS)
-            .handshake(TokioIo::new(Metered::new(stream, meter.clone())));
+            .handshake(TokioIo::new(Metered::new(stream, meter.clone(), traffic)));
         let (sender, connection) = handshake.await.map_err(|error| unreachable(&error))?;
         let driver = tokio::spawn(async move {
             if let Err(error) = connection.await {
--- a/crates/relay/src/connection/meter.rs
+++ b/crates/relay/src/connection/meter.rs
@@ -16,6 +16,7 @@
 use std::task::ready;
 use std::time::Duration;
 
+use pimento_serve::traffic::Traffic;
 use tokio::io::AsyncRead;
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
@@ -84,17 +85,22 @@
     }
 }
 
-/// A connection whose received bytes are counted.
+/// A connection whose bytes are counted.
 #[derive(Debug)]
 pub struct Metered<S> {
     inner: S,
     meter: Meter,
+    traffic: Traffic,
 }
 
 impl<S> Metered<S> {
-    /// Counts what is received on a connection.
-    pub const fn new(inner: S, meter: Meter) -> Self {
-        Self { inner, meter }
+    /// Counts what is received without content in `meter`, and all bytes in `traffic`.
+    pub const fn new(inner: S, meter: Meter, traffic: Traffic) -> Self {
+        Self {
+            inner,
+            meter,
+            traffic,
+        }
     }
 }
 
@@ -107,6 +113,7 @@
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.inner).poll_read(cx, buffer))?;
         let received = buffer.filled().len() - before;
+        self.traffic.receive(received);
         Poll::Ready(if received == 0 {
             Ok(())
         } else {
@@ -121,7 +128,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut self.inner).poll_write(cx, bytes))?;
+        self.traffic.send(written);
+        Poll::Ready(Ok(written))
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -137,7 +146,9 @@
         cx: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.inner).poll_write_vectored(cx, slices)
+        let written = ready!(Pin::new(&mut self.inner).poll_write_vectored(cx, slices))?;
+        self.traffic.send(written);
+        Poll::Ready(Ok(written))
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -17,6 +17,7 @@
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
 use pimento_serve::server::UNREAD_TIMEOUT;
+use pimento_serve::traffic::Traffic;
 use pimento_units::Moment;
 use pimento_units::id;
 
@@ -108,6 +109,10 @@
             unread_timeout: UNREAD_TIMEOUT,
         }
     }
+
+    fn traffic(&self) -> Traffic {
+        self.0.own_link.traffic().clone()
+    }
 }
 
 /// Logs a request that gets no response from an endpoint. Dropping the value before the outcome is known
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod neighbours;
 pub mod node;
 pub mod operators;
+pub mod own_link;
 pub mod poison;
 mod pools;
 pub mod position;
--- a/crates/relay/src/links.rs
+++ b/crates/relay/src/links.rs
@@ -41,6 +41,7 @@
 use crate::connection;
 use crate::connection::Connection;
 use crate::node::millis;
+use crate::own_link::OwnLink;
 
 /// An endpoint to connect to.
 #[derive(Debug, Clone, Copy)]
@@ -86,6 +87,7 @@
 pub struct Links {
     zone: id::Zone,
     clock: Clock,
+    own_link: OwnLink,
     state: Mutex<State>,
     known: watch::Sender<reach::Links>,
     /// Notified when the state of this VM's own links changes.
@@ -95,10 +97,11 @@
 impl Links {
     /// The links of a VM in this zone, of which nothing is known yet.
     #[must_use]
-    pub fn new(zone: id::Zone, clock: Clock) -> Self {
+    pub fn new(zone: id::Zone, clock: Clock, own_link: OwnLink) -> Self {
         Self {
             zone,
             clock,
+            own_link,
             state: Mutex::default(),
             known: watch::Sender::default(),
             changed: Notify::new(),
@@ -151,7 +154,7 @@
                     self.spawn_trial(target);
                 }
                 match self.open_tunnel(target).await {
-                    Ok(tunnel) => over(tunnel, target).await,
+                    Ok(tunnel) => self.prepare(tunnel, target).await,
                     Err(Declined::ByEndpoint(reply)) => {
                         Err(Failure::new(&reply.as_str(), reply.into()))
                     }
@@ -167,7 +170,7 @@
         let failure = tokio::select! {
             biased;
             connected = self.connect_directly(target.endpoint, target.address) => match connected {
-                Ok(stream) => return over(stream, target).await,
+                Ok(stream) => return self.prepare(stream, target).await,
                 Err(error) => Failure::new(&error, Blame::from(&error)),
             },
             () = self.went_down() => Failure::new(&"the links to endpoints are down", Blame::Links),
@@ -191,18 +194,32 @@
         };
         let now = self.clock.now();
         self.update(|state| state.reach.record_relayed(target.endpoint, now));
-        over(tunnel, target).await
+        self.prepare(tunnel, target).await
     }
 
     /// Connects by links that are known to be lost, as no other VM is able to help.
     async fn connect_by_lost_links(&self, target: Target<'_>) -> Result<Connection, Failure> {
         let connected = self.connect_directly(target.endpoint, target.address).await;
         match connected {
-            Ok(stream) => over(stream, target).await,
+            Ok(stream) => self.prepare(stream, target).await,
             Err(error) => Err(Failure::new(&error, Blame::Links)),
         }
     }
 
+    /// Prepares an open connection for a request.
+    async fn prepare(
+        &self,
+        stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
+        target: Target<'_>,
+    ) -> Result<Connection, Failure> {
+        let traffic = self.own_link.traffic().clone();
+        let connection = Connection::over(stream, target.address, traffic).await;
+        connection.map_err(|fault| Failure {
+            fault,
+            blame: Blame::Links,
+        })
+    }
+
     /// Waits until another VM has reached an endpoint that this one does not reach.
     async fn went_down(&self) {
         let mut known = self.known.subscribe();
@@ -335,15 +352,3 @@
         ]
     }
 }
-
-/// Prepares an open connection for a request.
-async fn over(
-    stream: impl AsyncRead + AsyncWrite + Send + Unpin + 'static,
-    target: Target<'_>,
-) -> Result<Connection, Failure> {
-    let connection = Connection::over(stream, target.address).await;
-    connection.map_err(|fault| Failure {
-        fault,
-        blame: Blame::Links,
-    })
-}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -16,6 +16,7 @@
 use pimento_metrics::gauge_vec;
 use pimento_metrics::histogram;
 use pimento_metrics::to_f64;
+use pimento_policy::link::Load;
 use pimento_scheduler::Scheduler;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
@@ -78,6 +79,7 @@
     poison: GaugeVec,
     connects: GaugeVec,
     links: GaugeVec,
+    own_link: GaugeVec,
     log_lines: GaugeVec,
 }
 
@@ -171,6 +173,7 @@
             poison: series::poison(r),
             connects: series::connects(r),
             links: series::links(r),
+            own_link: series::own_link(r),
             log_lines: gauge_vec(
                 r,
                 "pimento_log_lines_left_out",
@@ -289,6 +292,17 @@
         }
     }
 
+    fn set_own_link(&self, load: Load) {
+        let figures = [
+            ("received_share", load.received),
+            ("sent_share", load.sent),
+            ("send_delay_seconds", load.send_delay.as_secs_f64()),
+        ];
+        for (figure, value) in figures {
+            self.own_link.with_label_values(&[figure]).set(value);
+        }
+    }
+
     fn set_age(&self, topic: &str, age: Option<Duration>) {
         // A view that was never read has no age, hence no series.
         if let Some(age) = age {
@@ -365,6 +379,7 @@
             let gauge = metrics.links.with_label_values(&[figure]);
             gauge.set(to_f64(count));
         }
+        metrics.set_own_link(node.own_link.load().unwrap_or_default());
         let dropped = pimento_logs::dropped();
         let reasons = [
             ("budget", dropped.over_budget),
--- a/crates/relay/src/metrics/series.rs
+++ b/crates/relay/src/metrics/series.rs
@@ -41,6 +41,12 @@
     gauge_vec(registry, "pimento_links", what, &["figure"])
 }
 
+pub(super) fn own_link(registry: &Registry) -> GaugeVec {
+    let what = "Load of this VM's own link: shares of its bandwidth that are received and sent, and the time that \
+                written bytes wait for it";
+    gauge_vec(registry, "pimento_own_link", what, &["figure"])
+}
+
 pub(super) fn dropped(registry: &Registry) -> IntCounterVec {
     counter(
         registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -37,6 +37,7 @@
 use crate::links::gate;
 use crate::metrics::Metrics;
 use crate::operators::Operators;
+use crate::own_link::OwnLink;
 use crate::poison::Blocklist;
 use crate::poison::Poison;
 use crate::retry_budget::RetryBudgets;
@@ -91,6 +92,8 @@
     rollouts: Arc<Mutex<Rollouts>>,
     /// Connects to endpoints.
     pub links: Arc<Links>,
+    /// This VM's own link.
+    pub own_link: OwnLink,
     /// The process's clocks.
     pub clock: Clock,
     /// The steps of its shutdown.
@@ -121,6 +124,7 @@
             metrics: Arc::clone(&self.metrics),
             rollouts: Arc::clone(&self.rollouts),
             links: Arc::clone(&self.links),
+            own_link: self.own_link.clone(),
             clock: self.clock,
             lifetime: self.lifetime.clone(),
             response_tasks: self.response_tasks.clone(),
--- a/crates/relay/src/node/start.rs
+++ b/crates/relay/src/node/start.rs
@@ -20,6 +20,7 @@
 use crate::links::Links;
 use crate::neighbours;
 use crate::operators::Operators;
+use crate::own_link::OwnLink;
 use crate::poison;
 use crate::poison::Blocklist;
 use crate::pools;
@@ -64,7 +65,9 @@
             token.clone(),
         );
         let clock = Clock::default();
-        let links = Arc::new(Links::new(config.zone.clone(), clock));
+        let own_link = OwnLink::new(config.link, clock);
+        let links = Arc::new(Links::new(config.zone.clone(), clock, own_link.clone()));
+        tokio::spawn(own_link.clone().watch(token.clone()));
         let retry_budgets = RetryBudgets::new(config.bounds.retry_budget);
         let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session_timeout);
         let node = Self {
@@ -85,6 +88,7 @@
             metrics: Arc::default(),
             rollouts: Arc::new(Mutex::new(rollouts)),
             links,
+            own_link,
             clock,
             lifetime: Lifetime::default(),
             response_tasks: TaskTracker::new(),
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -10,6 +10,7 @@
 mod progress;
 pub mod server;
 mod socket;
+pub mod traffic;
 pub mod unread;
 
 pub use body::ReplyBody;
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -37,6 +37,7 @@
 use crate::progress::Stage;
 use crate::progress::Tracked;
 use crate::socket::Socket;
+use crate::traffic::Traffic;
 
 /// Wait after a failed accept, which usually means that file descriptors have run out.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
@@ -92,6 +93,11 @@
     fn limits(&self) -> Limits {
         Limits::default()
     }
+
+    /// Where the bytes of its connections are counted.
+    fn traffic(&self) -> Traffic {
+        Traffic::default()
+    }
 }
 
 /// Signals for the steps of a server's shutdown.
@@ -214,7 +220,12 @@
         log::debug!("server: Setting TCP_NODELAY failed: {error}.");
     }
     let progress = Arc::new(Progress::default());
-    let socket = Socket::new(stream, Arc::clone(&progress), limits.unread_timeout);
+    let socket = Socket::new(
+        stream,
+        Arc::clone(&progress),
+        service.traffic(),
+        limits.unread_timeout,
+    );
     let answers = service_fn(|request| {
         progress.serve(&request);
         answer(service.clone(), request, &stop, &progress)
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -18,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::progress::Progress;
+use crate::traffic::Traffic;
 
 /// Maximum time for which a socket is read on after the last answer.
 const LINGER_PERIOD: Duration = Duration::from_secs(1);
@@ -40,6 +41,7 @@
 pub struct Socket {
     stream: TcpStream,
     progress: Arc<Progress>,
+    traffic: Traffic,
     /// Whether the caller has closed its end.
     ended: bool,
     /// Whether our end is shut down.
@@ -62,10 +64,16 @@
 
 impl Socket {
     /// Wraps `stream`.
-    pub const fn new(stream: TcpStream, progress: Arc<Progress>, unread_timeout: Duration) -> Self {
+    pub const fn new(
+        stream: TcpStream,
+        progress: Arc<Progress>,
+        traffic: Traffic,
+        unread_timeout: Duration,
+    ) -> Self {
         Self {
             stream,
             progress,
+            traffic,
             ended: false,
             shut: false,
             discarded: 0,
@@ -82,8 +90,11 @@
         wrote: Poll<io::Result<usize>>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
-        if wrote.is_ready() {
+        if let Poll::Ready(wrote) = &wrote {
+            self.traffic.send(*wrote.as_ref().unwrap_or(&0));
             self.unread_end = None;
+        }
+        if wrote.is_ready() {
             return wrote;
         }
         let timeout = self.unread_timeout;
@@ -112,6 +123,7 @@
             let read = buffer.filled().len();
             self.ended = read == 0;
             self.discarded += read;
+            self.traffic.receive(read);
         }
         Poll::Ready(Ok(()))
     }
@@ -153,7 +165,9 @@
         let socket = self.get_mut();
         let filled = buffer.filled().len();
         ready!(Pin::new(&mut socket.stream).poll_read(cx, buffer))?;
-        if buffer.filled().len() > filled {
+        let read = buffer.filled().len() - filled;
+        if read > 0 {
+            socket.traffic.receive(read);
             socket.progress.read();
         } else {
             socket.ended = true;
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -4,6 +4,7 @@
 //! where a customer is expected, and a price cannot be added to a token count. This crate reads no
 //! clock: [`time::Moment`] and [`time::Wall`] are numbers that callers pass in.
 
+pub mod bandwidth;
 pub mod digest;
 pub mod id;
 pub mod money;
@@ -12,6 +13,7 @@
 pub mod time;
 pub mod tokens;
 
+pub use bandwidth::Bandwidth;
 pub use digest::Digest;
 pub use money::Money;
 pub use offset::Offset;
