Receive no more requests at a time than a VM's own link carries

What callers saw: at a VM that most new connections came to, nothing was served once its link was full, and hardly anything for half a minute after a burst.

Cause: a VM accepted and read all that came, up to its descriptors. Callers send a request with its connection, so that what is refused, or ends too late, has passed the link already. With the link full, reads of the log got no answer in time, the configuration was too old after 4.25 s, everybody was refused as stale, the VM reported that it wasn't ready, and the refused came back.

Connections beyond stay unaccepted, and few may wait at a small link, so that each costs its opening packet and its caller turns to another VM. A connection counts for 300 ms at most, so that callers who send slowly keep nobody out. While the link is full, callers are asked to close their connections, as a request on an open one can't be put off.

Evidence: counted bytes show the way in at 94 to 97 percent and the way out at 2 to 5 while nothing is served.

Why it works: what waits, waits at the callers and not on the link. The queue on the link is bounded by what is received and what waits to be accepted, 100 ms at most of each, and reads of the log pass within their timeouts.

Ruled out: longer timeouts of the log and of connects while the link is full. A receive buffer of 2 kB for callers changed nothing.

--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -16,6 +16,7 @@
 use pimento_serve::Limits;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
+use pimento_serve::receiving::Permit;
 use pimento_serve::server::UNREAD_TIMEOUT;
 use pimento_serve::traffic::Traffic;
 use pimento_units::Moment;
@@ -65,7 +66,8 @@
     async fn serve(&self, request: Request<Incoming>) -> Response<ReplyBody> {
         let node = &self.0;
         let began = node.now();
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let permit = head.extensions.remove::<Permit>();
         let info = match node.platform.parse_request(&head) {
             Ok(info) => info,
             Err(error) => {
@@ -77,7 +79,13 @@
         };
         let mut outcome = OutcomeLog::new(node, info.id.clone(), began);
         let tracker = Arc::clone(&outcome.tracker);
-        let responding = respond(node, (head, body), info, began, Arc::clone(&tracker));
+        let responding = respond(
+            node,
+            (head, body, permit),
+            info,
+            began,
+            Arc::clone(&tracker),
+        );
         let response = tokio::select! {
             biased;
             response = responding => response,
@@ -110,6 +118,14 @@
         }
     }
 
+    fn max_receiving(&self) -> Option<usize> {
+        self.0.own_link.max_receiving()
+    }
+
+    fn closes_connections(&self) -> bool {
+        self.0.own_link.load().is_some_and(|load| load.is_full())
+    }
+
     fn traffic(&self) -> Traffic {
         self.0.own_link.traffic().clone()
     }
@@ -197,7 +213,7 @@
 
 async fn respond<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
-    (head, body): (request::Parts, Incoming),
+    (head, body, receiving): (request::Parts, Incoming, Option<Permit>),
     info: RequestInfo,
     began: Moment,
     tracker: Arc<Tracker>,
@@ -208,6 +224,7 @@
         return Err(Refusal::new(Cause::LargeHead));
     }
     let body = read(body, limits.body_bytes, limits.receive_timeout).await?;
+    drop(receiving);
     // Its route may have got another service while the body arrived.
     let grant = admit::admit(node, &info, head.uri.path())?;
     let random = admitted::random(&info);
--- a/crates/relay/src/own_link.rs
+++ b/crates/relay/src/own_link.rs
@@ -64,6 +64,12 @@
         Some(link.measure(totals, self.clock.now()))
     }
 
+    /// How many requests may be received at a time; any number while the link has room for more.
+    #[must_use]
+    pub fn max_receiving(&self) -> Option<usize> {
+        self.load()?.max_receiving
+    }
+
     /// Logs while the link is full, until `token` is cancelled.
     pub async fn watch(self, token: CancellationToken) {
         let mut logged = None;
--- a/crates/relay/src/run.rs
+++ b/crates/relay/src/run.rs
@@ -17,6 +17,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::body::Incoming;
+use pimento_policy::link;
 use pimento_serve::ReplyBody;
 use pimento_serve::Serve;
 use pimento_serve::Stop;
@@ -54,7 +55,7 @@
 /// megabytes for each caller that doesn't read.
 const SEND_BUFFER_BYTES: u32 = 64 << 10;
 
-/// Connections that the kernel holds until they are accepted.
+/// Connections that the kernel holds until they are accepted, at most.
 const BACKLOG: u32 = 1_024;
 
 /// The server can't listen on an address.
@@ -85,9 +86,9 @@
         reason = "it starts tasks, which needs a runtime"
     )]
     pub async fn start(config: Config, platform: P, log: L) -> Result<Self, Error> {
-        let callers = bind(config.listen)?;
-        let ready = bind(config.ready_listen)?;
-        let metrics = bind(config.metrics_listen)?;
+        let callers = bind(config.listen, link::backlog(config.link, BACKLOG))?;
+        let ready = bind(config.ready_listen, BACKLOG)?;
+        let metrics = bind(config.metrics_listen, BACKLOG)?;
         log::info!(
             node = config.node.as_str(),
             zone = config.zone.as_str(),
@@ -194,12 +195,12 @@
         .await;
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
-    listen(address).context(Snafu { address })
+fn bind(address: SocketAddr, backlog: u32) -> Result<TcpListener, Error> {
+    listen(address, backlog).context(Snafu { address })
 }
 
 /// Listens with a limit on what the kernel buffers for each caller, which connections inherit.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -208,7 +209,7 @@
     socket.set_reuseaddr(true)?;
     socket.set_send_buffer_size(SEND_BUFFER_BYTES)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// Serves the load balancer's readiness check.
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod body;
 mod cuts;
 mod progress;
+pub mod receiving;
 pub mod server;
 mod socket;
 pub mod traffic;
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -10,6 +10,8 @@
 use std::panic::catch_unwind;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -36,6 +38,8 @@
 use crate::progress::Progress;
 use crate::progress::Stage;
 use crate::progress::Tracked;
+use crate::receiving::Permit;
+use crate::receiving::Receiving;
 use crate::socket::Socket;
 use crate::traffic::Traffic;
 
@@ -94,6 +98,18 @@
         Limits::default()
     }
 
+    /// How many connections may receive a request at a time, read before each is accepted; any number if there
+    /// is no limit.
+    fn max_receiving(&self) -> Option<usize> {
+        None
+    }
+
+    /// Whether callers are asked to close their connections after the next response. Requests on open connections
+    /// can't be left unaccepted.
+    fn closes_connections(&self) -> bool {
+        false
+    }
+
     /// Where the bytes of its connections are counted.
     fn traffic(&self) -> Traffic {
         Traffic::default()
@@ -118,6 +134,7 @@
     let mut acceptor = Acceptor {
         listener,
         service,
+        receiving: Receiving::default(),
         stop,
         connections: TaskTracker::new(),
         full: false,
@@ -142,6 +159,7 @@
 struct Acceptor<S> {
     listener: TcpListener,
     service: S,
+    receiving: Receiving,
     stop: Stop,
     connections: TaskTracker,
     /// Whether the last connection was one too many.
@@ -153,11 +171,18 @@
     /// Accepts connections until the server is closing.
     async fn run(&mut self) {
         loop {
-            let accepted = tokio::select! {
+            let accepting = async {
+                let permit = self
+                    .receiving
+                    .acquire(|| self.service.max_receiving())
+                    .await;
+                (permit, self.listener.accept().await)
+            };
+            let (permit, accepted) = tokio::select! {
                 () = self.stop.closing.cancelled() => return,
-                accepted = self.listener.accept() => accepted,
+                accepted = accepting => accepted,
             };
-            if !self.admit(accepted) {
+            if !self.admit(accepted, permit) {
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
@@ -174,14 +199,14 @@
                 accepted = unconstrained(self.listener.accept()) => accepted,
                 () = ready(()) => return,
             };
-            if !self.admit(accepted) {
+            if !self.admit(accepted, self.receiving.begin()) {
                 return;
             }
         }
     }
 
     /// Starts to serve a connection. False if it couldn't be accepted.
-    fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) -> bool {
+    fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>, permit: Permit) -> bool {
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -193,8 +218,13 @@
         let open = self.connections.len();
         let fits = open < limits.connections;
         if fits {
-            self.connections.spawn(connection(
+            let accepted = Accepted {
                 stream,
+                receiving: self.receiving.clone(),
+                permit,
+            };
+            self.connections.spawn(connection(
+                accepted,
                 self.service.clone(),
                 limits,
                 self.stop.clone(),
@@ -208,13 +238,26 @@
     }
 }
 
-async fn connection(
+/// A connection that was accepted.
+struct Accepted {
     stream: TcpStream,
+    receiving: Receiving,
+    /// The permit to receive its first request.
+    permit: Permit,
+}
+
+async fn connection(
+    accepted: Accepted,
     service: impl Serve,
     limits: Limits,
     stop: Stop,
     cuts: Arc<Cuts>,
 ) {
+    let Accepted {
+        stream,
+        receiving,
+        permit,
+    } = accepted;
     // Each piece of a stream is sent immediately.
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("server: Setting TCP_NODELAY failed: {error}.");
@@ -226,8 +269,12 @@
         service.traffic(),
         limits.unread_timeout,
     );
-    let answers = service_fn(|request| {
+    let first = Mutex::new(Some(permit));
+    let answers = service_fn(|mut request| {
         progress.serve(&request);
+        let first = first.lock().unwrap_or_else(PoisonError::into_inner).take();
+        let permit = first.unwrap_or_else(|| receiving.begin());
+        request.extensions_mut().insert(permit);
         answer(service.clone(), request, &stop, &progress)
     });
     let connection = http1::Builder::new()
@@ -267,12 +314,13 @@
     stop: &Stop,
     progress: &Arc<Progress>,
 ) -> Result<Response<Tracked>, Infallible> {
+    let closes = service.closes_connections();
     let serving = async { service.serve(request).await };
     let mut response = catch(serving).await.unwrap_or_else(|Panic| {
         log::error!("server: The service panicked, the request gets a 500.");
         panic_response()
     });
-    if stop.leaving.is_cancelled() || stop.closing.is_cancelled() {
+    if closes || stop.leaving.is_cancelled() || stop.closing.is_cancelled() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
--- a/crates/serve/tests/all/main.rs
+++ b/crates/serve/tests/all/main.rs
@@ -5,5 +5,6 @@
 mod linger;
 mod model;
 mod panics;
+mod receiving;
 mod support;
 mod unread;
