Reproduce a slow version that its short answers hide

The version delays prompts that are read; those that are cached begin as fast as before. The evidence is the mean of the answers' times as multiples of the old version's, so that 26 cached ones at 1.45 hide 11 long ones at 2.7: 1.83 for 1.83 needed.

--- a/crates/policy/tests/shift.rs
+++ b/crates/policy/tests/shift.rs
@@ -47,6 +47,26 @@
     assert_eq!(cause(&engines), Some(Cause::Latency));
 }
 
+/// Guards against a version that delays long requests only, whose short ones hide it until the deadline has passed.
+#[test]
+fn a_version_that_is_slow_with_long_requests_only_is_bad() {
+    let routes = [
+        route(answers(22, 0, 105.0), answers(392, 0, 77.0)),
+        route(answers(10, 0, 990.0), answers(278, 0, 386.0)),
+    ];
+    assert_eq!(cause(&routes), Some(Cause::Latency));
+}
+
+/// Guards against a good version that is rolled back because one of its few long answers took long.
+#[test]
+fn a_single_slow_answer_makes_no_version_bad() {
+    let routes = [
+        route(answers(22, 0, 80.0), answers(392, 0, 77.0)),
+        route(answers(2, 0, 1_200.0), answers(278, 0, 386.0)),
+    ];
+    assert_eq!(cause(&routes), None);
+}
+
 /// Guards against a version whose failures are few on each route, beside requests that fail on any version.
 #[test]
 fn failures_beyond_those_of_the_old_version_are_found_over_all_routes() {
