Compare the times of a new version's answers by their sum as well

Cause: evidence was the mean of the answers' times as multiples of the old version's on their route.

Change: the sum of all times is compared with what the old version would have taken for as many answers. It varies as much as that of fewer, equally long answers, and that number takes the place of theirs in the margin for chance. Only while both versions get requests: in place, the old one's times are from before, and may have met less load.

Why it works: a delay that grows with the prompt shows in the sum by the share of the time, not of the answers, that it touches.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -29,6 +29,7 @@
 
 use crate::exposure;
 
+pub use self::evidence::Period;
 pub use self::evidence::RouteEvidence;
 pub use self::evidence::covers_routes;
 pub use self::evidence::is_doubtful;
--- a/crates/policy/src/shift/evidence.rs
+++ b/crates/policy/src/shift/evidence.rs
@@ -23,6 +23,15 @@
     pub old: Evidence,
 }
 
+/// When a version is looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Period {
+    /// While both versions get requests.
+    Shifting,
+    /// Once the new version is in place. The old one's answers are older then, and may have met less load.
+    InPlace,
+}
+
 /// The largest share of failed attempts beyond that of the old version. It is well below the share
 /// that bad versions fail, and above what a single failing endpoint adds.
 const MAX_ERROR_INCREASE: f64 = 0.1;
@@ -67,7 +76,12 @@
 /// `failing` is the number of its endpoints that failed a request, `endpoints` the number of all
 /// its endpoints.
 #[must_use]
-pub fn regression(routes: &[RouteEvidence], failing: usize, endpoints: usize) -> Option<Cause> {
+pub fn regression(
+    routes: &[RouteEvidence],
+    failing: usize,
+    endpoints: usize,
+    period: Period,
+) -> Option<Cause> {
     let mut all = RouteEvidence {
         new: Evidence::default(),
         old: Evidence::default(),
@@ -81,7 +95,10 @@
         .iter()
         .filter_map(|route| route_regression(route, true));
     let failures = Failures::of(routes);
-    let slow = Times::of(routes).exceed(MAX_TIME_RATIO, TIME_RATIO_SPREAD);
+    let times = Times::of(routes);
+    let (ratio, spread) = (MAX_TIME_RATIO, TIME_RATIO_SPREAD);
+    let slow = times.exceed_by_ratio(ratio, spread)
+        || period == Period::Shifting && times.exceed_by_sum(ratio, spread);
     let cause = causes
         .chain(route_regression(&all, false))
         .chain(failures.exceed(FAILURE_DEVIATIONS).then_some(Cause::Errors))
@@ -112,7 +129,10 @@
 #[must_use]
 pub fn is_doubtful(routes: &[RouteEvidence]) -> bool {
     let (failures, times) = (Failures::of(routes), Times::of(routes));
-    failures.exceed(DOUBTFUL_DEVIATIONS) || times.exceed(DOUBTFUL_TIME_RATIO, DOUBTFUL_RATIO_SPREAD)
+    let (ratio, spread) = (DOUBTFUL_TIME_RATIO, DOUBTFUL_RATIO_SPREAD);
+    failures.exceed(DOUBTFUL_DEVIATIONS)
+        || times.exceed_by_ratio(ratio, spread)
+        || times.exceed_by_sum(ratio, spread)
 }
 
 /// Whether each route that has a good part of the requests has had some answers of the new version.
@@ -154,29 +174,57 @@
     }
 }
 
-/// Times of the new version's answers, as multiples of the old one's on the same routes.
+/// Times of the new version's answers, compared with the old one's on the same routes.
+///
+/// A version that is slow with long requests only is shown by the sum of all times, as most answers are short. One that
+/// adds a little to each is shown by the mean of the ratios.
+#[derive(Default)]
 struct Times {
     answers: f64,
+    /// Sum of the answers' times as multiples of the old version's mean on their route.
     ratios: f64,
+    /// Sum of the answers' times.
+    taken: f64,
+    /// What the old version would have taken for as many answers.
+    expected: f64,
+    /// Sum of the squares of what it would have taken for each.
+    expected_squares: f64,
 }
 
 impl Times {
     fn of(routes: &[RouteEvidence]) -> Self {
-        let (mut answers, mut ratios) = (0.0, 0.0);
+        let mut times = Self::default();
         for route in routes.iter().filter(|route| route.has_old_answers()) {
             let (Some((count, new)), Some((_, old))) = (route.new.times(), route.old.times())
             else {
                 continue;
             };
-            answers += count;
-            ratios += count * new / old;
+            times.answers += count;
+            times.ratios += count * new / old;
+            times.taken += count * new;
+            times.expected += count * old;
+            times.expected_squares += count * old * old;
         }
-        Self { answers, ratios }
+        times
+    }
+
+    /// Whether the answers took longer than `ratio` times the old version's, each counted alike. `spread` is added
+    /// for the chance in few answers.
+    fn exceed_by_ratio(&self, ratio: f64, spread: f64) -> bool {
+        let max = ratio + spread / self.answers.sqrt();
+        self.is_enough() && self.ratios > self.answers * max
+    }
+
+    /// Whether all answers together took longer than `ratio` times what the old version would have taken.
+    fn exceed_by_sum(&self, ratio: f64, spread: f64) -> bool {
+        // The sum varies as much as that of this many answers of equal length.
+        let equal_answers = self.expected * self.expected / self.expected_squares;
+        let max = ratio + spread / equal_answers.sqrt();
+        self.is_enough() && self.taken > self.expected * max
     }
 
-    fn exceed(&self, ratio: f64, spread: f64) -> bool {
-        let max_ratio = ratio + spread / self.answers.sqrt();
-        self.answers >= f64::from(MIN_TIMED_ANSWERS) && self.ratios > self.answers * max_ratio
+    fn is_enough(&self) -> bool {
+        self.answers >= f64::from(MIN_TIMED_ANSWERS)
     }
 }
 
--- a/crates/policy/tests/shift.rs
+++ b/crates/policy/tests/shift.rs
@@ -5,6 +5,7 @@
 use pimento_policy::rollout::Evidence;
 use pimento_policy::shift;
 use pimento_policy::shift::Known;
+use pimento_policy::shift::Period;
 use pimento_policy::shift::Progress;
 use pimento_policy::shift::RouteEvidence;
 use pimento_policy::shift::Side;
@@ -27,7 +28,7 @@
 }
 
 fn cause(routes: &[RouteEvidence]) -> Option<Cause> {
-    shift::regression(routes, SEVERAL, SEVERAL)
+    shift::regression(routes, SEVERAL, SEVERAL, Period::Shifting)
 }
 
 /// Guards against a version several times slower in half of its answers that no single route shows clearly.
@@ -57,6 +58,17 @@
     assert_eq!(cause(&routes), Some(Cause::Latency));
 }
 
+/// Guards against an alarm because the load rose since the old version was replaced.
+#[test]
+fn a_version_in_place_is_not_bad_by_its_long_requests_alone() {
+    let routes = [
+        route(answers(22, 0, 105.0), answers(392, 0, 77.0)),
+        route(answers(10, 0, 990.0), answers(278, 0, 386.0)),
+    ];
+    let cause = shift::regression(&routes, SEVERAL, SEVERAL, Period::InPlace);
+    assert_eq!(cause, None);
+}
+
 /// Guards against a good version that is rolled back because one of its few long answers took long.
 #[test]
 fn a_single_slow_answer_makes_no_version_bad() {
--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -3,6 +3,7 @@
 use compact_str::CompactString;
 use pimento_policy::choice;
 use pimento_policy::shift;
+use pimento_policy::shift::Period;
 use pimento_policy::shift::Phase;
 use pimento_policy::shift::Readiness;
 use pimento_units::Moment;
@@ -168,7 +169,12 @@
         let cause = if reported {
             Some(CompactString::const_new("reported by another VM"))
         } else {
-            let cause = shift::regression(&self.evidence(), self.failing_count(), endpoints);
+            let period = match self.ended() {
+                Some(End::Done) => Period::InPlace,
+                _ => Period::Shifting,
+            };
+            let cause =
+                shift::regression(&self.evidence(), self.failing_count(), endpoints, period);
             cause.map(|cause| CompactString::from(format!("{cause:?}")))
         };
         if let Some(cause) = cause {
