Wait for room before a connection is accepted, and count it from then on

Cause: on reading the change: a permit was taken before a connection came, so that it was partly used up by the wait for one, and a newcomer had to follow it through four signatures.

Change: Receiving::wait_for_room waits, begin counts, both called where a connection is accepted. What arrives of a request is a type of its own.

--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -67,7 +67,7 @@
         let node = &self.0;
         let began = node.now();
         let (mut head, body) = request.into_parts();
-        let permit = head.extensions.remove::<Permit>();
+        let receiving = head.extensions.remove::<Permit>();
         let info = match node.platform.parse_request(&head) {
             Ok(info) => info,
             Err(error) => {
@@ -79,13 +79,13 @@
         };
         let mut outcome = OutcomeLog::new(node, info.id.clone(), began);
         let tracker = Arc::clone(&outcome.tracker);
-        let responding = respond(
-            node,
-            (head, body, permit),
-            info,
+        let arrival = Arrival {
+            head,
+            body,
+            receiving,
             began,
-            Arc::clone(&tracker),
-        );
+        };
+        let responding = respond(node, arrival, info, Arc::clone(&tracker));
         let response = tokio::select! {
             biased;
             response = responding => response,
@@ -211,13 +211,28 @@
     }
 }
 
+/// A request whose body has not been read yet.
+struct Arrival {
+    head: request::Parts,
+    body: Incoming,
+    /// Held until the body has been read.
+    receiving: Option<Permit>,
+    /// When the head had arrived.
+    began: Moment,
+}
+
 async fn respond<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
-    (head, body, receiving): (request::Parts, Incoming, Option<Permit>),
+    arrival: Arrival,
     info: RequestInfo,
-    began: Moment,
     tracker: Arc<Tracker>,
 ) -> Result<Response<ReplyBody>, Refusal> {
+    let Arrival {
+        head,
+        body,
+        receiving,
+        began,
+    } = arrival;
     let grant = admit::admit(node, &info, head.uri.path())?;
     let limits = *grant.table.limits();
     if head_bytes(&head) > limits.head_bytes {
--- a/crates/serve/src/receiving.rs
+++ b/crates/serve/src/receiving.rs
@@ -13,13 +13,13 @@
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
+use tokio::time::timeout;
 
 /// Maximum time for which a connection counts. Callers that send slowly, or nothing, must not keep others from
 /// being accepted.
 const MAX_TIME: Duration = Duration::from_millis(300);
 
-/// Time after which a changed limit is noticed by a connection that waits.
+/// Time after which a changed limit, or a connection that no longer counts, is noticed.
 const LIMIT_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Counts connections that receive a request. Clones share the count.
@@ -57,21 +57,16 @@
 }
 
 impl Receiving {
-    /// Waits until fewer connections than `limit` receive, and counts one more. `limit` is asked again while
-    /// this waits; without one, there is no wait.
-    pub async fn acquire(&self, limit: impl Fn() -> Option<usize>) -> Permit {
-        loop {
-            let mut received = std::pin::pin!(self.0.received.notified());
-            received.as_mut().enable();
-            let Some(retry_at) = self.full_until(limit()) else {
-                return self.begin();
-            };
-            // The outcome is checked above.
-            let _ = timeout_at(retry_at, received).await;
+    /// Waits until fewer connections than `limit` receive. `limit` is asked again meanwhile; without one, there is
+    /// no wait.
+    pub async fn wait_for_room(&self, limit: impl Fn() -> Option<usize>) {
+        while self.is_full(limit()) {
+            // Both ends of the wait lead to another look.
+            let _ = timeout(LIMIT_INTERVAL, self.0.received.notified()).await;
         }
     }
 
-    /// Counts a request that can't be put off: its connection is open.
+    /// Counts a connection that begins to receive a request.
     #[must_use]
     pub fn begin(&self) -> Permit {
         let mut state = self.0.lock();
@@ -85,16 +80,14 @@
         }))
     }
 
-    /// When to look again, if as many connections receive as may.
-    fn full_until(&self, limit: Option<usize>) -> Option<Instant> {
+    fn is_full(&self, limit: Option<usize>) -> bool {
         let now = Instant::now();
         let mut state = self.0.lock();
         let old = |(_, begun): &(u64, Instant)| now.duration_since(*begun) >= MAX_TIME;
         while state.begun.front().is_some_and(old) {
             state.begun.pop_front();
         }
-        let full = limit.is_some_and(|limit| state.begun.len() >= limit);
-        full.then_some(now + LIMIT_INTERVAL)
+        limit.is_some_and(|limit| state.begun.len() >= limit)
     }
 }
 
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -172,17 +172,15 @@
     async fn run(&mut self) {
         loop {
             let accepting = async {
-                let permit = self
-                    .receiving
-                    .acquire(|| self.service.max_receiving())
-                    .await;
-                (permit, self.listener.accept().await)
+                let limit = || self.service.max_receiving();
+                self.receiving.wait_for_room(limit).await;
+                self.listener.accept().await
             };
-            let (permit, accepted) = tokio::select! {
+            let accepted = tokio::select! {
                 () = self.stop.closing.cancelled() => return,
                 accepted = accepting => accepted,
             };
-            if !self.admit(accepted, permit) {
+            if !self.admit(accepted) {
                 tokio::time::sleep(ACCEPT_BACKOFF).await;
             }
         }
@@ -199,14 +197,14 @@
                 accepted = unconstrained(self.listener.accept()) => accepted,
                 () = ready(()) => return,
             };
-            if !self.admit(accepted, self.receiving.begin()) {
+            if !self.admit(accepted) {
                 return;
             }
         }
     }
 
     /// Starts to serve a connection. False if it couldn't be accepted.
-    fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>, permit: Permit) -> bool {
+    fn admit(&mut self, accepted: io::Result<(TcpStream, SocketAddr)>) -> bool {
         let stream = match accepted {
             Ok((stream, _)) => stream,
             Err(error) => {
@@ -220,8 +218,8 @@
         if fits {
             let accepted = Accepted {
                 stream,
+                permit: self.receiving.begin(),
                 receiving: self.receiving.clone(),
-                permit,
             };
             self.connections.spawn(connection(
                 accepted,
