Name an endpoint's life by one type

Cause: Departure and Absence of the relay were the same two numbers with the same constructor, and accepts_work put one together that a member of the directory could name itself.

Change: incarnation::Incarnation serves both, Member::incarnation is called by both. The two stores stay apart: they count repeated reports differently. The datagrams' bytes are the same, and tests differ in the type's name only.

--- a/crates/relay/src/absences.rs
+++ b/crates/relay/src/absences.rs
@@ -10,18 +10,15 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use pimento_policy::choice;
 use pimento_policy::presence::MAX_AVOIDED;
 use pimento_policy::presence::Verdict;
 use pimento_units::Moment;
-use pimento_units::id;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::sync::Notify;
 
 use crate::boot;
 use crate::codec::Codec;
 use crate::headers::HeaderCodec;
+use crate::incarnation::Incarnation;
 use crate::node::Node;
 use crate::node::millis;
 use crate::topic::Log;
@@ -40,30 +37,10 @@
 /// The most absences that are told at a time: they go in every datagram.
 const MAX_TOLD: usize = 16;
 
-/// An incarnation of an endpoint that is not at its address.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Absence {
-    /// Hash of the endpoint's name.
-    pub endpoint: u64,
-    /// The start of the incarnation, in milliseconds since the Unix epoch.
-    pub incarnation: u64,
-}
-
-impl Absence {
-    /// The absence of an endpoint that started then.
-    #[must_use]
-    pub fn new(endpoint: &id::Endpoint, incarnation: u64) -> Self {
-        Self {
-            endpoint: choice::hash(endpoint.as_str()),
-            incarnation,
-        }
-    }
-}
-
 /// An absence that was reported.
 #[derive(Debug, Clone, Copy)]
 struct Entry {
-    absence: Absence,
+    absence: Incarnation,
     /// When the endpoint's address answered for another one.
     at: Moment,
     /// Whether this VM avoids the endpoint for it, and tells others.
@@ -86,14 +63,14 @@
 
     /// Whether a report says nothing that was not reported before.
     #[must_use]
-    pub fn contains(&self, absence: Absence, at: Moment) -> bool {
+    pub fn contains(&self, absence: Incarnation, at: Moment) -> bool {
         let known = self.lock();
         let found = known.binary_search_by_key(&absence, |known| known.absence);
         found.is_ok_and(|place| at <= known[place].at + SAME_REPORT)
     }
 
     /// Remembers a report, and whether this VM avoids the endpoint for it.
-    pub fn insert(&self, absence: Absence, at: Moment, avoided: bool, now: Moment) {
+    pub fn insert(&self, absence: Incarnation, at: Moment, avoided: bool, now: Moment) {
         let mut known = self.lock();
         known.retain(|known| now.since(known.at) < MAX_AVOIDED);
         let report = Entry {
@@ -110,7 +87,7 @@
 
     /// The absences to tell other VMs now, with their ages: the latest if there are many.
     #[must_use]
-    pub fn to_tell(&self, now: Moment) -> Vec<(Absence, Duration)> {
+    pub fn to_tell(&self, now: Moment) -> Vec<(Incarnation, Duration)> {
         let known = self.lock();
         let recent = |known: &&Entry| known.avoided && now.since(known.at) < TELLING;
         let mut recent: Vec<Entry> = known.iter().filter(recent).copied().collect();
@@ -126,7 +103,7 @@
 /// from now on; the caller then updates the pools.
 pub fn record<P: HeaderCodec + Codec, L: Log>(
     node: &Node<P, L>,
-    absence: Absence,
+    absence: Incarnation,
     at: Moment,
 ) -> bool {
     if node.absences.contains(absence, at) {
--- a/crates/relay/src/attempts/announced.rs
+++ b/crates/relay/src/attempts/announced.rs
@@ -7,14 +7,13 @@
 
 use super::Attempts;
 use crate::absences;
-use crate::absences::Absence;
 use crate::boot;
 use crate::codec::Codec;
-use crate::departures::Departure;
 use crate::headers::AnnouncedLimit;
 use crate::headers::AnnouncedRest;
 use crate::headers::HeaderCodec;
 use crate::headers::ResponseInfo;
+use crate::incarnation::Incarnation;
 use crate::pools;
 use crate::topic::Log;
 
@@ -76,7 +75,7 @@
 
     /// Sends nothing more to an endpoint that leaves, whatever the log lists.
     fn apply_departure(&self, permit: &Permit) {
-        let departure = Departure::new(permit.endpoint(), permit.incarnation());
+        let departure = Incarnation::new(permit.endpoint(), permit.incarnation());
         if !self.node.departures.record(departure, boot::now()) {
             return;
         }
@@ -90,7 +89,7 @@
     /// Sends nothing for some time to an endpoint whose address answers for another one, and tells the other VMs
     /// at once: each of them would find it out by a request of its own.
     pub(super) fn apply_absence(&self, permit: &Permit) {
-        let absence = Absence::new(permit.endpoint(), permit.incarnation());
+        let absence = Incarnation::new(permit.endpoint(), permit.incarnation());
         if absences::record(self.node, absence, boot::now()) {
             pools::refresh(self.node);
             self.node.announced.notify_one();
--- a/crates/relay/src/departures.rs
+++ b/crates/relay/src/departures.rs
@@ -9,11 +9,9 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use pimento_policy::choice;
 use pimento_units::Moment;
-use pimento_units::id;
-use serde::Deserialize;
-use serde::Serialize;
+
+use crate::incarnation::Incarnation;
 
 /// How long a departure is remembered: longer than any endpoint takes to leave. One that stays after all is
 /// used again then.
@@ -29,30 +27,10 @@
 /// The most departures that are told at a time: they go in every datagram.
 const MAX_TOLD: usize = 32;
 
-/// One life of an endpoint that leaves.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Departure {
-    /// Hash of the endpoint's name.
-    endpoint: u64,
-    /// The start of this life, in milliseconds since the Unix epoch.
-    incarnation: u64,
-}
-
-impl Departure {
-    /// The departure of an endpoint that started then.
-    #[must_use]
-    pub fn new(endpoint: &id::Endpoint, incarnation: u64) -> Self {
-        Self {
-            endpoint: choice::hash(endpoint.as_str()),
-            incarnation,
-        }
-    }
-}
-
 /// A departure that is remembered.
 #[derive(Debug, Clone, Copy)]
 struct Known {
-    departure: Departure,
+    departure: Incarnation,
     since: Moment,
 }
 
@@ -69,7 +47,7 @@
     }
 
     /// Records a departure. Returns whether it is new.
-    pub fn record(&self, departure: Departure, now: Moment) -> bool {
+    pub fn record(&self, departure: Incarnation, now: Moment) -> bool {
         let mut known = self.lock();
         known.retain(|known| now.since(known.since) < MEMORY);
         let place = known.binary_search_by(|known| known.departure.cmp(&departure));
@@ -87,7 +65,7 @@
 
     /// Whether an endpoint has said that it leaves.
     #[must_use]
-    pub fn contains(&self, departure: Departure, now: Moment) -> bool {
+    pub fn contains(&self, departure: Incarnation, now: Moment) -> bool {
         let known = self.lock();
         let found = known.binary_search_by(|known| known.departure.cmp(&departure));
         found.is_ok_and(|place| now.since(known[place].since) < MEMORY)
@@ -95,7 +73,7 @@
 
     /// The departures to tell other VMs now: the latest if there are many.
     #[must_use]
-    pub fn to_tell(&self, now: Moment) -> Vec<Departure> {
+    pub fn to_tell(&self, now: Moment) -> Vec<Incarnation> {
         let known = self.lock();
         let recent = known
             .iter()
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -15,11 +15,11 @@
 use pimento_units::Offset;
 use pimento_units::id;
 
-use crate::absences::Absence;
 use crate::codec::Codec;
 use crate::follow::Connectivity;
 use crate::follow::Fold;
 use crate::follow::RecordContext;
+use crate::incarnation::Incarnation;
 use crate::node::millis;
 use crate::registration::Registration;
 use crate::topic::Record;
@@ -107,11 +107,11 @@
     /// none if this incarnation is not registered.
     pub fn record_absence(
         &mut self,
-        absence: Absence,
+        absence: Incarnation,
         at: Moment,
         now: Moment,
     ) -> Option<(id::Endpoint, Verdict)> {
-        let is_meant = |member: &Member| member.absence() == absence;
+        let is_meant = |member: &Member| member.incarnation() == absence;
         let place = self.members.iter().position(is_meant)?;
         let pool = self.presences(&self.members[place].registration.pool, now);
         let member = &mut self.members[place];
@@ -284,10 +284,10 @@
         self.grace_end.is_none() && same_cold_end && known == *registration
     }
 
-    /// What is reported if it is not at its address.
-    fn absence(&self) -> Absence {
+    /// The life of the endpoint that is registered.
+    pub(crate) fn incarnation(&self) -> Incarnation {
         let registration = &self.registration;
-        Absence::new(&registration.id, registration.started_unix_ms)
+        Incarnation::new(&registration.id, registration.started_unix_ms)
     }
 
     /// How much longer it is cold; zero if it is not.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod handler;
 pub mod headers;
 pub mod home;
+pub mod incarnation;
 pub mod lifetime;
 pub mod links;
 mod metrics;
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -20,11 +20,10 @@
 use super::loan::Want;
 use super::peer::ReaderStatus;
 use super::speeds::SpeedMessage;
-use crate::absences::Absence;
 use crate::bundle::Bundle;
 use crate::capacity::Capacity;
-use crate::departures::Departure;
 use crate::follow::Proof;
+use crate::incarnation::Incarnation;
 use crate::links;
 use crate::poison::PartMessage;
 use crate::poison::Report;
@@ -73,7 +72,7 @@
     /// Numbers of requests that endpoints may turn away, sent like [`Message::limits`].
     pub max_rejections: Vec<RejectionMessage>,
     /// Endpoints that said not long ago that they leave.
-    pub departures: Vec<Departure>,
+    pub departures: Vec<Incarnation>,
     /// Endpoints that turned away what the sender sent them through the receiver.
     pub rests: Vec<RestMessage>,
 }
@@ -108,13 +107,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AbsenceMessage {
     /// The endpoint.
-    pub absence: Absence,
+    pub absence: Incarnation,
     /// Milliseconds since that response.
     pub age_ms: u32,
 }
 
-impl From<(Absence, Duration)> for AbsenceMessage {
-    fn from((absence, age): (Absence, Duration)) -> Self {
+impl From<(Incarnation, Duration)> for AbsenceMessage {
+    fn from((absence, age): (Incarnation, Duration)) -> Self {
         Self {
             absence,
             age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -29,9 +29,9 @@
 use crate::bundle::Bundle;
 use crate::bundle::SharedTopic;
 use crate::codec::Codec;
-use crate::departures::Departure;
 use crate::follow::RecordRange;
 use crate::headers::HeaderCodec;
+use crate::incarnation::Incarnation;
 use crate::pools;
 use crate::topic::Log;
 use crate::zone::Stamp;
@@ -245,7 +245,7 @@
     }
 
     /// Records endpoints that leave, which this VM then tells others as well.
-    fn merge_departures(&self, departures: &[Departure], now: Moment) {
+    fn merge_departures(&self, departures: &[Incarnation], now: Moment) {
         let mut any = false;
         for departure in departures {
             any |= self.node.departures.record(*departure, now);
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -25,7 +25,6 @@
 use crate::cascade;
 use crate::codec::Codec;
 use crate::config::Config;
-use crate::departures::Departure;
 use crate::departures::Departures;
 use crate::directory;
 use crate::directory::Directory;
@@ -225,9 +224,7 @@
     /// Whether an endpoint accepts new work, by its registration, by what it said itself and by what answers at
     /// its address.
     pub(crate) fn accepts_work(&self, member: &directory::Member, now: Moment) -> bool {
-        let registration = &member.registration;
-        let departure = Departure::new(&registration.id, registration.started_unix_ms);
-        let leaves = self.departures.contains(departure, now);
+        let leaves = self.departures.contains(member.incarnation(), now);
         member.is_usable(now) && !leaves && !member.presence.is_avoided(now)
     }
 
--- a/crates/relay/tests/all/datagrams.rs
+++ b/crates/relay/tests/all/datagrams.rs
@@ -1,7 +1,7 @@
 //! Datagrams between VMs of different versions.
 
 use pimento_policy::speed::Sum;
-use pimento_relay::absences::Absence;
+use pimento_relay::incarnation::Incarnation;
 use pimento_relay::neighbours::message::AbsenceMessage;
 use pimento_relay::neighbours::message::Absences;
 use pimento_relay::neighbours::message::Datagram;
@@ -64,7 +64,7 @@
 fn vms_of_different_versions_read_each_others_datagrams() {
     let mut sent = datagram(vec![speed(u64::MAX), speed(1)]);
     sent.absences.misdirected = vec![AbsenceMessage {
-        absence: Absence::new(&name("engine-1"), 7),
+        absence: Incarnation::new(&name("engine-1"), 7),
         age_ms: 300,
     }];
     let bytes = sent.encode().unwrap();
--- a/crates/relay/tests/all/departures.rs
+++ b/crates/relay/tests/all/departures.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use pimento_relay::departures::Departure;
 use pimento_relay::departures::Departures;
+use pimento_relay::incarnation::Incarnation;
 use pimento_units::Moment;
 
-fn departure(number: u32) -> Departure {
-    Departure::new(&format!("i-{number}").parse().unwrap(), 7)
+fn departure(number: u32) -> Incarnation {
+    Incarnation::new(&format!("i-{number}").parse().unwrap(), 7)
 }
 
 fn at(seconds: u64) -> Moment {
@@ -36,6 +36,6 @@
     assert_eq!(departures.to_tell(at(13)), []);
     assert!(departures.contains(departure(1), at(500)));
     assert!(!departures.contains(departure(1), at(700)));
-    let next_life = Departure::new(&"i-1".parse().unwrap(), 8);
+    let next_life = Incarnation::new(&"i-1".parse().unwrap(), 8);
     assert!(!departures.contains(next_life, at(11)));
 }
