Derive how many requests may be received from the load

Cause: the number was a field of Load, set to none and then overwritten, although load and bandwidth give it.

Change: Link::max_receiving gives it. The tests ask the link for it, with the same bounds.

--- a/crates/policy/src/link.rs
+++ b/crates/policy/src/link.rs
@@ -59,8 +59,6 @@
     pub sent: f64,
     /// Time in which what was written so far will have left.
     pub send_delay: Duration,
-    /// How many requests may be received at a time; any number while both ways have room.
-    pub max_receiving: Option<usize>,
 }
 
 impl Load {
@@ -107,16 +105,6 @@
         }
     }
 
-    /// How many requests may be received at a time. At a full link it is one: each further one would delay those that
-    /// are being answered.
-    fn max_receiving(&self) -> Option<usize> {
-        if self.load.is_full() {
-            return Some(1);
-        }
-        let busy = self.load.received.max(self.load.sent) >= BUSY;
-        busy.then(|| receiving(self.bandwidth))
-    }
-
     /// Updates the load by the bytes carried until now, and returns it.
     pub fn measure(&mut self, totals: Totals, now: Moment) -> Load {
         let interval = now.since(self.measured);
@@ -133,13 +121,22 @@
             received: mix(self.load.received, received),
             sent: mix(self.load.sent, sent),
             send_delay: number::seconds(self.queued / self.bandwidth.bytes_per_second()),
-            max_receiving: None,
         };
-        self.load.max_receiving = self.max_receiving();
         self.totals = totals;
         self.measured = now;
         self.load
     }
+
+    /// How many requests may be received at a time, as last measured; any number while both ways have room. At a full
+    /// link it is one: each further one would delay those that are being answered.
+    #[must_use]
+    pub fn max_receiving(&self) -> Option<usize> {
+        if self.load.is_full() {
+            return Some(1);
+        }
+        let busy = self.load.received.max(self.load.sent) >= BUSY;
+        busy.then(|| receiving(self.bandwidth))
+    }
 }
 
 /// How many requests a link receives in [`RECEIVE_TIME`].
--- a/crates/policy/tests/link.rs
+++ b/crates/policy/tests/link.rs
@@ -64,24 +64,27 @@
 /// Guards against callers who wait to be accepted by a VM whose link has room.
 #[test]
 fn any_number_is_received_while_the_link_has_room() {
-    let load = Play::new().run(Duration::from_secs(2), 15_000, 15_000);
-    assert_eq!(load.max_receiving, None);
+    let mut play = Play::new();
+    play.run(Duration::from_secs(2), 15_000, 15_000);
+    assert_eq!(play.link.max_receiving(), None);
 }
 
 /// Guards against requests that a full link carries and nobody gets an answer to.
 #[test]
 fn one_request_is_received_at_a_time_while_either_way_is_full() {
     for (received, sent) in [(48_000, 1_000), (1_000, 48_000)] {
-        let load = Play::new().run(Duration::from_secs(1), received, sent);
-        assert_eq!(load.max_receiving, Some(1), "{load:?}");
+        let mut play = Play::new();
+        let load = play.run(Duration::from_secs(1), received, sent);
+        assert_eq!(play.link.max_receiving(), Some(1), "{load:?}");
     }
 }
 
 /// Guards against a burst that fills the link before the number is limited.
 #[test]
 fn the_number_is_limited_before_the_link_is_full() {
-    let load = Play::new().run(Duration::from_secs(1), 32_000, 15_000);
-    let limit = load.max_receiving.unwrap();
+    let mut play = Play::new();
+    let load = play.run(Duration::from_secs(1), 32_000, 15_000);
+    let limit = play.link.max_receiving().unwrap();
     assert!(!load.is_full() && (2..=16).contains(&limit), "{load:?}");
 }
 
@@ -91,7 +94,7 @@
     let mut play = Play::new();
     let load = play.run(STEP, 0, 150_000);
     assert!(load.send_delay >= Duration::from_millis(50), "{load:?}");
-    assert_eq!(load.max_receiving, Some(1));
+    assert_eq!(play.link.max_receiving(), Some(1));
     let load = play.run(Duration::from_secs(1), 0, 1_000);
     assert_eq!(load.send_delay, Duration::ZERO);
 }
@@ -102,7 +105,7 @@
     let mut play = Play::new();
     play.run(Duration::from_secs(10), 100_000, 60_000);
     let load = play.run(Duration::from_secs(3), 10_000, 10_000);
-    assert_eq!(load.max_receiving, None, "{load:?}");
+    assert_eq!(play.link.max_receiving(), None, "{load:?}");
 }
 
 /// Guards against requests that fill a small link while they wait to be accepted.
--- a/crates/relay/src/own_link.rs
+++ b/crates/relay/src/own_link.rs
@@ -4,6 +4,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -52,22 +53,24 @@
     /// The load now; none if the bandwidth is unknown.
     #[must_use]
     pub fn load(&self) -> Option<Load> {
-        let mut link = self
-            .link
-            .as_ref()?
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let totals = link::Totals {
-            received: self.traffic.received(),
-            sent: self.traffic.sent(),
-        };
-        Some(link.measure(totals, self.clock.now()))
+        self.measured().map(|(load, _)| load)
     }
 
     /// How many requests may be received at a time; any number while the link has room for more.
     #[must_use]
     pub fn max_receiving(&self) -> Option<usize> {
-        self.load()?.max_receiving
+        self.measured().and_then(|(_, link)| link.max_receiving())
+    }
+
+    /// The link, measured now, and its load.
+    fn measured(&self) -> Option<(Load, MutexGuard<'_, Link>)> {
+        let link = self.link.as_ref()?;
+        let mut link = link.lock().unwrap_or_else(PoisonError::into_inner);
+        let totals = link::Totals {
+            received: self.traffic.received(),
+            sent: self.traffic.sent(),
+        };
+        Some((link.measure(totals, self.clock.now()), link))
     }
 
     /// Logs while the link is full, until `token` is cancelled.
