--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -90,12 +90,9 @@
         wrote: Poll<io::Result<usize>>,
         cx: &mut Context<'_>,
     ) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(wrote) = &wrote {
-            self.traffic.send(*wrote.as_ref().unwrap_or(&0));
+        if let Poll::Ready(wrote) = wrote {
             self.unread_end = None;
-        }
-        if wrote.is_ready() {
-            return wrote;
+            return Poll::Ready(wrote.inspect(|bytes| self.traffic.send(*bytes)));
         }
         let timeout = self.unread_timeout;
         let end = self
