Make the evidence of a slow version in one place of its tests

Cause: two tests, of a version in a shift and of one in place, held the same answers by hand. Change: they share them; assertions are as before.

--- a/crates/policy/tests/shift.rs
+++ b/crates/policy/tests/shift.rs
@@ -48,24 +48,29 @@
     assert_eq!(cause(&engines), Some(Cause::Latency));
 }
 
+/// A version whose short answers begin nearly as fast as before, and whose long ones don't.
+fn slow_with_long_requests() -> [RouteEvidence; 2] {
+    [
+        route(answers(22, 0, 105.0), answers(392, 0, 77.0)),
+        route(answers(10, 0, 990.0), answers(278, 0, 386.0)),
+    ]
+}
+
 /// Guards against a version that delays long requests only, whose short ones hide it until the deadline has passed.
 #[test]
 fn a_version_that_is_slow_with_long_requests_only_is_bad() {
-    let routes = [
-        route(answers(22, 0, 105.0), answers(392, 0, 77.0)),
-        route(answers(10, 0, 990.0), answers(278, 0, 386.0)),
-    ];
-    assert_eq!(cause(&routes), Some(Cause::Latency));
+    assert_eq!(cause(&slow_with_long_requests()), Some(Cause::Latency));
 }
 
 /// Guards against an alarm because the load rose since the old version was replaced.
 #[test]
 fn a_version_in_place_is_not_bad_by_its_long_requests_alone() {
-    let routes = [
-        route(answers(22, 0, 105.0), answers(392, 0, 77.0)),
-        route(answers(10, 0, 990.0), answers(278, 0, 386.0)),
-    ];
-    let cause = shift::regression(&routes, SEVERAL, SEVERAL, Period::InPlace);
+    let cause = shift::regression(
+        &slow_with_long_requests(),
+        SEVERAL,
+        SEVERAL,
+        Period::InPlace,
+    );
     assert_eq!(cause, None);
 }
 
