Round a bandwidth, so that its printed form is the same one

Cause: megabits were cut off to whole bytes. 531315.8274073895 Mbit/s was printed as something that was read as one byte per second less.

Change: they are rounded.

--- a/crates/units/src/bandwidth.rs
+++ b/crates/units/src/bandwidth.rs
@@ -30,14 +30,14 @@
     ///
     /// # Errors
     ///
-    /// [`Error`] if it is less than a byte per second, or no number.
+    /// [`Error`] if it is no number, or rounds to less than a byte per second.
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
         reason = "the cast saturates, and negative values and NaN become zero"
     )]
     pub fn from_mbps(mbps: f64) -> Result<Self, Error> {
-        let bytes = (mbps * BYTES_PER_MBIT) as u64;
+        let bytes = (mbps * BYTES_PER_MBIT).round() as u64;
         NonZeroU64::new(bytes).map(Self).ok_or_else(|| Error {
             found: CompactString::from(mbps.to_string()),
         })
