Log and count why a request uses its version, and for which session

Cause: on a report of sessions that changed their version nothing told the hypotheses apart. `attempt: Sent` named the version, and neither the session nor the reason.

Change: `attempt: Sent` has `session` and `reason`, `Phase began` the number of sessions kept on the old version; `pimento_rollout_reasons` and `pimento_rollout_session_changes` count both; a line for each session that goes back. The metrics of roll-outs move into a module of their own. No decision changes.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -37,6 +37,7 @@
 pub use self::readiness::Readiness;
 pub use self::side::Known;
 pub use self::side::Progress;
+pub use self::side::Reason;
 pub use self::side::Side;
 
 /// Settings of a shift.
--- a/crates/policy/src/shift/side.rs
+++ b/crates/policy/src/shift/side.rs
@@ -9,6 +9,50 @@
     New,
 }
 
+/// Why a request uses its version, for logs and metrics.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Reason {
+    /// The new version has no usable endpoint.
+    NoNewEndpoint,
+    /// The old version has no usable endpoint.
+    NoOldEndpoint,
+    /// It is not known how the shift has gone on.
+    Unknown,
+    /// The new version is in place.
+    Done,
+    /// The old version is in place, or the new one is bad.
+    RolledBack,
+    /// Its session has used the new version.
+    Kept,
+    /// Its session stays on the old version.
+    Pinned,
+    /// It is in the share that uses the new version.
+    InShare,
+    /// It is not in that share.
+    NotInShare,
+    /// It is in that share, and the bound on requests is reached.
+    BoundReached,
+}
+
+impl Reason {
+    /// Its name in logs and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::NoNewEndpoint => "no_new_endpoint",
+            Self::NoOldEndpoint => "no_old_endpoint",
+            Self::Unknown => "unknown",
+            Self::Done => "done",
+            Self::RolledBack => "rolled_back",
+            Self::Kept => "kept",
+            Self::Pinned => "pinned",
+            Self::InShare => "in_share",
+            Self::NotInShare => "not_in_share",
+            Self::BoundReached => "bound_reached",
+        }
+    }
+}
+
 /// How a shift has gone on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
@@ -46,6 +90,27 @@
 }
 
 impl Known {
+    /// Why the request uses the version that [`side`](Self::side) tells.
+    #[must_use]
+    pub const fn reason(&self) -> Reason {
+        if !self.new_usable {
+            return Reason::NoNewEndpoint;
+        }
+        match self.progress {
+            Progress::Done => Reason::Done,
+            Progress::RolledBack => Reason::RolledBack,
+            Progress::Unknown => Reason::Unknown,
+            Progress::Running => match self.last {
+                Some(Side::New) => Reason::Kept,
+                _ if !self.old_usable => Reason::NoOldEndpoint,
+                _ if self.pinned => Reason::Pinned,
+                _ if !self.joins => Reason::NotInShare,
+                _ if !self.within_bound => Reason::BoundReached,
+                _ => Reason::InShare,
+            },
+        }
+    }
+
     /// The version that the request uses; none if it may use neither now.
     #[must_use]
     pub const fn side(&self) -> Option<Side> {
--- a/crates/relay/src/attempts.rs
+++ b/crates/relay/src/attempts.rs
@@ -175,9 +175,10 @@
         self.state.answer_begun = false;
         let tracker = &self.request.tracker;
         tracker.enter_sent(permit.endpoint(), self.state.last_sent);
+        let reason = self.version_reason();
         self.record_session_version(&permit);
-        self.record_sent(&permit);
-        self.log_sent(&permit, overrides);
+        self.record_sent(&permit, reason);
+        self.log_sent(&permit, overrides, reason);
         if self.node.config.reports.is_urgent(permit.prefill_time()) {
             self.node.long_prompt_sent.notify_one();
         }
--- a/crates/relay/src/attempts/detail.rs
+++ b/crates/relay/src/attempts/detail.rs
@@ -3,6 +3,7 @@
 use pimento_endpoint::Fault;
 use pimento_policy::admission;
 use pimento_policy::shed::Aim;
+use pimento_policy::shift::Reason;
 use pimento_scheduler::Job;
 use pimento_scheduler::Permit;
 use pimento_scheduler::Requirement;
@@ -51,7 +52,7 @@
     }
 
     /// Logs to which endpoint the request is sent, and the data that this is based on.
-    pub(super) fn log_sent(&self, permit: &Permit, overrides: &Overrides) {
+    pub(super) fn log_sent(&self, permit: &Permit, overrides: &Overrides, reason: Option<Reason>) {
         let request = self.request;
         let view = self.node.view_info();
         let now = self.node.now();
@@ -62,6 +63,8 @@
             endpoint = permit.endpoint().as_str(),
             zone = permit.zone().as_str(),
             version = permit.version().map(id::Version::as_str),
+            session = request.info.session.map(|session| format!("{session:x}")).as_deref(),
+            reason = reason.map(Reason::name),
             model = overrides.model.as_ref().map(id::Version::as_str),
             resume = overrides.last_event_id,
             attempt = self.state.sent,
@@ -92,11 +95,22 @@
     }
 
     /// Counts a request that is about to be sent, for the roll-out of its service.
-    pub(super) fn record_sent(&self, permit: &Permit) {
-        if let Some(version) = permit.version() {
-            self.node
-                .rollouts(|r| r.record_sent(&self.request.pool, version));
-        }
+    pub(super) fn record_sent(&self, permit: &Permit, reason: Option<Reason>) {
+        let pool = &self.request.pool;
+        self.node.rollouts(|r| {
+            if let Some(version) = permit.version() {
+                r.record_sent(pool, version);
+            }
+            if let Some(reason) = reason {
+                r.record_reason(pool, reason);
+            }
+        });
+    }
+
+    /// Why the request uses its version; none without an order.
+    pub(super) fn version_reason(&self) -> Option<Reason> {
+        let (pool, scope) = (&self.request.pool, self.scope());
+        self.node.rollouts(|r| r.reason(pool, scope, boot::now()))
     }
 
     /// Records whether the response has begun or the endpoint failed, in metrics and as evidence in a
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters, gauges and histograms of an entry VM, with a bounded number of series.
 
+mod rollouts;
 mod series;
 
 use std::time::Duration;
@@ -73,9 +74,7 @@
     behind: GaugeVec,
     reads: GaugeVec,
     calls: GaugeVec,
-    rollouts: GaugeVec,
-    rollout_sent: GaugeVec,
-    rollout_bad: GaugeVec,
+    rollouts: rollouts::Gauges,
     poison: GaugeVec,
     connects: GaugeVec,
     links: GaugeVec,
@@ -162,14 +161,7 @@
                 "Calls of the log since the start, by topic and why they were made",
                 &["topic", "reason"],
             ),
-            rollouts: gauge_vec(
-                r,
-                "pimento_rollout_evidence",
-                "Answers of the new version in a roll-out as this VM knows them, by pool and outcome",
-                &["pool", "outcome"],
-            ),
-            rollout_sent: series::rollout_sent(r),
-            rollout_bad: series::rollout_bad(r),
+            rollouts: rollouts::Gauges::new(r),
             poison: series::poison(r),
             connects: series::connects(r),
             links: series::links(r),
@@ -341,28 +333,7 @@
             let count = u64::try_from(count).unwrap_or(u64::MAX);
             metrics.set_pool_figure(&pool, "avoided", to_f64(count));
         }
-        for (pool, sum) in node.rollouts(|rollouts| rollouts.target_counts()) {
-            let served = sum.attempts.saturating_sub(sum.failed);
-            let outcomes = [("served", served), ("failed", sum.failed)];
-            for (outcome, count) in outcomes {
-                let labels = [pool.as_str(), outcome];
-                let gauge = metrics.rollouts.with_label_values(&labels);
-                gauge.set(f64::from(count));
-            }
-        }
-        metrics.rollout_bad.reset();
-        for (pool, in_place) in node.rollouts(|rollouts| rollouts.bad_versions()) {
-            let when = if in_place { "in_place" } else { "in_time" };
-            let labels = [pool.as_str(), when];
-            metrics.rollout_bad.with_label_values(&labels).set(1.0);
-        }
-        for (pool, sent) in node.rollouts(|rollouts| rollouts.sent_counts()) {
-            for (version, count) in [("new", sent.new), ("all", sent.all)] {
-                let labels = [pool.as_str(), version];
-                let gauge = metrics.rollout_sent.with_label_values(&labels);
-                gauge.set(f64::from(count));
-            }
-        }
+        node.rollouts(|rollouts| metrics.rollouts.update(rollouts));
         metrics.set_topic_figures("poison", &node.blocklist);
         let (suspect, blocked) = node.poison.counts();
         let parts = node.poison.blocked_parts();
--- a/crates/relay/src/metrics/series.rs
+++ b/crates/relay/src/metrics/series.rs
@@ -7,24 +7,6 @@
 use prometheus::IntCounterVec;
 use prometheus::Registry;
 
-pub(super) fn rollout_bad(registry: &Registry) -> GaugeVec {
-    gauge_vec(
-        registry,
-        "pimento_rollout_bad",
-        "1 if the new version of the last roll-out was found to be bad, by pool, in time or once in place",
-        &["pool", "when"],
-    )
-}
-
-pub(super) fn rollout_sent(registry: &Registry) -> GaugeVec {
-    gauge_vec(
-        registry,
-        "pimento_rollout_sent",
-        "Requests that this VM sent since the last roll-out's order, by pool, to the new version and to all",
-        &["pool", "version"],
-    )
-}
-
 pub(super) fn poison(registry: &Registry) -> GaugeVec {
     let what = "Requests under which endpoints ended: suspects, and those that are sent no more";
     gauge_vec(registry, "pimento_poison_requests", what, &["state"])
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -18,6 +18,7 @@
 use pimento_policy::exposure::Sent;
 use pimento_policy::shift;
 use pimento_policy::shift::Phase;
+use pimento_policy::shift::Reason;
 use pimento_units::Moment;
 use pimento_units::id;
 
@@ -28,6 +29,7 @@
 use self::evidence::Situation;
 use self::exchange::LastAnnounced;
 use self::state::RolloutState;
+use self::state::SessionChanges;
 use self::state::Step;
 use self::versions::Held;
 use self::versions::PoolVersions;
@@ -245,7 +247,10 @@
         version: &id::Version,
         now: Moment,
     ) {
-        self.sessions.record(session, version, now);
+        let changed = self.sessions.record(session, version, now);
+        if changed && let Some(rollout) = self.get_mut(pool) {
+            rollout.count_session_change(session, version);
+        }
         let Some(rollout) = self.get(pool).filter(|r| r.ended().is_none()) else {
             return;
         };
@@ -275,6 +280,39 @@
             .collect()
     }
 
+    /// Records why a request uses its version.
+    pub fn record_reason(&mut self, pool: &id::Pool, reason: Reason) {
+        if let Some(rollout) = self.get_mut(pool) {
+            rollout.count_reason(reason);
+        }
+    }
+
+    /// The requests that this VM sent since each service's last order, by the reason for their version.
+    #[must_use]
+    pub fn reason_counts(&self) -> Vec<(id::Pool, Reason, u32)> {
+        let newest = self.newest.iter();
+        let counts = newest.flat_map(|rollout| {
+            let pool = &rollout.order.rollout.pool;
+            let reasons = rollout.reasons().iter();
+            reasons.map(|(reason, count)| (pool.clone(), *reason, *count))
+        });
+        counts.collect()
+    }
+
+    /// The sessions that changed their version at this VM since each service's last order, to the new one and
+    /// back to the old one.
+    #[must_use]
+    pub fn session_changes(&self) -> Vec<(id::Pool, SessionChanges)> {
+        let newest = self.newest.iter();
+        let changes = newest.map(|rollout| {
+            (
+                rollout.order.rollout.pool.clone(),
+                rollout.session_changes(),
+            )
+        });
+        changes.collect()
+    }
+
     /// Sessions that used the old version at this VM and were not announced to other VMs yet.
     pub fn take_pending_sessions(&mut self) -> Vec<PinnedSession> {
         let mut pending = Vec::new();
--- a/crates/relay/src/rollouts/choice.rs
+++ b/crates/relay/src/rollouts/choice.rs
@@ -5,6 +5,7 @@
 use pimento_policy::shift::Known;
 use pimento_policy::shift::Phase;
 use pimento_policy::shift::Progress;
+use pimento_policy::shift::Reason;
 use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::id;
@@ -78,6 +79,14 @@
         }
     }
 
+    /// Why a request uses its version; none if its service has no order or no known endpoint.
+    #[must_use]
+    pub fn reason(&self, pool: &id::Pool, scope: Scope, now: Moment) -> Option<Reason> {
+        let versions = self.pool_versions(pool)?;
+        let rollout = self.get(pool)?;
+        Some(self.known(rollout, versions, scope, now).reason())
+    }
+
     /// What is known of a roll-out for a request of this scope.
     fn known(
         &self,
--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -62,7 +62,8 @@
             sent = self.sent.all,
             answers = counts.attempts,
             failed = counts.failed,
-            heard = self.live_peers(now).count();
+            heard = self.live_peers(now).count(),
+            pinned = self.pinned.len();
             "rollout: Phase began."
         );
     }
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -7,6 +7,7 @@
 use pimento_policy::exposure::Sent;
 use pimento_policy::shift::Phase;
 use pimento_policy::shift::Progress;
+use pimento_policy::shift::Reason;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -88,6 +89,18 @@
     pub(super) pinned: Vec<u64>,
     /// Those of them that were not announced to other VMs yet.
     pub(super) pending_sessions: Vec<u64>,
+    /// Requests that this VM sent, by the reason for their version; sorted.
+    reasons: Vec<(Reason, u32)>,
+    session_changes: SessionChanges,
+}
+
+/// Sessions that changed their version at one VM since the order.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct SessionChanges {
+    /// From the old version to the new one.
+    pub to_new: u32,
+    /// From the new version back to the old one.
+    pub to_old: u32,
 }
 
 /// What is to be done about a roll-out.
@@ -120,6 +133,11 @@
             peers: Vec::new(),
             pinned: Vec::new(),
             pending_sessions: Vec::new(),
+            reasons: Vec::new(),
+            session_changes: SessionChanges {
+                to_new: 0,
+                to_old: 0,
+            },
         }
     }
 
@@ -230,6 +248,44 @@
         self.sent.count(new);
     }
 
+    /// Counts a request that is sent, by the reason for its version.
+    pub fn count_reason(&mut self, reason: Reason) {
+        match self
+            .reasons
+            .binary_search_by_key(&reason, |(known, _)| *known)
+        {
+            Ok(place) => self.reasons[place].1 = self.reasons[place].1.saturating_add(1),
+            Err(place) => self.reasons.insert(place, (reason, 1)),
+        }
+    }
+
+    /// The requests that this VM sent, by the reason for their version.
+    #[must_use]
+    pub fn reasons(&self) -> &[(Reason, u32)] {
+        &self.reasons
+    }
+
+    /// Counts a session that changed its version at this VM, and logs one that went back.
+    pub fn count_session_change(&mut self, session: u64, to: &id::Version) {
+        if self.target() == to {
+            self.session_changes.to_new = self.session_changes.to_new.saturating_add(1);
+            return;
+        }
+        self.session_changes.to_old = self.session_changes.to_old.saturating_add(1);
+        log::info!(
+            pool = self.order.rollout.pool.as_str(),
+            session:% = format_args!("{session:x}"),
+            version = to.as_str();
+            "rollout: A session went back to the old version."
+        );
+    }
+
+    /// The sessions that changed their version at this VM.
+    #[must_use]
+    pub const fn session_changes(&self) -> SessionChanges {
+        self.session_changes
+    }
+
     /// The requests that this VM sent since it read the order.
     #[must_use]
     pub const fn sent(&self) -> Sent {
--- a/crates/relay/src/sessions.rs
+++ b/crates/relay/src/sessions.rs
@@ -44,8 +44,11 @@
         (now.since(found.last_used) <= self.timeout).then_some(&found.version)
     }
 
-    /// Records that a version runs or ran a request of a session.
-    pub fn record(&mut self, session: u64, version: &id::Version, now: Moment) {
+    /// Records that a version runs or ran a request of a session. Returns whether the session last used another one.
+    pub fn record(&mut self, session: u64, version: &id::Version, now: Moment) -> bool {
+        let changed = self
+            .version(session, now)
+            .is_some_and(|last| last != version);
         self.sweep(now);
         match self.recent.binary_search_by_key(&session, |s| s.id) {
             Ok(index) => {
@@ -64,6 +67,7 @@
                 self.recent.insert(index, new);
             }
         }
+        changed
     }
 
     /// The sessions that have not expired.
