Tell sessions until they are known, and pass room on to VMs that start

Callers saw requests of one session answered by another version than the one before, in a roll-out during which VMs restart.

Cause: what a VM needs to know before it sends was told once, and what it doesn't know it took for no. Sessions kept on the old version went out in one datagram each, to one VM of each other zone, the same one for two seconds; that a session uses the new version was told to nobody; a VM that started counted its requests from zero, so that its bound allowed none on the new version once all sessions had moved; and it took the order for new until the next announcement.

Change: both kinds of sessions are told four times, each time through another VM of another zone. A VM that starts asks, and isn't ready before a neighbour has told all sessions, the age of the order and its end, or 1.5 s are over. Room within the bound is passed between the VMs of a group, by sums that only grow: one that stops leaves what it doesn't need, one that wants more is lent what others have left. A session that may have moved, at a VM without room, is refused at once instead of going back. A request that waited for a slot of the old version while its session moved chooses anew. The first conflict of the bound stays with the count: no loan adds to the sum (property test).

Ruled out: telling all sessions in the rise (16 KB each second); tunnels, as the count stays with the sender; counts left by the dead, which may be behind.

What was tested too strictly: only a session known to be on the new version might be refused; now also one that may be there, and never without a full bound. A test asserts in turn that neither is sent back.

--- a/crates/policy/src/shift.rs
+++ b/crates/policy/src/shift.rs
@@ -21,6 +21,7 @@
 
 mod evidence;
 mod readiness;
+mod schedule;
 mod side;
 
 use std::time::Duration;
@@ -123,21 +124,15 @@
     /// given.
     #[must_use]
     pub fn phase(&self, age: Duration, time_limit: Duration, exposure: f64) -> Phase {
-        let earliest = time_limit.mul_f64(self.trial_time) + self.clock_margin;
-        // For this long before the deadline the new version may get all requests.
-        let left = (self.usable_part - self.trial_part.share) * exposure.clamp(0.0, 1.0);
-        let left = time_limit.mul_f64(left);
-        let ramp = left.mul_f64(self.ramp).max(Duration::from_millis(1));
-        // A share that rises evenly gets half of the requests.
-        let trial_end = time_limit.saturating_sub(left + ramp / 2).max(earliest);
+        let schedule = self.schedule(time_limit, exposure);
         let share = (exposure * self.trial_exposure).clamp(0.0, 1.0);
         if age < self.observation {
             return Phase::Observation;
         }
-        if age < trial_end {
+        if age < schedule.trial_end {
             return Phase::Trial(to_share(share));
         }
-        let progress = age.saturating_sub(trial_end).as_secs_f64() / ramp.as_secs_f64();
+        let progress = schedule.ramp_progress(age);
         if progress >= 1.0 {
             return Phase::Moved;
         }
--- a/crates/policy/src/shift/side.rs
+++ b/crates/policy/src/shift/side.rs
@@ -83,8 +83,10 @@
     pub last: Option<Side>,
     /// Whether sessions that used the old version stay there, and this may be one of them.
     pub pinned: bool,
-    /// Whether the session is in the share that moves to the new version, and may join it.
+    /// Whether the request is in the share that uses the new version.
     pub joins: bool,
+    /// Whether its session may have moved to the new version elsewhere, which this node would not know.
+    pub may_have_moved: bool,
     /// Whether the bound allows one more request to the new version.
     pub within_bound: bool,
 }
@@ -121,8 +123,11 @@
             Progress::Done => Some(Side::New),
             // Its old version is back soon, and answers of a bad one are worse than none.
             Progress::RolledBack => self.old_side(),
-            Progress::Unknown if self.old_usable => Some(Side::Old),
-            Progress::Unknown => self.new_side(),
+            Progress::Unknown => match self.last {
+                Some(Side::New) => self.new_side(),
+                _ if self.old_usable => Some(Side::Old),
+                _ => self.new_side(),
+            },
             Progress::Running => self.running_side(),
         }
     }
@@ -132,7 +137,10 @@
             // Its caller has answers of the new version, and must not get others again.
             Some(Side::New) => self.new_side(),
             _ if !self.old_usable => self.new_side(),
-            _ if self.joins && !self.pinned && self.within_bound => Some(Side::New),
+            _ if self.pinned || !self.joins => Some(Side::Old),
+            _ if self.within_bound => Some(Side::New),
+            // Its caller may have answers of the new version.
+            _ if self.may_have_moved => None,
             _ => Some(Side::Old),
         }
     }
--- a/crates/relay/src/neighbours/broadcast.rs
+++ b/crates/relay/src/neighbours/broadcast.rs
@@ -1,6 +1,7 @@
 //! What a VM sends to the others, and how often.
 
 mod collect;
+mod handover;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use super::message::Absences;
 use super::message::Datagram;
 use super::message::Extension;
+use super::message::Handovers;
 use super::message::Measurements;
 use super::message::Message;
 use super::message::Position;
@@ -23,6 +25,7 @@
 use super::message::Supplement;
 use super::message::ZoneSummary;
 use super::peers::PROBE_INTERVAL;
+use super::peers::ROTATION_INTERVAL;
 use super::update::Update;
 use crate::boot;
 use crate::codec::Codec;
@@ -231,6 +234,7 @@
         loop {
             tokio::time::sleep(REMOTE_INTERVAL).await;
             let now = boot::now();
+            self.hand_over_remotely().await;
             let (update, targets, leads) = {
                 let mut inner = self.lock();
                 let update = Update {
@@ -242,7 +246,10 @@
                     ..Update::default()
                 };
                 let config = &self.node.config;
-                let targets = inner.peers.remote_targets(&config.node, &config.zone, now);
+                let targets =
+                    inner
+                        .peers
+                        .remote_targets(&config.node, &config.zone, ROTATION_INTERVAL, now);
                 (update, targets, inner.leader.is_none())
             };
             let divided = !targets.groups.is_empty();
@@ -306,6 +313,10 @@
                     .map(|vm| loan::lend(&self.node.scheduler, vm))
                     .unwrap_or_default(),
             };
+            let mut handovers = part.handovers.to_vec();
+            if let Some(vm) = borrower {
+                self.add_loans(&mut handovers, vm);
+            }
             let absences = self.node.absences.to_tell(boot::now()).into_iter();
             let speeds = if part.first { &update.speeds[..] } else { &[] };
             let datagram = Datagram {
@@ -318,6 +329,9 @@
                 absences: Absences {
                     misdirected: absences.map(AbsenceMessage::from).collect(),
                 },
+                handovers: Handovers {
+                    rollouts: handovers,
+                },
             };
             let bytes = match datagram.encode() {
                 Ok(bytes) => bytes,
--- a/crates/relay/src/neighbours/broadcast/collect.rs
+++ b/crates/relay/src/neighbours/broadcast/collect.rs
@@ -79,9 +79,13 @@
 
     /// Collects what is to be sent to the group. What others need to know as well is queued for them.
     pub(super) fn collect_update(&self) -> Update {
+        let stops = self.node.lifetime.is_leaving();
         let mut update = Update {
             rollouts: self.own_announcements(self.node.due_announcements(boot::now())),
             pinned_sessions: self.node.rollouts(Rollouts::take_pending_sessions),
+            handovers: self
+                .node
+                .rollouts(|r| r.group_handovers(stops, boot::now())),
             poison: self.node.poison.take_zone_reports(boot::now()),
             poison_parts: self.node.poison.take_zone_parts(boot::now()),
             bundles: self.take_bundles(),
--- a/crates/relay/src/neighbours/message.rs
+++ b/crates/relay/src/neighbours/message.rs
@@ -29,6 +29,7 @@
 use crate::poison::Report;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
+use crate::rollouts::handover::Handover;
 
 /// A datagram. It is written without names: the order and types of its fields are the format.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -103,6 +104,13 @@
     pub misdirected: Vec<AbsenceMessage>,
 }
 
+/// What follows [`Absences`] in their datagram, with the same rule for older versions.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Handovers {
+    /// Sessions' versions, and room within the bound on requests, of roll-outs that are under way.
+    pub rollouts: Vec<Handover>,
+}
+
 /// An endpoint whose address answered for another one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AbsenceMessage {
@@ -134,6 +142,8 @@
     pub measurements: Measurements,
     /// What versions with absences send.
     pub absences: Absences,
+    /// What versions with handovers send.
+    pub handovers: Handovers,
 }
 
 /// An endpoint that wants no requests for some time.
@@ -223,7 +233,8 @@
         let bytes = postcard::to_extend(&self.extension, bytes)?;
         let bytes = postcard::to_extend(&self.supplement, bytes)?;
         let bytes = postcard::to_extend(&self.measurements, bytes)?;
-        postcard::to_extend(&self.absences, bytes)
+        let bytes = postcard::to_extend(&self.absences, bytes)?;
+        postcard::to_extend(&self.handovers, bytes)
     }
 
     /// Decodes a datagram. What the sender's version does not send is empty.
@@ -236,13 +247,15 @@
         let (extension, rest) = take_if_any(rest)?;
         let (supplement, rest) = take_if_any(rest)?;
         let (measurements, rest) = take_if_any(rest)?;
-        let (absences, _) = take_if_any(rest)?;
+        let (absences, rest) = take_if_any(rest)?;
+        let (handovers, _) = take_if_any(rest)?;
         Ok(Self {
             message,
             extension,
             supplement,
             measurements,
             absences,
+            handovers,
         })
     }
 }
--- a/crates/relay/src/neighbours/peers.rs
+++ b/crates/relay/src/neighbours/peers.rs
@@ -27,8 +27,8 @@
 pub const PROBE_INTERVAL: Duration = Duration::from_millis(400);
 const PROBES: usize = 3;
 
-/// How long all datagrams to another zone go to the same VM there, before the next one gets them.
-const ROTATION_INTERVAL: Duration = Duration::from_secs(2);
+/// How long the datagrams to another zone go to the same VM there, before the next one gets them.
+pub const ROTATION_INTERVAL: Duration = Duration::from_secs(2);
 
 /// A VM that was not seen for this long is forgotten. In a zone of fifty VMs each VM of another zone is
 /// seen every 100 seconds. Until then it still gets datagrams: it may only be cut off or suspended, and may
@@ -342,10 +342,18 @@
     }
 
     /// One VM of each other zone, and one of each other group of this VM's zone, rotating among the VMs there:
-    /// one that is down loses only some of the datagrams, and in time each VM receives some from all others.
+    /// one that is down loses only some of the datagrams, and in time each VM receives some from all others. Each
+    /// has its turn for `interval`.
     #[must_use]
-    pub fn remote_targets(&self, own: &id::Node, zone: &id::Zone, now: Moment) -> RemoteTargets {
-        let turn = now.since(Moment::ZERO).as_secs() / ROTATION_INTERVAL.as_secs();
+    pub fn remote_targets(
+        &self,
+        own: &id::Node,
+        zone: &id::Zone,
+        interval: Duration,
+        now: Moment,
+    ) -> RemoteTargets {
+        let turn = now.since(Moment::ZERO).as_millis() / interval.as_millis().max(1);
+        let turn = u64::try_from(turn).unwrap_or_default();
         let own_group = self.level.group_of(own);
         let mut places: Vec<((&id::Zone, GroupId), SocketAddr)> = Vec::new();
         for peer in &self.peers {
--- a/crates/relay/src/neighbours/receive.rs
+++ b/crates/relay/src/neighbours/receive.rs
@@ -33,6 +33,7 @@
 use crate::headers::HeaderCodec;
 use crate::incarnation::Incarnation;
 use crate::pools;
+use crate::rollouts::handover::Sender;
 use crate::topic::Log;
 use crate::zone::Stamp;
 
@@ -80,6 +81,8 @@
             (met, other, inner.leader.is_none())
         };
         self.merge(datagram, from);
+        self.merge_handovers(datagram, from, local && !other_group)
+            .await;
         let serves = self.serves_group() && self.reader_status() == ReaderStatus::Eligible;
         let answers = if other_group {
             searches && (!leads || !met)
@@ -160,6 +163,34 @@
         (group, local)
     }
 
+    /// Takes in what another VM hands over of roll-outs, and answers it if it asks for what this one knows.
+    async fn merge_handovers(&self, datagram: &Datagram, from: SocketAddr, group: bool) {
+        let node = &datagram.message.node;
+        if *node == self.node.config.node {
+            return;
+        }
+        let sender = Sender {
+            vm: choice::hash(node.as_str()),
+            group,
+        };
+        let now = boot::now();
+        let mut handovers = Vec::new();
+        for message in &datagram.handovers.rollouts {
+            handovers.extend(
+                self.node
+                    .rollouts(|r| r.merge_handover(message, sender, now)),
+            );
+        }
+        if handovers.is_empty() {
+            return;
+        }
+        let update = Update {
+            handovers,
+            ..Update::default()
+        };
+        self.send(from, None, Audience::Remote, &update).await;
+    }
+
     fn merge(&self, datagram: &Datagram, from: SocketAddr) {
         let Datagram {
             message,
@@ -167,6 +198,7 @@
             supplement,
             measurements,
             absences,
+            handovers: _,
         } = datagram;
         let config = &self.node.config;
         if message.node == config.node {
--- a/crates/relay/src/neighbours/update.rs
+++ b/crates/relay/src/neighbours/update.rs
@@ -13,6 +13,7 @@
 use crate::poison::Report;
 use crate::rollouts::announcement::NodeAnnouncement;
 use crate::rollouts::announcement::PinnedSession;
+use crate::rollouts::handover::Handover;
 
 /// Prompts in one datagram. With more it would not fit the smallest path MTU in common use.
 const MAX_PREFILLS: usize = 16;
@@ -26,6 +27,9 @@
 /// Announcements about roll-outs in one datagram, for the same reason.
 const MAX_ANNOUNCEMENTS: usize = 3;
 
+/// Handovers of roll-outs in one datagram, for the same reason.
+const MAX_HANDOVERS: usize = 2;
+
 /// Limits of endpoints in one datagram, for the same reason.
 const MAX_LIMITS: usize = 32;
 
@@ -46,6 +50,8 @@
     pub rollouts: Vec<NodeAnnouncement>,
     /// Sessions that stay on the old version during a roll-out's trial.
     pub pinned_sessions: Vec<PinnedSession>,
+    /// What VMs hand to each other of roll-outs.
+    pub handovers: Vec<Handover>,
     /// Reports of requests that crash endpoints.
     pub poison: Vec<Report>,
     /// Reports of prompt parts that crash endpoints.
@@ -65,9 +71,11 @@
 impl Update {
     /// Whether there is nothing to send. Limits don't count: they are sent along with anything else, and
     /// a change of a limit sends them at once.
-    pub const fn is_empty(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         let prompts = self.prefills.is_empty() && self.waits.is_empty();
-        let versions = self.rollouts.is_empty() && self.pinned_sessions.is_empty();
+        let quiet = self.handovers.iter().all(Handover::is_quiet);
+        let sessions = self.pinned_sessions.is_empty() && quiet;
+        let versions = self.rollouts.is_empty() && sessions;
         let poison = self.poison.is_empty() && self.poison_parts.is_empty();
         let endpoints = self.wants.is_empty() && self.speeds.is_empty();
         prompts && versions && poison && self.bundles.is_empty() && endpoints
@@ -92,6 +100,7 @@
         let mut rollouts = self.rollouts.chunks(MAX_ANNOUNCEMENTS);
         let mut limits = self.limits.chunks(MAX_LIMITS);
         let mut bundles = self.bundles.chunks(1);
+        let mut handovers = self.handovers.chunks(MAX_HANDOVERS);
         let counts = [
             prefills.len(),
             pinned_sessions.len(),
@@ -100,6 +109,7 @@
             rollouts.len(),
             limits.len(),
             bundles.len(),
+            handovers.len(),
             1,
         ];
         let count = counts.into_iter().max().unwrap_or(1);
@@ -113,6 +123,7 @@
             rollouts: rollouts.next().unwrap_or_default(),
             limits: limits.next().unwrap_or_default(),
             bundles: bundles.next().unwrap_or_default(),
+            handovers: handovers.next().unwrap_or_default(),
         };
         (0..count).map(part).collect()
     }
@@ -138,4 +149,6 @@
     pub limits: &'a [Limit],
     /// Records of the log.
     pub bundles: &'a [Bundle],
+    /// What VMs hand to each other of roll-outs.
+    pub handovers: &'a [Handover],
 }
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -300,7 +300,17 @@
             self.change_freshness(READY_SHARE),
         ];
         let fresh = fresh.iter().all(|known| *known == Freshness::Fresh);
-        endpoints_read && !leaving && self.table().is_some() && fresh
+        endpoints_read && !leaving && self.table().is_some() && fresh && self.knows_rollouts()
+    }
+
+    /// Whether this VM knows of each roll-out what the others could tell it. A VM that serves before it does
+    /// sends sessions to other versions than their last ones.
+    fn knows_rollouts(&self) -> bool {
+        let orders = self.operators.view(|view| view.orders().to_vec());
+        self.rollouts(|rollouts| {
+            let accepted = orders.iter().all(|order| rollouts.has_order(order));
+            accepted && rollouts.is_informed(boot::now())
+        })
     }
 
     /// Whether this VM reads the log itself and is answered: as the reader, alone, or because its last proof
--- a/crates/relay/src/node/start.rs
+++ b/crates/relay/src/node/start.rs
@@ -69,7 +69,8 @@
         let links = Arc::new(Links::new(config.zone.clone(), clock, own_link.clone()));
         tokio::spawn(own_link.clone().watch(token.clone()));
         let retry_budgets = RetryBudgets::new(config.bounds.retry_budget);
-        let rollouts = Rollouts::new(config.bounds.exposure, config.bounds.session_timeout);
+        let bounds = &config.bounds;
+        let rollouts = Rollouts::new(bounds.exposure, bounds.session_timeout, rand::random());
         let node = Self {
             config: Arc::new(config),
             platform,
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -10,6 +10,10 @@
 pub mod controller;
 mod evidence;
 mod exchange;
+pub mod handover;
+pub mod known_sessions;
+pub mod room;
+mod session_record;
 pub mod state;
 pub mod versions;
 
@@ -18,18 +22,18 @@
 use pimento_policy::exposure::Sent;
 use pimento_policy::shift;
 use pimento_policy::shift::Phase;
-use pimento_policy::shift::Reason;
+use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::id;
 
 use self::announcement::End;
 use self::announcement::Outcome;
-use self::announcement::PinnedSession;
 use self::announcement::RequestCounts;
 use self::evidence::Situation;
 use self::exchange::LastAnnounced;
+use self::known_sessions::Sighting;
+use self::known_sessions::Source;
 use self::state::RolloutState;
-use self::state::SessionChanges;
 use self::state::Step;
 use self::versions::Held;
 use self::versions::PoolVersions;
@@ -54,6 +58,8 @@
     last_announced: LastAnnounced,
     /// The number of VMs that are known, including this one.
     vms: usize,
+    /// A number that tells this process from those before and after it.
+    life: u64,
 }
 
 /// A request that ended, as evidence.
@@ -72,9 +78,10 @@
 }
 
 impl Rollouts {
-    /// No roll-out yet. A session is over after `session` without a request.
+    /// No roll-out yet. A session is over after `session` without a request. `life` is a random number, which tells
+    /// this process from those before and after it.
     #[must_use]
-    pub fn new(exposure: Exposure, session: Duration) -> Self {
+    pub fn new(exposure: Exposure, session: Duration, life: u64) -> Self {
         Self {
             config: shift::Config::default(),
             exposure,
@@ -83,6 +90,7 @@
             sessions: Sessions::new(session),
             last_announced: LastAnnounced::default(),
             vms: 1,
+            life,
         }
     }
 
@@ -152,7 +160,8 @@
         if !rollout.order.initial {
             for session in self.sessions.active(now) {
                 if self.is_in_trial(session, rollout.target()) {
-                    rollout.pin_session(session, true);
+                    let side = Side::Old;
+                    rollout.add_session(Sighting { session, side }, Source::Own);
                 }
             }
         }
@@ -239,31 +248,6 @@
             .phase(rollout.age(now), time_limit, self.exposure.share)
     }
 
-    /// Records that a request of a session is sent to a version of a service, or was answered by it.
-    pub fn record_session(
-        &mut self,
-        pool: &id::Pool,
-        session: u64,
-        version: &id::Version,
-        now: Moment,
-    ) {
-        let changed = self.sessions.record(session, version, now);
-        if changed && let Some(rollout) = self.get_mut(pool) {
-            rollout.count_session_change(session, version);
-        }
-        let Some(rollout) = self.get(pool).filter(|r| r.ended().is_none()) else {
-            return;
-        };
-        let target = rollout.target();
-        let pinned = target != version && self.phase(rollout, now).pins_known_sessions();
-        if !pinned || !self.is_in_trial(session, target) {
-            return;
-        }
-        if let Some(rollout) = self.get_mut(pool) {
-            rollout.pin_session(session, true);
-        }
-    }
-
     /// Records that a request is sent to a version of a service.
     pub fn record_sent(&mut self, pool: &id::Pool, version: &id::Version) {
         if let Some(rollout) = self.get_mut(pool) {
@@ -280,58 +264,6 @@
             .collect()
     }
 
-    /// Records why a request uses its version.
-    pub fn record_reason(&mut self, pool: &id::Pool, reason: Reason) {
-        if let Some(rollout) = self.get_mut(pool) {
-            rollout.count_reason(reason);
-        }
-    }
-
-    /// The requests that this VM sent since each service's last order, by the reason for their version.
-    #[must_use]
-    pub fn reason_counts(&self) -> Vec<(id::Pool, Reason, u32)> {
-        let newest = self.newest.iter();
-        let counts = newest.flat_map(|rollout| {
-            let pool = &rollout.order.rollout.pool;
-            let reasons = rollout.reasons().iter();
-            reasons.map(|(reason, count)| (pool.clone(), *reason, *count))
-        });
-        counts.collect()
-    }
-
-    /// The sessions that changed their version at this VM since each service's last order, to the new one and
-    /// back to the old one.
-    #[must_use]
-    pub fn session_changes(&self) -> Vec<(id::Pool, SessionChanges)> {
-        let newest = self.newest.iter();
-        let changes = newest.map(|rollout| {
-            (
-                rollout.order.rollout.pool.clone(),
-                rollout.session_changes(),
-            )
-        });
-        changes.collect()
-    }
-
-    /// Sessions that used the old version at this VM and were not announced to other VMs yet.
-    pub fn take_pending_sessions(&mut self) -> Vec<PinnedSession> {
-        let mut pending = Vec::new();
-        for rollout in &mut self.newest {
-            let order = rollout.offset();
-            let sessions = rollout.take_pending_sessions().into_iter();
-            pending.extend(sessions.map(|session| PinnedSession { order, session }));
-        }
-        pending
-    }
-
-    /// Pins a session that used the old version at another VM.
-    pub fn pin_session(&mut self, pinned: PinnedSession) {
-        let order = self.newest.iter_mut().find(|r| r.offset() == pinned.order);
-        if let Some(rollout) = order {
-            rollout.pin_session(pinned.session, false);
-        }
-    }
-
     /// Whether a version is known to be bad.
     #[must_use]
     pub fn is_bad(&self, pool: &id::Pool, version: &id::Version) -> bool {
--- a/crates/relay/src/rollouts/choice.rs
+++ b/crates/relay/src/rollouts/choice.rs
@@ -101,18 +101,19 @@
             Scope::Session(session) => Some(session),
             Scope::Request(_) => None,
         };
-        let used = session.and_then(|session| self.sessions.version(session, now));
-        let side = |used: &id::Version| if used == target { Side::New } else { Side::Old };
-        let last = used.map(side);
-        let known = last.is_some() || session.is_some_and(|s| rollout.is_pinned(s));
+        let last = session.and_then(|session| self.session_side(rollout, session, now));
+        let known = |session| rollout.sessions.side(session).is_some();
+        let known = last.is_some() || session.is_some_and(known);
+        let keeps = phase.pins_known_sessions();
         Known {
             progress: Self::progress(rollout, versions),
             old_usable: versions.other(target).is_some(),
             new_usable: versions.count(target) > 0,
             last,
-            pinned: phase.pins_known_sessions() && known,
-            joins: self.admits(rollout, scope, phase, now),
-            within_bound: self.is_within_bound(rollout, Part::WHOLE, now),
+            pinned: keeps && known,
+            joins: self.is_in_share(rollout, scope, phase),
+            may_have_moved: session.is_some() && !keeps,
+            within_bound: self.is_within_bound(rollout, self.part(scope, phase), now),
         }
     }
 
@@ -132,16 +133,22 @@
 
     /// Whether a request of this scope is in the share that uses the new version. Sessions are chosen alike by
     /// all VMs; by its own count, one VM would send a session back that another one has let join.
-    fn admits(&self, rollout: &RolloutState, scope: Scope, phase: Phase, now: Moment) -> bool {
-        let (share, part) = match (scope, phase) {
+    fn is_in_share(&self, rollout: &RolloutState, scope: Scope, phase: Phase) -> bool {
+        let share = match (scope, phase) {
             (Scope::Request(_), Phase::Trial(_)) => {
-                let share = self.config.request_share(phase, self.exposure.share);
-                (share, self.config.trial_part)
+                self.config.request_share(phase, self.exposure.share)
             }
-            _ => (phase.weight(), Part::WHOLE),
+            _ => phase.weight(),
         };
-        let in_share = rollout::uses_new_version(scope.id(), rollout.target(), share);
-        in_share && self.is_within_bound(rollout, part, now)
+        rollout::uses_new_version(scope.id(), rollout.target(), share)
+    }
+
+    /// The part of the bound that a request of this scope may use.
+    const fn part(&self, scope: Scope, phase: Phase) -> Part {
+        match (scope, phase) {
+            (Scope::Request(_), Phase::Trial(_)) => self.config.trial_part,
+            _ => Part::WHOLE,
+        }
     }
 
     fn is_within_bound(&self, rollout: &RolloutState, part: Part, now: Moment) -> bool {
@@ -158,13 +165,21 @@
         version: &id::Version,
         now: Moment,
     ) -> bool {
-        let new = self.get(pool).is_some_and(|r| r.target() == version);
-        let same = |choice| match choice {
+        let Some(rollout) = self.get(pool) else {
+            return true;
+        };
+        let moved = match scope {
+            Scope::Session(session) => self.session_side(rollout, session, now) == Some(Side::New),
+            Scope::Request(_) => false,
+        };
+        if rollout.target() != version && !moved {
+            return true;
+        }
+        match self.version(pool, scope, now) {
             Choice::Any => true,
             Choice::Version(chosen) => chosen == *version,
             Choice::Neither => false,
-        };
-        !new || same(self.version(pool, scope, now))
+        }
     }
 
     /// Whether a session is in the share that the trial would move.
--- a/crates/relay/src/rollouts/evidence.rs
+++ b/crates/relay/src/rollouts/evidence.rs
@@ -1,5 +1,7 @@
 //! The evidence of all VMs on the new version of a roll-out, and what it decides.
 
+use std::time::Duration;
+
 use compact_str::CompactString;
 use pimento_policy::choice;
 use pimento_policy::shift;
@@ -63,7 +65,7 @@
             answers = counts.attempts,
             failed = counts.failed,
             heard = self.live_peers(now).count(),
-            pinned = self.pinned.len();
+            pinned = self.sessions.pinned();
             "rollout: Phase began."
         );
     }
@@ -205,7 +207,7 @@
     }
 
     /// Requests that this VM sends in a second: since the order, or since the rise if there are more of them now.
-    fn request_rate(&self, now: Moment) -> f64 {
+    pub(super) fn request_rate(&self, now: Moment) -> f64 {
         let rate = |sent: u32, since: Moment| {
             let seconds = now.since(since).as_secs_f64();
             f64::from(sent) / seconds.max(MIN_RATE_SECONDS)
@@ -217,6 +219,19 @@
         rising.map_or(mean, |rising| rising.max(mean))
     }
 
+    /// The mean of the other VMs' rates of requests since the order; zero if none is known.
+    pub(super) fn mean_rate(&self, now: Moment) -> f64 {
+        let rates = self.live_peers(now).map(|peer| {
+            let routes = peer.announcement.routes.iter();
+            let answers = routes.map(|r| f64::from(r.new.attempts) + f64::from(r.old.attempts));
+            let age = Duration::from_millis(u64::from(peer.announcement.age_ms));
+            answers.sum::<f64>() / age.as_secs_f64().max(MIN_RATE_SECONDS)
+        });
+        let rates: Vec<f64> = rates.collect();
+        let count = u32::try_from(rates.len()).unwrap_or(u32::MAX);
+        rates.iter().sum::<f64>() / f64::from(count.max(1))
+    }
+
     /// What is to be done about the roll-out now.
     ///
     /// A VM that receives announcements of its own zone only hears fewer than it knows. If it reported the end
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -5,9 +5,11 @@
 use compact_str::CompactString;
 use pimento_policy::exposure;
 use pimento_policy::exposure::Sent;
+use pimento_policy::exposure::Transfers;
 use pimento_policy::shift::Phase;
 use pimento_policy::shift::Progress;
 use pimento_policy::shift::Reason;
+use pimento_policy::shift::Side;
 use pimento_units::Moment;
 use pimento_units::Offset;
 use pimento_units::id;
@@ -16,6 +18,10 @@
 use super::announcement::End;
 use super::announcement::NodeAnnouncement;
 use super::announcement::Route;
+use super::handover::Mate;
+use super::known_sessions::KnownSessions;
+use super::known_sessions::Sighting;
+use super::known_sessions::Source;
 use crate::config::Exposure;
 use crate::operators::ReadOrder;
 
@@ -84,11 +90,14 @@
     pub(super) failing: Vec<u64>,
     /// Sorted by node.
     pub(super) peers: Vec<PeerAnnouncement>,
-    /// Sessions that used the old version before the trial, at any VM, and that the trial's share
-    /// would move; sorted.
-    pub(super) pinned: Vec<u64>,
-    /// Those of them that were not announced to other VMs yet.
+    /// Sessions that the trial's share would move, and the versions that they use at any VM.
+    pub(super) sessions: KnownSessions,
+    /// Those that this VM saw on the old version and has not announced to VMs of an older version of this program.
     pub(super) pending_sessions: Vec<u64>,
+    /// Room passed between VMs.
+    pub(super) transfers: Transfers,
+    /// The VMs of the group, sorted.
+    pub(super) mates: Vec<Mate>,
     /// Requests that this VM sent, by the reason for their version; sorted.
     reasons: Vec<(Reason, u32)>,
     session_changes: SessionChanges,
@@ -115,7 +124,7 @@
 impl RolloutState {
     /// A roll-out that begins, or that may have ended before this process started.
     #[must_use]
-    pub const fn new(order: ReadOrder) -> Self {
+    pub fn new(order: ReadOrder) -> Self {
         Self {
             resolved: !order.initial,
             status_out_of_reach: false,
@@ -131,8 +140,10 @@
             watched: false,
             failing: Vec::new(),
             peers: Vec::new(),
-            pinned: Vec::new(),
+            sessions: KnownSessions::default(),
             pending_sessions: Vec::new(),
+            transfers: Transfers::default(),
+            mates: Vec::new(),
             reasons: Vec::new(),
             session_changes: SessionChanges {
                 to_new: 0,
@@ -141,21 +152,11 @@
         }
     }
 
-    /// Whether a session used the old version before the trial.
-    #[must_use]
-    pub fn is_pinned(&self, session: u64) -> bool {
-        self.pinned.binary_search(&session).is_ok()
-    }
-
-    /// Pins a session to the old version. `own` is set if this VM saw it use that version, and will
-    /// announce it.
-    pub fn pin_session(&mut self, session: u64, own: bool) {
-        let Err(place) = self.pinned.binary_search(&session) else {
-            return;
-        };
-        self.pinned.insert(place, session);
-        if own {
-            self.pending_sessions.push(session);
+    /// Records that a session in the trial's share uses a version.
+    pub fn add_session(&mut self, sighting: Sighting, source: Source) {
+        let new = self.sessions.add(sighting, source);
+        if new && source == Source::Own && sighting.side == Side::Old {
+            self.pending_sessions.push(sighting.session);
         }
     }
 
@@ -300,11 +301,17 @@
     /// This VM's bound on the requests to the new version.
     #[must_use]
     pub fn bound(&self, exposure: Exposure) -> exposure::Bound {
-        if self.order.initial {
+        let bound = if self.order.initial {
             exposure::Bound::without_slack(exposure.share)
         } else {
             exposure::Bound::new(exposure.share, exposure.slack, self.vms)
-        }
+        };
+        bound.with_transfers(&self.transfers)
+    }
+
+    /// Takes the order to be at least this old.
+    pub(super) fn learn_age(&mut self, age: Duration, now: Moment) {
+        self.read_delay += age.saturating_sub(self.age(now));
     }
 
     /// Whether the deadline has passed for all VMs, whenever each of them read the order.
@@ -320,8 +327,7 @@
         }
         // Only those who know how it went on announce it.
         self.resolved = true;
-        let age = Duration::from_millis(u64::from(announcement.age_ms));
-        self.read_delay += age.saturating_sub(self.age(now));
+        self.learn_age(Duration::from_millis(u64::from(announcement.age_ms)), now);
         if let Some(end) = announcement.ended {
             self.end(end, now);
         }
--- a/crates/relay/tests/all/datagrams.rs
+++ b/crates/relay/tests/all/datagrams.rs
@@ -6,6 +6,7 @@
 use pimento_relay::neighbours::message::Absences;
 use pimento_relay::neighbours::message::Datagram;
 use pimento_relay::neighbours::message::Extension;
+use pimento_relay::neighbours::message::Handovers;
 use pimento_relay::neighbours::message::Measurements;
 use pimento_relay::neighbours::message::Message;
 use pimento_relay::neighbours::message::Position;
@@ -13,8 +14,12 @@
 use pimento_relay::neighbours::message::Supplement;
 use pimento_relay::neighbours::peer::ReaderStatus;
 use pimento_relay::neighbours::speeds::SpeedMessage;
+use pimento_relay::rollouts::handover::Handover;
+use pimento_relay::rollouts::handover::Loan;
+use pimento_relay::rollouts::handover::Snapshot;
 use pimento_scheduler::SpeedReport;
 use pimento_units::Moment;
+use pimento_units::Offset;
 
 use crate::versions::name;
 
@@ -56,6 +61,7 @@
         supplement: Supplement::default(),
         measurements: Measurements { speeds },
         absences: Absences::default(),
+        handovers: Handovers::default(),
     }
 }
 
@@ -67,6 +73,17 @@
         absence: Incarnation::new(&name("engine-1"), 7),
         age_ms: 300,
     }];
+    sent.handovers.rollouts = vec![Handover {
+        order: Offset(7),
+        life: u64::MAX,
+        age_ms: Some(2_000),
+        ended: None,
+        pinned: vec![1, u64::MAX],
+        joined: vec![2],
+        snapshot: Snapshot::Complete,
+        want: 1_500,
+        loan: Some(Loan { to: 3, total: 250 }),
+    }];
     let bytes = sent.encode().unwrap();
     assert_eq!(Datagram::decode(&bytes).unwrap(), sent);
     // An older VM reads three values and ignores what follows.
--- a/crates/relay/tests/all/main.rs
+++ b/crates/relay/tests/all/main.rs
@@ -13,6 +13,7 @@
 mod model;
 mod peers;
 mod rollouts;
+mod session_model;
 mod snapshot;
 mod timings;
 mod turns;
