Bound the work of a call, so that no sum of it wraps

Callers saw a VM that answered nobody any more after one request with output tokens, and a second one after its repeat.

Cause: the queue rounds a job's work up to whole turns and multiplies back. Near 2^64 that wraps, the deficit never reaches the job, and the search for the next one goes on for ever, under the pool's lock and on the only thread. Such a request wasn't refused before, as only its prompt was compared with an engine's memory.

Change: numbers that a caller names are taken up to 2^40 tokens; the queue takes no more than that of a job either, and adds without wrapping, so that a deficit at the largest number covers every job and the search ends. A request whose prompt and longest answer exceed the memory of every engine is refused at once, as if all were full.

A property test over numbers at all powers of two, their neighbours and the largest ones fails on the queue as it was (attempt to add with overflow), and passes.

--- a/crates/policy/src/engine.rs
+++ b/crates/policy/src/engine.rs
@@ -165,8 +165,8 @@
 
     /// Returns whether a prompt exceeds the whole memory. A capacity of zero is unknown.
     #[must_use]
-    pub fn is_too_small_for(&self, prompt: &Prompt) -> bool {
-        self.kv_capacity > Tokens::ZERO && prompt.tokens() > self.kv_capacity
+    pub fn is_too_small_for(&self, prompt: &Prompt, output: Tokens) -> bool {
+        self.kv_capacity > Tokens::ZERO && prompt.tokens() + output > self.kv_capacity
     }
 
     /// Returns the number of tokens of a prompt that the engine would have to prefill: all tokens from the
--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -37,6 +37,10 @@
     pub long_share: f64,
 }
 
+/// The most work of one job, in tokens: far more than any endpoint does, and so little that the sums over all jobs
+/// that fit a process's memory stay far below the largest number. A sum that wrapped would never cover its job.
+pub const MAX_WORK: Tokens = Tokens(1 << 40);
+
 impl Default for Config {
     fn default() -> Self {
         Self {
@@ -109,8 +113,12 @@
         }
     }
 
-    /// Appends a job to its customer's queue.
+    /// Appends a job to its customer's queue. Of its work no more than [`MAX_WORK`] counts.
     pub fn enqueue(&mut self, job: Job) -> Ticket {
+        let job = Job {
+            tokens: job.tokens.min(MAX_WORK),
+            ..job
+        };
         let index = self.lane_index_or_insert(job.priority);
         let lane = &mut self.lanes[index];
         let sequence = self.sequence;
--- a/crates/policy/src/queue/lane.rs
+++ b/crates/policy/src/queue/lane.rs
@@ -94,8 +94,16 @@
         None
     }
 
+    /// Adds to the deficit. At the largest number it covers every job.
+    const fn grant(&mut self, tokens: u64) {
+        self.deficit = self.deficit.saturating_add(tokens);
+    }
+
     fn turn_quantum(&self, quantum: Tokens) -> u64 {
-        quantum.0.max(1) * u64::from(self.weight.max(1))
+        quantum
+            .0
+            .max(1)
+            .saturating_mul(u64::from(self.weight.max(1)))
     }
 }
 
@@ -214,7 +222,7 @@
                 head => {
                     if head.is_some() {
                         let grant = flow.turn_quantum(quantum);
-                        self.flows[index as usize].deficit += grant;
+                        self.flows[index as usize].grant(grant);
                     }
                     self.ring.rotate_left(1);
                     skipped += 1;
@@ -246,7 +254,7 @@
         for index in &self.ring {
             let flow = &mut self.flows[*index as usize];
             if flow.next_entry(now, allow_long).is_some() {
-                flow.deficit += least * flow.turn_quantum(quantum);
+                flow.grant(flow.turn_quantum(quantum).saturating_mul(least));
             }
         }
         Some(())
@@ -333,7 +341,8 @@
             .flow_index(customer)
             .map(|index| self.summaries[index as usize]);
         let waiting = own.map_or(0, |summary| summary.backlog);
-        let sent_per_weight = number::float(waiting + tokens.0) / f64::from(weight.max(1));
+        let sent_per_weight =
+            number::float(waiting.saturating_add(tokens.0)) / f64::from(weight.max(1));
         let quantum = number::float(quantum.0.max(1));
         let share = |summary: &FlowSummary| {
             let turn = sent_per_weight.max(quantum) * f64::from(summary.weight.max(1));
--- a/crates/policy/tests/memory.rs
+++ b/crates/policy/tests/memory.rs
@@ -155,7 +155,8 @@
     assert!(full(&engine, at(3_000)));
     engine.record_end(1, at(3_000));
     assert!(!full(&engine, at(3_000)), "an ended call takes memory");
-    assert!(engine.is_too_small_for(&prompt(9, 4 * OWN)));
-    assert!(!engine.is_too_small_for(&prompt(9, 3 * OWN)));
-    assert!(!Engine::new(Tokens::ZERO).is_too_small_for(&prompt(9, OWN)));
+    assert!(engine.is_too_small_for(&prompt(9, 4 * OWN), Tokens::ZERO));
+    assert!(!engine.is_too_small_for(&prompt(9, 3 * OWN), Tokens::ZERO));
+    assert!(engine.is_too_small_for(&prompt(9, 3 * OWN), Tokens::MAX_CALL));
+    assert!(!Engine::new(Tokens::ZERO).is_too_small_for(&prompt(9, OWN), Tokens::ZERO));
 }
--- a/crates/policy/tests/queue.rs
+++ b/crates/policy/tests/queue.rs
@@ -215,3 +215,37 @@
     assert!(queue.is_empty());
     assert_eq!(queue.next_expiry(), None);
 }
+
+/// Numbers at which sums and products of 64 bits wrap, and some below them.
+fn any_number() -> impl Strategy<Value = u64> {
+    prop_oneof![
+        0_u64..2,
+        (0_u32..64, 0_u64..3).prop_map(|(bits, off)| (1_u64 << bits).saturating_sub(off)),
+        (0_u64..2_000).prop_map(|off| u64::MAX - off),
+    ]
+}
+
+proptest! {
+    #![proptest_config(Runner { cases: 512, rng_seed: RngSeed::Fixed(11), failure_persistence: None, ..Runner::default() })]
+
+    /// Guards against a job whose work wraps a sum, so that the search for the next job never ends.
+    #[test]
+    fn jobs_of_any_work_and_weight_are_dispatched(
+        jobs in vec((0_u8..4, 0_u8..2, any_number(), any_number()), 1..24),
+        slots in 1_u32..20,
+    ) {
+        let mut queue = Queue::new(Config::default());
+        for (number, priority, tokens, weight) in jobs.iter().copied() {
+            let weight = u32::try_from(weight).unwrap_or(u32::MAX);
+            let ahead = queue.work_ahead(&customer(number), weight, priority, Tokens(tokens));
+            assert!(ahead >= Tokens::ZERO);
+            queue.enqueue(Job { weight, ..job(number, priority, tokens, NEVER) });
+        }
+        for left in (0..jobs.len()).rev() {
+            let dispatch = queue.next(Moment::ZERO, slots).expect("a job waits");
+            queue.release(&dispatch);
+            assert_eq!(queue.len(), left);
+        }
+        assert_eq!(queue.backlog(), Tokens::ZERO);
+    }
+}
--- a/crates/scheduler/src/pool_state/placement.rs
+++ b/crates/scheduler/src/pool_state/placement.rs
@@ -105,15 +105,16 @@
         self.endpoints.iter().map(candidate).collect()
     }
 
-    /// Returns whether a job's prompt exceeds the whole memory of each engine that could take it. No wait would
-    /// help, and the engine would crash.
+    /// Returns whether a job's prompt and its longest answer exceed the whole memory of each engine that could take
+    /// it. No wait would help, and the engine would refuse it or crash.
     pub fn is_too_large(&self, job: &Job) -> bool {
         let Some(prompt) = &job.prompt else {
             return false;
         };
+        let output = admission::output(job.tokens, prompt.tokens());
         let too_small = |state: &EndpointState| {
             let engine = state.engine.as_ref();
-            engine.is_some_and(|engine| engine.is_too_small_for(prompt))
+            engine.is_some_and(|engine| engine.is_too_small_for(prompt, output))
         };
         let mut usable = self.usable(&job.requirement).peekable();
         usable.peek().is_some() && usable.all(too_small)
--- a/crates/units/src/tokens.rs
+++ b/crates/units/src/tokens.rs
@@ -21,6 +21,16 @@
     /// Zero.
     pub const ZERO: Self = Self(0);
 
+    /// The most that a call is taken to have. A larger number means that its caller names no limit.
+    pub const MAX_CALL: Self = Self(1 << 40);
+
+    /// The number of tokens that a caller names, at most [`MAX_CALL`](Self::MAX_CALL), so that sums of many are
+    /// exact.
+    #[must_use]
+    pub fn of_call(number: u64) -> Self {
+        Self(number).min(Self::MAX_CALL)
+    }
+
     /// The difference, or zero if `other` is larger.
     #[must_use]
     pub const fn saturating_sub(self, other: Self) -> Self {
