Refuse answers of endpoints that name two lengths

Callers saw half of an answer as a success that looks complete, and its rest where their next answer was due.

Cause: the body was read by one of two lengths, and the head passed on with the other. The transfer coding was taken off, the length stayed, and nobody compared it with the body.

Change: one place, before anything is passed on, compares the head with the body as it is read: one length at most, chunked or a number, and that of the body. Anything else is an invalid answer, the connection is closed, and the request goes on elsewhere where it may be repeated, else fails. Both chains use it.

What clients may send (smuggling) and a fuzz target are open.

--- a/crates/endpoint/src/client.rs
+++ b/crates/endpoint/src/client.rs
@@ -33,6 +33,7 @@
 use tokio::sync::Semaphore;
 
 use crate::fault::Fault;
+use crate::framing;
 use crate::limits::MAX_HEAD_BYTES;
 use crate::limits::MAX_HEADERS;
 
@@ -113,6 +114,7 @@
         mut request: Request<Full<Bytes>>,
         timeout: Duration,
     ) -> Result<Response<Incoming>, Fault> {
+        let method = request.method().clone();
         let interim = Arc::new(Semaphore::new(0));
         let counted = Arc::clone(&interim);
         ext::on_informational(&mut request, move |_| counted.add_permits(1));
@@ -131,10 +133,10 @@
                 _ = too_many => Err(invalid("too many interim responses")),
             }
         };
-        match tokio::time::timeout(timeout, response).await {
-            Ok(response) => response,
-            Err(_) => Err(Fault::Timeout),
-        }
+        let response = tokio::time::timeout(timeout, response).await;
+        let (mut head, body) = response.map_err(|_| Fault::Timeout)??.into_parts();
+        framing::normalize(&method, &mut head, body.size_hint().exact())?;
+        Ok(Response::from_parts(head, body))
     }
 
     /// Reads a whole body of at most `max` bytes.
--- a/crates/endpoint/src/lib.rs
+++ b/crates/endpoint/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod engine;
 pub mod events;
 pub mod fault;
+pub mod framing;
 pub mod limits;
 pub mod probe;
 pub mod service;
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -32,6 +32,7 @@
 use hyper::http::response;
 use hyper_util::rt::TokioIo;
 use pimento_endpoint::Fault;
+use pimento_endpoint::framing;
 use pimento_endpoint::limits::MAX_HEAD_BYTES;
 use pimento_endpoint::limits::MAX_HEADERS;
 use pimento_serve::traffic::Traffic;
@@ -195,6 +196,7 @@
             body,
         } = outgoing;
         let mut request = Request::new(Full::new(body));
+        let asked = method.clone();
         *request.method_mut() = method;
         *request.uri_mut() = uri;
         *request.headers_mut() = headers;
@@ -210,10 +212,12 @@
                 reason: "the head does not end".into(),
             }),
         };
-        let (head, body) = response.into_parts();
+        let (mut head, body) = response.into_parts();
+        let length = body.size_hint().exact();
+        let chunked = head.headers.contains_key(TRANSFER_ENCODING);
+        framing::normalize(&asked, &mut head, length)?;
         let body = ResponseBody {
-            ends_with_connection: body.size_hint().exact().is_none()
-                && !head.headers.contains_key(TRANSFER_ENCODING),
+            ends_with_connection: length.is_none() && !chunked,
             incoming: body,
             meter: self.meter,
             _sender: self.sender,
