Bound the memory of all bodies together

Callers with orders at work saw their connections end without an answer: 20 bodies of the largest size that came at once exceeded the memory of the VM, and its process was ended.

Cause: each body was bounded by itself, nothing bounded them together, and the memory that the platform names was not read. A body was held twice while it was collected.

Bodies take 30% of it at most, a fifth of that for small ones, which don't wait behind large ones. A body that finds no memory waits unread, then its caller gets 503 memory and a Retry-After. It is collected into one buffer of its declared length, and its memory goes with the last holder of the bytes. A gauge tells what is held.

Ruled out: a lower max_body_bytes, which is the operators'; refusing at once, since most bodies find memory within the time that they have to arrive.

--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -6,6 +6,7 @@
 use compact_str::CompactString;
 use pimento_policy::report;
 use pimento_units::Bandwidth;
+use pimento_units::Memory;
 use pimento_units::id;
 
 use crate::capacity::Capacity;
@@ -30,6 +31,8 @@
     pub capacity: Capacity,
     /// What its link carries each way; none if that is unknown.
     pub link: Option<Bandwidth>,
+    /// The memory that this process may take; none if that is unknown.
+    pub memory: Option<Memory>,
     /// Connections of callers that are open at a time, at most.
     pub max_callers: usize,
     /// Address that callers connect to.
--- a/crates/relay/src/handler.rs
+++ b/crates/relay/src/handler.rs
@@ -3,13 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use compact_str::CompactString;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
-use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::http::request;
 use log::Level;
@@ -238,7 +234,10 @@
     if head_bytes(&head) > limits.head_bytes {
         return Err(Refusal::new(Cause::LargeHead));
     }
-    let body = read(body, limits.body_bytes, limits.receive_timeout).await?;
+    let bodies = &node.bodies;
+    let body = bodies
+        .read(body, limits.body_bytes, limits.receive_timeout)
+        .await?;
     drop(receiving);
     // Its route may have got another service while the body arrived.
     let grant = admit::admit(node, &info, head.uri.path())?;
@@ -279,23 +278,3 @@
         .sum();
     headers + head.uri.to_string().len()
 }
-
-/// Reads a body. A body whose declared length exceeds the limit is refused without reading it.
-async fn read(body: Incoming, max_bytes: usize, timeout: Duration) -> Result<Bytes, Refusal> {
-    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
-    if declared > max_bytes {
-        return Err(Refusal::new(Cause::LargeBody));
-    }
-    let collect = Limited::new(body, max_bytes).collect();
-    match tokio::time::timeout(timeout, collect).await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(Refusal::new(Cause::LargeBody))
-        }
-        Ok(Err(error)) => {
-            log::info!(error:%; "request: Can't read the body.");
-            Err(Refusal::new(Cause::BadBody))
-        }
-        Err(_) => Err(Refusal::new(Cause::SlowBody)),
-    }
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod admit;
 pub mod admitted;
 pub mod attempts;
+pub mod bodies;
 pub mod boot;
 pub mod buffered;
 pub mod bundle;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -79,6 +79,7 @@
     connects: GaugeVec,
     links: GaugeVec,
     own_link: GaugeVec,
+    held_bytes: GaugeVec,
     log_lines: GaugeVec,
 }
 
@@ -166,6 +167,7 @@
             connects: series::connects(r),
             links: series::links(r),
             own_link: series::own_link(r),
+            held_bytes: series::held_bytes(r),
             log_lines: gauge_vec(
                 r,
                 "pimento_log_lines_left_out",
@@ -351,6 +353,8 @@
             gauge.set(to_f64(count));
         }
         metrics.set_own_link(node.own_link.load().unwrap_or_default());
+        let held = metrics.held_bytes.with_label_values(&["bodies"]);
+        held.set(to_f64(node.bodies.held_bytes()));
         let dropped = pimento_logs::dropped();
         let reasons = [
             ("budget", dropped.over_budget),
--- a/crates/relay/src/metrics/series.rs
+++ b/crates/relay/src/metrics/series.rs
@@ -29,6 +29,11 @@
     gauge_vec(registry, "pimento_own_link", what, &["figure"])
 }
 
+pub(super) fn held_bytes(registry: &Registry) -> GaugeVec {
+    let what = "Bytes of memory that are held for callers, by what holds them";
+    gauge_vec(registry, "pimento_held_bytes", what, &["by"])
+}
+
 pub(super) fn dropped(registry: &Registry) -> IntCounterVec {
     counter(
         registry,
--- a/crates/relay/src/node.rs
+++ b/crates/relay/src/node.rs
@@ -19,6 +19,7 @@
 use tokio_util::task::TaskTracker;
 
 use crate::absences::Absences;
+use crate::bodies::Bodies;
 use crate::boot;
 use crate::calls::LogCalls;
 use crate::calls::Reason;
@@ -93,6 +94,8 @@
     pub links: Arc<Links>,
     /// This VM's own link.
     pub own_link: OwnLink,
+    /// Memory for the bodies of requests.
+    pub bodies: Bodies,
     /// The process's clocks.
     pub clock: Clock,
     /// The steps of its shutdown.
@@ -124,6 +127,7 @@
             rollouts: Arc::clone(&self.rollouts),
             links: Arc::clone(&self.links),
             own_link: self.own_link.clone(),
+            bodies: self.bodies.clone(),
             clock: self.clock,
             lifetime: self.lifetime.clone(),
             response_tasks: self.response_tasks.clone(),
--- a/crates/relay/src/node/start.rs
+++ b/crates/relay/src/node/start.rs
@@ -10,6 +10,7 @@
 use tokio_util::task::TaskTracker;
 
 use super::Node;
+use crate::bodies::Bodies;
 use crate::calls::LogCalls;
 use crate::codec::Codec;
 use crate::config::Config;
@@ -71,6 +72,7 @@
         let retry_budgets = RetryBudgets::new(config.bounds.retry_budget);
         let bounds = &config.bounds;
         let rollouts = Rollouts::new(bounds.exposure, bounds.session_timeout, rand::random());
+        let bodies = Bodies::new(config.memory);
         let node = Self {
             config: Arc::new(config),
             platform,
@@ -90,6 +92,7 @@
             rollouts: Arc::new(Mutex::new(rollouts)),
             links,
             own_link,
+            bodies,
             clock,
             lifetime: Lifetime::default(),
             response_tasks: TaskTracker::new(),
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -33,6 +33,8 @@
     LargeBody,
     /// The prompt exceeds the memory of each engine.
     LargePrompt,
+    /// The body finds no memory in time.
+    Memory,
     /// The body did not arrive in time.
     SlowBody,
     /// The body is incomplete or malformed.
@@ -82,6 +84,7 @@
             Self::LargeHead => "large_head",
             Self::LargeBody => "large_body",
             Self::LargePrompt => "large_prompt",
+            Self::Memory => "memory",
             Self::SlowBody => "slow_body",
             Self::BadBody => "bad_body",
             Self::UnknownKey => "unknown_key",
@@ -110,6 +113,7 @@
         matches!(
             self,
             Self::Stale
+                | Self::Memory
                 | Self::Overloaded
                 | Self::NoEndpoint
                 | Self::Exposure
@@ -130,6 +134,7 @@
             Self::LargePrompt
             | Self::NotReady
             | Self::Stale
+            | Self::Memory
             | Self::Overloaded
             | Self::NoEndpoint
             | Self::Exposure
@@ -153,6 +158,7 @@
                 | Self::LargeHead
                 | Self::LargeBody
                 | Self::SlowBody
+                | Self::Memory
                 | Self::BadBody
                 | Self::NotReady
                 | Self::Stale
--- a/crates/units/src/lib.rs
+++ b/crates/units/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod bandwidth;
 pub mod digest;
 pub mod id;
+pub mod memory;
 pub mod money;
 pub mod offset;
 pub mod share;
@@ -15,6 +16,7 @@
 
 pub use bandwidth::Bandwidth;
 pub use digest::Digest;
+pub use memory::Memory;
 pub use money::Money;
 pub use offset::Offset;
 pub use offset::Revision;
