Name the parts of a handover by the terms of the field

Cause: a reader had to learn words of our own for a process's incarnation, the members of a group and the successor of a VM that stops.

Change: these names in the handover, the room that is passed on and the model; no logic.

--- a/crates/policy/src/exposure/room.rs
+++ b/crates/policy/src/exposure/room.rs
@@ -86,16 +86,19 @@
 /// goes without what it lends from the moment at which it tells so. What is lost on the way is used by nobody.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Transfers {
-    /// By the life of the borrower, sorted.
+    /// By the incarnation of the borrower, sorted.
     lent: Vec<(u64, Room)>,
-    /// By the life of the lender, sorted.
+    /// By the incarnation of the lender, sorted.
     borrowed: Vec<(u64, Room)>,
 }
 
 impl Transfers {
     /// Lends more to a node.
     pub fn lend(&mut self, borrower: u64, room: Room) {
-        match self.lent.binary_search_by_key(&borrower, |(life, _)| *life) {
+        match self
+            .lent
+            .binary_search_by_key(&borrower, |(incarnation, _)| *incarnation)
+        {
             Ok(place) => self.lent[place].1 = self.lent[place].1.saturating_add(room),
             Err(place) => self.lent.insert(place, (borrower, room)),
         }
@@ -104,14 +107,16 @@
     /// All that was lent to a node.
     #[must_use]
     pub fn lent_to(&self, borrower: u64) -> Room {
-        let found = self.lent.binary_search_by_key(&borrower, |(life, _)| *life);
+        let found = self
+            .lent
+            .binary_search_by_key(&borrower, |(incarnation, _)| *incarnation);
         found.map_or(Room::ZERO, |place| self.lent[place].1)
     }
 
     /// Records all that a node has lent to this one.
     pub fn borrow(&mut self, lender: u64, total: Room) {
         let lenders = &mut self.borrowed;
-        match lenders.binary_search_by_key(&lender, |(life, _)| *life) {
+        match lenders.binary_search_by_key(&lender, |(incarnation, _)| *incarnation) {
             Ok(place) => lenders[place].1 = lenders[place].1.max(total),
             Err(place) => lenders.insert(place, (lender, total)),
         }
--- a/crates/relay/src/neighbours/broadcast/handover.rs
+++ b/crates/relay/src/neighbours/broadcast/handover.rs
@@ -42,7 +42,7 @@
     /// Adds what this VM lends to a VM of its group.
     pub(super) fn add_loans(&self, handovers: &mut [Handover], vm: u64) {
         let stop = self.node.lifetime.finish_at().map(|end| Stop {
-            heir: self.heir(),
+            successor: self.successor(),
             left: end.since(self.node.now()).mul_f64(ACCEPTING_PART),
         });
         let loans = self.node.rollouts(|r| r.lend(vm, stop, boot::now()));
@@ -55,7 +55,7 @@
 
     /// The VM of the group to which this one leaves what it doesn't need once it stops: the same one for as long as
     /// that stays.
-    fn heir(&self) -> Option<u64> {
+    fn successor(&self) -> Option<u64> {
         let config = &self.node.config;
         let group = {
             let inner = self.lock();
--- a/crates/relay/src/rollouts.rs
+++ b/crates/relay/src/rollouts.rs
@@ -59,7 +59,7 @@
     /// The number of VMs that are known, including this one.
     vms: usize,
     /// A number that tells this process from those before and after it.
-    life: u64,
+    incarnation: u64,
 }
 
 /// A request that ended, as evidence.
@@ -78,10 +78,10 @@
 }
 
 impl Rollouts {
-    /// No roll-out yet. A session is over after `session` without a request. `life` is a random number, which tells
+    /// No roll-out yet. A session is over after `session` without a request. `incarnation` is a random number, which tells
     /// this process from those before and after it.
     #[must_use]
-    pub fn new(exposure: Exposure, session: Duration, life: u64) -> Self {
+    pub fn new(exposure: Exposure, session: Duration, incarnation: u64) -> Self {
         Self {
             config: shift::Config::default(),
             exposure,
@@ -90,7 +90,7 @@
             sessions: Sessions::new(session),
             last_announced: LastAnnounced::default(),
             vms: 1,
-            life,
+            incarnation,
         }
     }
 
--- a/crates/relay/src/rollouts/handover.rs
+++ b/crates/relay/src/rollouts/handover.rs
@@ -36,7 +36,7 @@
     /// The offset of the order in its topic.
     pub order: Offset,
     /// A number that the sender drew when it started.
-    pub life: u64,
+    pub incarnation: u64,
     /// The age of the order in milliseconds; none if the sender doesn't know whether it has ended.
     pub age_ms: Option<u32>,
     /// How the roll-out ended, if it has.
@@ -68,7 +68,7 @@
 /// All that one VM has lent to another one since the order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loan {
-    /// The life of the borrower.
+    /// The incarnation of the borrower.
     pub to: u64,
     /// Thousandths of requests to the new version.
     pub total: u32,
@@ -85,9 +85,9 @@
 
 /// A VM of the group, and what it wants.
 #[derive(Debug, Clone, Copy)]
-pub(super) struct Mate {
+pub(super) struct Member {
     pub vm: u64,
-    pub life: u64,
+    pub incarnation: u64,
     pub want: Room,
     pub heard: Moment,
     /// When all sessions were last sent to it.
@@ -128,12 +128,12 @@
         self.order.initial && !self.sessions.complete && self.ended().is_none() && waits
     }
 
-    fn handover(&self, life: u64, now: Moment) -> Handover {
+    fn handover(&self, incarnation: u64, now: Moment) -> Handover {
         let age = self.age(now).as_millis();
         let known = self.is_resolved() && !self.asks(now);
         Handover {
             order: self.offset(),
-            life,
+            incarnation,
             age_ms: known.then(|| u32::try_from(age).unwrap_or(u32::MAX)),
             ended: self.ended(),
             pinned: Vec::new(),
@@ -145,11 +145,11 @@
     }
 
     /// `sessions` in as many messages as they take; at least one.
-    fn handovers(&self, life: u64, sessions: &[Sighting], now: Moment) -> Vec<Handover> {
-        let mut messages = vec![self.handover(life, now)];
+    fn handovers(&self, incarnation: u64, sessions: &[Sighting], now: Moment) -> Vec<Handover> {
+        let mut messages = vec![self.handover(incarnation, now)];
         for (place, chunk) in sessions.chunks(MAX_SESSIONS).enumerate() {
             if place > 0 {
-                messages.push(self.handover(life, now));
+                messages.push(self.handover(incarnation, now));
             }
             let message = &mut messages[place];
             for sighting in chunk {
@@ -159,32 +159,32 @@
         messages
     }
 
-    fn record_mate(&mut self, vm: u64, message: &Handover, now: Moment) {
-        let mate = Mate {
+    fn record_member(&mut self, vm: u64, message: &Handover, now: Moment) {
+        let member = Member {
             vm,
-            life: message.life,
+            incarnation: message.incarnation,
             want: Room::from_thousandths(message.want),
             heard: now,
             answered: Moment::ZERO,
         };
-        match self.mates.binary_search_by_key(&vm, |known| known.vm) {
+        match self.members.binary_search_by_key(&vm, |known| known.vm) {
             Ok(place) => {
-                let answered = self.mates[place].answered;
-                self.mates[place] = Mate { answered, ..mate };
+                let answered = self.members[place].answered;
+                self.members[place] = Member { answered, ..member };
             }
-            Err(place) => self.mates.insert(place, mate),
+            Err(place) => self.members.insert(place, member),
         }
     }
 
     /// Whether a VM that asks is to be answered now.
     fn answers(&mut self, vm: u64, now: Moment) -> bool {
-        let Ok(place) = self.mates.binary_search_by_key(&vm, |known| known.vm) else {
+        let Ok(place) = self.members.binary_search_by_key(&vm, |known| known.vm) else {
             return true;
         };
-        let mate = &mut self.mates[place];
-        let due = now.since(mate.answered) >= ANSWER_INTERVAL;
+        let member = &mut self.members[place];
+        let due = now.since(member.answered) >= ANSWER_INTERVAL;
         if due {
-            mate.answered = now;
+            member.answered = now;
         }
         due
     }
@@ -220,7 +220,7 @@
             );
         }
         if sender.group {
-            self.record_mate(sender.vm, message, now);
+            self.record_member(sender.vm, message, now);
         }
     }
 }
@@ -242,7 +242,7 @@
 
     /// What the group is to be told now. A VM that stops wants nothing.
     pub fn group_handovers(&mut self, stops: bool, now: Moment) -> Vec<Handover> {
-        let life = self.life;
+        let incarnation = self.incarnation;
         let mut messages = Vec::new();
         for place in 0..self.newest.len() {
             if self.newest[place].ended().is_some() {
@@ -255,7 +255,7 @@
             };
             let rollout = &mut self.newest[place];
             let sessions = rollout.sessions.take_for_group(now);
-            let mut told = rollout.handovers(life, &sessions, now);
+            let mut told = rollout.handovers(incarnation, &sessions, now);
             told[0].want = want.thousandths();
             if rollout.asks(now) {
                 told[0].snapshot = Snapshot::Asked;
@@ -267,7 +267,7 @@
 
     /// What other groups and zones are to be told now; empty if there is nothing to tell or ask.
     pub fn remote_handovers(&mut self, now: Moment) -> Vec<Handover> {
-        let life = self.life;
+        let incarnation = self.incarnation;
         let mut messages = Vec::new();
         for rollout in self.newest.iter_mut().filter(|r| r.ended().is_none()) {
             let sessions = rollout.sessions.take_for_remote(now);
@@ -275,7 +275,7 @@
             if sessions.is_empty() && !asks {
                 continue;
             }
-            let mut told = rollout.handovers(life, &sessions, now);
+            let mut told = rollout.handovers(incarnation, &sessions, now);
             if asks {
                 told[0].snapshot = Snapshot::Asked;
             }
@@ -291,21 +291,21 @@
         sender: Sender,
         now: Moment,
     ) -> Vec<Handover> {
-        let life = self.life;
+        let incarnation = self.incarnation;
         let Some(place) = self.newest.iter().position(|r| r.offset() == message.order) else {
             return Vec::new();
         };
         let rollout = &mut self.newest[place];
         rollout.merge(message, sender, now);
-        if let Some(loan) = message.loan.filter(|loan| loan.to == life) {
+        if let Some(loan) = message.loan.filter(|loan| loan.to == incarnation) {
             let total = Room::from_thousandths(loan.total);
-            rollout.transfers.borrow(message.life, total);
+            rollout.transfers.borrow(message.incarnation, total);
         }
         let asked = message.snapshot == Snapshot::Asked;
         let knows = rollout.is_resolved() && !rollout.asks(now);
         let mut answer = Vec::new();
         if asked && knows && rollout.answers(sender.vm, now) {
-            answer = rollout.handovers(life, &rollout.sessions.all(), now);
+            answer = rollout.handovers(incarnation, &rollout.sessions.all(), now);
             if let Some(last) = answer.last_mut() {
                 last.snapshot = Snapshot::Complete;
             }
--- a/crates/relay/src/rollouts/room.rs
+++ b/crates/relay/src/rollouts/room.rs
@@ -15,7 +15,7 @@
 use super::state::RolloutState;
 
 /// A VM whose last word is older than this gets no room.
-const MATE_TIMEOUT: Duration = Duration::from_secs(2);
+const MEMBER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// The least that is passed on.
 const LEAST_ROOM: Room = Room::from_thousandths(250);
@@ -30,42 +30,51 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Stop {
     /// The VM that gets what this one doesn't need any more, if no VM wants it.
-    pub heir: Option<u64>,
+    pub successor: Option<u64>,
     /// How long callers may go on to use open connections.
     pub left: Duration,
 }
 
 impl Rollouts {
     /// Lends to a VM of the group what it wants and this one has left, and returns all that it was lent. A VM
-    /// that stops leaves to its heir what nobody wants.
+    /// that stops leaves to its successor what nobody wants.
     pub fn lend(&mut self, vm: u64, stop: Option<Stop>, now: Moment) -> Vec<(Offset, Loan)> {
         let mut loans = Vec::new();
         for place in 0..self.newest.len() {
             let rollout = &self.newest[place];
-            let Ok(mate) = rollout.mates.binary_search_by_key(&vm, |mate| mate.vm) else {
+            let Ok(member) = rollout
+                .members
+                .binary_search_by_key(&vm, |member| member.vm)
+            else {
                 continue;
             };
             let surplus = self.surplus(rollout, stop, now);
             let rollout = &mut self.newest[place];
-            let heard = now.since(rollout.mates[mate].heard) < MATE_TIMEOUT;
-            let wanted = rollout.mates[mate].want;
-            let inherits = stop.and_then(|stop| stop.heir) == Some(vm);
-            let room = if inherits {
+            let heard = now.since(rollout.members[member].heard) < MEMBER_TIMEOUT;
+            let wanted = rollout.members[member].want;
+            let succeeds = stop.and_then(|stop| stop.successor) == Some(vm);
+            let room = if succeeds {
                 surplus
             } else {
                 surplus.min(wanted)
             };
-            let life = rollout.mates[mate].life;
+            let incarnation = rollout.members[member].incarnation;
             if rollout.is_running() && !rollout.is_bad() && heard && room >= LEAST_ROOM {
-                rollout.transfers.lend(life, room);
+                rollout.transfers.lend(incarnation, room);
                 // It asks again with its next word, once it has this.
-                rollout.mates[mate].want = Room::ZERO;
+                rollout.members[member].want = Room::ZERO;
                 log::debug!("rollout: Lending room for {room} requests to the new version.");
             }
-            let total = rollout.transfers.lent_to(life);
+            let total = rollout.transfers.lent_to(incarnation);
             if !total.is_zero() {
                 let total = total.thousandths();
-                loans.push((rollout.offset(), Loan { to: life, total }));
+                loans.push((
+                    rollout.offset(),
+                    Loan {
+                        to: incarnation,
+                        total,
+                    },
+                ));
             }
         }
         loans
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -18,7 +18,7 @@
 use super::announcement::End;
 use super::announcement::NodeAnnouncement;
 use super::announcement::Route;
-use super::handover::Mate;
+use super::handover::Member;
 use super::known_sessions::KnownSessions;
 use super::known_sessions::Sighting;
 use super::known_sessions::Source;
@@ -97,7 +97,7 @@
     /// Room passed between VMs.
     pub(super) transfers: Transfers,
     /// The VMs of the group, sorted.
-    pub(super) mates: Vec<Mate>,
+    pub(super) members: Vec<Member>,
     /// Requests that this VM sent, by the reason for their version; sorted.
     reasons: Vec<(Reason, u32)>,
     session_changes: SessionChanges,
@@ -143,7 +143,7 @@
             sessions: KnownSessions::default(),
             pending_sessions: Vec::new(),
             transfers: Transfers::default(),
-            mates: Vec::new(),
+            members: Vec::new(),
             reasons: Vec::new(),
             session_changes: SessionChanges {
                 to_new: 0,
--- a/crates/relay/tests/all/datagrams.rs
+++ b/crates/relay/tests/all/datagrams.rs
@@ -75,7 +75,7 @@
     }];
     sent.handovers.rollouts = vec![Handover {
         order: Offset(7),
-        life: u64::MAX,
+        incarnation: u64::MAX,
         age_ms: Some(2_000),
         ended: None,
         pinned: vec![1, u64::MAX],
--- a/crates/relay/tests/all/session_model.rs
+++ b/crates/relay/tests/all/session_model.rs
@@ -42,7 +42,7 @@
 const STOPPING: Duration = Duration::from_millis(2_600);
 const DOWN: Duration = Duration::from_millis(700);
 
-enum Life {
+enum State {
     Up,
     Stopping(Moment),
     Down(Moment),
@@ -51,7 +51,7 @@
 struct Vm {
     rollouts: Rollouts,
     zone: usize,
-    life: Life,
+    state: State,
 }
 
 /// What became of the requests.
@@ -69,7 +69,7 @@
     zone_size: usize,
     /// The last version of each session and when it was used.
     sessions: Vec<Option<(id::Version, Moment)>>,
-    lives: u64,
+    incarnations: u64,
     random: SmallRng,
     outcome: Outcome,
 }
@@ -80,7 +80,7 @@
             vms: Vec::new(),
             zone_size,
             sessions: vec![None; vms * SESSIONS],
-            lives: 0,
+            incarnations: 0,
             random: SmallRng::seed_from_u64(seed),
             outcome: Outcome::default(),
         };
@@ -91,15 +91,15 @@
             fleet.vms.push(Vm {
                 rollouts,
                 zone: place / zone_size,
-                life: Life::Up,
+                state: State::Up,
             });
         }
         fleet
     }
 
     fn start(&mut self) -> Rollouts {
-        self.lives += 1;
-        Rollouts::new(EXPOSURE, SESSION, self.lives)
+        self.incarnations += 1;
+        Rollouts::new(EXPOSURE, SESSION, self.incarnations)
     }
 
     fn restart(&mut self, place: usize, now: Moment) {
@@ -113,11 +113,11 @@
         };
         rollouts.add_order(order, now);
         self.vms[place].rollouts = rollouts;
-        self.vms[place].life = Life::Up;
+        self.vms[place].state = State::Up;
     }
 
     fn is_up(&self, place: usize) -> bool {
-        !matches!(self.vms[place].life, Life::Down(_))
+        !matches!(self.vms[place].state, State::Down(_))
     }
 
     fn serves(&self, place: usize, now: Moment) -> bool {
@@ -146,11 +146,13 @@
     }
 
     fn tell_zone(&mut self, from: usize, now: Moment) {
-        let stop = match self.vms[from].life {
-            Life::Stopping(until) => Some(Stop {
-                heir: (from + 1..from + self.zone_size)
+        let stop = match self.vms[from].state {
+            State::Stopping(until) => Some(Stop {
+                successor: (from + 1..from + self.zone_size)
                     .map(|vm| from / self.zone_size * self.zone_size + vm % self.zone_size)
-                    .find(|vm| matches!(self.vms.get(*vm), Some(vm) if matches!(vm.life, Life::Up)))
+                    .find(
+                        |vm| matches!(self.vms.get(*vm), Some(vm) if matches!(vm.state, State::Up)),
+                    )
                     .map(|vm| vm as u64),
                 left: until.since(now),
             }),
@@ -159,9 +161,9 @@
         let rollouts = &mut self.vms[from].rollouts;
         let messages = rollouts.group_handovers(stop.is_some(), now);
         let zone = self.vms[from].zone;
-        let mates = (0..self.vms.len()).filter(|to| *to != from);
-        let mates: Vec<usize> = mates.filter(|to| self.vms[*to].zone == zone).collect();
-        for to in mates {
+        let others = (0..self.vms.len()).filter(|to| *to != from);
+        let others: Vec<usize> = others.filter(|to| self.vms[*to].zone == zone).collect();
+        for to in others {
             let mut messages = messages.clone();
             for (order, loan) in self.vms[from].rollouts.lend(to as u64, stop, now) {
                 let message = messages.iter_mut().find(|m| m.order == order);
@@ -217,11 +219,11 @@
 
     fn tick(&mut self, number: u32, now: Moment) {
         for place in 0..self.vms.len() {
-            match self.vms[place].life {
-                Life::Stopping(until) if now >= until => {
-                    self.vms[place].life = Life::Down(now + DOWN);
+            match self.vms[place].state {
+                State::Stopping(until) if now >= until => {
+                    self.vms[place].state = State::Down(now + DOWN);
                 }
-                Life::Down(until) if now >= until => self.restart(place, now),
+                State::Down(until) if now >= until => self.restart(place, now),
                 _ => {}
             }
         }
@@ -260,7 +262,7 @@
             }
             while now >= next_restart {
                 let Some(place) = restarts.next() else { break };
-                self.vms[place].life = Life::Stopping(now + STOPPING);
+                self.vms[place].state = State::Stopping(now + STOPPING);
                 next_restart = next_restart + pause;
             }
             self.tick(number, now);
