Keep reports to tell in one kind of outbox, and compute what is lent once

Cause: reading the change again, several pieces stood twice: the outbox that repeats what it tells (crashes, sessions), the most that counts of a call, the list of sightings, which version is which. And room to lend was computed for each VM of the group with each datagram, also for those that want none.

No behaviour changes, and no test.

Ruled out: dropping the old form of told sessions, which older VMs read.

--- a/crates/policy/src/queue.rs
+++ b/crates/policy/src/queue.rs
@@ -37,10 +37,6 @@
     pub long_share: f64,
 }
 
-/// The most work of one job, in tokens: far more than any endpoint does, and so little that the sums over all jobs
-/// that fit a process's memory stay far below the largest number. A sum that wrapped would never cover its job.
-pub const MAX_WORK: Tokens = Tokens(1 << 40);
-
 impl Default for Config {
     fn default() -> Self {
         Self {
@@ -113,10 +109,11 @@
         }
     }
 
-    /// Appends a job to its customer's queue. Of its work no more than [`MAX_WORK`] counts.
+    /// Appends a job to its customer's queue. Of its work no more than [`Tokens::MAX_CALL`] counts, so that
+    /// the sums over all jobs don't wrap: one that did would never cover its job.
     pub fn enqueue(&mut self, job: Job) -> Ticket {
         let job = Job {
-            tokens: job.tokens.min(MAX_WORK),
+            tokens: job.tokens.min(Tokens::MAX_CALL),
             ..job
         };
         let index = self.lane_index_or_insert(job.priority);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod neighbours;
 pub mod node;
 pub mod operators;
+mod outbox;
 pub mod own_link;
 pub mod poison;
 mod pools;
--- a/crates/relay/src/poison/outbox.rs
+++ b/crates/relay/src/poison/outbox.rs
@@ -1,9 +1,11 @@
-//! Reports that wait to be sent to other VMs.
+//! Reports of crashes that wait to be sent to other VMs.
 
 use std::time::Duration;
 
 use pimento_units::Moment;
 
+use crate::outbox::Outbox;
+
 /// How often each report is sent, as datagrams are lost.
 const REPEATS: u32 = 3;
 
@@ -14,58 +16,6 @@
 /// Reports that wait to be sent, at most.
 const MAX_PENDING: usize = 512;
 
-/// A report that waits for its next send.
-#[derive(Debug)]
-struct Pending<R> {
-    report: R,
-    at: Moment,
-    /// Sends that are left.
-    left: u32,
-}
-
-/// Reports to send to one audience.
-#[derive(Debug)]
-struct Outbox<R> {
-    pending: Vec<Pending<R>>,
-}
-
-impl<R> Default for Outbox<R> {
-    fn default() -> Self {
-        Self {
-            pending: Vec::new(),
-        }
-    }
-}
-
-impl<R: Copy + PartialEq> Outbox<R> {
-    fn add(&mut self, report: R, left: u32, at: Moment) {
-        if self.pending.iter().any(|pending| pending.report == report) {
-            return;
-        }
-        if self.pending.len() >= MAX_PENDING {
-            log::warn!("poison: Too many reports wait to be sent; this one is dropped.");
-            return;
-        }
-        self.pending.push(Pending { report, at, left });
-    }
-
-    fn cancel(&mut self, obsolete: impl Fn(&R) -> bool) {
-        self.pending
-            .retain(|pending| !obsolete(&pending.report) || pending.left < REPEATS);
-    }
-
-    fn take_due(&mut self, now: Moment) -> Vec<R> {
-        let mut reports = Vec::new();
-        for pending in self.pending.iter_mut().filter(|pending| pending.at <= now) {
-            reports.push(pending.report);
-            pending.left -= 1;
-            pending.at = now + REPEAT_INTERVAL;
-        }
-        self.pending.retain(|pending| pending.left > 0);
-        reports
-    }
-}
-
 /// Reports to send to the zone and to other zones.
 #[derive(Debug)]
 pub struct Outboxes<R> {
@@ -73,11 +23,11 @@
     remote: Outbox<R>,
 }
 
-impl<R> Default for Outboxes<R> {
+impl<R: Copy + PartialEq> Default for Outboxes<R> {
     fn default() -> Self {
         Self {
-            zone: Outbox::default(),
-            remote: Outbox::default(),
+            zone: Outbox::new(REPEAT_INTERVAL),
+            remote: Outbox::new(REPEAT_INTERVAL),
         }
     }
 }
@@ -85,19 +35,19 @@
 impl<R: Copy + PartialEq> Outboxes<R> {
     /// Schedules this VM's own report to all other VMs from `at` on.
     pub fn broadcast(&mut self, report: R, at: Moment) {
-        self.zone.add(report, REPEATS, at);
-        self.remote.add(report, REPEATS, at);
+        add(&mut self.zone, report, REPEATS, at);
+        add(&mut self.remote, report, REPEATS, at);
     }
 
     /// Schedules a report from another zone. It is sent once, as that zone repeats it.
     pub fn forward(&mut self, report: R, at: Moment) {
-        self.zone.add(report, 1, at);
+        add(&mut self.zone, report, 1, at);
     }
 
     /// Drops reports that another VM has made needless, unless this VM has already sent them.
     pub fn cancel(&mut self, obsolete: impl Fn(&R) -> bool) {
-        self.zone.cancel(&obsolete);
-        self.remote.cancel(&obsolete);
+        self.zone.cancel(REPEATS, &obsolete);
+        self.remote.cancel(REPEATS, &obsolete);
     }
 
     /// The reports that are due now to the zone.
@@ -110,3 +60,15 @@
         self.remote.take_due(now)
     }
 }
+
+/// Schedules a report unless it waits already, or too many do.
+fn add<R: Copy + PartialEq>(outbox: &mut Outbox<R>, report: R, sends: u32, at: Moment) {
+    if outbox.contains(&report) {
+        return;
+    }
+    if outbox.len() >= MAX_PENDING {
+        log::warn!("poison: Too many reports wait to be sent; this one is dropped.");
+        return;
+    }
+    outbox.add(report, sends, at);
+}
--- a/crates/relay/src/rollouts/choice.rs
+++ b/crates/relay/src/rollouts/choice.rs
@@ -30,6 +30,14 @@
         let (Self::Session(number) | Self::Request(number)) = self;
         session_id(number)
     }
+
+    /// The session; none if the request belongs to none.
+    const fn session(self) -> Option<u64> {
+        match self {
+            Self::Session(session) => Some(session),
+            Self::Request(_) => None,
+        }
+    }
 }
 
 impl From<u64> for Scope {
@@ -97,10 +105,7 @@
     ) -> Known {
         let target = rollout.target();
         let phase = self.phase(rollout, now);
-        let session = match scope {
-            Scope::Session(session) => Some(session),
-            Scope::Request(_) => None,
-        };
+        let session = scope.session();
         let last = session.and_then(|session| self.session_side(rollout, session, now));
         let known = |session| rollout.sessions.side(session).is_some();
         let known = last.is_some() || session.is_some_and(known);
@@ -168,11 +173,9 @@
         let Some(rollout) = self.get(pool) else {
             return true;
         };
-        let moved = match scope {
-            Scope::Session(session) => self.session_side(rollout, session, now) == Some(Side::New),
-            Scope::Request(_) => false,
-        };
-        if rollout.target() != version && !moved {
+        let used = scope.session();
+        let used = used.and_then(|session| self.session_side(rollout, session, now));
+        if rollout.side(version) == Side::Old && used != Some(Side::New) {
             return true;
         }
         match self.version(pool, scope, now) {
--- a/crates/relay/src/rollouts/handover.rs
+++ b/crates/relay/src/rollouts/handover.rs
@@ -19,6 +19,7 @@
 use super::announcement::End;
 use super::known_sessions::Sighting;
 use super::known_sessions::Source;
+use super::known_sessions::sightings;
 use super::state::RolloutState;
 
 /// Sessions in one message. With more it would not fit the smallest path MTU in common use beside others.
@@ -108,17 +109,6 @@
         let sessions = self.pinned.is_empty() && self.joined.is_empty();
         sessions && self.snapshot == Snapshot::None && self.want == 0
     }
-
-    fn sightings(&self) -> impl Iterator<Item = Sighting> {
-        let sighting = |side| {
-            move |session: &u64| Sighting {
-                session: *session,
-                side,
-            }
-        };
-        let pinned = self.pinned.iter().map(sighting(Side::Old));
-        pinned.chain(self.joined.iter().map(sighting(Side::New)))
-    }
 }
 
 impl RolloutState {
@@ -203,7 +193,7 @@
             (Snapshot::Complete, _) | (_, true) => Source::Group,
             (_, false) => Source::Remote,
         };
-        for sighting in message.sightings() {
+        for sighting in sightings(&message.pinned, &message.joined) {
             self.sessions.add(sighting, told);
         }
         if message.snapshot == Snapshot::Complete
--- a/crates/relay/src/rollouts/known_sessions.rs
+++ b/crates/relay/src/rollouts/known_sessions.rs
@@ -5,8 +5,10 @@
 use pimento_policy::shift::Side;
 use pimento_units::Moment;
 
+use crate::outbox::Outbox;
+
 /// How often each session is told. Datagrams are lost, each on its own.
-const REPEATS: u8 = 4;
+const REPEATS: u32 = 4;
 
 /// Time between two times that a session is told.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
@@ -20,42 +22,6 @@
     pub side: Side,
 }
 
-/// A session that is still to be told.
-#[derive(Debug, Clone, Copy)]
-struct Untold {
-    sighting: Sighting,
-    left: u8,
-    due: Moment,
-}
-
-/// Sessions to tell to some VMs, several times each.
-#[derive(Debug, Default)]
-struct Outbox {
-    untold: Vec<Untold>,
-}
-
-impl Outbox {
-    fn add(&mut self, sighting: Sighting) {
-        self.untold.push(Untold {
-            sighting,
-            left: REPEATS,
-            due: Moment::ZERO,
-        });
-    }
-
-    /// Takes what is due now.
-    fn take_due(&mut self, now: Moment) -> Vec<Sighting> {
-        let mut due = Vec::new();
-        for untold in self.untold.iter_mut().filter(|untold| untold.due <= now) {
-            untold.left -= 1;
-            untold.due = now + REPEAT_INTERVAL;
-            due.push(untold.sighting);
-        }
-        self.untold.retain(|untold| untold.left > 0);
-        due
-    }
-}
-
 /// Who told of a session.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Source {
@@ -68,7 +34,7 @@
 }
 
 /// The sessions in the trial's share of one roll-out.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct KnownSessions {
     /// Those that used the old version first and stay there until the share rises. Sorted.
     pinned: Vec<u64>,
@@ -76,8 +42,32 @@
     joined: Vec<u64>,
     /// Whether another VM has told this one all sessions that it knew.
     pub complete: bool,
-    for_group: Outbox,
-    for_remote: Outbox,
+    for_group: Outbox<Sighting>,
+    for_remote: Outbox<Sighting>,
+}
+
+impl Default for KnownSessions {
+    fn default() -> Self {
+        Self {
+            pinned: Vec::new(),
+            joined: Vec::new(),
+            complete: false,
+            for_group: Outbox::new(REPEAT_INTERVAL),
+            for_remote: Outbox::new(REPEAT_INTERVAL),
+        }
+    }
+}
+
+/// Sessions of both versions as sightings.
+pub fn sightings(pinned: &[u64], joined: &[u64]) -> impl Iterator<Item = Sighting> {
+    let sighting = |side| {
+        move |session: &u64| Sighting {
+            session: *session,
+            side,
+        }
+    };
+    let pinned = pinned.iter().map(sighting(Side::Old));
+    pinned.chain(joined.iter().map(sighting(Side::New)))
 }
 
 impl KnownSessions {
@@ -110,10 +100,10 @@
         };
         known.insert(place, sighting.session);
         if source != Source::Group {
-            self.for_group.add(sighting);
+            self.for_group.add(sighting, REPEATS, Moment::ZERO);
         }
         if source == Source::Own {
-            self.for_remote.add(sighting);
+            self.for_remote.add(sighting, REPEATS, Moment::ZERO);
         }
         true
     }
@@ -131,14 +121,6 @@
     /// All of them.
     #[must_use]
     pub fn all(&self) -> Vec<Sighting> {
-        let sighting = |side| {
-            move |session: &u64| Sighting {
-                session: *session,
-                side,
-            }
-        };
-        let pinned = self.pinned.iter().map(sighting(Side::Old));
-        let joined = self.joined.iter().map(sighting(Side::New));
-        pinned.chain(joined).collect()
+        sightings(&self.pinned, &self.joined).collect()
     }
 }
--- a/crates/relay/src/rollouts/room.rs
+++ b/crates/relay/src/rollouts/room.rs
@@ -12,6 +12,7 @@
 
 use super::Rollouts;
 use super::handover::Loan;
+use super::handover::Member;
 use super::state::RolloutState;
 
 /// A VM whose last word is older than this gets no room.
@@ -41,45 +42,49 @@
     pub fn lend(&mut self, vm: u64, stop: Option<Stop>, now: Moment) -> Vec<(Offset, Loan)> {
         let mut loans = Vec::new();
         for place in 0..self.newest.len() {
-            let rollout = &self.newest[place];
-            let Ok(member) = rollout
-                .members
-                .binary_search_by_key(&vm, |member| member.vm)
-            else {
+            let members = &self.newest[place].members;
+            let Ok(member) = members.binary_search_by_key(&vm, |member| member.vm) else {
                 continue;
             };
-            let surplus = self.surplus(rollout, stop, now);
+            let room = self.room_for(&self.newest[place], &members[member], stop, now);
             let rollout = &mut self.newest[place];
-            let heard = now.since(rollout.members[member].heard) < MEMBER_TIMEOUT;
-            let wanted = rollout.members[member].want;
-            let succeeds = stop.and_then(|stop| stop.successor) == Some(vm);
-            let room = if succeeds {
-                surplus
-            } else {
-                surplus.min(wanted)
-            };
-            let incarnation = rollout.members[member].incarnation;
-            if rollout.is_running() && !rollout.is_bad() && heard && room >= LEAST_ROOM {
-                rollout.transfers.lend(incarnation, room);
+            let to = rollout.members[member].incarnation;
+            if room >= LEAST_ROOM {
+                rollout.transfers.lend(to, room);
                 // It asks again with its next word, once it has this.
                 rollout.members[member].want = Room::ZERO;
                 log::debug!("rollout: Lending room for {room} requests to the new version.");
             }
-            let total = rollout.transfers.lent_to(incarnation);
-            if !total.is_zero() {
-                let total = total.thousandths();
-                loans.push((
-                    rollout.offset(),
-                    Loan {
-                        to: incarnation,
-                        total,
-                    },
-                ));
+            let total = rollout.transfers.lent_to(to).thousandths();
+            if total > 0 {
+                loans.push((rollout.offset(), Loan { to, total }));
             }
         }
         loans
     }
 
+    /// What this VM lends to a member of its group now.
+    fn room_for(
+        &self,
+        rollout: &RolloutState,
+        member: &Member,
+        stop: Option<Stop>,
+        now: Moment,
+    ) -> Room {
+        let succeeds = stop.and_then(|stop| stop.successor) == Some(member.vm);
+        let heard = now.since(member.heard) < MEMBER_TIMEOUT;
+        let lends = rollout.is_running() && !rollout.is_bad() && heard;
+        if !lends || member.want.is_zero() && !succeeds {
+            return Room::ZERO;
+        }
+        let surplus = self.surplus(rollout, stop, now);
+        if succeeds {
+            surplus
+        } else {
+            surplus.min(member.want)
+        }
+    }
+
     /// What this VM will lack of room until the deadline.
     pub(super) fn want(&self, rollout: &RolloutState, now: Moment) -> Room {
         if !rollout.is_running() || rollout.is_bad() || rollout.is_over(now) {
@@ -128,9 +133,7 @@
                 own
             },
             left: time_limit.saturating_sub(age),
-            new: self
-                .config
-                .time_on_new(age, time_limit, self.exposure.share),
+            new: self.time_on_new(rollout, age),
         }
     }
 }
--- a/crates/relay/src/rollouts/session_record.rs
+++ b/crates/relay/src/rollouts/session_record.rs
@@ -28,16 +28,11 @@
         let Some(rollout) = self.get(pool).filter(|r| r.ended().is_none()) else {
             return;
         };
-        let target = rollout.target();
         let keeps = self.phase(rollout, now).pins_known_sessions();
-        if !keeps || !self.is_in_trial(session, target) {
+        if !keeps || !self.is_in_trial(session, rollout.target()) {
             return;
         }
-        let side = if target == version {
-            Side::New
-        } else {
-            Side::Old
-        };
+        let side = rollout.side(version);
         if let Some(rollout) = self.get_mut(pool) {
             rollout.add_session(Sighting { session, side }, Source::Own);
         }
@@ -104,9 +99,8 @@
         session: u64,
         now: Moment,
     ) -> Option<Side> {
-        let target = rollout.target();
-        let side = |used: &id::Version| if used == target { Side::New } else { Side::Old };
-        let seen = self.sessions.version(session, now).map(side);
+        let seen = self.sessions.version(session, now);
+        let seen = seen.map(|version| rollout.side(version));
         seen.or_else(|| rollout.sessions.side(session).filter(|s| *s == Side::New))
     }
 }
--- a/crates/relay/src/rollouts/state.rs
+++ b/crates/relay/src/rollouts/state.rs
@@ -177,6 +177,16 @@
         &self.order.rollout.target
     }
 
+    /// Which of the two versions this is.
+    #[must_use]
+    pub fn side(&self, version: &id::Version) -> Side {
+        if self.target() == version {
+            Side::New
+        } else {
+            Side::Old
+        }
+    }
+
     /// The offset of the order in its topic.
     #[must_use]
     pub const fn offset(&self) -> Offset {
