--- a/review/standin-2/proxy.rs
+++ b/review/standin-2/proxy.rs
@@ -1,5 +1,6 @@
 //! The link to a replica: passes bytes on both ways. While the file `CUT` exists, it holds up what is on its way,
-//! also the end of a connection, and what connects meanwhile is passed on afterwards.
+//! also the end of a connection, and what connects meanwhile is passed on afterwards. With `HANG` set, the link drops
+//! what connects while it is cut: its queue of new connections is full, and nobody takes from it.
 
 use std::env;
 use std::io::Read;
@@ -35,7 +36,15 @@
     };
     let listener = TcpListener::bind(address).expect("the link's address is free");
     let cut = cut_file().expect("CUT is set");
+    if env::var_os("HANG").is_some() {
+        let (address, cut) = (address.to_string(), cut.clone());
+        thread::spawn(move || fill(&address, &cut));
+    }
     for caller in listener.incoming().flatten() {
+        // While nobody accepts, the queue stays full.
+        if env::var_os("HANG").is_some() {
+            wait_for_link(&cut);
+        }
         let (replica, record, cut) = (replica.to_string(), record.to_string(), cut.clone());
         thread::spawn(move || {
             wait_for_link(&cut);
@@ -57,6 +66,21 @@
     }
 }
 
+/// Fills the queue of new connections once the link is cut, and keeps it full.
+fn fill(address: &str, cut: &Path) {
+    let address = address.parse().expect("an address");
+    while !cut.exists() {
+        thread::sleep(LOOK);
+    }
+    let mut held = Vec::new();
+    while cut.exists() {
+        match TcpStream::connect_timeout(&address, Duration::from_millis(50)) {
+            Ok(stream) => held.push(stream),
+            Err(_) => thread::sleep(Duration::from_millis(100)),
+        }
+    }
+}
+
 /// Passes bytes on until the end. Returns whether that was a reset.
 fn pass(mut from: TcpStream, mut to: TcpStream, cut: &Path) -> bool {
     let _ = to.set_nodelay(true);
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,4 +1,7 @@
 //! The platform's store: a log whose newest record of each key is kept. It loses nothing and answers at once.
+//!
+//! To its second address it tells other addresses of the replicas, `127.0.0.9` for `127.0.0.1`. All programs of a
+//! play have the same address on the network, so that only thus one machine has links of its own, which can be cut.
 
 use std::collections::HashMap;
 use std::fmt::Write as _;
@@ -27,14 +30,43 @@
     grown: Condvar,
 }
 
-/// `store ADDRESS`
+/// `store ADDRESS [SECOND ADDRESS]`
 pub fn run(arguments: &[&str]) {
     let listener = TcpListener::bind(arguments[0]).expect("the store's address is free");
     let store = Arc::new(Store::default());
-    for stream in listener.incoming().flatten() {
+    if let Some(second) = arguments.get(1) {
+        let second = TcpListener::bind(second).expect("the store's second address is free");
         let store = Arc::clone(&store);
-        thread::spawn(move || store.serve(stream));
+        thread::spawn(move || listen(&second, &store, true));
+    }
+    listen(&listener, &store, false);
+}
+
+fn listen(listener: &TcpListener, store: &Arc<Store>, translated: bool) {
+    for stream in listener.incoming().flatten() {
+        let store = Arc::clone(store);
+        thread::spawn(move || store.serve(stream, translated));
+    }
+}
+
+fn tell(record: &[u8], translated: bool) -> Vec<u8> {
+    if translated {
+        translate(record)
+    } else {
+        record.to_vec()
+    }
+}
+
+/// A record as a machine with links of its own is told it.
+fn translate(record: &[u8]) -> Vec<u8> {
+    const OWN: &[u8] = b"127.0.0.9:";
+    let mut record = record.to_vec();
+    for place in 0..record.len().saturating_sub(OWN.len()) {
+        if record[place..].starts_with(b"127.0.0.1:") {
+            record[place..place + OWN.len()].copy_from_slice(OWN);
+        }
     }
+    record
 }
 
 /// `put ADDRESS KEY FILE`: writes an operator's record.
@@ -68,7 +100,7 @@
 }
 
 impl Store {
-    fn serve(&self, stream: TcpStream) {
+    fn serve(&self, stream: TcpStream, translated: bool) {
         let _ = stream.set_nodelay(true);
         let Ok(clone) = stream.try_clone() else {
             return;
@@ -76,7 +108,7 @@
         let mut reader = BufReader::new(clone);
         let mut stream = stream;
         while let Ok(Some(request)) = read_request(&mut reader) {
-            let (status, body) = self.answer(&request);
+            let (status, body) = self.answer(&request, translated);
             let head = format!(
                 "HTTP/1.1 {status}\r\nContent-Length: {}\r\n\r\n",
                 body.len()
@@ -89,17 +121,18 @@
         }
     }
 
-    fn answer(&self, request: &Message) -> (&'static str, Vec<u8>) {
+    fn answer(&self, request: &Message, translated: bool) -> (&'static str, Vec<u8>) {
         let path = request.target().split('?').next().unwrap_or_default();
         let topic = request.query("topic").unwrap_or_default();
+        let translated = translated && topic == name("servers");
         let part = request.query("part").unwrap_or_default();
         let topic = format!("{topic}/{part}");
         if path == name("append") {
             self.append(&topic, request)
         } else if path == name("read") {
-            self.read(&topic, request)
+            self.read(&topic, request, translated)
         } else if path == name("newest") {
-            ("200 OK", self.newest(&topic))
+            ("200 OK", self.newest(&topic, translated))
         } else {
             ("404 Not Found", Vec::new())
         }
@@ -126,7 +159,7 @@
         ("200 OK", body.into_bytes())
     }
 
-    fn read(&self, topic: &str, request: &Message) -> (&'static str, Vec<u8>) {
+    fn read(&self, topic: &str, request: &Message, translated: bool) -> (&'static str, Vec<u8>) {
         let number = |key| request.query(key).and_then(|text| text.parse().ok());
         let from: usize = number("from").unwrap_or(0);
         let wait = u64::try_from(number("wait_ms").unwrap_or(0)).unwrap_or(0);
@@ -140,9 +173,10 @@
                 body.extend((records.len() as u64).to_be_bytes());
                 body.extend(0_u64.to_be_bytes());
                 for record in records.iter().skip(from) {
+                    let record = tell(record, translated);
                     let length = u32::try_from(record.len()).unwrap_or_default();
                     body.extend(length.to_be_bytes());
-                    body.extend(record);
+                    body.extend(&record);
                 }
                 return ("200 OK", body);
             }
@@ -151,7 +185,7 @@
         }
     }
 
-    fn newest(&self, topic: &str) -> Vec<u8> {
+    fn newest(&self, topic: &str, translated: bool) -> Vec<u8> {
         let mut topics = self.topics.lock().expect("no panic");
         let records = topics.entry(topic.to_string()).or_default();
         let mut newest: Vec<(String, &[u8], usize)> = Vec::new();
@@ -167,7 +201,7 @@
         let mut body = String::from("{\"items\":[");
         for (place, (key, value, offset)) in newest.iter().enumerate() {
             let comma = if place > 0 { "," } else { "" };
-            let value = base64(value);
+            let value = base64(&tell(value, translated));
             let _ = write!(
                 body,
                 "{comma}{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
