--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -2,6 +2,7 @@
 //! The names on the wire come from the file in `NAMES`.
 
 mod client;
+mod datagrams;
 mod http;
 mod names;
 mod proxy;
@@ -19,10 +20,11 @@
         Some("put") => store::put(&rest),
         Some("replica") => replica::run(&rest),
         Some("proxy") => proxy::run(&rest),
+        Some("datagrams") => datagrams::run(&rest),
         Some("client") => client::run(&rest),
         Some("ready") => client::wait_ready(&rest),
         _ => {
-            eprintln!("store | put | replica | proxy | client | ready");
+            eprintln!("store | put | replica | proxy | datagrams | client | ready");
             exit(2);
         }
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -1,9 +1,10 @@
 //! The platform's store: a log whose newest record of each key is kept. It loses nothing and answers at once.
 //!
-//! To its second address it tells other addresses of the replicas, `127.0.0.9` for `127.0.0.1`. All programs of a
-//! play have the same address on the network, so that only thus one machine has links of its own, which can be cut.
+//! At its second address it tells other addresses, of replicas `127.0.0.9` for `127.0.0.1`, and takes other ones. All
+//! programs of a play are on one network, so that only thus one machine has links of its own, which can be cut.
 
 use std::collections::HashMap;
+use std::env;
 use std::fmt::Write as _;
 use std::io;
 use std::io::BufReader;
@@ -49,24 +50,44 @@
     }
 }
 
-fn tell(record: &[u8], translated: bool) -> Vec<u8> {
-    if translated {
-        translate(record)
-    } else {
-        record.to_vec()
+/// What is told of a record to a machine with links of its own: of replicas their addresses at its links; with
+/// `MACHINES` set, of machines those at which it knows them, 127.0.0.2N for 127.0.0.1N, but for its own, 127.0.0.15.
+fn tell(topic: &str, record: &[u8]) -> Vec<u8> {
+    if topic.starts_with(name("servers")) {
+        return replace(record, |bytes| {
+            let own: [u8; 10] = *b"127.0.0.9:";
+            (bytes == b"127.0.0.1:").then_some(own)
+        });
     }
+    if env::var_os("MACHINES").is_none() {
+        return record.to_vec();
+    }
+    replace(record, |bytes| match *bytes {
+        [127, 0, 0, host @ 11..=14] => Some([127, 0, 0, host + 10]),
+        [127, 0, 0, 25] => Some([127, 0, 0, 15]),
+        _ => None,
+    })
+}
+
+/// What is kept of a record of that machine: the address at which the others know it.
+fn kept(record: &[u8]) -> Vec<u8> {
+    if env::var_os("MACHINES").is_none() {
+        return record.to_vec();
+    }
+    replace(record, |bytes| {
+        (*bytes == [127, 0, 0, 15]).then_some([127, 0, 0, 25])
+    })
 }
 
-/// A record as a machine with links of its own is told it.
-fn translate(record: &[u8]) -> Vec<u8> {
-    const OWN: &[u8] = b"127.0.0.9:";
-    let mut record = record.to_vec();
-    for place in 0..record.len().saturating_sub(OWN.len()) {
-        if record[place..].starts_with(b"127.0.0.1:") {
-            record[place..place + OWN.len()].copy_from_slice(OWN);
+fn replace<const N: usize>(record: &[u8], change: impl Fn(&[u8; N]) -> Option<[u8; N]>) -> Vec<u8> {
+    let mut changed = record.to_vec();
+    for (place, window) in record.windows(N).enumerate() {
+        let window = window.try_into().expect("a window of this size");
+        if let Some(bytes) = change(window) {
+            changed[place..place + N].copy_from_slice(&bytes);
         }
     }
-    record
+    changed
 }
 
 /// `put ADDRESS KEY FILE`: writes an operator's record.
@@ -124,11 +145,10 @@
     fn answer(&self, request: &Message, translated: bool) -> (&'static str, Vec<u8>) {
         let path = request.target().split('?').next().unwrap_or_default();
         let topic = request.query("topic").unwrap_or_default();
-        let translated = translated && topic == name("servers");
         let part = request.query("part").unwrap_or_default();
         let topic = format!("{topic}/{part}");
         if path == name("append") {
-            self.append(&topic, request)
+            self.append(&topic, request, translated)
         } else if path == name("read") {
             self.read(&topic, request, translated)
         } else if path == name("newest") {
@@ -138,7 +158,7 @@
         }
     }
 
-    fn append(&self, topic: &str, request: &Message) -> (&'static str, Vec<u8>) {
+    fn append(&self, topic: &str, request: &Message, translated: bool) -> (&'static str, Vec<u8>) {
         let mut topics = self.topics.lock().expect("no panic");
         let records = topics.entry(topic.to_string()).or_default();
         let first = records.len();
@@ -151,7 +171,12 @@
         let mut rest = &request.body[..];
         while let Some((length, more)) = rest.split_first_chunk::<4>() {
             let length = u32::from_be_bytes(*length) as usize;
-            records.push(more[..length].to_vec());
+            let record = &more[..length];
+            records.push(if translated {
+                kept(record)
+            } else {
+                record.to_vec()
+            });
             rest = &more[length..];
         }
         let body = format!("{{\"offset\":{first},\"end_offset\":{}}}", records.len());
@@ -173,7 +198,11 @@
                 body.extend((records.len() as u64).to_be_bytes());
                 body.extend(0_u64.to_be_bytes());
                 for record in records.iter().skip(from) {
-                    let record = tell(record, translated);
+                    let record = if translated {
+                        tell(topic, record)
+                    } else {
+                        record.clone()
+                    };
                     let length = u32::try_from(record.len()).unwrap_or_default();
                     body.extend(length.to_be_bytes());
                     body.extend(&record);
@@ -201,7 +230,11 @@
         let mut body = String::from("{\"items\":[");
         for (place, (key, value, offset)) in newest.iter().enumerate() {
             let comma = if place > 0 { "," } else { "" };
-            let value = base64(&tell(value, translated));
+            let value = if translated {
+                base64(&tell(topic, value))
+            } else {
+                base64(value)
+            };
             let _ = write!(
                 body,
                 "{comma}{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}"
