--- a/review/standin-2/common.sh
+++ b/review/standin-2/common.sh
@@ -12,6 +12,8 @@
 pids=()
 finish() {
     for pid in "${pids[@]}"; do
+        # One that has ended may have left its id to a process that isn't ours.
+        grep -qs "^PPid:[[:space:]]*$$\$" "/proc/$pid/status" || continue
         kill -CONT "$pid" 2>/dev/null
         kill -KILL "$pid" 2>/dev/null
         wait "$pid" 2>/dev/null
@@ -47,4 +49,7 @@
 }
 
 # ready IP: waits until a machine says that it is ready
-ready() { "$standin" ready "$1:$((port + 2))" 20 || { echo "not ready"; exit 2; }; }
+ready() {
+    [ "$SECONDS" -lt 40 ] || { echo "not ready in time"; exit 2; }
+    "$standin" ready "$1:$((port + 2))" 20 || { echo "not ready"; exit 2; }
+}
